--- /dev/null
+++ b/include/coppervalve/core/hash.h
@@ -0,0 +1,52 @@
+#ifndef COPPERVALVE_CORE_HASH_H_
+#define COPPERVALVE_CORE_HASH_H_
+
+#include <array>        // array
+#include <compare>      // operator<=>
+#include <cstdint>      // uint64_t
+#include <functional>   // hash
+#include <string>       // string
+#include <string_view>  // string_view
+
+namespace coppervalve::core {
+
+/// @brief 64-bit non-cryptographic hash (XXH3).
+/// @complexity linear in the size of the text
+uint64_t Hash64(std::string_view text, uint64_t seed = 0);
+
+/// @brief A 128-bit content hash: request keys, bodies.
+struct Hash128 {
+  uint64_t high = 0;
+  uint64_t low = 0;
+
+  friend auto operator<=>(const Hash128&, const Hash128&) = default;
+  /// @return 16 bytes, big endian, as kept in log records
+  std::string ToBytes() const;
+  /// @return the hash of 16 bytes; all zero when the size is another
+  static Hash128 FromBytes(std::string_view bytes);
+};
+
+/// @brief 128-bit non-cryptographic hash (XXH3).
+Hash128 HashOf(std::string_view text);
+
+/// @brief Lower-case hex SHA-256, used for API keys and operator tokens.
+std::string Sha256Hex(std::string_view text);
+
+/// @brief Compares secrets without leaking the position of the first
+/// difference.
+bool EqualSecrets(std::string_view a, std::string_view b);
+
+/// @brief Rank of `candidate` for `key` in rendezvous hashing: the candidate
+/// with the highest rank owns the key.
+uint64_t RendezvousRank(std::string_view key, std::string_view candidate);
+
+}  // namespace coppervalve::core
+
+template <>
+struct std::hash<coppervalve::core::Hash128> {
+  size_t operator()(const coppervalve::core::Hash128& h) const noexcept {
+    return static_cast<size_t>(h.low);
+  }
+};
+
+#endif  // COPPERVALVE_CORE_HASH_H_
