--- /dev/null
+++ b/include/coppervalve/rules/facts.h
@@ -0,0 +1,32 @@
+#ifndef COPPERVALVE_RULES_FACTS_H_
+#define COPPERVALVE_RULES_FACTS_H_
+
+#include <cstdint>      // uint32_t
+#include <span>         // span
+#include <string>       // string
+#include <string_view>  // string_view
+#include <utility>      // pair
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+
+namespace coppervalve::rules {
+
+/// @brief What the conditions of a rule can look at. The views must stay valid
+/// during the match only.
+struct RequestFacts {
+  core::AccountId account;
+  core::ModelId model;      ///< model work only
+  core::ServiceId service;  ///< plain services only
+  std::string_view method;
+  std::string_view path;
+  /// Names in lower case.
+  std::span<const std::pair<std::string, std::string>> headers;
+  core::Bytes prompt;
+  core::Tokens max_output_tokens;  ///< asked for; 0 = not given
+  uint32_t minute_of_day = 0;      ///< UTC, 0..1439
+};
+
+}  // namespace coppervalve::rules
+
+#endif  // COPPERVALVE_RULES_FACTS_H_
