--- /dev/null
+++ b/include/coppervalve/logclient/writer.h
@@ -0,0 +1,147 @@
+#ifndef COPPERVALVE_LOGCLIENT_WRITER_H_
+#define COPPERVALVE_LOGCLIENT_WRITER_H_
+
+#include <cstddef>   // size_t
+#include <cstdint>   // uint64_t
+#include <deque>     // deque
+#include <optional>  // optional
+#include <string>    // string
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/result.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/logclient/backoff.h"
+#include "coppervalve/logclient/token_bucket.h"
+#include "coppervalve/records.pb.h"
+
+namespace coppervalve::logclient {
+
+/// @brief How soon a record must be appended.
+enum class Urgency : uint8_t {
+  kRoutine,  ///< with the next batch
+  kUrgent,   ///< as soon as the last append has ended: claims, grants
+};
+
+/// @brief Bounds of a Writer.
+struct WriterOptions {
+  core::Duration batch_interval = std::chrono::milliseconds(100);
+  core::Duration keep_alive_interval = std::chrono::seconds(3);
+  /// An append without outcome for this long means that the log is out.
+  core::Duration outage_after = std::chrono::seconds(2);
+  double appends_per_second = 10;
+  double append_burst = 20;
+  size_t max_backlog_records = 20'000;
+  core::Bytes max_backlog_bytes{8 << 20};
+  /// Bounds of one entry; a single record may exceed the bytes.
+  size_t max_entry_records = 1'000;
+  core::Bytes max_entry_bytes{256 << 10};
+  BackoffOptions backoff;
+};
+
+/// @brief The writing side of one incarnation: groups records into entries with
+/// contiguous sequences and repeats an entry until its outcome is known.
+///
+/// The owner asks NextAppend() on each tick and after each event, sends what it
+/// returns and reports exactly one OnAppended() or OnFailed() for it (the
+/// sender bounds the time of an append).
+class Writer {
+ public:
+  /// @param writer router id, or "operator:<name>"
+  /// @param jitter see Backoff
+  Writer(std::string writer,
+         core::Incarnation incarnation,
+         WriterOptions options,
+         JitterHook jitter);
+
+  /// @brief Queues a record behind those added before.
+  /// @return kBacklogFull when a bound would be passed: the record was not
+  /// taken, and nothing that was taken before is lost
+  /// @complexity linear in the size of the record
+  core::Status Add(v1::Record record, Urgency urgency);
+
+  /// @brief The append to send now, if any.
+  /// @param seen_offset next offset that this router has still to read
+  /// @return a serialized v1::Entry; byte for byte the earlier one when it is
+  /// repeated
+  /// @complexity linear in the size of the entry
+  std::optional<std::string> NextAppend(core::TimePoint now,
+                                        core::LogOffset seen_offset);
+
+  /// @brief The log acknowledged the append in flight. A report that nothing is
+  /// in flight for is ignored.
+  void OnAppended(core::TimePoint now, core::LogOffset offset);
+
+  /// @brief The append in flight failed; it may have taken effect.
+  void OnFailed(core::TimePoint now);
+
+  /// @brief An entry of this incarnation was read from the log: settles an
+  /// outstanding append whose reply was lost. Another may be sent once the one
+  /// in flight is reported.
+  void OnSequenceFolded(core::Sequence sequence);
+
+  /// @return records that are not known to be in the log, those of the
+  /// outstanding entry included
+  size_t backlog_records() const;
+  /// @return their serialized size
+  core::Bytes backlog_bytes() const;
+  /// @return whether an entry is outstanding: sent, and its outcome unknown
+  bool has_outstanding() const { return m_outstanding.has_value(); }
+  /// @return time since the outstanding entry was first sent; zero if none is
+  core::Duration OutstandingAge(core::TimePoint now) const;
+  /// @return whether an append has been without outcome for too long
+  bool LogIsOut(core::TimePoint now) const;
+  /// @return highest sequence handed out so far; 0 before the first entry
+  core::Sequence last_sequence() const { return m_last_sequence; }
+  /// @return highest sequence known to be in the log
+  core::Sequence settled_sequence() const { return m_settled_sequence; }
+  /// @return offset of the last acknowledged append, if any
+  std::optional<core::LogOffset> last_offset() const { return m_last_offset; }
+  /// @return entries known to be in the log
+  uint64_t appended_entries() const { return m_settled_sequence.value(); }
+  /// @return sends, repeats included
+  uint64_t sends() const { return m_sends; }
+  /// @return bytes sent, repeats included
+  core::Bytes bytes_sent() const { return m_bytes_sent; }
+
+ private:
+  struct Waiting {
+    v1::Record record;
+    core::Bytes size;
+    Urgency urgency = Urgency::kRoutine;
+  };
+  struct Outstanding {
+    core::Sequence sequence;
+    std::string bytes;
+    size_t records = 0;
+    core::Bytes record_bytes;
+    core::TimePoint first_sent;
+  };
+
+  bool IsDue(core::TimePoint now) const;
+  Outstanding BuildEntry(core::TimePoint now, core::LogOffset seen_offset);
+  void Settle();
+
+  std::string m_writer;
+  core::Incarnation m_incarnation;
+  WriterOptions m_options;
+  Backoff m_backoff;
+  TokenBucket m_rate;
+
+  std::deque<Waiting> m_waiting;
+  core::Bytes m_waiting_bytes;
+  size_t m_urgent_waiting = 0;
+
+  std::optional<Outstanding> m_outstanding;
+  bool m_in_flight = false;
+  std::optional<core::TimePoint> m_retry_at;
+  std::optional<core::TimePoint> m_last_new_entry;
+  core::Sequence m_last_sequence;
+  core::Sequence m_settled_sequence;
+  std::optional<core::LogOffset> m_last_offset;
+  uint64_t m_sends = 0;
+  core::Bytes m_bytes_sent;
+};
+
+}  // namespace coppervalve::logclient
+
+#endif  // COPPERVALVE_LOGCLIENT_WRITER_H_
--- /dev/null
+++ b/src/logclient/snapshot_policy.cc
@@ -0,0 +1,85 @@
+#include "coppervalve/logclient/snapshot_policy.h"
+
+#include <algorithm>    // max, min
+#include <string>       // string, to_string
+#include <string_view>  // string_view
+#include <utility>      // move
+
+#include "coppervalve/core/hash.h"
+
+namespace coppervalve::logclient {
+
+namespace {
+
+constexpr uint64_t kWhole = 1000;
+
+}  // namespace
+
+SnapshotPolicy::SnapshotPolicy(core::RouterId self, SnapshotOptions options)
+    : m_self(std::move(self)), m_options(options) {}
+
+void SnapshotPolicy::OnSnapshotSeen(core::LogOffset offset) {
+  m_last_snapshot = std::max(m_last_snapshot, offset);
+  m_turn.reset();
+}
+
+bool SnapshotPolicy::IsDue(core::TimePoint now,
+                           const LogRange& range,
+                           const std::vector<core::RouterId>& live) {
+  const uint64_t last = m_last_snapshot.value();
+  if (range.next.value() < last + Spacing(range)) {
+    m_turn.reset();
+    return false;
+  }
+  if (!m_turn) {
+    m_turn =
+        now + m_options.takeover_delay * static_cast<int64_t>(RankOfSelf(live));
+  }
+  if (now < *m_turn) {
+    return false;
+  }
+  const auto round = static_cast<int64_t>(std::max<size_t>(live.size(), 1));
+  m_turn = now + m_options.takeover_delay * round;
+  return true;
+}
+
+core::Status SnapshotPolicy::CheckSize(core::Bytes size) const {
+  if (size <= m_options.max_bytes) {
+    return core::Ok();
+  }
+  return core::Error{core::ErrorId::kSnapshotInvalid, m_self.value(),
+                     "larger than the bound: " + std::to_string(size.value())};
+}
+
+uint64_t SnapshotPolicy::Spacing(const LogRange& range) const {
+  const uint64_t retained =
+      range.next.value() -
+      std::min(range.next.value(), range.first_retained.value());
+  const uint64_t share = retained * m_options.spacing_permille / kWhole;
+  if (range.first_retained.value() == 0) {
+    return std::max(share, m_options.min_spacing);
+  }
+  // Once entries expire, the retained range is the true bound: a fixed least
+  // distance could be longer than it and leave no snapshot in it at all.
+  return std::max<uint64_t>(share, 1);
+}
+
+size_t SnapshotPolicy::RankOfSelf(
+    const std::vector<core::RouterId>& live) const {
+  // All routers fold the same last snapshot, so they rank each other alike; the
+  // changing key spreads the work.
+  const std::string key = "snapshot:" + std::to_string(m_last_snapshot.value());
+  const uint64_t own = core::RendezvousRank(key, m_self.value());
+  size_t ahead = 0;
+  for (const core::RouterId& router : live) {
+    if (router == m_self) {
+      continue;
+    }
+    if (core::RendezvousRank(key, router.value()) > own) {
+      ++ahead;
+    }
+  }
+  return ahead;
+}
+
+}  // namespace coppervalve::logclient
--- /dev/null
+++ b/src/logclient/writer.cc
@@ -0,0 +1,167 @@
+#include "coppervalve/logclient/writer.h"
+
+#include <utility>  // move
+
+namespace coppervalve::logclient {
+
+Writer::Writer(std::string writer,
+               core::Incarnation incarnation,
+               WriterOptions options,
+               JitterHook jitter)
+    : m_writer(std::move(writer)),
+      m_incarnation(incarnation),
+      m_options(options),
+      m_backoff(options.backoff, std::move(jitter)),
+      m_rate(options.appends_per_second, options.append_burst) {}
+
+core::Status Writer::Add(v1::Record record, Urgency urgency) {
+  const core::Bytes size(static_cast<int64_t>(record.ByteSizeLong()));
+  const bool too_many = backlog_records() >= m_options.max_backlog_records;
+  const bool too_large = backlog_bytes() + size > m_options.max_backlog_bytes;
+  // The log may be out for long while requests keep coming. Without a bound the
+  // router would die of its memory and lose all that it has still to report;
+  // dropping the oldest would lose it as surely. Refusing the new record lets
+  // the caller refuse the work that it stands for.
+  if (too_many || too_large) {
+    return core::Error{core::ErrorId::kBacklogFull, m_writer,
+                       too_many ? "records" : "bytes"};
+  }
+  m_waiting.push_back({std::move(record), size, urgency});
+  m_waiting_bytes += size;
+  if (urgency == Urgency::kUrgent) {
+    ++m_urgent_waiting;
+  }
+  return core::Ok();
+}
+
+std::optional<std::string> Writer::NextAppend(core::TimePoint now,
+                                              core::LogOffset seen_offset) {
+  if (m_in_flight || (m_retry_at && now < *m_retry_at)) {
+    return std::nullopt;
+  }
+  if (!m_outstanding && !IsDue(now)) {
+    return std::nullopt;
+  }
+  // The log takes several hundred appends a second from the whole fleet. Urgent
+  // records and repeats pass the batch interval, so they are counted here.
+  if (!m_rate.TryTake(now)) {
+    return std::nullopt;
+  }
+  if (!m_outstanding) {
+    m_outstanding = BuildEntry(now, seen_offset);
+  }
+  m_in_flight = true;
+  m_retry_at.reset();
+  ++m_sends;
+  m_bytes_sent +=
+      core::Bytes(static_cast<int64_t>(m_outstanding->bytes.size()));
+  return m_outstanding->bytes;
+}
+
+void Writer::OnAppended(core::TimePoint /*now*/, core::LogOffset offset) {
+  if (!m_in_flight) {
+    return;
+  }
+  m_in_flight = false;
+  m_last_offset = offset;
+  Settle();
+}
+
+void Writer::OnFailed(core::TimePoint now) {
+  if (!m_in_flight) {
+    return;
+  }
+  m_in_flight = false;
+  // A failed append may have taken effect: its reply was lost. Sending its
+  // records under a new sequence would fold them twice (a grant taken twice);
+  // dropping them could lose them. The same bytes are kept for the repeat, and
+  // the fold ignores the sequence it already has.
+  m_retry_at = now + m_backoff.NextDelay();
+}
+
+void Writer::OnSequenceFolded(core::Sequence sequence) {
+  if (!m_outstanding || sequence < m_outstanding->sequence) {
+    return;
+  }
+  // When the repeat is still in flight, its late report finds nothing
+  // outstanding; m_in_flight stays set, so that the report cannot be taken for
+  // that of a newer entry.
+  Settle();
+}
+
+size_t Writer::backlog_records() const {
+  return m_waiting.size() + (m_outstanding ? m_outstanding->records : 0);
+}
+
+core::Bytes Writer::backlog_bytes() const {
+  return m_waiting_bytes +
+         (m_outstanding ? m_outstanding->record_bytes : core::Bytes());
+}
+
+core::Duration Writer::OutstandingAge(core::TimePoint now) const {
+  return m_outstanding ? now - m_outstanding->first_sent : core::Duration();
+}
+
+bool Writer::LogIsOut(core::TimePoint now) const {
+  return m_outstanding && OutstandingAge(now) >= m_options.outage_after;
+}
+
+bool Writer::IsDue(core::TimePoint now) const {
+  if (m_urgent_waiting > 0) {
+    return true;
+  }
+  if (!m_last_new_entry) {
+    // No keep-alive before the first record: the log must not see an entry of
+    // this incarnation before its join.
+    return !m_waiting.empty();
+  }
+  const core::Duration quiet = now - *m_last_new_entry;
+  return quiet >= (m_waiting.empty() ? m_options.keep_alive_interval
+                                     : m_options.batch_interval);
+}
+
+Writer::Outstanding Writer::BuildEntry(core::TimePoint now,
+                                       core::LogOffset seen_offset) {
+  m_last_sequence = core::Sequence(m_last_sequence.value() + 1);
+  m_last_new_entry = now;
+
+  v1::Entry entry;
+  entry.set_writer(m_writer);
+  entry.set_incarnation(m_incarnation.value());
+  entry.set_sequence(m_last_sequence.value());
+  entry.set_seen_offset(seen_offset.value());
+
+  Outstanding built;
+  built.sequence = m_last_sequence;
+  built.first_sent = now;
+  while (!m_waiting.empty() && built.records < m_options.max_entry_records) {
+    Waiting& next = m_waiting.front();
+    const bool fits =
+        built.record_bytes + next.size <= m_options.max_entry_bytes;
+    if (!fits && built.records > 0) {
+      break;
+    }
+    *entry.add_records() = std::move(next.record);
+    ++built.records;
+    built.record_bytes += next.size;
+    m_waiting_bytes -= next.size;
+    if (next.urgency == Urgency::kUrgent) {
+      --m_urgent_waiting;
+    }
+    m_waiting.pop_front();
+  }
+  built.bytes = entry.SerializeAsString();
+  return built;
+}
+
+void Writer::Settle() {
+  m_backoff.Reset();
+  m_retry_at.reset();
+  if (!m_outstanding) {
+    return;
+  }
+  m_settled_sequence = m_outstanding->sequence;
+  m_outstanding.reset();
+}
+
+}  // namespace coppervalve::logclient
