--- /dev/null
+++ b/include/coppervalve/ledger/detail/budget_table.h
@@ -0,0 +1,35 @@
+#ifndef COPPERVALVE_LEDGER_DETAIL_BUDGET_TABLE_H_
+#define COPPERVALVE_LEDGER_DETAIL_BUDGET_TABLE_H_
+
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/ledger/budget.h"
+
+namespace coppervalve::ledger::detail {
+
+/// @brief Every budget that a configuration ever named.
+class BudgetTable {
+ public:
+  /// @return null when unknown
+  Budget* Find(const core::BudgetId& id);
+  const Budget* Find(const core::BudgetId& id) const;
+  /// @return the budget, created with an empty balance when unknown
+  Budget& Declare(const core::BudgetId& id);
+  /// @brief By id. @complexity n log n
+  std::vector<const Budget*> Sorted() const;
+  /// @brief Marks all as named by no configuration: no grants, strictest
+  /// release. @complexity linear
+  void ForgetPolicies();
+
+ private:
+  std::unordered_map<core::BudgetId, Budget> m_budgets;
+};
+
+/// @brief Marks a budget as configured, with the policies declared for it.
+void ApplyPolicy(const v1::Budget& declared, Budget& budget);
+
+}  // namespace coppervalve::ledger::detail
+
+#endif  // COPPERVALVE_LEDGER_DETAIL_BUDGET_TABLE_H_
--- /dev/null
+++ b/include/coppervalve/ledger/detail/entry_context.h
@@ -0,0 +1,72 @@
+#ifndef COPPERVALVE_LEDGER_DETAIL_ENTRY_CONTEXT_H_
+#define COPPERVALVE_LEDGER_DETAIL_ENTRY_CONTEXT_H_
+
+#include <cstddef>   // size_t
+#include <optional>  // optional
+#include <utility>   // move
+#include <vector>    // vector
+
+#include "coppervalve/core/error.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/ledger/detail/holding_ref.h"
+#include "coppervalve/ledger/detail/state.h"
+#include "coppervalve/ledger/effects.h"
+#include "coppervalve/ledger/member.h"
+#include "coppervalve/records.pb.h"
+
+namespace coppervalve::ledger::detail {
+
+/// @brief What the folding of one entry shares between its records.
+class EntryContext {
+ public:
+  EntryContext(State& state, core::LogOffset offset, const v1::Entry& entry);
+
+  State& state() { return m_state; }
+  core::LogOffset offset() const { return m_offset; }
+  const v1::Entry& entry() const { return m_entry; }
+  core::Sequence sequence() const { return core::Sequence(m_entry.sequence()); }
+  bool from_operator() const { return m_from_operator; }
+  /// @brief Whether the writer had last read the log more than the dedup window
+  /// ago, so that ids it repeats may be forgotten here.
+  bool stale() const { return m_stale; }
+
+  /// @brief The writing router; null for operators.
+  Member* writer() { return m_writer; }
+  void set_writer(Member* writer) { m_writer = writer; }
+
+  void Emit(Effect effect) { m_effects.push_back(std::move(effect)); }
+  void Ignore(IgnoreReason reason);
+  void Fail(core::Error error);
+  /// @brief A budget by its id in a record; when unknown, null and an effect.
+  Budget* BudgetOrIgnore(const std::string& id);
+  /// @brief A member by its id in a record; when unknown, null and an effect.
+  Member* MemberOrIgnore(const std::string& id, uint64_t incarnation);
+  /// @brief The holding of a member, created when absent; it and its budget are
+  /// checked when the entry is folded.
+  HoldingRef Touch(Member& member, Budget& budget);
+
+  /// @brief Forgets emptied retired members and checks what was touched.
+  void Finish();
+  const std::optional<core::Error>& failure() const { return m_failure; }
+  std::vector<Effect> TakeEffects() { return std::move(m_effects); }
+
+ private:
+  struct Touched {
+    core::Incarnation incarnation;
+    HoldingRef ref;
+  };
+
+  State& m_state;
+  core::LogOffset m_offset;
+  const v1::Entry& m_entry;
+  bool m_from_operator;
+  bool m_stale;
+  Member* m_writer = nullptr;
+  std::vector<Effect> m_effects;
+  std::vector<Touched> m_touched;
+  std::optional<core::Error> m_failure;
+};
+
+}  // namespace coppervalve::ledger::detail
+
+#endif  // COPPERVALVE_LEDGER_DETAIL_ENTRY_CONTEXT_H_
--- /dev/null
+++ b/include/coppervalve/ledger/detail/key_window.h
@@ -0,0 +1,58 @@
+#ifndef COPPERVALVE_LEDGER_DETAIL_KEY_WINDOW_H_
+#define COPPERVALVE_LEDGER_DETAIL_KEY_WINDOW_H_
+
+#include <cstdint>        // uint64_t
+#include <deque>          // deque
+#include <unordered_map>  // unordered_map
+#include <utility>        // move
+
+#include "coppervalve/core/ids.h"
+
+namespace coppervalve::ledger::detail {
+
+/// @brief Keys remembered for a window of log offsets.
+template <typename Key, typename Value>
+class KeyWindow {
+ public:
+  struct Slot {
+    core::LogOffset offset;
+    Key key;
+  };
+
+  /// @return null when the key is not remembered
+  const Value* Find(const Key& key) const {
+    const auto found = m_values.find(key);
+    return found == m_values.end() ? nullptr : &found->second;
+  }
+
+  /// @brief Remembers a new key. Offsets never fall from call to call.
+  /// @return false, without change, when the key is remembered already
+  bool Insert(core::LogOffset offset, const Key& key, Value value) {
+    if (!m_values.emplace(key, std::move(value)).second) {
+      return false;
+    }
+    m_slots.push_back({offset, key});
+    return true;
+  }
+
+  /// @brief Forgets keys whose offset lies more than `window` below `offset`.
+  /// @complexity amortized constant per inserted key
+  void Prune(core::LogOffset offset, uint64_t window) {
+    while (!m_slots.empty() &&
+           offset.value() - m_slots.front().offset.value() > window) {
+      m_values.erase(m_slots.front().key);
+      m_slots.pop_front();
+    }
+  }
+
+  /// @brief The remembered keys in log order.
+  const std::deque<Slot>& slots() const { return m_slots; }
+
+ private:
+  std::unordered_map<Key, Value> m_values;
+  std::deque<Slot> m_slots;
+};
+
+}  // namespace coppervalve::ledger::detail
+
+#endif  // COPPERVALVE_LEDGER_DETAIL_KEY_WINDOW_H_
--- /dev/null
+++ b/src/ledger/fold_spend.cc
@@ -0,0 +1,109 @@
+#include <algorithm>  // max, min
+
+#include "coppervalve/ledger/detail/record_handlers.h"
+
+namespace coppervalve::ledger::detail {
+
+using core::Hash128;
+using core::Tokens;
+
+namespace {
+
+// What of a spend remains to be charged, and to whom it went so far.
+struct Charges {
+  Tokens remaining;
+  Tokens billed;
+  Tokens written_off;
+};
+
+// A key is billed once. The caller's retry at another router may have run the
+// same work again; its tokens are spent all the same, but the account has paid
+// for its answer already.
+void ChargeBill(EntryContext& context,
+                const Member& member,
+                const Budget& budget,
+                const v1::Bill& bill,
+                Charges& charges) {
+  const Hash128 key = Hash128::FromBytes(bill.key_hash());
+  if (key == Hash128{} || bill.tokens() < 0) {
+    context.Ignore(IgnoreReason::kInvalid);
+    return;
+  }
+  const Tokens tokens = std::min(Tokens(bill.tokens()), charges.remaining);
+  charges.remaining -= tokens;
+  if (context.state().billed_keys.Insert(context.offset(), key, {})) {
+    charges.billed += tokens;
+    context.Emit(Billed{member.id, member.incarnation, budget.id, key, tokens});
+    return;
+  }
+  charges.written_off += tokens;
+  context.Emit(
+      BillWrittenOff{member.id, member.incarnation, budget.id, key, tokens});
+}
+
+}  // namespace
+
+bool FoldSpend(EntryContext& context,
+               Member& member,
+               Budget& budget,
+               Tokens spent,
+               const google::protobuf::RepeatedPtrField<v1::Bill>& bills) {
+  HoldingRef ref = context.Touch(member, budget);
+  const Tokens delta = spent - ref.holding().spent;
+  if (spent < Tokens(0) || delta < Tokens(0)) {
+    context.Ignore(IgnoreReason::kSpendNotMonotone);
+    return false;
+  }
+  const Tokens taken_back = ref.TakeBack(delta);
+  EmitQuarantineChange(context, member, ref, Tokens(0) - taken_back);
+  if (delta > ref.holding().held()) {
+    // Every commitment is made from a holding, so this is a fault of the
+    // protocol. Were it folded as if nothing had happened, the balance would
+    // let others spend what is gone: the fold stops instead.
+    context.Fail({core::ErrorId::kConservationBroken, budget.id.value(),
+                  member.id.value() + " spent more than it held"});
+    return false;
+  }
+  Charges charges{delta, Tokens(0), Tokens(0)};
+  for (const v1::Bill& bill : bills) {
+    ChargeBill(context, member, budget, bill, charges);
+  }
+  ref.Spend(charges.billed + charges.remaining, charges.written_off);
+  return true;
+}
+
+void FoldSpendReported(EntryContext& context, const v1::SpendReported& r) {
+  Budget* budget = context.BudgetOrIgnore(r.budget());
+  if (budget == nullptr) {
+    return;
+  }
+  FoldSpend(context, *context.writer(), *budget, Tokens(r.spent()), r.bills());
+}
+
+void FoldKeyClaimed(EntryContext& context, const v1::KeyClaimed& r) {
+  const Member& member = *context.writer();
+  const Hash128 key = Hash128::FromBytes(r.key_hash());
+  if (key == Hash128{}) {
+    context.Ignore(IgnoreReason::kInvalid);
+    return;
+  }
+  const Claim* owner = context.state().claims.Find(key);
+  if (owner != nullptr) {
+    context.Emit(ClaimLost{member.id, member.incarnation, key, owner->router,
+                           owner->incarnation});
+    return;
+  }
+  // An append that was held up for longer than the window may come after
+  // another router's claim of the key was made, used and forgotten. Winning now
+  // would run non-idempotent work twice.
+  if (context.stale()) {
+    context.Emit(ClaimLost{member.id, member.incarnation, key, {}, {}});
+    return;
+  }
+  context.state().claims.Insert(
+      context.offset(), key,
+      Claim{member.id, member.incarnation, context.offset()});
+  context.Emit(ClaimWon{member.id, member.incarnation, key});
+}
+
+}  // namespace coppervalve::ledger::detail
--- /dev/null
+++ b/src/ledger/snapshot_codec.cc
@@ -0,0 +1,302 @@
+#include <algorithm>      // stable_sort
+#include <unordered_map>  // unordered_map
+
+#include "coppervalve/ledger/detail/state.h"
+
+namespace coppervalve::ledger::detail {
+
+using core::BudgetId;
+using core::ConfigVersion;
+using core::Hash128;
+using core::Incarnation;
+using core::LogOffset;
+using core::RouterId;
+using core::Tokens;
+
+namespace {
+
+core::Error Invalid(const std::string& subject, const std::string& detail) {
+  return {core::ErrorId::kSnapshotInvalid, subject, detail};
+}
+
+// ---- Writing ---------------------------------------------------------------
+
+void EncodeConfig(const ConfigInForce& config, v1::FoldState& to) {
+  to.set_config_version(config.version.value());
+  *to.mutable_configuration() = *config.configuration;
+  to.set_config_change_id(config.change_id);
+  to.set_config_operator(config.operator_name);
+  to.set_config_offset(config.offset.value());
+}
+
+void EncodeBudget(const Budget& budget, v1::BudgetState& to) {
+  to.set_id(budget.id.value());
+  to.set_paid_in(budget.paid_in.value());
+  to.set_paid_in_by_config(budget.paid_in_by_config.value());
+  to.set_free(budget.free.value());
+  to.set_billed(budget.billed.value());
+  to.set_written_off(budget.written_off.value());
+}
+
+void EncodeHolding(const Member& member,
+                   const Holding& holding,
+                   v1::HoldingState& to) {
+  to.set_router(member.id.value());
+  to.set_incarnation(member.incarnation.value());
+  to.set_received(holding.received.value());
+  to.set_spent(holding.spent.value());
+  to.set_transferred_out(holding.transferred_out.value());
+  to.set_released(holding.released.value());
+  to.set_has_ceiling(holding.ceiling.has_value());
+  to.set_ceiling(holding.ceiling.value_or(Tokens(0)).value());
+}
+
+void EncodeMember(const Member& member, v1::RouterState& to) {
+  to.set_id(member.id.value());
+  to.set_incarnation(member.incarnation.value());
+  to.set_last_sequence(member.last_sequence.value());
+  to.set_phase(member.phase);
+  *to.mutable_joined() = member.joined;
+  to.set_joined_offset(member.joined_offset.value());
+  to.set_last_offset(member.last_offset.value());
+  to.set_retired_offset(member.retired_offset.value());
+  to.set_witness_router(member.witness.value());
+  to.set_witness_incarnation(member.witness_incarnation.value());
+  to.set_confirmed_config(member.confirmed_config.value());
+  to.set_retire_reason(member.retire_reason);
+  to.set_finalized(member.finalized);
+}
+
+void EncodeBudgets(const State& state, v1::FoldState& to) {
+  std::unordered_map<BudgetId, v1::BudgetState*> by_id;
+  for (const Budget* budget : state.budgets.Sorted()) {
+    v1::BudgetState* encoded = to.add_budgets();
+    EncodeBudget(*budget, *encoded);
+    by_id.emplace(budget->id, encoded);
+  }
+  for (const Member* member : state.members.Sorted()) {
+    EncodeMember(*member, *to.add_routers());
+    for (const auto& [id, holding] : member->holdings) {
+      EncodeHolding(*member, holding, *by_id.at(id)->add_holdings());
+    }
+  }
+}
+
+void EncodeWindows(const State& state, v1::FoldState& to) {
+  for (const auto& slot : state.claims.slots()) {
+    const Claim& claim = *state.claims.Find(slot.key);
+    v1::ClaimState* encoded = to.add_claims();
+    encoded->set_key_hash(slot.key.ToBytes());
+    encoded->set_router(claim.router.value());
+    encoded->set_incarnation(claim.incarnation.value());
+    encoded->set_offset(claim.offset.value());
+  }
+  for (const auto& slot : state.billed_keys.slots()) {
+    v1::BilledKey* encoded = to.add_billed_keys();
+    encoded->set_key_hash(slot.key.ToBytes());
+    encoded->set_offset(slot.offset.value());
+  }
+  for (const auto& slot : state.operator_ids.slots()) {
+    v1::TopUpSeen* encoded = to.add_top_ups();
+    encoded->set_top_up_id(slot.key);
+    encoded->set_offset(slot.offset.value());
+  }
+  for (const auto& slot : state.transfers.slots()) {
+    v1::TransferSeen* encoded = to.add_transfers();
+    encoded->set_from_incarnation(slot.key.from.value());
+    encoded->set_transfer_id(slot.key.transfer_id);
+    encoded->set_offset(slot.offset.value());
+  }
+}
+
+void EncodeOrders(const State& state, v1::FoldState& to) {
+  for (const auto& [upstream, order] : state.orders) {
+    v1::OrderState* encoded = to.add_orders();
+    encoded->set_upstream(upstream.value());
+    encoded->set_fencing_number(order.fencing.value());
+    *encoded->mutable_order() = order.order;
+  }
+}
+
+// ---- Reading ---------------------------------------------------------------
+
+void DecodeConfig(const v1::FoldState& from, ConfigInForce& config) {
+  config.version = ConfigVersion(from.config_version());
+  config.offset = LogOffset(from.config_offset());
+  config.operator_name = from.config_operator();
+  config.change_id = from.config_change_id();
+  config.configuration =
+      std::make_shared<v1::Configuration>(from.configuration());
+}
+
+Member DecodeMember(const v1::RouterState& from) {
+  Member member;
+  member.id = RouterId(from.id());
+  member.incarnation = Incarnation(from.incarnation());
+  member.last_sequence = core::Sequence(from.last_sequence());
+  member.phase = from.phase();
+  member.joined = from.joined();
+  member.joined_offset = LogOffset(from.joined_offset());
+  member.last_offset = LogOffset(from.last_offset());
+  member.retired_offset = LogOffset(from.retired_offset());
+  member.witness = RouterId(from.witness_router());
+  member.witness_incarnation = Incarnation(from.witness_incarnation());
+  member.confirmed_config = ConfigVersion(from.confirmed_config());
+  member.retire_reason = from.retire_reason();
+  member.finalized = from.finalized();
+  return member;
+}
+
+Holding DecodeHolding(const v1::HoldingState& from) {
+  Holding holding;
+  holding.received = Tokens(from.received());
+  holding.spent = Tokens(from.spent());
+  holding.transferred_out = Tokens(from.transferred_out());
+  holding.released = Tokens(from.released());
+  if (from.has_ceiling()) {
+    holding.ceiling = Tokens(from.ceiling());
+  }
+  return holding;
+}
+
+// Retired members go in by the offset of their retirement, which is the order
+// in which they are forgotten.
+core::Status DecodeMembers(const v1::FoldState& from, MemberTable& members) {
+  std::vector<Member> sorted;
+  for (const v1::RouterState& router : from.routers()) {
+    sorted.push_back(DecodeMember(router));
+  }
+  std::stable_sort(sorted.begin(), sorted.end(),
+                   [](const Member& a, const Member& b) {
+                     return a.retired_offset < b.retired_offset;
+                   });
+  for (Member& member : sorted) {
+    const bool valid = v1::RouterPhase_IsValid(member.phase) &&
+                       member.phase != v1::ROUTER_PHASE_UNSPECIFIED;
+    if (!valid || members.Find(member.incarnation) != nullptr) {
+      return Invalid(member.id.value(), "phase or incarnation");
+    }
+    if (member.live() && members.FindLive(member.id) != nullptr) {
+      return Invalid(member.id.value(), "live twice");
+    }
+    members.Add(std::move(member));
+  }
+  return core::Ok();
+}
+
+core::Status DecodeHoldings(const v1::BudgetState& from,
+                            Budget& budget,
+                            MemberTable& members) {
+  for (const v1::HoldingState& encoded : from.holdings()) {
+    Member* member = members.Find(RouterId(encoded.router()),
+                                  Incarnation(encoded.incarnation()));
+    if (member == nullptr) {
+      return Invalid(budget.id.value(), "held by an unknown router");
+    }
+    const Holding holding = DecodeHolding(encoded);
+    if (!member->holdings.emplace(budget.id, holding).second) {
+      return Invalid(budget.id.value(), "held twice by " + encoded.router());
+    }
+    budget.held += holding.held();
+    if (!member->live()) {
+      budget.quarantined += holding.held();
+    }
+  }
+  return core::Ok();
+}
+
+core::Status DecodeBudgets(const v1::FoldState& from, State& state) {
+  for (const v1::BudgetState& encoded : from.budgets()) {
+    const BudgetId id(encoded.id());
+    if (state.budgets.Find(id) != nullptr) {
+      return Invalid(encoded.id(), "budget listed twice");
+    }
+    Budget& budget = state.budgets.Declare(id);
+    budget.paid_in = Tokens(encoded.paid_in());
+    budget.paid_in_by_config = Tokens(encoded.paid_in_by_config());
+    budget.free = Tokens(encoded.free());
+    budget.billed = Tokens(encoded.billed());
+    budget.written_off = Tokens(encoded.written_off());
+    core::Status status = DecodeHoldings(encoded, budget, state.members);
+    if (!core::IsOk(status)) {
+      return status;
+    }
+  }
+  return core::Ok();
+}
+
+core::Status DecodePolicies(const v1::FoldState& from, BudgetTable& budgets) {
+  for (const v1::Budget& declared : from.configuration().budgets()) {
+    Budget* budget = budgets.Find(BudgetId(declared.id()));
+    if (budget == nullptr) {
+      return Invalid(declared.id(), "configured, but without a balance");
+    }
+    ApplyPolicy(declared, *budget);
+  }
+  return core::Ok();
+}
+
+void DecodeWindows(const v1::FoldState& from, State& state) {
+  for (const v1::ClaimState& encoded : from.claims()) {
+    const LogOffset offset(encoded.offset());
+    state.claims.Insert(offset, Hash128::FromBytes(encoded.key_hash()),
+                        Claim{RouterId(encoded.router()),
+                              Incarnation(encoded.incarnation()), offset});
+  }
+  for (const v1::BilledKey& encoded : from.billed_keys()) {
+    state.billed_keys.Insert(LogOffset(encoded.offset()),
+                             Hash128::FromBytes(encoded.key_hash()), {});
+  }
+  for (const v1::TopUpSeen& encoded : from.top_ups()) {
+    state.operator_ids.Insert(LogOffset(encoded.offset()), encoded.top_up_id(),
+                              {});
+  }
+  for (const v1::TransferSeen& encoded : from.transfers()) {
+    const TransferKey key{Incarnation(encoded.from_incarnation()),
+                          encoded.transfer_id()};
+    state.transfers.Insert(LogOffset(encoded.offset()), key, {});
+  }
+}
+
+void DecodeOrders(const v1::FoldState& from, State& state) {
+  for (const v1::OrderState& encoded : from.orders()) {
+    state.orders[core::UpstreamId(encoded.upstream())] =
+        Order{core::FencingNumber(encoded.fencing_number()), encoded.order()};
+  }
+}
+
+}  // namespace
+
+v1::FoldState Encode(const State& state) {
+  v1::FoldState to;
+  to.set_next_offset(state.next_offset.value());
+  EncodeConfig(state.config, to);
+  EncodeBudgets(state, to);
+  EncodeWindows(state, to);
+  EncodeOrders(state, to);
+  return to;
+}
+
+core::Status Decode(const v1::FoldState& from, State& state) {
+  state.next_offset = LogOffset(from.next_offset());
+  DecodeConfig(from, state.config);
+  core::Status status = DecodeMembers(from, state.members);
+  if (core::IsOk(status)) {
+    status = DecodeBudgets(from, state);
+  }
+  if (core::IsOk(status)) {
+    status = DecodePolicies(from, state.budgets);
+  }
+  if (!core::IsOk(status)) {
+    return status;
+  }
+  DecodeWindows(from, state);
+  DecodeOrders(from, state);
+  return CheckConservation(state);
+}
+
+uint64_t Digest(const State& state) {
+  return core::Hash64(Encode(state).SerializeAsString());
+}
+
+}  // namespace coppervalve::ledger::detail
