Add the request table: keys, joins, claims, kept answers

Cause: a retry must never run a seat hold twice, and must find its answer. Ruled out: leases on key ranges (a paused holder resumes); dropping the oldest record when full (its retry runs again). Change: library request; origin-bound keys, claims for the rest, records for answer_keep_s and fingerprints after it, status lookups, bounds. Conclusion: a key that ran here is in the table or among the fingerprints.

--- /dev/null
+++ b/include/coppervalve/request/request_table.h
@@ -0,0 +1,240 @@
+#ifndef COPPERVALVE_REQUEST_REQUEST_TABLE_H_
+#define COPPERVALVE_REQUEST_REQUEST_TABLE_H_
+
+#include <cstddef>        // size_t
+#include <cstdint>        // uint8_t
+#include <functional>     // function
+#include <list>           // list
+#include <optional>       // optional
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/core/error.h"
+#include "coppervalve/core/hash.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/operator.pb.h"
+#include "coppervalve/request/forgotten_keys.h"
+#include "coppervalve/request/key_name.h"
+#include "coppervalve/request/request_record.h"
+#include "coppervalve/request/verdict.h"
+
+namespace coppervalve::request {
+
+/// @brief Bounds of the table. Its memory is at most
+/// (max_open + max_kept + max_tombstones) records, max_open joiners, and the
+/// filter of forgotten keys; the shell's is max_kept_bytes of kept answers.
+struct TableLimits {
+  size_t max_open = 8'192;         ///< not final, joiners included
+  size_t max_kept = 16'384;        ///< final and safe to forget early
+  size_t max_tombstones = 65'536;  ///< keyed non-idempotent, open or final
+  core::Bytes max_kept_bytes{64LL << 20};
+  core::Duration answer_keep = std::chrono::seconds(300);
+  size_t forgotten_per_generation = size_t{1} << 20;
+};
+
+/// @brief What the table asks of its surroundings; each is a pure lookup.
+struct TableHooks {
+  /// How this router sees an incarnation.
+  std::function<Location(const Origin&)> locate;
+  /// The live member that rendezvous hashing picks for a key; may be this one.
+  std::function<Location(const core::Hash128& key)> owner_of;
+  /// The winner of a key's claim in the fold; none when not claimed.
+  std::function<std::optional<Origin>(const core::Hash128& key)> claim_of;
+};
+
+/// @brief A request as it arrives, after its rule was matched.
+struct Arrival {
+  core::RequestId id;
+  core::AccountId account;
+  std::optional<KeyName> key;
+  core::Hash128 body_hash;
+  bool non_idempotent = false;
+  v1::AdmissionClass admission_class = v1::ADMISSION_CLASS_UNSPECIFIED;
+  bool forwarded = false;      ///< a peer sent it here
+  bool log_available = false;  ///< appends to the log succeed at present
+  /// The log was read to its end lately, so an earlier claim would be known.
+  bool fold_current = true;
+};
+
+/// @brief Those who wait for the outcome of a request: its own caller unless
+/// gone, then its joiners.
+using Waiters = std::vector<core::RequestId>;
+
+/// @brief How a relay to a peer ended.
+struct ForwardOutcome {
+  bool answered = false;       ///< the peer's whole answer was relayed
+  bool sent = false;           ///< the peer may have it
+  bool relayed = false;        ///< the caller may have part of an answer
+  bool log_available = false;  ///< as in Arrival
+  bool fold_current = true;    ///< as in Arrival
+};
+
+/// @brief What to do when a caller has gone.
+enum class GoneDecision : uint8_t {
+  kKeepRunning,  ///< someone else waits, or a retry can fetch the answer
+  kCancel,       ///< nobody can ever read it: cancel, then OnRefused/OnFailed
+  kNothing,      ///< it was a joiner, or is final
+};
+
+/// @brief The answer to a status lookup.
+struct StatusLookup {
+  v1::RequestStatus status;
+  /// Who knows more, when this router has not seen the request.
+  std::optional<ForwardTo> ask;
+};
+
+/// @brief All requests that this incarnation knows. Every keyed non-idempotent
+/// request that was sent from here is in the table or among the forgotten
+/// keys, so it never runs twice.
+class RequestTable {
+ public:
+  RequestTable(Origin self, TableHooks hooks, TableLimits limits = {});
+
+  /// @brief Follows the configuration in force; applies to kept entries too.
+  void SetAnswerKeep(core::Duration answer_keep);
+
+  /// @brief Decides what becomes of a new request and records it, unless it is
+  /// refused.
+  /// @complexity amortised constant, plus the hooks
+  KeyVerdict OnArrival(core::TimePoint now, const Arrival& arrival);
+
+  /// @brief The claim is this incarnation's: admit the request.
+  void OnClaimWon(core::TimePoint now, core::RequestId id);
+  /// @brief Another incarnation has the claim.
+  /// @return ForwardTo or Refuse, for the request and each of its joiners
+  std::vector<RequestVerdict> OnClaimLost(core::TimePoint now,
+                                          core::RequestId id,
+                                          const Origin& winner);
+  void OnQueued(core::TimePoint now, core::RequestId id);
+  void OnReserved(core::TimePoint now,
+                  core::RequestId id,
+                  const core::UpstreamId& upstream);
+  /// @brief Point of no return. Call it when the dispatch is handed to the
+  /// shell, before any byte can be given to the kernel.
+  void OnSent(core::TimePoint now, core::RequestId id);
+  /// @brief The attempt provably did not run (not sent, or declined).
+  void OnAttemptNotRun(core::TimePoint now, core::RequestId id);
+  /// @return whether another attempt is allowed: always for idempotent work,
+  /// else only while no attempt may have run
+  bool MayRetry(core::RequestId id) const;
+  /// @return the run state that a refusal of this request may state; ask
+  /// before OnRefused
+  core::RunState RefusalRunState(core::RequestId id) const;
+
+  /// @brief The answer came to its proper end and the shell keeps it.
+  /// @return those who wait
+  Waiters OnDone(core::TimePoint now,
+                 core::RequestId id,
+                 core::Bytes answer_size);
+  /// @brief No whole answer after the point of no return.
+  /// @return those who wait and are to be told
+  Waiters OnFailed(core::TimePoint now,
+                   core::RequestId id,
+                   core::ErrorId error);
+  /// @brief Given up before the point of no return: provably not run.
+  /// @return those who wait and are to be told
+  Waiters OnRefused(core::TimePoint now,
+                    core::RequestId id,
+                    core::ErrorId error);
+  /// @brief A relay ended.
+  /// @return what to do next; none when the caller has its whole answer
+  std::optional<KeyVerdict> OnForwardEnded(core::TimePoint now,
+                                           core::RequestId id,
+                                           const ForwardOutcome& outcome);
+  GoneDecision OnCallerGone(core::TimePoint now, core::RequestId id);
+
+  /// @brief Requests whose answer the shell need not keep any longer. Expires
+  /// what is due.
+  /// @complexity linear in the number of entries that expire
+  std::vector<core::RequestId> TakeExpired(core::TimePoint now);
+
+  /// @brief What is known of a key; always an answer.
+  /// @param forwarded a peer asks, so nobody else is named
+  StatusLookup StatusOf(core::TimePoint now,
+                        const core::AccountId& account,
+                        const KeyName& key,
+                        bool forwarded = false) const;
+
+  /// @return the record, or null when the table has none
+  const RequestRecord* Find(core::RequestId id) const;
+  size_t open() const { return m_open; }
+  size_t tombstones() const { return m_tombstones; }
+  size_t size() const { return m_records.size(); }
+
+ private:
+  struct Slot {
+    RequestRecord record;
+    std::list<core::RequestId>::iterator kept_at;    // valid when final
+    std::list<core::RequestId>::iterator answer_at;  // valid with kept_answer
+  };
+
+  /// What the decision about one request is made from.
+  struct Question {
+    const RequestRecord& request;
+    std::optional<Origin> origin;  // of its key
+    bool log_available;
+    bool fold_current;
+  };
+  /// A verdict and what the record has to remember of it.
+  struct Decision {
+    KeyVerdict verdict;
+    bool only_there = false;
+    bool may_have_run = false;
+  };
+
+  Decision Decide(const Question& question) const;
+  Decision DecideUnseen(const Question& question) const;
+  Decision DecideAgain(const RequestRecord& request, Decision otherwise) const;
+  std::optional<Decision> DecideKnown(const RequestRecord& request,
+                                      const RequestRecord& known) const;
+  Decision DecideOriginBound(const Question& question) const;
+  Decision DecideUnbound(const Question& question) const;
+  Decision ClaimFirst(const Question& question) const;
+  Decision GoTo(const RequestRecord& request, const Origin& place) const;
+  Location Locate(const Origin& place) const;
+  std::optional<Refuse> RefuseForRoom(const RequestRecord& request,
+                                      const Decision& decision) const;
+  KeyVerdict Admit(core::TimePoint now,
+                   RequestRecord request,
+                   Decision decision);
+  void Insert(core::TimePoint now, RequestRecord request);
+  std::optional<RequestRecord> Extract(core::RequestId id);
+
+  void Enter(core::TimePoint now, core::RequestId id, Phase phase);
+  void SetPhase(core::TimePoint now, Slot& slot, Phase phase);
+  Waiters Finish(core::TimePoint now,
+                 Slot& slot,
+                 Phase phase,
+                 std::optional<core::ErrorId> error);
+  Waiters TakeWaiters(RequestRecord& record);
+  void Keep(Slot& slot);
+  void KeepAnswer(Slot& slot, core::Bytes size);
+  void DropAnswer(Slot& slot);
+  void Forget(core::RequestId id);
+  void ExpireKept(core::TimePoint now);
+  void ExpireFrom(std::list<core::RequestId>& kept, core::TimePoint now);
+
+  Slot* FindOpen(core::RequestId id);
+  const RequestRecord* FindKey(const core::Hash128& key) const;
+  std::optional<ForwardTo> WhomToAsk(const KeyName& key,
+                                     const core::Hash128& identity) const;
+
+  Origin m_self;
+  TableHooks m_hooks;
+  TableLimits m_limits;
+  std::unordered_map<core::RequestId, Slot> m_records;
+  std::unordered_map<core::Hash128, core::RequestId> m_by_key;
+  std::list<core::RequestId> m_forgettable;  // oldest first
+  std::list<core::RequestId> m_protected;    // tombstones, oldest first
+  std::list<core::RequestId> m_answers;      // oldest first
+  std::vector<core::RequestId> m_expired;
+  ForgottenKeys m_forgotten;
+  core::Bytes m_kept_bytes;
+  size_t m_open = 0;
+  size_t m_tombstones = 0;
+};
+
+}  // namespace coppervalve::request
+
+#endif  // COPPERVALVE_REQUEST_REQUEST_TABLE_H_
--- /dev/null
+++ b/include/coppervalve/request/verdict.h
@@ -0,0 +1,70 @@
+#ifndef COPPERVALVE_REQUEST_VERDICT_H_
+#define COPPERVALVE_REQUEST_VERDICT_H_
+
+#include <cstdint>   // uint8_t
+#include <optional>  // optional
+#include <string>    // string
+#include <variant>   // variant
+
+#include "coppervalve/core/error.h"
+#include "coppervalve/core/hash.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/request/key_name.h"
+
+namespace coppervalve::request {
+
+/// @brief What this router knows of another incarnation.
+enum class PeerState : uint8_t {
+  kReachable,    ///< a live member that answers heartbeats, or is not suspected
+  kUnreachable,  ///< a live member that is suspected
+  kRetired,      ///< retired in the log, or replaced by a newer incarnation
+  kUnknown,      ///< never joined as far as this router has read
+};
+
+/// @brief An incarnation and how to reach it.
+struct Location {
+  Origin origin;
+  PeerState state = PeerState::kUnknown;
+  std::string address;  ///< where it takes work from routers; may be empty
+};
+
+/// @brief Admit the request here: match rules, queue, reserve, dispatch.
+struct RunHere {};
+
+/// @brief Append KeyClaimed first; then OnClaimWon or OnClaimLost.
+struct NeedClaim {
+  core::Hash128 key;
+};
+
+/// @brief Hand the caller the answer of `leader`, kept or still arriving.
+struct Join {
+  core::RequestId leader;
+};
+
+/// @brief Relay to that incarnation; ends with OnForwardEnded.
+struct ForwardTo {
+  core::RouterId router;
+  core::Incarnation incarnation;
+  std::string address;
+};
+
+/// @brief The final answer of this request.
+struct Refuse {
+  core::Error error;
+  core::RunState run_state = core::RunState::kNotRun;
+  std::optional<core::Duration> retry_after;
+};
+
+/// @brief What to do with a request.
+using KeyVerdict = std::variant<RunHere, NeedClaim, Join, ForwardTo, Refuse>;
+
+/// @brief A verdict and whom it is about.
+struct RequestVerdict {
+  core::RequestId request;
+  KeyVerdict verdict;
+};
+
+}  // namespace coppervalve::request
+
+#endif  // COPPERVALVE_REQUEST_VERDICT_H_
--- /dev/null
+++ b/src/request/key_decision.cc
@@ -0,0 +1,287 @@
+#include "coppervalve/request/request_table.h"
+
+#include <utility>  // move
+
+namespace coppervalve::request {
+
+namespace {
+
+/// For refusals whose cause passes by itself: the peer answers again, the
+/// claim is read, an entry expires.
+constexpr core::Duration kSoon = std::chrono::seconds(1);
+
+Refuse RefuseWith(core::ErrorId id,
+                  core::RunState run_state,
+                  std::optional<core::Duration> retry_after = std::nullopt) {
+  return {{id, "idempotency-key", {}}, run_state, retry_after};
+}
+
+Refuse UnknownOutcome(std::optional<core::Duration> retry_after) {
+  return RefuseWith(core::ErrorId::kOutcomeUnknown, core::RunState::kUnknown,
+                    retry_after);
+}
+
+}  // namespace
+
+RequestTable::Decision RequestTable::Decide(const Question& question) const {
+  const RequestRecord& request = question.request;
+  if (!request.key) {
+    return {RunHere{}};
+  }
+  const RequestRecord* known = FindKey(*request.key);
+  if (known == nullptr) {
+    return DecideUnseen(question);
+  }
+  if (std::optional<Decision> decision = DecideKnown(request, *known)) {
+    return *std::move(decision);
+  }
+  Decision decision = DecideUnseen(question);
+  const bool ran_before = RunStateOf(*known) != core::RunState::kNotRun;
+  decision.may_have_run |= ran_before && !request.non_idempotent;
+  return decision;
+}
+
+/// For a key that has no record here, or only one of a refusal.
+RequestTable::Decision RequestTable::DecideUnseen(
+    const Question& question) const {
+  const RequestRecord& request = question.request;
+  // Failure: a caller retries a seat hold after its record has expired.
+  // Symptom: a second hold of a paid seat. Enough: every such key is in the
+  // filter, which misses none within its generations.
+  if (request.non_idempotent && m_forgotten.MayContain(*request.key)) {
+    return {UnknownOutcome(std::nullopt)};
+  }
+  return question.origin ? DecideOriginBound(question)
+                         : DecideUnbound(question);
+}
+
+/// For a request that was waiting for another router: by now its key may have
+/// a record here.
+RequestTable::Decision RequestTable::DecideAgain(const RequestRecord& request,
+                                                 Decision otherwise) const {
+  const RequestRecord* known = FindKey(*request.key);
+  if (known == nullptr) {
+    return otherwise;
+  }
+  return DecideKnown(request, *known).value_or(std::move(otherwise));
+}
+
+std::optional<RequestTable::Decision> RequestTable::DecideKnown(
+    const RequestRecord& request,
+    const RequestRecord& known) const {
+  // The identity is no cryptographic hash. Should two accounts ever collide,
+  // the second is refused and never shown the first one's answer.
+  if (known.account != request.account) {
+    return Decision{
+        RefuseWith(core::ErrorId::kBadRequest, core::RunState::kNotRun)};
+  }
+  if (known.body_hash != request.body_hash) {
+    return Decision{RefuseWith(core::ErrorId::kKeyReusedWithOtherBody,
+                               core::RunState::kNotRun)};
+  }
+  if (!IsFinal(known.phase)) {
+    return Decision{Join{known.id}};
+  }
+  if (known.phase == Phase::kDone) {
+    return known.kept_answer
+               ? Decision{Join{known.id}}
+               : Decision{RefuseWith(core::ErrorId::kAnswerExpired,
+                                     core::RunState::kRan)};
+  }
+  if (known.phase == Phase::kRefused) {
+    return std::nullopt;
+  }
+  if (known.non_idempotent || request.non_idempotent) {
+    return Decision{UnknownOutcome(std::nullopt)};
+  }
+  return Decision{RunHere{}, false, true};
+}
+
+RequestTable::Decision RequestTable::DecideOriginBound(
+    const Question& question) const {
+  if (*question.origin == m_self) {
+    return {RunHere{}};
+  }
+  return GoTo(question.request, *question.origin);
+}
+
+RequestTable::Decision RequestTable::DecideUnbound(
+    const Question& question) const {
+  const RequestRecord& request = question.request;
+  const std::optional<Origin> claimed = m_hooks.claim_of(*request.key);
+  // A claim of this incarnation without a record of a run: it was refused
+  // before it was sent, so it may run now without a second claim.
+  if (claimed && *claimed == m_self) {
+    return {RunHere{}};
+  }
+  if (claimed) {
+    return GoTo(request, *claimed);
+  }
+  const Location owner = m_hooks.owner_of(*request.key);
+  const bool elsewhere = owner.origin != m_self;
+  if (elsewhere && !request.forwarded && owner.state == PeerState::kReachable) {
+    return {ForwardTo{owner.origin.router, owner.origin.incarnation,
+                      owner.address}};
+  }
+  if (request.non_idempotent) {
+    return ClaimFirst(question);
+  }
+  return {RunHere{}, false, elsewhere};
+}
+
+RequestTable::Decision RequestTable::ClaimFirst(
+    const Question& question) const {
+  if (question.log_available) {
+    return {NeedClaim{*question.request.key}, false, !question.fold_current};
+  }
+  // Failure: the first try claimed and ran at a router that then died, and
+  // this one has not read that claim. Symptom: "not run" of a hold that was
+  // made. Enough: "not run" is said only when the claim would have been read.
+  const core::RunState run_state = question.fold_current
+                                       ? core::RunState::kNotRun
+                                       : core::RunState::kUnknown;
+  return {RefuseWith(core::ErrorId::kClaimUnavailable, run_state, kSoon)};
+}
+
+Location RequestTable::Locate(const Origin& place) const {
+  // Another incarnation of this very router has ended: this one replaced it.
+  if (place.router == m_self.router) {
+    return {place, PeerState::kRetired, {}};
+  }
+  return m_hooks.locate(place);
+}
+
+/// For a key that one other incarnation has, or alone may run.
+RequestTable::Decision RequestTable::GoTo(const RequestRecord& request,
+                                          const Origin& place) const {
+  const Location location = Locate(place);
+  const bool gone = location.state == PeerState::kRetired ||
+                    location.state == PeerState::kUnknown;
+  // Routers whose views differ could send a request round in circles; one that
+  // a peer forwarded therefore ends here.
+  if (location.state == PeerState::kReachable && !request.forwarded) {
+    return {ForwardTo{place.router, place.incarnation, location.address}, true};
+  }
+  if (!request.non_idempotent) {
+    return {RunHere{}, false, true};
+  }
+  if (gone) {
+    return {RefuseWith(core::ErrorId::kOriginGone, core::RunState::kUnknown)};
+  }
+  return {UnknownOutcome(kSoon)};
+}
+
+std::optional<Refuse> RequestTable::RefuseForRoom(
+    const RequestRecord& request,
+    const Decision& decision) const {
+  const auto* join = std::get_if<Join>(&decision.verdict);
+  if (join != nullptr && IsFinal(Find(join->leader)->phase)) {
+    return std::nullopt;
+  }
+  const bool admits = std::holds_alternative<RunHere>(decision.verdict) ||
+                      std::holds_alternative<NeedClaim>(decision.verdict);
+  // Failure: a full table drops the record of a hold that ran, and its retry
+  // runs it again. Symptom: a doubled seat hold. Enough: a request enters only
+  // while its own record is sure to fit for as long as answers are kept.
+  const bool no_tombstone = admits && request.key && request.non_idempotent &&
+                            m_tombstones >= m_limits.max_tombstones;
+  if (m_open < m_limits.max_open && !no_tombstone) {
+    return std::nullopt;
+  }
+  const bool sure = admits && !decision.may_have_run;
+  return RefuseWith(core::ErrorId::kBacklogFull,
+                    sure ? core::RunState::kNotRun : core::RunState::kUnknown,
+                    kSoon);
+}
+
+std::optional<KeyVerdict> RequestTable::OnForwardEnded(
+    core::TimePoint now,
+    core::RequestId id,
+    const ForwardOutcome& outcome) {
+  std::optional<RequestRecord> request = Extract(id);
+  if (!request || outcome.answered) {
+    return std::nullopt;
+  }
+  // A second run would append its answer to the part that the caller has.
+  if (outcome.relayed) {
+    return RefuseWith(core::ErrorId::kAnswerCut, core::RunState::kUnknown);
+  }
+  const bool settled_there = outcome.sent || request->only_there;
+  if (request->non_idempotent && settled_there) {
+    return UnknownOutcome(kSoon);
+  }
+  if (request->non_idempotent) {
+    const Question question{*request, std::nullopt, outcome.log_available,
+                            outcome.fold_current};
+    Decision decision = DecideAgain(*request, ClaimFirst(question));
+    return Admit(now, *std::move(request), std::move(decision));
+  }
+  Decision decision = DecideAgain(*request, {RunHere{}, false, settled_there});
+  return Admit(now, *std::move(request), std::move(decision));
+}
+
+std::vector<RequestVerdict> RequestTable::OnClaimLost(core::TimePoint now,
+                                                      core::RequestId id,
+                                                      const Origin& winner) {
+  Slot* slot = FindOpen(id);
+  if (slot == nullptr) {
+    return {};
+  }
+  std::vector<core::RequestId> group = {id};
+  group.insert(group.end(), slot->record.joiners.begin(),
+               slot->record.joiners.end());
+  std::vector<RequestVerdict> verdicts;
+  for (const core::RequestId member : group) {
+    std::optional<RequestRecord> request = Extract(member);
+    if (!request || request->caller_gone) {
+      continue;
+    }
+    Decision decision = DecideAgain(*request, GoTo(*request, winner));
+    verdicts.push_back(
+        {member, Admit(now, *std::move(request), std::move(decision))});
+  }
+  return verdicts;
+}
+
+StatusLookup RequestTable::StatusOf(core::TimePoint now,
+                                    const core::AccountId& account,
+                                    const KeyName& key,
+                                    bool forwarded) const {
+  const core::Hash128 identity = key.IdentityFor(account);
+  StatusLookup lookup;
+  v1::RequestStatus& status = lookup.status;
+  status.set_key(key.text());
+  const RequestRecord* known = FindKey(identity);
+  if (known != nullptr && known->account == account) {
+    DescribeTo(now, *known, status);
+    return lookup;
+  }
+  status.set_state("unknown");
+  status.set_run_state("unknown");
+  if (m_forgotten.MayContain(identity)) {
+    status.set_error(core::ErrorCode(core::ErrorId::kAnswerExpired));
+    return lookup;
+  }
+  status.set_error(core::ErrorCode(core::ErrorId::kNotFound));
+  if (!forwarded) {
+    lookup.ask = WhomToAsk(key, identity);
+  }
+  return lookup;
+}
+
+std::optional<ForwardTo> RequestTable::WhomToAsk(
+    const KeyName& key,
+    const core::Hash128& identity) const {
+  std::optional<Origin> place = key.origin();
+  if (!place) {
+    place = m_hooks.claim_of(identity);
+  }
+  const Location location = place ? Locate(*place) : m_hooks.owner_of(identity);
+  if (location.origin == m_self || location.state != PeerState::kReachable) {
+    return std::nullopt;
+  }
+  return ForwardTo{location.origin.router, location.origin.incarnation,
+                   location.address};
+}
+
+}  // namespace coppervalve::request
