--- a/include/coppervalve/router/events.h
+++ b/include/coppervalve/router/events.h
@@ -100,6 +100,7 @@
   core::AttemptId attempt;
   uint32_t http_status = 200;
   std::optional<Usage> usage;  ///< absent for plain services
+  core::Bytes answer_size;     ///< kept by the shell for later callers
   std::optional<UpstreamLoad> load;
 };
 
