Decide about holdings: reservations, ceilings, transfers, sizing

Cause: a router must spend only what the log moved to it, also when paused, retired or cut off. Ruled out: leases checked on a clock before a write (bound nothing across a pause); one holding without ceilings (a crash strands all of it). Change: library budget with Book, WitnessDesk, sizing policies; unit tests.

--- /dev/null
+++ b/include/coppervalve/budget/ceiling_link.h
@@ -0,0 +1,67 @@
+#ifndef COPPERVALVE_BUDGET_CEILING_LINK_H_
+#define COPPERVALVE_BUDGET_CEILING_LINK_H_
+
+#include <cstdint>        // uint64_t
+#include <optional>       // optional
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/budget/peer_ref.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/peer.pb.h"
+
+namespace coppervalve::budget {
+
+/// @brief An unacknowledged raise is sent again after this time.
+inline constexpr core::Duration kRaiseResendAfter{200'000};  // microseconds
+/// @brief Most ceilings in one raise that isn't a full list.
+inline constexpr size_t kMaxCeilingsPerRaise = 1024;
+
+/// @brief The ceilings that one witness was asked for and has acknowledged.
+/// One raise is outstanding at a time; the first one is the full list.
+class CeilingLink {
+ public:
+  /// @param peer the witness; nothing: no witness, so no ceiling binds
+  explicit CeilingLink(std::optional<PeerRef> peer);
+
+  const std::optional<PeerRef>& Peer() const { return m_peer; }
+  /// @brief Wants the ceiling of a budget to be at least `ceiling`.
+  void Ask(const core::BudgetId& budget, core::Tokens ceiling);
+  /// @return the ceiling wanted so far; nothing when no ceiling binds
+  std::optional<core::Tokens> Asked(const core::BudgetId& budget) const;
+  /// @return the ceiling that binds; nothing when none does
+  std::optional<core::Tokens> Acked(const core::BudgetId& budget) const;
+  /// @return whether the witness has acknowledged the full list
+  bool Complete() const { return m_complete || !m_peer; }
+  bool Refused() const { return m_refused; }
+
+  /// @brief The raise to send now, if any.
+  /// @param last_serial of this incarnation's raises to all witnesses
+  std::optional<v1::CeilingRaise> TakeRaise(core::TimePoint now,
+                                            uint64_t& last_serial);
+  /// @return the budgets whose binding ceiling grew; none when the
+  /// acknowledgement is not that of the outstanding raise
+  std::vector<core::BudgetId> OnAck(const v1::CeilingAck& ack);
+
+ private:
+  struct Ceiling {
+    core::Tokens asked;
+    core::Tokens acked;
+    bool queued = false;
+  };
+
+  v1::CeilingRaise NextRaise(uint64_t serial);
+
+  std::optional<PeerRef> m_peer;
+  std::unordered_map<core::BudgetId, Ceiling> m_ceilings;
+  std::vector<core::BudgetId> m_queue;  ///< asked for and not sent yet
+  std::optional<v1::CeilingRaise> m_outstanding;
+  core::TimePoint m_sent_at{};
+  bool m_complete = false;
+  bool m_refused = false;
+};
+
+}  // namespace coppervalve::budget
+
+#endif  // COPPERVALVE_BUDGET_CEILING_LINK_H_
--- /dev/null
+++ b/include/coppervalve/budget/spend_trail.h
@@ -0,0 +1,55 @@
+#ifndef COPPERVALVE_BUDGET_SPEND_TRAIL_H_
+#define COPPERVALVE_BUDGET_SPEND_TRAIL_H_
+
+#include <deque>     // deque
+#include <optional>  // optional
+#include <vector>    // vector
+
+#include "coppervalve/core/hash.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/records.pb.h"
+
+namespace coppervalve::budget {
+
+/// @brief Most bills in one record of the log.
+inline constexpr size_t kMaxBillsPerRecord = 1000;
+
+/// @brief Who is to be billed for a keyed request.
+struct Bill {
+  core::Hash128 key_hash;
+  core::AccountId account;
+};
+
+/// @brief The settlements of one budget on their way into the log. Bills are
+/// kept until they are known to be folded, since the reports of an incarnation
+/// that was retired meanwhile are not.
+class SpendTrail {
+ public:
+  void AddBill(const Bill& bill, core::Tokens tokens);
+  /// @param spent cumulative
+  /// @return the next report; nothing when everything was reported
+  std::optional<v1::SpendReported> NextReport(const core::BudgetId& budget,
+                                              core::Tokens spent);
+  /// @brief A report was folded. @param spent the report's amount
+  void OnFolded(core::Tokens spent);
+  /// @return the final spend with every bill that isn't known to be folded
+  v1::FinalSpend Final(const core::BudgetId& budget, core::Tokens spent) const;
+  /// @return the cumulative spend of the last report
+  core::Tokens Reported() const { return m_reported; }
+
+ private:
+  struct Report {
+    core::Tokens spent;
+    std::vector<v1::Bill> bills;
+  };
+
+  std::deque<v1::Bill> m_unreported;
+  core::Tokens m_unreported_tokens;
+  std::deque<Report> m_unfolded;
+  core::Tokens m_reported;
+};
+
+}  // namespace coppervalve::budget
+
+#endif  // COPPERVALVE_BUDGET_SPEND_TRAIL_H_
--- /dev/null
+++ b/include/coppervalve/budget/witness_desk.h
@@ -0,0 +1,47 @@
+#ifndef COPPERVALVE_BUDGET_WITNESS_DESK_H_
+#define COPPERVALVE_BUDGET_WITNESS_DESK_H_
+
+#include <optional>       // optional
+#include <unordered_map>  // unordered_map
+
+#include "coppervalve/budget/peer_ref.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/peer.pb.h"
+#include "coppervalve/records.pb.h"
+
+namespace coppervalve::budget {
+
+/// @brief The ceilings that this router keeps for its peers.
+class WitnessDesk {
+ public:
+  /// @brief Remembers the ceilings of a peer, the larger of old and new.
+  /// @return the answer to send back; refused once Close() was called
+  /// @complexity linear in the size of the raise
+  v1::CeilingAck OnCeilingRaise(const PeerRef& from,
+                                const v1::CeilingRaise& raise);
+
+  /// @brief Refuses all raises of an incarnation from now on, also when it
+  /// never sent one. Called when the log retires it, before StatementFor().
+  void Close(const PeerRef& peer);
+
+  /// @return the record that narrows a closed peer's quarantine; nothing while
+  /// the peer is not closed, or when no complete list was ever received
+  std::optional<v1::QuarantineNarrowed> StatementFor(const PeerRef& peer) const;
+
+  /// @brief Frees the ceilings of a closed peer; it stays closed.
+  void ForgetCeilings(const PeerRef& peer);
+
+ private:
+  struct Ward {
+    bool complete = false;
+    std::unordered_map<core::BudgetId, core::Tokens> ceilings;
+    bool closed = false;
+  };
+
+  std::unordered_map<core::Incarnation, Ward> m_wards;
+};
+
+}  // namespace coppervalve::budget
+
+#endif  // COPPERVALVE_BUDGET_WITNESS_DESK_H_
--- /dev/null
+++ b/include/coppervalve/budget/witnessing.h
@@ -0,0 +1,66 @@
+#ifndef COPPERVALVE_BUDGET_WITNESSING_H_
+#define COPPERVALVE_BUDGET_WITNESSING_H_
+
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <optional>    // optional
+#include <vector>      // vector
+
+#include "coppervalve/budget/ceiling_link.h"
+#include "coppervalve/budget/peer_ref.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/peer.pb.h"
+#include "coppervalve/records.pb.h"
+
+namespace coppervalve::budget {
+
+struct CeilingRaiseTo {
+  PeerRef to;
+  v1::CeilingRaise raise;
+};
+
+/// @brief Which witnesses bind this incarnation, and how far.
+///
+/// Between handing out a WitnessChosen and seeing it folded, either witness may
+/// be the one in force in the log, so both bind.
+class Witnessing {
+ public:
+  Witnessing();
+
+  /// @brief Starts to hand over to a witness, or to none.
+  /// @return whether a new candidate was taken: its ceilings are to be asked
+  /// for at once
+  bool Choose(const std::optional<PeerRef>& peer);
+  /// @brief Wants a ceiling at all binding witnesses and at the candidate.
+  void Ask(const core::BudgetId& budget, core::Tokens ceiling);
+
+  /// @return the ceiling that binds a budget; nothing when none does
+  std::optional<core::Tokens> Limit(const core::BudgetId& budget) const;
+  /// @return the smallest ceiling asked for; nothing when none binds
+  std::optional<core::Tokens> Asked(const core::BudgetId& budget) const;
+  /// @return the candidate that acknowledged the full list; null when none did
+  const CeilingLink* ReadyCandidate() const;
+  /// @brief Hands out the record; the candidate binds from now on.
+  /// @pre ReadyCandidate() covers all that is committed
+  v1::WitnessChosen RecordCandidate();
+  /// @brief The fold put a witness in force: those before it bind no longer.
+  void OnInForce(const std::optional<PeerRef>& peer);
+
+  std::vector<CeilingRaiseTo> TakeRaises(core::TimePoint now);
+  std::vector<core::BudgetId> OnAck(const PeerRef& from,
+                                    const v1::CeilingAck& ack);
+
+  const std::optional<PeerRef>& InForce() const;
+  /// @return whether the newest witness refuses raises
+  bool Refused() const;
+
+ private:
+  std::vector<CeilingLink> m_binding;  ///< in force, then those recorded
+  std::optional<CeilingLink> m_candidate;
+  uint64_t m_last_serial = 0;
+};
+
+}  // namespace coppervalve::budget
+
+#endif  // COPPERVALVE_BUDGET_WITNESSING_H_
--- /dev/null
+++ b/src/budget/book.cc
@@ -0,0 +1,358 @@
+#include "coppervalve/budget/book.h"
+
+#include <algorithm>  // clamp, max, min
+#include <string>     // to_string
+#include <utility>    // exchange, move
+
+namespace coppervalve::budget {
+
+namespace {
+
+constexpr core::Tokens kNone{0};
+
+core::Error Refusal(core::ErrorId id,
+                    const core::BudgetId& budget,
+                    core::Tokens bound) {
+  return {id, budget.value(), "needs " + std::to_string(bound.value())};
+}
+
+}  // namespace
+
+Book::Book(PeerRef self, SizingPolicy policy, BalanceHook balance)
+    : m_self(self),
+      m_policy(std::move(policy)),
+      m_balance(std::move(balance)),
+      m_transfers(std::move(self)) {}
+
+// ---- Accounts --------------------------------------------------------------
+
+Book::Account& Book::Touch(const core::BudgetId& budget) {
+  if (Account* known = Find(budget)) {
+    return *known;
+  }
+  Account& account = m_accounts.emplace_back(budget);
+  m_by_id.emplace(budget, &account);
+  ++m_totals.budgets;
+  return account;
+}
+
+Book::Account* Book::Find(const core::BudgetId& budget) {
+  const auto found = m_by_id.find(budget);
+  return found == m_by_id.end() ? nullptr : found->second;
+}
+
+SizingView Book::ViewOf(core::TimePoint now, const Account& account) const {
+  SizingView view;
+  view.balance = m_balance(account.id).value_or(BalanceView{});
+  view.active_routers = m_active_routers;
+  view.demand_per_second = account.demand.PerSecond(now);
+  view.largest_bound = account.demand.LargestBound();
+  view.received = account.holding.Received();
+  view.committed = account.holding.Committed();
+  view.unmet = account.unmet;
+  view.smallest_unmet = account.smallest_unmet;
+  view.gate_waits = account.gate_waits;
+  view.gate_only = account.holding.gate_only;
+  view.idle = now - account.demand.LastAsked() > kIdleAfter;
+  view.log_out = m_log_out;
+  view.asked_before = account.asked_before;
+  return view;
+}
+
+/// What may still be committed under both the holding and the ceilings.
+core::Tokens Book::Headroom(const Account& account) const {
+  const core::Tokens received = account.holding.Received();
+  const core::Tokens limit = m_witnessing.Limit(account.id).value_or(received);
+  return std::min(received, limit) - account.holding.Committed();
+}
+
+/// What a class may reserve when ceilings are left aside.
+core::Tokens Book::SpareFor(const Account& account, bool gate) {
+  const Holding& holding = account.holding;
+  return gate ? holding.Spare() : holding.Spare() - holding.gate_only;
+}
+
+// ---- Requests --------------------------------------------------------------
+
+ReserveResult Book::Reserve(core::TimePoint now,
+                            const core::BudgetId& budget,
+                            core::Tokens upper_bound,
+                            v1::AdmissionClass admission_class) {
+  const core::Tokens bound = std::max(upper_bound, kNone);
+  if (m_retired) {
+    return Refusal(core::ErrorId::kRetiredInLog, budget, bound);
+  }
+  if (Find(budget) == nullptr && !m_balance(budget)) {
+    return Refusal(core::ErrorId::kUnknownBudget, budget, bound);
+  }
+  Account& account = Touch(budget);
+  account.demand.SeeBound(now, bound);
+  QueueSizing(account);
+  QueueReview(now + kIdleAfter, account);
+
+  const bool gate = admission_class == v1::GATE;
+  if (bound <= Headroom(account) && bound <= SpareFor(account, gate)) {
+    const Reservation reservation = Commit(account, bound, gate);
+    KeepCeilingAhead(now, account);
+    return reservation;
+  }
+  AddUnmet(account, bound, gate);
+  KeepCeilingAhead(now, account);
+  const WaitOrError why = WhyNot(now, account, bound, gate);
+  if (const auto* wait = std::get_if<Wait>(&why)) {
+    return *wait;
+  }
+  return std::get<core::Error>(why);
+}
+
+Reservation Book::Commit(Account& account, core::Tokens bound, bool gate) {
+  Holding& holding = account.holding;
+  const core::Tokens gate_part =
+      gate ? std::min(bound, holding.gate_only) : kNone;
+  holding.gate_only -= gate_part;
+  holding.reserved += bound;
+  m_totals.reserved += bound;
+  const ReservationId id(++m_last_reservation);
+  m_open.emplace(id, Open{&account, bound, gate_part});
+  m_totals.open_reservations = m_open.size();
+  return {id, bound};
+}
+
+void Book::AddUnmet(Account& account, core::Tokens bound, bool gate) {
+  account.smallest_unmet =
+      account.unmet == kNone ? bound : std::min(account.smallest_unmet, bound);
+  account.unmet += bound;
+  account.gate_waits = account.gate_waits || gate;
+  m_hungry.insert(account.id);
+}
+
+Book::WaitOrError Book::WhyNot(core::TimePoint now,
+                               const Account& account,
+                               core::Tokens bound,
+                               bool gate) const {
+  const core::Tokens spare = SpareFor(account, gate);
+  if (bound <= spare) {
+    return Wait{WaitReason::kCeiling};
+  }
+  const SizingView view = ViewOf(now, account);
+  const bool grant_possible =
+      account.grant_asked || m_policy.grant(view).tokens > kNone;
+  if (!m_log_out && grant_possible) {
+    return Wait{WaitReason::kGrant};
+  }
+  // Requests reserve upper bounds and settle to less: near exhaustion most of
+  // what is missing comes back within seconds, so a refusal would be false.
+  const core::Tokens here = spare + account.holding.reserved;
+  if (bound <= here) {
+    return Wait{WaitReason::kSettlement};
+  }
+  core::Tokens elsewhere;
+  if (m_policy.shares) {
+    elsewhere = m_peer_spares.Sum(now, account.id);
+  }
+  if (m_log_out) {
+    return bound <= here + elsewhere
+               ? WaitOrError(Wait{WaitReason::kTransfer})
+               : Refusal(core::ErrorId::kBudgetBusy, account.id, bound);
+  }
+  // Others hold what they may not need: they return it when the balance is low
+  // and transfer it when asked. Only when all of it together is too little is
+  // the budget exhausted for this request.
+  if (m_policy.shares) {
+    const BalanceView& balance = view.balance;
+    elsewhere = std::max(elsewhere, balance.held_by_others) + balance.free -
+                (gate ? kNone : balance.gate_held_back);
+  }
+  return bound <= here + elsewhere
+             ? WaitOrError(Wait{WaitReason::kTransfer})
+             : Refusal(core::ErrorId::kBudgetExhausted, account.id, bound);
+}
+
+std::optional<Book::Open> Book::TakeOpen(const Reservation& reservation) {
+  const auto found = m_open.find(reservation.id);
+  if (found == m_open.end()) {
+    return std::nullopt;
+  }
+  const Open open = found->second;
+  m_open.erase(found);
+  open.account->holding.reserved -= open.bound;
+  m_totals.reserved -= open.bound;
+  m_totals.open_reservations = m_open.size();
+  return open;
+}
+
+std::optional<Settlement> Book::Settle(core::TimePoint now,
+                                       const Reservation& reservation,
+                                       core::Tokens spent,
+                                       const std::optional<Bill>& bill) {
+  const std::optional<Open> open = TakeOpen(reservation);
+  if (!open) {
+    return std::nullopt;
+  }
+  Account& account = *open->account;
+  Holding& holding = account.holding;
+  const core::Tokens used = std::max(spent, kNone);
+  // An upstream that went past its bound is charged as far as tokens are held;
+  // charging the rest would break the budget, hiding it would hide the fault.
+  const core::Tokens charged = std::min(used, Headroom(account));
+  holding.spent += charged;
+  m_totals.spent += charged;
+  holding.gate_only += std::max(open->gate_part - charged, kNone);
+  account.demand.Add(now, charged);
+  if (bill) {
+    account.trail.AddBill(*bill, charged);
+  }
+  QueueSpend(account);
+  AfterRelease(now, account);
+  return Settlement{charged, used - charged};
+}
+
+bool Book::Cancel(core::TimePoint now, const Reservation& reservation) {
+  const std::optional<Open> open = TakeOpen(reservation);
+  if (!open) {
+    return false;
+  }
+  open->account->holding.gate_only += open->gate_part;
+  AfterRelease(now, *open->account);
+  return true;
+}
+
+void Book::AfterRelease(core::TimePoint now, Account& account) {
+  Holding& holding = account.holding;
+  holding.gate_only = std::clamp(holding.gate_only, kNone, holding.Spare());
+  QueueSizing(account);
+  KeepCeilingAhead(now, account);
+  Wake(account);
+}
+
+// ---- Upkeep ----------------------------------------------------------------
+
+/// Asks for a higher ceiling when less than half a step is left, so that a
+/// raise is acknowledged before requests need it.
+void Book::KeepCeilingAhead(core::TimePoint now, Account& account) {
+  const std::optional<core::Tokens> asked = m_witnessing.Asked(account.id);
+  if (m_retired || !asked) {
+    return;
+  }
+  const SizingView view = ViewOf(now, account);
+  const core::Tokens step = m_policy.ceiling_step(view);
+  const core::Tokens ahead = *asked - view.committed;
+  if (account.unmet <= ahead && ahead > core::Tokens(step.value() / 2)) {
+    return;
+  }
+  m_witnessing.Ask(account.id, std::min(view.received,
+                                        view.committed + account.unmet + step));
+}
+
+void Book::Wake(Account& account) {
+  if (m_hungry.erase(account.id) == 0) {
+    return;
+  }
+  account.unmet = kNone;
+  account.smallest_unmet = kNone;
+  account.gate_waits = false;
+  m_woken.push_back(account.id);
+}
+
+std::vector<core::BudgetId> Book::TakeWoken() {
+  return std::exchange(m_woken, {});
+}
+
+void Book::WakeAll() {
+  const std::set<core::BudgetId> hungry = m_hungry;
+  for (const core::BudgetId& budget : hungry) {
+    Wake(*Find(budget));
+  }
+}
+
+void Book::QueueSizing(Account& account) {
+  if (!account.sizing_queued) {
+    account.sizing_queued = true;
+    m_sizing.push_back(&account);
+  }
+}
+
+void Book::QueueSpend(Account& account) {
+  if (!account.spend_queued) {
+    account.spend_queued = true;
+    m_spend.push_back(&account);
+  }
+}
+
+void Book::QueueReview(core::TimePoint at, Account& account) {
+  if (!account.review_queued) {
+    account.review_queued = true;
+    m_reviews.emplace(at, &account);
+  }
+}
+
+void Book::OnTick(core::TimePoint now) {
+  while (!m_reviews.empty() && m_reviews.begin()->first <= now) {
+    Account& account = *m_reviews.begin()->second;
+    m_reviews.erase(m_reviews.begin());
+    account.review_queued = false;
+    ReturnSurplus(now, account);
+    const bool active = now - account.demand.LastAsked() <= kIdleAfter;
+    if (active || m_log_out) {
+      QueueReview(now + kIdleAfter, account);
+    }
+  }
+  // What peers offer and hold changes without an event here; requests that
+  // wait for it would otherwise sleep until their queue time ends.
+  if (now >= m_retry_due) {
+    m_retry_due = now + kRetryWaitingAfter;
+    WakeAll();
+  }
+}
+
+void Book::ReturnSurplus(core::TimePoint now, Account& account) {
+  if (m_retired || m_log_out || !m_policy.shares ||
+      now < account.return_again_at) {
+    return;
+  }
+  const core::Tokens spare = account.holding.Spare();
+  if (spare <= kNone) {
+    return;
+  }
+  // Twice what is kept: below that, returning and asking again would only
+  // fill the log.
+  const core::Tokens keep = m_policy.keep(ViewOf(now, account));
+  if (spare - keep <= keep) {
+    return;
+  }
+  account.return_again_at = now + kReturnEvery;
+  Return(account, spare - keep);
+}
+
+void Book::Return(Account& account, core::Tokens tokens) {
+  // Debited before the record exists: were it the other way round, a request
+  // between the two could spend tokens that the log gives to another router.
+  Holding& holding = account.holding;
+  holding.returned += tokens;
+  holding.gate_only = std::min(holding.gate_only, holding.Spare());
+  m_totals.received -= tokens;
+  v1::Record record;
+  record.mutable_allotment_returned()->set_budget(account.id.value());
+  record.mutable_allotment_returned()->set_tokens(tokens.value());
+  m_records.push_back(std::move(record));
+}
+
+void Book::ReturnAll(Account& account) {
+  const core::Tokens spare = account.holding.Spare();
+  if (spare > kNone) {
+    Return(account, spare);
+  }
+}
+
+void Book::StartDrain(core::TimePoint now) {
+  if (m_draining) {
+    return;
+  }
+  m_draining = true;
+  m_spend_due = now;
+  for (Account& account : m_accounts) {
+    QueueSizing(account);
+  }
+}
+
+}  // namespace coppervalve::budget
--- /dev/null
+++ b/src/budget/ceiling_link.cc
@@ -0,0 +1,110 @@
+#include "coppervalve/budget/ceiling_link.h"
+
+#include <algorithm>  // max, min
+#include <utility>    // move
+
+namespace coppervalve::budget {
+
+CeilingLink::CeilingLink(std::optional<PeerRef> peer)
+    : m_peer(std::move(peer)) {}
+
+void CeilingLink::Ask(const core::BudgetId& budget, core::Tokens ceiling) {
+  if (!m_peer) {
+    return;
+  }
+  Ceiling& entry = m_ceilings[budget];
+  if (ceiling <= entry.asked) {
+    return;
+  }
+  entry.asked = ceiling;
+  if (!entry.queued) {
+    entry.queued = true;
+    m_queue.push_back(budget);
+  }
+}
+
+std::optional<core::Tokens> CeilingLink::Asked(
+    const core::BudgetId& budget) const {
+  if (!m_peer) {
+    return std::nullopt;
+  }
+  const auto found = m_ceilings.find(budget);
+  return found == m_ceilings.end() ? core::Tokens(0) : found->second.asked;
+}
+
+std::optional<core::Tokens> CeilingLink::Acked(
+    const core::BudgetId& budget) const {
+  if (!m_peer) {
+    return std::nullopt;
+  }
+  const auto found = m_ceilings.find(budget);
+  return found == m_ceilings.end() ? core::Tokens(0) : found->second.acked;
+}
+
+std::optional<v1::CeilingRaise> CeilingLink::TakeRaise(core::TimePoint now,
+                                                       uint64_t& last_serial) {
+  if (!m_peer || m_refused) {
+    return std::nullopt;
+  }
+  if (m_outstanding) {
+    if (now - m_sent_at < kRaiseResendAfter) {
+      return std::nullopt;
+    }
+    // The same serial again: a late answer to the first copy still counts, so
+    // a slow link makes progress.
+    m_sent_at = now;
+    return m_outstanding;
+  }
+  if (m_complete && m_queue.empty()) {
+    return std::nullopt;
+  }
+  m_outstanding = NextRaise(++last_serial);
+  m_sent_at = now;
+  return m_outstanding;
+}
+
+v1::CeilingRaise CeilingLink::NextRaise(uint64_t serial) {
+  v1::CeilingRaise raise;
+  raise.set_serial(serial);
+  // The first raise is the full list: everything asked for so far is queued.
+  raise.set_full(!m_complete);
+  const size_t count = m_complete
+                           ? std::min(m_queue.size(), kMaxCeilingsPerRaise)
+                           : m_queue.size();
+  const auto last = m_queue.begin() + static_cast<std::ptrdiff_t>(count);
+  for (auto budget = m_queue.begin(); budget != last; ++budget) {
+    Ceiling& entry = m_ceilings[*budget];
+    entry.queued = false;
+    v1::PeerCeiling* ceiling = raise.add_ceilings();
+    ceiling->set_budget(budget->value());
+    ceiling->set_tokens(entry.asked.value());
+  }
+  m_queue.erase(m_queue.begin(), last);
+  return raise;
+}
+
+std::vector<core::BudgetId> CeilingLink::OnAck(const v1::CeilingAck& ack) {
+  // An acknowledgement binds exactly what its raise carried. Taken for a later
+  // raise that was lost, it would let this router commit past what the witness
+  // states after a retirement: the tokens would be spent twice.
+  if (!m_outstanding || ack.serial() != m_outstanding->serial()) {
+    return {};
+  }
+  const v1::CeilingRaise raise = std::move(*m_outstanding);
+  m_outstanding.reset();
+  if (ack.refused()) {
+    m_refused = true;
+    return {};
+  }
+  m_complete = true;
+  std::vector<core::BudgetId> raised;
+  for (const v1::PeerCeiling& ceiling : raise.ceilings()) {
+    core::BudgetId budget(ceiling.budget());
+    Ceiling& entry = m_ceilings[budget];
+    entry.acked = std::max(entry.acked, core::Tokens(ceiling.tokens()));
+    raised.push_back(std::move(budget));
+  }
+  return raised;
+}
+
+}  // namespace coppervalve::budget
--- /dev/null
+++ b/src/budget/demand.cc
@@ -0,0 +1,42 @@
+#include "coppervalve/budget/demand.h"
+
+#include <algorithm>  // max
+#include <chrono>     // duration
+#include <cmath>      // exp
+
+namespace coppervalve::budget {
+
+namespace {
+
+/// Short enough that a burst is sized for within seconds, long enough that a
+/// single large request doesn't multiply the holding.
+constexpr double kMemorySeconds = 5.0;
+/// After a pause this long the request sizes of before say nothing.
+constexpr core::Duration kBoundForgottenAfter{60'000'000};  // microseconds
+
+double Decay(core::TimePoint from, core::TimePoint to) {
+  const double seconds = std::chrono::duration<double>(to - from).count();
+  return std::exp(-std::max(seconds, 0.0) / kMemorySeconds);
+}
+
+}  // namespace
+
+void Demand::Add(core::TimePoint now, core::Tokens tokens) {
+  m_per_second =
+      PerSecond(now) + static_cast<double>(tokens.value()) / kMemorySeconds;
+  m_updated = std::max(m_updated, now);
+}
+
+void Demand::SeeBound(core::TimePoint now, core::Tokens bound) {
+  if (now - m_last_asked > kBoundForgottenAfter) {
+    m_largest_bound = core::Tokens(0);
+  }
+  m_largest_bound = std::max(m_largest_bound, bound);
+  m_last_asked = std::max(m_last_asked, now);
+}
+
+double Demand::PerSecond(core::TimePoint now) const {
+  return m_per_second * Decay(m_updated, now);
+}
+
+}  // namespace coppervalve::budget
--- /dev/null
+++ b/src/budget/peer_spares.cc
@@ -0,0 +1,60 @@
+#include "coppervalve/budget/peer_spares.h"
+
+#include <algorithm>  // max
+
+namespace coppervalve::budget {
+
+void PeerSpares::OnHeartbeat(core::TimePoint now,
+                             const PeerRef& peer,
+                             const std::vector<v1::Spare>& spares) {
+  if (m_offers.size() > kMaxOfferedBudgets) {
+    m_offers.clear();
+  }
+  for (const v1::Spare& spare : spares) {
+    m_offers[core::BudgetId(spare.budget())][peer] = {
+        core::Tokens(spare.tokens()), now};
+  }
+}
+
+std::optional<PeerSpares::Offer> PeerSpares::Best(
+    core::TimePoint now,
+    const core::BudgetId& budget) const {
+  const auto found = m_offers.find(budget);
+  if (found == m_offers.end()) {
+    return std::nullopt;
+  }
+  std::optional<Offer> best;
+  for (const auto& [peer, heard] : found->second) {
+    if (now - heard.at > kSpareFresh || heard.tokens <= core::Tokens(0)) {
+      continue;
+    }
+    if (!best || heard.tokens > best->tokens) {
+      best = Offer{peer, heard.tokens};
+    }
+  }
+  return best;
+}
+
+core::Tokens PeerSpares::Sum(core::TimePoint now,
+                             const core::BudgetId& budget) const {
+  core::Tokens sum{0};
+  const auto found = m_offers.find(budget);
+  if (found == m_offers.end()) {
+    return sum;
+  }
+  for (const auto& [peer, heard] : found->second) {
+    if (now - heard.at <= kSpareFresh) {
+      sum += heard.tokens;
+    }
+  }
+  return sum;
+}
+
+void PeerSpares::Use(const core::BudgetId& budget,
+                     const PeerRef& peer,
+                     core::Tokens tokens) {
+  core::Tokens& offer = m_offers[budget][peer].tokens;
+  offer = std::max(offer - tokens, core::Tokens(0));
+}
+
+}  // namespace coppervalve::budget
--- /dev/null
+++ b/src/budget/sizing.cc
@@ -0,0 +1,146 @@
+#include "coppervalve/budget/sizing.h"
+
+#include <algorithm>  // clamp, max, min
+#include <cmath>      // ceil
+#include <limits>     // numeric_limits
+
+namespace coppervalve::budget {
+
+namespace {
+
+using core::Tokens;
+
+constexpr Tokens kNone{0};
+constexpr int64_t kPermille = 1000;
+
+Tokens AtLeastZero(Tokens tokens) {
+  return std::max(tokens, kNone);
+}
+
+Tokens DemandOf(const SizingView& view, double seconds) {
+  return Tokens(
+      static_cast<int64_t>(std::ceil(view.demand_per_second * seconds)));
+}
+
+/// What any class may draw.
+Tokens OpenBalance(const SizingView& view) {
+  return AtLeastZero(view.balance.free - view.balance.gate_held_back);
+}
+
+/// paid_in is divided first: it may be near the largest int64_t.
+bool BalanceIsBelow(const SizingView& view, int64_t permille) {
+  return OpenBalance(view).value() <
+         view.balance.paid_in.value() / kPermille * permille;
+}
+
+Tokens Bounds(const SizingView& view, int64_t count) {
+  return Tokens(view.largest_bound.value() * count);
+}
+
+Tokens FairShare(const SizingOptions& options,
+                 const SizingView& view,
+                 Tokens available) {
+  const int64_t parts =
+      options.fair_share_divisor * std::max<int64_t>(view.active_routers, 1);
+  return Tokens(available.value() / parts);
+}
+
+/// What the holding should have spare.
+Tokens Target(const SizingOptions& options,
+              const SizingView& view,
+              Tokens share) {
+  if (view.idle) {
+    return kNone;
+  }
+  const Tokens wished =
+      BalanceIsBelow(view, options.low_ask_permille)
+          ? DemandOf(view, options.low_seconds)
+          : std::max(DemandOf(view, options.ride_through_seconds),
+                     Bounds(view, options.bounds_ahead));
+  return std::min(wished, share);
+}
+
+GrantAsk DefaultGrant(const SizingOptions& options, const SizingView& view) {
+  const Tokens spare = AtLeastZero(view.Spare());
+  const Tokens missing = view.smallest_unmet > kNone
+                             ? AtLeastZero(view.smallest_unmet - spare)
+                             : kNone;
+  const Tokens minimum = std::max(missing, Tokens(1));
+  const Tokens open = OpenBalance(view);
+  if (view.gate_waits && open < minimum && view.balance.free >= minimum) {
+    // Only what waits: the rest of the held-back share is for the gate work of
+    // the other routers.
+    return {.tokens = minimum, .minimum = minimum, .gate = true};
+  }
+  if (open < minimum) {
+    return {};
+  }
+  const Tokens share = FairShare(options, view, open);
+  const Tokens target = Target(options, view, share);
+  const bool refill = spare < Tokens(target.value() / 2);
+  if (!refill && missing == kNone) {
+    return {};
+  }
+  // The unmet sum is capped by the fair share, too: a long queue here must not
+  // empty the balance under the queues of the others.
+  const Tokens unmet = std::min(AtLeastZero(view.unmet - spare), share);
+  const Tokens tokens = std::max({AtLeastZero(target - spare), unmet, minimum});
+  return {.tokens = std::min(tokens, open), .minimum = minimum};
+}
+
+Tokens DefaultKeep(const SizingOptions& options, const SizingView& view) {
+  if (BalanceIsBelow(view, options.low_keep_permille)) {
+    const Tokens running = DemandOf(view, options.keep_low_seconds);
+    return view.idle ? kNone : std::max(running, view.unmet);
+  }
+  // Plenty: a few requests' worth stays even when idle, so that the first
+  // request after a pause needs neither the log nor a peer. It costs little:
+  // when this router crashes, what is past the ceiling goes back anyway.
+  return std::max({DemandOf(view, options.ride_through_seconds),
+                   Bounds(view, options.bounds_ahead), view.unmet});
+}
+
+Tokens DefaultCeilingStep(const SizingOptions& options,
+                          const SizingView& view) {
+  const double seconds =
+      view.log_out ? options.ceiling_log_out_seconds : options.ceiling_seconds;
+  return std::max(DemandOf(view, seconds), view.largest_bound);
+}
+
+GrantAsk EqualGrant(const SizingView& view) {
+  if (view.asked_before) {
+    return {};
+  }
+  const int64_t routers = std::max<int64_t>(view.active_routers, 1);
+  return {.tokens = Tokens(view.balance.paid_in.value() / routers),
+          .minimum = Tokens(1)};
+}
+
+}  // namespace
+
+SizingPolicy DefaultSizing(SizingOptions options) {
+  SizingPolicy policy;
+  policy.grant = [options](const SizingView& view) {
+    return DefaultGrant(options, view);
+  };
+  policy.keep = [options](const SizingView& view) {
+    return DefaultKeep(options, view);
+  };
+  policy.ceiling_step = [options](const SizingView& view) {
+    return DefaultCeilingStep(options, view);
+  };
+  return policy;
+}
+
+SizingPolicy EqualSplit() {
+  SizingPolicy policy;
+  policy.grant = EqualGrant;
+  policy.keep = [](const SizingView&) {
+    return Tokens(std::numeric_limits<int64_t>::max());
+  };
+  policy.ceiling_step = [](const SizingView& view) { return view.received; };
+  policy.shares = false;
+  return policy;
+}
+
+}  // namespace coppervalve::budget
--- /dev/null
+++ b/src/budget/spend_trail.cc
@@ -0,0 +1,67 @@
+#include "coppervalve/budget/spend_trail.h"
+
+#include <utility>  // move
+
+namespace coppervalve::budget {
+
+void SpendTrail::AddBill(const Bill& bill, core::Tokens tokens) {
+  v1::Bill& added = m_unreported.emplace_back();
+  added.set_key_hash(bill.key_hash.ToBytes());
+  added.set_account(bill.account.value());
+  added.set_tokens(tokens.value());
+  m_unreported_tokens += tokens;
+}
+
+std::optional<v1::SpendReported> SpendTrail::NextReport(
+    const core::BudgetId& budget,
+    core::Tokens spent) {
+  if (spent == m_reported && m_unreported.empty()) {
+    return std::nullopt;
+  }
+  Report reported;
+  while (!m_unreported.empty() && reported.bills.size() < kMaxBillsPerRecord) {
+    m_unreported_tokens -= core::Tokens(m_unreported.front().tokens());
+    reported.bills.push_back(std::move(m_unreported.front()));
+    m_unreported.pop_front();
+  }
+  // Bills that don't fit go with a later report, and their tokens with them:
+  // a report never bills more than it spends.
+  reported.spent = spent - m_unreported_tokens;
+  m_reported = reported.spent;
+
+  v1::SpendReported record;
+  record.set_budget(budget.value());
+  record.set_spent(reported.spent.value());
+  for (const v1::Bill& bill : reported.bills) {
+    *record.add_bills() = bill;
+  }
+  m_unfolded.push_back(std::move(reported));
+  return record;
+}
+
+void SpendTrail::OnFolded(core::Tokens spent) {
+  while (!m_unfolded.empty() && m_unfolded.front().spent < spent) {
+    m_unfolded.pop_front();
+  }
+  if (!m_unfolded.empty() && m_unfolded.front().spent == spent) {
+    m_unfolded.pop_front();
+  }
+}
+
+v1::FinalSpend SpendTrail::Final(const core::BudgetId& budget,
+                                 core::Tokens spent) const {
+  v1::FinalSpend final_spend;
+  final_spend.set_budget(budget.value());
+  final_spend.set_spent(spent.value());
+  for (const Report& reported : m_unfolded) {
+    for (const v1::Bill& bill : reported.bills) {
+      *final_spend.add_bills() = bill;
+    }
+  }
+  for (const v1::Bill& bill : m_unreported) {
+    *final_spend.add_bills() = bill;
+  }
+  return final_spend;
+}
+
+}  // namespace coppervalve::budget
--- /dev/null
+++ b/src/budget/transfers.cc
@@ -0,0 +1,107 @@
+#include "coppervalve/budget/transfers.h"
+
+#include <utility>  // move
+
+namespace coppervalve::budget {
+
+Transfers::Transfers(PeerRef self) : m_self(std::move(self)) {}
+
+v1::TransferRecorded Transfers::Start(core::TimePoint now,
+                                      const PeerRef& to,
+                                      const core::BudgetId& budget,
+                                      core::Tokens tokens) {
+  const uint64_t id = ++m_last_id;
+  Out out;
+  out.message.to = to;
+  out.message.send.set_transfer_id(id);
+  out.message.send.set_budget(budget.value());
+  out.message.send.set_tokens(tokens.value());
+  out.next_send = now;
+  out.give_up = now + kTransferResendFor;
+  v1::TransferRecorded record = RecordOf(m_self, out.message.send);
+  record.set_to_router(to.router.value());
+  record.set_to_incarnation(to.incarnation.value());
+  m_out.emplace(id, std::move(out));
+  m_pending_out[budget] += tokens;
+  return record;
+}
+
+std::vector<TransferSendTo> Transfers::TakeSends(core::TimePoint now) {
+  std::vector<TransferSendTo> sends;
+  for (auto& [id, out] : m_out) {
+    if (out.delivered || now < out.next_send || now >= out.give_up) {
+      continue;
+    }
+    out.next_send = now + kTransferResendAfter;
+    sends.push_back(out.message);
+  }
+  return sends;
+}
+
+void Transfers::OnAck(const PeerRef& from, uint64_t transfer_id) {
+  const auto found = m_out.find(transfer_id);
+  if (found != m_out.end() && found->second.message.to == from) {
+    found->second.delivered = true;
+  }
+}
+
+core::Tokens Transfers::PendingOut(const core::BudgetId& budget) const {
+  const auto found = m_pending_out.find(budget);
+  return found == m_pending_out.end() ? core::Tokens(0) : found->second;
+}
+
+void Transfers::OnOutFolded(uint64_t transfer_id) {
+  const auto found = m_out.find(transfer_id);
+  if (found == m_out.end()) {
+    return;
+  }
+  // The receiver's fold credits it now, so the message is needed no longer.
+  const v1::TransferSend& send = found->second.message.send;
+  m_pending_out[core::BudgetId(send.budget())] -= core::Tokens(send.tokens());
+  m_out.erase(found);
+}
+
+Transfers::Credit Transfers::OnIn(const v1::TransferRecorded& transfer,
+                                  bool folded) {
+  const InKey key{core::Incarnation(transfer.from_incarnation()),
+                  transfer.transfer_id()};
+  // The sender repeats a message until it is acknowledged, and the log brings
+  // the same transfer once more. Credited twice, tokens would exist that no
+  // record paid in; the id is kept for the life of this incarnation.
+  const auto [entry, added] = m_in.emplace(key, folded);
+  if (added) {
+    if (!folded) {
+      m_unfolded_in.emplace(key, transfer);
+    }
+    return Credit::kNew;
+  }
+  if (!folded || entry->second) {
+    return Credit::kKnown;
+  }
+  entry->second = true;
+  m_unfolded_in.erase(key);
+  return Credit::kFolded;
+}
+
+v1::TransferRecorded Transfers::RecordOf(const PeerRef& from,
+                                         const v1::TransferSend& send) const {
+  v1::TransferRecorded record;
+  record.set_from_router(from.router.value());
+  record.set_from_incarnation(from.incarnation.value());
+  record.set_to_router(m_self.router.value());
+  record.set_to_incarnation(m_self.incarnation.value());
+  record.set_transfer_id(send.transfer_id());
+  record.set_budget(send.budget());
+  record.set_tokens(send.tokens());
+  return record;
+}
+
+std::vector<v1::TransferRecorded> Transfers::UnfoldedIn() const {
+  std::vector<v1::TransferRecorded> records;
+  for (const auto& [key, record] : m_unfolded_in) {
+    records.push_back(record);
+  }
+  return records;
+}
+
+}  // namespace coppervalve::budget
--- /dev/null
+++ b/tests/budget/unit-witness.cc
@@ -0,0 +1,158 @@
+#include <CppUTest/TestHarness.h>
+
+#include "book_fixture.h"
+#include "coppervalve/budget/witness_desk.h"
+
+using namespace coppervalve;
+using namespace coppervalve::budget;
+using core::Tokens;
+
+namespace {
+
+CeilingRaiseTo Only(const std::vector<CeilingRaiseTo>& raises) {
+  LONGS_EQUAL(1, raises.size());
+  return raises.at(0);
+}
+
+void Deliver(BookFixture& f, WitnessDesk& desk, const CeilingRaiseTo& raise) {
+  const v1::CeilingAck ack = desk.OnCeilingRaise(Peer(1), raise.raise);
+  f.book().OnCeilingAck(f.now(), raise.to, ack);
+}
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(Witness){};
+// clang-format on
+
+// A router pauses for an hour, is retired, and its tokens past the ceiling go
+// back and are granted to others. It resumes, hasn't read the log, and callers
+// send work: past the ceiling that work would be paid from others' tokens.
+TEST(Witness, a_router_resumed_after_retirement_cannot_pass_the_ceiling) {
+  BookFixture f;
+  WitnessDesk desk;
+  f.Grant(10'000);
+  f.Reserve(100);
+  f.book().ChooseWitness(f.now(), Peer(2));
+  Deliver(f, desk, Only(f.book().TakeCeilingRaises(f.now())));
+  f.Records();
+  f.book().OnWitnessInForce(f.now(), Peer(2));
+  desk.Close(Peer(1));
+  const auto statement = desk.StatementFor(Peer(1));
+  const int64_t stated = statement->ceilings(0).tokens();
+
+  f.Skip(3'600'000);
+  int64_t committed = 100;
+  while (f.TryReserve(100)) {
+    committed += 100;
+    for (const auto& raise : f.book().TakeCeilingRaises(f.now())) {
+      Deliver(f, desk, raise);
+    }
+    f.Pass(1'000);
+  }
+  CHECK(committed <= stated);
+  CHECK(stated < 10'000);
+  CHECK(f.book().WitnessRefuses());
+}
+
+// The first raise is acknowledged late, after a second one that got lost. Read
+// as the answer to the second, it would lift the ceiling past what the witness
+// knows.
+TEST(Witness, the_answer_to_an_older_raise_lifts_nothing) {
+  BookFixture f;
+  f.Grant(10'000);
+  f.UseWitness(Peer(2));
+  f.Reserve(200);
+  const CeilingRaiseTo first = Only(f.book().TakeCeilingRaises(f.now()));
+  f.Ack(first);
+  const int64_t ceiling = f.Ceiling();
+  f.Reserve(5'000);
+  const CeilingRaiseTo second = Only(f.book().TakeCeilingRaises(f.now()));
+  CHECK(second.raise.serial() > first.raise.serial());
+  f.Ack(first);
+  LONGS_EQUAL(ceiling, f.Ceiling());
+  f.Ack(second);
+  CHECK(f.Ceiling() > ceiling);
+}
+
+// Acknowledgements get lost for a while. The raise is repeated under its old
+// serial, so the first answer to come through counts, and callers go on.
+TEST(Witness, a_raise_is_repeated_until_it_is_acknowledged) {
+  BookFixture f;
+  f.Grant(10'000);
+  f.UseWitness(Peer(2));
+  CHECK(f.Waits(5'000, WaitReason::kCeiling));
+  const CeilingRaiseTo sent = Only(f.book().TakeCeilingRaises(f.now()));
+  CHECK(f.book().TakeCeilingRaises(f.now()).empty());
+  f.Pass(200);
+  const CeilingRaiseTo again = Only(f.book().TakeCeilingRaises(f.now()));
+  LONGS_EQUAL(sent.raise.serial(), again.raise.serial());
+  f.Ack(again);
+  LONGS_EQUAL(1, f.book().TakeWoken().size());
+  CHECK(f.TryReserve(5'000).has_value());
+}
+
+// The record that names a new witness is on its way. Whoever retires this
+// router now may find the old witness in force or the new one: work past the
+// ceiling of either would be spent twice.
+TEST(Witness, both_witnesses_bind_until_the_change_is_folded) {
+  BookFixture f;
+  f.Grant(10'000);
+  f.UseWitness(Peer(2));
+  f.book().ChooseWitness(f.now(), Peer(3));
+  f.Pass(200);
+  f.AckRaises();
+  CHECK(f.ChoosesWitness());
+
+  CHECK(f.Waits(5'000, WaitReason::kCeiling));
+  const auto raises = f.book().TakeCeilingRaises(f.now());
+  LONGS_EQUAL(2, raises.size());
+  f.Ack(raises[0]);
+  CHECK_FALSE(f.TryReserve(5'000));
+  f.book().OnWitnessInForce(f.now(), Peer(3));
+  CHECK_FALSE(f.TryReserve(5'000));
+  f.Ack(raises[1]);
+  CHECK(f.TryReserve(5'000).has_value());
+}
+
+// Without the full list at the new witness its statement would name ceiling 0
+// for budgets that are being spent.
+TEST(Witness, the_change_is_not_recorded_before_the_full_list_is_known) {
+  BookFixture f;
+  f.Grant(10'000);
+  CHECK(f.TryReserve(3'000).has_value());
+  f.book().ChooseWitness(f.now(), Peer(2));
+  const CeilingRaiseTo full = Only(f.book().TakeCeilingRaises(f.now()));
+  CHECK(full.raise.full());
+  CHECK(full.raise.ceilings(0).tokens() >= 3'000);
+  CHECK_FALSE(f.ChoosesWitness());
+  f.Ack(full);
+  CHECK(f.ChoosesWitness());
+}
+
+// Stated before it is closed, a ceiling could be raised right afterwards: the
+// fold would give back tokens that the peer may still commit.
+TEST(Witness, a_desk_states_only_what_it_has_closed) {
+  WitnessDesk desk;
+  v1::CeilingRaise raise;
+  raise.set_full(true);
+  CHECK_FALSE(desk.OnCeilingRaise(Peer(1), raise).refused());
+  CHECK_FALSE(desk.StatementFor(Peer(1)));
+  desk.Close(Peer(1));
+  CHECK(desk.StatementFor(Peer(1)).has_value());
+  CHECK(desk.OnCeilingRaise(Peer(1), raise).refused());
+}
+
+// A desk that started in the middle doesn't know all budgets; one it has never
+// heard from must stay refused, too, when its first raise comes late.
+TEST(Witness, a_desk_without_the_full_list_states_nothing) {
+  WitnessDesk desk;
+  v1::CeilingRaise raise;
+  desk.OnCeilingRaise(Peer(1), raise);
+  desk.Close(Peer(1));
+  CHECK_FALSE(desk.StatementFor(Peer(1)));
+  desk.Close(Peer(3));
+  raise.set_full(true);
+  CHECK(desk.OnCeilingRaise(Peer(3), raise).refused());
+  CHECK_FALSE(desk.StatementFor(Peer(3)));
+}
