Add the stand-in of the log service and the HTTP server of the stand-ins

Cause: the router's path needs a log to append to and read from, with the outages the platform has. Ruled out: a thread per connection (many long polls are held at once); a slow mode that delays the effect (a reply lost after the effect is worse). Change: standin library (event loop, HTTP/1.1 server, log store, lagging values, JSON help); standin-log with retention, append cap, faults, VM list. Conclusion: ready for the daemon's log adapter.

--- /dev/null
+++ b/include/coppervalve/standin/rate_cap.h
@@ -0,0 +1,28 @@
+#ifndef COPPERVALVE_STANDIN_RATE_CAP_H_
+#define COPPERVALVE_STANDIN_RATE_CAP_H_
+
+#include <cstdint>   // uint64_t
+#include <optional>  // optional
+
+#include "coppervalve/core/units.h"
+
+namespace coppervalve::standin {
+
+/// @brief Cap on events in each window of one second.
+class RateCap {
+ public:
+  /// @param per_second 0 means no cap
+  explicit RateCap(uint64_t per_second) : m_per_second(per_second) {}
+
+  /// @brief Counts an event if it is within the cap.
+  bool Admit(core::TimePoint now);
+
+ private:
+  uint64_t m_per_second;
+  uint64_t m_in_window = 0;
+  std::optional<core::TimePoint> m_window_start;
+};
+
+}  // namespace coppervalve::standin
+
+#endif  // COPPERVALVE_STANDIN_RATE_CAP_H_
--- /dev/null
+++ b/standins/log/log_server.cc
@@ -0,0 +1,277 @@
+#include "standins/log/log_server.h"
+
+#include <google/protobuf/util/json_util.h>
+
+#include <chrono>    // milliseconds
+#include <iterator>  // next
+#include <map>       // map
+#include <optional>  // optional
+#include <utility>   // move
+
+#include "coppervalve/core/hash.h"
+#include "coppervalve/standin/json.h"
+
+namespace coppervalve::standin {
+
+namespace {
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kTooManyRequests = 429;
+constexpr size_t kDefaultReadBytes = 1 << 20;
+constexpr int64_t kDefaultSlowMs = 1'000;
+
+std::optional<LogFault> FaultNamed(const std::string& mode) {
+  static const std::map<std::string, LogFault> modes = {
+      {"up", LogFault::kNone},
+      {"down", LogFault::kDown},
+      {"slow", LogFault::kSlow},
+      {"lose_replies", LogFault::kLoseReplies},
+      {"hang", LogFault::kHang}};
+  const auto found = modes.find(mode);
+  if (found == modes.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+HttpResponse ProtoResponse(const google::protobuf::MessageLite& message) {
+  HttpResponse response;
+  response.content_type = "application/x-protobuf";
+  response.body = message.SerializeAsString();
+  return response;
+}
+
+HttpResponse Refusal(unsigned status, core::ErrorId id, std::string subject) {
+  return ErrorResponse(status, {id, std::move(subject), {}});
+}
+
+}  // namespace
+
+LogServer::LogServer(EventLoop& loop, const LogServerOptions& options)
+    : m_loop(loop),
+      m_store(options.retain_entries),
+      m_append_cap(options.max_appends_per_second),
+      m_vms(options.vm_lag, {}) {}
+
+void LogServer::Handle(const HttpRequest& request,
+                       const HttpExchange& exchange) {
+  if (request.path == "/control") {
+    Control(request, exchange);
+    return;
+  }
+  if (request.path == "/control/vms") {
+    SetVms(request, exchange);
+    return;
+  }
+  if (request.path == "/stats") {
+    SendStats(exchange);
+    return;
+  }
+  ServeUnderFault(request, exchange);
+}
+
+LogFault LogServer::FaultFor(const HttpRequest& request) const {
+  if (!request.client.starts_with(m_fault_client)) {
+    return LogFault::kNone;
+  }
+  if (request.path == "/vms" && !m_fault_covers_vms) {
+    return LogFault::kNone;
+  }
+  return m_fault;
+}
+
+// down: the connection is closed, nothing took effect. hang: it stays open,
+// nothing took effect. slow: the request takes effect at once and its answer is
+// late, so that a client that gave up has lost a reply. lose_replies: appends
+// take effect and the connection is closed.
+void LogServer::ServeUnderFault(const HttpRequest& request,
+                                const HttpExchange& exchange) {
+  HttpExchange reply = exchange;
+  switch (FaultFor(request)) {
+    case LogFault::kDown:
+      reply.Cut();
+      return;
+    case LogFault::kHang:
+      return;
+    case LogFault::kNone:
+    case LogFault::kSlow:
+    case LogFault::kLoseReplies:
+      Serve(request, exchange);
+      return;
+  }
+}
+
+void LogServer::Serve(const HttpRequest& request,
+                      const HttpExchange& exchange) {
+  HttpExchange reply = exchange;
+  if (request.path == "/log/append" && request.method == "POST") {
+    Append(request, reply);
+    return;
+  }
+  if (request.path == "/log/read" && request.method == "GET") {
+    Read(request, reply);
+    return;
+  }
+  if (request.path == "/vms" && request.method == "GET") {
+    SendVms(reply);
+    return;
+  }
+  reply.Send(Refusal(kNotFound, core::ErrorId::kNotFound, request.path));
+}
+
+void LogServer::Append(const HttpRequest& request, HttpExchange exchange) {
+  if (!m_append_cap.Admit(m_loop.now())) {
+    ++m_refused_appends;
+    exchange.Send(
+        Refusal(kTooManyRequests, core::ErrorId::kRateLimited, request.path));
+    return;
+  }
+  m_bytes_in += request.body.size();
+  ++m_appends;
+  v1::AppendReply reply;
+  reply.set_offset(m_store.Append(request.body).value());
+  AnswerAllHeld();
+
+  const LogFault fault = FaultFor(request);
+  if (fault == LogFault::kLoseReplies && LosesThisReply()) {
+    ++m_lost_replies;
+    exchange.Cut();
+    return;
+  }
+  if (fault == LogFault::kSlow) {
+    m_loop.After(m_slowness, [exchange, reply]() mutable {
+      exchange.Send(ProtoResponse(reply));
+    });
+    return;
+  }
+  exchange.Send(ProtoResponse(reply));
+}
+
+// A hash of the running number stands for chance, so that a run repeats.
+bool LogServer::LosesThisReply() {
+  constexpr uint64_t kParts = 1'000'000;
+  const uint64_t draw = core::Hash64(std::to_string(++m_lose_draws)) % kParts;
+  return static_cast<double>(draw) < m_lose_ratio * static_cast<double>(kParts);
+}
+
+void LogServer::Read(const HttpRequest& request, HttpExchange exchange) {
+  ++m_reads;
+  WaitingRead read;
+  read.id = ++m_next_read_id;
+  read.from = core::LogOffset(request.QueryNumber("from", 0));
+  read.max_bytes = request.QueryNumber("max_bytes", kDefaultReadBytes);
+  read.exchange = std::move(exchange);
+  const core::Duration wait =
+      std::chrono::milliseconds(request.QueryNumber("wait_ms", 0));
+  if (FaultFor(request) == LogFault::kSlow) {
+    m_loop.After(m_slowness,
+                 [this, read = std::move(read)] { AnswerRead(read); });
+    return;
+  }
+  if (read.from == m_store.end() && wait.count() > 0) {
+    Hold(std::move(read), wait);
+    return;
+  }
+  AnswerRead(read);
+}
+
+void LogServer::Hold(WaitingRead read, core::Duration wait) {
+  const uint64_t id = read.id;
+  HttpExchange exchange = read.exchange;
+  m_held.push_back(std::move(read));
+  exchange.OnClientGone([this, id] {
+    m_held.remove_if([id](const WaitingRead& held) { return held.id == id; });
+  });
+  m_loop.After(wait, [this, id] { AnswerHeld(id); });
+}
+
+void LogServer::AnswerHeld(uint64_t id) {
+  for (auto held = m_held.begin(); held != m_held.end(); ++held) {
+    if (held->id != id) {
+      continue;
+    }
+    const WaitingRead read = std::move(*held);
+    m_held.erase(held);
+    AnswerRead(read);
+    return;
+  }
+}
+
+void LogServer::AnswerAllHeld() {
+  std::list<WaitingRead> held;
+  held.swap(m_held);
+  for (const WaitingRead& read : held) {
+    AnswerRead(read);
+  }
+}
+
+void LogServer::AnswerRead(const WaitingRead& read) {
+  const HttpResponse response =
+      ProtoResponse(m_store.Read(read.from, read.max_bytes));
+  m_bytes_out += response.body.size();
+  HttpExchange exchange = read.exchange;
+  exchange.Send(response);
+}
+
+void LogServer::SendVms(HttpExchange exchange) {
+  HttpResponse response;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  const auto status = google::protobuf::util::MessageToJsonString(
+      m_vms.Get(m_loop.now()), &response.body, options);
+  if (!status.ok()) {
+    response.body = "{}";
+  }
+  exchange.Send(response);
+}
+
+void LogServer::SetVms(const HttpRequest& request, HttpExchange exchange) {
+  v1::VmList vms;
+  const auto status =
+      google::protobuf::util::JsonStringToMessage(request.body, &vms);
+  if (!status.ok()) {
+    exchange.Send(
+        Refusal(kBadRequest, core::ErrorId::kMalformedJson, request.path));
+    return;
+  }
+  m_vms.Set(m_loop.now(), std::move(vms));
+  exchange.Send(JsonResponse(200, {{"ok", true}}));
+}
+
+void LogServer::Control(const HttpRequest& request, HttpExchange exchange) {
+  const auto parsed = ParseObject(request.body);
+  if (!core::IsOk(parsed)) {
+    exchange.Send(ErrorResponse(kBadRequest, core::Failure(parsed)));
+    return;
+  }
+  const boost::json::object& order = core::Value(parsed);
+  const auto fault = FaultNamed(TextMember(order, "mode"));
+  if (!fault) {
+    exchange.Send(Refusal(kBadRequest, core::ErrorId::kBadRequest, "mode"));
+    return;
+  }
+  m_fault = *fault;
+  m_fault_client = TextMember(order, "for_client");
+  m_fault_covers_vms = BoolMember(order, "vms", false);
+  m_slowness =
+      std::chrono::milliseconds(NumberMember(order, "slow_ms", kDefaultSlowMs));
+  const boost::json::value* ratio = order.if_contains("lose_ratio");
+  m_lose_ratio =
+      ratio != nullptr && ratio->is_number() ? ratio->to_number<double>() : 1.0;
+  exchange.Send(JsonResponse(200, {{"ok", true}}));
+}
+
+void LogServer::SendStats(HttpExchange exchange) const {
+  exchange.Send(
+      JsonResponse(200, {{"appends", m_appends},
+                         {"refused_appends", m_refused_appends},
+                         {"lost_replies", m_lost_replies},
+                         {"reads", m_reads},
+                         {"bytes_in", m_bytes_in},
+                         {"bytes_out", m_bytes_out},
+                         {"first_retained", m_store.first_retained().value()},
+                         {"end", m_store.end().value()}}));
+}
+
+}  // namespace coppervalve::standin
