Route: upstream table, placement, admission queue, limits, retries

Cause: the router core needs decisions on where work goes, what waits and what is refused, without clocks, threads or random sources. Change: library routing and unit-routing.

--- /dev/null
+++ b/include/coppervalve/routing/health.h
@@ -0,0 +1,74 @@
+#ifndef COPPERVALVE_ROUTING_HEALTH_H_
+#define COPPERVALVE_ROUTING_HEALTH_H_
+
+#include <cstdint>  // uint32_t
+
+#include "coppervalve/core/units.h"
+#include "coppervalve/routing/random_hook.h"
+#include "coppervalve/routing/upstream.h"
+
+namespace coppervalve::routing {
+
+/// @brief Constants of ejection, probing and slow start.
+struct HealthOptions {
+  uint32_t consecutive_failures = 3;
+  /// Ejected when the smoothed share of failures exceeds this.
+  double error_ratio = 0.5;
+  double error_ratio_weight = 0.1;    ///< of one outcome in the average
+  uint32_t error_ratio_samples = 20;  ///< outcomes before the ratio counts
+  core::Duration first_probe{250'000};
+  core::Duration longest_probe{4'000'000};
+  core::Duration probe_timeout{2'000'000};
+  core::Duration slow_start{5'000'000};
+  double slow_start_floor = 0.1;
+  /// A silent connection does not count when the upstream answered another
+  /// attempt within this time.
+  core::Duration recent_success{1'000'000};
+};
+
+/// @brief Passive health of one upstream, with active probing when ejected.
+class Health {
+ public:
+  explicit Health(HealthOptions options) : m_options(options) {}
+
+  /// @complexity constant, as all of this class
+  void OnSuccess(core::TimePoint now);
+  void OnFailure(FailureKind kind,
+                 core::TimePoint now,
+                 const RandomHook& random);
+  /// @brief The attempt did not get as far as sending: no connection.
+  void OnNotSent(core::TimePoint now, const RandomHook& random);
+  void OnProbe(bool healthy, core::TimePoint now, const RandomHook& random);
+  /// @return true once for each probe that is due
+  bool TakeProbeDue(core::TimePoint now);
+
+  HealthState state(core::TimePoint now) const;
+  /// @brief Share of its normal work the upstream may get, (0, 1].
+  double weight(core::TimePoint now) const;
+  /// @return ejected for its error ratio only: it still answers some work
+  bool answers_some() const { return m_ejected && m_by_ratio; }
+
+ private:
+  void CountFailure(core::TimePoint now, const RandomHook& random);
+  void Eject(bool by_ratio, core::TimePoint now, const RandomHook& random);
+  void ScheduleProbe(core::TimePoint now, const RandomHook& random);
+  void Return(core::TimePoint now);
+
+  HealthOptions m_options;
+  bool m_ejected = false;
+  bool m_by_ratio = false;
+  bool m_probing = false;
+  bool m_returned = false;
+  bool m_succeeded = false;
+  uint32_t m_consecutive = 0;
+  uint32_t m_samples = 0;
+  uint32_t m_backoff_step = 0;
+  double m_error_ratio = 0;
+  core::TimePoint m_next_probe{};
+  core::TimePoint m_returned_at{};
+  core::TimePoint m_last_success{};
+};
+
+}  // namespace coppervalve::routing
+
+#endif  // COPPERVALVE_ROUTING_HEALTH_H_
--- /dev/null
+++ b/include/coppervalve/routing/retry_budget.h
@@ -0,0 +1,38 @@
+#ifndef COPPERVALVE_ROUTING_RETRY_BUDGET_H_
+#define COPPERVALVE_ROUTING_RETRY_BUDGET_H_
+
+#include "coppervalve/core/units.h"
+
+namespace coppervalve::routing {
+
+/// @brief Constants of a retry budget.
+struct RetryBudgetOptions {
+  double ratio = 0.1;     ///< retries earned by one request
+  double per_second = 1;  ///< retries earned by time alone
+  double capacity = 10;   ///< most that can be saved up
+};
+
+/// @brief Tokens for retries: earned by first attempts, spent by retries.
+class RetryBudget {
+ public:
+  explicit RetryBudget(RetryBudgetOptions options)
+      : m_options(options), m_tokens(options.capacity) {}
+
+  /// @complexity constant, as all of this class
+  void OnRequest();
+  bool CanSpend(core::TimePoint now);
+  /// @pre CanSpend(now)
+  void Spend();
+
+ private:
+  void Advance(core::TimePoint now);
+
+  RetryBudgetOptions m_options;
+  double m_tokens;
+  bool m_started = false;
+  core::TimePoint m_last{};
+};
+
+}  // namespace coppervalve::routing
+
+#endif  // COPPERVALVE_ROUTING_RETRY_BUDGET_H_
--- /dev/null
+++ b/src/routing/admission_queue.cc
@@ -0,0 +1,538 @@
+#include "coppervalve/routing/admission_queue.h"
+
+#include <algorithm>  // clamp, max, min
+#include <iterator>   // distance
+#include <set>        // set
+#include <string>     // string
+#include <utility>    // move, pair
+
+#include "coppervalve/core/hash.h"
+
+namespace coppervalve::routing {
+
+namespace {
+
+constexpr size_t kClasses = 3;
+constexpr size_t kGate = 0;
+constexpr size_t kInteractive = 1;
+constexpr size_t kBatch = 2;
+/// Pools without waiting entries keep their drain rates up to this number.
+constexpr size_t kIdlePools = 256;
+
+size_t ClassIndex(v1::AdmissionClass admission_class) {
+  switch (admission_class) {
+    case v1::GATE:
+      return kGate;
+    case v1::BATCH:
+      return kBatch;
+    default:
+      return kInteractive;
+  }
+}
+
+std::string TargetKey(const WorkTarget& target) {
+  constexpr char kSeparator = '\0';
+  return target.model.value() + kSeparator + target.service.value();
+}
+
+}  // namespace
+
+PoolId PoolOf(const WorkTarget& target) {
+  return PoolId(core::Hash64(TargetKey(target)));
+}
+
+LaneId LaneOf(const WorkTarget& target, const core::RuleId& rule) {
+  return LaneId(core::Hash64(rule.value(), PoolOf(target).value()));
+}
+
+/// The waiting entries of one class in one pool.
+struct AdmissionQueue::ClassQueue {
+  /// Entries of one account in one lane, the earliest deadline first.
+  using Flow = std::multimap<core::TimePoint, core::RequestId>;
+  struct Account {
+    std::map<LaneId, Flow> flows;
+    size_t size = 0;
+    double served_cost = 0;  ///< virtual time of start-time fair queueing
+  };
+
+  std::map<core::AccountId, Account> accounts;
+  size_t size = 0;
+  /// Virtual time of the last start: an account that comes back starts here,
+  /// so that it cannot save up turns while it is away.
+  double virtual_time = 0;
+  uint32_t passed_over = 0;  ///< starts of higher classes while this waited
+  DrainRate rate;
+};
+
+/// The waiting work for one model or service.
+struct AdmissionQueue::Pool {
+  std::array<ClassQueue, kClasses> classes;
+  DrainRate rate;
+
+  size_t Size() const {
+    return classes[kGate].size + classes[kInteractive].size +
+           classes[kBatch].size;
+  }
+};
+
+/// What one Drain has found to be blocked, and picks next.
+class AdmissionQueue::Round {
+ public:
+  Round(const AdmissionQueueOptions& options, const Pool& pool)
+      : m_options(options), m_pool(pool) {}
+
+  /// The next entry to try, or none when all that waits is blocked.
+  std::optional<core::RequestId> Next() const {
+    for (const size_t index : ClassOrder()) {
+      if (const auto head = Head(m_pool.classes[index], index)) {
+        return head;
+      }
+    }
+    return std::nullopt;
+  }
+
+  /// Urgency of what Next would give; lower is more urgent.
+  size_t NextClass() const {
+    for (const size_t index : ClassOrder()) {
+      if (Head(m_pool.classes[index], index)) {
+        return index;
+      }
+    }
+    return kClasses;
+  }
+
+  void Block(LaneId lane, size_t class_index) {
+    m_blocked.emplace(lane, class_index);
+  }
+
+ private:
+  std::array<size_t, kClasses> ClassOrder() const {
+    const ClassQueue& batch = m_pool.classes[kBatch];
+    const ClassQueue& interactive = m_pool.classes[kInteractive];
+    // Strict priority alone starves itineraries for as long as gate work keeps
+    // the upstreams full: they wait for hours and expire unserved. One turn in
+    // so many bounds the wait and costs gate work at most that share.
+    if (batch.size > 0 && batch.passed_over + 1 >= m_options.batch_turn) {
+      return {kBatch, kGate, kInteractive};
+    }
+    if (interactive.size > 0 &&
+        interactive.passed_over + 1 >= m_options.interactive_turn) {
+      return {kInteractive, kGate, kBatch};
+    }
+    return {kGate, kInteractive, kBatch};
+  }
+
+  /// The account with the least served cost goes next; at equal cost the
+  /// earliest deadline.
+  std::optional<core::RequestId> Head(const ClassQueue& queue,
+                                      size_t class_index) const {
+    std::optional<core::RequestId> head;
+    std::pair<double, core::TimePoint> best;
+    for (const auto& [id, account] : queue.accounts) {
+      for (const auto& [lane, flow] : account.flows) {
+        if (m_blocked.contains({lane, class_index})) {
+          continue;
+        }
+        const std::pair key{account.served_cost, flow.begin()->first};
+        if (!head || key < best) {
+          head = flow.begin()->second;
+          best = key;
+        }
+      }
+    }
+    return head;
+  }
+
+  const AdmissionQueueOptions& m_options;
+  const Pool& m_pool;
+  std::set<std::pair<LaneId, size_t>> m_blocked;
+};
+
+AdmissionQueue::AdmissionQueue(AdmissionQueueOptions options, RandomHook random)
+    : m_options(options), m_random(std::move(random)) {}
+
+AdmissionQueue::~AdmissionQueue() = default;
+
+OfferOutcome AdmissionQueue::Offer(const QueueEntry& entry,
+                                   core::TimePoint now) {
+  OfferOutcome outcome;
+  outcome.expected_wait = ExpectedWait(entry, now);
+  // Held until its deadline it would only keep others waiting and its caller
+  // in doubt: one that cannot make it is told so while it can still go
+  // elsewhere.
+  const core::Duration wait =
+      outcome.expected_wait.value_or(core::Duration::zero());
+  if (now + wait >= entry.start_by) {
+    outcome.refused = Refuse(core::ErrorId::kDeadlineTooShort, entry, now);
+    return outcome;
+  }
+  if (!AccountHasRoom(entry)) {
+    outcome.refused = Refuse(core::ErrorId::kQueueFull, entry, now);
+    return outcome;
+  }
+  if (m_entries.size() >= ClassCapacity(entry.admission_class)) {
+    if (entry.admission_class == v1::GATE) {
+      outcome.displaced = DisplaceBatch(now);
+    }
+    if (!outcome.displaced) {
+      outcome.refused = Refuse(core::ErrorId::kQueueFull, entry, now);
+      return outcome;
+    }
+  }
+  Insert(entry);
+  return outcome;
+}
+
+size_t AdmissionQueue::Drain(core::TimePoint now, const TryStart& try_start) {
+  std::vector<std::pair<Pool*, Round>> rounds;
+  for (const auto& [id, pool] : m_pools) {
+    if (pool->Size() > 0) {
+      rounds.emplace_back(pool.get(), Round(m_options, *pool));
+    }
+  }
+  size_t starts = 0;
+  while (true) {
+    // Pools may share upstreams: the most urgent class of all goes first.
+    size_t urgent = rounds.size();
+    size_t urgent_class = kClasses;
+    for (size_t index = 0; index < rounds.size(); ++index) {
+      const size_t next_class = rounds[index].second.NextClass();
+      if (next_class < urgent_class) {
+        urgent = index;
+        urgent_class = next_class;
+      }
+    }
+    if (urgent == rounds.size()) {
+      return starts;
+    }
+    auto& [pool, round] = rounds[urgent];
+    const QueueEntry entry = m_entries.at(*round.Next());
+    if (!try_start(entry)) {
+      round.Block(entry.lane, ClassIndex(entry.admission_class));
+      continue;
+    }
+    Started(*pool, entry, now);
+    ++starts;
+  }
+}
+
+void AdmissionQueue::Started(Pool& pool,
+                             const QueueEntry& entry,
+                             core::TimePoint now) {
+  const size_t class_index = ClassIndex(entry.admission_class);
+  ClassQueue& queue = pool.classes[class_index];
+  ClassQueue::Account& account = queue.accounts.at(entry.account);
+  queue.virtual_time = account.served_cost;
+  account.served_cost += std::max(entry.cost, 0.0);
+  queue.passed_over = 0;
+  for (size_t lower = class_index + 1; lower < kClasses; ++lower) {
+    pool.classes[lower].passed_over += pool.classes[lower].size > 0 ? 1 : 0;
+  }
+  Erase(entry);
+  queue.rate.OnServed(now, queue.size > 0);
+  pool.rate.OnServed(now, pool.Size() > 0);
+}
+
+std::vector<QueueRefusal> AdmissionQueue::Expire(core::TimePoint now) {
+  std::vector<QueueRefusal> refusals;
+  for (const auto& [id, pool] : m_pools) {
+    if (pool->Size() == 0) {
+      continue;
+    }
+    for (const QueueEntry& entry : Overdue(*pool, now)) {
+      Erase(entry);
+      refusals.push_back(
+          {entry.request, Refuse(core::ErrorId::kQueueTimeout, entry, now)});
+    }
+    for (const QueueEntry& entry : Hopeless(*pool, now)) {
+      Erase(entry);
+      refusals.push_back(
+          {entry.request,
+           Refuse(core::ErrorId::kDeadlineTooShort, entry, now)});
+    }
+  }
+  PruneIdlePools();
+  return refusals;
+}
+
+std::vector<QueueEntry> AdmissionQueue::Overdue(const Pool& pool,
+                                                core::TimePoint now) const {
+  std::vector<QueueEntry> overdue;
+  for (const ClassQueue& queue : pool.classes) {
+    for (const auto& [id, account] : queue.accounts) {
+      for (const auto& [lane, flow] : account.flows) {
+        for (const auto& [start_by, request] : flow) {
+          if (start_by > now) {
+            break;
+          }
+          overdue.push_back(m_entries.at(request));
+        }
+      }
+    }
+  }
+  return overdue;
+}
+
+std::vector<QueueEntry> AdmissionQueue::Hopeless(const Pool& pool,
+                                                 core::TimePoint now) const {
+  std::vector<QueueEntry> hopeless;
+  for (size_t index = 0; index < kClasses; ++index) {
+    const ClassQueue& queue = pool.classes[index];
+    for (const auto& [id, account] : queue.accounts) {
+      size_t own_ahead = 0;
+      for (const auto& [lane, flow] : account.flows) {
+        for (const auto& [start_by, request] : flow) {
+          const size_t ahead = AheadOf(queue, id, own_ahead);
+          const auto wait = WaitBehind(pool, index, ahead, now);
+          const double time_left =
+              static_cast<double>((start_by - now).count());
+          if (wait && static_cast<double>(wait->count()) >
+                          time_left * m_options.hopeless_factor) {
+            hopeless.push_back(m_entries.at(request));
+            continue;
+          }
+          ++own_ahead;
+        }
+      }
+    }
+  }
+  return hopeless;
+}
+
+bool AdmissionQueue::Remove(core::RequestId request) {
+  const auto found = m_entries.find(request);
+  if (found == m_entries.end()) {
+    return false;
+  }
+  Erase(QueueEntry(found->second));
+  return true;
+}
+
+std::vector<QueueRefusal> AdmissionQueue::RefuseAll(const core::Error& error) {
+  std::vector<QueueRefusal> refusals;
+  for (const auto& [request, entry] : m_entries) {
+    refusals.push_back({request, {error, std::nullopt}});
+  }
+  for (const QueueRefusal& refusal : refusals) {
+    Remove(refusal.request);
+  }
+  return refusals;
+}
+
+bool AdmissionQueue::HasWaiting(PoolId pool,
+                                v1::AdmissionClass admission_class) const {
+  const auto found = m_pools.find(pool);
+  if (found == m_pools.end()) {
+    return false;
+  }
+  for (size_t index = 0; index <= ClassIndex(admission_class); ++index) {
+    if (found->second->classes[index].size > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+core::Duration AdmissionQueue::RetryAfter(PoolId pool,
+                                          const core::AccountId& account,
+                                          v1::AdmissionClass admission_class,
+                                          core::TimePoint now) const {
+  QueueEntry entry;
+  entry.pool = pool;
+  entry.account = account;
+  entry.admission_class = admission_class;
+  entry.start_by = core::TimePoint::max();
+  return Jittered(ExpectedWait(entry, now));
+}
+
+size_t AdmissionQueue::SizeOf(v1::AdmissionClass admission_class) const {
+  return m_class_sizes[ClassIndex(admission_class)];
+}
+
+Refusal AdmissionQueue::Refuse(core::ErrorId id,
+                               const QueueEntry& entry,
+                               core::TimePoint now) const {
+  const core::Duration retry_after =
+      RetryAfter(entry.pool, entry.account, entry.admission_class, now);
+  return {{id, entry.account.value(),
+           std::to_string(m_entries.size()) + " requests wait"},
+          retry_after};
+}
+
+core::Duration AdmissionQueue::Jittered(
+    std::optional<core::Duration> wait) const {
+  const core::Duration base =
+      std::max(wait.value_or(m_options.default_retry_after),
+               m_options.shortest_retry_after);
+  // Callers that were refused together must not come back together.
+  return std::min(base + UniformDuration(m_random, base / 2),
+                  m_options.longest_retry_after);
+}
+
+/// Entries that go before the one that has `own_ahead` of its account's before
+/// it, when accounts take turns.
+size_t AdmissionQueue::AheadOf(const ClassQueue& queue,
+                               const core::AccountId& account,
+                               size_t own_ahead) {
+  size_t ahead = own_ahead;
+  for (const auto& [id, other] : queue.accounts) {
+    if (id != account) {
+      ahead += std::min(other.size, own_ahead + 1);
+    }
+  }
+  return ahead;
+}
+
+std::optional<core::Duration> AdmissionQueue::WaitBehind(
+    const Pool& pool,
+    size_t class_index,
+    size_t ahead,
+    core::TimePoint now) const {
+  const ClassQueue& queue = pool.classes[class_index];
+  if (ahead > 0) {
+    // The rate of a class that waits includes all that higher classes take
+    // from it, those yet to come too.
+    const auto by_class =
+        queue.rate.TimeFor(static_cast<double>(ahead + 1), now);
+    if (by_class) {
+      return by_class;
+    }
+  }
+  for (size_t higher = 0; higher < class_index; ++higher) {
+    ahead += pool.classes[higher].size;
+  }
+  if (ahead == 0) {
+    return std::nullopt;  // next in line: it starts as soon as anything can
+  }
+  return pool.rate.TimeFor(static_cast<double>(ahead + 1), now);
+}
+
+std::optional<core::Duration> AdmissionQueue::ExpectedWait(
+    const QueueEntry& entry,
+    core::TimePoint now) const {
+  const auto found = m_pools.find(entry.pool);
+  if (found == m_pools.end()) {
+    return std::nullopt;
+  }
+  const Pool& pool = *found->second;
+  const size_t class_index = ClassIndex(entry.admission_class);
+  const ClassQueue& queue = pool.classes[class_index];
+  size_t own_ahead = 0;
+  const auto account = queue.accounts.find(entry.account);
+  if (account != queue.accounts.end()) {
+    for (const auto& [lane, flow] : account->second.flows) {
+      const auto later = flow.upper_bound(entry.start_by);
+      own_ahead += static_cast<size_t>(std::distance(flow.begin(), later));
+    }
+  }
+  return WaitBehind(pool, class_index, AheadOf(queue, entry.account, own_ahead),
+                    now);
+}
+
+size_t AdmissionQueue::ClassCapacity(v1::AdmissionClass admission_class) const {
+  const double capacity = static_cast<double>(m_options.capacity);
+  switch (ClassIndex(admission_class)) {
+    case kGate:
+      return m_options.capacity;
+    case kBatch:
+      return static_cast<size_t>(capacity * m_options.batch_share);
+    default:
+      return static_cast<size_t>(capacity * m_options.interactive_share);
+  }
+}
+
+bool AdmissionQueue::AccountHasRoom(const QueueEntry& entry) const {
+  // A fixed cap for each account wastes places when few are active; a share of
+  // what is free lets one account have most of an idle queue, yet always
+  // leaves places to the next.
+  const auto& sizes = m_account_sizes[ClassIndex(entry.admission_class)];
+  const auto found = sizes.find(entry.account);
+  if (found == sizes.end()) {
+    return true;
+  }
+  const size_t capacity = ClassCapacity(entry.admission_class);
+  const size_t taken = std::min(capacity, m_entries.size());
+  const double free = static_cast<double>(capacity - taken);
+  return static_cast<double>(found->second) < free * m_options.account_share;
+}
+
+std::optional<QueueRefusal> AdmissionQueue::DisplaceBatch(core::TimePoint now) {
+  const QueueEntry* farthest = nullptr;
+  for (const auto& [request, entry] : m_entries) {
+    if (entry.admission_class != v1::BATCH) {
+      continue;
+    }
+    const bool farther = farthest == nullptr ||
+                         entry.start_by > farthest->start_by ||
+                         (entry.start_by == farthest->start_by &&
+                          entry.request > farthest->request);
+    if (farther) {
+      farthest = &entry;
+    }
+  }
+  if (farthest == nullptr) {
+    return std::nullopt;
+  }
+  const QueueEntry entry = *farthest;
+  Erase(entry);
+  return QueueRefusal{entry.request,
+                      Refuse(core::ErrorId::kQueueFull, entry, now)};
+}
+
+void AdmissionQueue::Insert(const QueueEntry& entry) {
+  std::unique_ptr<Pool>& pool = m_pools[entry.pool];
+  if (pool == nullptr) {
+    pool = std::make_unique<Pool>();
+  }
+  const size_t class_index = ClassIndex(entry.admission_class);
+  ClassQueue& queue = pool->classes[class_index];
+  ClassQueue::Account& account = queue.accounts[entry.account];
+  if (account.size == 0) {
+    account.served_cost = std::max(account.served_cost, queue.virtual_time);
+  }
+  account.flows[entry.lane].emplace(entry.start_by, entry.request);
+  ++account.size;
+  ++queue.size;
+  ++m_class_sizes[class_index];
+  ++m_account_sizes[class_index][entry.account];
+  m_entries.emplace(entry.request, entry);
+}
+
+void AdmissionQueue::Erase(const QueueEntry& entry) {
+  const size_t class_index = ClassIndex(entry.admission_class);
+  ClassQueue& queue = m_pools.at(entry.pool)->classes[class_index];
+  ClassQueue::Account& account = queue.accounts.at(entry.account);
+  ClassQueue::Flow& flow = account.flows.at(entry.lane);
+  const auto [first, last] = flow.equal_range(entry.start_by);
+  for (auto it = first; it != last; ++it) {
+    if (it->second == entry.request) {
+      flow.erase(it);
+      break;
+    }
+  }
+  if (flow.empty()) {
+    account.flows.erase(entry.lane);
+  }
+  --account.size;
+  --queue.size;
+  if (queue.size == 0) {
+    queue.passed_over = 0;
+    queue.accounts.clear();  // nobody waits: nothing to be fair about
+  }
+  --m_class_sizes[class_index];
+  const auto counted = m_account_sizes[class_index].find(entry.account);
+  if (--counted->second == 0) {
+    m_account_sizes[class_index].erase(counted);
+  }
+  m_entries.erase(entry.request);
+}
+
+void AdmissionQueue::PruneIdlePools() {
+  if (m_pools.size() <= kIdlePools) {
+    return;
+  }
+  std::erase_if(m_pools,
+                [](const auto& pool) { return pool.second->Size() == 0; });
+}
+
+}  // namespace coppervalve::routing
--- /dev/null
+++ b/src/routing/health.cc
@@ -0,0 +1,132 @@
+#include "coppervalve/routing/health.h"
+
+#include <algorithm>  // min
+
+namespace coppervalve::routing {
+
+namespace {
+
+constexpr uint32_t kLongestBackoffStep = 16;
+
+}  // namespace
+
+void Health::OnSuccess(core::TimePoint now) {
+  m_succeeded = true;
+  m_last_success = now;
+  m_consecutive = 0;
+  m_error_ratio *= 1 - m_options.error_ratio_weight;
+  ++m_samples;
+  if (!m_ejected && now - m_returned_at > m_options.slow_start) {
+    m_backoff_step = 0;
+  }
+}
+
+void Health::OnFailure(FailureKind kind,
+                       core::TimePoint now,
+                       const RandomHook& random) {
+  // A connection that something on the way has lost track of goes silent while
+  // new ones work. Ejecting its upstream would turn one lost stream into lost
+  // capacity; an upstream that is really stuck stops answering the others too
+  // and is counted as soon as its last success is no longer recent.
+  const bool answers_others =
+      m_succeeded && now - m_last_success < m_options.recent_success;
+  if (kind == FailureKind::kSilent && answers_others) {
+    return;
+  }
+  CountFailure(now, random);
+}
+
+void Health::OnNotSent(core::TimePoint now, const RandomHook& random) {
+  CountFailure(now, random);
+}
+
+void Health::CountFailure(core::TimePoint now, const RandomHook& random) {
+  ++m_consecutive;
+  ++m_samples;
+  m_error_ratio += m_options.error_ratio_weight * (1 - m_error_ratio);
+  const bool in_a_row = m_consecutive >= m_options.consecutive_failures;
+  if (m_ejected) {
+    m_by_ratio = m_by_ratio && !in_a_row;
+    return;
+  }
+  if (in_a_row) {
+    Eject(false, now, random);
+    return;
+  }
+  const bool ratio_counts = m_samples >= m_options.error_ratio_samples;
+  if (ratio_counts && m_error_ratio > m_options.error_ratio) {
+    Eject(true, now, random);
+  }
+}
+
+void Health::Eject(bool by_ratio,
+                   core::TimePoint now,
+                   const RandomHook& random) {
+  m_ejected = true;
+  m_by_ratio = by_ratio;
+  m_probing = false;
+  ScheduleProbe(now, random);
+}
+
+void Health::ScheduleProbe(core::TimePoint now, const RandomHook& random) {
+  const uint32_t step = std::min(m_backoff_step, kLongestBackoffStep);
+  const core::Duration backoff = std::min(
+      m_options.first_probe * (int64_t{1} << step), m_options.longest_probe);
+  m_backoff_step = step + 1;
+  // Seven routers that saw the same failure must not probe at one moment.
+  m_next_probe = now + backoff / 2 + UniformDuration(random, backoff / 2);
+}
+
+bool Health::TakeProbeDue(core::TimePoint now) {
+  if (!m_ejected || now < m_next_probe) {
+    return false;
+  }
+  // The result may never come; the next probe is then due after the timeout.
+  m_probing = true;
+  m_next_probe = now + m_options.probe_timeout;
+  return true;
+}
+
+void Health::OnProbe(bool healthy,
+                     core::TimePoint now,
+                     const RandomHook& random) {
+  if (!m_ejected || !m_probing) {
+    return;
+  }
+  m_probing = false;
+  if (healthy) {
+    Return(now);
+    return;
+  }
+  ScheduleProbe(now, random);
+}
+
+void Health::Return(core::TimePoint now) {
+  m_ejected = false;
+  m_by_ratio = false;
+  m_returned = true;
+  m_returned_at = now;
+  m_consecutive = 0;
+  m_samples = 0;
+  m_error_ratio = 0;
+}
+
+HealthState Health::state(core::TimePoint now) const {
+  if (m_ejected) {
+    return HealthState::kEjected;
+  }
+  const bool ramping = m_returned && now - m_returned_at < m_options.slow_start;
+  return ramping ? HealthState::kSlowStart : HealthState::kHealthy;
+}
+
+double Health::weight(core::TimePoint now) const {
+  if (state(now) != HealthState::kSlowStart) {
+    return 1;
+  }
+  const double elapsed = static_cast<double>((now - m_returned_at).count());
+  const double ramp =
+      elapsed / static_cast<double>(m_options.slow_start.count());
+  return m_options.slow_start_floor + (1 - m_options.slow_start_floor) * ramp;
+}
+
+}  // namespace coppervalve::routing
--- /dev/null
+++ b/src/routing/random_hook.cc
@@ -0,0 +1,21 @@
+#include "coppervalve/routing/random_hook.h"
+
+namespace coppervalve::routing {
+
+uint64_t UniformBelow(const RandomHook& random, uint64_t bound) {
+  if (bound == 0) {
+    return 0;
+  }
+  return random() % bound;  // the bias is below 2^-40 for bounds in use
+}
+
+core::Duration UniformDuration(const RandomHook& random, core::Duration span) {
+  if (span.count() <= 0) {
+    return core::Duration::zero();
+  }
+  const uint64_t below =
+      UniformBelow(random, static_cast<uint64_t>(span.count()));
+  return core::Duration(static_cast<int64_t>(below));
+}
+
+}  // namespace coppervalve::routing
--- /dev/null
+++ b/src/routing/retry_policy.cc
@@ -0,0 +1,115 @@
+#include "coppervalve/routing/retry_policy.h"
+
+#include <algorithm>      // find, min
+#include <unordered_set>  // unordered_set
+#include <utility>        // move
+
+namespace coppervalve::routing {
+
+namespace {
+
+constexpr uint32_t kLongestBackoffStep = 16;
+
+/// The outcome that is true of the request when no further attempt is made.
+GiveUp Final(const FailedAttempt& failed) {
+  if (failed.end != AttemptEnd::kFailed) {
+    return {failed.error, core::RunState::kNotRun, std::nullopt};
+  }
+  if (failed.forwarded_bytes) {
+    core::Error error = failed.error;
+    error.id = core::ErrorId::kAnswerCut;
+    return {error, core::RunState::kUnknown, std::nullopt};
+  }
+  if (!failed.idempotent) {
+    core::Error error = failed.error;
+    error.id = core::ErrorId::kOutcomeUnknown;
+    return {error, core::RunState::kUnknown, std::nullopt};
+  }
+  return {failed.error, core::RunState::kUnknown, std::nullopt};
+}
+
+bool MayRunAgain(const FailedAttempt& failed) {
+  if (failed.end != AttemptEnd::kFailed) {
+    return true;
+  }
+  // After bytes were sent the work may have run: a second seat hold blocks a
+  // paid party. And a caller that has part of one answer must not get the rest
+  // of another.
+  return failed.idempotent && !failed.forwarded_bytes;
+}
+
+}  // namespace
+
+RetryPolicy::RetryPolicy(RetryPolicyOptions options, RandomHook random)
+    : m_options(options), m_random(std::move(random)) {}
+
+void RetryPolicy::OnFirstAttempt(const core::AccountId& account,
+                                 const core::UpstreamId& upstream) {
+  m_by_upstream.try_emplace(upstream, m_options.per_upstream)
+      .first->second.OnRequest();
+  m_by_account.try_emplace(account, m_options.per_account)
+      .first->second.OnRequest();
+}
+
+RetryDecision RetryPolicy::Decide(const FailedAttempt& failed,
+                                  core::TimePoint now) {
+  const uint32_t max_attempts =
+      failed.max_attempts == 0 ? m_options.max_attempts : failed.max_attempts;
+  if (!MayRunAgain(failed) || failed.attempts >= max_attempts) {
+    return Final(failed);
+  }
+  const core::Duration after = Backoff(failed.attempts);
+  if (failed.deadline && now + after >= *failed.deadline) {
+    return Final(failed);
+  }
+  if (!SpendBoth(failed, now)) {
+    GiveUp give_up = Final(failed);
+    if (give_up.run_state == core::RunState::kNotRun) {
+      give_up.error.id = core::ErrorId::kRetryBudgetSpent;
+      give_up.retry_after = m_options.longest_backoff;
+    }
+    return give_up;
+  }
+  Retry retry{after, failed.tried};
+  const bool listed = std::find(retry.exclude.begin(), retry.exclude.end(),
+                                failed.upstream) != retry.exclude.end();
+  if (!listed) {
+    retry.exclude.push_back(failed.upstream);
+  }
+  return retry;
+}
+
+bool RetryPolicy::SpendBoth(const FailedAttempt& failed, core::TimePoint now) {
+  RetryBudget& upstream =
+      m_by_upstream.try_emplace(failed.upstream, m_options.per_upstream)
+          .first->second;
+  RetryBudget& account =
+      m_by_account.try_emplace(failed.account, m_options.per_account)
+          .first->second;
+  if (!upstream.CanSpend(now) || !account.CanSpend(now)) {
+    return false;
+  }
+  upstream.Spend();
+  account.Spend();
+  return true;
+}
+
+core::Duration RetryPolicy::Backoff(uint32_t attempts) const {
+  const uint32_t step = std::min(attempts - 1, kLongestBackoffStep);
+  const core::Duration longest =
+      std::min(m_options.first_backoff * (int64_t{1} << step),
+               m_options.longest_backoff);
+  // Half is fixed and half is random: callers that failed together spread out,
+  // and none hits the next upstream at once.
+  return longest / 2 + UniformDuration(m_random, longest / 2);
+}
+
+void RetryPolicy::Keep(const std::vector<core::UpstreamId>& upstreams) {
+  const std::unordered_set<core::UpstreamId> kept(upstreams.begin(),
+                                                  upstreams.end());
+  std::erase_if(m_by_upstream, [&kept](const auto& entry) {
+    return !kept.contains(entry.first);
+  });
+}
+
+}  // namespace coppervalve::routing
--- /dev/null
+++ b/tests/routing/unit-admission-queue.cc
@@ -0,0 +1,273 @@
+#include "coppervalve/routing/admission_queue.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>  // map
+#include <set>  // set
+
+#include "routing_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::routing;
+using namespace coppervalve::routing::testing;
+
+namespace {
+
+const PoolId kPool = PoolOf(Chat());
+const LaneId kLane = LaneOf(Chat(), core::RuleId("any"));
+
+QueueEntry Entry(uint64_t request,
+                 v1::AdmissionClass admission_class,
+                 int64_t start_by_ms,
+                 const std::string& account = "tours") {
+  return {core::RequestId(request), core::AccountId(account), kPool, kLane,
+          admission_class,          At(start_by_ms),          1};
+}
+
+/// Starts at most one entry. @return its id, 0 when none started
+uint64_t StartOne(AdmissionQueue& queue, core::TimePoint now) {
+  uint64_t started = 0;
+  queue.Drain(now, [&started](const QueueEntry& entry) {
+    if (started != 0) {
+      return false;
+    }
+    started = entry.request.value();
+    return true;
+  });
+  return started;
+}
+
+/// Feeds and drains so that the queue has measured a start every `interval`.
+void Measure(AdmissionQueue& queue, int64_t interval_ms, int64_t until_ms) {
+  for (uint64_t i = 0; i < 20; ++i) {
+    queue.Offer(Entry(900'000 + i, v1::BATCH, 10'000'000, "measure"), At(0));
+  }
+  for (int64_t i = 0; i < 20; ++i) {
+    StartOne(queue, At(until_ms - (19 - i) * interval_ms));
+  }
+}
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(AdmissionQueue){};
+// clang-format on
+
+TEST(AdmissionQueue, gate_goes_first_and_every_itinerary_starts_in_the_end) {
+  // Gate work arrives as fast as it is served, for as long as the run lasts.
+  // It is started almost at once, yet the 20 itineraries that wait all start:
+  // one start in ten is theirs.
+  AdmissionQueue queue({}, Seeded(1));
+  for (uint64_t i = 1; i <= 20; ++i) {
+    CHECK(!queue.Offer(Entry(i, v1::BATCH, 1'000'000), At(0)).refused);
+  }
+  int itineraries = 0;
+  int64_t longest_gate_wait = 0;
+  for (int64_t now = 0; now < 300; ++now) {
+    const uint64_t gate = 1000 + static_cast<uint64_t>(now);
+    if (now % 10 != 9) {
+      queue.Offer(Entry(gate, v1::GATE, now + 2000, "gate"), At(now));
+    }
+    const uint64_t started = StartOne(queue, At(now));
+    if (started < 1000) {
+      itineraries += started > 0 ? 1 : 0;
+      continue;
+    }
+    longest_gate_wait =
+        std::max(longest_gate_wait, now - static_cast<int64_t>(started - 1000));
+  }
+  LONGS_EQUAL(20, itineraries);
+  CHECK(longest_gate_wait <= 2);
+}
+
+TEST(AdmissionQueue, each_offered_request_leaves_exactly_once) {
+  // Random load far above capacity with callers going away, a full queue and
+  // displaced itineraries. Each request ends in one way: started, refused with
+  // a type, removed by its caller, or refused at the drain. None vanishes.
+  const RandomHook random = Seeded(42);
+  AdmissionQueueOptions options;
+  options.capacity = 40;
+  options.batch_share = 1;
+  options.account_share = 100;  // so that the queue fills and displaces
+  AdmissionQueue queue(options, Seeded(2));
+  std::map<uint64_t, int> ends;
+  int displaced = 0;
+  const auto end = [&ends](core::RequestId request) {
+    ++ends[request.value()];
+  };
+  uint64_t last = 0;
+  for (int64_t now = 0; now < 5000; now += 5) {
+    for (int arrivals = 0; arrivals < 2; ++arrivals) {
+      const auto admission_class =
+          static_cast<v1::AdmissionClass>(1 + UniformBelow(random, 3));
+      const int64_t longest = admission_class == v1::BATCH ? 20'000 : 500;
+      const auto window = static_cast<int64_t>(
+          UniformBelow(random, static_cast<uint64_t>(longest)));
+      const std::string account = std::to_string(UniformBelow(random, 5));
+      const QueueEntry entry =
+          Entry(++last, admission_class, now + window, account);
+      const OfferOutcome outcome = queue.Offer(entry, At(now));
+      if (outcome.refused) {
+        CHECK(outcome.refused->retry_after.has_value());
+        end(entry.request);
+      }
+      if (outcome.displaced) {
+        CHECK(outcome.displaced->refusal.error.id == core::ErrorId::kQueueFull);
+        ++displaced;
+        end(outcome.displaced->request);
+      }
+    }
+    if (now % 25 == 0 && queue.Remove(core::RequestId(last))) {
+      end(core::RequestId(last));
+    }
+    for (const QueueRefusal& refusal : queue.Expire(At(now))) {
+      end(refusal.request);
+    }
+    if (const uint64_t started = StartOne(queue, At(now))) {
+      end(core::RequestId(started));
+    }
+  }
+  const core::Error draining{core::ErrorId::kDraining, "", ""};
+  for (const QueueRefusal& refusal : queue.RefuseAll(draining)) {
+    end(refusal.request);
+  }
+  LONGS_EQUAL(0, queue.size());
+  LONGS_EQUAL(last, ends.size());
+  for (const auto& [request, times] : ends) {
+    LONGS_EQUAL(1, times);
+  }
+  CHECK(displaced > 0);
+}
+
+TEST(AdmissionQueue, a_gate_request_displaces_the_latest_itinerary) {
+  // The queue is full when a gate scan arrives. The itinerary with the most
+  // time left is told at once to come back; the scan waits in its place.
+  AdmissionQueueOptions options;
+  options.capacity = 4;
+  options.batch_share = 1;
+  AdmissionQueue queue(options, Seeded(1));
+  queue.Offer(Entry(1, v1::BATCH, 5000, "a"), At(0));
+  queue.Offer(Entry(2, v1::BATCH, 9000, "b"), At(0));
+  queue.Offer(Entry(3, v1::BATCH, 7000, "c"), At(0));
+  queue.Offer(Entry(4, v1::GATE, 2000, "d"), At(0));
+  const OfferOutcome gate = queue.Offer(Entry(5, v1::GATE, 2000, "e"), At(0));
+  CHECK(!gate.refused);
+  CHECK(gate.displaced->request == core::RequestId(2));
+  CHECK(gate.displaced->refusal.retry_after.has_value());
+  const OfferOutcome batch = queue.Offer(Entry(6, v1::BATCH, 9000, "f"), At(0));
+  CHECK(batch.refused->error.id == core::ErrorId::kQueueFull);
+}
+
+TEST(AdmissionQueue, a_request_that_cannot_make_it_is_refused_at_once) {
+  // Starts happen every 100 ms and 10 wait. A caller with 500 ms left would
+  // get its refusal only after those, when nothing else can be tried.
+  AdmissionQueue queue({}, Seeded(1));
+  Measure(queue, 100, 2000);
+  for (uint64_t i = 1; i <= 10; ++i) {
+    queue.Offer(Entry(i, v1::BATCH, 60'000), At(2000));
+  }
+  const OfferOutcome late =
+      queue.Offer(Entry(11, v1::BATCH, 2500, "x"), At(2000));
+  CHECK(!late.refused);  // accounts take turns: only one goes before it
+  const OfferOutcome same = queue.Offer(Entry(12, v1::BATCH, 60'001), At(2000));
+  CHECK(!same.refused);
+  const OfferOutcome hopeless =
+      queue.Offer(Entry(13, v1::BATCH, 2150, "y"), At(2000));
+  CHECK(hopeless.refused->error.id == core::ErrorId::kDeadlineTooShort);
+}
+
+TEST(AdmissionQueue, waiting_work_is_given_up_when_service_slows_down) {
+  // Ten requests with 3 s each were taken in at a start every 100 ms. Then the
+  // upstreams slow down to one start every 5 s. Those at the back are told
+  // long before their deadline.
+  AdmissionQueue queue({}, Seeded(1));
+  Measure(queue, 100, 2000);
+  for (uint64_t i = 1; i <= 10; ++i) {
+    CHECK(!queue.Offer(Entry(i, v1::BATCH, 20'000), At(2000)).refused);
+  }
+  StartOne(queue, At(2100));
+  CHECK(queue.Expire(At(2200)).empty());
+  for (int64_t i = 1; i <= 2; ++i) {
+    StartOne(queue, At(2100 + i * 5000));
+  }
+  std::vector<QueueRefusal> refusals = queue.Expire(At(17'000));
+  CHECK(!refusals.empty());
+  CHECK(refusals.size() < 7);
+  CHECK(refusals[0].refusal.error.id == core::ErrorId::kDeadlineTooShort);
+  refusals = queue.Expire(At(20'000));
+  CHECK(refusals[0].refusal.error.id == core::ErrorId::kQueueTimeout);
+  LONGS_EQUAL(0, queue.size());
+}
+
+TEST(AdmissionQueue, retry_after_grows_with_the_backlog) {
+  AdmissionQueue queue({}, [] { return uint64_t{0}; });
+  Measure(queue, 100, 2000);
+  core::Duration last{};
+  for (uint64_t i = 1; i <= 100; ++i) {
+    queue.Offer(Entry(i, v1::BATCH, 60'000), At(2000));
+    if (i % 20 != 0) {
+      continue;
+    }
+    const core::Duration retry_after =
+        queue.RetryAfter(kPool, core::AccountId("tours"), v1::BATCH, At(2000));
+    CHECK(retry_after > last);
+    last = retry_after;
+  }
+  CHECK(last >= Millis(9'000));
+  CHECK(last <= Millis(12'000));
+}
+
+TEST(AdmissionQueue, accounts_of_one_class_take_turns) {
+  // A large account queues 200 itineraries before a small one queues 5. The
+  // small one's are not behind all of them: it gets every other start.
+  AdmissionQueue queue({}, Seeded(1));
+  for (uint64_t i = 1; i <= 200; ++i) {
+    queue.Offer(Entry(i, v1::BATCH, 100'000, "large"), At(0));
+  }
+  for (uint64_t i = 1001; i <= 1005; ++i) {
+    queue.Offer(Entry(i, v1::BATCH, 100'000, "small"), At(0));
+  }
+  int small = 0;
+  for (int64_t i = 0; i < 11; ++i) {
+    small += StartOne(queue, At(i)) > 1000 ? 1 : 0;
+  }
+  LONGS_EQUAL(5, small);
+}
+
+TEST(AdmissionQueue, one_account_cannot_take_all_places) {
+  AdmissionQueue queue({}, Seeded(1));
+  int taken = 0;
+  for (uint64_t i = 1; i <= 2000; ++i) {
+    const auto entry = Entry(i, v1::INTERACTIVE, 100'000, "large");
+    taken += queue.Offer(entry, At(0)).refused ? 0 : 1;
+  }
+  CHECK(taken > 400);
+  CHECK(taken < 800);
+  const auto small = Entry(5000, v1::INTERACTIVE, 100'000, "small");
+  CHECK(!queue.Offer(small, At(0)).refused);
+}
+
+TEST(AdmissionQueue, within_an_account_the_earliest_deadline_goes_first) {
+  AdmissionQueue queue({}, Seeded(1));
+  queue.Offer(Entry(1, v1::INTERACTIVE, 9000), At(0));
+  queue.Offer(Entry(2, v1::INTERACTIVE, 3000), At(0));
+  queue.Offer(Entry(3, v1::INTERACTIVE, 6000), At(0));
+  LONGS_EQUAL(2, StartOne(queue, At(1)));
+  LONGS_EQUAL(3, StartOne(queue, At(2)));
+  LONGS_EQUAL(1, StartOne(queue, At(3)));
+}
+
+TEST(AdmissionQueue, a_blocked_lane_does_not_hold_up_another) {
+  // The rule of request 1 allows only busy engines; request 2 of the same
+  // account, behind it, may go elsewhere.
+  AdmissionQueue queue({}, Seeded(1));
+  queue.Offer(Entry(1, v1::BATCH, 5000), At(0));
+  QueueEntry other = Entry(2, v1::BATCH, 9000);
+  other.lane = LaneOf(Chat(), core::RuleId("other"));
+  queue.Offer(other, At(0));
+  const size_t starts = queue.Drain(At(1), [](const QueueEntry& entry) {
+    return entry.request == core::RequestId(2);
+  });
+  LONGS_EQUAL(1, starts);
+  LONGS_EQUAL(1, queue.size());
+}
--- /dev/null
+++ b/tests/routing/unit-placement.cc
@@ -0,0 +1,153 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>  // max
+#include <map>        // map
+
+#include "coppervalve/core/hash.h"
+#include "routing_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::routing;
+using namespace coppervalve::routing::testing;
+
+namespace {
+
+constexpr int kEngines = 12;
+
+uint32_t HighestInProgress(const RouterView& view, int engines) {
+  uint32_t highest = 0;
+  for (int number = 0; number < engines; ++number) {
+    highest = std::max(highest, view.table.InProgress(EngineId(number)));
+  }
+  return highest;
+}
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(Placement){};
+// clang-format on
+
+TEST(Placement, own_dispatches_count_between_late_load_reports) {
+  // Every engine but one reports a load of 20, and no report comes for a
+  // while. A router that trusts the report alone sends all of its next 100
+  // requests to the one that looked idle, which then has the longest queue.
+  for (const PlacementPolicy& policy :
+       {LeastOfTwo(Seeded(7)), OrderedCriteria(), DefaultPolicy(Seeded(8))}) {
+    RouterView view(kEngines, 1, policy);
+    for (int number = 1; number < kEngines; ++number) {
+      view.table.OnLoad(EngineId(number), {20, 0}, At(0));
+    }
+    for (int i = 0; i < 100; ++i) {
+      const PlacementDecision decision = view.Choose(At(i));
+      CHECK(decision.upstream.has_value());
+      view.table.OnDispatch(*decision.upstream);
+    }
+    CHECK(HighestInProgress(view, kEngines) <= 28);
+  }
+}
+
+TEST(Placement, one_prefix_stays_with_its_owner_until_that_is_loaded) {
+  // A school party sends many requests with one prompt prefix. They share a
+  // warm cache at one engine; once it has clearly more than the mean, the next
+  // in rank takes over, so that affinity never becomes a hot spot.
+  RouterView view(kEngines);
+  PlacementRequest request;
+  request.affinity = core::Hash64("tours assistant, school party");
+  const PlacementDecision first = view.Choose(At(0), request);
+  CHECK(first.why == PlacementWhy::kPrefixOwner);
+  view.table.OnDispatch(*first.upstream);
+  CHECK(view.Choose(At(1), request).upstream == first.upstream);
+  for (int i = 0; i < 60; ++i) {
+    view.table.OnDispatch(*view.Choose(At(2), request).upstream);
+  }
+  CHECK(HighestInProgress(view, kEngines) <= 9);
+  CHECK(view.Choose(At(3), request).why == PlacementWhy::kPrefixOverflow);
+}
+
+TEST(Placement, an_upstream_that_comes_moves_few_prefixes) {
+  RouterView before(kEngines);
+  RouterView after(kEngines + 1);
+  int moved = 0;
+  constexpr int kPrefixes = 1000;
+  for (int i = 0; i < kPrefixes; ++i) {
+    PlacementRequest request;
+    request.affinity = core::Hash64(std::to_string(i));
+    const auto old_owner = before.Choose(At(0), request).upstream;
+    moved += old_owner != after.Choose(At(0), request).upstream ? 1 : 0;
+  }
+  CHECK(moved < kPrefixes * 2 / (kEngines + 1));
+}
+
+TEST(Placement, a_large_fleet_is_not_scanned_whole) {
+  constexpr int kLargeFleet = 10'000;
+  RouterView view(kLargeFleet);
+  std::map<std::string, int> times;
+  PlacementRequest request;
+  for (int i = 0; i < 2000; ++i) {
+    request.affinity = i % 2 == 0 ? core::Hash64(std::to_string(i)) : 0;
+    const PlacementDecision decision = view.Choose(At(0), request);
+    CHECK(decision.considered <= PlacementOptions{}.longest_scan);
+    ++times[decision.upstream->value()];
+  }
+  CHECK(times.size() > 1500);
+}
+
+TEST(Placement, a_tried_upstream_is_taken_again_only_as_the_last) {
+  RouterView view(2);
+  PlacementRequest request;
+  request.exclude = {EngineId(0)};
+  for (int i = 0; i < 50; ++i) {
+    CHECK(view.Choose(At(0), request).upstream == EngineId(1));
+  }
+  view.Eject(1, At(0));
+  CHECK(view.Choose(At(0), request).upstream == EngineId(0));
+}
+
+TEST(Placement, it_tells_busy_from_dead_from_unknown) {
+  RouterView view(1);
+  for (int i = 0; i < 64; ++i) {
+    view.table.OnDispatch(EngineId(0));
+  }
+  CHECK(view.Choose(At(0)).why == PlacementWhy::kAllBusy);
+  view.Eject(0, At(0));
+  CHECK(view.Choose(At(0)).why == PlacementWhy::kNoneAlive);
+  const CandidateSet none;
+  CHECK(view.placement.Choose(view.table, none, {}, At(0)).why ==
+        PlacementWhy::kNoCandidate);
+}
+
+TEST(Placement, ordered_criteria_put_a_short_queue_before_preference) {
+  // The paper's example: the copy that meets an earlier criterion wins even
+  // though the list was sorted with the other one first.
+  RouterView view(3, 1, OrderedCriteria());
+  view.table.OnLoad(EngineId(0), {40, 0}, At(0));
+  view.table.OnLoad(EngineId(1), {10, 8}, At(0));
+  view.table.OnLoad(EngineId(2), {50, 0}, At(0));
+  const PlacementDecision decision = view.Choose(At(1));
+  CHECK(decision.upstream == EngineId(1));
+  CHECK(decision.why == PlacementWhy::kCriterion);
+  LONGS_EQUAL(5, decision.criterion);
+}
+
+TEST(Placement, a_rule_with_a_list_restricts_the_candidates) {
+  RouterView view(4);
+  const std::vector<core::UpstreamId> allowed{EngineId(1), EngineId(3),
+                                              core::UpstreamId("unknown")};
+  const core::RuleId rule("tours");
+  LONGS_EQUAL(2, view.table.CandidatesFor(Chat(), rule, allowed).size());
+  const WorkTarget unknown{core::ModelId("other"), {}};
+  CHECK(view.table.CandidatesFor(unknown, rule, allowed).empty());
+  view.table.SetUpstreams(Engines(2));
+  LONGS_EQUAL(1, view.table.CandidatesFor(Chat(), rule, allowed).size());
+}
+
+TEST(Placement, facts_name_the_chosen_upstream_first) {
+  RouterView view(2);
+  view.table.OnLoad(EngineId(0), {9, 3}, At(0));
+  const PlacementDecision decision = view.Choose(At(1));
+  STRCMP_EQUAL(
+      "engine-1 own=0 others=0 queued=0 limit=16 health=healthy state=usable; "
+      "engine-0 own=0 others=12 queued=3 limit=12 health=healthy state=usable",
+      DescribeFacts(decision, view.table).c_str());
+}
