Say who a settlement bills; resolve a witness change by the fold's answer

Cause: the schema got written_off; a refused witness bound for ever. Ruled out: several witness records on their way (the fold's answers to them could be mixed up). Change: Charge (Unkeyed, Bill, WrittenOff); OnWitnessRefused; the final report waits up to 5 s for pending transfers to be folded. Conclusion: book.h follows the schema and the ledger's effects.

--- a/include/coppervalve/budget/book.h
+++ b/include/coppervalve/budget/book.h
@@ -79,6 +79,9 @@
 inline constexpr core::Duration kTransferAskEvery{250'000};  // microseconds
 /// @brief Tokens of one budget go back at most this often.
 inline constexpr core::Duration kReturnEvery{1'000'000};  // microseconds
+/// @brief A retired incarnation waits this long for its transfers to be folded
+/// before it makes its final report without them.
+inline constexpr core::Duration kFinalReportAfter{5'000'000};  // microseconds
 /// @brief Budgets that one heartbeat looks at, and advertises.
 inline constexpr size_t kSparesExamined = 1024;
 inline constexpr size_t kSparesAdvertised = 128;
@@ -119,12 +122,12 @@
                         v1::AdmissionClass admission_class);
 
   /// @brief Settles an attempt that ran, or may have run.
-  /// @param bill of a keyed request; an abandoned attempt has none
+  /// @param charge whether the account is billed, and under which key
   /// @return nothing when the reservation is no longer open
   std::optional<Settlement> Settle(core::TimePoint now,
                                    const Reservation& reservation,
                                    core::Tokens spent,
-                                   const std::optional<Bill>& bill);
+                                   const Charge& charge);
 
   /// @brief Gives back the reservation of an attempt that did not run.
   /// @return whether the reservation was open
@@ -160,10 +163,11 @@
   /// @brief Any transfer from or to this incarnation was folded.
   void OnTransferFolded(core::TimePoint now,
                         const v1::TransferRecorded& transfer);
-  /// @brief A WitnessChosen of this incarnation was folded: the witness that
-  /// is in force now, also when that one changed nothing.
-  void OnWitnessInForce(core::TimePoint now,
-                        const std::optional<PeerRef>& peer);
+  /// @brief A WitnessChosen of this incarnation was folded; nothing: none.
+  void OnWitnessInForce(const std::optional<PeerRef>& peer);
+  /// @brief The fold refused a WitnessChosen of this incarnation; choose
+  /// another one.
+  void OnWitnessRefused(const PeerRef& peer);
   /// @brief The log retired this incarnation.
   void OnRetired(core::TimePoint now);
   /// @brief What BalanceHook answers for the budget changed.
@@ -171,7 +175,7 @@
   /// @brief How many routers share the budgets, this one included.
   void OnFleet(uint32_t active_routers);
   /// @brief Whether appends or reads have been failing for too long.
-  void OnLogState(core::TimePoint now, bool out);
+  void OnLogState(bool out);
 
   // ---- What peers sent -----------------------------------------------------
 
@@ -297,7 +301,7 @@
   void TakeWitnessRecord(std::vector<v1::Record>& out);
   void TakeAllotmentRequests(core::TimePoint now, std::vector<v1::Record>& out);
   void TakeSpendReports(core::TimePoint now, std::vector<v1::Record>& out);
-  std::vector<v1::Record> TakeFinalRecords();
+  std::vector<v1::Record> TakeFinalRecords(core::TimePoint now);
   v1::BudgetStatus ToStatus(const Account& account) const;
 
   PeerRef m_self;
@@ -308,6 +312,7 @@
   bool m_retired = false;
   bool m_draining = false;
   bool m_finalized = false;
+  core::TimePoint m_retired_at{};
 
   /// In order of first touch; stable addresses.
   std::deque<Account> m_accounts;
--- a/include/coppervalve/budget/peer_ref.h
+++ b/include/coppervalve/budget/peer_ref.h
@@ -1,7 +1,7 @@
 #ifndef COPPERVALVE_BUDGET_PEER_REF_H_
 #define COPPERVALVE_BUDGET_PEER_REF_H_
 
-#include <compare>  // operator<=>
+#include <tuple>  // tie
 
 #include "coppervalve/core/ids.h"
 
@@ -12,7 +12,11 @@
   core::RouterId router;
   core::Incarnation incarnation;
 
-  friend auto operator<=>(const PeerRef&, const PeerRef&) = default;
+  friend bool operator==(const PeerRef&, const PeerRef&) = default;
+  friend bool operator<(const PeerRef& a, const PeerRef& b) {
+    return std::tie(a.router, a.incarnation) <
+           std::tie(b.router, b.incarnation);
+  }
 };
 
 }  // namespace coppervalve::budget
--- a/include/coppervalve/budget/spend_trail.h
+++ b/include/coppervalve/budget/spend_trail.h
@@ -3,6 +3,7 @@
 
 #include <deque>     // deque
 #include <optional>  // optional
+#include <variant>   // variant
 #include <vector>    // vector
 
 #include "coppervalve/core/hash.h"
@@ -21,12 +22,20 @@
   core::AccountId account;
 };
 
+/// @brief Billed to the account, but under no key.
+struct Unkeyed {};
+/// @brief Spent, but billed to nobody: an attempt that was abandoned or cut.
+struct WrittenOff {};
+/// @brief Who is billed for a settlement.
+using Charge = std::variant<Unkeyed, Bill, WrittenOff>;
+
 /// @brief The settlements of one budget on their way into the log. Bills are
 /// kept until they are known to be folded, since the reports of an incarnation
 /// that was retired meanwhile are not.
 class SpendTrail {
  public:
-  void AddBill(const Bill& bill, core::Tokens tokens);
+  /// @brief Counts tokens that were added to the cumulative spend.
+  void Add(const Charge& charge, core::Tokens tokens);
   /// @param spent cumulative
   /// @return the next report; nothing when everything was reported
   std::optional<v1::SpendReported> NextReport(const core::BudgetId& budget,
@@ -48,6 +57,7 @@
   core::Tokens m_unreported_tokens;
   std::deque<Report> m_unfolded;
   core::Tokens m_reported;
+  core::Tokens m_written_off;  ///< cumulative
 };
 
 }  // namespace coppervalve::budget
--- a/include/coppervalve/budget/transfers.h
+++ b/include/coppervalve/budget/transfers.h
@@ -46,6 +46,7 @@
   void OnAck(const PeerRef& from, uint64_t transfer_id);
   /// @return debited and not known to be folded
   core::Tokens PendingOut(const core::BudgetId& budget) const;
+  bool AnyPendingOut() const { return !m_out.empty(); }
   void OnOutFolded(uint64_t transfer_id);
 
   enum class Credit : uint8_t {
@@ -58,8 +59,6 @@
   /// @brief The record of a transfer that a peer's message brought.
   v1::TransferRecorded RecordOf(const PeerRef& from,
                                 const v1::TransferSend& send) const;
-  /// @return transfers credited here and not known to be folded
-  std::vector<v1::TransferRecorded> UnfoldedIn() const;
 
  private:
   struct Out {
@@ -72,10 +71,9 @@
 
   PeerRef m_self;
   uint64_t m_last_id = 0;
-  std::map<uint64_t, Out> m_out;  ///< not folded yet, or not acknowledged
+  std::map<uint64_t, Out> m_out;  ///< not folded yet
   std::unordered_map<core::BudgetId, core::Tokens> m_pending_out;
   std::map<InKey, bool> m_in;  ///< credited; whether folded
-  std::map<InKey, v1::TransferRecorded> m_unfolded_in;
 };
 
 }  // namespace coppervalve::budget
--- a/include/coppervalve/budget/witnessing.h
+++ b/include/coppervalve/budget/witnessing.h
@@ -39,13 +39,16 @@
   std::optional<core::Tokens> Limit(const core::BudgetId& budget) const;
   /// @return the smallest ceiling asked for; nothing when none binds
   std::optional<core::Tokens> Asked(const core::BudgetId& budget) const;
-  /// @return the candidate that acknowledged the full list; null when none did
+  /// @return the candidate to record: it acknowledged the full list, and no
+  /// other record is on its way; null when there is none
   const CeilingLink* ReadyCandidate() const;
   /// @brief Hands out the record; the candidate binds from now on.
   /// @pre ReadyCandidate() covers all that is committed
   v1::WitnessChosen RecordCandidate();
-  /// @brief The fold put a witness in force: those before it bind no longer.
+  /// @brief The fold put the recorded witness in force: it alone binds.
   void OnInForce(const std::optional<PeerRef>& peer);
+  /// @brief The fold refused the recorded witness: it binds no longer.
+  void OnRefusedByFold(const PeerRef& peer);
 
   std::vector<CeilingRaiseTo> TakeRaises(core::TimePoint now);
   std::vector<core::BudgetId> OnAck(const PeerRef& from,
@@ -56,7 +59,7 @@
   bool Refused() const;
 
  private:
-  std::vector<CeilingLink> m_binding;  ///< in force, then those recorded
+  std::vector<CeilingLink> m_binding;  ///< in force, then the recorded one
   std::optional<CeilingLink> m_candidate;
   uint64_t m_last_serial = 0;
 };
--- a/src/budget/book.cc
+++ b/src/budget/book.cc
@@ -184,7 +184,7 @@
 std::optional<Settlement> Book::Settle(core::TimePoint now,
                                        const Reservation& reservation,
                                        core::Tokens spent,
-                                       const std::optional<Bill>& bill) {
+                                       const Charge& charge) {
   const std::optional<Open> open = TakeOpen(reservation);
   if (!open) {
     return std::nullopt;
@@ -199,9 +199,7 @@
   m_totals.spent += charged;
   holding.gate_only += std::max(open->gate_part - charged, kNone);
   account.demand.Add(now, charged);
-  if (bill) {
-    account.trail.AddBill(*bill, charged);
-  }
+  account.trail.Add(charge, charged);
   QueueSpend(account);
   AfterRelease(now, account);
   return Settlement{charged, used - charged};
--- a/src/budget/book_inputs.cc
+++ b/src/budget/book_inputs.cc
@@ -99,14 +99,22 @@
   OnReceived(now, account);
 }
 
-void Book::OnWitnessInForce(core::TimePoint /*now*/,
-                            const std::optional<PeerRef>& peer) {
+void Book::OnWitnessInForce(const std::optional<PeerRef>& peer) {
   m_witnessing.OnInForce(peer);
   WakeAll();
 }
 
-void Book::OnRetired(core::TimePoint /*now*/) {
+void Book::OnWitnessRefused(const PeerRef& peer) {
+  m_witnessing.OnRefusedByFold(peer);
+  WakeAll();
+}
+
+void Book::OnRetired(core::TimePoint now) {
+  if (m_retired) {
+    return;
+  }
   m_retired = true;
+  m_retired_at = now;
   WakeAll();
 }
 
@@ -128,7 +136,7 @@
   m_active_routers = std::max(active_routers, 1U);
 }
 
-void Book::OnLogState(core::TimePoint /*now*/, bool out) {
+void Book::OnLogState(bool out) {
   if (m_log_out == out) {
     return;
   }
--- a/src/budget/book_outputs.cc
+++ b/src/budget/book_outputs.cc
@@ -20,7 +20,7 @@
     return {};
   }
   if (m_retired) {
-    return TakeFinalRecords();
+    return TakeFinalRecords(now);
   }
   std::vector<v1::Record> out;
   TakeWitnessRecord(out);
@@ -107,15 +107,24 @@
   }
 }
 
-std::vector<v1::Record> Book::TakeFinalRecords() {
-  if (m_finalized || !m_open.empty()) {
-    return {};
-  }
-  m_finalized = true;
+std::vector<v1::Record> Book::TakeFinalRecords(core::TimePoint now) {
   std::vector<v1::Record> out;
-  for (v1::TransferRecorded& transfer : m_transfers.UnfoldedIn()) {
-    *out.emplace_back().mutable_transfer_recorded() = std::move(transfer);
+  // Of a retired incarnation the fold takes only transfers and the final
+  // report, which returns the rest.
+  for (v1::Record& record : m_records) {
+    if (record.has_transfer_recorded()) {
+      out.push_back(std::move(record));
+    }
+  }
+  m_records.clear();
+  // Transfers that are still pending are withheld from the balance, and for
+  // good if they are recorded before the final report: worth a short wait.
+  const bool waits =
+      m_transfers.AnyPendingOut() && now - m_retired_at < kFinalReportAfter;
+  if (m_finalized || !m_open.empty() || waits) {
+    return out;
   }
+  m_finalized = true;
   v1::SpendFinalized* last = out.emplace_back().mutable_spend_finalized();
   last->set_router(m_self.router.value());
   last->set_incarnation(m_self.incarnation.value());
--- a/src/budget/spend_trail.cc
+++ b/src/budget/spend_trail.cc
@@ -1,13 +1,21 @@
 #include "coppervalve/budget/spend_trail.h"
 
 #include <utility>  // move
+#include <variant>  // get_if, holds_alternative
 
 namespace coppervalve::budget {
 
-void SpendTrail::AddBill(const Bill& bill, core::Tokens tokens) {
+void SpendTrail::Add(const Charge& charge, core::Tokens tokens) {
+  if (std::holds_alternative<WrittenOff>(charge)) {
+    m_written_off += tokens;
+  }
+  const auto* bill = std::get_if<Bill>(&charge);
+  if (bill == nullptr) {
+    return;
+  }
   v1::Bill& added = m_unreported.emplace_back();
-  added.set_key_hash(bill.key_hash.ToBytes());
-  added.set_account(bill.account.value());
+  added.set_key_hash(bill->key_hash.ToBytes());
+  added.set_account(bill->account.value());
   added.set_tokens(tokens.value());
   m_unreported_tokens += tokens;
 }
@@ -32,6 +40,7 @@
   v1::SpendReported record;
   record.set_budget(budget.value());
   record.set_spent(reported.spent.value());
+  record.set_written_off(m_written_off.value());
   for (const v1::Bill& bill : reported.bills) {
     *record.add_bills() = bill;
   }
@@ -53,6 +62,7 @@
   v1::FinalSpend final_spend;
   final_spend.set_budget(budget.value());
   final_spend.set_spent(spent.value());
+  final_spend.set_written_off(m_written_off.value());
   for (const Report& reported : m_unfolded) {
     for (const v1::Bill& bill : reported.bills) {
       *final_spend.add_bills() = bill;
--- a/src/budget/transfers.cc
+++ b/src/budget/transfers.cc
@@ -70,16 +70,12 @@
   // record paid in; the id is kept for the life of this incarnation.
   const auto [entry, added] = m_in.emplace(key, folded);
   if (added) {
-    if (!folded) {
-      m_unfolded_in.emplace(key, transfer);
-    }
     return Credit::kNew;
   }
   if (!folded || entry->second) {
     return Credit::kKnown;
   }
   entry->second = true;
-  m_unfolded_in.erase(key);
   return Credit::kFolded;
 }
 
@@ -96,12 +92,4 @@
   return record;
 }
 
-std::vector<v1::TransferRecorded> Transfers::UnfoldedIn() const {
-  std::vector<v1::TransferRecorded> records;
-  for (const auto& [key, record] : m_unfolded_in) {
-    records.push_back(record);
-  }
-  return records;
-}
-
 }  // namespace coppervalve::budget
--- a/src/budget/witnessing.cc
+++ b/src/budget/witnessing.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/budget/witnessing.h"
 
-#include <algorithm>  // find_if, min
+#include <algorithm>  // min
 #include <utility>    // move
 
 namespace coppervalve::budget {
@@ -62,7 +62,10 @@
 }
 
 const CeilingLink* Witnessing::ReadyCandidate() const {
-  return m_candidate && m_candidate->Complete() ? &*m_candidate : nullptr;
+  // One record at a time, so that the fold's answer can only mean that one.
+  const bool ready =
+      m_binding.size() == 1 && m_candidate && m_candidate->Complete();
+  return ready ? &*m_candidate : nullptr;
 }
 
 v1::WitnessChosen Witnessing::RecordCandidate() {
@@ -80,13 +83,14 @@
 }
 
 void Witnessing::OnInForce(const std::optional<PeerRef>& peer) {
-  const auto found = std::find_if(
-      m_binding.begin(), m_binding.end(),
-      [&](const CeilingLink& link) { return link.Peer() == peer; });
-  // A witness that the fold refused keeps binding until a later one is in
-  // force: a refusal cannot be told from a repeated report of an older record.
-  if (found != m_binding.end()) {
-    m_binding.erase(m_binding.begin(), found);
+  if (m_binding.size() > 1 && m_binding.back().Peer() == peer) {
+    m_binding.erase(m_binding.begin());
+  }
+}
+
+void Witnessing::OnRefusedByFold(const PeerRef& peer) {
+  if (m_binding.size() > 1 && m_binding.back().Peer() == peer) {
+    m_binding.pop_back();
   }
 }
 
--- a/tests/budget/book_fixture.h
+++ b/tests/budget/book_fixture.h
@@ -99,7 +99,7 @@
     m_book.ChooseWitness(m_now, witness);
     AckRaises();
     Records();
-    m_book.OnWitnessInForce(m_now, witness);
+    m_book.OnWitnessInForce(witness);
   }
   void AckRaises() {
     for (const CeilingRaiseTo& raise : m_book.TakeCeilingRaises(m_now)) {
--- a/tests/budget/unit-book.cc
+++ b/tests/budget/unit-book.cc
@@ -31,8 +31,10 @@
   BookFixture f;
   f.Grant(1000);
   const Reservation reservation = *f.TryReserve(400);
-  CHECK(f.book().Settle(f.now(), reservation, Tokens(300), {}).has_value());
-  CHECK_FALSE(f.book().Settle(f.now(), reservation, Tokens(300), {}));
+  CHECK(f.book()
+            .Settle(f.now(), reservation, Tokens(300), Unkeyed{})
+            .has_value());
+  CHECK_FALSE(f.book().Settle(f.now(), reservation, Tokens(300), Unkeyed{}));
   CHECK_FALSE(f.book().Cancel(f.now(), reservation));
   LONGS_EQUAL(700, f.Held());
 }
@@ -43,7 +45,7 @@
   BookFixture f;
   f.Grant(1000);
   const Reservation reservation = *f.TryReserve(800);
-  f.book().Settle(f.now(), reservation, reservation.bound, {});
+  f.book().Settle(f.now(), reservation, reservation.bound, Unkeyed{});
   CHECK_FALSE(f.TryReserve(201));
   CHECK(f.TryReserve(200).has_value());
 }
@@ -54,7 +56,8 @@
   BookFixture f;
   f.Grant(1000);
   const Reservation reservation = *f.TryReserve(100);
-  const auto settled = f.book().Settle(f.now(), reservation, Tokens(1500), {});
+  const auto settled =
+      f.book().Settle(f.now(), reservation, Tokens(1500), Unkeyed{});
   CHECK(settled->charged == Tokens(1000));
   CHECK(settled->uncovered == Tokens(500));
   CHECK(core::IsOk(f.book().CheckInvariants()));
@@ -69,7 +72,7 @@
   const Reservation reservation = *f.TryReserve(900);
   CHECK(f.Waits(500, WaitReason::kSettlement));
   CHECK(f.Refuses(1001, ErrorId::kBudgetExhausted));
-  f.book().Settle(f.now(), reservation, Tokens(200), {});
+  f.book().Settle(f.now(), reservation, Tokens(200), Unkeyed{});
   LONGS_EQUAL(1, f.book().TakeWoken().size());
   CHECK(f.TryReserve(500).has_value());
 }
@@ -85,7 +88,7 @@
 
 TEST(Book, is_busy_when_the_log_is_out_and_no_peer_has_spares) {
   BookFixture f;
-  f.book().OnLogState(f.now(), true);
+  f.book().OnLogState(true);
   CHECK(f.Refuses(100, ErrorId::kBudgetBusy));
   v1::Spare spare;
   spare.set_budget(f.budget().value());
@@ -147,7 +150,7 @@
   LONGS_EQUAL(60, f.ReportedSpend());
   f.book().OnRetired(f.now());
   CHECK(f.Records().empty());
-  f.book().Settle(f.now(), second, Tokens(40), {});
+  f.book().Settle(f.now(), second, Tokens(40), Unkeyed{});
   const auto records = f.Records();
   const v1::FinalSpend& last = records.at(0).spend_finalized().budgets(0);
   LONGS_EQUAL(100, last.spent());
@@ -160,11 +163,11 @@
   BookFixture f;
   f.Grant(1000);
   for (int i = 0; i < 10; ++i) {
-    f.book().Settle(f.now(), *f.TryReserve(10), Tokens(10), {});
+    f.book().Settle(f.now(), *f.TryReserve(10), Tokens(10), Unkeyed{});
   }
   f.Pass(1'000);
   LONGS_EQUAL(100, f.ReportedSpend());
-  f.book().Settle(f.now(), *f.TryReserve(10), Tokens(10), {});
+  f.book().Settle(f.now(), *f.TryReserve(10), Tokens(10), Unkeyed{});
   f.Pass(500);
   LONGS_EQUAL(-1, f.ReportedSpend());
   f.Pass(500);
--- a/tests/budget/unit-transfer.cc
+++ b/tests/budget/unit-transfer.cc
@@ -78,7 +78,7 @@
   send.set_budget(f.budget().value());
   send.set_tokens(500);
   f.book().OnTransferSend(f.now(), Peer(1), send);
-  f.book().Settle(f.now(), *f.TryReserve(500), core::Tokens(500), {});
+  f.book().Settle(f.now(), *f.TryReserve(500), core::Tokens(500), Unkeyed{});
   const auto records = f.Records();
   size_t transfer = records.size();
   for (size_t i = 0; i < records.size(); ++i) {
--- a/tests/budget/unit-witness.cc
+++ b/tests/budget/unit-witness.cc
@@ -36,7 +36,7 @@
   f.book().ChooseWitness(f.now(), Peer(2));
   Deliver(f, desk, Only(f.book().TakeCeilingRaises(f.now())));
   f.Records();
-  f.book().OnWitnessInForce(f.now(), Peer(2));
+  f.book().OnWitnessInForce(Peer(2));
   desk.Close(Peer(1));
   const auto statement = desk.StatementFor(Peer(1));
   const int64_t stated = statement->ceilings(0).tokens();
@@ -109,7 +109,7 @@
   LONGS_EQUAL(2, raises.size());
   f.Ack(raises[0]);
   CHECK_FALSE(f.TryReserve(5'000));
-  f.book().OnWitnessInForce(f.now(), Peer(3));
+  f.book().OnWitnessInForce(Peer(3));
   CHECK_FALSE(f.TryReserve(5'000));
   f.Ack(raises[1]);
   CHECK(f.TryReserve(5'000).has_value());
