--- /dev/null
+++ b/tests/ledger/unit-balance.cc
@@ -0,0 +1,176 @@
+#include <CppUTest/TestHarness.h>
+
+#include "test_log.h"
+
+using namespace coppervalve;
+using namespace coppervalve::ledger;
+
+// clang-format off
+TEST_GROUP(Balance){};
+// clang-format on
+
+TEST(Balance, a_published_configuration_pays_its_prepaid_growth_in) {
+  TestLog log;
+  Writer alice{"operator:alice", 11};
+  const auto first = log.Write(alice, Publish(0, 1000, "c1"));
+  CHECK(Find<ConfigAccepted>(first)->version == core::ConfigVersion(1));
+  const auto second = log.Write(alice, Publish(1, 1500, "c2"));
+  LONGS_EQUAL(500, Find<PaidIn>(second)->tokens.value());
+  LONGS_EQUAL(1500, log.Free());
+  CHECK(log.fold().config_offset() == core::LogOffset(1));
+  STRCMP_EQUAL("name-c2", log.fold().config_operator().c_str());
+}
+
+TEST(Balance, a_shrinking_prepaid_amount_is_rejected_whole) {
+  Fleet log;
+  log.Write(log.alice, TopUp(700, "t1"));
+  const auto effects = log.Write(log.alice, Publish(1, 900, "c2"));
+  CHECK(Find<ConfigRejected>(effects)->reason ==
+        ConfigRejection::kPrepaidShrinks);
+  CHECK(log.fold().config_version() == core::ConfigVersion(1));
+  LONGS_EQUAL(1700, log.Free());
+}
+
+TEST(Balance, a_budget_listed_twice_or_past_the_largest_sum_is_rejected) {
+  Fleet log;
+  v1::Record twice = Publish(1, 1000, "c2");
+  auto& budgets = *twice.mutable_config_published()->mutable_configuration();
+  *budgets.add_budgets() = budgets.budgets(0);
+  CHECK(Find<ConfigRejected>(log.Write(log.alice, twice))->reason ==
+        ConfigRejection::kInvalid);
+  const auto huge = log.Write(log.alice, Publish(1, INT64_MAX, "c3"));
+  CHECK(Find<ConfigRejected>(huge)->reason == ConfigRejection::kInvalid);
+}
+
+// Two operators publish at the same moment, both based on version 1. The first
+// in log order comes into force; the other is told who won, because a merge
+// that nobody has read would be in force otherwise.
+TEST(Balance, of_two_operators_at_once_the_first_in_log_order_wins) {
+  Fleet log;
+  Writer bob{"operator:bob", 12};
+  const v1::Entry alices = log.Draft(log.alice, {Publish(1, 1000, "a")});
+  const v1::Entry bobs = log.Draft(bob, {Publish(1, 2000, "b")});
+  CHECK(Find<ConfigAccepted>(log.Append(bobs)) != nullptr);
+  const auto effects = log.Append(alices);
+  const ConfigRejected* rejected = Find<ConfigRejected>(effects);
+  CHECK(rejected->reason == ConfigRejection::kConflict);
+  CHECK(rejected->version_in_force == core::ConfigVersion(2));
+  STRCMP_EQUAL("name-b", rejected->winner_operator.c_str());
+  STRCMP_EQUAL("b", rejected->winner_change_id.c_str());
+}
+
+// The reply to a publisher's append is lost, so it appends the same change
+// again. It must not read that its own change lost against itself.
+TEST(Balance, a_repeated_publication_is_a_duplicate_and_no_conflict) {
+  Fleet log;
+  const auto effects = log.Write(log.alice, Publish(0, 1000, "c1"));
+  CHECK(Ignored(effects, IgnoreReason::kDuplicate));
+  LONGS_EQUAL(1000, log.Free());
+}
+
+TEST(Balance, a_budget_that_leaves_the_configuration_keeps_its_tokens) {
+  Fleet log;
+  log.Write(log.r1, Ask(100));
+  v1::Record without = Publish(1, 0, "c2");
+  without.mutable_config_published()->mutable_configuration()->clear_budgets();
+  CHECK(Find<ConfigAccepted>(log.Write(log.alice, without)) != nullptr);
+  CHECK(Find<Denied>(log.Write(log.r1, Ask(100))) != nullptr);
+  log.Write(log.r1, GiveBack(60));
+  LONGS_EQUAL(960, log.Free());
+  const auto again = log.Write(log.alice, Publish(2, 1200, "c3"));
+  LONGS_EQUAL(200, Find<PaidIn>(again)->tokens.value());
+}
+
+// An operator's top-up takes effect but its reply is lost; the tool repeats it,
+// once soon and once so late that its id is forgotten. The account must be paid
+// in once: the late one is refused by its age alone.
+TEST(Balance, a_repeated_top_up_pays_in_once_however_late_it_comes) {
+  Fleet log;
+  const v1::Entry entry = log.Draft(log.alice, {TopUp(500, "t1")});
+  LONGS_EQUAL(500, Find<PaidIn>(log.Append(entry))->tokens.value());
+  CHECK(Find<TopUpRefused>(log.Append(entry))->reason ==
+        TopUpRefusal::kDuplicate);
+  log.Skip(kTestWindow + 1);
+  CHECK(Find<TopUpRefused>(log.Append(entry))->reason == TopUpRefusal::kStale);
+  LONGS_EQUAL(1500, log.Free());
+}
+
+TEST(Balance, a_top_up_without_meaning_is_refused_with_its_reason) {
+  Fleet log;
+  const auto refusal = [&log](const v1::Record& record) {
+    return Find<TopUpRefused>(log.Write(log.alice, record))->reason;
+  };
+  CHECK(refusal(TopUp(0, "t1")) == TopUpRefusal::kInvalid);
+  CHECK(refusal(TopUp(5, "")) == TopUpRefusal::kInvalid);
+  CHECK(refusal(TopUp(INT64_MAX, "t2")) == TopUpRefusal::kInvalid);
+  v1::Record unknown = TopUp(5, "t3");
+  unknown.mutable_topped_up()->set_budget("nobody");
+  CHECK(refusal(unknown) == TopUpRefusal::kUnknownBudget);
+}
+
+TEST(Balance, a_grant_is_cut_to_the_balance_but_never_below_the_minimum) {
+  Fleet log;
+  const auto granted = log.Write(log.r1, Ask(5000, 1000));
+  LONGS_EQUAL(1000, Find<Granted>(granted)->tokens.value());
+  CHECK(Find<Granted>(granted)->sequence == core::Sequence(2));
+  const auto denied = log.Write(log.r2, Ask(50, 1));
+  LONGS_EQUAL(0, Find<Denied>(denied)->available.value());
+}
+
+TEST(Balance, only_gate_work_draws_on_the_held_back_share) {
+  Fleet log(v1::ON_PROOF, 100);
+  LONGS_EQUAL(900, Find<Granted>(log.Write(log.r1, Ask(1000)))->tokens.value());
+  CHECK(Find<Denied>(log.Write(log.r1, Ask(1, 1, v1::BATCH))) != nullptr);
+  const auto gate = log.Write(log.r2, Ask(1000, 1, v1::GATE));
+  LONGS_EQUAL(100, Find<Granted>(gate)->tokens.value());
+}
+
+TEST(Balance, a_return_of_more_than_is_held_changes_nothing) {
+  Fleet log;
+  log.Write(log.r1, Ask(100));
+  log.Write(log.r1, Spend(40));
+  CHECK(
+      Ignored(log.Write(log.r1, GiveBack(61)), IgnoreReason::kExceedsHolding));
+  LONGS_EQUAL(60,
+              Find<Returned>(log.Write(log.r1, GiveBack(60)))->tokens.value());
+  LONGS_EQUAL(960, log.Free());
+}
+
+// The reply to an append is lost after it took effect, so the router appends
+// the same entry again. It must hold one grant, not two.
+TEST(Balance, an_entry_appended_twice_folds_once) {
+  Fleet log;
+  const v1::Entry entry = log.Draft(log.r1, {Ask(100)});
+  CHECK(Find<Granted>(log.Append(entry)) != nullptr);
+  CHECK(Ignored(log.Append(entry), IgnoreReason::kDuplicate));
+  LONGS_EQUAL(900, log.Free());
+}
+
+TEST(Balance, an_entry_after_a_missing_one_folds_to_nothing) {
+  Fleet log;
+  log.Draft(log.r1, {Ask(100)});
+  CHECK(Ignored(log.Write(log.r1, Ask(100)), IgnoreReason::kSequenceGap));
+  LONGS_EQUAL(1000, log.Free());
+}
+
+TEST(Balance, records_of_the_wrong_kind_of_writer_fold_to_nothing) {
+  Fleet log;
+  CHECK(Ignored(log.Write(log.alice, Ask(100)), IgnoreReason::kNotAllowed));
+  CHECK(Ignored(log.Write(log.r1, TopUp(9, "t")), IgnoreReason::kNotAllowed));
+  Writer stranger{"r9", 9};
+  CHECK(Ignored(log.Write(stranger, Ask(1)), IgnoreReason::kUnknownWriter));
+  LONGS_EQUAL(1000, log.Free());
+}
+
+TEST(Balance, an_order_is_fenced_by_its_offset) {
+  Fleet log;
+  const uint64_t offset = log.next();
+  log.Write(log.r1, OrderModel("engine-1"));
+  const v1::Entry repeated = log.Draft(log.alice, {OrderModel("engine-1")});
+  log.Append(repeated);
+  CHECK(Ignored(log.Append(repeated), IgnoreReason::kDuplicate));
+  const Order* order = log.fold().FindOrder(core::UpstreamId("engine-1"));
+  CHECK(order->fencing == core::FencingNumber(offset + 1));
+  CHECK(Ignored(log.Write(log.r1, OrderModel("engine-9")),
+                IgnoreReason::kUnknownUpstream));
+}
--- /dev/null
+++ b/tests/ledger/unit-quarantine.cc
@@ -0,0 +1,188 @@
+#include <CppUTest/TestHarness.h>
+
+#include "test_log.h"
+
+using namespace coppervalve;
+using namespace coppervalve::ledger;
+
+// clang-format off
+TEST_GROUP(Quarantine){};
+// clang-format on
+
+TEST(Quarantine, the_witness_frees_what_lies_past_the_ceiling) {
+  Fleet log;
+  log.RetireFirst();
+  const auto effects = log.Write(log.r2, NarrowTo(log.r1, 60));
+  LONGS_EQUAL(40, Find<QuarantineChanged>(effects)->released.value());
+  LONGS_EQUAL(30, Find<QuarantineChanged>(effects)->remaining.value());
+  LONGS_EQUAL(940, log.Free());
+}
+
+TEST(Quarantine, a_ceiling_below_the_reported_spend_frees_the_unspent_only) {
+  Fleet log;
+  log.RetireFirst();
+  log.Write(log.r2, NarrowTo(log.r1, 10));
+  LONGS_EQUAL(970, log.Free());
+  LONGS_EQUAL(0, log.Quarantined());
+}
+
+// r1 replaced its witness r2 by r3 and was promised more there. r2 has not read
+// that yet and states its old, lower ceiling after r1 fell silent. Believing it
+// would free tokens that r1 may have committed with r3's word.
+TEST(Quarantine, a_witness_that_is_not_in_force_frees_nothing) {
+  Fleet log;
+  log.Write(log.r1, Ask(100));
+  log.Write(log.r1, ChooseWitness(log.r2));
+  log.Write(log.r1, ChooseWitness(log.r3));
+  CHECK(Ignored(log.Write(log.r3, NarrowTo(log.r1, 10)),
+                IgnoreReason::kNotWitness));
+  log.Write(log.r3, Retire(log.r1, log.r1.sequence));
+  CHECK(Ignored(log.Write(log.r2, NarrowTo(log.r1, 10)),
+                IgnoreReason::kNotWitness));
+  LONGS_EQUAL(100, log.Quarantined());
+  log.Write(log.r3, NarrowTo(log.r1, 80));
+  LONGS_EQUAL(80, log.Quarantined());
+}
+
+// The witness restarts and is the same router under a new incarnation: it has
+// forgotten what it promised, so its word no longer counts.
+TEST(Quarantine, a_restarted_witness_frees_nothing) {
+  Fleet log;
+  log.RetireFirst();
+  Writer again{"r2", 102};
+  log.Write(again, Join());
+  CHECK(Ignored(log.Write(again, NarrowTo(log.r1, 0)),
+                IgnoreReason::kNotWitness));
+}
+
+TEST(Quarantine, a_strict_budget_takes_no_witness) {
+  Fleet log(v1::OPERATOR_ONLY);
+  log.RetireFirst();
+  CHECK(Ignored(log.Write(log.r2, NarrowTo(log.r1, 60)),
+                IgnoreReason::kReleasePolicy));
+  LONGS_EQUAL(70, log.Quarantined());
+  log.Write(log.r1, FinalSpendOf(log.r1, 45));
+  LONGS_EQUAL(955, log.Free());
+}
+
+// The witness narrows a paused router's quarantine; the router resumes, ends
+// its work within the ceiling and states its final spend. All that it did not
+// spend must be back, and none of it twice.
+TEST(Quarantine, a_final_report_after_narrowing_frees_the_rest_once) {
+  Fleet log;
+  log.RetireFirst();
+  log.Write(log.r2, NarrowTo(log.r1, 60));
+  const v1::Entry final_report = log.Draft(log.r1, {FinalSpendOf(log.r1, 50)});
+  const auto effects = log.Append(final_report);
+  LONGS_EQUAL(10, Find<QuarantineChanged>(effects)->released.value());
+  log.Append(final_report);
+  log.Write(log.r2, NarrowTo(log.r1, 90));
+  LONGS_EQUAL(950, log.Free());
+  LONGS_EQUAL(50, log.budget().billed.value());
+  LONGS_EQUAL(0, log.Quarantined());
+}
+
+TEST(Quarantine, only_the_retired_router_itself_finalizes_its_spend) {
+  Fleet log;
+  log.RetireFirst();
+  CHECK(Ignored(log.Write(log.r2, FinalSpendOf(log.r1, 0)),
+                IgnoreReason::kNotAllowed));
+  CHECK(Ignored(log.Write(log.r2, FinalSpendOf(log.r2, 0)),
+                IgnoreReason::kNotAllowed));
+  LONGS_EQUAL(70, log.Quarantined());
+}
+
+// Both sides record a transfer, in either order, and one of them twice. The
+// tokens must move once.
+TEST(Quarantine, a_transfer_recorded_by_both_sides_moves_once) {
+  Fleet log;
+  log.Write(log.r1, Ask(100));
+  const v1::Record transfer = Transfer(log.r1, log.r2, 7, 40);
+  CHECK(Find<TransferFolded>(log.Write(log.r2, transfer)) != nullptr);
+  CHECK(Ignored(log.Write(log.r1, transfer), IgnoreReason::kDuplicate));
+  CHECK(Ignored(log.Write(log.r3, transfer), IgnoreReason::kNotAllowed));
+  LONGS_EQUAL(60, log.holding(log.r1).held().value());
+  LONGS_EQUAL(40, log.holding(log.r2).held().value());
+  log.Write(log.r2, Spend(40));
+}
+
+// A copy of a transfer record hangs in the network past the window, so that its
+// id is forgotten. Folding it again would move tokens that r1 spends from.
+TEST(Quarantine, a_transfer_record_after_the_window_moves_nothing) {
+  Fleet log;
+  log.Write(log.r1, Ask(100));
+  const v1::Entry late = log.Draft(log.r1, {Transfer(log.r1, log.r2, 7, 40)});
+  log.Write(log.r2, Transfer(log.r1, log.r2, 7, 40));
+  log.Skip(kTestWindow + 1);
+  CHECK(Ignored(log.Append(late), IgnoreReason::kStale));
+  LONGS_EQUAL(60, log.holding(log.r1).held().value());
+}
+
+// r1 sends 40 to r2 and dies before either side has recorded it. The witness's
+// ceiling counts the 40, so they are still there when r2 records them.
+TEST(Quarantine, a_transfer_recorded_after_narrowing_is_covered) {
+  Fleet log;
+  log.RetireFirst();
+  log.Write(log.r2, NarrowTo(log.r1, 70));
+  log.Write(log.r2, Transfer(log.r1, log.r2, 7, 40));
+  LONGS_EQUAL(40, log.holding(log.r2).held().value());
+  LONGS_EQUAL(0, log.Quarantined());
+  LONGS_EQUAL(930, log.Free());
+}
+
+TEST(Quarantine, a_pending_transfer_outlives_the_final_report) {
+  Fleet log;
+  log.RetireFirst();
+  log.Write(log.r1, FinalSpendOf(log.r1, 35, 40));
+  LONGS_EQUAL(925, log.Free());
+  log.Write(log.r2, Transfer(log.r1, log.r2, 7, 40));
+  LONGS_EQUAL(0, log.Quarantined());
+}
+
+TEST(Quarantine, tokens_sent_to_a_narrowed_router_go_back_at_once) {
+  Fleet log;
+  log.RetireFirst();
+  log.Write(log.r2, NarrowTo(log.r1, 60));
+  log.Write(log.r3, Ask(100));
+  log.Write(log.r3, Transfer(log.r3, log.r1, 9, 25));
+  LONGS_EQUAL(30, log.Quarantined());
+  LONGS_EQUAL(865, log.Free());
+}
+
+TEST(Quarantine, a_repeated_release_by_an_operator_frees_once) {
+  Fleet log;
+  log.RetireFirst();
+  const v1::Entry release = log.Draft(log.alice, {Release(log.r1, 30)});
+  log.Append(release);
+  CHECK(Ignored(log.Append(release), IgnoreReason::kDuplicate));
+  LONGS_EQUAL(40, log.Quarantined());
+  log.Write(log.alice, Release(log.r1, 1000));
+  LONGS_EQUAL(0, log.Quarantined());
+  log.Skip(kTestWindow + 1);
+  CHECK(Ignored(log.Append(release), IgnoreReason::kUnknownRouter));
+  LONGS_EQUAL(970, log.Free());
+}
+
+// An operator releases what a paused router had in fact spent. The router comes
+// back and says so: the balance must give the tokens up again, not count them
+// as free.
+TEST(Quarantine, a_final_report_takes_back_what_was_released_too_early) {
+  Fleet log;
+  log.RetireFirst();
+  log.Write(log.alice, Release(log.r1, 70));
+  const auto effects = log.Write(log.r1, FinalSpendOf(log.r1, 80));
+  LONGS_EQUAL(-50, Find<QuarantineChanged>(effects)->released.value());
+  LONGS_EQUAL(920, log.Free());
+  LONGS_EQUAL(80, log.budget().billed.value());
+}
+
+// As before, but others have drawn the released tokens meanwhile: the budget is
+// overspent. That cannot be folded away, so the fold stops with an alarm.
+TEST(Quarantine, a_release_that_proves_overspent_stops_the_fold) {
+  Fleet log;
+  log.RetireFirst();
+  log.Write(log.alice, Release(log.r1, 70));
+  log.Write(log.r2, Ask(1000));
+  const auto result = log.Try(log.Draft(log.r1, {FinalSpendOf(log.r1, 80)}));
+  CHECK(core::Failure(result).id == core::ErrorId::kConservationBroken);
+}
