--- /dev/null
+++ b/include/coppervalve/standin/prefix_cache.h
@@ -0,0 +1,31 @@
+#ifndef COPPERVALVE_STANDIN_PREFIX_CACHE_H_
+#define COPPERVALVE_STANDIN_PREFIX_CACHE_H_
+
+#include <cstddef>        // size_t
+#include <cstdint>        // uint64_t
+#include <list>           // list
+#include <string_view>    // string_view
+#include <unordered_map>  // unordered_map
+
+namespace coppervalve::standin {
+
+/// @brief Remembers the beginnings of the prompts used last.
+class PrefixCache {
+ public:
+  /// @param capacity number of prefixes; 0 switches the cache off
+  explicit PrefixCache(size_t capacity) : m_capacity(capacity) {}
+
+  /// @brief Looks a prompt up by its first 256 bytes and remembers it.
+  /// @return whether it was remembered
+  /// @complexity constant
+  bool Touch(std::string_view prompt);
+
+ private:
+  size_t m_capacity;
+  std::list<uint64_t> m_recent;  // newest first
+  std::unordered_map<uint64_t, std::list<uint64_t>::iterator> m_index;
+};
+
+}  // namespace coppervalve::standin
+
+#endif  // COPPERVALVE_STANDIN_PREFIX_CACHE_H_
