--- /dev/null
+++ b/include/coppervalve/router/core.h
@@ -0,0 +1,64 @@
+#ifndef COPPERVALVE_ROUTER_CORE_H_
+#define COPPERVALVE_ROUTER_CORE_H_
+
+#include <memory>  // unique_ptr
+#include <vector>  // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/result.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/operator.pb.h"
+#include "coppervalve/router/events.h"
+#include "coppervalve/router/settings.h"
+
+namespace coppervalve::ledger {
+class Fold;
+}  // namespace coppervalve::ledger
+
+namespace coppervalve::budget {
+class Book;
+}  // namespace coppervalve::budget
+
+namespace coppervalve::router {
+
+/// @brief All decisions of one router: `(now, event) -> actions`.
+///
+/// It has no socket, thread, clock or random source of its own. Not
+/// thread-safe; time must not go back. A router that the log has retired while
+/// it was paused or cut off ends what is in progress, reports its final spend
+/// and joins again as a new incarnation.
+class RouterCore {
+ public:
+  RouterCore(RouterSettings settings, RouterHooks hooks);
+  ~RouterCore();
+  RouterCore(const RouterCore&) = delete;
+  RouterCore& operator=(const RouterCore&) = delete;
+
+  /// @brief Decides on one event.
+  /// @return what the shell is to do, in order
+  /// @complexity that of the libraries involved; no scan over all budgets
+  std::vector<Action> Handle(core::TimePoint now, const Event& event);
+
+  /// @return whether new work is taken (GET /readyz)
+  bool Ready() const;
+  core::Incarnation incarnation() const;
+  /// @brief The answer of GET /admin/status.
+  v1::RouterStatus Status(core::TimePoint now) const;
+
+  /// @brief Read access for audits in tests and benchmarks.
+  const ledger::Fold& fold() const;
+  const budget::Book& book() const;
+
+ private:
+  struct Session;
+
+  void Restart();
+
+  RouterSettings m_settings;
+  RouterHooks m_hooks;
+  std::unique_ptr<Session> m_session;
+};
+
+}  // namespace coppervalve::router
+
+#endif  // COPPERVALVE_ROUTER_CORE_H_
--- /dev/null
+++ b/include/coppervalve/router/detail/configured.h
@@ -0,0 +1,57 @@
+#ifndef COPPERVALVE_ROUTER_DETAIL_CONFIGURED_H_
+#define COPPERVALVE_ROUTER_DETAIL_CONFIGURED_H_
+
+#include <cstdint>        // uint32_t
+#include <memory>         // shared_ptr
+#include <unordered_map>  // unordered_map
+
+#include "coppervalve/config/tables.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/ledger/fold.h"
+#include "coppervalve/router/events.h"
+#include "coppervalve/rules/rule_set.h"
+
+namespace coppervalve::router::detail {
+
+/// @brief The configuration in force here, compiled.
+class Configured {
+ public:
+  Configured();
+
+  /// @brief Takes over the fold's configuration if it is newer.
+  /// @return whether it was: the parts that depend on it are to be updated
+  bool Follow(const ledger::Fold& fold);
+
+  core::ConfigVersion version() const { return m_version; }
+  const config::Tables& tables() const { return *m_tables; }
+  const rules::RuleSet& rules() const { return *m_rules; }
+
+  /// @brief Most tokens that one attempt can cost at any of the candidates.
+  /// @param prompt bound of the prompt's tokens
+  /// @complexity linear in the candidates the first time, then constant
+  core::Tokens BoundOf(const config::SharedUpstreamIds& candidates,
+                       core::Tokens prompt,
+                       core::Tokens output);
+  /// @brief What an answered attempt costs.
+  /// @param usage none for a plain service
+  core::Tokens CostAt(const core::UpstreamId& upstream,
+                      const std::optional<Usage>& usage) const;
+
+ private:
+  struct Dearest {
+    uint32_t price_permille = 0;
+    core::Tokens call_cost;
+  };
+
+  const Dearest& DearestOf(const config::SharedUpstreamIds& candidates);
+
+  core::ConfigVersion m_version;
+  std::shared_ptr<const config::Tables> m_tables;
+  std::shared_ptr<const rules::RuleSet> m_rules;
+  std::unordered_map<config::SharedUpstreamIds, Dearest> m_dearest;
+};
+
+}  // namespace coppervalve::router::detail
+
+#endif  // COPPERVALVE_ROUTER_DETAIL_CONFIGURED_H_
--- /dev/null
+++ b/include/coppervalve/router/detail/log_desk.h
@@ -0,0 +1,89 @@
+#ifndef COPPERVALVE_ROUTER_DETAIL_LOG_DESK_H_
+#define COPPERVALVE_ROUTER_DETAIL_LOG_DESK_H_
+
+#include <functional>  // function
+#include <optional>    // optional
+#include <string>      // string
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/result.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/ledger/effects.h"
+#include "coppervalve/ledger/fold.h"
+#include "coppervalve/logclient/reader.h"
+#include "coppervalve/logclient/snapshot_policy.h"
+#include "coppervalve/logclient/writer.h"
+#include "coppervalve/platform.pb.h"
+#include "coppervalve/records.pb.h"
+#include "coppervalve/router/detail/outbox.h"
+#include "coppervalve/router/settings.h"
+
+namespace coppervalve::router::detail {
+
+/// @brief This incarnation's end of the log: reads and folds entries, groups
+/// and appends records, takes snapshots.
+class LogDesk {
+ public:
+  /// @brief Told of each folded entry, in log order, with what it changed.
+  using OnFolded = std::function<void(const v1::Entry& entry,
+                                      const std::vector<ledger::Effect>&)>;
+
+  LogDesk(const RouterSettings& settings,
+          core::Incarnation incarnation,
+          const RouterHooks& hooks,
+          Outbox& outbox);
+
+  void SetOnFolded(OnFolded on_folded) { m_on_folded = std::move(on_folded); }
+
+  /// @brief Folds a reply. @return whether it reached the end of the log
+  bool OnRead(core::TimePoint now, const v1::ReadReply& reply);
+  void OnReadFailed(core::TimePoint now);
+  void OnAppended(core::TimePoint now, core::LogOffset offset);
+  void OnAppendFailed(core::TimePoint now);
+  /// @brief Sends what is due: a read, an append, a snapshot.
+  void Pump(core::TimePoint now);
+
+  /// @brief Queues a record. Nothing is appended before the first one.
+  /// @error kBacklogFull
+  core::Status Add(v1::Record record, logclient::Urgency urgency);
+  /// @return whether that many more records surely fit
+  bool HasRoomFor(size_t records) const;
+
+  const ledger::Fold& fold() const { return m_fold; }
+  const logclient::Writer& writer() const { return m_writer; }
+  /// @return the first alarm of the fold; admission must stop
+  const std::optional<core::Error>& failure() const { return m_failure; }
+  std::optional<core::TimePoint> last_read_to_end() const {
+    return m_reader.last_read_to_end();
+  }
+  /// @return whether entries were skipped by loading a snapshot after this
+  /// incarnation had begun to write
+  bool lost_continuity() const { return m_lost_continuity; }
+  /// @return whether appends or reads have been failing for too long
+  bool IsOut(core::TimePoint now) const;
+
+ private:
+  void Load(const v1::Snapshot& snapshot);
+  void FoldEntry(const v1::LoggedEntry& logged);
+  void PumpSnapshot(core::TimePoint now);
+  void CaptureSnapshot();
+  void Fail(const core::Error& error);
+
+  const RouterSettings& m_settings;
+  core::Incarnation m_incarnation;
+  Outbox& m_outbox;
+  OnFolded m_on_folded;
+  ledger::Fold m_fold;
+  logclient::Reader m_reader;
+  logclient::Writer m_writer;
+  logclient::SnapshotPolicy m_snapshots;
+  bool m_writing = false;
+  bool m_lost_continuity = false;
+  bool m_snapshot_wanted = false;
+  std::optional<core::Error> m_failure;
+  std::optional<core::TimePoint> m_read_failing_since;
+};
+
+}  // namespace coppervalve::router::detail
+
+#endif  // COPPERVALVE_ROUTER_DETAIL_LOG_DESK_H_
--- /dev/null
+++ b/include/coppervalve/router/detail/request_flow.h
@@ -0,0 +1,161 @@
+#ifndef COPPERVALVE_ROUTER_DETAIL_REQUEST_FLOW_H_
+#define COPPERVALVE_ROUTER_DETAIL_REQUEST_FLOW_H_
+
+#include <deque>          // deque
+#include <functional>     // function
+#include <map>            // multimap
+#include <optional>       // optional
+#include <string>         // string
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/budget/book.h"
+#include "coppervalve/core/hash.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/result.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/request/request_table.h"
+#include "coppervalve/router/detail/configured.h"
+#include "coppervalve/router/detail/log_desk.h"
+#include "coppervalve/router/detail/outbox.h"
+#include "coppervalve/router/detail/peer_desk.h"
+#include "coppervalve/router/detail/work.h"
+#include "coppervalve/router/events.h"
+#include "coppervalve/routing/admission_queue.h"
+#include "coppervalve/routing/placement.h"
+#include "coppervalve/routing/rate_limiter.h"
+#include "coppervalve/routing/retry_policy.h"
+#include "coppervalve/routing/upstream_table.h"
+
+namespace coppervalve::router::detail {
+
+/// @brief What the flow of requests works with; owned by the session.
+struct FlowParts {
+  const RouterSettings& settings;
+  const RouterHooks& hooks;
+  core::Incarnation incarnation;
+  LogDesk& log;
+  PeerDesk& peers;
+  budget::Book& book;
+  Configured& configured;
+  Outbox& outbox;
+};
+
+/// @brief The way of each request: account, rule, key, tokens, queue, attempts,
+/// final answer. Every request that enters gets exactly one final answer.
+class RequestFlow {
+ public:
+  explicit RequestFlow(FlowParts parts);
+
+  /// @brief Installs what depends on the configuration.
+  void OnConfigured();
+  /// @param closed why no new work is taken; none when it is
+  void OnArrived(core::TimePoint now,
+                 const RequestArrived& event,
+                 const std::optional<core::Error>& closed);
+  void OnStatusAsked(core::TimePoint now, const StatusAsked& event);
+  void OnCallerGone(core::TimePoint now, core::RequestId id);
+  void OnForwardEnded(core::TimePoint now, const ForwardEnded& event);
+
+  void OnNotSent(core::TimePoint now, const AttemptNotSent& event);
+  void OnDeclined(core::TimePoint now, const AttemptDeclined& event);
+  void OnFirstToken(core::TimePoint now, const AttemptFirstToken& event);
+  void OnDone(core::TimePoint now, const AttemptDone& event);
+  void OnFailed(core::TimePoint now, const AttemptFailed& event);
+  void OnProbeEnded(core::TimePoint now, const ProbeEnded& event);
+
+  void OnClaim(core::TimePoint now,
+               const core::Hash128& key,
+               const request::Origin& owner);
+  void OnVmList(const v1::VmList& vms);
+
+  /// @brief Moves on what can move: tokens, queue, pauses, probes, expiry.
+  void Pump(core::TimePoint now);
+
+  /// @brief The account of a caller.
+  /// @error kUnauthorized
+  core::Result<const config::Account*> Authenticate(
+      const std::string& api_key,
+      const std::optional<core::AccountId>& forwarded) const;
+
+  size_t in_progress() const { return m_work.size(); }
+  size_t queued() const { return m_queue.size(); }
+  routing::UpstreamTable& upstreams() { return m_upstreams; }
+  const routing::UpstreamTable& upstreams() const { return m_upstreams; }
+  routing::RateLimiter& limiter() { return m_limiter; }
+
+ private:
+  using Pauses = std::multimap<core::TimePoint, core::RequestId>;
+
+  // Arrival.
+  std::optional<Work> Classify(core::TimePoint now,
+                               const RequestArrived& event);
+  void FollowVerdict(core::TimePoint now,
+                     core::RequestId id,
+                     const request::KeyVerdict& verdict);
+  void RunHere(core::TimePoint now, Work& work);
+  void Claim(core::TimePoint now, Work& work, const core::Hash128& key);
+  void Relay(Work& work, const request::ForwardTo& to);
+  bool FoldIsCurrent(core::TimePoint now) const;
+
+  // Admission.
+  void AskForTokens(core::TimePoint now, Work& work);
+  void WakeWaiters(core::TimePoint now);
+  void ExpireWaiters(core::TimePoint now);
+  void Enqueue(core::TimePoint now, Work& work);
+  void DrainQueue(core::TimePoint now);
+  bool TryStart(core::TimePoint now, const routing::QueueEntry& entry);
+  void Start(core::TimePoint now,
+             Work& work,
+             const routing::PlacementDecision& decision);
+  void ExpireQueue(core::TimePoint now);
+
+  // Attempts.
+  Work* FindAttempt(core::RequestId id, core::AttemptId attempt);
+  void AfterNotRun(core::TimePoint now,
+                   Work& work,
+                   routing::AttemptEnd end,
+                   const core::Error& error);
+  void FollowRetry(core::TimePoint now,
+                   Work& work,
+                   const routing::RetryDecision& decision);
+  void ResumePaused(core::TimePoint now);
+
+  // Final answers.
+  void GiveUp(core::TimePoint now,
+              Work& work,
+              core::Error error,
+              std::optional<core::Duration> retry_after);
+  void RefuseAtOnce(core::RequestId id,
+                    core::Error error,
+                    std::optional<core::Duration> retry_after);
+  void ReleaseTokens(core::TimePoint now, Work& work);
+  void WriteOff(core::TimePoint now, Work& work);
+  void Erase(core::RequestId id);
+  Work* Find(core::RequestId id);
+  void ReplyStatus(core::RequestId id, const v1::RequestStatus& status);
+
+  FlowParts m_parts;
+  request::RequestTable m_table;
+  routing::UpstreamTable m_upstreams;
+  routing::Placement m_placement;
+  routing::AdmissionQueue m_queue;
+  routing::RateLimiter m_limiter;
+  routing::RetryPolicy m_retries;
+
+  core::TimePoint m_now{};  ///< of the current event, for the table's hooks
+  std::unordered_map<core::RequestId, Work> m_work;
+  std::unordered_map<core::Hash128, core::RequestId> m_claims;
+  /// Requests that wait for tokens, by budget, in the order they are served.
+  std::unordered_map<core::BudgetId, std::deque<core::RequestId>> m_waiting;
+  Pauses m_pauses;
+  std::multimap<core::TimePoint, core::RequestId> m_token_deadlines;
+  /// Started entries that turned out to have no upstream alive.
+  std::vector<core::RequestId> m_dead_ends;
+  std::unordered_map<core::RequestId, v1::RequestStatus> m_status_relays;
+  uint64_t m_last_attempt = 0;
+};
+
+}  // namespace coppervalve::router::detail
+
+#endif  // COPPERVALVE_ROUTER_DETAIL_REQUEST_FLOW_H_
--- /dev/null
+++ b/include/coppervalve/router/detail/session.h
@@ -0,0 +1,118 @@
+#ifndef COPPERVALVE_ROUTER_DETAIL_SESSION_H_
+#define COPPERVALVE_ROUTER_DETAIL_SESSION_H_
+
+#include <optional>  // optional
+#include <vector>    // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/result.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/membership/address_book.h"
+#include "coppervalve/membership/drain.h"
+#include "coppervalve/operator.pb.h"
+#include "coppervalve/router/detail/budget_desk.h"
+#include "coppervalve/router/detail/configured.h"
+#include "coppervalve/router/detail/log_desk.h"
+#include "coppervalve/router/detail/outbox.h"
+#include "coppervalve/router/detail/peer_desk.h"
+#include "coppervalve/router/detail/request_flow.h"
+#include "coppervalve/router/events.h"
+#include "coppervalve/router/settings.h"
+
+namespace coppervalve::router::detail {
+
+/// @brief Where an incarnation stands; it only moves forward.
+enum class Phase : uint8_t {
+  kReading,  ///< folds the log for the first time
+  kJoining,  ///< its join is on its way
+  kMember,   ///< serves
+  kRetired,  ///< ends what is in progress, then reports its final spend
+  kEnded,    ///< nothing left to do: a new incarnation may start
+  kStopped,  ///< its fold raised an alarm: serves nothing until restarted
+};
+
+/// @brief One incarnation of this router.
+class Session {
+ public:
+  Session(const RouterSettings& settings,
+          const RouterHooks& hooks,
+          core::Incarnation incarnation);
+
+  std::vector<Action> Handle(core::TimePoint now, const Event& event);
+
+  Phase phase() const { return m_phase; }
+  bool draining() const;
+  bool Ready() const;
+  core::Incarnation incarnation() const { return m_incarnation; }
+  v1::RouterStatus Status(core::TimePoint now) const;
+  const LogDesk& log() const { return m_log; }
+  const BudgetDesk& budgets() const { return m_budgets; }
+
+ private:
+  // One overload for each kind of event.
+  void On(core::TimePoint now, const RequestArrived& event);
+  void On(core::TimePoint now, const AddressesAsked& event);
+  void On(core::TimePoint now, const StatusAsked& event);
+  void On(core::TimePoint now, const OperatorStatusAsked& event);
+  void On(core::TimePoint now, const AttemptNotSent& event);
+  void On(core::TimePoint now, const AttemptDeclined& event);
+  void On(core::TimePoint now, const AttemptFirstToken& event);
+  void On(core::TimePoint now, const AttemptDone& event);
+  void On(core::TimePoint now, const AttemptFailed& event);
+  void On(core::TimePoint now, const CallerGone& event);
+  void On(core::TimePoint now, const ForwardEnded& event);
+  void On(core::TimePoint now, const LogRead& event);
+  void On(core::TimePoint now, const LogReadFailed& event);
+  void On(core::TimePoint now, const LogAppended& event);
+  void On(core::TimePoint now, const LogAppendFailed& event);
+  void On(core::TimePoint now, const VmListRead& event);
+  void On(core::TimePoint now, const PeerReceived& event);
+  void On(core::TimePoint now, const PeerSendFailed& event);
+  void On(core::TimePoint now, const ProbeEnded& event);
+  void On(core::TimePoint now, const DrainAsked& event);
+  void On(core::TimePoint now, const Tick& event);
+
+  void OnFolded(core::TimePoint now,
+                const v1::Entry& entry,
+                const std::vector<ledger::Effect>& effects);
+  void OnEffect(core::TimePoint now, const ledger::Effect& effect);
+  void AfterReading(core::TimePoint now, bool at_end);
+  void FollowConfiguration();
+  void Join();
+  void OnOwnRetirement(core::TimePoint now);
+  void AdvanceDrain(core::TimePoint now);
+  void AnnounceRetirement();
+  void EndIfFinished(core::TimePoint now);
+  void Pump(core::TimePoint now);
+  v1::Heartbeat MakeHeartbeat(core::TimePoint now);
+  void OnPeerHeartbeat(core::TimePoint now, const v1::PeerMessage& message);
+  void Append(v1::Record record);
+  /// @return why no new work is taken; none when it is
+  std::optional<core::Error> WhyClosed() const;
+  std::optional<core::Error> WhyUnfit() const;
+  bool IsSelf(const core::RouterId& router,
+              core::Incarnation incarnation) const;
+
+  const RouterSettings& m_settings;
+  core::Incarnation m_incarnation;
+  Phase m_phase = Phase::kReading;
+  Outbox m_outbox;
+  LogDesk m_log;
+  PeerDesk m_peers;
+  BudgetDesk m_budgets;
+  Configured m_configured;
+  RequestFlow m_flow;
+  membership::AddressBook m_addresses;
+  membership::Drain m_drain;
+
+  core::TimePoint m_now{};
+  bool m_members_changed = false;
+  bool m_drain_announced = false;  ///< folded
+  bool m_retirement_sent = false;
+  std::optional<core::TimePoint> m_returning_since;
+  std::optional<core::Error> m_stale;
+};
+
+}  // namespace coppervalve::router::detail
+
+#endif  // COPPERVALVE_ROUTER_DETAIL_SESSION_H_
--- /dev/null
+++ b/include/coppervalve/router/detail/status_report.h
@@ -0,0 +1,32 @@
+#ifndef COPPERVALVE_ROUTER_DETAIL_STATUS_REPORT_H_
+#define COPPERVALVE_ROUTER_DETAIL_STATUS_REPORT_H_
+
+#include "coppervalve/core/units.h"
+#include "coppervalve/membership/drain.h"
+#include "coppervalve/operator.pb.h"
+#include "coppervalve/router/detail/session.h"
+
+namespace coppervalve::router::detail {
+
+/// @brief What a status report is made from.
+struct StatusSources {
+  const RouterSettings& settings;
+  core::Incarnation incarnation;
+  Phase phase;
+  membership::DrainPhase drain;
+  bool stale;
+  const LogDesk& log;
+  const PeerDesk& peers;
+  const BudgetDesk& budgets;
+  const RequestFlow& flow;
+  const Configured& configured;
+};
+
+/// @brief The answer of GET /admin/status.
+/// @complexity linear in upstreams, peers and the budgets touched here
+v1::RouterStatus ReportStatus(core::TimePoint now,
+                              const StatusSources& sources);
+
+}  // namespace coppervalve::router::detail
+
+#endif  // COPPERVALVE_ROUTER_DETAIL_STATUS_REPORT_H_
--- a/include/coppervalve/router/events.h
+++ b/include/coppervalve/router/events.h
@@ -122,7 +122,8 @@
 struct ForwardEnded {
   core::RequestId request;
   bool answered = false;  ///< the peer's whole answer was relayed
-  bool sent = false;  ///< bytes reached the kernel: the peer may have run it
+  bool sent = false;     ///< bytes reached the kernel: the peer may have run it
+  bool relayed = false;  ///< the caller may have part of an answer
 };
 
 struct LogRead {
@@ -195,6 +196,7 @@
   core::UpstreamId upstream;
   std::string address;  ///< "ip:port"
   bool model_work = false;
+  core::AccountId account;
   core::Tokens max_output_tokens;  ///< to be written into the body
   uint32_t priority = 0;           ///< 0 is the most urgent
   core::Duration first_token_timeout{};
@@ -231,9 +233,10 @@
   core::AccountId account;
 };
 
+/// @brief The answer is of no use any more.
 struct CancelAttempt {
   core::RequestId request;
-  core::AttemptId attempt;
+  core::AttemptId attempt;  ///< 0: the forward to a peer
 };
 
 /// @brief Answer with a JSON document.
--- /dev/null
+++ b/src/router/budget_desk.cc
@@ -0,0 +1,286 @@
+#include "coppervalve/router/detail/budget_desk.h"
+
+#include <algorithm>  // all_of
+#include <utility>    // move
+#include <variant>    // get_if, holds_alternative, visit
+
+namespace coppervalve::router::detail {
+
+using budget::PeerRef;
+using core::TimePoint;
+using core::Tokens;
+using logclient::Urgency;
+
+namespace {
+
+constexpr core::Duration kReviewWitnessEvery = std::chrono::milliseconds(250);
+
+template <typename... Cases>
+struct Overloaded : Cases... {
+  using Cases::operator()...;
+};
+
+PeerRef SenderOf(const v1::PeerMessage& message) {
+  return {core::RouterId(message.from_router()),
+          core::Incarnation(message.from_incarnation())};
+}
+
+// Requests wait for these; the rest may share the next batch.
+Urgency UrgencyOf(const v1::Record& record) {
+  return record.has_allotment_requested() ? Urgency::kUrgent
+                                          : Urgency::kRoutine;
+}
+
+bool WasIgnored(const std::vector<ledger::Effect>& effects) {
+  return effects.size() == 1 &&
+         std::holds_alternative<ledger::EntryIgnored>(effects.front());
+}
+
+}  // namespace
+
+BudgetDesk::BudgetDesk(const RouterSettings& settings,
+                       core::Incarnation incarnation,
+                       LogDesk& log,
+                       PeerDesk& peers)
+    : m_self{settings.router, incarnation},
+      m_log(log),
+      m_peers(peers),
+      m_book(m_self, settings.sizing, [this](const core::BudgetId& budget) {
+        return BalanceOf(budget);
+      }) {}
+
+bool BudgetDesk::IsSelf(const core::RouterId& router,
+                        core::Incarnation incarnation) const {
+  return router == m_self.router && incarnation == m_self.incarnation;
+}
+
+std::optional<budget::BalanceView> BudgetDesk::BalanceOf(
+    const core::BudgetId& id) const {
+  const ledger::Budget* budget = m_log.fold().FindBudget(id);
+  if (budget == nullptr) {
+    return std::nullopt;
+  }
+  const ledger::Holding* own = m_log.fold().FindHolding(m_self.incarnation, id);
+  const Tokens own_held = own == nullptr ? Tokens(0) : own->held();
+  budget::BalanceView view;
+  view.free = budget->free;
+  view.paid_in = budget->paid_in;
+  view.gate_held_back = budget->free - budget->Available(v1::BATCH);
+  view.held_by_others = budget->held - budget->quarantined - own_held;
+  view.quarantined = budget->quarantined;
+  return view;
+}
+
+void BudgetDesk::OnFolded(TimePoint now,
+                          const v1::Entry& entry,
+                          const std::vector<ledger::Effect>& effects) {
+  for (const ledger::Effect& effect : effects) {
+    OnEffect(now, effect);
+  }
+  const bool own = IsSelf(core::RouterId(entry.writer()),
+                          core::Incarnation(entry.incarnation()));
+  if (own && !WasIgnored(effects)) {
+    OnOwnEntry(entry);
+  }
+}
+
+void BudgetDesk::OnEffect(TimePoint now, const ledger::Effect& effect) {
+  const Overloaded cases{
+      [&](const ledger::Granted& e) {
+        if (IsSelf(e.router, e.incarnation)) {
+          m_book.OnGranted(now, e.budget, e.tokens, e.sequence);
+        }
+        m_book.OnBalanceChanged(now, e.budget);
+      },
+      [&](const ledger::Denied& e) {
+        if (IsSelf(e.router, e.incarnation)) {
+          m_book.OnDenied(now, e.budget, e.sequence);
+        }
+      },
+      [&](const ledger::PaidIn& e) { m_book.OnBalanceChanged(now, e.budget); },
+      [&](const ledger::Returned& e) {
+        m_book.OnBalanceChanged(now, e.budget);
+      },
+      [&](const ledger::QuarantineChanged& e) {
+        m_book.OnBalanceChanged(now, e.budget);
+      },
+      [&](const ledger::Retired& e) { OnRetired(now, e); },
+      [&](const ledger::WitnessInForce& e) {
+        if (!IsSelf(e.router, e.incarnation)) {
+          return;
+        }
+        std::optional<PeerRef> witness;
+        if (!e.witness.empty()) {
+          witness = PeerRef{e.witness, e.witness_incarnation};
+        }
+        m_book.OnWitnessInForce(witness);
+      },
+      [&](const ledger::WitnessRefused& e) {
+        if (IsSelf(e.router, e.incarnation)) {
+          m_book.OnWitnessRefused({e.witness, e.witness_incarnation});
+        }
+      },
+      [&](const ledger::TransferFolded& e) {
+        v1::TransferRecorded transfer;
+        transfer.set_from_router(e.from.value());
+        transfer.set_from_incarnation(e.from_incarnation.value());
+        transfer.set_to_router(e.to.value());
+        transfer.set_to_incarnation(e.to_incarnation.value());
+        transfer.set_transfer_id(e.transfer_id);
+        transfer.set_budget(e.budget.value());
+        transfer.set_tokens(e.tokens.value());
+        if (IsSelf(e.from, e.from_incarnation) ||
+            IsSelf(e.to, e.to_incarnation)) {
+          m_book.OnTransferFolded(now, transfer);
+        }
+      },
+      [](const auto&) {},
+  };
+  std::visit(cases, effect);
+}
+
+void BudgetDesk::OnOwnEntry(const v1::Entry& entry) {
+  for (const v1::Record& record : entry.records()) {
+    if (!record.has_spend_reported()) {
+      continue;
+    }
+    const v1::SpendReported& report = record.spend_reported();
+    m_book.OnSpendFolded(core::BudgetId(report.budget()),
+                         Tokens(report.spent()));
+  }
+}
+
+void BudgetDesk::OnRetired(TimePoint now, const ledger::Retired& retired) {
+  const PeerRef peer{retired.router, retired.incarnation};
+  if (peer == m_self) {
+    m_book.OnRetired(now);
+    return;
+  }
+  // The desk is closed before anything is stated: a raise that arrived between
+  // the statement and the close would let the retired router commit tokens
+  // that the statement has just given back to the balance.
+  m_witness_desk.Close(peer);
+  StateCeilings(peer);
+}
+
+void BudgetDesk::StateCeilings(const PeerRef& retired) {
+  const ledger::Member* member =
+      m_log.fold().FindMember(retired.router, retired.incarnation);
+  const bool is_witness = member != nullptr &&
+                          member->witness == m_self.router &&
+                          member->witness_incarnation == m_self.incarnation;
+  if (!is_witness || m_book.Retired()) {
+    return;
+  }
+  const auto statement = m_witness_desk.StatementFor(retired);
+  if (!statement.has_value()) {
+    return;
+  }
+  v1::Record record;
+  *record.mutable_quarantine_narrowed() = *statement;
+  if (core::IsOk(m_log.Add(std::move(record), Urgency::kUrgent))) {
+    m_witness_desk.ForgetCeilings(retired);
+  }
+}
+
+bool BudgetDesk::OnPeerMessage(TimePoint now, const v1::PeerMessage& message) {
+  const PeerRef from = SenderOf(message);
+  v1::PeerMessage reply;
+  switch (message.body_case()) {
+    case v1::PeerMessage::kCeilingRaise:
+      *reply.mutable_ceiling_ack() =
+          m_witness_desk.OnCeilingRaise(from, message.ceiling_raise());
+      m_peers.Send(now, from, std::move(reply));
+      return true;
+    case v1::PeerMessage::kCeilingAck:
+      m_book.OnCeilingAck(now, from, message.ceiling_ack());
+      return true;
+    case v1::PeerMessage::kTransferAsk:
+      m_book.OnTransferAsk(now, from, message.transfer_ask());
+      return true;
+    case v1::PeerMessage::kTransferSend: {
+      const auto ack =
+          m_book.OnTransferSend(now, from, message.transfer_send());
+      if (ack.has_value()) {
+        *reply.mutable_transfer_ack() = *ack;
+        m_peers.Send(now, from, std::move(reply));
+      }
+      return true;
+    }
+    case v1::PeerMessage::kTransferAck:
+      m_book.OnTransferAck(from, message.transfer_ack());
+      return true;
+    default:
+      return false;
+  }
+}
+
+void BudgetDesk::ReviewWitness(TimePoint now) {
+  if (m_book.Retired() || (m_witness_reviewed.has_value() &&
+                           now - *m_witness_reviewed < kReviewWitnessEvery)) {
+    return;
+  }
+  m_witness_reviewed = now;
+  const auto verdict = m_peers.JudgeWitness(now, m_book.WitnessInForce());
+  if (const auto* choose = std::get_if<membership::ChooseWitness>(&verdict)) {
+    m_book.ChooseWitness(
+        now, PeerRef{choose->witness.router, choose->witness.incarnation});
+  }
+  if (std::holds_alternative<membership::ChooseNone>(verdict)) {
+    m_book.ChooseWitness(now, std::nullopt);
+  }
+}
+
+void BudgetDesk::Tick(TimePoint now) {
+  m_book.OnLogState(m_log.IsOut(now));
+  m_book.OnFleet(static_cast<uint32_t>(m_peers.view().live_members()));
+  m_book.OnTick(now);
+}
+
+void BudgetDesk::Send(TimePoint now) {
+  SendRecords(now);
+  SendMessages(now);
+}
+
+// A record that the book has handed out exists nowhere else, so the book is
+// only asked when the backlog is sure to take what it may hand out.
+void BudgetDesk::SendRecords(TimePoint now) {
+  if (!m_log.HasRoomFor(budget::kMaxRecordsPerTake)) {
+    return;
+  }
+  for (v1::Record& record : m_book.TakeRecords(now)) {
+    const Urgency urgency = UrgencyOf(record);
+    m_log.Add(std::move(record), urgency);
+  }
+}
+
+void BudgetDesk::SendMessages(TimePoint now) {
+  for (const budget::CeilingRaiseTo& raise : m_book.TakeCeilingRaises(now)) {
+    v1::PeerMessage message;
+    *message.mutable_ceiling_raise() = raise.raise;
+    m_peers.Send(now, raise.to, std::move(message));
+  }
+  for (const budget::TransferAskTo& ask : m_book.TakeTransferAsks(now)) {
+    v1::PeerMessage message;
+    *message.mutable_transfer_ask() = ask.ask;
+    m_peers.Send(now, ask.to, std::move(message));
+  }
+  for (const budget::TransferSendTo& send : m_book.TakeTransferSends(now)) {
+    v1::PeerMessage message;
+    *message.mutable_transfer_send() = send.send;
+    m_peers.Send(now, send.to, std::move(message));
+  }
+}
+
+bool BudgetDesk::Settled() const {
+  const ledger::Member* self =
+      m_log.fold().FindMember(m_self.router, m_self.incarnation);
+  if (self == nullptr) {
+    return true;
+  }
+  return std::all_of(
+      self->holdings.begin(), self->holdings.end(),
+      [](const auto& entry) { return entry.second.held() == Tokens(0); });
+}
+
+}  // namespace coppervalve::router::detail
--- /dev/null
+++ b/src/router/flow_arrival.cc
@@ -0,0 +1,330 @@
+#include <algorithm>  // max, min
+#include <utility>    // move
+#include <variant>    // get_if, visit
+
+#include "coppervalve/router/detail/json_reply.h"
+#include "coppervalve/router/detail/request_flow.h"
+
+namespace coppervalve::router::detail {
+
+using core::Error;
+using core::ErrorId;
+using core::RequestId;
+using core::TimePoint;
+using core::Tokens;
+
+namespace {
+
+/// No tokenizer makes more tokens than the prompt has bytes; roles and
+/// separators of a chat add a few per message, which the body's own JSON
+/// syntax already outweighs.
+constexpr Tokens kFramingAllowance{64};
+
+/// A claim or status that the fold would show must have been read this lately.
+constexpr core::Duration kFoldCurrentFor = std::chrono::seconds(3);
+
+constexpr core::Duration kRetryElsewhere = std::chrono::milliseconds(100);
+
+}  // namespace
+
+RequestFlow::RequestFlow(FlowParts parts)
+    : m_parts(parts),
+      m_table(
+          {parts.settings.router, parts.incarnation},
+          {[this](const request::Origin& origin) {
+             return m_parts.peers.Locate(m_now, origin, m_parts.log.fold());
+           },
+           [this](const core::Hash128& key) {
+             return m_parts.peers.OwnerOf(m_now, key);
+           },
+           [this](const core::Hash128& key) -> std::optional<request::Origin> {
+             const ledger::Claim* claim = m_parts.log.fold().FindClaim(key);
+             if (claim == nullptr) {
+               return std::nullopt;
+             }
+             return request::Origin{claim->router, claim->incarnation};
+           }}),
+      m_upstreams({}, parts.hooks.random),
+      m_placement({},
+                  routing::DefaultPolicy(parts.hooks.random),
+                  parts.hooks.random,
+                  parts.settings.failure_domain),
+      m_queue({}, parts.hooks.random),
+      m_retries({}, parts.hooks.random) {}
+
+void RequestFlow::OnConfigured() {
+  const config::Tables& tables = m_parts.configured.tables();
+  std::vector<routing::UpstreamInfo> upstreams;
+  std::vector<core::UpstreamId> ids;
+  for (const config::Upstream& from : tables.upstreams()) {
+    upstreams.push_back({from.id, from.address, from.kind, from.failure_domain,
+                         from.models, from.service, from.max_concurrency,
+                         from.checks_fencing, from.repeatable});
+    ids.push_back(from.id);
+  }
+  m_upstreams.SetUpstreams(upstreams);
+  m_retries.Keep(ids);
+
+  std::vector<routing::AccountLimit> limits;
+  for (const config::Account& account : tables.accounts()) {
+    limits.push_back({account.id, account.requests_per_second, account.burst});
+  }
+  m_limiter.SetLimits(limits);
+  m_queue.SetCapacity(tables.limits().queue_capacity);
+  m_table.SetAnswerKeep(tables.limits().answer_keep);
+}
+
+core::Result<const config::Account*> RequestFlow::Authenticate(
+    const std::string& api_key,
+    const std::optional<core::AccountId>& forwarded) const {
+  const config::Tables& tables = m_parts.configured.tables();
+  const config::Account* account =
+      forwarded.has_value() ? tables.FindAccount(*forwarded)
+                            : tables.FindAccountByKey(core::Sha256Hex(api_key));
+  if (account == nullptr) {
+    return Error{ErrorId::kUnauthorized, "authorization",
+                 "no client account has this API key"};
+  }
+  return account;
+}
+
+bool RequestFlow::FoldIsCurrent(TimePoint now) const {
+  const auto read = m_parts.log.last_read_to_end();
+  return read.has_value() && now - *read <= kFoldCurrentFor;
+}
+
+void RequestFlow::OnArrived(TimePoint now,
+                            const RequestArrived& event,
+                            const std::optional<Error>& closed) {
+  m_now = now;
+  if (closed.has_value()) {
+    RefuseAtOnce(event.request, *closed, kRetryElsewhere);
+    return;
+  }
+  std::optional<Work> work = Classify(now, event);
+  if (!work.has_value()) {
+    return;
+  }
+  request::Arrival arrival;
+  arrival.id = event.request;
+  arrival.account = work->account;
+  if (!event.idempotency_key.empty()) {
+    const auto key = request::KeyName::Parse(event.idempotency_key);
+    if (!core::IsOk(key)) {
+      RefuseAtOnce(event.request, core::Failure(key), std::nullopt);
+      return;
+    }
+    arrival.key = core::Value(key);
+    work->key = arrival.key->IdentityFor(work->account);
+  }
+  arrival.body_hash = event.body_hash;
+  arrival.non_idempotent = work->route.non_idempotent;
+  arrival.admission_class = work->route.admission_class;
+  arrival.forwarded = event.forwarded_account.has_value();
+  arrival.log_available = !m_parts.log.IsOut(now);
+  arrival.fold_current = FoldIsCurrent(now);
+
+  m_work.emplace(event.request, std::move(*work));
+  FollowVerdict(now, event.request, m_table.OnArrival(now, arrival));
+}
+
+std::optional<Work> RequestFlow::Classify(TimePoint now,
+                                          const RequestArrived& event) {
+  const auto account = Authenticate(event.api_key, event.forwarded_account);
+  if (!core::IsOk(account)) {
+    RefuseAtOnce(event.request, core::Failure(account), std::nullopt);
+    return std::nullopt;
+  }
+  const config::LimitsView& limits = m_parts.configured.tables().limits();
+  rules::RequestFacts facts;
+  facts.account = core::Value(account)->id;
+  facts.model = core::ModelId(event.model);
+  facts.service = event.service;
+  facts.method = event.method;
+  facts.path = event.path;
+  facts.headers = event.headers;
+  facts.prompt = event.body_size;
+  facts.max_output_tokens = event.max_output_tokens;
+  facts.minute_of_day = m_parts.hooks.minute_of_day(now);
+
+  const rules::Decision decision = m_parts.configured.rules().Match(facts);
+  if (const auto* refused = std::get_if<rules::Refused>(&decision)) {
+    RefuseAtOnce(
+        event.request,
+        {ErrorId::kRefusedByRule, refused->rule.value(), refused->reason},
+        refused->retry_after);
+    return std::nullopt;
+  }
+  const auto* route = std::get_if<rules::Route>(&decision);
+  if (route == nullptr) {
+    RefuseAtOnce(event.request,
+                 {ErrorId::kNoRuleMatches, facts.account.value(), event.path},
+                 std::nullopt);
+    return std::nullopt;
+  }
+  if (route->candidates->empty()) {
+    RefuseAtOnce(event.request,
+                 {ErrorId::kNoUpstream, route->rule.value(),
+                  "no upstream serves " + event.model + event.service.value()},
+                 std::nullopt);
+    return std::nullopt;
+  }
+
+  Work work;
+  work.id = event.request;
+  work.account = facts.account;
+  work.budget = core::Value(account)->budget;
+  work.route = *route;
+  work.target = {facts.model, event.service};
+  work.affinity =
+      event.prompt_prefix.empty() ? 0 : core::Hash64(event.prompt_prefix);
+  if (!event.model.empty()) {
+    const Tokens asked = event.max_output_tokens > Tokens(0)
+                             ? event.max_output_tokens
+                             : limits.default_max_output;
+    work.max_output = std::min(asked, route->max_output_tokens);
+    work.prompt_bound = Tokens(event.body_size.value()) + kFramingAllowance;
+  }
+  work.arrived = now;
+  work.start_by = now + route->max_queue;
+  if (event.deadline.has_value()) {
+    work.start_by = std::min(work.start_by, *event.deadline);
+  }
+  return work;
+}
+
+void RequestFlow::FollowVerdict(TimePoint now,
+                                RequestId id,
+                                const request::KeyVerdict& verdict) {
+  Work* work = Find(id);
+  if (work == nullptr) {
+    return;
+  }
+  if (std::holds_alternative<request::RunHere>(verdict)) {
+    RunHere(now, *work);
+  } else if (const auto* claim = std::get_if<request::NeedClaim>(&verdict)) {
+    Claim(now, *work, claim->key);
+  } else if (const auto* join = std::get_if<request::Join>(&verdict)) {
+    m_parts.outbox.Add(JoinAnswer{id, join->leader});
+    Erase(id);
+  } else if (const auto* to = std::get_if<request::ForwardTo>(&verdict)) {
+    Relay(*work, *to);
+  } else if (const auto* refuse = std::get_if<request::Refuse>(&verdict)) {
+    m_parts.outbox.Add(
+        Refuse{id, refuse->error, refuse->run_state, refuse->retry_after});
+    Erase(id);
+  }
+}
+
+// The limit comes after the key: a retry that fetches the answer of a running
+// request costs nothing upstream and must not be turned away.
+void RequestFlow::RunHere(TimePoint now, Work& work) {
+  const auto limited = m_limiter.Admit(work.account, now);
+  if (limited.has_value()) {
+    GiveUp(now, work, limited->error, limited->retry_after);
+    return;
+  }
+  AskForTokens(now, work);
+}
+
+void RequestFlow::Claim(TimePoint now, Work& work, const core::Hash128& key) {
+  v1::Record record;
+  record.mutable_key_claimed()->set_key_hash(key.ToBytes());
+  const core::Status added =
+      m_parts.log.Add(std::move(record), logclient::Urgency::kUrgent);
+  if (!core::IsOk(added)) {
+    GiveUp(now, work, core::Failure(added), std::nullopt);
+    return;
+  }
+  work.stage = Stage::kClaim;
+  m_claims.insert_or_assign(key, work.id);
+}
+
+void RequestFlow::OnClaim(TimePoint now,
+                          const core::Hash128& key,
+                          const request::Origin& owner) {
+  m_now = now;
+  const auto found = m_claims.find(key);
+  if (found == m_claims.end()) {
+    return;
+  }
+  const RequestId id = found->second;
+  m_claims.erase(found);
+  Work* work = Find(id);
+  if (work == nullptr) {
+    return;
+  }
+  const request::Origin self{m_parts.settings.router, m_parts.incarnation};
+  if (owner == self) {
+    m_table.OnClaimWon(now, id);
+    RunHere(now, *work);
+    return;
+  }
+  for (const request::RequestVerdict& next :
+       m_table.OnClaimLost(now, id, owner)) {
+    FollowVerdict(now, next.request, next.verdict);
+  }
+}
+
+void RequestFlow::Relay(Work& work, const request::ForwardTo& to) {
+  work.stage = Stage::kForwarded;
+  m_parts.outbox.Info("forwarded",
+                      {{"request", std::to_string(work.id.value())},
+                       {"account", work.account.value()},
+                       {"router", to.router.value()}});
+  m_parts.outbox.Add(
+      Forward{work.id, to.router, to.incarnation, to.address, work.account});
+}
+
+void RequestFlow::OnForwardEnded(TimePoint now, const ForwardEnded& event) {
+  m_now = now;
+  const auto status = m_status_relays.extract(event.request);
+  if (!status.empty()) {
+    if (!event.answered) {
+      ReplyStatus(event.request, status.mapped());
+    }
+    return;
+  }
+  request::ForwardOutcome outcome;
+  outcome.answered = event.answered;
+  outcome.sent = event.sent;
+  outcome.relayed = event.relayed;
+  outcome.log_available = !m_parts.log.IsOut(now);
+  outcome.fold_current = FoldIsCurrent(now);
+  const auto verdict = m_table.OnForwardEnded(now, event.request, outcome);
+  if (!verdict.has_value()) {
+    Erase(event.request);
+    return;
+  }
+  FollowVerdict(now, event.request, *verdict);
+}
+
+void RequestFlow::OnStatusAsked(TimePoint now, const StatusAsked& event) {
+  m_now = now;
+  const auto account = Authenticate(event.api_key, event.forwarded_account);
+  if (!core::IsOk(account)) {
+    RefuseAtOnce(event.request, core::Failure(account), std::nullopt);
+    return;
+  }
+  const auto key = request::KeyName::Parse(event.idempotency_key);
+  if (!core::IsOk(key)) {
+    RefuseAtOnce(event.request, core::Failure(key), std::nullopt);
+    return;
+  }
+  const core::AccountId& id = core::Value(account)->id;
+  const request::StatusLookup lookup = m_table.StatusOf(
+      now, id, core::Value(key), event.forwarded_account.has_value());
+  if (!lookup.ask.has_value()) {
+    ReplyStatus(event.request, lookup.status);
+    return;
+  }
+  m_status_relays.emplace(event.request, lookup.status);
+  m_parts.outbox.Add(Forward{event.request, lookup.ask->router,
+                             lookup.ask->incarnation, lookup.ask->address, id});
+}
+
+void RequestFlow::ReplyStatus(RequestId id, const v1::RequestStatus& status) {
+  m_parts.outbox.Add(ReplyJson{id, kHttpOk, JsonOf(status)});
+}
+
+}  // namespace coppervalve::router::detail
--- /dev/null
+++ b/src/router/session.cc
@@ -0,0 +1,489 @@
+#include "coppervalve/router/detail/session.h"
+
+#include <limits>   // numeric_limits
+#include <utility>  // move
+#include <variant>  // get_if, visit
+
+#include "coppervalve/request/key_name.h"
+#include "coppervalve/router/detail/json_reply.h"
+#include "coppervalve/router/detail/status_report.h"
+
+namespace coppervalve::router::detail {
+
+using core::Error;
+using core::ErrorId;
+using core::TimePoint;
+using logclient::Urgency;
+
+namespace {
+
+constexpr size_t kMaxDemandsPerHeartbeat = 32;
+constexpr double kPerThousandSeconds = 1000.0;
+
+std::string PrefixOf(const membership::MemberId& id) {
+  return request::KeyPrefix({id.router, id.incarnation});
+}
+
+std::string_view ReasonOf(membership::StaleReason reason) {
+  switch (reason) {
+    case membership::StaleReason::kNeverRead:
+      return "the log was never read to its end";
+    case membership::StaleReason::kNewerVersion:
+      return "a peer has a newer configuration";
+    case membership::StaleReason::kNotVouched:
+      return "the log cannot be read here and no peer vouches";
+    case membership::StaleReason::kMinority:
+      return "cut off from the log and from most routers";
+  }
+  return "";
+}
+
+}  // namespace
+
+Session::Session(const RouterSettings& settings,
+                 const RouterHooks& hooks,
+                 core::Incarnation incarnation)
+    : m_settings(settings),
+      m_incarnation(incarnation),
+      m_log(settings, incarnation, hooks, m_outbox),
+      m_peers(settings, incarnation, m_outbox),
+      m_budgets(settings, incarnation, m_log, m_peers),
+      m_flow({settings, hooks, incarnation, m_log, m_peers, m_budgets.book(),
+              m_configured, m_outbox}),
+      m_addresses(m_peers.self(), PrefixOf) {
+  m_log.SetOnFolded([this](const v1::Entry& entry,
+                           const std::vector<ledger::Effect>& effects) {
+    OnFolded(m_now, entry, effects);
+  });
+}
+
+std::vector<Action> Session::Handle(TimePoint now, const Event& event) {
+  m_now = now;
+  std::visit([&](const auto& e) { On(now, e); }, event);
+  Pump(now);
+  return m_outbox.Take();
+}
+
+// ---- Callers ---------------------------------------------------------------
+
+std::optional<Error> Session::WhyUnfit() const {
+  if (m_log.failure().has_value()) {
+    return *m_log.failure();
+  }
+  switch (m_phase) {
+    case Phase::kReading:
+    case Phase::kJoining:
+      return Error{ErrorId::kNotReady, m_settings.router.value(),
+                   "still reading the log"};
+    case Phase::kRetired:
+    case Phase::kEnded:
+    case Phase::kStopped:
+      return Error{ErrorId::kRetiredInLog, m_settings.router.value(),
+                   "retired in the log, joins again soon"};
+    case Phase::kMember:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> Session::WhyClosed() const {
+  if (auto unfit = WhyUnfit()) {
+    return unfit;
+  }
+  if (!m_drain.TakesNew()) {
+    return Error{ErrorId::kDraining, m_settings.router.value(),
+                 "ask for the addresses again"};
+  }
+  return m_stale;
+}
+
+bool Session::Ready() const {
+  return !WhyClosed().has_value() && m_drain.Listed();
+}
+
+bool Session::draining() const {
+  return m_drain.phase() != membership::DrainPhase::kActive;
+}
+
+void Session::On(TimePoint now, const RequestArrived& event) {
+  m_flow.OnArrived(now, event, WhyClosed());
+}
+
+void Session::On(TimePoint now, const AddressesAsked& event) {
+  const auto account = m_flow.Authenticate(event.api_key, std::nullopt);
+  if (!core::IsOk(account)) {
+    m_outbox.Add(Refuse{event.request, core::Failure(account),
+                        core::RunState::kNotRun, std::nullopt});
+    return;
+  }
+  membership::OwnState own;
+  own.listed = Ready();
+  own.load = {static_cast<uint32_t>(m_flow.in_progress()),
+              static_cast<uint32_t>(m_flow.queued())};
+  const v1::AddressList list = m_addresses.AddressesFor(
+      core::Value(account)->id, own, m_peers.view().Peers(now));
+  m_outbox.Add(ReplyJson{event.request, kHttpOk, JsonOf(list)});
+}
+
+void Session::On(TimePoint now, const StatusAsked& event) {
+  m_flow.OnStatusAsked(now, event);
+}
+
+void Session::On(TimePoint now, const OperatorStatusAsked& event) {
+  m_outbox.Add(ReplyJson{event.request, kHttpOk, JsonOf(Status(now))});
+}
+
+void Session::On(TimePoint now, const CallerGone& event) {
+  m_flow.OnCallerGone(now, event.request);
+}
+
+void Session::On(TimePoint now, const ForwardEnded& event) {
+  m_flow.OnForwardEnded(now, event);
+}
+
+// ---- Upstreams -------------------------------------------------------------
+
+void Session::On(TimePoint now, const AttemptNotSent& event) {
+  m_flow.OnNotSent(now, event);
+}
+
+void Session::On(TimePoint now, const AttemptDeclined& event) {
+  m_flow.OnDeclined(now, event);
+}
+
+void Session::On(TimePoint now, const AttemptFirstToken& event) {
+  m_flow.OnFirstToken(now, event);
+}
+
+void Session::On(TimePoint now, const AttemptDone& event) {
+  m_flow.OnDone(now, event);
+}
+
+void Session::On(TimePoint now, const AttemptFailed& event) {
+  m_flow.OnFailed(now, event);
+}
+
+void Session::On(TimePoint now, const ProbeEnded& event) {
+  m_flow.OnProbeEnded(now, event);
+}
+
+// ---- The platform ----------------------------------------------------------
+
+void Session::On(TimePoint now, const VmListRead& event) {
+  (void)now;
+  m_flow.OnVmList(event.vms);
+}
+
+void Session::On(TimePoint now, const LogRead& event) {
+  AfterReading(now, m_log.OnRead(now, event.reply));
+}
+
+void Session::On(TimePoint now, const LogReadFailed& event) {
+  (void)event;
+  m_log.OnReadFailed(now);
+}
+
+void Session::On(TimePoint now, const LogAppended& event) {
+  m_log.OnAppended(now, event.offset);
+}
+
+void Session::On(TimePoint now, const LogAppendFailed& event) {
+  (void)event;
+  m_log.OnAppendFailed(now);
+}
+
+void Session::AfterReading(TimePoint now, bool at_end) {
+  FollowConfiguration();
+  if (std::exchange(m_members_changed, false)) {
+    m_peers.SetMembers(m_log.fold());
+    m_flow.limiter().SetRouters(
+        static_cast<uint32_t>(m_peers.view().live_members()));
+  }
+  if (m_log.lost_continuity() && m_phase == Phase::kMember) {
+    OnOwnRetirement(now);
+  }
+  if (!at_end) {
+    return;
+  }
+  m_peers.OnReadToEnd(now, *m_log.last_read_to_end(), m_log.fold());
+  if (m_phase == Phase::kReading) {
+    Join();
+  }
+}
+
+void Session::Join() {
+  m_phase = Phase::kJoining;
+  v1::Record record;
+  v1::RouterJoined& joined = *record.mutable_router_joined();
+  joined.set_caller_address(m_settings.caller_address);
+  joined.set_peer_address(m_settings.peer_address);
+  joined.set_operator_address(m_settings.operator_address);
+  joined.set_failure_domain(m_settings.failure_domain.value());
+  joined.set_region(m_settings.region);
+  joined.set_version(m_settings.version);
+  Append(std::move(record));
+}
+
+void Session::FollowConfiguration() {
+  if (!m_configured.Follow(m_log.fold())) {
+    return;
+  }
+  m_flow.OnConfigured();
+  const config::LimitsView& limits = m_configured.tables().limits();
+  m_peers.SetFreshnessBound(limits.config_freshness);
+  m_peers.SetRetireAfter(limits.retire_after);
+  m_addresses.SetLifetime(limits.address_lifetime);
+  m_drain.SetAddressLifetime(limits.address_lifetime);
+  m_outbox.Info("configuration_in_force",
+                {{"version", std::to_string(m_configured.version().value())},
+                 {"operator", m_log.fold().config_operator()}});
+  if (m_phase == Phase::kMember) {
+    v1::Record record;
+    record.mutable_config_confirmed()->set_version(
+        m_configured.version().value());
+    Append(std::move(record));
+  }
+}
+
+void Session::Append(v1::Record record) {
+  const core::Status added = m_log.Add(std::move(record), Urgency::kUrgent);
+  if (!core::IsOk(added)) {
+    m_outbox.Alarm(core::Failure(added));
+  }
+}
+
+bool Session::IsSelf(const core::RouterId& router,
+                     core::Incarnation incarnation) const {
+  return router == m_settings.router && incarnation == m_incarnation;
+}
+
+void Session::OnFolded(TimePoint now,
+                       const v1::Entry& entry,
+                       const std::vector<ledger::Effect>& effects) {
+  m_budgets.OnFolded(now, entry, effects);
+  for (const ledger::Effect& effect : effects) {
+    OnEffect(now, effect);
+  }
+}
+
+void Session::OnEffect(TimePoint now, const ledger::Effect& effect) {
+  if (const auto* joined = std::get_if<ledger::Joined>(&effect)) {
+    m_members_changed = true;
+    if (IsSelf(joined->router, joined->incarnation)) {
+      m_phase = Phase::kMember;
+      m_outbox.Info("joined", {{"router", joined->router.value()}});
+      v1::Record record;
+      record.mutable_config_confirmed()->set_version(
+          m_log.fold().config_version().value());
+      Append(std::move(record));
+    }
+  } else if (const auto* retired = std::get_if<ledger::Retired>(&effect)) {
+    m_members_changed = true;
+    m_outbox.Info("retired",
+                  {{"router", retired->router.value()},
+                   {"reason", v1::RetireReason_Name(retired->reason)}});
+    m_flow.limiter().ForgetPeer(retired->router);
+    if (IsSelf(retired->router, retired->incarnation)) {
+      OnOwnRetirement(now);
+    }
+  } else if (const auto* drain = std::get_if<ledger::DrainBegun>(&effect)) {
+    m_members_changed = true;
+    m_drain_announced =
+        m_drain_announced || IsSelf(drain->router, drain->incarnation);
+  } else if (std::holds_alternative<ledger::WitnessInForce>(effect)) {
+    m_members_changed = true;
+  } else if (const auto* won = std::get_if<ledger::ClaimWon>(&effect)) {
+    if (IsSelf(won->router, won->incarnation)) {
+      m_flow.OnClaim(now, won->key_hash, {won->router, won->incarnation});
+    }
+  } else if (const auto* lost = std::get_if<ledger::ClaimLost>(&effect)) {
+    if (IsSelf(lost->router, lost->incarnation)) {
+      m_flow.OnClaim(now, lost->key_hash,
+                     {lost->owner, lost->owner_incarnation});
+    }
+  }
+}
+
+// ---- The end of an incarnation ---------------------------------------------
+
+void Session::OnOwnRetirement(TimePoint now) {
+  if (m_phase != Phase::kMember) {
+    return;
+  }
+  m_phase = Phase::kRetired;
+  if (m_log.lost_continuity()) {
+    // Entries with this router's own grants are gone, so its book can no longer
+    // agree with the fold. It leaves by itself and starts anew.
+    AnnounceRetirement();
+    m_budgets.book().OnRetired(now);
+  }
+}
+
+void Session::AnnounceRetirement() {
+  if (std::exchange(m_retirement_sent, true)) {
+    return;
+  }
+  v1::Record record;
+  v1::RouterRetired& retired = *record.mutable_router_retired();
+  retired.set_router(m_settings.router.value());
+  retired.set_incarnation(m_incarnation.value());
+  retired.set_as_of_sequence(std::numeric_limits<uint64_t>::max());
+  retired.set_reason(v1::DRAINED);
+  Append(std::move(record));
+}
+
+void Session::EndIfFinished(TimePoint now) {
+  (void)now;
+  if (m_phase != Phase::kRetired || m_flow.in_progress() > 0 ||
+      !m_budgets.book().Finalized() || m_log.writer().backlog_records() > 0) {
+    return;
+  }
+  m_phase = Phase::kEnded;
+}
+
+void Session::On(TimePoint now, const DrainAsked& event) {
+  (void)event;
+  if (!m_drain.Ask(now)) {
+    return;
+  }
+  m_outbox.Info("drain_started", {{"router", m_settings.router.value()}});
+  if (m_phase == Phase::kMember) {
+    v1::Record record;
+    record.mutable_drain_started();
+    Append(std::move(record));
+  }
+}
+
+void Session::AdvanceDrain(TimePoint now) {
+  if (!draining()) {
+    return;
+  }
+  membership::DrainInputs inputs;
+  inputs.announced = m_drain_announced;
+  inputs.in_progress = m_flow.in_progress();
+  inputs.queued = m_flow.queued();
+  inputs.holdings_settled = m_budgets.Settled();
+  inputs.finalized = m_phase == Phase::kEnded || m_phase == Phase::kReading ||
+                     m_phase == Phase::kJoining;
+  const membership::DrainPhase phase = m_drain.Advance(now, inputs);
+  if (phase >= membership::DrainPhase::kReturning &&
+      !m_returning_since.has_value()) {
+    m_returning_since = now;
+    m_budgets.book().StartDrain(now);
+  }
+  if (phase == membership::DrainPhase::kFinalising &&
+      m_phase == Phase::kMember) {
+    AnnounceRetirement();
+  }
+  const bool patience_over =
+      m_returning_since.has_value() &&
+      now - *m_returning_since >= m_settings.drain_patience;
+  if (phase == membership::DrainPhase::kExit || patience_over) {
+    m_outbox.Add(Exit{});
+  }
+}
+
+// ---- Peers -----------------------------------------------------------------
+
+v1::Heartbeat Session::MakeHeartbeat(TimePoint now) {
+  v1::Heartbeat heartbeat;
+  heartbeat.set_next_offset(m_log.fold().next_offset().value());
+  const auto age = m_peers.LogAge(now);
+  heartbeat.set_log_age_ms(
+      age.has_value()
+          ? static_cast<uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(*age)
+                    .count())
+          : std::numeric_limits<uint64_t>::max());
+  heartbeat.set_config_version(m_configured.version().value());
+  heartbeat.set_draining(draining());
+  heartbeat.set_in_progress(static_cast<uint32_t>(m_flow.in_progress()));
+  heartbeat.set_queued(static_cast<uint32_t>(m_flow.queued()));
+  for (v1::Spare& spare : m_budgets.book().TakeSpares(now)) {
+    *heartbeat.add_spares() = std::move(spare);
+  }
+  for (const routing::AccountDemand& demand :
+       m_flow.limiter().ReportDemand(now)) {
+    if (heartbeat.demands_size() >= static_cast<int>(kMaxDemandsPerHeartbeat)) {
+      break;
+    }
+    v1::AccountDemand& out = *heartbeat.add_demands();
+    out.set_account(demand.account.value());
+    out.set_requests_per_1000_s(static_cast<uint32_t>(
+        demand.requests_per_second * kPerThousandSeconds));
+  }
+  return heartbeat;
+}
+
+void Session::On(TimePoint now, const PeerReceived& event) {
+  const v1::PeerMessage& message = event.message;
+  // A message for an earlier incarnation of this router would move tokens or
+  // ceilings that this one does not have.
+  if (message.to_incarnation() != m_incarnation.value()) {
+    return;
+  }
+  if (message.has_heartbeat()) {
+    OnPeerHeartbeat(now, message);
+    return;
+  }
+  m_budgets.OnPeerMessage(now, message);
+}
+
+void Session::OnPeerHeartbeat(TimePoint now, const v1::PeerMessage& message) {
+  const core::RouterId router(message.from_router());
+  const core::Incarnation incarnation(message.from_incarnation());
+  const v1::Heartbeat& heartbeat = message.heartbeat();
+  m_peers.OnHeartbeat(now, {router, incarnation}, heartbeat);
+  m_budgets.book().OnPeerSpares(
+      now, {router, incarnation},
+      {heartbeat.spares().begin(), heartbeat.spares().end()});
+  std::vector<routing::AccountDemand> demands;
+  for (const v1::AccountDemand& demand : heartbeat.demands()) {
+    demands.push_back({core::AccountId(demand.account()),
+                       demand.requests_per_1000_s() / kPerThousandSeconds});
+  }
+  m_flow.limiter().SetPeerDemand(router, demands);
+}
+
+void Session::On(TimePoint now, const PeerSendFailed& event) {
+  m_peers.OnSendFailed(now, event.router);
+}
+
+// ---- Time ------------------------------------------------------------------
+
+void Session::On(TimePoint now, const Tick& event) {
+  (void)event;
+  AdvanceDrain(now);
+  EndIfFinished(now);
+}
+
+void Session::Pump(TimePoint now) {
+  if (m_phase == Phase::kMember || m_phase == Phase::kRetired) {
+    const auto verdict = m_peers.JudgeFreshness(now, m_configured.version());
+    const auto* stale = std::get_if<membership::Stale>(&verdict);
+    m_stale.reset();
+    if (stale != nullptr) {
+      m_stale = Error{ErrorId::kConfigurationStale, m_settings.router.value(),
+                      std::string(ReasonOf(stale->why))};
+    }
+    m_budgets.ReviewWitness(now);
+    for (v1::RouterRetired& retired : m_peers.TakeRetirements(now)) {
+      v1::Record record;
+      *record.mutable_router_retired() = std::move(retired);
+      Append(std::move(record));
+    }
+    m_budgets.Tick(now);
+    m_flow.Pump(now);
+    m_budgets.Send(now);
+    m_peers.Beat(now, [&] { return MakeHeartbeat(now); });
+  }
+  m_log.Pump(now);
+}
+
+v1::RouterStatus Session::Status(TimePoint now) const {
+  return ReportStatus(now, {m_settings, m_incarnation, m_phase, m_drain.phase(),
+                            m_stale.has_value(), m_log, m_peers, m_budgets,
+                            m_flow, m_configured});
+}
+
+}  // namespace coppervalve::router::detail
