Add membership: peers, freshness, retirement, witness, addresses, drain

Cause: routers must know whom to forward to, when to stop taking work, whom to retire, and how to leave without cutting anyone off. Ruled out: retiring on missed heartbeats (a cut link would retire live routers); a bound on retirements a minute (delays a lost domain); answering every heartbeat (links never end). Change: library membership, without I/O or clock, on plain member lists. Conclusion: a pause, a cut or an outage of appends retires nobody in the tests; vouching against a long and steady delay would need an echo in Heartbeat.

--- /dev/null
+++ b/include/coppervalve/membership/address_book.h
@@ -0,0 +1,58 @@
+#ifndef COPPERVALVE_MEMBERSHIP_ADDRESS_BOOK_H_
+#define COPPERVALVE_MEMBERSHIP_ADDRESS_BOOK_H_
+
+#include <cstddef>     // size_t
+#include <functional>  // function
+#include <string>      // string
+#include <vector>      // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/membership/member.h"
+#include "coppervalve/membership/peer_view.h"
+#include "coppervalve/operator.pb.h"
+
+namespace coppervalve::membership {
+
+struct AddressLimits {
+  core::Duration lifetime = std::chrono::seconds(10);
+  size_t max_addresses = 8;
+};
+
+/// @brief This router, as a candidate for the list.
+struct OwnState {
+  bool listed = true;  ///< false once it drains, is stale or retired
+  PeerLoad load = {};
+};
+
+/// @brief Answers callers that ask where to connect.
+class AddressBook {
+ public:
+  /// @param key_prefix the idempotency key prefix of an incarnation
+  AddressBook(Member self,
+              std::function<std::string(const MemberId&)> key_prefix,
+              AddressLimits limits = {});
+
+  void SetLifetime(core::Duration lifetime);
+  /// @brief Addresses for an account, best first: own failure domain before
+  /// others, within a domain by rendezvous of the account, weighted by load.
+  /// Draining, unreachable and retired routers are left out.
+  /// @complexity O(n log n)
+  v1::AddressList AddressesFor(const core::AccountId& account,
+                               const OwnState& own,
+                               const std::vector<Peer>& peers) const;
+
+ private:
+  struct Candidate;
+  std::vector<Candidate> CandidatesFor(const core::AccountId& account,
+                                       const OwnState& own,
+                                       const std::vector<Peer>& peers) const;
+
+  Member m_self;
+  std::function<std::string(const MemberId&)> m_key_prefix;
+  AddressLimits m_limits;
+};
+
+}  // namespace coppervalve::membership
+
+#endif  // COPPERVALVE_MEMBERSHIP_ADDRESS_BOOK_H_
--- /dev/null
+++ b/include/coppervalve/membership/witness_choice.h
@@ -0,0 +1,74 @@
+#ifndef COPPERVALVE_MEMBERSHIP_WITNESS_CHOICE_H_
+#define COPPERVALVE_MEMBERSHIP_WITNESS_CHOICE_H_
+
+#include <cstddef>   // size_t
+#include <cstdint>   // uint64_t
+#include <optional>  // optional
+#include <variant>   // variant
+#include <vector>    // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/membership/member.h"
+#include "coppervalve/membership/peer_view.h"
+
+namespace coppervalve::membership {
+
+struct WitnessLimits {
+  /// The witness is replaced when unreachable for this long.
+  core::Duration replace_after = std::chrono::seconds(2);
+  /// With nobody reachable, the router goes on without a witness after this.
+  core::Duration give_up_after = std::chrono::seconds(5);
+  /// A witness in the own failure domain is replaced when another domain has
+  /// had a candidate for this long.
+  core::Duration upgrade_after = std::chrono::seconds(10);
+  size_t max_wards = 8;  ///< of one witness, as long as others have room
+};
+
+struct KeepWitness {};
+struct ChooseWitness {
+  MemberId witness;
+};
+/// @brief Go on without one: the whole holding may be spent.
+struct ChooseNone {};
+
+using WitnessVerdict = std::variant<KeepWitness, ChooseWitness, ChooseNone>;
+
+/// @brief Picks the peer that guards this router's ceilings.
+class WitnessChoice {
+ public:
+  explicit WitnessChoice(Member self, WitnessLimits limits = {});
+
+  /// @param current the witness that is in force or being asked
+  /// @param peers all peers, with reachability; never this router itself
+  /// @complexity O(n)
+  WitnessVerdict Judge(core::TimePoint now,
+                       const std::optional<MemberId>& current,
+                       const std::vector<Peer>& peers);
+
+ private:
+  struct Candidate {
+    MemberId id;
+    bool other_domain = false;
+    size_t excess_wards = 0;  // beyond the bound
+    uint64_t rank = 0;
+  };
+
+  static bool Better(const Candidate& a, const Candidate& b);
+  std::optional<Candidate> Best(const std::vector<Peer>& peers) const;
+  bool UpgradeDue(core::TimePoint now,
+                  const Peer& current,
+                  const std::optional<Candidate>& best);
+  WitnessVerdict Replace(core::Duration lost_for,
+                         const Peer* current,
+                         const std::optional<Candidate>& best);
+
+  Member m_self;
+  WitnessLimits m_limits;
+  std::optional<core::TimePoint> m_lost_since;
+  std::optional<core::TimePoint> m_better_since;
+};
+
+}  // namespace coppervalve::membership
+
+#endif  // COPPERVALVE_MEMBERSHIP_WITNESS_CHOICE_H_
--- /dev/null
+++ b/src/membership/address_book.cc
@@ -0,0 +1,136 @@
+#include "coppervalve/membership/address_book.h"
+
+#include <algorithm>  // max, min, partition_point, sort
+#include <cmath>      // ldexp, log
+#include <cstdint>    // uint64_t
+#include <utility>    // move
+
+#include "coppervalve/core/hash.h"
+
+namespace coppervalve::membership {
+
+struct AddressBook::Candidate {
+  const Member* member = nullptr;
+  uint64_t load = 0;
+  bool own_domain = false;
+  double score = 0;  // lower is better
+};
+
+namespace {
+
+/// Loads that differ by less do not matter: heartbeats report them late.
+constexpr uint64_t kLoadSlack = 8;
+constexpr uint64_t kHeavyFactor = 2;
+constexpr uint64_t kOverloadedFactor = 4;
+constexpr int kRankBits = 64;
+
+/// In steps, so that an account's routers change only when one is clearly
+/// busier than the mean.
+double WeightOf(uint64_t load, uint64_t mean) {
+  if (load > mean * kOverloadedFactor + kLoadSlack) {
+    return 0.25;
+  }
+  return load > mean * kHeavyFactor + kLoadSlack ? 0.5 : 1.0;
+}
+
+/// Weighted rendezvous hashing: a router is best with a probability in
+/// proportion to its weight, and others keep their order.
+double Score(const core::AccountId& account,
+             const MemberId& id,
+             double weight) {
+  const uint64_t rank =
+      core::RendezvousRank(account.value(), RendezvousName(id));
+  const double uniform = std::ldexp(static_cast<double>(rank) + 1, -kRankBits);
+  return -std::log(uniform) / weight;
+}
+
+uint64_t Total(const PeerLoad& load) {
+  return uint64_t{load.in_progress} + load.queued;
+}
+
+}  // namespace
+
+AddressBook::AddressBook(Member self,
+                         std::function<std::string(const MemberId&)> key_prefix,
+                         AddressLimits limits)
+    : m_self(std::move(self)),
+      m_key_prefix(std::move(key_prefix)),
+      m_limits(limits) {}
+
+void AddressBook::SetLifetime(core::Duration lifetime) {
+  m_limits.lifetime = lifetime;
+}
+
+std::vector<AddressBook::Candidate> AddressBook::CandidatesFor(
+    const core::AccountId& account,
+    const OwnState& own,
+    const std::vector<Peer>& peers) const {
+  std::vector<Candidate> candidates;
+  if (own.listed) {
+    candidates.push_back({&m_self, Total(own.load)});
+  }
+  for (const Peer& peer : peers) {
+    if (!peer.reachable || peer.draining) {
+      continue;
+    }
+    candidates.push_back({&peer.member, Total(peer.load)});
+  }
+  uint64_t sum = 0;
+  for (const Candidate& candidate : candidates) {
+    sum += candidate.load;
+  }
+  const uint64_t mean = sum / std::max<size_t>(candidates.size(), 1);
+  for (Candidate& candidate : candidates) {
+    candidate.own_domain =
+        candidate.member->failure_domain == m_self.failure_domain;
+    candidate.score =
+        Score(account, candidate.member->id, WeightOf(candidate.load, mean));
+  }
+  return candidates;
+}
+
+v1::AddressList AddressBook::AddressesFor(
+    const core::AccountId& account,
+    const OwnState& own,
+    const std::vector<Peer>& peers) const {
+  std::vector<Candidate> candidates = CandidatesFor(account, own, peers);
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.own_domain != b.own_domain ? a.own_domain
+                                                  : a.score < b.score;
+            });
+  const auto border = std::partition_point(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& candidate) { return candidate.own_domain; });
+  const auto own_count = static_cast<size_t>(border - candidates.begin());
+  const size_t other_count = candidates.size() - own_count;
+  // Failure: the whole failure domain is lost. Symptom: a caller whose list
+  // names no other is cut off for the list's lifetime. Enough: half of the
+  // list is left to other domains, as far as they can fill it.
+  const size_t half = m_limits.max_addresses / 2;
+  const size_t others = std::min(other_count, m_limits.max_addresses - half);
+  const size_t owns = std::min(own_count, m_limits.max_addresses - others);
+
+  v1::AddressList list;
+  list.set_lifetime_ms(static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.lifetime)
+          .count()));
+  size_t place = 0;
+  for (const Candidate& candidate : candidates) {
+    const bool listed =
+        place < owns ||
+        (place >= own_count &&
+         list.addresses_size() < static_cast<int>(m_limits.max_addresses));
+    ++place;
+    if (!listed) {
+      continue;
+    }
+    v1::RouterAddress& address = *list.add_addresses();
+    address.set_address(candidate.member->caller_address);
+    address.set_failure_domain(candidate.member->failure_domain.value());
+    address.set_key_prefix(m_key_prefix(candidate.member->id));
+  }
+  return list;
+}
+
+}  // namespace coppervalve::membership
--- /dev/null
+++ b/src/membership/drain.cc
@@ -0,0 +1,59 @@
+#include "coppervalve/membership/drain.h"
+
+namespace coppervalve::membership {
+
+Drain::Drain(DrainLimits limits) : m_limits(limits) {}
+
+void Drain::SetAddressLifetime(core::Duration lifetime) {
+  m_limits.address_lifetime = lifetime;
+}
+
+bool Drain::Ask(core::TimePoint now) {
+  if (m_phase != DrainPhase::kActive) {
+    return false;
+  }
+  m_phase = DrainPhase::kDraining;
+  m_asked = now;
+  return true;
+}
+
+DrainPhase Drain::Advance(core::TimePoint now, const DrainInputs& inputs) {
+  while (MayLeave(now, inputs)) {
+    m_phase = static_cast<DrainPhase>(static_cast<uint8_t>(m_phase) + 1);
+  }
+  return m_phase;
+}
+
+bool Drain::MayLeave(core::TimePoint now, const DrainInputs& inputs) {
+  switch (m_phase) {
+    case DrainPhase::kActive:
+      return false;
+    case DrainPhase::kDraining:
+      return ListsExpired(now, inputs);
+    case DrainPhase::kRefusingNew:
+      return inputs.in_progress == 0 && inputs.queued == 0;
+    // Both wait for the log without a limit. To exit earlier would lose the
+    // bills of the last requests, and what is unspent would stay out of the
+    // balance until an operator released it.
+    case DrainPhase::kReturning:
+      return inputs.holdings_settled;
+    case DrainPhase::kFinalising:
+      return inputs.finalized;
+    case DrainPhase::kExit:
+      return false;
+  }
+  return false;
+}
+
+/// Other routers may hand out this router's address until they know of the
+/// drain, and callers keep a list for its lifetime.
+bool Drain::ListsExpired(core::TimePoint now, const DrainInputs& inputs) {
+  const bool log_out = now - m_asked >= m_limits.announce_patience;
+  if (!m_waiting_since && (inputs.announced || log_out)) {
+    m_waiting_since = now;
+  }
+  return m_waiting_since &&
+         now - *m_waiting_since >= m_limits.address_lifetime + m_limits.margin;
+}
+
+}  // namespace coppervalve::membership
--- /dev/null
+++ b/src/membership/freshness.cc
@@ -0,0 +1,106 @@
+#include "coppervalve/membership/freshness.h"
+
+#include <algorithm>  // any_of
+
+namespace coppervalve::membership {
+
+namespace {
+
+/// Of a sample of contacts, at least this share must be reachable. A bare
+/// majority of a sample is often found by a router in a minority.
+constexpr size_t kSampleNumerator = 7;
+constexpr size_t kSampleDenominator = 8;
+
+bool ReachesMajority(const FreshnessInputs& inputs) {
+  size_t counted = 0;
+  size_t reachable = 0;
+  for (const PeerVoucher& peer : inputs.vouchers) {
+    if (!peer.counts) {
+      continue;
+    }
+    ++counted;
+    reachable += peer.reachable ? 1U : 0U;
+  }
+  if (inputs.sampled) {
+    return reachable * kSampleDenominator >= counted * kSampleNumerator;
+  }
+  return (reachable + 1) * 2 > inputs.live_members;
+}
+
+}  // namespace
+
+Freshness::Freshness(core::Duration bound) : m_bound(bound) {}
+
+void Freshness::OnReadToEnd(core::TimePoint issued) {
+  // Failure: the process is paused with a reply in its socket and handles it
+  // an hour later. Symptom: work under a configuration that was replaced.
+  // Enough: the reply shows the end of the log no earlier than the read was
+  // issued, and only that time counts.
+  if (!m_read_to_end || *m_read_to_end < issued) {
+    m_read_to_end = issued;
+  }
+}
+
+FreshnessVerdict Freshness::Judge(core::TimePoint now,
+                                  const FreshnessInputs& inputs) {
+  const auto decision = Decide(now, inputs);
+  if (const auto* basis = std::get_if<FreshBasis>(&decision)) {
+    m_stale_since.reset();
+    return Fresh{*basis};
+  }
+  if (!m_stale_since) {
+    m_stale_since = now;
+  }
+  return Stale{*m_stale_since, *std::get_if<StaleReason>(&decision)};
+}
+
+std::optional<core::Duration> Freshness::LogAge(core::TimePoint now) const {
+  if (!m_read_to_end) {
+    return std::nullopt;
+  }
+  return now - *m_read_to_end;
+}
+
+std::variant<FreshBasis, StaleReason> Freshness::Decide(
+    core::TimePoint now,
+    const FreshnessInputs& inputs) const {
+  if (!m_read_to_end) {
+    return StaleReason::kNeverRead;
+  }
+  if (Recent(now, m_read_to_end)) {
+    return FreshBasis::kOwnReading;
+  }
+  const auto any = [&inputs](auto predicate) {
+    return std::any_of(inputs.vouchers.begin(), inputs.vouchers.end(),
+                       predicate);
+  };
+  if (any([&](const PeerVoucher& peer) {
+        return peer.config_version > inputs.config_version;
+      })) {
+    return StaleReason::kNewerVersion;
+  }
+  if (any([&](const PeerVoucher& peer) {
+        return Recent(now, peer.read_to_end) &&
+               peer.config_version == inputs.config_version;
+      })) {
+    return FreshBasis::kVouched;
+  }
+  // Someone reads the log, so it is not out, and what is in force cannot be
+  // learnt from those who do not.
+  if (any([&](const PeerVoucher& peer) {
+        return Recent(now, peer.claimed_read_to_end);
+      })) {
+    return StaleReason::kNotVouched;
+  }
+  if (!ReachesMajority(inputs)) {
+    return StaleReason::kMinority;
+  }
+  return FreshBasis::kLogOutForMajority;
+}
+
+bool Freshness::Recent(core::TimePoint now,
+                       std::optional<core::TimePoint> read) const {
+  return read && now - *read <= m_bound;
+}
+
+}  // namespace coppervalve::membership
--- /dev/null
+++ b/src/membership/peer_view.cc
@@ -0,0 +1,301 @@
+#include "coppervalve/membership/peer_view.h"
+
+#include <algorithm>  // find, max, sort
+#include <utility>    // move
+
+namespace coppervalve::membership {
+
+namespace {
+
+bool Contains(const std::vector<MemberId>& ids, const MemberId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+struct Ranked {
+  uint64_t rank = 0;
+  const Member* member = nullptr;
+};
+
+bool HigherRank(const Ranked& a, const Ranked& b) {
+  return a.rank != b.rank ? a.rank > b.rank : a.member->id < b.member->id;
+}
+
+/// Takes from each failure domain in turn, so that the loss of a domain, or of
+/// the way to it, costs a member only its share of contacts.
+std::vector<MemberId> TakeInTurn(std::vector<Ranked> ranked, size_t count) {
+  std::sort(ranked.begin(), ranked.end(), HigherRank);
+  std::map<core::FailureDomainId, size_t> taken;
+  struct Turn {
+    size_t round = 0;
+    size_t place = 0;
+    MemberId id;
+  };
+  std::vector<Turn> turns;
+  turns.reserve(ranked.size());
+  for (const Ranked& candidate : ranked) {
+    const size_t round = taken[candidate.member->failure_domain]++;
+    turns.push_back({round, turns.size(), candidate.member->id});
+  }
+  std::sort(turns.begin(), turns.end(), [](const Turn& a, const Turn& b) {
+    return a.round != b.round ? a.round < b.round : a.place < b.place;
+  });
+  std::vector<MemberId> chosen;
+  for (const Turn& turn : turns) {
+    if (chosen.size() == count) {
+      break;
+    }
+    chosen.push_back(turn.id);
+  }
+  return chosen;
+}
+
+}  // namespace
+
+PeerView::PeerView(Member self, PeerLimits limits)
+    : m_self(std::move(self)),
+      m_limits(limits),
+      m_name(RendezvousName(m_self.id)) {}
+
+void PeerView::SetMembers(const std::vector<Member>& members) {
+  std::map<MemberId, Entry> peers;
+  for (const Member& member : members) {
+    if (member.id == m_self.id) {
+      m_self = member;
+      continue;
+    }
+    // A former start of this very router: it has ended.
+    if (member.id.router == m_self.id.router) {
+      continue;
+    }
+    const auto known = m_peers.find(member.id);
+    Entry entry = known == m_peers.end() ? Entry{} : std::move(known->second);
+    entry.member = member;
+    entry.name = RendezvousName(member.id);
+    peers.emplace(member.id, std::move(entry));
+  }
+  m_peers = std::move(peers);
+  m_chosen_by.clear();
+  m_chosen = ChoiceOf(m_self);
+}
+
+void PeerView::SetPinned(std::optional<MemberId> peer) {
+  m_pinned = std::move(peer);
+}
+
+void PeerView::OnHeartbeat(core::TimePoint now,
+                           const MemberId& from,
+                           const v1::Heartbeat& heartbeat) {
+  const auto found = m_peers.find(from);
+  if (found == m_peers.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  const core::Duration interval = m_limits.heartbeat_interval;
+  const std::optional<core::Duration> gap =
+      entry.heard ? std::optional(now - *entry.heard) : std::nullopt;
+  if (gap && *gap > m_limits.suspect_after) {
+    entry.distrusted_until = now + m_limits.trust_after;
+  }
+  const core::TimePoint read =
+      now - std::chrono::milliseconds(heartbeat.log_age_ms());
+  // Failure: heartbeats lie in a stalled connection, or in the socket of a
+  // paused process, and are handled much later than they were written.
+  // Symptom: an old "read just now" vouches for a configuration that has been
+  // replaced since. Enough: such ones come after a silence or in a burst; only
+  // one that comes about an interval after its predecessor vouches.
+  if (gap && *gap >= interval / 2 && *gap <= interval * 5 / 2) {
+    entry.read_to_end =
+        entry.read_to_end ? std::max(*entry.read_to_end, read) : read;
+  }
+  entry.claimed_read_to_end = read;
+  entry.heard = now;
+  entry.config_version = core::ConfigVersion(heartbeat.config_version());
+  entry.draining = heartbeat.draining();
+  entry.load = {heartbeat.in_progress(), heartbeat.queued()};
+  entry.spares.assign(heartbeat.spares().begin(), heartbeat.spares().end());
+}
+
+void PeerView::OnSendFailed(core::TimePoint now, const core::RouterId& router) {
+  if (Entry* entry = FindRouter(router)) {
+    entry->send_failed = now;
+    entry->distrusted_until = now + m_limits.trust_after;
+  }
+}
+
+PeerView::Entry* PeerView::FindRouter(const core::RouterId& router) {
+  Entry* latest = nullptr;
+  for (auto at = m_peers.lower_bound({router, core::Incarnation(0)});
+       at != m_peers.end() && at->first.router == router; ++at) {
+    latest = &at->second;
+  }
+  return latest;
+}
+
+std::vector<MemberId> PeerView::ChoiceOf(const Member& chooser) const {
+  const std::string name = RendezvousName(chooser.id);
+  std::vector<Ranked> ranked;
+  ranked.reserve(m_peers.size() + 1);
+  if (chooser.id != m_self.id) {
+    ranked.push_back({core::RendezvousRank(name, m_name), &m_self});
+  }
+  for (const auto& [id, entry] : m_peers) {
+    if (id == chooser.id) {
+      continue;
+    }
+    ranked.push_back({core::RendezvousRank(name, entry.name), &entry.member});
+  }
+  const size_t count = Sampled() ? m_limits.contacts : ranked.size();
+  return TakeInTurn(std::move(ranked), count);
+}
+
+/// Computed rather than told: a peer that answered whoever it hears would be
+/// answered in turn, and the links of old choices would never end.
+bool PeerView::HasChosenSelf(const Entry& entry) const {
+  const auto [known, fresh] = m_chosen_by.try_emplace(entry.member.id, false);
+  if (fresh) {
+    known->second = Contains(ChoiceOf(entry.member), m_self.id);
+  }
+  return known->second;
+}
+
+bool PeerView::Heard(core::TimePoint now, const Entry& entry) const {
+  return entry.heard && now - *entry.heard <= m_limits.suspect_after;
+}
+
+std::vector<MemberId> PeerView::PeersToContact(core::TimePoint now) const {
+  std::vector<MemberId> contacts = m_chosen;
+  if (m_pinned && m_peers.contains(*m_pinned) &&
+      !Contains(contacts, *m_pinned)) {
+    contacts.push_back(*m_pinned);
+  }
+  for (const auto& [id, entry] : m_peers) {
+    if (contacts.size() >= m_limits.max_contacts) {
+      break;
+    }
+    if (!IsContact(now, entry) || Contains(contacts, id)) {
+      continue;
+    }
+    contacts.push_back(id);
+  }
+  return contacts;
+}
+
+bool PeerView::IsContact(core::TimePoint now, const Entry& entry) const {
+  if (!Sampled() || entry.member.id == m_pinned ||
+      entry.member.witness == m_self.id) {
+    return true;
+  }
+  return Contains(m_chosen, entry.member.id) ||
+         (Heard(now, entry) && HasChosenSelf(entry));
+}
+
+bool PeerView::HeartbeatDue(core::TimePoint now) {
+  if (m_heartbeat_sent &&
+      now - *m_heartbeat_sent < m_limits.heartbeat_interval) {
+    return false;
+  }
+  m_heartbeat_sent = now;
+  return true;
+}
+
+void PeerView::Bound(v1::Heartbeat& heartbeat) const {
+  while (heartbeat.spares_size() > 0 &&
+         heartbeat.ByteSizeLong() > m_limits.max_heartbeat_bytes) {
+    heartbeat.mutable_spares()->RemoveLast();
+  }
+}
+
+bool PeerView::EntryReachable(core::TimePoint now, const Entry& entry) const {
+  if (entry.distrusted_until && now < *entry.distrusted_until) {
+    return false;
+  }
+  if (IsContact(now, entry)) {
+    return Heard(now, entry);
+  }
+  // No heartbeats are exchanged with it: only a failed send speaks against it.
+  return !entry.send_failed ||
+         now - *entry.send_failed > m_limits.failure_memory;
+}
+
+bool PeerView::Reachable(core::TimePoint now, const MemberId& peer) const {
+  const auto found = m_peers.find(peer);
+  return found != m_peers.end() && EntryReachable(now, found->second);
+}
+
+Peer PeerView::Describe(core::TimePoint now, const Entry& entry) const {
+  Peer peer;
+  peer.member = entry.member;
+  peer.contacted = IsContact(now, entry);
+  peer.reachable = EntryReachable(now, entry);
+  peer.draining =
+      entry.draining || entry.member.phase == MemberPhase::kDraining;
+  peer.heard = entry.heard;
+  peer.load = entry.load;
+  peer.config_version = entry.config_version;
+  peer.spares = entry.spares;
+  return peer;
+}
+
+std::optional<Peer> PeerView::Find(core::TimePoint now,
+                                   const MemberId& peer) const {
+  const auto found = m_peers.find(peer);
+  if (found == m_peers.end()) {
+    return std::nullopt;
+  }
+  return Describe(now, found->second);
+}
+
+std::vector<Peer> PeerView::Peers(core::TimePoint now) const {
+  std::vector<Peer> peers;
+  peers.reserve(m_peers.size());
+  for (const auto& [id, entry] : m_peers) {
+    peers.push_back(Describe(now, entry));
+  }
+  return peers;
+}
+
+const Member& PeerView::OwnerOf(const core::Hash128& key) const {
+  const std::string text = key.ToBytes();
+  const Member* owner = &m_self;
+  uint64_t highest = m_self.phase == MemberPhase::kActive
+                         ? core::RendezvousRank(text, m_name)
+                         : 0;
+  for (const auto& [id, entry] : m_peers) {
+    if (entry.draining || entry.member.phase != MemberPhase::kActive) {
+      continue;
+    }
+    const uint64_t rank = core::RendezvousRank(text, entry.name);
+    if (rank > highest) {
+      highest = rank;
+      owner = &entry.member;
+    }
+  }
+  return *owner;
+}
+
+std::vector<PeerVoucher> PeerView::Vouchers(core::TimePoint now) const {
+  std::vector<PeerVoucher> vouchers;
+  for (const auto& [id, entry] : m_peers) {
+    if (!IsContact(now, entry)) {
+      continue;
+    }
+    vouchers.push_back({EntryReachable(now, entry), Contains(m_chosen, id),
+                        entry.read_to_end, entry.claimed_read_to_end,
+                        entry.config_version});
+  }
+  return vouchers;
+}
+
+std::vector<v1::PeerStatus> PeerView::Status(core::TimePoint now) const {
+  std::vector<v1::PeerStatus> statuses;
+  for (const auto& [id, entry] : m_peers) {
+    v1::PeerStatus& status = statuses.emplace_back();
+    status.set_router(id.router.value());
+    status.set_incarnation(id.incarnation.value());
+    status.set_reachable(EntryReachable(now, entry));
+    status.set_config_version(entry.config_version.value());
+  }
+  return statuses;
+}
+
+}  // namespace coppervalve::membership
--- /dev/null
+++ b/tests/membership/unit-choices.cc
@@ -0,0 +1,241 @@
+#include <CppUTest/TestHarness.h>
+
+#include <map>  // map
+#include <set>  // set
+
+#include "coppervalve/membership/address_book.h"
+#include "coppervalve/membership/drain.h"
+#include "coppervalve/membership/witness_choice.h"
+#include "fleet.h"
+
+using namespace coppervalve;
+using namespace coppervalve::membership;
+
+TEST_GROUP(WitnessChoice) {
+  std::vector<Member> m_members = MakeMembers(7);
+  std::vector<Peer> m_peers = MakePeers(m_members);
+  WitnessChoice m_choice{m_members[0]};
+  core::TimePoint m_now = kStart;
+
+  MemberId MustChoose(const std::optional<MemberId>& current) {
+    const WitnessVerdict verdict = m_choice.Judge(m_now, current, m_peers);
+    CHECK(std::holds_alternative<ChooseWitness>(verdict));
+    return std::get<ChooseWitness>(verdict).witness;
+  }
+  bool Keeps(const MemberId& current) {
+    return std::holds_alternative<KeepWitness>(
+        m_choice.Judge(m_now, current, m_peers));
+  }
+  Peer& Find(const MemberId& id) {
+    for (Peer& peer : m_peers) {
+      if (peer.member.id == id) {
+        return peer;
+      }
+    }
+    return m_peers.front();
+  }
+};
+
+TEST(WitnessChoice, the_witness_is_a_peer_in_another_failure_domain) {
+  Peer self;
+  self.member = m_members[0];
+  self.member.id.incarnation = core::Incarnation(9);
+  self.reachable = true;
+  self.heard = kStart;
+  self.member.failure_domain = core::FailureDomainId("other");
+  m_peers.push_back(self);
+  const MemberId witness = MustChoose(std::nullopt);
+  CHECK(witness.router != m_members[0].id.router);
+  CHECK(Find(witness).member.failure_domain != m_members[0].failure_domain);
+  CHECK(Keeps(witness));
+}
+
+TEST(WitnessChoice, a_witness_is_replaced_only_after_a_while) {
+  const MemberId witness = MustChoose(std::nullopt);
+  Find(witness).reachable = false;
+  CHECK(Keeps(witness));
+  m_now += 1'900 * kMillisecond;
+  CHECK(Keeps(witness));
+  m_now += 100 * kMillisecond;
+  CHECK(MustChoose(witness) != witness);
+  Find(witness).reachable = true;
+  CHECK(Keeps(witness));
+  Find(witness).draining = true;
+  CHECK(MustChoose(witness) != witness);
+}
+
+// All other routers are gone or cut off. The ceiling can no longer be raised,
+// and this router would refuse work although its holding has tokens.
+TEST(WitnessChoice, a_router_left_alone_goes_on_without_a_witness) {
+  const MemberId witness = MustChoose(std::nullopt);
+  for (Peer& peer : m_peers) {
+    peer.reachable = false;
+  }
+  CHECK(Keeps(witness));
+  m_now += 5 * kSecond;
+  CHECK(std::holds_alternative<ChooseNone>(
+      m_choice.Judge(m_now, witness, m_peers)));
+}
+
+TEST(WitnessChoice, the_own_failure_domain_is_a_fallback) {
+  for (Peer& peer : m_peers) {
+    peer.reachable = peer.member.failure_domain == m_members[0].failure_domain;
+  }
+  const MemberId witness = MustChoose(std::nullopt);
+  for (Peer& peer : m_peers) {
+    peer.reachable = true;
+  }
+  CHECK(Keeps(witness));
+  m_now += 10 * kSecond;
+  CHECK(Find(MustChoose(witness)).member.failure_domain !=
+        m_members[0].failure_domain);
+}
+
+TEST(WitnessChoice, no_witness_of_840_routers_has_too_many_wards) {
+  std::vector<Member> members = MakeMembers(840);
+  std::map<MemberId, size_t> wards;
+  for (Member& member : members) {
+    std::vector<Peer> peers;
+    for (const Member& other : members) {
+      if (other.id == member.id) {
+        continue;
+      }
+      Peer& peer = peers.emplace_back();
+      peer.member = other;
+      peer.reachable = true;
+      peer.heard = kStart;
+    }
+    WitnessChoice choice(member);
+    const WitnessVerdict verdict = choice.Judge(m_now, std::nullopt, peers);
+    member.witness = std::get<ChooseWitness>(verdict).witness;
+    CHECK(++wards[*member.witness] <= 8);
+  }
+}
+
+TEST_GROUP(AddressBook) {
+  std::vector<Member> m_members = MakeMembers(7);
+  std::vector<Peer> m_peers = MakePeers(m_members);
+  AddressBook m_book{m_members[0], [](const MemberId& id) {
+                       return "cv1." + id.router.value() + ".";
+                     }};
+  const core::AccountId m_account{"boleteria"};
+
+  std::vector<std::string> Prefixes(const OwnState& own) {
+    std::vector<std::string> prefixes;
+    const v1::AddressList list = m_book.AddressesFor(m_account, own, m_peers);
+    for (const v1::RouterAddress& address : list.addresses()) {
+      prefixes.push_back(address.key_prefix());
+    }
+    return prefixes;
+  }
+};
+
+TEST(AddressBook, the_own_failure_domain_comes_first_and_all_are_listed) {
+  const v1::AddressList list = m_book.AddressesFor(m_account, {}, m_peers);
+  UNSIGNED_LONGS_EQUAL(10'000, list.lifetime_ms());
+  UNSIGNED_LONGS_EQUAL(7, list.addresses_size());
+  for (int i = 0; i < 3; ++i) {
+    STRCMP_EQUAL("fd0", list.addresses(i).failure_domain().c_str());
+  }
+}
+
+TEST(AddressBook, draining_and_unreachable_routers_are_not_listed) {
+  m_peers[0].draining = true;
+  m_peers[1].reachable = false;
+  for (const std::string& prefix : Prefixes({.listed = false})) {
+    CHECK(prefix != "cv1.r0." && prefix != "cv1.r1." && prefix != "cv1.r2.");
+  }
+  UNSIGNED_LONGS_EQUAL(4, Prefixes({.listed = false}).size());
+}
+
+TEST(AddressBook, an_account_keeps_its_routers_until_one_is_much_busier) {
+  const std::vector<std::string> before = Prefixes({});
+  for (Peer& peer : m_peers) {
+    peer.load.in_progress = 4;
+  }
+  CHECK(Prefixes({}) == before);
+  size_t moved = 0;
+  for (Peer& peer : m_peers) {
+    peer.load.in_progress = 1'000;
+    moved += Prefixes({}) != before ? 1U : 0U;
+    peer.load.in_progress = 0;
+  }
+  CHECK(moved > 0);
+}
+
+TEST(AddressBook, a_large_fleet_gets_a_short_list_with_other_domains) {
+  m_members = MakeMembers(840);
+  m_peers = MakePeers(m_members);
+  const v1::AddressList list = m_book.AddressesFor(m_account, {}, m_peers);
+  UNSIGNED_LONGS_EQUAL(8, list.addresses_size());
+  std::set<std::string> domains;
+  for (const v1::RouterAddress& address : list.addresses()) {
+    domains.insert(address.failure_domain());
+  }
+  CHECK(domains.size() > 1);
+}
+
+TEST_GROUP(Drain) {
+  Drain m_drain;
+  core::TimePoint m_now = kStart;
+
+  void ExpectPhase(DrainPhase phase, const DrainInputs& inputs) {
+    CHECK_EQUAL(static_cast<int>(phase),
+                static_cast<int>(m_drain.Advance(m_now, inputs)));
+  }
+};
+
+// The router is told to leave while callers still hold lists that name it, and
+// requests are in progress. None may be cut, and no new one refused before the
+// lists have run out.
+TEST(Drain, it_serves_out_its_lists_and_its_requests) {
+  ExpectPhase(DrainPhase::kActive, {});
+  CHECK(m_drain.Ask(m_now));
+  CHECK_FALSE(m_drain.Listed());
+  DrainInputs inputs{.announced = true, .in_progress = 1, .queued = 1};
+  ExpectPhase(DrainPhase::kDraining, inputs);
+  m_now += 11'999 * kMillisecond;
+  ExpectPhase(DrainPhase::kDraining, inputs);
+  CHECK(m_drain.TakesNew());
+  m_now += kMillisecond;
+  ExpectPhase(DrainPhase::kRefusingNew, inputs);
+  CHECK_FALSE(m_drain.TakesNew());
+  m_now += 600 * kSecond;
+  inputs.queued = 0;
+  ExpectPhase(DrainPhase::kRefusingNew, inputs);
+  inputs.in_progress = 0;
+  ExpectPhase(DrainPhase::kReturning, inputs);
+  inputs.holdings_settled = true;
+  ExpectPhase(DrainPhase::kFinalising, inputs);
+  inputs.finalized = true;
+  ExpectPhase(DrainPhase::kExit, inputs);
+}
+
+// An impatient operator sends SIGTERM again. It neither restarts the wait nor
+// cuts it short.
+TEST(Drain, a_second_order_changes_nothing) {
+  CHECK(m_drain.Ask(m_now));
+  const DrainInputs inputs{.announced = true, .in_progress = 1};
+  ExpectPhase(DrainPhase::kDraining, inputs);
+  m_now += 6 * kSecond;
+  CHECK_FALSE(m_drain.Ask(m_now));
+  ExpectPhase(DrainPhase::kDraining, inputs);
+  m_now += 6 * kSecond;
+  ExpectPhase(DrainPhase::kRefusingNew, inputs);
+  CHECK_FALSE(m_drain.Ask(m_now));
+  ExpectPhase(DrainPhase::kRefusingNew, inputs);
+}
+
+// The log is out, so the drain cannot be announced in it. Peers learn of it by
+// heartbeat; the wait starts all the same, and only the end waits for the log.
+TEST(Drain, an_outage_of_the_log_does_not_stop_the_wait) {
+  m_drain.Ask(m_now);
+  const DrainInputs inputs;
+  ExpectPhase(DrainPhase::kDraining, inputs);
+  m_now += 5 * kSecond;
+  ExpectPhase(DrainPhase::kDraining, inputs);
+  m_now += 12 * kSecond;
+  ExpectPhase(DrainPhase::kReturning, inputs);
+  m_now += 3'600 * kSecond;
+  ExpectPhase(DrainPhase::kReturning, inputs);
+}
