--- /dev/null
+++ b/model/check.sh
@@ -0,0 +1,80 @@
+#!/usr/bin/env bash
+# Checks the models with spin: the sound ones must hold over their whole state
+# space, and each broken variant must yield a counterexample. A search that was
+# cut short proves nothing and counts as a failure.
+set -euo pipefail
+
+models=$(cd "$(dirname "$0")" && pwd)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+readonly PROCESSES=4
+readonly MEMORY_MB=480 # of each process
+readonly MAX_DEPTH=10000
+
+# name | expected verdict | model | flags
+cases() {
+  echo "allotment|holds|allotment|"
+  local flag
+  for flag in $(broken_flags allotment); do
+    echo "allotment $flag|broken|allotment|-D$flag"
+  done
+  echo "claim CLAIMED|holds|claim|-DKIND=0"
+  echo "claim ORIGIN|holds|claim|-DKIND=1"
+  echo "claim IDEMPOTENT|holds|claim|-DKIND=2"
+  for flag in $(broken_flags claim); do
+    echo "claim $flag|broken|claim|-DKIND=$(kind_of "$flag") -D$flag"
+  done
+}
+
+# Taken from the model itself, so that no variant can be forgotten here.
+broken_flags() {
+  grep -oE 'BROKEN_[A-Z_]+' "$models/$1.pml" | sort -u
+}
+
+# The kind of key whose rule a variant breaks.
+kind_of() {
+  case "$1" in
+    *ORIGIN*) echo 1 ;;
+    BROKEN_BILLED*) echo 2 ;;
+    *) echo 0 ;;
+  esac
+}
+
+verdict_of() {
+  if grep -q 'assertion violated' "$1"; then
+    echo broken
+  elif grep -qE 'Search not completed|max search depth too small|MEMLIM|out of memory' "$1"; then
+    echo truncated
+  elif grep -q 'errors: 0' "$1"; then
+    echo holds
+  else
+    echo failed
+  fi
+}
+
+check_case() {
+  local name expected model flags folder verdict states depth
+  IFS='|' read -r name expected model flags <<<"$1"
+  folder=$(mktemp -d -p "$work")
+  cd "$folder"
+  cp "$models/$model.pml" .
+  # shellcheck disable=SC2086  # flags are several words
+  spin -a $flags "$model.pml" >spin.log 2>&1 || true
+  # Generated code: its warnings are not ours.
+  gcc -w -O2 -DSAFETY -DMEMLIM=$MEMORY_MB -o pan pan.c >cc.log 2>&1 || true
+  ./pan -m$MAX_DEPTH >pan.log 2>&1 || true
+  verdict=$(verdict_of pan.log)
+  states=$(awk '/states, stored/ { print $1; exit }' pan.log)
+  depth=$(sed -nE 's/.*depth reached ([0-9]+).*/\1/p' pan.log)
+  printf '%-52s %-9s %9s states  depth %s\n' "$name" "$verdict" "${states:--}" "${depth:--}"
+  if [[ $verdict != "$expected" ]]; then
+    echo "model check: '$name' should be '$expected' but is '$verdict'" >&2
+    tail -n 5 spin.log cc.log pan.log >&2
+    return 1
+  fi
+}
+
+export models work MEMORY_MB MAX_DEPTH
+export -f check_case verdict_of
+cases | xargs -d '\n' -P "$PROCESSES" -I {} bash -c 'check_case "$1"' _ {}
