Add the operators' tool

Cause: operators drive the fleet only through the log, and must learn who won when two of them publish at once. Ruled out: a tool that talks to one router (a router that is cut off would hold the change back); a new change id for each repeated append (a lost reply would make the operator lose against the own change). Conclusion: whole against the log; partial against routers.

--- /dev/null
+++ b/apps/coppervalve/budget_commands.h
@@ -0,0 +1,40 @@
+#ifndef COPPERVALVE_APPS_COPPERVALVE_BUDGET_COMMANDS_H_
+#define COPPERVALVE_APPS_COPPERVALVE_BUDGET_COMMANDS_H_
+
+#include <cstdint>  // int64_t
+#include <string>   // string
+
+#include "apps/coppervalve/exit_code.h"
+#include "apps/coppervalve/session.h"
+
+namespace coppervalve::cli {
+
+/// @brief Lists all balances.
+ExitCode ListBudgets(const Session& session);
+
+/// @brief Shows one balance and who holds what of it.
+ExitCode ShowBudget(const Session& session, const std::string& budget);
+
+struct TopUpArguments {
+  std::string budget;
+  int64_t tokens = 0;
+  std::string id;  ///< names the payment; empty: a random one
+};
+
+/// @brief Pays tokens into a budget, once per id.
+ExitCode TopUp(const Session& session, const TopUpArguments& arguments);
+
+struct ReleaseArguments {
+  std::string budget;
+  std::string router;
+  std::string incarnation;  ///< hex; needed when several are quarantined
+  bool yes = false;
+};
+
+/// @brief Gives the quarantined tokens of a retired router back to a budget.
+ExitCode ReleaseBudget(const Session& session,
+                       const ReleaseArguments& arguments);
+
+}  // namespace coppervalve::cli
+
+#endif  // COPPERVALVE_APPS_COPPERVALVE_BUDGET_COMMANDS_H_
--- /dev/null
+++ b/apps/coppervalve/config_commands.h
@@ -0,0 +1,25 @@
+#ifndef COPPERVALVE_APPS_COPPERVALVE_CONFIG_COMMANDS_H_
+#define COPPERVALVE_APPS_COPPERVALVE_CONFIG_COMMANDS_H_
+
+#include <string>  // string
+
+#include "apps/coppervalve/exit_code.h"
+#include "apps/coppervalve/session.h"
+
+namespace coppervalve::cli {
+
+/// @brief Checks a file without the log.
+ExitCode CheckConfig(const Session& session, const std::string& file);
+
+/// @brief Prints the configuration in force.
+ExitCode ShowConfig(const Session& session);
+
+/// @brief Prints how a file differs from the configuration in force.
+ExitCode DiffConfig(const Session& session, const std::string& file);
+
+/// @brief Lists the publications that the retained log shows.
+ExitCode ShowHistory(const Session& session);
+
+}  // namespace coppervalve::cli
+
+#endif  // COPPERVALVE_APPS_COPPERVALVE_CONFIG_COMMANDS_H_
--- /dev/null
+++ b/apps/coppervalve/exit_code.h
@@ -0,0 +1,36 @@
+#ifndef COPPERVALVE_APPS_COPPERVALVE_EXIT_CODE_H_
+#define COPPERVALVE_APPS_COPPERVALVE_EXIT_CODE_H_
+
+#include "coppervalve/core/error.h"
+
+namespace coppervalve::cli {
+
+/// @brief How the program ends; scripts rely on the numbers.
+enum class ExitCode : int {
+  kOk = 0,
+  kFailed = 1,       ///< refused, or a check failed
+  kUsage = 2,        ///< the command line was wrong
+  kUnreachable = 3,  ///< the log or a router did not answer
+  kLostRace = 4,     ///< another operator published first
+};
+
+/// @return how a command that failed with this error ends
+constexpr ExitCode ExitCodeOf(core::ErrorId id) {
+  switch (id) {
+    case core::ErrorId::kOperatorUnreachable:
+    case core::ErrorId::kLogUnavailable:
+      return ExitCode::kUnreachable;
+    case core::ErrorId::kOperatorUsage:
+    case core::ErrorId::kSettingMissing:
+    case core::ErrorId::kSettingBadValue:
+      return ExitCode::kUsage;
+    case core::ErrorId::kConfigConflict:
+      return ExitCode::kLostRace;
+    default:
+      return ExitCode::kFailed;
+  }
+}
+
+}  // namespace coppervalve::cli
+
+#endif  // COPPERVALVE_APPS_COPPERVALVE_EXIT_CODE_H_
--- /dev/null
+++ b/apps/coppervalve/log_client.cc
@@ -0,0 +1,78 @@
+#include "apps/coppervalve/log_client.h"
+
+#include <thread>   // sleep_for
+#include <utility>  // move
+
+#include "apps/coppervalve/http_client.h"
+
+namespace coppervalve::cli {
+
+namespace {
+
+using core::ErrorId;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr milliseconds kAttemptTimeout{2'000};
+constexpr milliseconds kPause{200};
+constexpr unsigned kHttpOk = 200;
+constexpr size_t kReadBytes = size_t{4} << 20U;
+
+// Sends until an answer can be read as `Reply`, or patience runs out.
+template <typename Reply>
+core::Result<Reply> SendUntilAnswered(const HttpCall& call,
+                                      milliseconds patience) {
+  const Clock::time_point give_up = Clock::now() + patience;
+  while (true) {
+    const core::Result<HttpReply> sent = Send(call);
+    std::string why;
+    if (core::IsOk(sent)) {
+      const HttpReply& http = core::Value(sent);
+      Reply reply;
+      if (http.status == kHttpOk && reply.ParseFromString(http.body)) {
+        return reply;
+      }
+      why = "HTTP status " + std::to_string(http.status);
+    } else if (core::Failure(sent).id == ErrorId::kOperatorUsage) {
+      return core::Failure(sent);
+    } else {
+      why = core::Failure(sent).detail;
+    }
+    if (Clock::now() + kPause >= give_up) {
+      return core::Error{ErrorId::kLogUnavailable, call.address, why};
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+}  // namespace
+
+LogClient::LogClient(std::string address, milliseconds patience)
+    : m_address(std::move(address)), m_patience(patience) {}
+
+core::Result<core::LogOffset> LogClient::Append(const v1::Entry& entry) const {
+  HttpCall call;
+  call.method = HttpMethod::kPost;
+  call.address = m_address;
+  call.target = "/log/append";
+  call.body = entry.SerializeAsString();
+  call.timeout = kAttemptTimeout;
+  const auto reply = SendUntilAnswered<v1::AppendReply>(call, m_patience);
+  if (!core::IsOk(reply)) {
+    return core::Failure(reply);
+  }
+  return core::LogOffset(core::Value(reply).offset());
+}
+
+core::Result<v1::ReadReply> LogClient::Read(core::LogOffset from,
+                                            milliseconds wait) const {
+  HttpCall call;
+  call.address = m_address;
+  call.target = "/log/read?from=" + std::to_string(from.value()) +
+                "&max_bytes=" + std::to_string(kReadBytes) +
+                "&wait_ms=" + std::to_string(wait.count());
+  call.timeout = kAttemptTimeout + wait;
+  return SendUntilAnswered<v1::ReadReply>(call, m_patience);
+}
+
+}  // namespace coppervalve::cli
--- a/src/config/diff.cc
+++ b/src/config/diff.cc
@@ -125,14 +125,18 @@
     return items;
   }
 
+  static std::string ItemPath(std::string path, const std::string& id) {
+    return path.append("[id=").append(id).append("]");
+  }
+
   static std::string OrderJson(const Items& items, const Items& other) {
     std::string json;
     for (const std::string& id : items.order) {
       if (!other.position.contains(id)) {
         continue;
       }
-      json += (json.empty() ? "[" : ", ") +
-              boost::json::serialize(boost::json::string_view(id));
+      json += json.empty() ? "[" : ", ";
+      json += boost::json::serialize(boost::json::string_view(id));
     }
     return json.empty() ? json : json + "]";
   }
@@ -144,7 +148,7 @@
     const Items before = ItemsOf(older, field);
     const Items after = ItemsOf(newer, field);
     for (const std::string& id : before.order) {
-      const std::string item_path = path + "[id=" + id + "]";
+      const std::string item_path = ItemPath(path, id);
       const int i = before.position.at(id);
       const auto found = after.position.find(id);
       if (found == after.position.end()) {
@@ -158,7 +162,7 @@
     }
     for (const std::string& id : after.order) {
       if (!before.position.contains(id)) {
-        Note(path + "[id=" + id + "]", {},
+        Note(ItemPath(path, id), {},
              ValueJson(newer, field, after.position.at(id)));
       }
     }
--- a/src/config/json_tree.cc
+++ b/src/config/json_tree.cc
@@ -21,7 +21,6 @@
   static constexpr size_t max_array_size = SIZE_MAX;
   static constexpr size_t max_key_size = SIZE_MAX;
   static constexpr size_t max_string_size = SIZE_MAX;
-  // NOLINTEND(readability-identifier-naming)
 
   bool on_document_begin(error_code&) { return true; }
   bool on_document_end(error_code&) { return true; }
@@ -59,6 +58,8 @@
   bool on_comment_part(string_view, error_code&) { return true; }
   bool on_comment(string_view, error_code&) { return true; }
 
+  // NOLINTEND(readability-identifier-naming)
+
   JsonNode TakeRoot() { return std::move(m_root); }
 
  private:
