Keep retries truthful at a closed router and behind a lost claim

Cause: a draining router called the retry of a hold that ran there "not run"; joiners of a lost claim were relayed one by one although the shell ties their answers to the leader's, and left open records behind. Ruled out: refusing keyed retries at a closed router as unknown (their answer is here, or one relay away). Change: Arrival::closed refuses only what would have to run here; joiners stay with their request through claim and relay; RunStateOfKey for refusals before OnArrival; OnFailed of something never sent is a refusal. Conclusion: the core still has to pass closed and use RunStateOfKey.

--- a/include/coppervalve/request/request_table.h
+++ b/include/coppervalve/request/request_table.h
@@ -55,6 +55,8 @@
   bool log_available = false;  ///< appends to the log succeed at present
   /// The log was read to its end lately, so an earlier claim would be known.
   bool fold_current = true;
+  /// Why this router takes no new work; joins and forwards still happen.
+  std::optional<core::Error> closed = std::nullopt;
 };
 
 /// @brief Those who wait for the outcome of a request: its own caller unless
@@ -101,8 +103,9 @@
 
   /// @brief The claim is this incarnation's: admit the request.
   void OnClaimWon(core::TimePoint now, core::RequestId id);
-  /// @brief Another incarnation has the claim.
-  /// @return ForwardTo or Refuse, for the request and each of its joiners
+  /// @brief Another incarnation has the claim. Joiners follow the request when
+  /// it is forwarded.
+  /// @return its verdict, and when that is Refuse the same for its joiners
   std::vector<RequestVerdict> OnClaimLost(core::TimePoint now,
                                           core::RequestId id,
                                           const Origin& winner);
@@ -137,7 +140,7 @@
   Waiters OnRefused(core::TimePoint now,
                     core::RequestId id,
                     core::ErrorId error);
-  /// @brief A relay ended.
+  /// @brief A relay ended. Joiners follow the request, also into a refusal.
   /// @return what to do next; none when the caller has its whole answer
   std::optional<KeyVerdict> OnForwardEnded(core::TimePoint now,
                                            core::RequestId id,
@@ -149,6 +152,10 @@
   /// @complexity linear in the number of entries that expire
   std::vector<core::RequestId> TakeExpired(core::TimePoint now);
 
+  /// @return what a refusal before OnArrival may state of a key: "not run" only
+  /// when nothing here speaks against it
+  core::RunState RunStateOfKey(const core::AccountId& account,
+                               const KeyName& key) const;
   /// @brief What is known of a key; always an answer.
   /// @param forwarded a peer asks, so nobody else is named
   StatusLookup StatusOf(core::TimePoint now,
@@ -188,6 +195,8 @@
   Decision DecideAgain(const RequestRecord& request, Decision otherwise) const;
   std::optional<Decision> DecideKnown(const RequestRecord& request,
                                       const RequestRecord& known) const;
+  Decision DecideAfterForward(const RequestRecord& request,
+                              const ForwardOutcome& outcome) const;
   Decision DecideOriginBound(const Question& question) const;
   Decision DecideUnbound(const Question& question) const;
   Decision ClaimFirst(const Question& question) const;
@@ -195,14 +204,21 @@
   Location Locate(const Origin& place) const;
   std::optional<Refuse> RefuseForRoom(const RequestRecord& request,
                                       const Decision& decision) const;
+  std::optional<Refuse> RefuseAsClosed(const Arrival& arrival,
+                                       const Decision& decision) const;
+  /// Records the request as decided, if there is room and it is not refused.
   KeyVerdict Admit(core::TimePoint now,
                    RequestRecord request,
                    Decision decision);
   void Insert(core::TimePoint now, RequestRecord request);
+  /// Its joiners stay in the table, for Admit or Abandon.
   std::optional<RequestRecord> Extract(core::RequestId id);
+  void Abandon(const Waiters& joiners);
+  void MoveJoiners(const Waiters& joiners, core::RequestId leader);
 
   void Enter(core::TimePoint now, core::RequestId id, Phase phase);
   void SetPhase(core::TimePoint now, Slot& slot, Phase phase);
+  Waiters End(core::TimePoint now, core::RequestId id, core::ErrorId error);
   Waiters Finish(core::TimePoint now,
                  Slot& slot,
                  Phase phase,
--- a/src/membership/drain.cc
+++ b/src/membership/drain.cc
@@ -32,9 +32,9 @@
       return ListsExpired(now, inputs);
     case DrainPhase::kRefusingNew:
       return inputs.in_progress == 0 && inputs.queued == 0;
-    // Both wait for the log without a limit. To exit earlier would lose the
-    // bills of the last requests, and what is unspent would stay out of the
-    // balance until an operator released it.
+    // Both wait for the log, without a limit of their own. To exit earlier
+    // loses the bills of the last requests and leaves what is unspent in
+    // quarantine, so giving up is left to whoever owns the process.
     case DrainPhase::kReturning:
       return inputs.holdings_settled;
     case DrainPhase::kFinalising:
--- a/src/request/key_decision.cc
+++ b/src/request/key_decision.cc
@@ -21,6 +21,12 @@
                     retry_after);
 }
 
+/// @return whether the verdict makes this router the one that runs the request
+bool Admits(const KeyVerdict& verdict) {
+  return std::holds_alternative<RunHere>(verdict) ||
+         std::holds_alternative<NeedClaim>(verdict);
+}
+
 }  // namespace
 
 RequestTable::Decision RequestTable::Decide(const Question& question) const {
@@ -178,8 +184,7 @@
   if (join != nullptr && IsFinal(Find(join->leader)->phase)) {
     return std::nullopt;
   }
-  const bool admits = std::holds_alternative<RunHere>(decision.verdict) ||
-                      std::holds_alternative<NeedClaim>(decision.verdict);
+  const bool admits = Admits(decision.verdict);
   // Failure: a full table drops the record of a hold that ran, and its retry
   // runs it again. Symptom: a doubled seat hold. Enough: a request enters only
   // while its own record is sure to fit for as long as answers are kept.
@@ -194,55 +199,88 @@
                     kSoon);
 }
 
+std::optional<Refuse> RequestTable::RefuseAsClosed(
+    const Arrival& arrival,
+    const Decision& decision) const {
+  if (!arrival.closed || !Admits(decision.verdict)) {
+    return std::nullopt;
+  }
+  const core::RunState run_state = decision.may_have_run
+                                       ? core::RunState::kUnknown
+                                       : core::RunState::kNotRun;
+  return Refuse{*arrival.closed, run_state, kSoon};
+}
+
 std::optional<KeyVerdict> RequestTable::OnForwardEnded(
     core::TimePoint now,
     core::RequestId id,
     const ForwardOutcome& outcome) {
   std::optional<RequestRecord> request = Extract(id);
-  if (!request || outcome.answered) {
+  if (!request) {
+    return std::nullopt;
+  }
+  if (outcome.answered) {
+    Abandon(request->joiners);
     return std::nullopt;
   }
+  Decision decision = DecideAfterForward(*request, outcome);
+  return Admit(now, *std::move(request), std::move(decision));
+}
+
+RequestTable::Decision RequestTable::DecideAfterForward(
+    const RequestRecord& request,
+    const ForwardOutcome& outcome) const {
   // A second run would append its answer to the part that the caller has.
   if (outcome.relayed) {
-    return RefuseWith(core::ErrorId::kAnswerCut, core::RunState::kUnknown);
+    return {RefuseWith(core::ErrorId::kAnswerCut, core::RunState::kUnknown)};
   }
-  const bool settled_there = outcome.sent || request->only_there;
-  if (request->non_idempotent && settled_there) {
-    return UnknownOutcome(kSoon);
+  const bool settled_there = outcome.sent || request.only_there;
+  if (!request.non_idempotent) {
+    return DecideAgain(request, {RunHere{}, false, settled_there});
   }
-  if (request->non_idempotent) {
-    const Question question{*request, std::nullopt, outcome.log_available,
-                            outcome.fold_current};
-    Decision decision = DecideAgain(*request, ClaimFirst(question));
-    return Admit(now, *std::move(request), std::move(decision));
+  if (settled_there) {
+    return {UnknownOutcome(kSoon)};
   }
-  Decision decision = DecideAgain(*request, {RunHere{}, false, settled_there});
-  return Admit(now, *std::move(request), std::move(decision));
+  const Question question{request, std::nullopt, outcome.log_available,
+                          outcome.fold_current};
+  return DecideAgain(request, ClaimFirst(question));
 }
 
 std::vector<RequestVerdict> RequestTable::OnClaimLost(core::TimePoint now,
                                                       core::RequestId id,
                                                       const Origin& winner) {
-  Slot* slot = FindOpen(id);
-  if (slot == nullptr) {
+  std::optional<RequestRecord> request = Extract(id);
+  if (!request) {
     return {};
   }
-  std::vector<core::RequestId> group = {id};
-  group.insert(group.end(), slot->record.joiners.begin(),
-               slot->record.joiners.end());
-  std::vector<RequestVerdict> verdicts;
-  for (const core::RequestId member : group) {
-    std::optional<RequestRecord> request = Extract(member);
-    if (!request || request->caller_gone) {
-      continue;
-    }
-    Decision decision = DecideAgain(*request, GoTo(*request, winner));
-    verdicts.push_back(
-        {member, Admit(now, *std::move(request), std::move(decision))});
+  const Waiters joiners = request->joiners;
+  const bool awaited = !request->caller_gone || !joiners.empty();
+  Decision decision = awaited ? DecideAgain(*request, GoTo(*request, winner))
+                              : Decision{UnknownOutcome(std::nullopt)};
+  const KeyVerdict verdict =
+      Admit(now, *std::move(request), std::move(decision));
+  std::vector<RequestVerdict> verdicts = {{id, verdict}};
+  if (!std::holds_alternative<Refuse>(verdict)) {
+    return verdicts;
+  }
+  for (const core::RequestId joiner : joiners) {
+    verdicts.push_back({joiner, verdict});
   }
   return verdicts;
 }
 
+core::RunState RequestTable::RunStateOfKey(const core::AccountId& account,
+                                           const KeyName& key) const {
+  const core::Hash128 identity = key.IdentityFor(account);
+  if (const RequestRecord* known = FindKey(identity)) {
+    return RunStateOf(*known);
+  }
+  const bool bound_elsewhere = key.origin() && *key.origin() != m_self;
+  const bool unsure = bound_elsewhere || m_forgotten.MayContain(identity) ||
+                      m_hooks.claim_of(identity).has_value();
+  return unsure ? core::RunState::kUnknown : core::RunState::kNotRun;
+}
+
 StatusLookup RequestTable::StatusOf(core::TimePoint now,
                                     const core::AccountId& account,
                                     const KeyName& key,
--- a/src/request/request_table.cc
+++ b/src/request/request_table.cc
@@ -35,22 +35,28 @@
   }
   Decision decision =
       Decide({request, origin, arrival.log_available, arrival.fold_current});
+  if (std::optional<Refuse> refusal = RefuseAsClosed(arrival, decision)) {
+    return *refusal;
+  }
   return Admit(now, std::move(request), std::move(decision));
 }
 
-/// Records the request as decided, if there is room and it is not refused.
 KeyVerdict RequestTable::Admit(core::TimePoint now,
                                RequestRecord request,
                                Decision decision) {
   if (std::holds_alternative<Refuse>(decision.verdict)) {
+    Abandon(request.joiners);
     return decision.verdict;
   }
   if (std::optional<Refuse> refusal = RefuseForRoom(request, decision)) {
+    Abandon(request.joiners);
     return *refusal;
   }
   request.only_there = decision.only_there;
   request.may_have_run = request.may_have_run || decision.may_have_run;
   if (const auto* join = std::get_if<Join>(&decision.verdict)) {
+    MoveJoiners(request.joiners, join->leader);
+    request.joiners.clear();
     Slot* leader = FindOpen(join->leader);
     // A kept answer is handed out at once: nobody waits.
     if (leader == nullptr) {
@@ -69,6 +75,26 @@
   return decision.verdict;
 }
 
+/// Drops the records of joiners whose request ends; their answers end with its.
+void RequestTable::Abandon(const Waiters& joiners) {
+  for (const core::RequestId joiner : joiners) {
+    m_records.erase(joiner);
+    --m_open;
+  }
+}
+
+void RequestTable::MoveJoiners(const Waiters& joiners, core::RequestId leader) {
+  Slot* slot = FindOpen(leader);
+  if (slot == nullptr) {
+    Abandon(joiners);
+    return;
+  }
+  for (const core::RequestId joiner : joiners) {
+    m_records.at(joiner).record.leader = leader;
+    slot->record.joiners.push_back(joiner);
+  }
+}
+
 void RequestTable::Insert(core::TimePoint now, RequestRecord request) {
   request.changed = now;
   const core::RequestId id = request.id;
@@ -106,8 +132,6 @@
   }
   m_records.erase(id);
   --m_open;
-  request.leader.reset();
-  request.joiners.clear();
   return request;
 }
 
@@ -184,21 +208,25 @@
 Waiters RequestTable::OnFailed(core::TimePoint now,
                                core::RequestId id,
                                core::ErrorId error) {
-  Slot* slot = FindOpen(id);
-  return slot == nullptr ? Waiters{}
-                         : Finish(now, *slot, Phase::kFailed, error);
+  return End(now, id, error);
 }
 
 Waiters RequestTable::OnRefused(core::TimePoint now,
                                 core::RequestId id,
                                 core::ErrorId error) {
+  return End(now, id, error);
+}
+
+Waiters RequestTable::End(core::TimePoint now,
+                          core::RequestId id,
+                          core::ErrorId error) {
   Slot* slot = FindOpen(id);
   if (slot == nullptr) {
     return {};
   }
   // Failure: a request is given up on while an attempt of it may be running.
   // Symptom: its retry runs it twice, or "not run" is said of work that ran.
-  // Enough: once sent, it can only end as done or as unknown.
+  // Enough: what was sent, and not only the caller's word, decides.
   const bool sent = slot->record.sent_attempts > 0;
   return Finish(now, *slot, sent ? Phase::kFailed : Phase::kRefused, error);
 }
@@ -217,7 +245,7 @@
     Extract(id);
     return GoneDecision::kNothing;
   }
-  if (record.phase == Phase::kForwarded) {
+  if (record.phase == Phase::kForwarded && record.joiners.empty()) {
     Extract(id);
     return GoneDecision::kCancel;
   }
