Link routers by HTTP/2 streams

Cause: routers exchange heartbeats, ceilings and whole requests; the core asks for SendPeer and Forward but nothing carried them. Ruled out: one long stream for all messages (a fault in one ends all, and there is no confirmation of each); asynchronous writes (the count of bytes the kernel took is then inexact when a connection fails, and it decides between "not run" and "unknown"); sending before the peer's SETTINGS (a hung peer's kernel still accepts, and all would count as sent); a proof over the path alone (headers and body could be exchanged). Change: PeerClient and PeerServer over nghttp2; a stream for each message and forward; HMAC over all fields and the body's digest, nonces that count once, a proof in the answer too; PING liveness per connection; bounded queues; RST for answers that are not whole; GOAWAY in two steps. Conclusion: contents are not encrypted; TLS with keys of each router is the next step, in peer_socket.

--- /dev/null
+++ b/src/net/detail/peer_server_connection.h
@@ -0,0 +1,115 @@
+#ifndef COPPERVALVE_NET_DETAIL_PEER_SERVER_CONNECTION_H_
+#define COPPERVALVE_NET_DETAIL_PEER_SERVER_CONNECTION_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>        // size_t
+#include <cstdint>        // uint8_t
+#include <functional>     // function
+#include <memory>         // shared_ptr
+#include <string>         // string
+#include <string_view>    // string_view
+#include <unordered_map>  // unordered_map
+
+#include "coppervalve/core/error.h"
+#include "coppervalve/net/peer_auth.h"
+#include "coppervalve/net/peer_server.h"
+#include "coppervalve/net/peer_types.h"
+#include "peer_connection.h"
+#include "peer_reply_buffer.h"
+
+namespace coppervalve::net::detail {
+
+/// @brief What all connections of a server share.
+struct PeerServerShared {
+  PeerServerShared(std::string secret,
+                   PeerServerCallbacks server_callbacks,
+                   const PeerSettings& peer_settings)
+      : signer(secret),
+        verifier(std::move(secret)),
+        callbacks(std::move(server_callbacks)),
+        settings(peer_settings) {}
+
+  const PeerSigner signer;
+  PeerVerifier verifier;
+  const PeerServerCallbacks callbacks;
+  const PeerSettings settings;
+};
+
+/// @brief One accepted connection with its streams. Lives on its strand.
+class PeerServerConnection
+    : public std::enable_shared_from_this<PeerServerConnection> {
+ public:
+  using OnClosed = std::function<void()>;
+
+  PeerServerConnection(std::shared_ptr<PeerServerShared> shared,
+                       boost::asio::any_io_executor strand);
+
+  /// @brief Serves a socket of the strand. From any thread, once.
+  void Start(boost::asio::ip::tcp::socket socket, OnClosed on_closed);
+  /// @brief Finishes the streams in progress. From any thread.
+  void Drain();
+  /// @brief Closes at once. From any thread.
+  void Abort();
+
+  // The writing side of ForwardReply; on the strand.
+  void ReplyHeadOf(StreamId id, const ReplyHead& head);
+  void ReplyBodyOf(StreamId id,
+                   std::string bytes,
+                   std::function<void()> on_writable);
+  void EndReply(StreamId id);
+  void AbortReply(StreamId id, const core::Error& error);
+  /// @brief Nobody is left to write the answer.
+  void DropReply(StreamId id);
+  void SetCancelled(StreamId id, std::function<void()> callback);
+
+ private:
+  enum class State : uint8_t {
+    kHeaders,    ///< the request's fields arrive
+    kBody,       ///< proved; the body arrives
+    kDelivered,  ///< a forward that is being answered
+    kFinished,   ///< answered or refused; what still comes is ignored
+  };
+  struct Stream {
+    State state = State::kHeaders;
+    HeaderList fields;
+    size_t field_bytes = 0;
+    std::string body;
+    bool head_sent = false;
+    PeerReplyBuffer reply;
+    std::function<void()> on_cancelled;
+  };
+
+  SessionHooks MakeSessionHooks();
+  Stream* Lookup(StreamId id);
+  Stream* LookupDelivered(StreamId id);
+  /// @return the stream if its answer may still be written to
+  Stream* LookupWritable(StreamId id);
+  bool OnHeader(StreamId id, std::string_view name, std::string_view value);
+  void OnHeaders(StreamId id);
+  void OnData(StreamId id, std::string_view bytes);
+  void OnEnd(StreamId id);
+  void OnStreamClosed(StreamId id);
+  void OnConnectionClosed();
+  void DeliverMessage(StreamId id, Stream& stream);
+  void DeliverForward(StreamId id, Stream& stream);
+  void Refuse(StreamId id, Stream& stream, const core::Error& error);
+  HeaderList ProvedReply(const Stream& stream, HeaderList fields) const;
+  void FailReply(StreamId id, const core::Error& error);
+  void OnStart(boost::asio::ip::tcp::socket socket);
+  void StartDrain();
+  void FinishDrain();
+
+  const std::shared_ptr<PeerServerShared> m_shared;
+  const boost::asio::any_io_executor m_strand;
+  boost::asio::steady_timer m_drain_timer;
+  std::shared_ptr<PeerConnection> m_connection;
+  OnClosed m_on_closed;
+  std::unordered_map<StreamId, Stream> m_streams;
+  bool m_draining = false;
+};
+
+}  // namespace coppervalve::net::detail
+
+#endif  // COPPERVALVE_NET_DETAIL_PEER_SERVER_CONNECTION_H_
--- /dev/null
+++ b/tests/net/unit-peer-silence.cc
@@ -0,0 +1,325 @@
+#include <CppUTest/TestHarness.h>
+
+#include <array>   // array
+#include <atomic>  // atomic
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>      // milliseconds, steady_clock
+#include <functional>  // function
+#include <memory>      // shared_ptr
+#include <mutex>       // mutex
+#include <string>      // string
+#include <thread>      // sleep_for
+#include <utility>     // move
+#include <vector>      // vector
+
+#include "coppervalve/net/peer_link.h"
+#include "unit-peer-support.h"
+
+using namespace coppervalve;
+using namespace coppervalve::net;
+using namespace coppervalve::net::testing;
+
+namespace {
+
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+
+tcp::endpoint FreePort() {
+  return {boost::asio::ip::make_address(kLocalhost), 0};
+}
+
+// A peer that accepts and never reads or answers; it may say one thing first.
+class SilentPeer {
+ public:
+  SilentPeer(boost::asio::io_context& io, std::string greeting)
+      : m_greeting(std::move(greeting)),
+        m_acceptor(boost::asio::make_strand(io), FreePort()) {
+    Accept();
+  }
+  ~SilentPeer() {
+    Awaited<bool> stopped;
+    boost::asio::post(m_acceptor.get_executor(), [this, stopped]() mutable {
+      m_acceptor.close();
+      stopped.Set(true);
+    });
+    stopped.Get();
+  }
+  SilentPeer(const SilentPeer&) = delete;
+  SilentPeer& operator=(const SilentPeer&) = delete;
+
+  std::string address() const {
+    return AddressOf(m_acceptor.local_endpoint().port());
+  }
+
+ private:
+  void Accept() {
+    m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      boost::asio::write(socket, boost::asio::buffer(m_greeting), error);
+      m_sockets.push_back(std::move(socket));
+      Accept();
+    });
+  }
+
+  const std::string m_greeting;
+  tcp::acceptor m_acceptor;
+  std::vector<tcp::socket> m_sockets;
+};
+
+// One connection through the relay; both directions, one thread at a time.
+class Pipe : public std::enable_shared_from_this<Pipe> {
+ public:
+  Pipe(tcp::socket near, tcp::socket far)
+      : m_near(std::move(near)), m_far(std::move(far)) {}
+
+  void Start() {
+    Copy(m_near, m_far, m_up);
+    Copy(m_far, m_near, m_down);
+  }
+  // Bytes vanish from now on, without an error at either end.
+  void Lose() { m_lost = true; }
+  void Close() {
+    error_code ignored;
+    m_near.close(ignored);
+    m_far.close(ignored);
+  }
+
+ private:
+  using Buffer = std::array<char, 16384>;
+
+  void Copy(tcp::socket& from, tcp::socket& to, Buffer& buffer) {
+    from.async_read_some(
+        boost::asio::buffer(buffer), [self = shared_from_this(), &from, &to,
+                                      &buffer](error_code error, size_t size) {
+          if (error) {
+            return;
+          }
+          if (!self->m_lost) {
+            boost::asio::write(to, boost::asio::buffer(buffer.data(), size),
+                               error);
+          }
+          self->Copy(from, to, buffer);
+        });
+  }
+
+  tcp::socket m_near;
+  tcp::socket m_far;
+  Buffer m_up{};
+  Buffer m_down{};
+  std::atomic<bool> m_lost{false};
+};
+
+// Something between the two ends that can lose track of the connections it has,
+// while new ones work. Has a thread of its own, so its writes may block.
+class LossyRelay {
+ public:
+  explicit LossyRelay(const std::string& target_port)
+      : m_target(boost::asio::ip::make_address(kLocalhost),
+                 static_cast<uint16_t>(std::stoi(target_port))),
+        m_acceptor(m_io, FreePort()) {
+    Accept();
+    m_thread = std::thread([this] { m_io.run(); });
+  }
+  ~LossyRelay() {
+    boost::asio::post(m_io, [this] {
+      m_acceptor.close();
+      for (const auto& pipe : m_pipes) {
+        pipe->Close();
+      }
+    });
+    m_thread.join();
+  }
+  LossyRelay(const LossyRelay&) = delete;
+  LossyRelay& operator=(const LossyRelay&) = delete;
+
+  std::string address() const {
+    return AddressOf(m_acceptor.local_endpoint().port());
+  }
+  void LoseOpenConnections() {
+    Awaited<bool> done;
+    boost::asio::post(m_io, [this, done]() mutable {
+      for (const auto& pipe : m_pipes) {
+        pipe->Lose();
+      }
+      done.Set(true);
+    });
+    done.Get();
+  }
+
+ private:
+  void Accept() {
+    m_acceptor.async_accept([this](error_code error, tcp::socket near) {
+      if (error) {
+        return;
+      }
+      tcp::socket far(m_io);
+      far.connect(m_target, error);
+      if (!error) {
+        m_pipes.push_back(
+            std::make_shared<Pipe>(std::move(near), std::move(far)));
+        m_pipes.back()->Start();
+      }
+      Accept();
+    });
+  }
+
+  boost::asio::io_context m_io;
+  const tcp::endpoint m_target;
+  tcp::acceptor m_acceptor;
+  std::vector<std::shared_ptr<Pipe>> m_pipes;
+  std::thread m_thread;
+};
+
+// An empty SETTINGS frame: all that a client waits for before it sends.
+const std::string kSettingsFrame("\0\0\0\4\0\0\0\0\0", 9);
+
+}  // namespace
+
+TEST_GROUP(PeerSilence) {
+  IoThreads m_threads;
+  PeerSettings m_settings;
+
+  void setup() override {
+    m_settings.ping_interval = std::chrono::milliseconds(100);
+    m_settings.silence_deadline = std::chrono::milliseconds(300);
+    m_settings.connect_timeout = std::chrono::milliseconds(300);
+  }
+  ForwardOutcome OutcomeAt(const std::string& address) {
+    PeerClient client(m_threads.io(), kSecret, m_settings);
+    AnswerCollector collector;
+    client.StartForward(address, SomeHead(), "q", collector.Callbacks());
+    return collector.Get().outcome;
+  }
+};
+
+// The kernel of a hung peer accepts the connection, its process says nothing.
+// The forward fails soon and counts as not sent, so that the caller's request
+// may run elsewhere: the client sends nothing before the peer has spoken.
+TEST(PeerSilence, a_peer_that_never_speaks_is_given_nothing) {
+  SilentPeer peer(m_threads.io(), "");
+  const ForwardOutcome outcome = OutcomeAt(peer.address());
+  CHECK_FALSE(outcome.whole);
+  CHECK_FALSE(outcome.sent);
+  CHECK_TRUE(outcome.error.id == core::ErrorId::kPeerUnreachable);
+}
+
+// The peer greets, takes the request and goes silent. No error ever comes from
+// the kernel; the PING without an answer closes the connection, and the forward
+// fails as sent, because the peer may have run it.
+TEST(PeerSilence, a_peer_that_goes_silent_fails_its_streams_as_sent) {
+  SilentPeer peer(m_threads.io(), kSettingsFrame);
+  const ForwardOutcome outcome = OutcomeAt(peer.address());
+  CHECK_FALSE(outcome.whole);
+  CHECK_TRUE(outcome.sent);
+  CHECK_TRUE(outcome.error.id == core::ErrorId::kPeerUnreachable);
+}
+
+// A forward is half answered when a box on the way forgets the connection.
+// Both ends hear nothing more, yet the peer is well: the first forward fails,
+// the peer is told that its reader is gone, the next one is answered over a new
+// connection.
+TEST(PeerSilence, a_connection_that_goes_silent_is_replaced_by_a_new_one) {
+  Awaited<std::shared_ptr<ForwardReply>> running;
+  Awaited<bool> cancelled;
+  PeerServerCallbacks callbacks;
+  callbacks.on_forward = [&](const ForwardHead& head, const std::string&,
+                             std::shared_ptr<ForwardReply> reply) {
+    if (head.path != "/first") {
+      AnswerWhole(*reply, "second answer");
+      return;
+    }
+    reply->OnCancelled([&] { cancelled.Set(true); });
+    reply->Head(ReplyHead{});
+    reply->Body("half", {});
+    running.Set(std::move(reply));
+  };
+  PeerServer server(m_threads.io(), kLocalhost, 0, kSecret, callbacks,
+                    m_settings);
+  Listen(server);
+  LossyRelay relay(std::to_string(server.port()));
+  PeerClient client(m_threads.io(), kSecret, m_settings);
+  AnswerCollector first;
+  client.StartForward(relay.address(), SomeHead("/first"), "q",
+                      first.Callbacks());
+  first.AwaitHead();
+  relay.LoseOpenConnections();
+  const Answer lost = first.Get();
+  CHECK_FALSE(lost.outcome.whole);
+  CHECK_TRUE(lost.outcome.sent);
+  CHECK_TRUE(lost.outcome.error.id == core::ErrorId::kPeerUnreachable);
+  AnswerCollector second;
+  client.StartForward(relay.address(), SomeHead("/second"), "q",
+                      second.Callbacks());
+  const Answer found = second.Get();
+  CHECK_TRUE(found.outcome.whole);
+  CHECK_EQUAL(std::string("second answer"), found.body);
+  CHECK_TRUE(cancelled.Get());
+  running.Get().reset();
+}
+
+// A model thinks for longer than the silence deadline before its first token.
+// The PINGs are answered meanwhile, so the connection is not judged silent.
+TEST(PeerSilence, a_slow_answer_is_not_taken_for_silence) {
+  Awaited<std::shared_ptr<ForwardReply>> running;
+  PeerServerCallbacks callbacks;
+  callbacks.on_forward = [&](const ForwardHead&, const std::string&,
+                             std::shared_ptr<ForwardReply> reply) {
+    running.Set(std::move(reply));
+  };
+  PeerServer server(m_threads.io(), kLocalhost, 0, kSecret, callbacks,
+                    m_settings);
+  const std::string address = Listen(server);
+  PeerClient client(m_threads.io(), kSecret, m_settings);
+  AnswerCollector collector;
+  client.StartForward(address, SomeHead(), "q", collector.Callbacks());
+  const std::shared_ptr<ForwardReply> reply = running.Get();
+  std::this_thread::sleep_for(4 * m_settings.silence_deadline);
+  AnswerWhole(*reply, "late");
+  const Answer answer = collector.Get();
+  CHECK_TRUE(answer.outcome.whole);
+  CHECK_EQUAL(std::string("late"), answer.body);
+}
+
+// The peer's process is gone and its port refuses. After the first failure the
+// next calls fail at once instead of trying each time; when the peer is back,
+// a call soon gets through.
+TEST(PeerSilence, a_peer_that_comes_back_is_reached_again) {
+  PeerServerCallbacks callbacks;
+  callbacks.on_forward = [](const ForwardHead&, const std::string&,
+                            const std::shared_ptr<ForwardReply>& reply) {
+    AnswerWhole(*reply, "back");
+  };
+  std::string address;
+  uint16_t port = 0;
+  {
+    PeerServer earlier(m_threads.io(), kLocalhost, 0, kSecret, callbacks,
+                       m_settings);
+    address = Listen(earlier);
+    port = earlier.port();
+    Awaited<bool> closed;
+    earlier.Close([&] { closed.Set(true); });
+    closed.Get();
+  }
+  PeerClient client(m_threads.io(), kSecret, m_settings);
+  const auto attempt = [&] {
+    AnswerCollector collector;
+    client.StartForward(address, SomeHead(), "q", collector.Callbacks());
+    return collector.Get().outcome;
+  };
+  CHECK_FALSE(attempt().whole);
+  PeerServer again(m_threads.io(), kLocalhost, port, kSecret, callbacks,
+                   m_settings);
+  CHECK_TRUE(core::IsOk(again.Listen()));
+  const auto give_up = std::chrono::steady_clock::now() + kPatience;
+  bool reached = false;
+  while (!reached && std::chrono::steady_clock::now() < give_up) {
+    reached = attempt().whole;
+  }
+  CHECK_TRUE(reached);
+}
