Drive a few real cores on fakes in virtual time

Cause: what matters is how routers act together under failure, and that needs many of them in one process, repeatable by a seed. Ruled out: real processes for every schedule (slow, not repeatable). Change: library trial: virtual time, fake log, nodes with the shell's duties, callers who retry, an audit from the upstreams' records; first test.

--- a/cmake/CoppervalveTargets.cmake
+++ b/cmake/CoppervalveTargets.cmake
@@ -15,7 +15,7 @@
 # Sources: src/<area>/*.cc; headers: include/coppervalve/<area>/*.h;
 # test program: unit-<area> from tests/<area>/*.cc (one test program per library).
 function(coppervalve_library area)
-  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPS;TEST_DEPS" ${ARGN})
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${area}/*.cc)
   if(NOT sources)
     add_library(coppervalve_${area} INTERFACE)
@@ -34,7 +34,8 @@
     target_include_directories(unit-${area} PRIVATE ${CMAKE_SOURCE_DIR}/tests/support)
     # CppUTest replaces `new` by a macro, which breaks placement new in the library headers.
     target_compile_definitions(unit-${area} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED CPPUTEST_USE_MEM_LEAK_DETECTION=0)
-    target_link_libraries(unit-${area} PRIVATE coppervalve_${area} CppUTest CppUTestExt)
+    target_link_libraries(unit-${area} PRIVATE ${ARG_TEST_DEPS} coppervalve_${area}
+      CppUTest CppUTestExt)
     coppervalve_compile_options(unit-${area})
     add_test(NAME unit-${area} COMMAND unit-${area})
     set_tests_properties(unit-${area} PROPERTIES TIMEOUT 600)
--- /dev/null
+++ b/include/coppervalve/trial/audit.h
@@ -0,0 +1,70 @@
+#ifndef COPPERVALVE_TRIAL_AUDIT_H_
+#define COPPERVALVE_TRIAL_AUDIT_H_
+
+#include <cstdint>        // int64_t, uint64_t
+#include <string>         // string
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/core/hash.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/ledger/fold.h"
+#include "coppervalve/trial/fleet.h"
+
+namespace coppervalve::trial {
+
+/// @brief What broke, in words for the trace.
+struct Violation {
+  std::string invariant;  ///< "I1" to "I8", see docs/INVARIANTS.md
+  std::string what;
+};
+
+/// @brief Tokens of all budgets together, as an outsider counts them.
+struct TokenCount {
+  int64_t paid_in = 0;
+  int64_t used = 0;      ///< by the upstreams' own records
+  int64_t billed = 0;    ///< of the log
+  int64_t free = 0;      ///< of the log
+  int64_t held = 0;      ///< by live routers, of the log
+  int64_t stranded = 0;  ///< quarantined or written off beyond what was used
+};
+
+/// @brief Checks the invariants from the outside: the log's entries and the
+/// upstreams' records, never the routers' own counts.
+class Audit {
+ public:
+  explicit Audit(Fleet& fleet);
+
+  /// @brief Checks what has happened since the last call.
+  /// @complexity linear in what is new, plus nodes and budgets
+  std::vector<Violation> Check();
+  /// @brief Compares all folds that are at the same offset, and all holdings.
+  /// @complexity linear in the state
+  std::vector<Violation> CheckFolds();
+  TokenCount Count() const;
+  /// @return whether one counter with the whole truth had tokens for the wish
+  bool WouldRun(const Wish& wish) const;
+  const ledger::Fold& fold() const { return m_fold; }
+
+ private:
+  void FoldNew(std::vector<Violation>& found);
+  void CheckSpend(std::vector<Violation>& found);
+  void CheckExecutions(std::vector<Violation>& found);
+  void CheckTickets(std::vector<Violation>& found);
+  void CheckVersions(std::vector<Violation>& found);
+
+  Fleet& m_fleet;
+  ledger::Fold m_fold;
+  size_t m_executions_seen = 0;
+  std::unordered_map<core::BudgetId, int64_t> m_used;
+  std::unordered_map<size_t, uint64_t> m_runs;         ///< by wish
+  std::unordered_map<size_t, uint64_t> m_ticket_runs;  ///< by ticket
+  std::unordered_map<core::Hash128, uint64_t> m_bills;
+  std::vector<uint64_t> m_versions;
+  std::vector<core::Incarnation> m_incarnations;
+};
+
+}  // namespace coppervalve::trial
+
+#endif  // COPPERVALVE_TRIAL_AUDIT_H_
--- /dev/null
+++ b/include/coppervalve/trial/fleet.h
@@ -0,0 +1,136 @@
+#ifndef COPPERVALVE_TRIAL_FLEET_H_
+#define COPPERVALVE_TRIAL_FLEET_H_
+
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <memory>      // unique_ptr
+#include <set>         // set
+#include <string>      // string
+#include <utility>     // pair
+#include <vector>      // vector
+
+#include "coppervalve/core/units.h"
+#include "coppervalve/router/settings.h"
+#include "coppervalve/trial/fake_log.h"
+#include "coppervalve/trial/node.h"
+#include "coppervalve/trial/records.h"
+#include "coppervalve/trial/timeline.h"
+
+namespace coppervalve::trial {
+
+/// @brief How one attempt goes at an upstream.
+enum class AttemptFate : uint8_t {
+  kAnswered,
+  kNotSent,   ///< no connection
+  kDeclined,  ///< the upstream says that it did not run
+  kCut,       ///< it ran in part, then the connection closed
+  kSilent,    ///< it ran, and nothing comes back
+};
+
+/// @brief What a fleet is made of.
+struct FleetOptions {
+  size_t routers = 7;
+  uint64_t seed = 1;
+  uint64_t log_retain = 0;  ///< entries; 0 keeps all
+  budget::SizingPolicy sizing = budget::DefaultSizing();
+  core::Duration tick = std::chrono::milliseconds(50);
+  core::Duration peer_delay = std::chrono::milliseconds(1);
+  core::Duration log_delay = std::chrono::milliseconds(4);
+};
+
+/// @brief State of a node's way to the log.
+struct LogLink {
+  bool up = true;
+  double lose_replies = 0;  ///< probability that a reply is lost after effect
+  core::Duration extra_delay{};
+};
+
+/// @brief A few real decision cores on fakes of the log, the network, the
+/// upstreams and the callers, in virtual time. A test driver at the cores'
+/// interface, not a model of machines.
+class Fleet {
+ public:
+  explicit Fleet(FleetOptions options);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  void Run(core::Duration duration);
+  void StartAll();
+
+  // What operators do.
+  void Publish(v1::Configuration configuration);
+  void TopUp(const core::BudgetId& budget, core::Tokens tokens);
+
+  // What callers do.
+  /// @return the number of the new wish
+  size_t Wants(Wish wish);
+  void SetKey(size_t wish, std::string key) {
+    m_wishes[wish].key = std::move(key);
+  }
+  /// @return the number of the new ticket
+  size_t Send(size_t wish, size_t node);
+  void CloseTicket(size_t ticket);
+
+  // What fails.
+  void Cut(size_t a, size_t b, bool cut);
+  void CutAll(size_t node, bool cut);
+  bool IsCut(size_t a, size_t b) const;
+  LogLink& log_link(size_t node) { return m_log_links[node]; }
+  void SetFate(std::function<AttemptFate()> fate) { m_fate = std::move(fate); }
+  AttemptFate NextFate() { return m_fate ? m_fate() : AttemptFate::kAnswered; }
+  /// @brief Called when a ticket ends.
+  void SetOnTicket(std::function<void(size_t ticket)> on_ticket) {
+    m_on_ticket = std::move(on_ticket);
+  }
+  /// @brief Called for each log line of a router.
+  void SetOnLogLine(
+      std::function<void(size_t node, const router::LogLine&)> on_line) {
+    m_on_line = std::move(on_line);
+  }
+
+  // What nodes use.
+  void EndTicket(size_t ticket, Ticket::State state);
+  size_t Execute(size_t ticket, core::Tokens used);
+  Node* FindRouter(const core::RouterId& router);
+  uint64_t Random();
+  double RandomShare();
+  void OnLogLine(size_t node, const router::LogLine& line);
+
+  Timeline& timeline() { return m_timeline; }
+  core::TimePoint now() const { return m_timeline.now(); }
+  FakeLog& log() { return m_log; }
+  const FleetOptions& options() const { return m_options; }
+  size_t size() const { return m_nodes.size(); }
+  Node& node(size_t index) { return *m_nodes[index]; }
+  const std::vector<Wish>& wishes() const { return m_wishes; }
+  std::vector<Ticket>& tickets() { return m_tickets; }
+  std::vector<Execution>& executions() { return m_executions; }
+  uint64_t config_version() const { return m_config_version; }
+
+ private:
+  struct Chance;
+
+  FleetOptions m_options;
+  Timeline m_timeline;
+  FakeLog m_log;
+  std::unique_ptr<Chance> m_chance;
+  std::vector<LogLink> m_log_links;
+  std::set<std::pair<size_t, size_t>> m_cuts;
+  std::vector<Wish> m_wishes;
+  std::vector<Ticket> m_tickets;
+  std::vector<Execution> m_executions;
+  std::function<AttemptFate()> m_fate;
+  std::function<void(size_t)> m_on_ticket;
+  std::function<void(size_t, const router::LogLine&)> m_on_line;
+  uint64_t m_config_version = 0;
+  uint64_t m_top_ups = 0;
+  std::vector<std::unique_ptr<Node>> m_nodes;
+};
+
+/// @brief Name of the router on a node: "r0", "r1", ...
+core::RouterId RouterName(size_t node);
+
+}  // namespace coppervalve::trial
+
+#endif  // COPPERVALVE_TRIAL_FLEET_H_
--- /dev/null
+++ b/include/coppervalve/trial/load.h
@@ -0,0 +1,85 @@
+#ifndef COPPERVALVE_TRIAL_LOAD_H_
+#define COPPERVALVE_TRIAL_LOAD_H_
+
+#include <array>          // array
+#include <cstdint>        // uint64_t
+#include <map>            // map
+#include <optional>       // optional
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/config.pb.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/trial/audit.h"
+#include "coppervalve/trial/fleet.h"
+
+namespace coppervalve::trial {
+
+/// @brief What callers do.
+struct LoadOptions {
+  size_t accounts = 3;
+  int64_t prepaid = 200'000;  ///< of each account's budget
+  double per_second = 20;     ///< new wishes over all accounts
+  double draft_share = 0.4;   ///< BATCH model work
+  double hold_share = 0.2;    ///< non-idempotent GATE calls of a service
+  double keyed_share = 0.9;   ///< of idempotent work; calls always have a key
+  double bound_share = 0.7;   ///< of keyed work: origin-bound keys
+  size_t max_tries = 4;       ///< of one wish
+  core::Duration caller_patience = std::chrono::seconds(15);
+  uint32_t gate_reserve_permille = 50;
+};
+
+/// @brief How wishes of one class ended.
+struct ClassCount {
+  uint64_t wishes = 0;
+  uint64_t whole = 0;
+  uint64_t refused = 0;         ///< last word: not run
+  uint64_t unknown = 0;         ///< last word: outcome unknown
+  uint64_t open = 0;            ///< no last word yet
+  uint64_t false_refusals = 0;  ///< for want of tokens that were there
+};
+
+/// @brief The configuration that the load needs: accounts "a0".., a budget
+/// "b0".. each, four engines and one service.
+v1::Configuration TrialConfiguration(const LoadOptions& options);
+
+/// @brief Callers that ask, wait, lose patience and try again elsewhere.
+class Load {
+ public:
+  Load(Fleet& fleet, Audit& audit, LoadOptions options);
+
+  /// @brief Starts new wishes at the given rate from now on.
+  void Start();
+  /// @brief Starts no new ones; those in progress go on.
+  void Stop() { m_running = false; }
+  void SetRate(double per_second) { m_options.per_second = per_second; }
+
+  std::map<v1::AdmissionClass, ClassCount> Count() const;
+  ClassCount Total() const;
+
+ private:
+  struct Pending {
+    size_t tries = 0;
+    std::optional<size_t> ticket;
+    bool ended = false;
+  };
+
+  void ScheduleNext();
+  Wish MakeWish();
+  void Try(size_t wish);
+  void OnTicket(size_t ticket);
+  size_t PickNode();
+  double Share();
+
+  Fleet& m_fleet;
+  Audit& m_audit;
+  LoadOptions m_options;
+  bool m_running = false;
+  uint64_t m_last_key = 0;
+  std::unordered_map<size_t, Pending> m_pending;
+  std::map<v1::AdmissionClass, uint64_t> m_false_refusals;
+};
+
+}  // namespace coppervalve::trial
+
+#endif  // COPPERVALVE_TRIAL_LOAD_H_
--- /dev/null
+++ b/include/coppervalve/trial/node.h
@@ -0,0 +1,111 @@
+#ifndef COPPERVALVE_TRIAL_NODE_H_
+#define COPPERVALVE_TRIAL_NODE_H_
+
+#include <cstdint>        // uint64_t
+#include <deque>          // deque
+#include <functional>     // function
+#include <map>            // map
+#include <memory>         // unique_ptr
+#include <optional>       // optional
+#include <string>         // string
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/router/core.h"
+#include "coppervalve/trial/records.h"
+
+namespace coppervalve::trial {
+
+class Fleet;
+
+/// @brief One VM with one router process: the real decision core in a shell
+/// that carries its actions out in virtual time.
+class Node {
+ public:
+  Node(Fleet& fleet, size_t index);
+
+  void Start();
+  /// @brief SIGKILL: open connections break, nothing more is sent.
+  void Kill();
+  /// @brief SIGSTOP: what arrives waits until Resume().
+  void Pause();
+  void Resume();
+  void Drain();
+
+  /// @brief Takes an event as the shell would: now, or once resumed.
+  void Deliver(router::Event event);
+  /// @brief A caller's request arrives.
+  void Open(size_t ticket);
+  /// @brief The caller of a ticket closes its connection.
+  void Hang(size_t ticket);
+  /// @brief A peer relays a request to this node.
+  /// @param done called once with whether the answer was whole
+  void OpenForward(core::Incarnation to,
+                   size_t ticket,
+                   core::AccountId account,
+                   std::function<void(bool answered, bool sent)> done);
+
+  bool alive() const { return m_core != nullptr; }
+  bool paused() const { return m_paused; }
+  size_t index() const { return m_index; }
+  /// @pre alive()
+  const router::RouterCore& core() const { return *m_core; }
+  router::RouterCore& core() { return *m_core; }
+  uint64_t peer_messages() const { return m_peer_messages; }
+  uint64_t peer_bytes() const { return m_peer_bytes; }
+
+ private:
+  /// What the shell knows of one request.
+  struct Call {
+    size_t ticket = 0;
+    std::function<void(bool answered, bool sent)> relay;  ///< for a peer
+    std::vector<core::RequestId> joiners;
+    std::optional<core::RequestId> leader;
+    bool done = false;
+    std::optional<size_t> answer_of_wish;
+  };
+
+  core::RequestId NewCall(Call call);
+  router::RequestArrived ArrivalOf(core::RequestId id, size_t ticket) const;
+  void Handle(const router::Event& event);
+  void ScheduleTick();
+  void Later(core::Duration delay, std::function<void()> action);
+
+  void Do(const router::Dispatch& action);
+  void Do(const router::Refuse& action);
+  void Do(const router::JoinAnswer& action);
+  void Do(const router::ForgetAnswer& action);
+  void Do(const router::Forward& action);
+  void Do(const router::CancelAttempt& action);
+  void Do(const router::ReplyJson& action);
+  void Do(const router::ReadLog& action);
+  void Do(const router::AppendLog& action);
+  void Do(const router::SendPeer& action);
+  void Do(const router::ProbeUpstream& action);
+  void Do(const router::LogLine& action);
+  void Do(const router::Exit& action);
+
+  void Poll(const router::ReadLog& read, core::TimePoint until);
+  void RunAttempt(const router::Dispatch& action);
+  void Complete(core::RequestId id, size_t answer_of_wish);
+  void Fail(core::RequestId id, const router::Refuse& refuse);
+
+  Fleet& m_fleet;
+  size_t m_index;
+  uint64_t m_life = 0;  ///< grows with each start; stale callbacks do nothing
+  std::unique_ptr<router::RouterCore> m_core;
+  bool m_paused = false;
+  bool m_exiting = false;
+  std::deque<router::Event> m_mailbox;
+  std::unordered_map<core::RequestId, Call> m_calls;
+  std::map<size_t, core::RequestId> m_by_ticket;
+  uint64_t m_last_request = 0;
+  uint64_t m_peer_messages = 0;
+  uint64_t m_peer_bytes = 0;
+};
+
+}  // namespace coppervalve::trial
+
+#endif  // COPPERVALVE_TRIAL_NODE_H_
--- /dev/null
+++ b/include/coppervalve/trial/records.h
@@ -0,0 +1,60 @@
+#ifndef COPPERVALVE_TRIAL_RECORDS_H_
+#define COPPERVALVE_TRIAL_RECORDS_H_
+
+#include <cstddef>   // size_t
+#include <cstdint>   // uint8_t, uint64_t
+#include <optional>  // optional
+#include <string>    // string
+
+#include "coppervalve/config.pb.h"
+#include "coppervalve/core/error.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+
+namespace coppervalve::trial {
+
+/// @brief What a caller wants, with the truth that no router knows beforehand.
+struct Wish {
+  core::AccountId account;
+  core::BudgetId budget;
+  v1::AdmissionClass admission_class = v1::INTERACTIVE;
+  bool non_idempotent = false;
+  std::string model;    ///< empty for a plain service
+  std::string service;  ///< empty for model work
+  core::Bytes body_size;
+  core::Tokens prompt;      ///< what the engine will count
+  core::Tokens max_output;  ///< asked for
+  core::Tokens output;      ///< what the engine will generate
+  core::Duration duration{};
+  std::string key;  ///< empty: none
+
+  /// @return what the work costs at the price of one
+  core::Tokens Cost() const { return prompt + output; }
+};
+
+/// @brief One run at an upstream, as the upstream itself records it.
+struct Execution {
+  size_t wish = 0;
+  size_t ticket = 0;
+  core::Tokens used;
+  bool whole = false;
+};
+
+/// @brief One try of a wish at one router, as the caller sees it.
+struct Ticket {
+  enum class State : uint8_t { kOpen, kWhole, kRefused, kBroken };
+
+  size_t wish = 0;
+  size_t node = 0;
+  State state = State::kOpen;
+  std::optional<core::ErrorId> error;
+  core::RunState run_state = core::RunState::kUnknown;
+  std::optional<core::Duration> retry_after;
+  size_t answer_of_wish = 0;  ///< whose answer it got; with kWhole
+  core::TimePoint opened;
+  core::TimePoint ended;
+};
+
+}  // namespace coppervalve::trial
+
+#endif  // COPPERVALVE_TRIAL_RECORDS_H_
--- /dev/null
+++ b/src/trial/audit.cc
@@ -0,0 +1,176 @@
+#include "coppervalve/trial/audit.h"
+
+#include <utility>  // move
+#include <variant>  // get_if
+
+#include "coppervalve/budget/book.h"
+
+namespace coppervalve::trial {
+
+namespace {
+
+ledger::FoldSettings AuditSettings() {
+  return router::RouterSettings{}.fold;
+}
+
+}  // namespace
+
+Audit::Audit(Fleet& fleet)
+    : m_fleet(fleet),
+      m_fold(AuditSettings()),
+      m_versions(fleet.size()),
+      m_incarnations(fleet.size()) {}
+
+std::vector<Violation> Audit::Check() {
+  std::vector<Violation> found;
+  FoldNew(found);
+  CheckSpend(found);
+  CheckExecutions(found);
+  CheckTickets(found);
+  CheckVersions(found);
+  return found;
+}
+
+void Audit::FoldNew(std::vector<Violation>& found) {
+  while (m_fold.next_offset() < m_fleet.log().end()) {
+    const v1::ReadReply reply = m_fleet.log().Read(m_fold.next_offset());
+    for (const v1::LoggedEntry& logged : reply.entries()) {
+      v1::Entry entry;
+      entry.ParseFromString(logged.entry());
+      const auto result = m_fold.Apply(core::LogOffset(logged.offset()), entry);
+      if (!core::IsOk(result)) {
+        found.push_back({"I1", core::ToString(core::Failure(result))});
+        return;
+      }
+      for (const ledger::Effect& effect : core::Value(result)) {
+        const auto* billed = std::get_if<ledger::Billed>(&effect);
+        if (billed != nullptr && ++m_bills[billed->key_hash] > 1) {
+          found.push_back(
+              {"I2", "a key was billed twice in " + billed->budget.value()});
+        }
+      }
+    }
+  }
+}
+
+void Audit::CheckSpend(std::vector<Violation>& found) {
+  const auto& executions = m_fleet.executions();
+  for (; m_executions_seen < executions.size(); ++m_executions_seen) {
+    const Execution& run = executions[m_executions_seen];
+    const Wish& wish = m_fleet.wishes()[run.wish];
+    m_used[wish.budget] += run.used.value();
+    ++m_runs[run.wish];
+    ++m_ticket_runs[run.ticket];
+    if (wish.non_idempotent && m_runs[run.wish] > 1) {
+      found.push_back(
+          {"I5", "wish " + std::to_string(run.wish) + " ran twice"});
+    }
+  }
+  for (const auto& [id, used] : m_used) {
+    const ledger::Budget* budget = m_fold.FindBudget(id);
+    const int64_t paid_in = budget == nullptr ? 0 : budget->paid_in.value();
+    if (used > paid_in) {
+      found.push_back({"I1", id.value() + " used " + std::to_string(used) +
+                                 " of " + std::to_string(paid_in)});
+    }
+  }
+}
+
+void Audit::CheckExecutions(std::vector<Violation>& found) {
+  for (size_t i = 0; i < m_fleet.size(); ++i) {
+    Node& node = m_fleet.node(i);
+    if (!node.alive()) {
+      continue;
+    }
+    const core::Status status = node.core().book().CheckInvariants();
+    if (!core::IsOk(status)) {
+      found.push_back({"I1", core::ToString(core::Failure(status))});
+    }
+  }
+}
+
+void Audit::CheckTickets(std::vector<Violation>& found) {
+  const auto& tickets = m_fleet.tickets();
+  for (size_t i = 0; i < tickets.size(); ++i) {
+    const Ticket& ticket = tickets[i];
+    const bool refused = ticket.state == Ticket::State::kRefused &&
+                         ticket.run_state == core::RunState::kNotRun;
+    if (refused && m_ticket_runs.contains(i)) {
+      found.push_back(
+          {"I4", "ticket " + std::to_string(i) + " ran but was refused"});
+    }
+    if (ticket.state == Ticket::State::kWhole &&
+        ticket.answer_of_wish != ticket.wish) {
+      found.push_back(
+          {"I3", "ticket " + std::to_string(i) + " got another's answer"});
+    }
+  }
+}
+
+void Audit::CheckVersions(std::vector<Violation>& found) {
+  for (size_t i = 0; i < m_fleet.size(); ++i) {
+    Node& node = m_fleet.node(i);
+    if (!node.alive()) {
+      m_versions[i] = 0;
+      continue;
+    }
+    if (node.core().incarnation() != m_incarnations[i]) {
+      m_incarnations[i] = node.core().incarnation();
+      m_versions[i] = 0;
+    }
+    const uint64_t version = node.core().Status(m_fleet.now()).config_version();
+    if (version < m_versions[i]) {
+      found.push_back({"I8", RouterName(i).value() + " went back to version " +
+                                 std::to_string(version)});
+    }
+    m_versions[i] = version;
+  }
+}
+
+std::vector<Violation> Audit::CheckFolds() {
+  std::vector<Violation> found;
+  FoldNew(found);
+  const core::Status status = m_fold.CheckConservation();
+  if (!core::IsOk(status)) {
+    found.push_back({"I1", core::ToString(core::Failure(status))});
+  }
+  const uint64_t digest = m_fold.Digest();
+  for (size_t i = 0; i < m_fleet.size(); ++i) {
+    Node& node = m_fleet.node(i);
+    if (!node.alive() ||
+        node.core().fold().next_offset() != m_fold.next_offset()) {
+      continue;
+    }
+    if (node.core().fold().Digest() != digest) {
+      found.push_back({"I1", RouterName(i).value() + " has another state"});
+    }
+  }
+  return found;
+}
+
+TokenCount Audit::Count() const {
+  TokenCount count;
+  for (const ledger::Budget* budget : m_fold.Budgets()) {
+    count.paid_in += budget->paid_in.value();
+    count.billed += budget->billed.value();
+    count.free += budget->free.value();
+    count.held += (budget->held - budget->quarantined).value();
+  }
+  for (const auto& [id, used] : m_used) {
+    count.used += used;
+  }
+  count.stranded = count.paid_in - count.used - count.free - count.held;
+  return count;
+}
+
+bool Audit::WouldRun(const Wish& wish) const {
+  const ledger::Budget* budget = m_fold.FindBudget(wish.budget);
+  if (budget == nullptr) {
+    return false;
+  }
+  const auto used = m_used.find(wish.budget);
+  const int64_t spent = used == m_used.end() ? 0 : used->second;
+  return budget->paid_in.value() - spent >= wish.Cost().value();
+}
+
+}  // namespace coppervalve::trial
