--- a/apps/coppervalve/log_view.cc
+++ b/apps/coppervalve/log_view.cc
@@ -34,7 +34,7 @@
   }
   const LogOffset first_retained(core::Value(first).first_retained());
   if (first_retained > LogOffset(0)) {
-    const core::Status loaded = LoadSnapshot(first_retained, start);
+    core::Status loaded = LoadSnapshot(first_retained, start);
     if (!core::IsOk(loaded)) {
       return loaded;
     }
@@ -55,7 +55,7 @@
                          std::to_string(m_fold.next_offset().value()),
                          "entries expired while they were read; run it again"};
     }
-    const core::Status applied = ApplyAll(reply, observer);
+    core::Status applied = ApplyAll(reply, observer);
     if (!core::IsOk(applied)) {
       return applied;
     }
--- a/apps/coppervalve/publish.cc
+++ b/apps/coppervalve/publish.cc
@@ -102,7 +102,7 @@
     if (!core::IsOk(entry)) {
       return m_session.printer().Fail(core::Failure(entry));
     }
-    const core::Status read =
+    core::Status read =
         m_session.AppendAndRead(m_view, core::Value(entry), watch.Observer());
     if (watch.outcome()) {
       return Report(*watch.outcome());
@@ -195,7 +195,7 @@
         return core::Error{ErrorId::kNotInForce, VersionText(version),
                            "not confirmed by " + missing};
       }
-      const core::Status read = m_view.CatchUp(std::min(left, kPoll));
+      core::Status read = m_view.CatchUp(std::min(left, kPoll));
       if (!core::IsOk(read)) {
         return read;
       }
--- a/apps/coppervalve/session.cc
+++ b/apps/coppervalve/session.cc
@@ -65,8 +65,7 @@
                                     const LogView::Observer& observer) const {
   const core::Result<core::LogOffset> appended = view.client().Append(entry);
   // Also after a failed append: its reply may be all that was lost.
-  const core::Status read =
-      view.CatchUp(std::chrono::milliseconds(0), observer);
+  core::Status read = view.CatchUp(std::chrono::milliseconds(0), observer);
   if (!core::IsOk(appended)) {
     return core::Failure(appended);
   }
