Hold budgets on standby, join fragments near exhaustion, fill up sooner

Cause: a scratch simulation showed requests that wait out their queue time over fragments, refusals after 512 s of a log outage instead of 600 s, and routers without tokens for callers that come from a dead one. Ruled out: advertising fragments to peers (each hungry router keeps its own). Change: fragments go back to the balance; holdings are filled up at 4/5 of the target; budgets that others use are held on standby; no transfer is asked for when only the ceiling binds; a drain asks for what waits.

--- a/include/coppervalve/budget/book.h
+++ b/include/coppervalve/budget/book.h
@@ -71,7 +71,7 @@
 /// @brief A budget without requests for this long is idle.
 inline constexpr core::Duration kIdleAfter{5'000'000};  // microseconds
 /// @brief After a denial the log isn't asked again for this long, unless the
-/// balance changes.
+/// balance changes; nor after a grant, unless requests wait.
 inline constexpr core::Duration kAskAgainAfter{500'000};  // microseconds
 /// @brief Requests that wait try again at least this often.
 inline constexpr core::Duration kRetryWaitingAfter{500'000};  // microseconds
@@ -82,6 +82,9 @@
 /// @brief A retired incarnation waits this long for its transfers to be folded
 /// before it makes its final report without them.
 inline constexpr core::Duration kFinalReportAfter{5'000'000};  // microseconds
+/// @brief Budgets that other routers use are held on standby while this router
+/// knows fewer than so many.
+inline constexpr size_t kMaxStandbyBudgets = 1024;
 /// @brief Budgets that one heartbeat looks at, and advertises.
 inline constexpr size_t kSparesExamined = 1024;
 inline constexpr size_t kSparesAdvertised = 128;
@@ -170,7 +173,8 @@
   void OnWitnessRefused(const PeerRef& peer);
   /// @brief The log retired this incarnation.
   void OnRetired(core::TimePoint now);
-  /// @brief What BalanceHook answers for the budget changed.
+  /// @brief What BalanceHook answers for the budget changed. A budget that
+  /// others use may get a holding on standby.
   void OnBalanceChanged(core::TimePoint now, const core::BudgetId& budget);
   /// @brief How many routers share the budgets, this one included.
   void OnFleet(uint32_t active_routers);
@@ -247,6 +251,7 @@
     bool gate_waits = false;
     bool asked_before = false;
     std::optional<bool> grant_asked;  ///< outstanding; whether of class GATE
+    bool denied = false;              ///< by the last answer
     core::Sequence last_answer;       ///< entry of the last grant or denial
     core::TimePoint ask_again_at{};
     core::TimePoint transfer_ask_at{};
@@ -286,9 +291,12 @@
   void QueueReview(core::TimePoint at, Account& account);
   void ReturnSurplus(core::TimePoint now, Account& account);
   void Return(Account& account, core::Tokens tokens);
+  static bool HoldsFragment(const Account& account);
+  void ReturnFragment(core::TimePoint now, Account& account);
   void ReturnAll(Account& account);
 
   void OnReceived(core::TimePoint now, Account& account);
+  bool WantsStandby(const core::BudgetId& budget) const;
   void Credit(core::TimePoint now,
               const v1::TransferRecorded& transfer,
               bool folded);
--- a/src/budget/book.cc
+++ b/src/budget/book.cc
@@ -335,6 +335,24 @@
   m_records.push_back(std::move(record));
 }
 
+bool Book::HoldsFragment(const Account& account) {
+  const Holding& holding = account.holding;
+  return account.unmet > kNone &&
+         account.smallest_unmet > holding.Spare() + holding.reserved;
+}
+
+/// At the end of a budget each router may hold a little, less than any of its
+/// requests needs. Kept, these fragments would add up to work that is refused;
+/// in the balance, the next request that they suffice for draws them.
+void Book::ReturnFragment(core::TimePoint now, Account& account) {
+  if (!m_policy.shares || !HoldsFragment(account) ||
+      now < account.return_again_at) {
+    return;
+  }
+  account.return_again_at = now + kReturnEvery;
+  ReturnAll(account);
+}
+
 void Book::ReturnAll(Account& account) {
   const core::Tokens spare = account.holding.Spare();
   if (spare > kNone) {
--- a/src/budget/book_inputs.cc
+++ b/src/budget/book_inputs.cc
@@ -32,6 +32,8 @@
   }
   m_totals.received += tokens;
   account->grant_asked.reset();
+  account->denied = false;
+  account->ask_again_at = now + kAskAgainAfter;
   OnReceived(now, *account);
 }
 
@@ -45,6 +47,7 @@
   }
   account->last_answer = sequence;
   account->grant_asked.reset();
+  account->denied = true;
   account->ask_again_at = now + kAskAgainAfter;
   Wake(*account);
 }
@@ -118,14 +121,26 @@
   WakeAll();
 }
 
+bool Book::WantsStandby(const core::BudgetId& budget) const {
+  if (m_retired || m_draining || !m_policy.shares ||
+      m_accounts.size() >= kMaxStandbyBudgets) {
+    return false;
+  }
+  const std::optional<BalanceView> balance = m_balance(budget);
+  return balance && balance->held_by_others > kNone;
+}
+
 void Book::OnBalanceChanged(core::TimePoint now, const core::BudgetId& budget) {
   Account* account = Find(budget);
+  if (account == nullptr && WantsStandby(budget)) {
+    account = &Touch(budget);
+  }
   if (account == nullptr) {
     return;
   }
-  account->ask_again_at = now;
+  QueueSizing(*account);
   if (account->unmet > kNone) {
-    QueueSizing(*account);
+    account->ask_again_at = now;
     Wake(*account);
     return;
   }
@@ -216,10 +231,7 @@
                               const PeerRef& peer) const {
   // Two routers that each hold too little for any request would refuse both;
   // the smaller id gets the tokens, so they don't travel to and fro.
-  const bool useless = account.unmet > kNone &&
-                       account.smallest_unmet > account.holding.Spare() &&
-                       account.holding.reserved == kNone;
-  if (!useless || m_retired || !m_policy.shares) {
+  if (!HoldsFragment(account) || m_retired || !m_policy.shares) {
     return Giveable(now, account);
   }
   return peer < m_self ? std::max(account.holding.FoldedSpare() -
--- a/src/budget/book_outputs.cc
+++ b/src/budget/book_outputs.cc
@@ -67,7 +67,8 @@
       ReturnAll(account);
       continue;
     }
-    if (account.grant_asked || now < account.ask_again_at) {
+    const bool can_wait = account.unmet == kNone || account.denied;
+    if (account.grant_asked || (can_wait && now < account.ask_again_at)) {
       continue;
     }
     GrantAsk ask = m_policy.grant(ViewOf(now, account));
@@ -75,6 +76,7 @@
       ask.tokens = std::min(ask.tokens, std::max(ask.minimum, account.unmet));
     }
     if (ask.tokens <= kNone) {
+      ReturnFragment(now, account);
       continue;
     }
     account.grant_asked = ask.gate;
@@ -159,12 +161,15 @@
     const bool log_helps = !m_log_out && (account.grant_asked ||
                                           m_policy.grant(view).tokens > kNone);
     const auto offer = m_peer_spares.Best(now, budget);
-    if (log_helps || !offer) {
+    const bool only_ceiling_binds = view.smallest_unmet <= view.Spare();
+    if (only_ceiling_binds || log_helps || !offer) {
       continue;
     }
     const core::Tokens missing =
         std::max(view.unmet - view.Spare(), core::Tokens(1));
-    const core::Tokens wished = missing + m_policy.ceiling_step(view);
+    // Its part of what it would keep, so that it need not ask every second.
+    const core::Tokens ahead(m_policy.keep(view).value() / m_active_routers);
+    const core::Tokens wished = missing + ahead;
     TransferAskTo ask;
     ask.to = offer->peer;
     ask.ask.set_budget(budget.value());
--- a/src/budget/sizing.cc
+++ b/src/budget/sizing.cc
@@ -12,6 +12,10 @@
 
 constexpr Tokens kNone{0};
 constexpr int64_t kPermille = 1000;
+/// A holding is filled up once this part of its target is used: soon enough to
+/// ride through nearly the whole time at any moment, late enough for few
+/// records.
+constexpr int64_t kRefillBelow = 5;
 
 Tokens AtLeastZero(Tokens tokens) {
   return std::max(tokens, kNone);
@@ -45,18 +49,26 @@
   return Tokens(available.value() / parts);
 }
 
+/// What the other routers hold on average. While the log is out, callers of a
+/// router that died come to one that may never have seen their budget: it needs
+/// tokens of its own then. They cost little before, as its ceiling stays at 0.
+Tokens Standby(const SizingView& view) {
+  const int64_t others = std::max<int64_t>(view.active_routers, 2) - 1;
+  return Tokens(view.balance.held_by_others.value() / others);
+}
+
 /// What the holding should have spare.
 Tokens Target(const SizingOptions& options,
               const SizingView& view,
               Tokens share) {
+  const bool low = BalanceIsBelow(view, options.low_ask_permille);
   if (view.idle) {
-    return kNone;
+    return low ? kNone : std::min(Standby(view), share);
   }
   const Tokens wished =
-      BalanceIsBelow(view, options.low_ask_permille)
-          ? DemandOf(view, options.low_seconds)
-          : std::max(DemandOf(view, options.ride_through_seconds),
-                     Bounds(view, options.bounds_ahead));
+      low ? DemandOf(view, options.low_seconds)
+          : std::max({DemandOf(view, options.ride_through_seconds),
+                      Bounds(view, options.bounds_ahead), Standby(view)});
   return std::min(wished, share);
 }
 
@@ -77,7 +89,8 @@
   }
   const Tokens share = FairShare(options, view, open);
   const Tokens target = Target(options, view, share);
-  const bool refill = spare < Tokens(target.value() / 2);
+  const bool refill =
+      spare.value() < target.value() - target.value() / kRefillBelow;
   if (!refill && missing == kNone) {
     return {};
   }
@@ -93,11 +106,12 @@
     const Tokens running = DemandOf(view, options.keep_low_seconds);
     return view.idle ? kNone : std::max(running, view.unmet);
   }
-  // Plenty: a few requests' worth stays even when idle, so that the first
-  // request after a pause needs neither the log nor a peer. It costs little:
-  // when this router crashes, what is past the ceiling goes back anyway.
+  // Plenty: what the others hold, and a few requests' worth, stays even when
+  // idle, so that the first request after a pause needs neither the log nor a
+  // peer. It costs little: after a crash, what is past the ceiling goes back.
   return std::max({DemandOf(view, options.ride_through_seconds),
-                   Bounds(view, options.bounds_ahead), view.unmet});
+                   Bounds(view, options.bounds_ahead), Standby(view),
+                   view.unmet});
 }
 
 Tokens DefaultCeilingStep(const SizingOptions& options,
--- a/tests/budget/unit-book.cc
+++ b/tests/budget/unit-book.cc
@@ -137,6 +137,36 @@
   LONGS_EQUAL(1000, f.Records().at(0).allotment_returned().tokens());
 }
 
+// At the end of a budget each router holds less than its next request needs.
+// Kept, these fragments add up to work that is refused though it was paid for.
+TEST(Book, returns_a_fragment_that_no_waiting_request_can_use) {
+  BookFixture f;
+  f.Grant(100);
+  f.SetBalance(50, 1'000'000, 300);
+  CHECK(f.Waits(200, WaitReason::kTransfer));
+  LONGS_EQUAL(100, f.Records().at(0).allotment_returned().tokens());
+}
+
+// The log goes out and a router dies; its callers come to one that never saw
+// their budget. Without tokens of its own it would refuse them all.
+TEST(Book, holds_budgets_that_others_use_on_standby) {
+  BookFixture f;
+  f.book().OnBalanceChanged(f.now(), f.budget());
+  CHECK(f.Records().empty());
+  f.SetBalance(900'000, 1'000'000, 100'000);
+  f.book().OnBalanceChanged(f.now(), f.budget());
+  LONGS_EQUAL(100'000, f.Records().at(0).allotment_requested().tokens());
+}
+
+// A drain lets queued requests finish. They may still draw on the log, but not
+// for the minutes ahead that a staying router holds.
+TEST(Book, asks_while_draining_for_no_more_than_what_waits) {
+  BookFixture f;
+  f.book().StartDrain(f.now());
+  CHECK(f.Waits(300, WaitReason::kGrant));
+  LONGS_EQUAL(300, f.Records().at(0).allotment_requested().tokens());
+}
+
 // The log retires a router whose reports are still on their way: they are not
 // folded. Bills missing from the final report would be billed again elsewhere.
 TEST(Book, repeats_unfolded_bills_in_the_final_report) {
--- a/tests/budget/unit-witness.cc
+++ b/tests/budget/unit-witness.cc
@@ -82,6 +82,8 @@
   f.Grant(10'000);
   f.UseWitness(Peer(2));
   CHECK(f.Waits(5'000, WaitReason::kCeiling));
+  // Tokens of a peer wouldn't help.
+  CHECK(f.book().TakeTransferAsks(f.now()).empty());
   const CeilingRaiseTo sent = Only(f.book().TakeCeilingRaises(f.now()));
   CHECK(f.book().TakeCeilingRaises(f.now()).empty());
   f.Pass(200);
