Run random faults over the trial fleet

Cause: failures come at any moment, together or twice; hand-made schedules miss combinations. Ruled out: faults by wall time. Change: chaos schedule, fuzz-router.

--- /dev/null
+++ b/bench/fuzz/main.cc
@@ -0,0 +1,67 @@
+// Random runs of a fleet under faults: `fuzz-router --seeds N [--first S]`.
+// A seed that breaks an invariant prints its trace; the same seed repeats it.
+#include <CLI/CLI.hpp>
+
+#include <cstdint>   // uint64_t
+#include <iostream>  // cout
+
+#include "coppervalve/trial/chaos.h"
+
+namespace {
+
+using coppervalve::trial::ChaosOptions;
+using coppervalve::trial::ChaosResult;
+
+void Print(uint64_t seed, const ChaosResult& result) {
+  std::cout << "seed " << seed
+            << (result.violations.empty() ? " ok" : " FAILED") << ": wishes "
+            << result.total.wishes << " whole " << result.total.whole
+            << " refused " << result.total.refused << " unknown "
+            << result.total.unknown << " open " << result.total.open
+            << " false refusals " << result.total.false_refusals << " used "
+            << result.tokens.used << " of " << result.tokens.paid_in
+            << " stranded " << result.tokens.stranded << " retirements "
+            << result.retirements << " appends " << result.log_appends << '\n';
+  if (result.violations.empty()) {
+    return;
+  }
+  for (const std::string& line : result.trace) {
+    std::cout << "  " << line << '\n';
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Runs a fleet of routers under random faults.");
+  uint64_t seeds = 20;
+  uint64_t first = 1;
+  bool quiet = false;
+  ChaosOptions options;
+  app.add_option("--seeds", seeds, "how many seeds to run");
+  app.add_option("--first", first, "the first seed");
+  app.add_option("--log-retain", options.log_retain,
+                 "entries that the log keeps, 0 for all");
+  app.add_flag("--quiet", quiet, "print failing seeds and the sum only");
+  CLI11_PARSE(app, argc, argv);
+
+  uint64_t failed = 0;
+  uint64_t wishes = 0;
+  uint64_t whole = 0;
+  uint64_t false_refusals = 0;
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    options.seed = seed;
+    const ChaosResult result = coppervalve::trial::RunChaos(options);
+    failed += result.violations.empty() ? 0 : 1;
+    wishes += result.total.wishes;
+    whole += result.total.whole;
+    false_refusals += result.total.false_refusals;
+    if (!quiet || !result.violations.empty()) {
+      Print(seed, result);
+    }
+  }
+  std::cout << "fuzz: " << seeds - failed << " seeds passed, " << failed
+            << " failed; wishes " << wishes << " whole " << whole
+            << " false refusals " << false_refusals << '\n';
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/include/coppervalve/trial/chaos.h
@@ -0,0 +1,41 @@
+#ifndef COPPERVALVE_TRIAL_CHAOS_H_
+#define COPPERVALVE_TRIAL_CHAOS_H_
+
+#include <cstdint>  // uint64_t
+#include <string>   // string
+#include <vector>   // vector
+
+#include "coppervalve/core/units.h"
+#include "coppervalve/trial/audit.h"
+#include "coppervalve/trial/fleet.h"
+#include "coppervalve/trial/load.h"
+
+namespace coppervalve::trial {
+
+/// @brief Which faults a random run may contain, and how often.
+struct ChaosOptions {
+  uint64_t seed = 1;
+  core::Duration faults_for = std::chrono::seconds(90);
+  core::Duration calm_after = std::chrono::seconds(60);
+  core::Duration mean_gap = std::chrono::seconds(2);  ///< between faults
+  int64_t prepaid = 60'000;
+  uint64_t log_retain = 0;
+};
+
+/// @brief What one random run came to.
+struct ChaosResult {
+  std::vector<Violation> violations;
+  std::vector<std::string> trace;  ///< faults in order, with their times
+  ClassCount total;
+  TokenCount tokens;
+  uint64_t log_appends = 0;
+  uint64_t retirements = 0;
+};
+
+/// @brief Runs a fleet of 7 under random faults and checks all invariants
+/// every 100 ms of virtual time. The same options give the same run.
+ChaosResult RunChaos(const ChaosOptions& options);
+
+}  // namespace coppervalve::trial
+
+#endif  // COPPERVALVE_TRIAL_CHAOS_H_
--- a/tests/support/test_main.cc
+++ b/tests/support/test_main.cc
@@ -8,7 +8,6 @@
 
 int main(int argc, char** argv) {
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-  CommandLineTestRunner runner(argc, argv,
-                               TestRegistry::getCurrentRegistry());
+  CommandLineTestRunner runner(argc, argv, TestRegistry::getCurrentRegistry());
   return runner.runAllTestsMain();
 }
