--- a/src/budget/book_inputs.cc
+++ b/src/budget/book_inputs.cc
@@ -166,11 +166,13 @@
   if (m_retired || !m_witnessing.Choose(peer)) {
     return;
   }
-  for (Account& account : m_accounts) {
-    const SizingView view = ViewOf(now, account);
-    const core::Tokens step = view.idle ? kNone : m_policy.ceiling_step(view);
+  for (const Account& account : m_accounts) {
+    const Holding& holding = account.holding;
+    const bool idle = now - account.demand.LastAsked() > kIdleAfter;
+    const core::Tokens step =
+        idle ? kNone : m_policy.ceiling_step(ViewOf(now, account));
     m_witnessing.Ask(account.id,
-                     std::min(view.received, view.committed + step));
+                     std::min(holding.Received(), holding.Committed() + step));
   }
 }
 
