Test two safeguards of membership on their own

Cause: removing the cap on what one read adds to a silence, or the rule that no router is its own witness, failed no test. Ruled out: - Change: a test for the first, a stricter check for the second.

--- a/tests/membership/unit-choices.cc
+++ b/tests/membership/unit-choices.cc
@@ -48,6 +48,9 @@
   CHECK(witness.router != m_members[0].id.router);
   CHECK(Find(witness).member.failure_domain != m_members[0].failure_domain);
   CHECK(Keeps(witness));
+  m_peers = {self};
+  CHECK(std::holds_alternative<KeepWitness>(
+      m_choice.Judge(m_now, std::nullopt, m_peers)));
 }
 
 TEST(WitnessChoice, a_witness_is_replaced_only_after_a_while) {
--- a/tests/membership/unit-retirement-watch.cc
+++ b/tests/membership/unit-retirement-watch.cc
@@ -90,6 +90,17 @@
   }
 }
 
+// The observer stops for four seconds at a time, while a member is silent. It
+// cannot know whether that member could append in between.
+TEST(RetirementWatch, one_read_adds_no_more_than_a_usual_gap) {
+  RetirementWatch watch = Watch(0);
+  for (int i = 0; i < 5; ++i) {
+    m_now += 3 * kSecond;
+    Second(watch, {1});
+    CHECK(watch.TakeDue(m_now).empty());
+  }
+}
+
 // The log takes no appends for a minute but can be read, so everybody looks
 // silent. When it recovers, this router's entry is the first one in.
 TEST(RetirementWatch, an_outage_of_appends_retires_nobody) {
