--- /dev/null
+++ b/include/coppervalve/net/answer_store.h
@@ -0,0 +1,42 @@
+#ifndef COPPERVALVE_NET_ANSWER_STORE_H_
+#define COPPERVALVE_NET_ANSWER_STORE_H_
+
+#include <cstddef>        // size_t
+#include <memory>         // shared_ptr
+#include <mutex>          // mutex
+#include <unordered_map>  // unordered_map
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/net/answer.h"
+
+namespace coppervalve::net {
+
+/// @brief The answers of keyed requests, for callers that join them later.
+/// Thread-safe.
+class AnswerStore {
+ public:
+  /// @param answer_limit most bytes kept of one answer
+  /// @param total_limit most bytes kept of all; past it new answers are
+  /// relayed, not kept
+  AnswerStore(size_t answer_limit, size_t total_limit);
+
+  /// @brief Creates the answer of a request. @param keyed keep it
+  std::shared_ptr<Answer> Create(core::RequestId request, bool keyed);
+  /// @return the kept answer; null when there is none
+  std::shared_ptr<Answer> Find(core::RequestId request) const;
+  void Forget(core::RequestId request);
+  /// @complexity linear in the number of answers kept
+  size_t HeldBytes() const;
+
+ private:
+  size_t HeldBytesLocked() const;
+
+  const size_t m_answer_limit;
+  const size_t m_total_limit;
+  mutable std::mutex m_mutex;
+  std::unordered_map<core::RequestId, std::shared_ptr<Answer>> m_answers;
+};
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_NET_ANSWER_STORE_H_
--- /dev/null
+++ b/src/net/action_router.h
@@ -0,0 +1,48 @@
+#ifndef COPPERVALVE_SRC_NET_ACTION_ROUTER_H_
+#define COPPERVALVE_SRC_NET_ACTION_ROUTER_H_
+
+#include <functional>  // function
+#include <memory>      // unique_ptr
+#include <vector>      // vector
+
+#include "coppervalve/net/control_loop.h"
+#include "coppervalve/net/io_pool.h"
+#include "coppervalve/net/peer_client.h"
+#include "coppervalve/router/events.h"
+#include "log_transport.h"
+#include "platform_watch.h"
+#include "traffic_worker.h"
+
+namespace coppervalve::net {
+
+/// @brief Those who carry out actions; outlive the router.
+struct ActionOwners {
+  IoPool* pool = nullptr;
+  std::vector<std::unique_ptr<TrafficWorker>>* workers = nullptr;
+  LogTransport* log = nullptr;        ///< of the platform thread
+  PlatformWatch* platform = nullptr;  ///< of the platform thread
+  PeerClient* peers = nullptr;        ///< null without a peer link
+  EventSink report;
+  std::function<void(const router::LogLine&)> log_line;
+  std::function<void()> exit;
+};
+
+/// The traffic thread that talks to the platform too.
+inline constexpr size_t kPlatformThread = 0;
+
+/// @brief Hands each action to the thread that owns what it is about. Actions
+/// on one request arrive in the order of the calls.
+class ActionRouter {
+ public:
+  explicit ActionRouter(ActionOwners owners);
+
+  /// @brief Called on the control thread.
+  void Carry(router::Action action) const;
+
+ private:
+  ActionOwners m_owners;
+};
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_SRC_NET_ACTION_ROUTER_H_
--- /dev/null
+++ b/src/net/caller_session.cc
@@ -0,0 +1,306 @@
+#include "caller_session.h"
+
+#include <array>  // array
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>  // exchange, move
+
+#include "socket_util.h"
+
+namespace coppervalve::net {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr size_t kPieceBytes = size_t{64} * 1024;
+// How long a refused sender may go on sending before the connection is reset.
+constexpr std::chrono::milliseconds kLinger{2000};
+
+}  // namespace
+
+CallerSession::CallerSession(asio::io_context& context,
+                             size_t thread,
+                             asio::ip::tcp::socket socket,
+                             std::shared_ptr<const CallerHooks> hooks,
+                             const CallerLimits& limits,
+                             std::function<void()> on_closed)
+    : m_context(context),
+      m_thread(thread),
+      m_socket(std::move(socket)),
+      m_hooks(std::move(hooks)),
+      m_limits(limits),
+      m_on_closed(std::move(on_closed)),
+      m_deadline(context),
+      m_reader(context, m_socket, limits) {
+  ConfigureSocket(m_socket);
+}
+
+CallerSession::~CallerSession() = default;
+
+void CallerSession::Run() {
+  if (m_closing) {
+    Close();
+    return;
+  }
+  m_reader.Read(
+      [weak = weak_from_this()](core::Result<HttpRequest> request) {
+        if (const auto self = weak.lock()) {
+          self->OnRequest(std::move(request));
+        }
+      },
+      [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->Close();
+        }
+      });
+}
+
+void CallerSession::CloseWhenIdle() {
+  m_closing = true;
+  if (!m_busy && !m_reader.begun()) {
+    Close();
+  }
+}
+
+void CallerSession::OnRequest(core::Result<HttpRequest> result) {
+  if (!core::IsOk(result)) {
+    Reject(core::Failure(result));
+    return;
+  }
+  HttpRequest request = core::TakeValue(std::move(result));
+  m_busy = true;
+  m_head_sent = false;
+  m_last = false;
+  m_cut = false;
+  m_body.clear();
+  m_http_1_0 = request.http_1_0;
+  m_options.omit_body = request.method == "HEAD";
+  m_options.close = !m_reader.keep_alive() || m_closing || m_hooks->draining();
+  Exchange exchange = m_hooks->accept(m_thread, std::move(request));
+  m_request = exchange.request;
+  m_answer = std::make_unique<AnswerReader>(
+      std::move(exchange.answer), [weak = weak_from_this(), this] {
+        // Any thread may call; only this session's may read.
+        asio::post(m_context, [weak] {
+          if (const auto self = weak.lock()) {
+            self->Wake();
+          }
+        });
+      });
+  WatchForClose();
+  Pump();
+}
+
+void CallerSession::Reject(const core::Error& error) {
+  m_hooks->rejected(error);
+  const Refusal refusal = RefusalOf(error);
+  m_busy = true;
+  m_options = {.close = true, .omit_body = false};
+  m_answer = nullptr;
+  WriteWhole(RefusalHead(refusal), RefusalJson(refusal));
+}
+
+// ---- While a request is in progress ----------------------------------------
+
+void CallerSession::WatchForClose() {
+  if (m_watching) {
+    return;
+  }
+  m_watching = true;
+  m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                      [self = shared_from_this()](const ErrorCode& error) {
+                        self->m_watching = false;
+                        if (!error) {
+                          self->OnReadable();
+                        }
+                      });
+}
+
+void CallerSession::OnReadable() {
+  // Bytes instead of the end: the next request, sent early. It is read after
+  // this one is answered; until then a failing write tells of a caller's end.
+  if (m_busy && m_answer && IsClosedByPeer(m_socket)) {
+    LoseCaller();
+  }
+}
+
+void CallerSession::Wake() {
+  if (m_busy && m_answer && !m_writing) {
+    Pump();
+  }
+}
+
+void CallerSession::Pump() {
+  while (m_busy && m_answer && !m_writing) {
+    const Answer::Piece piece = m_answer->Next(kPieceBytes);
+    if (!m_head_sent && !PumpHead(piece)) {
+      const bool more = !piece.bytes.empty();
+      if (more) {
+        continue;
+      }
+      return;
+    }
+    if (m_writing) {
+      return;
+    }
+    PumpStream(piece);
+    if (!m_writing) {
+      return;
+    }
+  }
+}
+
+// @return whether the answer is a stream that `piece` is to be relayed of
+bool CallerSession::PumpHead(const Answer::Piece& piece) {
+  if (piece.head) {
+    m_head = *piece.head;
+  }
+  if (piece.state == Answer::State::kFailed) {
+    m_options.close = m_options.close || m_hooks->draining();
+    WriteWhole(RefusalHead(*piece.refusal), RefusalJson(*piece.refusal));
+    return false;
+  }
+  if (!piece.started) {
+    return false;
+  }
+  if (piece.stream && !m_http_1_0) {
+    return true;
+  }
+  // Nothing of an answer in one piece is relayed before all of it is here: a
+  // part would be taken for the whole.
+  m_body += piece.bytes;
+  if (piece.state == Answer::State::kWhole) {
+    WriteWhole(m_head, m_body);
+  }
+  return false;
+}
+
+void CallerSession::PumpStream(const Answer::Piece& piece) {
+  std::string out;
+  if (!m_head_sent) {
+    m_head_sent = true;
+    out += WireStreamHead(m_head, m_options);
+  }
+  if (!piece.bytes.empty()) {
+    out += WireChunk(piece.bytes);
+  }
+  if (piece.state == Answer::State::kWhole) {
+    out += WireLastChunk();
+    m_last = true;
+  }
+  if (piece.state == Answer::State::kFailed) {
+    // The caller has a part already. Only a missing end shows it that the
+    // answer is not whole, so there is no last chunk after the error event.
+    out += WireChunk(RefusalEvent(*piece.refusal));
+    m_last = true;
+    m_cut = true;
+  }
+  if (!out.empty()) {
+    Write(std::move(out));
+  }
+}
+
+void CallerSession::WriteWhole(const HttpHead& head, const std::string& body) {
+  m_last = true;
+  Write(WireResponse(head, body, m_options));
+}
+
+void CallerSession::Write(std::string bytes) {
+  m_writing = true;
+  m_out = std::move(bytes);
+  m_deadline.Arm(m_limits.write_timeout, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      ErrorCode ignored;
+      self->m_socket.close(ignored);
+    }
+  });
+  asio::async_write(
+      m_socket, asio::buffer(m_out),
+      [self = shared_from_this()](const ErrorCode& error, size_t) {
+        self->OnWritten(error);
+      });
+}
+
+void CallerSession::OnWritten(const ErrorCode& error) {
+  m_writing = false;
+  m_deadline.Disarm();
+  if (!m_busy) {
+    return;
+  }
+  if (error) {
+    LoseCaller();
+    return;
+  }
+  if (m_last) {
+    EndExchange();
+    return;
+  }
+  Pump();
+}
+
+void CallerSession::EndExchange() {
+  m_busy = false;
+  const bool had_request = m_answer != nullptr;
+  m_answer = nullptr;
+  if (had_request) {
+    m_hooks->served(m_thread, m_request);
+  }
+  if (m_options.close || m_cut || m_closing) {
+    CloseGently();
+    return;
+  }
+  Run();
+}
+
+void CallerSession::LoseCaller() {
+  m_busy = false;
+  const bool had_request = m_answer != nullptr;
+  m_answer = nullptr;
+  if (had_request) {
+    m_hooks->gone(m_thread, m_request);
+  }
+  Close();
+}
+
+// ---- The end of the connection ---------------------------------------------
+
+void CallerSession::CloseGently() {
+  // Closing while the caller still sends makes the kernel reset the
+  // connection, and the caller may lose the answer that says why. So its input
+  // is discarded until it closes too, or for a while.
+  ErrorCode ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  m_deadline.Arm(kLinger, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Close();
+    }
+  });
+  DiscardInput();
+}
+
+void CallerSession::DiscardInput() {
+  auto sink = std::make_shared<std::array<char, kPieceBytes>>();
+  m_socket.async_read_some(
+      asio::buffer(*sink),
+      [self = shared_from_this(), sink](const ErrorCode& error, size_t) {
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->DiscardInput();
+      });
+}
+
+void CallerSession::Close() {
+  m_deadline.Disarm();
+  m_reader.Stop();
+  ErrorCode ignored;
+  m_socket.close(ignored);
+  if (const auto closed = std::exchange(m_on_closed, nullptr)) {
+    // Posted: the owner drops this session, which is still in use here.
+    asio::post(m_context, closed);
+  }
+}
+
+}  // namespace coppervalve::net
--- /dev/null
+++ b/src/net/caller_session.h
@@ -0,0 +1,90 @@
+#ifndef COPPERVALVE_SRC_NET_CALLER_SESSION_H_
+#define COPPERVALVE_SRC_NET_CALLER_SESSION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>  // function
+#include <memory>      // shared_ptr
+#include <string>      // string
+
+#include "caller_reader.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/net/answer_reader.h"
+#include "coppervalve/net/caller_server.h"
+#include "deadline.h"
+#include "wire.h"
+
+namespace coppervalve::net {
+
+/// @brief One connection of a caller or operator: reads requests, writes their
+/// answers. Belongs to one traffic thread.
+///
+/// Its owner keeps it until it says that it closed.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(boost::asio::io_context& context,
+                size_t thread,
+                boost::asio::ip::tcp::socket socket,
+                std::shared_ptr<const CallerHooks> hooks,
+                const CallerLimits& limits,
+                std::function<void()> on_closed);
+  CallerSession(const CallerSession&) = delete;
+  CallerSession& operator=(const CallerSession&) = delete;
+  ~CallerSession();
+
+  void Run();
+  /// @brief Ends once the request in progress, if any, is answered.
+  void CloseWhenIdle();
+
+ private:
+  using ErrorCode = boost::system::error_code;
+
+  void OnRequest(core::Result<HttpRequest> request);
+  void Reject(const core::Error& error);
+
+  void WatchForClose();
+  void OnReadable();
+  void Wake();
+  void Pump();
+  bool PumpHead(const Answer::Piece& piece);
+  void PumpStream(const Answer::Piece& piece);
+  void WriteWhole(const HttpHead& head, const std::string& body);
+  void Write(std::string bytes);
+  void OnWritten(const ErrorCode& error);
+  void EndExchange();
+  void LoseCaller();
+
+  void CloseGently();
+  void DiscardInput();
+  void Close();
+
+  boost::asio::io_context& m_context;
+  const size_t m_thread;
+  boost::asio::ip::tcp::socket m_socket;
+  const std::shared_ptr<const CallerHooks> m_hooks;
+  const CallerLimits m_limits;
+  std::function<void()> m_on_closed;
+  Deadline m_deadline;
+  CallerReader m_reader;
+
+  // The request in progress.
+  bool m_busy = false;
+  core::RequestId m_request;
+  std::unique_ptr<AnswerReader> m_answer;
+  WireOptions m_options;
+  bool m_http_1_0 = false;
+  bool m_head_sent = false;
+  HttpHead m_head;
+  std::string m_body;
+  bool m_last = false;  // what is being written ends the exchange
+  bool m_cut = false;   // ... without a proper end
+  bool m_writing = false;
+  std::string m_out;
+
+  bool m_watching = false;
+  bool m_closing = false;
+};
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_SRC_NET_CALLER_SESSION_H_
--- /dev/null
+++ b/src/net/clock.cc
@@ -0,0 +1,20 @@
+#include "coppervalve/net/clock.h"
+
+#include <time.h>  // clock_gettime
+
+#include <chrono>  // duration_cast
+
+namespace coppervalve::net {
+
+core::TimePoint BootNow() {
+  // CLOCK_MONOTONIC stands still while a VM is suspended: after resuming, the
+  // router would take its view of the configuration for fresh.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  const auto since_boot =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return core::TimePoint(
+      std::chrono::duration_cast<core::Duration>(since_boot));
+}
+
+}  // namespace coppervalve::net
--- /dev/null
+++ b/src/net/deadline.cc
@@ -0,0 +1,66 @@
+#include "deadline.h"
+
+#include <cstdint>  // uint64_t
+#include <utility>  // move
+
+namespace coppervalve::net {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRepeat{20};
+
+}  // namespace
+
+struct Deadline::State : std::enable_shared_from_this<Deadline::State> {
+  explicit State(boost::asio::io_context& context) : timer(context) {}
+
+  void Wait(std::chrono::microseconds after) {
+    timer.expires_after(after);
+    timer.async_wait([self = shared_from_this(),
+                      armed = round](const boost::system::error_code& error) {
+      // A timer that has already expired can't be cancelled any more; the round
+      // tells that its callback is meant for an earlier step.
+      if (error || armed != self->round) {
+        return;
+      }
+      self->expired = true;
+      // Cancelling a composed read between two of its own reads has no effect,
+      // so the cancel is repeated until the step has really ended.
+      self->Wait(kRepeat);
+      const std::function<void()> action = self->on_expired;
+      action();
+    });
+  }
+
+  boost::asio::steady_timer timer;
+  uint64_t round = 0;
+  bool expired = false;
+  std::function<void()> on_expired;
+};
+
+Deadline::Deadline(boost::asio::io_context& context)
+    : m_state(std::make_shared<State>(context)) {}
+
+Deadline::~Deadline() {
+  Disarm();
+}
+
+void Deadline::Arm(std::chrono::microseconds after,
+                   std::function<void()> on_expired) {
+  ++m_state->round;
+  m_state->expired = false;
+  m_state->on_expired = std::move(on_expired);
+  m_state->Wait(after);
+}
+
+void Deadline::Disarm() {
+  ++m_state->round;
+  m_state->on_expired = nullptr;
+  m_state->timer.cancel();
+}
+
+bool Deadline::expired() const {
+  return m_state->expired;
+}
+
+}  // namespace coppervalve::net
--- /dev/null
+++ b/src/net/deadline.h
@@ -0,0 +1,34 @@
+#ifndef COPPERVALVE_SRC_NET_DEADLINE_H_
+#define COPPERVALVE_SRC_NET_DEADLINE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>      // milliseconds
+#include <functional>  // function
+#include <memory>      // shared_ptr
+
+namespace coppervalve::net {
+
+/// @brief Watches one step of a conversation; belongs to one thread.
+class Deadline {
+ public:
+  explicit Deadline(boost::asio::io_context& context);
+  Deadline(const Deadline&) = delete;
+  Deadline& operator=(const Deadline&) = delete;
+  ~Deadline();
+
+  /// @brief Starts over. @param on_expired called at the deadline, and again
+  /// and again until Disarm() or Arm(); must own what it touches
+  void Arm(std::chrono::microseconds after, std::function<void()> on_expired);
+  void Disarm();
+  /// @return whether it expired since it was last armed
+  bool expired() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_SRC_NET_DEADLINE_H_
--- /dev/null
+++ b/src/net/forward_writer.h
@@ -0,0 +1,23 @@
+#ifndef COPPERVALVE_SRC_NET_FORWARD_WRITER_H_
+#define COPPERVALVE_SRC_NET_FORWARD_WRITER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>  // function
+#include <memory>      // shared_ptr
+
+#include "coppervalve/net/answer.h"
+#include "coppervalve/net/peer_server.h"
+
+namespace coppervalve::net {
+
+/// @brief Writes an answer to the peer that forwarded the request. Runs on the
+/// thread of `context`, where it must be called too.
+/// @param on_ended called once; whether the peer gave up before
+void WriteForwardReply(boost::asio::io_context& context,
+                       std::shared_ptr<Answer> answer,
+                       std::shared_ptr<ForwardReply> reply,
+                       std::function<void(bool cancelled)> on_ended);
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_SRC_NET_FORWARD_WRITER_H_
--- /dev/null
+++ b/src/net/platform_watch.h
@@ -0,0 +1,35 @@
+#ifndef COPPERVALVE_SRC_NET_PLATFORM_WATCH_H_
+#define COPPERVALVE_SRC_NET_PLATFORM_WATCH_H_
+
+#include <boost/asio/io_context.hpp>
+#include <memory>  // shared_ptr
+
+#include "coppervalve/net/control_loop.h"
+#include "coppervalve/net/shell_settings.h"
+#include "coppervalve/router/events.h"
+
+namespace coppervalve::net {
+
+/// @brief Asks for the VM list again and again, and probes upstreams. Belongs
+/// to one thread; answers by VmListRead and ProbeEnded.
+class PlatformWatch {
+ public:
+  PlatformWatch(boost::asio::io_context& context,
+                const ShellSettings& settings,
+                EventSink report);
+  PlatformWatch(const PlatformWatch&) = delete;
+  PlatformWatch& operator=(const PlatformWatch&) = delete;
+  ~PlatformWatch();
+
+  /// @brief Begins to ask for the VM list, if there is an address for it.
+  void Start();
+  void Probe(const router::ProbeUpstream& action);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_SRC_NET_PLATFORM_WATCH_H_
--- /dev/null
+++ b/src/net/shell.cc
@@ -0,0 +1,315 @@
+#include "coppervalve/net/shell.h"
+
+#include <atomic>              // atomic
+#include <condition_variable>  // condition_variable
+#include <cstdio>              // snprintf
+#include <mutex>               // mutex
+#include <thread>              // sleep_for
+#include <utility>             // move
+#include <vector>              // vector
+
+#include "action_router.h"
+#include "coppervalve/net/answer_store.h"
+#include "coppervalve/net/clock.h"
+#include "coppervalve/net/io_pool.h"
+#include "coppervalve/net/peer_link.h"
+#include "forward_writer.h"
+#include "log_transport.h"
+#include "operator_routes.h"
+#include "platform_watch.h"
+#include "socket_util.h"
+#include "traffic_worker.h"
+
+namespace coppervalve::net {
+
+namespace {
+
+constexpr std::chrono::milliseconds kClosePoll{5};
+
+// Requests of two processes must never share a name, also after a restart.
+std::string RequestPrefix(const ShellSettings& settings) {
+  const auto ticks =
+      std::chrono::system_clock::now().time_since_epoch().count();
+  char text[17];
+  std::snprintf(text, sizeof(text), "%llx",
+                static_cast<unsigned long long>(ticks));
+  return settings.router_id + "-" + text + "-";
+}
+
+}  // namespace
+
+struct Shell::Impl {
+  Impl(ShellSettings a_settings, ShellHooks a_hooks)
+      : settings(std::move(a_settings)),
+        hooks(std::move(a_hooks)),
+        answers(settings.max_kept_answer_bytes, settings.max_kept_bytes),
+        pool(settings.traffic_threads),
+        control(
+            [this](core::TimePoint now, const router::Event& event) {
+              return Handle(now, event);
+            },
+            [this](router::Action action) { Carry(std::move(action)); }),
+        platform(pool.Context(kPlatformThread), settings, Sink()),
+        log(pool.Context(kPlatformThread), settings, Sink()),
+        callers(pool, CallerPort(), settings.caller),
+        operators(pool, OperatorPort(), settings.caller) {
+    if (!settings.peer_listen.empty()) {
+      peers = std::make_unique<PeerClient>(pool.Context(kPlatformThread),
+                                           settings.peer_secret);
+    }
+    shared = {&settings, &answers, peers.get(), Sink(),
+              RequestPrefix(settings)};
+    for (size_t thread = 0; thread < pool.size(); ++thread) {
+      workers.push_back(std::make_unique<TrafficWorker>(
+          pool.Context(thread), thread, pool.size(), shared));
+    }
+    actions = std::make_unique<ActionRouter>(
+        ActionOwners{&pool, &workers, &log, &platform, peers.get(), Sink(),
+                     hooks.log, [this] { OnExit(); }});
+    desk = {settings.operator_token, [this] { Drain(); }, hooks.metrics_text};
+  }
+
+  ~Impl() { Stop(); }
+
+  EventSink Sink() {
+    return [this](router::Event event) { control.Post(std::move(event)); };
+  }
+
+  // ---- The control thread --------------------------------------------------
+
+  std::vector<router::Action> Handle(core::TimePoint now,
+                                     const router::Event& event) {
+    if (hooks.on_event) {
+      hooks.on_event(now, event);
+    }
+    return hooks.handler(now, event);
+  }
+
+  void Carry(router::Action action) {
+    if (hooks.on_action) {
+      hooks.on_action(BootNow(), action);
+    }
+    actions->Carry(std::move(action));
+  }
+
+  // ---- Ports ---------------------------------------------------------------
+
+  CallerHooks PortHooks() {
+    CallerHooks port;
+    port.gone = [this](size_t thread, core::RequestId request) {
+      workers[thread]->OnCallerGone(request);
+    };
+    port.served = [this](size_t thread, core::RequestId request) {
+      workers[thread]->OnServed(request);
+    };
+    port.rejected = [this](const core::Error& error) {
+      if (hooks.on_rejected) {
+        hooks.on_rejected(error);
+      }
+    };
+    port.draining = [this] { return draining.load(); };
+    return port;
+  }
+
+  CallerHooks CallerPort() {
+    CallerHooks port = PortHooks();
+    port.accept = [this](size_t thread, HttpRequest request) {
+      return workers[thread]->Accept(std::move(request), std::nullopt);
+    };
+    return port;
+  }
+
+  CallerHooks OperatorPort() {
+    CallerHooks port = PortHooks();
+    port.accept = [this](size_t thread, const HttpRequest& request) {
+      return RouteOperator(desk, *workers[thread], request);
+    };
+    return port;
+  }
+
+  core::Status Listen() {
+    core::Status status = callers.Listen(settings.caller_listen);
+    if (core::IsOk(status)) {
+      status = operators.Listen(settings.operator_listen);
+    }
+    if (core::IsOk(status) && peers) {
+      status = ListenForPeers();
+    }
+    return status;
+  }
+
+  core::Status ListenForPeers() {
+    const auto endpoint = ParseEndpoint(settings.peer_listen);
+    if (!endpoint) {
+      return core::Error{core::ErrorId::kSettingBadValue, settings.peer_listen,
+                         "an ip:port is needed"};
+    }
+    PeerServerCallbacks callbacks;
+    callbacks.on_message = [this](v1::PeerMessage message) {
+      control.Post(router::PeerReceived{std::move(message)});
+    };
+    callbacks.on_forward = [this](ForwardHead head, std::string body,
+                                  std::shared_ptr<ForwardReply> reply) {
+      OnForward(std::move(head), std::move(body), std::move(reply));
+    };
+    callbacks.on_refused = [this](const core::Error& error) {
+      if (hooks.on_rejected) {
+        hooks.on_rejected(error);
+      }
+    };
+    peer_server = std::make_unique<PeerServer>(
+        pool.Context(kPlatformThread), endpoint->address().to_string(),
+        endpoint->port(), settings.peer_secret, std::move(callbacks));
+    return peer_server->Listen();
+  }
+
+  // ---- Requests that a peer forwards ---------------------------------------
+
+  void OnForward(ForwardHead head,
+                 std::string body,
+                 std::shared_ptr<ForwardReply> reply) {
+    const size_t thread = next_forward_thread++ % pool.size();
+    pool.Post(thread, [this, thread, head = std::move(head),
+                       body = std::move(body), reply = std::move(reply)] {
+      AcceptForward(thread, head, body, reply);
+    });
+  }
+
+  void AcceptForward(size_t thread,
+                     const ForwardHead& head,
+                     const std::string& body,
+                     const std::shared_ptr<ForwardReply>& reply) {
+    TrafficWorker& worker = *workers[thread];
+    // Meant for an earlier process at this address: a key that only that one
+    // may run would otherwise run here a second time.
+    const bool meant_for_us =
+        !hooks.incarnation || hooks.incarnation() == head.to_incarnation;
+    HttpRequest request;
+    request.method = head.method;
+    request.target = head.path;
+    request.headers = head.headers;
+    request.body = body;
+    if (!head.idempotency_key.empty()) {
+      request.headers.emplace_back("idempotency-key", head.idempotency_key);
+    }
+    const Exchange exchange =
+        meant_for_us ? worker.Accept(std::move(request), head.account)
+                     : worker.RefuseNow({core::ErrorId::kOriginGone,
+                                         "incarnation", "it has ended"});
+    WriteForwardReply(pool.Context(thread), exchange.answer, reply,
+                      [&worker, request_id = exchange.request](bool cancelled) {
+                        if (cancelled) {
+                          worker.OnCallerGone(request_id);
+                          return;
+                        }
+                        worker.OnServed(request_id);
+                      });
+  }
+
+  // ---- The end -------------------------------------------------------------
+
+  void Drain() {
+    if (!draining.exchange(true)) {
+      control.Post(router::DrainAsked{});
+    }
+  }
+
+  void OnExit() {
+    const std::scoped_lock lock(exit_mutex);
+    exiting = true;
+    exit_signal.notify_all();
+  }
+
+  void WaitForExit() {
+    {
+      std::unique_lock lock(exit_mutex);
+      exit_signal.wait(lock, [this] { return exiting; });
+    }
+    callers.Close();
+    operators.Close();
+    const auto peers_closed =
+        std::make_shared<std::atomic<bool>>(!peer_server);
+    if (peer_server) {
+      peer_server->Close([peers_closed] { *peers_closed = true; });
+    }
+    // The core's drain is complete, but answers may still be on their way out
+    // of this process: ending now would cut them off.
+    const auto patience =
+        std::chrono::steady_clock::now() + settings.close_patience;
+    while (std::chrono::steady_clock::now() < patience) {
+      const bool open = callers.OpenConnections() > 0 ||
+                        operators.OpenConnections() > 0 || !*peers_closed;
+      if (!open) {
+        break;
+      }
+      std::this_thread::sleep_for(kClosePoll);
+    }
+    Stop();
+  }
+
+  void Stop() {
+    control.Stop();
+    pool.Stop();
+  }
+
+  const ShellSettings settings;
+  const ShellHooks hooks;
+  std::atomic<bool> draining{false};
+  std::mutex exit_mutex;
+  std::condition_variable exit_signal;
+  bool exiting = false;
+
+  // What follows is destroyed in reverse: first whoever uses the threads.
+  AnswerStore answers;
+  IoPool pool;
+  ControlLoop control;
+  PlatformWatch platform;
+  LogTransport log;
+  CallerServer callers;
+  CallerServer operators;
+  WorkerContext shared;
+  std::vector<std::unique_ptr<TrafficWorker>> workers;
+  std::unique_ptr<PeerClient> peers;
+  std::unique_ptr<PeerServer> peer_server;
+  std::atomic<size_t> next_forward_thread{0};
+  std::unique_ptr<ActionRouter> actions;
+  OperatorDesk desk;
+};
+
+Shell::Shell(ShellSettings settings, ShellHooks hooks)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(hooks))) {}
+
+Shell::~Shell() = default;
+
+core::Status Shell::Start() {
+  core::Status status = m_impl->Listen();
+  if (!core::IsOk(status)) {
+    return status;
+  }
+  m_impl->pool.Start();
+  m_impl->control.Start();
+  m_impl->pool.Post(kPlatformThread, [this] { m_impl->platform.Start(); });
+  return core::Ok();
+}
+
+void Shell::Drain() {
+  m_impl->Drain();
+}
+
+void Shell::WaitForExit() {
+  m_impl->WaitForExit();
+}
+
+uint16_t Shell::caller_port() const {
+  return m_impl->callers.port();
+}
+
+uint16_t Shell::operator_port() const {
+  return m_impl->operators.port();
+}
+
+uint16_t Shell::peer_port() const {
+  return m_impl->peer_server ? m_impl->peer_server->port() : 0;
+}
+
+}  // namespace coppervalve::net
--- /dev/null
+++ b/src/net/traffic_worker.cc
@@ -0,0 +1,390 @@
+#include "traffic_worker.h"
+
+#include <algorithm>  // max
+#include <boost/asio/post.hpp>
+#include <chrono>   // milliseconds
+#include <utility>  // move
+
+#include "caller_routes.h"
+#include "coppervalve/net/clock.h"
+#include "coppervalve/net/model_json.h"
+#include "forward_relay.h"
+#include "wire.h"
+
+namespace coppervalve::net {
+
+namespace {
+
+using core::ErrorId;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+constexpr std::string_view kActivePhase = "active";
+constexpr std::string_view kDeadlineHeader = "x-deadline-ms";
+
+HttpHead JsonHead(unsigned status) {
+  return {status, {{"content-type", "application/json"}}};
+}
+
+}  // namespace
+
+TrafficWorker::TrafficWorker(boost::asio::io_context& context,
+                             size_t thread,
+                             size_t threads,
+                             const WorkerContext& shared)
+    : m_context(context),
+      m_thread(thread),
+      m_threads(threads),
+      m_shared(shared) {}
+
+TrafficWorker::~TrafficWorker() = default;
+
+// ---- Taking requests in ----------------------------------------------------
+
+Exchange TrafficWorker::Accept(HttpRequest http,
+                               const std::optional<core::AccountId>& account) {
+  const core::RequestId id = NextId();
+  core::Result<CallerRoute> routed = RouteCaller(http, id, BootNow(), account);
+  if (!core::IsOk(routed)) {
+    return RefuseNow(core::Failure(routed));
+  }
+  CallerRoute route = core::TakeValue(std::move(routed));
+  Entry entry;
+  if (const auto* work = std::get_if<router::RequestArrived>(&route.event)) {
+    entry.stream = work->stream;
+    entry.keyed = !work->idempotency_key.empty();
+    entry.deadline = work->deadline;
+  }
+  entry.wants_usage = route.wants_usage;
+  entry.account = account;
+  entry.http = std::move(http);
+  entry.answer = m_shared.answers->Create(id, entry.keyed);
+  Exchange exchange{id, entry.answer};
+  m_requests.emplace(id, std::move(entry));
+  std::visit([this](auto& event) { m_shared.report(std::move(event)); },
+             route.event);
+  return exchange;
+}
+
+Exchange TrafficWorker::AskStatus(bool readiness) {
+  const core::RequestId id = NextId();
+  Entry entry;
+  entry.readiness = readiness;
+  entry.answer = std::make_shared<Answer>(0);
+  Exchange exchange{id, entry.answer};
+  m_requests.emplace(id, std::move(entry));
+  m_shared.report(router::OperatorStatusAsked{id});
+  return exchange;
+}
+
+Exchange TrafficWorker::AnswerNow(HttpHead head, std::string_view body) {
+  auto answer = std::make_shared<Answer>(0);
+  answer->Start(std::move(head), false);
+  answer->Append(body);
+  answer->Finish();
+  return {NextId(), std::move(answer)};
+}
+
+Exchange TrafficWorker::RefuseNow(core::Error error) {
+  auto answer = std::make_shared<Answer>(0);
+  answer->Fail(RefusalOf(std::move(error)));
+  return {NextId(), std::move(answer)};
+}
+
+void TrafficWorker::OnCallerGone(core::RequestId request) {
+  m_shared.report(router::CallerGone{request});
+  Entry* entry = Find(request);
+  if (!entry) {
+    return;
+  }
+  entry->caller_gone = true;
+  if (entry->forward && !entry->keyed) {
+    // Nobody is left to read it; a keyed one may still be asked for again.
+    entry->forward->Cancel();
+  }
+  DropIfAbandoned(request);
+}
+
+void TrafficWorker::OnServed(core::RequestId request) {
+  const Entry* entry = Find(request);
+  if (entry && entry->joined) {
+    Erase(request);
+  }
+}
+
+// ---- Carrying out actions --------------------------------------------------
+
+void TrafficWorker::Carry(const router::Dispatch& action) {
+  Entry* entry = Find(action.request);
+  if (!entry || entry->joined) {
+    RefuseDispatch(action, "the request is over");
+    return;
+  }
+  if (entry->answer->started()) {
+    // A second attempt would be written behind the first one's part.
+    RefuseDispatch(action, "the caller has part of an answer");
+    return;
+  }
+  std::optional<AttemptPlan> plan = PlanFor(*entry, action);
+  if (!plan) {
+    RefuseDispatch(action, "the body can't be rewritten");
+    return;
+  }
+  entry->attempt = std::make_unique<UpstreamAttempt>(
+      m_context, m_pool, std::move(*plan), entry->answer,
+      [this, request = action.request,
+       attempt = action.attempt](router::Event event) {
+        OnAttemptEvent(request, attempt, std::move(event));
+      });
+}
+
+void TrafficWorker::Carry(const router::Refuse& action) {
+  Entry* entry = Find(action.request);
+  if (!entry) {
+    return;
+  }
+  entry->answer->Fail({action.error, action.run_state, action.retry_after});
+  Erase(action.request);
+}
+
+void TrafficWorker::Carry(const router::JoinAnswer& action) {
+  Entry* entry = Find(action.request);
+  if (!entry) {
+    return;
+  }
+  std::shared_ptr<Answer> leader = m_shared.answers->Find(action.leader);
+  if (!leader) {
+    entry->answer->Fail(
+        RefusalOf({ErrorId::kAnswerExpired, "answer", "it is no longer kept"}));
+    Erase(action.request);
+    return;
+  }
+  // What is kept under the joiner's own number would never be filled.
+  m_shared.answers->Forget(action.request);
+  entry->joined = true;
+  entry->http = HttpRequest();
+  entry->answer->RedirectTo(std::move(leader));
+  DropIfAbandoned(action.request);
+}
+
+void TrafficWorker::Carry(const router::Forward& action) {
+  Entry* entry = Find(action.request);
+  if (!entry || !m_shared.peers) {
+    m_shared.report(router::ForwardEnded{action.request, false, false});
+    return;
+  }
+  ForwardCallbacks callbacks = RelayForward(
+      entry->answer, m_shared.settings->max_answer_bytes,
+      [this, request = action.request](const ForwardOutcome& outcome) {
+        boost::asio::post(m_context, [this, request, outcome] {
+          OnForwardEnd(request, outcome);
+        });
+      });
+  entry->forward = m_shared.peers->StartForward(
+      action.address, ForwardHeadOf(*entry, action), entry->http.body,
+      std::move(callbacks));
+}
+
+void TrafficWorker::Carry(const router::CancelAttempt& action) {
+  Entry* entry = Find(action.request);
+  if (!entry || !entry->attempt || entry->attempt->id() != action.attempt) {
+    return;
+  }
+  entry->attempt.reset();
+  DropIfAbandoned(action.request);
+}
+
+void TrafficWorker::Carry(const router::ReplyJson& action) {
+  Entry* entry = Find(action.request);
+  if (!entry) {
+    return;
+  }
+  HttpHead head = JsonHead(action.http_status);
+  std::string body = action.json;
+  if (entry->readiness) {
+    const bool ready = ReadPhase(action.json) == kActivePhase;
+    head.status = ready ? kOk : kUnavailable;
+    body = ready ? R"({"ready":true})" : R"({"ready":false})";
+  }
+  entry->answer->Start(std::move(head), false);
+  entry->answer->Append(body);
+  entry->answer->Finish();
+  Erase(action.request);
+}
+
+void TrafficWorker::Carry(const router::ForgetAnswer& action) {
+  m_shared.answers->Forget(action.request);
+  const Entry* entry = Find(action.request);
+  if (entry && entry->caller_gone) {
+    Erase(action.request);
+  }
+}
+
+// ---- What attempts and forwards report -------------------------------------
+
+void TrafficWorker::OnAttemptEvent(core::RequestId request,
+                                   core::AttemptId attempt,
+                                   router::Event event) {
+  const bool done = std::holds_alternative<router::AttemptDone>(event);
+  const bool first = std::holds_alternative<router::AttemptFirstToken>(event);
+  m_shared.report(std::move(event));
+  Entry* entry = Find(request);
+  if (first || !entry || !entry->attempt || entry->attempt->id() != attempt) {
+    return;
+  }
+  if (done) {
+    Erase(request);
+    return;
+  }
+  entry->attempt.reset();
+  DropIfAbandoned(request);
+}
+
+void TrafficWorker::OnForwardEnd(core::RequestId request,
+                                 const ForwardOutcome& outcome) {
+  m_shared.report(router::ForwardEnded{request, outcome.whole, outcome.sent});
+  Entry* entry = Find(request);
+  if (!entry) {
+    return;
+  }
+  entry->forward.reset();
+  if (outcome.whole) {
+    Erase(request);
+    return;
+  }
+  DropIfAbandoned(request);
+}
+
+void TrafficWorker::RefuseDispatch(const router::Dispatch& action,
+                                   std::string detail) {
+  m_shared.report(router::AttemptNotSent{
+      action.request,
+      action.attempt,
+      {ErrorId::kBadRequest, "dispatch", std::move(detail)}});
+}
+
+// ---- What is sent ----------------------------------------------------------
+
+std::optional<AttemptPlan> TrafficWorker::PlanFor(
+    const Entry& entry,
+    const router::Dispatch& action) const {
+  HttpRequest request;
+  request.method = entry.http.method;
+  request.target = entry.http.target;
+  request.headers = UpstreamHeaders(entry, action);
+  request.body = entry.http.body;
+  if (action.model_work) {
+    core::Result<std::string> capped =
+        CapModelRequest(entry.http.body, action.max_output_tokens);
+    if (!core::IsOk(capped)) {
+      return std::nullopt;
+    }
+    request.body = core::TakeValue(std::move(capped));
+  } else {
+    request.target = ServiceTarget(entry.http.target);
+  }
+  // An answer in one piece shows nothing until its last token. A dead
+  // connection is noticed by the kernel's probes; this bounds a hung engine.
+  constexpr std::chrono::milliseconds kSlowestToken{100};
+  const ShellSettings& settings = *m_shared.settings;
+  AttemptPlan plan;
+  plan.request = action.request;
+  plan.attempt = action.attempt;
+  plan.address = action.address;
+  plan.wire = WireRequest(request, action.address);
+  plan.head_request = request.method == "HEAD";
+  plan.model_work = action.model_work;
+  plan.stream = entry.stream;
+  plan.relay_usage = entry.wants_usage;
+  plan.connect_timeout = settings.connect_timeout;
+  plan.first_token_timeout = action.first_token_timeout;
+  plan.inter_token_timeout = action.inter_token_timeout;
+  plan.whole_timeout = action.first_token_timeout +
+                       kSlowestToken * action.max_output_tokens.value();
+  plan.max_answer_bytes = settings.max_answer_bytes;
+  return plan;
+}
+
+HeaderList TrafficWorker::UpstreamHeaders(
+    const Entry& entry,
+    const router::Dispatch& action) const {
+  HeaderList headers;
+  for (const auto& [name, value] : entry.http.headers) {
+    const bool ours = name == "authorization" || name == kDeadlineHeader ||
+                      name == "x-request-id" ||
+                      name.starts_with("x-coppervalve-");
+    if (!ours) {
+      headers.emplace_back(name, value);
+    }
+  }
+  headers.emplace_back(
+      "x-request-id",
+      m_shared.request_prefix + std::to_string(action.request.value()));
+  if (entry.account) {
+    headers.emplace_back("x-coppervalve-account", entry.account->value());
+  }
+  headers.emplace_back("x-coppervalve-priority",
+                       std::to_string(action.priority));
+  return headers;
+}
+
+ForwardHead TrafficWorker::ForwardHeadOf(const Entry& entry,
+                                         const router::Forward& action) const {
+  ForwardHead head;
+  head.account = action.account;
+  head.to_incarnation = action.incarnation;
+  head.method = entry.http.method;
+  head.path = entry.http.target;
+  for (const auto& [name, value] : entry.http.headers) {
+    if (name == "idempotency-key") {
+      head.idempotency_key = value;
+      continue;
+    }
+    const bool dropped = IsHopByHop(name) || name == "host" ||
+                         name == "authorization" || name == kDeadlineHeader;
+    if (!dropped) {
+      head.headers.emplace_back(name, value);
+    }
+  }
+  if (entry.deadline) {
+    // The header counts from arrival: sent on as it is, each hop would give
+    // the request its whole time again.
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        *entry.deadline - BootNow());
+    head.headers.emplace_back(
+        std::string(kDeadlineHeader),
+        std::to_string(std::max<int64_t>(left.count(), 1)));
+  }
+  return head;
+}
+
+// ---- Bookkeeping -----------------------------------------------------------
+
+core::RequestId TrafficWorker::NextId() {
+  // The number names the owning thread, so that an action finds its way there.
+  return core::RequestId(m_next++ * m_threads + m_thread);
+}
+
+TrafficWorker::Entry* TrafficWorker::Find(core::RequestId request) {
+  const auto found = m_requests.find(request);
+  return found == m_requests.end() ? nullptr : &found->second;
+}
+
+void TrafficWorker::Erase(core::RequestId request) {
+  m_requests.erase(request);
+}
+
+void TrafficWorker::DropIfAbandoned(core::RequestId request) {
+  const Entry* entry = Find(request);
+  if (!entry || !entry->caller_gone) {
+    return;
+  }
+  // A keyed request without its caller goes on: a retry may fetch its answer.
+  // The core ends it by an answer, a refusal or ForgetAnswer.
+  const bool idle = !entry->attempt && !entry->forward;
+  if (entry->joined || (!entry->keyed && idle)) {
+    Erase(request);
+  }
+}
+
+}  // namespace coppervalve::net
--- /dev/null
+++ b/src/net/traffic_worker.h
@@ -0,0 +1,116 @@
+#ifndef COPPERVALVE_SRC_NET_TRAFFIC_WORKER_H_
+#define COPPERVALVE_SRC_NET_TRAFFIC_WORKER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>     // function
+#include <memory>         // unique_ptr
+#include <optional>       // optional
+#include <string>         // string
+#include <string_view>    // string_view
+#include <unordered_map>  // unordered_map
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/net/answer_store.h"
+#include "coppervalve/net/caller_server.h"
+#include "coppervalve/net/control_loop.h"
+#include "coppervalve/net/peer_client.h"
+#include "coppervalve/net/shell_settings.h"
+#include "coppervalve/router/events.h"
+#include "upstream_attempt.h"
+#include "upstream_pool.h"
+
+namespace coppervalve::net {
+
+/// @brief What the workers of all traffic threads share.
+struct WorkerContext {
+  const ShellSettings* settings = nullptr;
+  AnswerStore* answers = nullptr;
+  PeerClient* peers = nullptr;  ///< null without a peer link
+  EventSink report;
+  /// Put before the number of a request to name it outside of this process.
+  std::string request_prefix;
+};
+
+/// @brief The requests of one traffic thread: takes them in, carries out the
+/// core's actions on them. Everything is called on that thread.
+class TrafficWorker {
+ public:
+  TrafficWorker(boost::asio::io_context& context,
+                size_t thread,
+                size_t threads,
+                const WorkerContext& shared);
+  TrafficWorker(const TrafficWorker&) = delete;
+  TrafficWorker& operator=(const TrafficWorker&) = delete;
+  ~TrafficWorker();
+
+  /// @return the thread that owns a request
+  static size_t OwnerOf(core::RequestId request, size_t threads) {
+    return request.value() % threads;
+  }
+
+  /// @param account set when a peer router forwarded the request
+  Exchange Accept(HttpRequest http,
+                  const std::optional<core::AccountId>& account);
+  /// @brief Asks the core for this router's status.
+  /// @param readiness answer only whether it takes new work
+  Exchange AskStatus(bool readiness);
+  /// @brief An answer that is known at once.
+  Exchange AnswerNow(HttpHead head, std::string_view body);
+  Exchange RefuseNow(core::Error error);
+
+  void OnCallerGone(core::RequestId request);
+  void OnServed(core::RequestId request);
+
+  void Carry(const router::Dispatch& action);
+  void Carry(const router::Refuse& action);
+  void Carry(const router::JoinAnswer& action);
+  void Carry(const router::Forward& action);
+  void Carry(const router::CancelAttempt& action);
+  void Carry(const router::ReplyJson& action);
+  void Carry(const router::ForgetAnswer& action);
+
+ private:
+  struct Entry {
+    HttpRequest http;
+    std::shared_ptr<Answer> answer;
+    std::unique_ptr<UpstreamAttempt> attempt;
+    std::optional<ForwardHandle> forward;
+    std::optional<core::TimePoint> deadline;
+    std::optional<core::AccountId> account;
+    bool stream = false;
+    bool wants_usage = false;
+    bool keyed = false;
+    bool readiness = false;
+    bool joined = false;
+    bool caller_gone = false;
+  };
+
+  core::RequestId NextId();
+  Entry* Find(core::RequestId request);
+  void Erase(core::RequestId request);
+  void DropIfAbandoned(core::RequestId request);
+
+  std::optional<AttemptPlan> PlanFor(const Entry& entry,
+                                     const router::Dispatch& action) const;
+  HeaderList UpstreamHeaders(const Entry& entry,
+                             const router::Dispatch& action) const;
+  ForwardHead ForwardHeadOf(const Entry& entry,
+                            const router::Forward& action) const;
+  void OnAttemptEvent(core::RequestId request,
+                      core::AttemptId attempt,
+                      router::Event event);
+  void OnForwardEnd(core::RequestId request, const ForwardOutcome& outcome);
+  void RefuseDispatch(const router::Dispatch& action, std::string detail);
+
+  boost::asio::io_context& m_context;
+  const size_t m_thread;
+  const size_t m_threads;
+  const WorkerContext& m_shared;
+  uint64_t m_next = 1;
+  UpstreamPool m_pool;
+  std::unordered_map<core::RequestId, Entry> m_requests;
+};
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_SRC_NET_TRAFFIC_WORKER_H_
--- /dev/null
+++ b/src/net/upstream_attempt.cc
@@ -0,0 +1,470 @@
+#include "upstream_attempt.h"
+
+#include <array>  // array
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>  // optional
+#include <utility>   // exchange, move
+
+#include "beast_util.h"
+#include "coppervalve/net/model_json.h"
+#include "coppervalve/net/stream_relay.h"
+#include "deadline.h"
+#include "socket_util.h"
+#include "upstream_load.h"
+#include "upstream_pool.h"
+
+namespace coppervalve::net {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using core::ErrorId;
+
+constexpr uint32_t kMaxHeadBytes = 64U * 1024;
+constexpr size_t kReadBytes = size_t{16} * 1024;
+// Unread bytes of the caller at which reading from the upstream pauses.
+constexpr size_t kHighWater = size_t{256} * 1024;
+constexpr unsigned kOk = 200;
+constexpr unsigned kSuccessEnd = 300;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kServerErrors = 500;
+constexpr unsigned kUnavailable = 503;
+
+HttpHead RelayedHead(const HttpHead& head) {
+  HttpHead relayed;
+  relayed.status = head.status;
+  for (const auto& [name, value] : head.headers) {
+    if (!IsHopByHop(name) && !name.starts_with("x-engine-")) {
+      relayed.headers.emplace_back(name, value);
+    }
+  }
+  return relayed;
+}
+
+}  // namespace
+
+struct UpstreamAttempt::Impl
+    : std::enable_shared_from_this<UpstreamAttempt::Impl> {
+  using HeadParser = http::response_parser<http::empty_body>;
+  using WholeParser = http::response_parser<http::string_body>;
+  using StreamParser = http::response_parser<http::buffer_body>;
+
+  Impl(asio::io_context& a_context,
+       UpstreamPool& a_pool,
+       AttemptPlan a_plan,
+       std::shared_ptr<Answer> a_answer,
+       Report a_report)
+      : context(a_context),
+        pool(a_pool),
+        plan(std::move(a_plan)),
+        answer(std::move(a_answer)),
+        report(std::move(a_report)),
+        socket(a_context),
+        deadline(a_context) {}
+
+  void Start() {
+    if (auto idle = pool.Take(plan.address)) {
+      socket = std::move(*idle);
+      reused = true;
+      Write();
+      return;
+    }
+    Connect();
+  }
+
+  void Connect() {
+    reused = false;
+    const auto endpoint = ParseEndpoint(plan.address);
+    if (!endpoint) {
+      EndNotSent("not an address");
+      return;
+    }
+    ArmDeadline(plan.connect_timeout);
+    socket.async_connect(*endpoint, [self = shared_from_this()](error_code e) {
+      if (self->ended) {
+        return;
+      }
+      if (e) {
+        self->EndNotSent("connect: " + self->Text(e));
+        return;
+      }
+      ConfigureSocket(self->socket);
+      self->Write();
+    });
+  }
+
+  void Write() {
+    ArmDeadline(plan.stream || !plan.model_work ? plan.first_token_timeout
+                                                : plan.whole_timeout);
+    asio::async_write(
+        socket, asio::buffer(plan.wire),
+        [self = shared_from_this()](error_code e, size_t written) {
+          self->OnWritten(e, written);
+        });
+  }
+
+  void OnWritten(error_code e, size_t written) {
+    if (ended) {
+      return;
+    }
+    if (!e) {
+      ReadHead();
+      return;
+    }
+    // Point of no return: once the kernel took a byte, the upstream may have
+    // the request, and sending it again could run it twice. With no byte
+    // taken, another connection is safe.
+    if (written > 0) {
+      EndFailed(Broken("write", e));
+      return;
+    }
+    if (reused && !deadline.expired()) {
+      CloseSocket();
+      Connect();
+      return;
+    }
+    EndNotSent("write: " + Text(e));
+  }
+
+  void ReadHead() {
+    head_parser.emplace();
+    head_parser->header_limit(kMaxHeadBytes);
+    head_parser->body_limit(plan.max_answer_bytes);
+    if (plan.head_request) {
+      head_parser->skip(true);
+    }
+    http::async_read_header(
+        socket, buffer, *head_parser,
+        [self = shared_from_this()](error_code e, size_t) { self->OnHead(e); });
+  }
+
+  void OnHead(error_code e) {
+    if (ended) {
+      return;
+    }
+    if (e) {
+      EndFailed(Broken("answer", e));
+      return;
+    }
+    const unsigned status = head_parser->get().result_int();
+    if (status < kOk) {
+      ReadHead();
+      return;
+    }
+    head = HeadOf(head_parser->get());
+    load = LoadOf(head.headers);
+    const bool busy = status == kTooManyRequests || status == kUnavailable;
+    if (busy && HeaderValue(head.headers, "x-not-run") == "true") {
+      EndDeclined();
+      return;
+    }
+    // An engine that fails without stating that it did not run the work may
+    // have run it.
+    if (plan.model_work && (busy || status >= kServerErrors)) {
+      EndFailed({ErrorId::kUpstreamFailed, plan.address,
+                 "HTTP status " + std::to_string(status)});
+      return;
+    }
+    // An answer that ends with its connection can't be told from a cut one.
+    if (head_parser->need_eof()) {
+      EndFailed({ErrorId::kUpstreamProtocol, plan.address,
+                 "an answer without length or chunks"});
+      return;
+    }
+    const bool events = HeaderValue(head.headers, "content-type")
+                            .starts_with("text/event-stream");
+    if (plan.model_work && plan.stream && status < kSuccessEnd && events) {
+      BeginStream();
+      return;
+    }
+    whole_parser.emplace(std::move(*head_parser));
+    ReadWhole();
+  }
+
+  void ReadWhole() {
+    if (whole_parser->is_done()) {
+      EndWhole();
+      return;
+    }
+    http::async_read_some(socket, buffer, *whole_parser,
+                          [self = shared_from_this()](error_code e, size_t) {
+                            self->OnWholePart(e);
+                          });
+  }
+
+  void OnWholePart(error_code e) {
+    if (ended) {
+      return;
+    }
+    if (e == http::error::body_limit) {
+      EndFailed({ErrorId::kUpstreamProtocol, plan.address,
+                 "the answer exceeds its bound"});
+      return;
+    }
+    if (e) {
+      EndFailed(Broken("answer", e));
+      return;
+    }
+    ReportFirstToken();
+    if (!plan.model_work) {
+      ArmDeadline(plan.inter_token_timeout);
+    }
+    ReadWhole();
+  }
+
+  void EndWhole() {
+    std::string body = std::move(whole_parser->get().body());
+    std::optional<router::Usage> usage;
+    if (plan.model_work && head.status < kSuccessEnd) {
+      const core::Result<ModelAnswer> parsed = ReadModelAnswer(body);
+      if (!core::IsOk(parsed)) {
+        EndFailed(core::Failure(parsed));
+        return;
+      }
+      usage = core::Value(parsed).usage;
+    }
+    const core::Bytes size(static_cast<int64_t>(body.size()));
+    answer->Start(RelayedHead(head), false);
+    answer->Append(body);
+    answer->Finish();
+    EndDone(whole_parser->keep_alive(), usage, size);
+  }
+
+  void BeginStream() {
+    stream_parser.emplace(std::move(*head_parser));
+    // A long stream is bounded by its tokens and by backpressure.
+    stream_parser->body_limit(boost::none);
+    relay.emplace(answer, RelayedHead(head), plan.relay_usage);
+    answer->OnTaken([weak = weak_from_this(), &io = context] {
+      asio::post(io, [weak] {
+        if (const auto self = weak.lock()) {
+          self->Resume();
+        }
+      });
+    });
+    ReadStream();
+  }
+
+  void ReadStream() {
+    auto& body = stream_parser->get().body();
+    body.data = chunk.data();
+    body.size = chunk.size();
+    body.more = true;
+    http::async_read_some(socket, buffer, *stream_parser,
+                          [self = shared_from_this()](error_code e, size_t) {
+                            self->OnStreamPart(e);
+                          });
+  }
+
+  void OnStreamPart(error_code e) {
+    if (ended) {
+      return;
+    }
+    const size_t size = chunk.size() - stream_parser->get().body().size;
+    const core::Tokens before = relay->output_seen();
+    const core::Status fed = relay->Feed({chunk.data(), size});
+    if (!core::IsOk(fed)) {
+      EndFailed(core::Failure(fed));
+      return;
+    }
+    if (e && e != http::error::need_buffer) {
+      EndFailed(Broken("stream", e));
+      return;
+    }
+    if (relay->output_seen() > before) {
+      ReportFirstToken();
+      // Only tokens count: an engine may send comments while it hangs.
+      ArmDeadline(plan.inter_token_timeout);
+    }
+    if (stream_parser->is_done()) {
+      EndStream();
+      return;
+    }
+    if (answer->Lag() > kHighWater) {
+      // A slow caller, not a silent upstream: the watchdog rests.
+      paused = true;
+      deadline.Disarm();
+      Resume();
+      return;
+    }
+    ReadStream();
+  }
+
+  void Resume() {
+    if (ended || !paused || answer->Lag() > kHighWater) {
+      return;
+    }
+    paused = false;
+    ArmDeadline(plan.inter_token_timeout);
+    ReadStream();
+  }
+
+  void EndStream() {
+    const core::Status finished = relay->Finish();
+    if (!core::IsOk(finished)) {
+      EndFailed(core::Failure(finished));
+      return;
+    }
+    EndDone(stream_parser->keep_alive(), relay->usage(), relay->relayed());
+  }
+
+  // ---- Ends ----------------------------------------------------------------
+
+  void EndDone(bool keep_alive,
+               std::optional<router::Usage> usage,
+               core::Bytes size) {
+    // Bytes past the end of this answer would be taken for the next one's.
+    const bool reusable = keep_alive && buffer.size() == 0;
+    deadline.Disarm();
+    if (reusable) {
+      pool.Put(plan.address, std::move(socket));
+    }
+    End(router::AttemptDone{plan.request, plan.attempt, head.status, usage,
+                            size, load});
+  }
+
+  void EndDeclined() {
+    const auto seconds = ReadNumber(HeaderValue(head.headers, "retry-after"));
+    std::optional<core::Duration> retry_after;
+    if (seconds) {
+      retry_after = std::chrono::seconds(*seconds);
+    }
+    End(router::AttemptDeclined{plan.request, plan.attempt, head.status,
+                                retry_after, load});
+  }
+
+  void EndNotSent(std::string detail) {
+    End(router::AttemptNotSent{
+        plan.request,
+        plan.attempt,
+        {ErrorId::kUpstreamFailed, plan.address, std::move(detail)}});
+  }
+
+  void EndFailed(core::Error error) {
+    End(router::AttemptFailed{plan.request, plan.attempt, std::move(error),
+                              answer->started(),
+                              relay ? relay->output_seen() : core::Tokens()});
+  }
+
+  void End(router::Event event) {
+    const Report callback = std::exchange(report, nullptr);
+    Cancel();
+    // Posted, so that whoever takes the report may drop this attempt.
+    asio::post(context, [callback, event = std::move(event)]() mutable {
+      callback(std::move(event));
+    });
+  }
+
+  void Cancel() {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    deadline.Disarm();
+    answer->OnTaken(nullptr);
+    CloseSocket();
+  }
+
+  // ---- Helpers -------------------------------------------------------------
+
+  void ReportFirstToken() {
+    if (!std::exchange(first_token_reported, true)) {
+      report(router::AttemptFirstToken{plan.request, plan.attempt});
+    }
+  }
+
+  void ArmDeadline(std::chrono::microseconds after) {
+    deadline.Arm(after, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->CloseSocket();
+      }
+    });
+  }
+
+  void CloseSocket() {
+    error_code ignored;
+    socket.close(ignored);
+  }
+
+  std::string Text(error_code e) const {
+    return deadline.expired() ? "timeout" : e.message();
+  }
+
+  // What a connection that broke after the first byte says of the answer.
+  core::Error Broken(std::string_view step, error_code e) const {
+    const std::string detail = std::string(step) + ": " + Text(e);
+    if (deadline.expired()) {
+      return {ErrorId::kUpstreamSilent, plan.address, detail};
+    }
+    if (e == http::error::partial_message) {
+      return {ErrorId::kAnswerCut, plan.address, detail};
+    }
+    const bool closed = e == http::error::end_of_stream;
+    if (!closed &&
+        e.category() ==
+            http::make_error_code(http::error::bad_line_ending).category()) {
+      return {ErrorId::kUpstreamProtocol, plan.address, detail};
+    }
+    const bool begun = whole_parser || stream_parser;
+    return {begun ? ErrorId::kAnswerCut : ErrorId::kUpstreamFailed,
+            plan.address, detail};
+  }
+
+  asio::io_context& context;
+  UpstreamPool& pool;
+  const AttemptPlan plan;
+  const std::shared_ptr<Answer> answer;
+  Report report;
+  tcp::socket socket;
+  Deadline deadline;
+  bool reused = false;
+  bool ended = false;
+  bool paused = false;
+  bool first_token_reported = false;
+  beast::flat_buffer buffer;
+  std::optional<HeadParser> head_parser;
+  std::optional<WholeParser> whole_parser;
+  std::optional<StreamParser> stream_parser;
+  std::optional<StreamRelay> relay;
+  std::array<char, kReadBytes> chunk{};
+  HttpHead head;
+  std::optional<router::UpstreamLoad> load;
+};
+
+UpstreamAttempt::UpstreamAttempt(asio::io_context& context,
+                                 UpstreamPool& pool,
+                                 AttemptPlan plan,
+                                 std::shared_ptr<Answer> answer,
+                                 Report report)
+    : m_impl(std::make_shared<Impl>(context,
+                                    pool,
+                                    std::move(plan),
+                                    std::move(answer),
+                                    std::move(report))) {
+  m_impl->Start();
+}
+
+UpstreamAttempt::~UpstreamAttempt() {
+  Cancel();
+}
+
+core::AttemptId UpstreamAttempt::id() const {
+  return m_impl->plan.attempt;
+}
+
+void UpstreamAttempt::Cancel() {
+  m_impl->Cancel();
+}
+
+}  // namespace coppervalve::net
--- /dev/null
+++ b/src/net/upstream_attempt.h
@@ -0,0 +1,69 @@
+#ifndef COPPERVALVE_SRC_NET_UPSTREAM_ATTEMPT_H_
+#define COPPERVALVE_SRC_NET_UPSTREAM_ATTEMPT_H_
+
+#include <chrono>      // microseconds
+#include <cstddef>     // size_t
+#include <functional>  // function
+#include <memory>      // shared_ptr
+#include <string>      // string
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/net/answer.h"
+#include "coppervalve/router/events.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace coppervalve::net {
+
+class UpstreamPool;
+
+/// @brief Everything one attempt at an upstream needs.
+struct AttemptPlan {
+  core::RequestId request;
+  core::AttemptId attempt;
+  std::string address;
+  std::string wire;  ///< the whole request as bytes
+  bool head_request = false;
+  bool model_work = false;
+  bool stream = false;
+  bool relay_usage = false;  ///< the caller asked for the usage event
+  std::chrono::microseconds connect_timeout{};
+  std::chrono::microseconds first_token_timeout{};
+  std::chrono::microseconds inter_token_timeout{};
+  /// Bound of an answer that comes in one piece.
+  std::chrono::microseconds whole_timeout{};
+  size_t max_answer_bytes = 0;
+};
+
+/// @brief One attempt of a request at one upstream. Belongs to the thread of
+/// its io_context; lives until it ended or was cancelled.
+class UpstreamAttempt {
+ public:
+  /// Reports AttemptFirstToken, then exactly one of AttemptNotSent,
+  /// AttemptDeclined, AttemptDone and AttemptFailed; nothing once cancelled.
+  using Report = std::function<void(router::Event)>;
+
+  UpstreamAttempt(boost::asio::io_context& context,
+                  UpstreamPool& pool,
+                  AttemptPlan plan,
+                  std::shared_ptr<Answer> answer,
+                  Report report);
+  UpstreamAttempt(const UpstreamAttempt&) = delete;
+  UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
+  /// Cancels.
+  ~UpstreamAttempt();
+
+  core::AttemptId id() const;
+  /// @brief Closes the connection and reports nothing more.
+  void Cancel();
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_SRC_NET_UPSTREAM_ATTEMPT_H_
--- /dev/null
+++ b/src/net/upstream_pool.h
@@ -0,0 +1,31 @@
+#ifndef COPPERVALVE_SRC_NET_UPSTREAM_POOL_H_
+#define COPPERVALVE_SRC_NET_UPSTREAM_POOL_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>         // steady_clock
+#include <optional>       // optional
+#include <string>         // string
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+namespace coppervalve::net {
+
+/// @brief Idle connections to upstreams, of one traffic thread.
+class UpstreamPool {
+ public:
+  /// @return a connection that looked alive just now
+  std::optional<boost::asio::ip::tcp::socket> Take(const std::string& address);
+  void Put(const std::string& address, boost::asio::ip::tcp::socket socket);
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  struct Idle {
+    boost::asio::ip::tcp::socket socket;
+    Clock::time_point since;
+  };
+  std::unordered_map<std::string, std::vector<Idle>> m_idle;
+};
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_SRC_NET_UPSTREAM_POOL_H_
--- /dev/null
+++ b/tests/net/unit-platform.cc
@@ -0,0 +1,174 @@
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>  // atomic
+#include <mutex>   // mutex
+#include <string>  // string
+
+#include "fake_server.h"
+#include "test_shell.h"
+
+using namespace coppervalve;
+using namespace coppervalve::net::testing;
+
+namespace {
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string ReadReplyBytes() {
+  v1::ReadReply reply;
+  reply.set_first_retained(3);
+  reply.set_end(8);
+  v1::LoggedEntry* entry = reply.add_entries();
+  entry->set_offset(7);
+  entry->set_entry("bytes");
+  return reply.SerializeAsString();
+}
+
+std::string AppendReplyBytes(uint64_t offset) {
+  v1::AppendReply reply;
+  reply.set_offset(offset);
+  return reply.SerializeAsString();
+}
+
+// Does this once, at the first request of a caller.
+TestShell::Decide OnRequest(TestShell::Actions actions) {
+  return [actions = std::move(actions)](const router::Event& event) {
+    const bool arrived = std::holds_alternative<router::AddressesAsked>(event);
+    return arrived ? actions : TestShell::Actions();
+  };
+}
+
+void Trigger(TestShell& shell) {
+  shell.Caller().Send("GET /v1/addresses HTTP/1.1\r\nHost: r\r\n\r\n");
+}
+
+net::ShellSettings WithLog(const std::string& address) {
+  net::ShellSettings settings = TestShell::Settings();
+  settings.log_address = address;
+  settings.log_timeout = std::chrono::milliseconds(300);
+  return settings;
+}
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(Platform){};
+// clang-format on
+
+TEST(Platform, the_log_is_read_and_appended_to) {
+  std::mutex mutex;
+  std::string seen;
+  FakeServer log([&mutex, &seen](RawSocket& socket, size_t) {
+    while (true) {
+      const std::string request = socket.ReadMessage();
+      if (request.empty()) {
+        return;
+      }
+      const std::scoped_lock lock(mutex);
+      seen += request;
+      const bool append = request.starts_with("POST");
+      socket.Send(Reply(append ? AppendReplyBytes(8) : ReadReplyBytes()));
+    }
+  });
+  {
+    TestShell shell(OnRequest({router::ReadLog{core::LogOffset(7),
+                                               std::chrono::milliseconds(250)},
+                               router::AppendLog{std::string("\0entry", 6)}}),
+                    WithLog(log.address()));
+    Trigger(shell);
+    const auto read = shell.WaitFor<router::LogRead>();
+    CHECK(read.has_value());
+    LONGS_EQUAL(8, read->reply.end());
+    STRCMP_EQUAL("bytes", read->reply.entries(0).entry().c_str());
+    const auto appended = shell.WaitFor<router::LogAppended>();
+    CHECK(appended.has_value());
+    LONGS_EQUAL(8, appended->offset.value());
+  }
+  CHECK_TEXT(Has(seen, "GET /log/read?from=7&max_bytes=1048576&wait_ms=250 "),
+             seen.c_str());
+  CHECK(Has(seen, "POST /log/append "));
+  CHECK(Has(seen, std::string("\r\n\r\n\0entry", 10)));
+}
+
+TEST(Platform, an_append_whose_reply_is_lost_is_neither_repeated_nor_done) {
+  // The service takes the entry and its reply is lost. The core must hear that
+  // the outcome is open, and the shell must not append a second time.
+  std::atomic<int> appends{0};
+  FakeServer log([&appends](RawSocket& socket, size_t) {
+    socket.ReadMessage();
+    ++appends;
+    socket.Reset();
+  });
+  {
+    TestShell shell(OnRequest({router::AppendLog{"entry"}}),
+                    WithLog(log.address()));
+    Trigger(shell);
+    CHECK(shell.WaitForCount<router::LogAppendFailed>(1));
+    LONGS_EQUAL(0, shell.Count<router::LogAppended>());
+  }
+  LONGS_EQUAL(1, appends);
+}
+
+TEST(Platform, a_log_that_is_out_or_silent_is_reported) {
+  FakeServer silent([](RawSocket& socket, size_t) { socket.ReadToEnd(); });
+  {
+    TestShell shell(OnRequest({router::ReadLog{core::LogOffset(0), {}},
+                               router::AppendLog{"entry"}}),
+                    WithLog(silent.address()));
+    Trigger(shell);
+    CHECK(shell.WaitFor<router::LogReadFailed>()->error.id ==
+          core::ErrorId::kLogUnavailable);
+    CHECK(shell.WaitFor<router::LogAppendFailed>().has_value());
+  }
+  TestShell shell(OnRequest({router::ReadLog{core::LogOffset(0), {}}}),
+                  WithLog("127.0.0.1:1"));
+  Trigger(shell);
+  CHECK(shell.WaitFor<router::LogReadFailed>().has_value());
+}
+
+TEST(Platform, a_reply_that_cannot_be_read_is_a_failure) {
+  FakeServer log(AlwaysReply(Reply("\xff\xff not a message")));
+  {
+    TestShell shell(OnRequest({router::ReadLog{core::LogOffset(0), {}}}),
+                    WithLog(log.address()));
+    Trigger(shell);
+    CHECK(shell.WaitFor<router::LogReadFailed>().has_value());
+  }
+}
+
+TEST(Platform, the_vm_list_is_asked_for_again_and_again) {
+  FakeServer vms(AlwaysReply(Reply(
+      R"({"vms":[{"id":"m1","address":"127.0.0.1:9","leaving":true,"new":1}]})")));
+  {
+    net::ShellSettings settings = TestShell::Settings();
+    settings.vm_list_address = vms.address();
+    settings.vm_list_interval = std::chrono::milliseconds(30);
+    TestShell shell(OnRequest({}), settings);
+    const auto list = shell.WaitFor<router::VmListRead>();
+    CHECK(list.has_value());
+    STRCMP_EQUAL("m1", list->vms.vms(0).id().c_str());
+    CHECK(list->vms.vms(0).leaving());
+  }
+}
+
+TEST(Platform, a_probe_tells_health_and_load) {
+  FakeServer healthy(AlwaysReply(Reply("{}", "x-engine-queued: 4\r\n")));
+  FakeServer ill(AlwaysReply("HTTP/1.1 503 Ill\r\nContent-Length: 0\r\n\r\n"));
+  {
+    TestShell shell(OnRequest(
+        {router::ProbeUpstream{core::UpstreamId("u1"), healthy.address()}}));
+    Trigger(shell);
+    const auto ended = shell.WaitFor<router::ProbeEnded>();
+    CHECK(ended.has_value());
+    CHECK(ended->healthy);
+    LONGS_EQUAL(4, ended->load->queued);
+  }
+  TestShell shell(OnRequest(
+      {router::ProbeUpstream{core::UpstreamId("u2"), ill.address()}}));
+  Trigger(shell);
+  const auto ended = shell.WaitFor<router::ProbeEnded>();
+  CHECK(ended.has_value());
+  CHECK_FALSE(ended->healthy);
+}
