--- /dev/null
+++ b/include/coppervalve/telemetry/json_text.h
@@ -0,0 +1,15 @@
+#ifndef COPPERVALVE_TELEMETRY_JSON_TEXT_H_
+#define COPPERVALVE_TELEMETRY_JSON_TEXT_H_
+
+#include <string>       // string
+#include <string_view>  // string_view
+
+namespace coppervalve::telemetry {
+
+/// @brief Appends a JSON string with its quotes. Bytes that are not UTF-8 are
+/// kept as they are.
+void AppendJsonString(std::string& out, std::string_view text);
+
+}  // namespace coppervalve::telemetry
+
+#endif  // COPPERVALVE_TELEMETRY_JSON_TEXT_H_
--- /dev/null
+++ b/src/telemetry/easylogging_setup.h
@@ -0,0 +1,10 @@
+#ifndef COPPERVALVE_SRC_TELEMETRY_EASYLOGGING_SETUP_H_
+#define COPPERVALVE_SRC_TELEMETRY_EASYLOGGING_SETUP_H_
+
+// The library and its users must be compiled with the same switches. Without
+// the second one it writes a file into the working folder, and the VMs have no
+// disks.
+#define ELPP_THREAD_SAFE
+#define ELPP_NO_DEFAULT_LOG_FILE
+
+#endif  // COPPERVALVE_SRC_TELEMETRY_EASYLOGGING_SETUP_H_
--- /dev/null
+++ b/src/telemetry/json_text.cc
@@ -0,0 +1,35 @@
+#include "coppervalve/telemetry/json_text.h"
+
+#include <array>   // array
+#include <cstdio>  // snprintf
+
+namespace coppervalve::telemetry {
+
+namespace {
+
+constexpr unsigned char kFirstPrintable = 0x20;
+
+}  // namespace
+
+void AppendJsonString(std::string& out, std::string_view text) {
+  out += '"';
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+      continue;
+    }
+    if (static_cast<unsigned char>(c) >= kFirstPrintable) {
+      out += c;
+      continue;
+    }
+    // A raw line break would let a caller's text forge a line of the log.
+    std::array<char, 8> escaped{};
+    std::snprintf(escaped.data(), escaped.size(), "\\u%04x",
+                  static_cast<unsigned>(static_cast<unsigned char>(c)));
+    out += escaped.data();
+  }
+  out += '"';
+}
+
+}  // namespace coppervalve::telemetry
