--- /dev/null
+++ b/apps/coppervalved/daemon.cc
@@ -0,0 +1,155 @@
+#include "daemon.h"
+
+#include <signal.h>  // sigwait
+
+#include <atomic>  // atomic
+#include <chrono>  // system_clock
+#include <memory>  // make_unique
+#include <pcg_random.hpp>
+#include <random>   // random_device
+#include <thread>   // thread
+#include <utility>  // move
+
+#include "coppervalve/net/clock.h"
+#include "coppervalve/net/shell.h"
+#include "coppervalve/router/core.h"
+#include "coppervalve/telemetry/log.h"
+#include "coppervalve/telemetry/router_metrics.h"
+#include "version.h"
+
+namespace coppervalve::daemon {
+
+namespace {
+
+constexpr unsigned kBitsOfSeed = 32;
+constexpr int kMinutesADay = 24 * 60;
+
+pcg64 SeededGenerator() {
+  std::random_device device;
+  const uint64_t high = device();
+  const uint64_t low = device();
+  return pcg64((high << kBitsOfSeed) | low);
+}
+
+// UTC minute of the day at a time of the decision clock.
+uint32_t MinuteOfDay(core::TimePoint time) {
+  const auto wall = std::chrono::system_clock::now() + (time - net::BootNow());
+  const auto minutes =
+      std::chrono::duration_cast<std::chrono::minutes>(wall.time_since_epoch());
+  return static_cast<uint32_t>(minutes.count() % kMinutesADay);
+}
+
+router::RouterSettings RouterSettingsOf(const Settings& settings) {
+  router::RouterSettings result;
+  result.router = core::RouterId(settings.shell.router_id);
+  result.caller_address = settings.caller_advertise;
+  result.peer_address = settings.peer_advertise;
+  result.operator_address = settings.operator_advertise;
+  result.failure_domain = core::FailureDomainId(settings.failure_domain);
+  result.region = settings.region;
+  result.version = kVersion;
+  result.drain_patience = settings.drain_patience;
+  return result;
+}
+
+/// The decision core with what it needs of chance and the calendar.
+class Brain {
+ public:
+  explicit Brain(const Settings& settings)
+      : m_generator(SeededGenerator()),
+        m_core(RouterSettingsOf(settings),
+               {[this] { return m_generator(); }, MinuteOfDay}),
+        m_incarnation(m_core.incarnation().value()) {}
+
+  std::vector<router::Action> Handle(core::TimePoint now,
+                                     const router::Event& event) {
+    std::vector<router::Action> actions = m_core.Handle(now, event);
+    m_incarnation = m_core.incarnation().value();
+    return actions;
+  }
+
+  /// From any thread.
+  core::Incarnation incarnation() const {
+    return core::Incarnation(m_incarnation.load());
+  }
+
+ private:
+  pcg64 m_generator;
+  router::RouterCore m_core;
+  std::atomic<uint64_t> m_incarnation;
+};
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+// Waits for signals on a thread of its own, which ends with the process: each
+// asks for a drain, and only the first one counts.
+void DrainOnSignal(net::Shell& shell, const sigset_t& signals) {
+  std::thread([&shell, signals] {
+    while (true) {
+      int received = 0;
+      if (sigwait(&signals, &received) == 0) {
+        shell.Drain();
+      }
+    }
+  }).detach();
+}
+
+net::ShellHooks HooksOf(Brain& brain, telemetry::RouterMetrics& metrics) {
+  net::ShellHooks hooks;
+  hooks.handler = [&brain](core::TimePoint now, const router::Event& event) {
+    return brain.Handle(now, event);
+  };
+  hooks.on_event = [&metrics](core::TimePoint now, const router::Event& event) {
+    metrics.OnEvent(now, event);
+  };
+  hooks.on_action = [&metrics](core::TimePoint now,
+                               const router::Action& action) {
+    metrics.OnAction(now, action);
+  };
+  hooks.on_rejected = [&metrics](const core::Error& error) {
+    metrics.OnRejected(error);
+  };
+  hooks.log = telemetry::WriteLine;
+  hooks.metrics_text = [&metrics] { return metrics.Text(); };
+  hooks.incarnation = [&brain] { return brain.incarnation(); };
+  return hooks;
+}
+
+router::LogLine Line(std::string event, const Settings& settings) {
+  return {router::LogLine::Level::kInfo,
+          std::move(event),
+          {{"router", settings.shell.router_id}, {"version", kVersion}}};
+}
+
+}  // namespace
+
+core::Status RunDaemon(const Settings& settings) {
+  // A caller that closes while its answer is written must not end the process.
+  signal(SIGPIPE, SIG_IGN);
+  // Blocked before any thread starts, so that all inherit it and only the
+  // waiting one takes the signals.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  telemetry::OpenLog(settings.log_level);
+  // Lives as long as the process: the waiting thread refers to it.
+  static telemetry::RouterMetrics metrics;
+  static Brain brain(settings);
+  static net::Shell shell(settings.shell, HooksOf(brain, metrics));
+  const core::Status started = shell.Start();
+  if (!core::IsOk(started)) {
+    return started;
+  }
+  telemetry::WriteLine(Line("started", settings));
+  DrainOnSignal(shell, signals);
+  shell.WaitForExit();
+  telemetry::WriteLine(Line("stopped", settings));
+  return core::Ok();
+}
+
+}  // namespace coppervalve::daemon
