--- a/include/coppervalve/standin/event_loop.h
+++ b/include/coppervalve/standin/event_loop.h
@@ -23,6 +23,8 @@
   void After(core::Duration delay, std::function<void()> task);
   /// @brief Runs the loop until SIGTERM or SIGINT.
   void RunUntilTerminated();
+  /// @brief Runs the loop for this long; for tests.
+  void RunFor(core::Duration time);
 
   /// The Asio context, for the sources of this library only.
   struct Context;
--- a/src/standin/event_loop.cc
+++ b/src/standin/event_loop.cc
@@ -42,4 +42,8 @@
   m_context->io.run();
 }
 
+void EventLoop::RunFor(core::Duration time) {
+  m_context->io.run_for(time);
+}
+
 }  // namespace coppervalve::standin
--- a/src/standin/json.cc
+++ b/src/standin/json.cc
@@ -1,6 +1,7 @@
 #include "coppervalve/standin/json.h"
 
-#include <boost/json/src.hpp>  // the library itself, in this source only
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 
 namespace coppervalve::standin {
 
--- /dev/null
+++ b/src/standin/tcp_relay.cc
@@ -0,0 +1,354 @@
+#include "coppervalve/standin/tcp_relay.h"
+
+#include <array>  // array
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>     // function
+#include <string>         // to_string
+#include <unordered_set>  // unordered_set
+#include <utility>        // move, pair
+#include <vector>         // vector
+
+#include "event_loop_context.h"
+
+namespace coppervalve::standin {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr size_t kBufferBytes = 64 << 10;
+
+constexpr std::array<std::pair<std::string_view, RelayMode>, 5> kModeNames = {
+    {{"pass", RelayMode::kPass},
+     {"stall", RelayMode::kStall},
+     {"stall-existing", RelayMode::kStallExisting},
+     {"refuse", RelayMode::kRefuse},
+     {"cut", RelayMode::kCut}}};
+
+tcp::endpoint EndpointOf(const Address& address) {
+  return {asio::ip::make_address(address.ip), address.port};
+}
+
+}  // namespace
+
+std::optional<RelayMode> RelayModeNamed(std::string_view name) {
+  for (const auto& [known, mode] : kModeNames) {
+    if (known == name) {
+      return mode;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string_view RelayModeName(RelayMode mode) {
+  for (const auto& [name, known] : kModeNames) {
+    if (known == mode) {
+      return name;
+    }
+  }
+  return {};
+}
+
+// A connection from a client and the one to the target made for it.
+class RelayedPair : public std::enable_shared_from_this<RelayedPair> {
+ public:
+  struct Hooks {
+    std::function<void(const std::shared_ptr<RelayedPair>&)> on_closed;
+    std::function<void(size_t)> on_forwarded;
+  };
+
+  RelayedPair(tcp::socket client, asio::io_context& io, Hooks hooks)
+      : m_hooks(std::move(hooks)),
+        m_up{std::move(client), {}, {}, 0, false},
+        m_down{tcp::socket(io), {}, {}, 0, false} {}
+
+  void Connect(const tcp::endpoint& target);
+  // A silent pair stays silent: stalled and resumed it would come back.
+  void Stall() { m_stalled = !m_silent; }
+  void Resume();
+  void SilenceForGood();
+  void Reset();
+
+ private:
+  // One direction's source, and what was read from it.
+  struct Side {
+    tcp::socket socket;
+    std::array<char, kBufferBytes> buffer;
+    ErrorCode end;        // why reading ended
+    size_t held = 0;      // bytes read but not forwarded while stalled
+    bool paused = false;  // no read or write is in progress
+  };
+
+  Side& Other(Side& side) { return &side == &m_up ? m_down : m_up; }
+  void Pump(Side& from);
+  void OnRead(Side& from, const ErrorCode& error, size_t bytes);
+  void Forward(Side& from, size_t bytes);
+  void EndOf(Side& from);
+  void Close();
+
+  Hooks m_hooks;
+  Side m_up;    // from the client
+  Side m_down;  // from the target
+  bool m_connected = false;
+  bool m_stalled = false;
+  bool m_silent = false;
+  bool m_closed = false;
+};
+
+void RelayedPair::Connect(const tcp::endpoint& target) {
+  ErrorCode ignored;
+  m_up.socket.set_option(tcp::no_delay(true), ignored);
+  m_down.socket.async_connect(
+      target, [self = shared_from_this()](const ErrorCode& error) {
+        if (error) {
+          self->Reset();
+          return;
+        }
+        ErrorCode unused;
+        self->m_down.socket.set_option(tcp::no_delay(true), unused);
+        self->m_connected = true;
+        self->Pump(self->m_up);
+        self->Pump(self->m_down);
+      });
+}
+
+void RelayedPair::Resume() {
+  m_stalled = false;
+  for (Side* side : {&m_up, &m_down}) {
+    if (!side->paused) {
+      continue;
+    }
+    side->paused = false;
+    if (side->held > 0) {
+      Forward(*side, std::exchange(side->held, 0));
+    } else {
+      EndOf(*side);
+    }
+  }
+}
+
+// Bytes are read on and thrown away, so that the relay notices when an end has
+// given up; it is not told to the other end, which must not notice anything.
+void RelayedPair::SilenceForGood() {
+  m_silent = true;
+  m_stalled = false;
+  for (Side* side : {&m_up, &m_down}) {
+    if (std::exchange(side->paused, false)) {
+      side->held = 0;
+      Pump(*side);
+    }
+  }
+}
+
+void RelayedPair::Reset() {
+  ErrorCode ignored;
+  // Linger of zero makes close send RST instead of FIN.
+  m_up.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  m_down.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  Close();
+}
+
+void RelayedPair::Pump(Side& from) {
+  from.socket.async_read_some(
+      asio::buffer(from.buffer),
+      [self = shared_from_this(), &from](const ErrorCode& error, size_t bytes) {
+        self->OnRead(from, error, bytes);
+      });
+}
+
+void RelayedPair::OnRead(Side& from, const ErrorCode& error, size_t bytes) {
+  if (m_closed) {
+    return;
+  }
+  from.end = error;
+  if (m_stalled) {
+    from.paused = true;
+    from.held = bytes;
+    return;
+  }
+  if (error) {
+    EndOf(from);
+    return;
+  }
+  if (m_silent) {
+    Pump(from);
+    return;
+  }
+  Forward(from, bytes);
+}
+
+void RelayedPair::Forward(Side& from, size_t bytes) {
+  m_hooks.on_forwarded(bytes);
+  asio::async_write(
+      Other(from).socket, asio::buffer(from.buffer.data(), bytes),
+      [self = shared_from_this(), &from](const ErrorCode& error, size_t) {
+        if (self->m_closed) {
+          return;
+        }
+        // Of a silent pair one end may be closed while the other must not
+        // notice.
+        if (error && !self->m_silent) {
+          self->Close();
+          return;
+        }
+        self->Pump(from);
+      });
+}
+
+void RelayedPair::EndOf(Side& from) {
+  ErrorCode ignored;
+  if (m_silent) {
+    from.socket.close(ignored);
+    if (!Other(from).socket.is_open()) {
+      Close();
+    }
+    return;
+  }
+  if (from.end != asio::error::eof) {
+    Reset();
+    return;
+  }
+  // A half-close is passed on; the pair ends with its second one.
+  Other(from).socket.shutdown(tcp::socket::shutdown_send, ignored);
+  if (Other(from).end) {
+    Close();
+  }
+}
+
+void RelayedPair::Close() {
+  if (std::exchange(m_closed, true)) {
+    return;
+  }
+  ErrorCode ignored;
+  m_up.socket.close(ignored);
+  m_down.socket.close(ignored);
+  m_hooks.on_closed(shared_from_this());
+}
+
+struct TcpRelay::Impl {
+  Impl(EventLoop& loop, Address from, const Address& target)
+      : io(loop.context().io),
+        listen(std::move(from)),
+        to(EndpointOf(target)),
+        acceptor(io) {}
+
+  core::Status Open();
+  void AcceptNext();
+  void Accept(tcp::socket client);
+  std::vector<std::shared_ptr<RelayedPair>> Pairs() const {
+    return {pairs.begin(), pairs.end()};
+  }
+
+  asio::io_context& io;
+  Address listen;
+  tcp::endpoint to;
+  tcp::acceptor acceptor;
+  std::unordered_set<std::shared_ptr<RelayedPair>> pairs;
+  RelayMode mode = RelayMode::kPass;
+  RelayStats stats;
+};
+
+core::Status TcpRelay::Impl::Open() {
+  if (acceptor.is_open()) {
+    return core::Ok();
+  }
+  const tcp::endpoint endpoint = EndpointOf(listen);
+  ErrorCode error;
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    ErrorCode ignored;
+    acceptor.close(ignored);
+    return core::Error{core::ErrorId::kSettingBadValue,
+                       listen.ip + ":" + std::to_string(listen.port),
+                       error.message()};
+  }
+  AcceptNext();
+  return core::Ok();
+}
+
+void TcpRelay::Impl::AcceptNext() {
+  acceptor.async_accept([this](const ErrorCode& error, tcp::socket client) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      Accept(std::move(client));
+    }
+    AcceptNext();
+  });
+}
+
+void TcpRelay::Impl::Accept(tcp::socket client) {
+  ++stats.accepted;
+  const auto pair = std::make_shared<RelayedPair>(
+      std::move(client), io,
+      RelayedPair::Hooks{[this](const std::shared_ptr<RelayedPair>& closed) {
+                           pairs.erase(closed);
+                         },
+                         [this](size_t bytes) { stats.bytes += bytes; }});
+  pairs.insert(pair);
+  if (mode == RelayMode::kStall) {
+    pair->Stall();
+  }
+  pair->Connect(to);
+}
+
+TcpRelay::TcpRelay(EventLoop& loop, Address listen, const Address& to)
+    : m_impl(std::make_unique<Impl>(loop, std::move(listen), to)) {}
+
+TcpRelay::~TcpRelay() = default;
+
+core::Status TcpRelay::Start() {
+  return m_impl->Open();
+}
+
+core::Status TcpRelay::SetMode(RelayMode mode) {
+  m_impl->mode = mode;
+  for (const auto& pair : m_impl->Pairs()) {
+    switch (mode) {
+      case RelayMode::kPass:
+      case RelayMode::kRefuse:
+        pair->Resume();
+        break;
+      case RelayMode::kStall:
+        pair->Stall();
+        break;
+      case RelayMode::kStallExisting:
+        pair->SilenceForGood();
+        break;
+      case RelayMode::kCut:
+        pair->Reset();
+        break;
+    }
+  }
+  if (mode != RelayMode::kRefuse && mode != RelayMode::kCut) {
+    return m_impl->Open();
+  }
+  ErrorCode ignored;
+  m_impl->acceptor.close(ignored);
+  return core::Ok();
+}
+
+RelayMode TcpRelay::mode() const {
+  return m_impl->mode;
+}
+
+RelayStats TcpRelay::stats() const {
+  RelayStats stats = m_impl->stats;
+  stats.open = m_impl->pairs.size();
+  return stats;
+}
+
+}  // namespace coppervalve::standin
