--- a/include/coppervalve/ledger/effects.h
+++ b/include/coppervalve/ledger/effects.h
@@ -173,7 +173,8 @@
   core::Hash128 key_hash;
 };
 
-/// @brief The key belongs to another router; no owner: the claim was stale.
+/// @brief The key is taken. The owner is the claimant itself when it claims
+/// again what it has won; no owner: the claim was stale.
 struct ClaimLost {
   core::RouterId router;
   core::Incarnation incarnation;
