Answer keyed retries truthfully at a closed router; restart incarnations clean

Cause: a closed router refused a retry as not run before it looked at the key; a new incarnation could take a late reply to the old one's append for its own. Ruled out: refusing all keyed requests as unknown (needless). Change: the key is looked at first; incarnations change only with no log call open; the trial's node stops ticking once it has exited.

--- a/include/coppervalve/router/core.h
+++ b/include/coppervalve/router/core.h
@@ -1,8 +1,9 @@
 #ifndef COPPERVALVE_ROUTER_CORE_H_
 #define COPPERVALVE_ROUTER_CORE_H_
 
-#include <memory>  // unique_ptr
-#include <vector>  // vector
+#include <cstdint>  // uint64_t
+#include <memory>   // unique_ptr
+#include <vector>   // vector
 
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/result.h"
@@ -53,10 +54,13 @@
   struct Session;
 
   void Restart();
+  void RestartIfEnded();
+  void CountReply(const Event& event);
 
   RouterSettings m_settings;
   RouterHooks m_hooks;
   std::unique_ptr<Session> m_session;
+  uint64_t m_open_log_calls = 0;  ///< reads and appends not yet answered
 };
 
 }  // namespace coppervalve::router
--- a/include/coppervalve/router/detail/request_flow.h
+++ b/include/coppervalve/router/detail/request_flow.h
@@ -53,6 +53,8 @@
   void OnArrived(core::TimePoint now,
                  const RequestArrived& event,
                  const std::optional<core::Error>& closed);
+  /// @brief Refuses a request before the log was read for the first time.
+  void RefuseUnread(const RequestArrived& event, const core::Error& closed);
   void OnStatusAsked(core::TimePoint now, const StatusAsked& event);
   void OnCallerGone(core::TimePoint now, core::RequestId id);
   void OnForwardEnded(core::TimePoint now, const ForwardEnded& event);
@@ -89,7 +91,8 @@
 
   // Arrival.
   std::optional<Work> Classify(core::TimePoint now,
-                               const RequestArrived& event);
+                               const RequestArrived& event,
+                               const std::optional<request::KeyName>& key);
   void FollowVerdict(core::TimePoint now,
                      core::RequestId id,
                      const request::KeyVerdict& verdict);
@@ -128,7 +131,8 @@
               std::optional<core::Duration> retry_after);
   void RefuseAtOnce(core::RequestId id,
                     core::Error error,
-                    std::optional<core::Duration> retry_after);
+                    std::optional<core::Duration> retry_after,
+                    core::RunState run_state = core::RunState::kNotRun);
   void ReleaseTokens(core::TimePoint now, Work& work);
   void WriteOff(core::TimePoint now, Work& work);
   void Erase(core::RequestId id);
--- a/src/router/core.cc
+++ b/src/router/core.cc
@@ -28,18 +28,39 @@
   m_session = std::make_unique<Session>(m_settings, m_hooks, incarnation);
 }
 
-// A retired incarnation that has ended is replaced, unless the process is about
-// to end anyway. The read that the old one may have outstanding is answered to
-// the new one, whose reader ignores what it did not ask for.
 std::vector<Action> RouterCore::Handle(core::TimePoint now,
                                        const Event& event) {
+  CountReply(event);
   std::vector<Action> actions = m_session->Handle(now, event);
-  if (m_session->phase() == detail::Phase::kEnded && !m_session->draining()) {
-    Restart();
+  for (const Action& action : actions) {
+    const bool to_log = std::holds_alternative<ReadLog>(action) ||
+                        std::holds_alternative<AppendLog>(action);
+    m_open_log_calls += to_log ? 1 : 0;
   }
+  RestartIfEnded();
   return actions;
 }
 
+void RouterCore::CountReply(const Event& event) {
+  const bool from_log = std::holds_alternative<LogRead>(event) ||
+                        std::holds_alternative<LogReadFailed>(event) ||
+                        std::holds_alternative<LogAppended>(event) ||
+                        std::holds_alternative<LogAppendFailed>(event);
+  if (from_log && m_open_log_calls > 0) {
+    --m_open_log_calls;
+  }
+}
+
+// A reply that is still on its way belongs to the old incarnation. The next one
+// would take the acknowledgement of an old append for that of its own join and
+// wait for ever to become a member, so it starts only when nothing is open.
+void RouterCore::RestartIfEnded() {
+  if (m_session->phase() == detail::Phase::kEnded && !m_session->draining() &&
+      m_open_log_calls == 0) {
+    Restart();
+  }
+}
+
 bool RouterCore::Ready() const {
   return m_session->Ready();
 }
--- a/src/router/flow_arrival.cc
+++ b/src/router/flow_arrival.cc
@@ -97,25 +97,25 @@
                             const RequestArrived& event,
                             const std::optional<Error>& closed) {
   m_now = now;
-  if (closed.has_value()) {
-    RefuseAtOnce(event.request, *closed, kRetryElsewhere);
-    return;
+  std::optional<request::KeyName> key;
+  if (!event.idempotency_key.empty()) {
+    const auto parsed = request::KeyName::Parse(event.idempotency_key);
+    if (!core::IsOk(parsed)) {
+      RefuseAtOnce(event.request, core::Failure(parsed), std::nullopt);
+      return;
+    }
+    key = core::Value(parsed);
   }
-  std::optional<Work> work = Classify(now, event);
+  std::optional<Work> work = Classify(now, event, key);
   if (!work.has_value()) {
     return;
   }
   request::Arrival arrival;
   arrival.id = event.request;
   arrival.account = work->account;
-  if (!event.idempotency_key.empty()) {
-    const auto key = request::KeyName::Parse(event.idempotency_key);
-    if (!core::IsOk(key)) {
-      RefuseAtOnce(event.request, core::Failure(key), std::nullopt);
-      return;
-    }
-    arrival.key = core::Value(key);
-    work->key = arrival.key->IdentityFor(work->account);
+  arrival.key = key;
+  if (key.has_value()) {
+    work->key = key->IdentityFor(work->account);
   }
   arrival.body_hash = event.body_hash;
   arrival.non_idempotent = work->route.non_idempotent;
@@ -123,13 +123,27 @@
   arrival.forwarded = event.forwarded_account.has_value();
   arrival.log_available = !m_parts.log.IsOut(now);
   arrival.fold_current = FoldIsCurrent(now);
+  arrival.closed = closed;
 
   m_work.emplace(event.request, std::move(*work));
   FollowVerdict(now, event.request, m_table.OnArrival(now, arrival));
 }
 
-std::optional<Work> RequestFlow::Classify(TimePoint now,
-                                          const RequestArrived& event) {
+// A retry of a request that ran elsewhere may meet a router that has read
+// nothing yet. "Not run" would then be a lie, so a keyed request is told that
+// its outcome is unknown and when to ask again.
+void RequestFlow::RefuseUnread(const RequestArrived& event,
+                               const Error& closed) {
+  const core::RunState run_state = event.idempotency_key.empty()
+                                       ? core::RunState::kNotRun
+                                       : core::RunState::kUnknown;
+  m_parts.outbox.Add(Refuse{event.request, closed, run_state, kRetryElsewhere});
+}
+
+std::optional<Work> RequestFlow::Classify(
+    TimePoint now,
+    const RequestArrived& event,
+    const std::optional<request::KeyName>& key) {
   const auto account = Authenticate(event.api_key, event.forwarded_account);
   if (!core::IsOk(account)) {
     RefuseAtOnce(event.request, core::Failure(account), std::nullopt);
@@ -147,6 +161,9 @@
   facts.max_output_tokens = event.max_output_tokens;
   facts.minute_of_day = m_parts.hooks.minute_of_day(now);
 
+  const core::RunState run_state =
+      key.has_value() ? m_table.RunStateOfKey(facts.account, *key)
+                      : core::RunState::kNotRun;
   const rules::Decision decision = m_parts.configured.rules().Match(facts);
   if (const auto* refused = std::get_if<rules::Refused>(&decision)) {
     RefuseAtOnce(
@@ -159,14 +176,14 @@
   if (route == nullptr) {
     RefuseAtOnce(event.request,
                  {ErrorId::kNoRuleMatches, facts.account.value(), event.path},
-                 std::nullopt);
+                 std::nullopt, run_state);
     return std::nullopt;
   }
   if (route->candidates->empty()) {
     RefuseAtOnce(event.request,
                  {ErrorId::kNoUpstream, route->rule.value(),
                   "no upstream serves " + event.model + event.service.value()},
-                 std::nullopt);
+                 std::nullopt, run_state);
     return std::nullopt;
   }
 
@@ -197,6 +214,12 @@
                                 RequestId id,
                                 const request::KeyVerdict& verdict) {
   Work* work = Find(id);
+  if (const auto* refuse = std::get_if<request::Refuse>(&verdict)) {
+    m_parts.outbox.Add(
+        Refuse{id, refuse->error, refuse->run_state, refuse->retry_after});
+    Erase(id);
+    return;
+  }
   if (work == nullptr) {
     return;
   }
@@ -209,10 +232,6 @@
     Erase(id);
   } else if (const auto* to = std::get_if<request::ForwardTo>(&verdict)) {
     Relay(*work, *to);
-  } else if (const auto* refuse = std::get_if<request::Refuse>(&verdict)) {
-    m_parts.outbox.Add(
-        Refuse{id, refuse->error, refuse->run_state, refuse->retry_after});
-    Erase(id);
   }
 }
 
--- a/src/router/flow_attempts.cc
+++ b/src/router/flow_attempts.cc
@@ -235,12 +235,12 @@
 
 void RequestFlow::RefuseAtOnce(RequestId id,
                                Error error,
-                               std::optional<core::Duration> retry_after) {
+                               std::optional<core::Duration> retry_after,
+                               core::RunState run_state) {
   m_parts.outbox.Info("refused", {{"request", std::to_string(id.value())},
                                   {"error", core::ErrorCode(error.id)},
                                   {"detail", error.detail}});
-  m_parts.outbox.Add(
-      Refuse{id, std::move(error), core::RunState::kNotRun, retry_after});
+  m_parts.outbox.Add(Refuse{id, std::move(error), run_state, retry_after});
 }
 
 void RequestFlow::OnCallerGone(TimePoint now, RequestId id) {
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -106,7 +106,12 @@
 }
 
 void Session::On(TimePoint now, const RequestArrived& event) {
-  m_flow.OnArrived(now, event, WhyClosed());
+  const std::optional<Error> closed = WhyClosed();
+  if (closed.has_value() && m_phase == Phase::kReading) {
+    m_flow.RefuseUnread(event, *closed);
+    return;
+  }
+  m_flow.OnArrived(now, event, closed);
 }
 
 void Session::On(TimePoint now, const AddressesAsked& event) {
@@ -477,7 +482,9 @@
     m_budgets.Send(now);
     m_peers.Beat(now, [&] { return MakeHeartbeat(now); });
   }
-  m_log.Pump(now);
+  if (m_phase != Phase::kEnded) {
+    m_log.Pump(now);
+  }
 }
 
 v1::RouterStatus Session::Status(TimePoint now) const {
--- a/src/trial/node.cc
+++ b/src/trial/node.cc
@@ -109,7 +109,9 @@
     if (!m_paused) {
       Handle(router::Tick{});
     }
-    ScheduleTick();
+    if (alive()) {
+      ScheduleTick();
+    }
   });
 }
 
