Fold what nobody is billed for

Cause: an abandoned attempt's tokens counted as billed: one request, two bills. Ruled out: giving the tokens back (the upstream has used them). Conclusion: billed tokens are answers only.

--- a/include/coppervalve/ledger/budget.h
+++ b/include/coppervalve/ledger/budget.h
@@ -14,6 +14,7 @@
 struct Holding {
   core::Tokens received;         ///< granted + transferred in - returned
   core::Tokens spent;            ///< as reported
+  core::Tokens written_off;      ///< as reported, a part of `spent`
   core::Tokens transferred_out;  ///< as recorded
   core::Tokens released;         ///< went back to the balance after retirement
   /// Most that the incarnation can have committed; set after retirement only.
--- a/include/coppervalve/ledger/detail/record_handlers.h
+++ b/include/coppervalve/ledger/detail/record_handlers.h
@@ -58,12 +58,18 @@
 /// @return false, without change, past kMaxPaidIn
 bool PayIn(Budget& budget, core::Tokens tokens);
 
+/// @brief What an incarnation has spent of one budget since it joined.
+struct SpendTotals {
+  core::Tokens spent;
+  core::Tokens written_off;  ///< the part of `spent` that nobody is billed for
+};
+
 /// @brief Folds a cumulative spend and its bills into a holding.
 /// @return false when it is lower than before or breaks conservation
 bool FoldSpend(EntryContext& context,
                Member& member,
                Budget& budget,
-               core::Tokens spent,
+               const SpendTotals& totals,
                const google::protobuf::RepeatedPtrField<v1::Bill>& bills);
 
 /// @brief Says what a quarantined holding gave back; silent when nothing.
--- a/src/ledger/fold_quarantine.cc
+++ b/src/ledger/fold_quarantine.cc
@@ -51,9 +51,10 @@
   if (budget == nullptr) {
     return;
   }
-  const bool folded =
-      FoldSpend(context, member, *budget, Tokens(final_spend.spent()),
-                final_spend.bills());
+  const bool folded = FoldSpend(
+      context, member, *budget,
+      {Tokens(final_spend.spent()), Tokens(final_spend.written_off())},
+      final_spend.bills());
   if (!folded) {
     return;
   }
--- a/src/ledger/fold_spend.cc
+++ b/src/ledger/fold_spend.cc
@@ -46,11 +46,12 @@
 bool FoldSpend(EntryContext& context,
                Member& member,
                Budget& budget,
-               Tokens spent,
+               const SpendTotals& totals,
                const google::protobuf::RepeatedPtrField<v1::Bill>& bills) {
   HoldingRef ref = context.Touch(member, budget);
-  const Tokens delta = spent - ref.holding().spent;
-  if (spent < Tokens(0) || delta < Tokens(0)) {
+  const Tokens delta = totals.spent - ref.holding().spent;
+  const Tokens abandoned = totals.written_off - ref.holding().written_off;
+  if (totals.spent < Tokens(0) || delta < Tokens(0) || abandoned < Tokens(0)) {
     context.Ignore(IgnoreReason::kSpendNotMonotone);
     return false;
   }
@@ -65,6 +66,9 @@
     return false;
   }
   Charges charges{delta, Tokens(0), Tokens(0)};
+  charges.written_off = std::min(abandoned, charges.remaining);
+  charges.remaining -= charges.written_off;
+  ref.holding().written_off += charges.written_off;
   for (const v1::Bill& bill : bills) {
     ChargeBill(context, member, budget, bill, charges);
   }
@@ -77,7 +81,8 @@
   if (budget == nullptr) {
     return;
   }
-  FoldSpend(context, *context.writer(), *budget, Tokens(r.spent()), r.bills());
+  FoldSpend(context, *context.writer(), *budget,
+            {Tokens(r.spent()), Tokens(r.written_off())}, r.bills());
 }
 
 void FoldKeyClaimed(EntryContext& context, const v1::KeyClaimed& r) {
--- a/src/ledger/snapshot_codec.cc
+++ b/src/ledger/snapshot_codec.cc
@@ -44,6 +44,7 @@
   to.set_incarnation(member.incarnation.value());
   to.set_received(holding.received.value());
   to.set_spent(holding.spent.value());
+  to.set_written_off(holding.written_off.value());
   to.set_transferred_out(holding.transferred_out.value());
   to.set_released(holding.released.value());
   to.set_has_ceiling(holding.ceiling.has_value());
@@ -243,6 +244,7 @@
   Holding holding;
   holding.received = Tokens(from.received());
   holding.spent = Tokens(from.spent());
+  holding.written_off = Tokens(from.written_off());
   holding.transferred_out = Tokens(from.transferred_out());
   holding.released = Tokens(from.released());
   if (from.has_ceiling()) {
--- a/tests/ledger/unit-spend.cc
+++ b/tests/ledger/unit-spend.cc
@@ -35,6 +35,21 @@
   CHECK(log.fold().IsBilled(core::HashOf("k")));
 }
 
+// An attempt is cut and another one answers the caller. Both used tokens, so
+// both are spent; the account is billed for the answer only. Counting the first
+// as billed would charge one request twice.
+TEST(Spending, an_abandoned_attempt_is_spent_but_not_billed) {
+  Fleet log;
+  log.Write(log.r1, Ask(200));
+  v1::Record report = Spend(90, {{"k", 50}});
+  report.mutable_spend_reported()->set_written_off(40);
+  log.Write(log.r1, report);
+  LONGS_EQUAL(50, log.budget().billed.value());
+  LONGS_EQUAL(40, log.budget().written_off.value());
+  report.mutable_spend_reported()->set_written_off(30);
+  CHECK(Ignored(log.Write(log.r1, report), IgnoreReason::kSpendNotMonotone));
+}
+
 TEST(Spending, bills_past_the_reported_spend_are_cut_to_it) {
   Fleet log;
   log.Write(log.r1, Ask(100));
