Refuse a router as its own witness

Cause: its statement could never be made, as both would be gone at once. Ruled out: leaving it to the caller. Conclusion: nothing left open here.

--- a/src/budget/book_inputs.cc
+++ b/src/budget/book_inputs.cc
@@ -163,7 +163,8 @@
 
 void Book::ChooseWitness(core::TimePoint now,
                          const std::optional<PeerRef>& peer) {
-  if (m_retired || !m_witnessing.Choose(peer)) {
+  // Its own witness would be gone together with it.
+  if (m_retired || peer == m_self || !m_witnessing.Choose(peer)) {
     return;
   }
   for (const Account& account : m_accounts) {
--- a/tests/budget/unit-witness.cc
+++ b/tests/budget/unit-witness.cc
@@ -142,6 +142,8 @@
 // the other one's, and the wrong ceilings would bind.
 TEST(Witness, a_change_waits_until_the_one_before_is_folded) {
   BookFixture f;
+  f.book().ChooseWitness(f.now(), Peer(1));
+  CHECK(f.book().TakeCeilingRaises(f.now()).empty());
   f.book().ChooseWitness(f.now(), Peer(2));
   f.AckRaises();
   CHECK(f.ChoosesWitness());
