Measure routing; average late load reports, start limits low

Gate work waited for slots that the first burst of itineraries had filled. Change: reports are averaged over 10 s and count half beside own attempts; limits start at 4 and double until the first overload; a queue of more than 1/16 of the running requests is overload; the prefix owner's free load is 1; probes at most every 2 s, at most 32 at a time. The tests keep the constants they were written for (TestOptions), so that none of their bounds changed.

--- /dev/null
+++ b/bench/routing/workload.h
@@ -0,0 +1,43 @@
+#ifndef COPPERVALVE_BENCH_ROUTING_WORKLOAD_H_
+#define COPPERVALVE_BENCH_ROUTING_WORKLOAD_H_
+
+#include <cstdint>  // int64_t
+#include <string>   // string
+
+#include "bench/routing/fleet_model.h"
+
+namespace coppervalve::bench {
+
+/// @brief Jobs of one kind that arrive at a mean rate.
+struct Stream {
+  std::string account;
+  v1::AdmissionClass admission_class = v1::INTERACTIVE;
+  double jobs_per_step = 0;
+  int64_t shortest_output = 1;
+  int64_t longest_output = 1;
+  int64_t longest_wait = 0;
+  uint64_t prefixes = 0;  ///< number of prompt prefixes, skewed; 0 = none
+};
+
+/// @brief Feeds streams into a fleet, spread over its routers.
+class Workload {
+ public:
+  Workload(Fleet& fleet, uint64_t seed)
+      : m_fleet(fleet), m_random(Seeded(seed)) {}
+
+  /// @brief Offers the arrivals of one step.
+  void Offer(const Stream& stream);
+
+ private:
+  uint64_t Prefix(uint64_t prefixes);
+
+  Fleet& m_fleet;
+  routing::RandomHook m_random;
+};
+
+/// @brief Jobs a step that the engines can serve at a mean number of steps.
+double CapacityPerStep(const FleetOptions& options, double mean_steps);
+
+}  // namespace coppervalve::bench
+
+#endif  // COPPERVALVE_BENCH_ROUTING_WORKLOAD_H_
--- a/include/coppervalve/routing/concurrency_limit.h
+++ b/include/coppervalve/routing/concurrency_limit.h
@@ -9,7 +9,7 @@
 
 /// @brief Constants of the additive-increase, multiplicative-decrease limit.
 struct ConcurrencyLimitOptions {
-  double initial = 16;
+  double initial = 4;
   double minimum = 2;
   double decrease_factor = 0.8;
   /// At most one decrease in this time: one overload is one signal.
--- a/include/coppervalve/routing/health.h
+++ b/include/coppervalve/routing/health.h
@@ -17,7 +17,7 @@
   double error_ratio_weight = 0.1;    ///< of one outcome in the average
   uint32_t error_ratio_samples = 20;  ///< outcomes before the ratio counts
   core::Duration first_probe{250'000};
-  core::Duration longest_probe{4'000'000};
+  core::Duration longest_probe{2'000'000};
   core::Duration probe_timeout{2'000'000};
   core::Duration slow_start{5'000'000};
   double slow_start_floor = 0.1;
--- a/include/coppervalve/routing/placement.h
+++ b/include/coppervalve/routing/placement.h
@@ -65,7 +65,7 @@
   /// The owner of a prefix is passed over above this multiple of the mean load.
   double load_bound = 1.25;
   /// Load that is always allowed, so that an idle fleet keeps affinity.
-  double free_load = 2;
+  double free_load = 1;
 };
 /// @brief Rendezvous hashing of the prefix with bounded load; the less loaded
 /// of two for work without a prefix.
--- a/include/coppervalve/routing/upstream_table.h
+++ b/include/coppervalve/routing/upstream_table.h
@@ -26,11 +26,18 @@
   /// go past the adaptive limit up to the hard cap.
   double interactive_share = 1.0;
   double batch_share = 0.9;
+  /// Time constant of the average over load reports.
+  core::Duration report_smoothing{10'000'000};
+  /// What others' reported work counts beside own attempts, which are exact.
+  double report_weight = 0.5;
   /// A load report older than this says nothing any more.
   core::Duration report_max_age{10'000'000};
   /// Pause after a decline that names none.
   core::Duration default_hold_off{200'000};
   core::Duration longest_hold_off{5'000'000};
+  /// Probes handed out at a time: a fleet of thousands that is ejected whole is
+  /// asked little by little.
+  size_t probes_at_once = 32;
 };
 
 /// @brief What work asks for: a model, or a plain service.
@@ -118,7 +125,8 @@
               core::TimePoint now);
 
   /// @brief Probes to make now; each is handed out once until it ends or its
-  /// timeout passes. @complexity O(n)
+  /// timeout passes; those past the bound are due again at the next call.
+  /// @complexity O(n)
   std::vector<ProbeDue> TakeProbesDue(core::TimePoint now);
   void OnProbe(const core::UpstreamId& id,
                bool healthy,
@@ -172,6 +180,7 @@
   RandomHook m_random;
   std::vector<std::unique_ptr<Entry>> m_entries;  ///< by slot; null when free
   std::vector<size_t> m_free_slots;
+  size_t m_next_probed = 0;  ///< slot where the next call goes on
   std::unordered_map<core::UpstreamId, size_t> m_slots;
   std::unordered_map<core::ModelId, CandidateSet> m_by_model;
   std::unordered_map<core::ServiceId, CandidateSet> m_by_service;
--- a/src/routing/concurrency_limit.cc
+++ b/src/routing/concurrency_limit.cc
@@ -28,7 +28,11 @@
   if (in_progress + 1 < value()) {
     return;
   }
-  m_limit = std::min(m_limit + 1.0 / m_limit, static_cast<double>(m_hard_cap));
+  // Until the first overload the limit doubles with each round of answers: a
+  // low start keeps seven routers together from filling an engine with long
+  // work in its first second, and should not cost more than that second.
+  const double step = m_decreased ? 1.0 / m_limit : 1.0;
+  m_limit = std::min(m_limit + step, static_cast<double>(m_hard_cap));
 }
 
 void ConcurrencyLimit::OnOverload(core::TimePoint now) {
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -1,6 +1,7 @@
 #include "coppervalve/routing/upstream_table.h"
 
-#include <algorithm>      // clamp, find, max, min, sort
+#include <algorithm>      // find, max, min, sort
+#include <cmath>          // exp, lround
 #include <unordered_set>  // unordered_set
 #include <utility>        // move
 
@@ -12,8 +13,8 @@
 
 /// A standing queue of more than this share of the running requests means that
 /// the upstream has more work than its batch takes.
-constexpr uint32_t kQueueShareOfRunning = 4;
-constexpr uint32_t kQueueAlwaysAllowed = 2;
+constexpr uint32_t kQueueShareOfRunning = 16;
+constexpr uint32_t kQueueAlwaysAllowed = 1;
 
 bool HasStandingQueue(const LoadReport& load) {
   return load.queued >
@@ -46,7 +47,7 @@
   bool leaving = false;  ///< by the VM list
   bool removed = false;  ///< by the configuration
   uint32_t own = 0;
-  uint32_t others = 0;
+  double others = 0;
   uint32_t queued = 0;
   bool reported = false;
   core::TimePoint reported_at{};
@@ -250,7 +251,13 @@
   // router would otherwise send its work to the upstream that was idle at the
   // last one, and all of them at once.
   const uint32_t total = load.running + load.queued;
-  entry->others = total > entry->own ? total - entry->own : 0;
+  const double others = total > entry->own ? total - entry->own : 0;
+  const double gap_us = static_cast<double>((now - entry->reported_at).count());
+  const double memory_us =
+      static_cast<double>(m_options.report_smoothing.count());
+  const double keep =
+      entry->reported && memory_us > 0 ? std::exp(-gap_us / memory_us) : 0;
+  entry->others = keep * entry->others + (1 - keep) * others;
   entry->queued = load.queued;
   entry->reported = true;
   entry->reported_at = now;
@@ -261,10 +268,17 @@
 
 std::vector<ProbeDue> UpstreamTable::TakeProbesDue(core::TimePoint now) {
   std::vector<ProbeDue> due;
-  for (const std::unique_ptr<Entry>& entry : m_entries) {
+  const size_t start = m_entries.empty() ? 0 : m_next_probed % m_entries.size();
+  for (size_t step = 0; step < m_entries.size(); ++step) {
+    const size_t slot = (start + step) % m_entries.size();
+    Entry* entry = m_entries[slot].get();
     if (entry == nullptr || entry->removed || entry->leaving) {
       continue;
     }
+    if (due.size() == m_options.probes_at_once) {
+      m_next_probed = slot;
+      break;
+    }
     if (entry->health.TakeProbeDue(now)) {
       due.push_back({entry->info.id, entry->info.address});
     }
@@ -340,7 +354,10 @@
   candidate.health = entry.health.state(now);
   candidate.same_domain = entry.info.failure_domain == own_domain;
   candidate.own = entry.own;
-  candidate.others = report_counts ? entry.others : 0;
+  candidate.others =
+      report_counts ? static_cast<uint32_t>(
+                          std::lround(m_options.report_weight * entry.others))
+                    : 0;
   candidate.queued = report_counts ? entry.queued : 0;
   candidate.limit = LimitFor(entry, admission_class, now);
   candidate.hard_cap = entry.limit.hard_cap();
--- a/tests/routing/routing_fixture.h
+++ b/tests/routing/routing_fixture.h
@@ -50,12 +50,21 @@
   return {core::ModelId("chat"), {}};
 }
 
+/// @brief Constants of the tests' own, apart from those that the bench tunes.
+inline UpstreamTableOptions TestOptions() {
+  UpstreamTableOptions options;
+  options.limit.initial = 16;
+  options.health.longest_probe = Millis(4000);
+  options.report_weight = 1;
+  return options;
+}
+
 /// @brief A table and a placement as one router has them.
 struct RouterView {
   explicit RouterView(int engines,
                       uint64_t seed = 1,
                       const PlacementPolicy& policy = nullptr)
-      : table({}, Seeded(seed)),
+      : table(TestOptions(), Seeded(seed)),
         placement({},
                   policy ? policy : DefaultPolicy(Seeded(seed + 1)),
                   Seeded(seed + 2),
