Let a relayed refusal reach only a caller that still waits

Ruled out: a fault of the core (its run states were right in the trace). Change: relays end once, with their refusal; giving up tells the peer. Conclusion: a fault of the driver; false refusals are the next matter.

--- a/include/coppervalve/trial/audit.h
+++ b/include/coppervalve/trial/audit.h
@@ -52,6 +52,7 @@
   void CheckSpend(std::vector<Violation>& found);
   void CheckExecutions(std::vector<Violation>& found);
   void CheckTickets(std::vector<Violation>& found);
+  std::string Describe(const Ticket& ticket) const;
   void CheckVersions(std::vector<Violation>& found);
 
   Fleet& m_fleet;
--- a/include/coppervalve/trial/node.h
+++ b/include/coppervalve/trial/node.h
@@ -20,6 +20,13 @@
 
 class Fleet;
 
+/// @brief How a request that a peer relayed ended there.
+struct RelayEnd {
+  bool answered = false;  ///< wholly: an answer, or a refusal
+  bool sent = false;      ///< the peer may have run it
+  std::optional<router::Refuse> refusal;
+};
+
 /// @brief One VM with one router process: the real decision core in a shell
 /// that carries its actions out in virtual time.
 class Node {
@@ -41,11 +48,13 @@
   /// @brief The caller of a ticket closes its connection.
   void Hang(size_t ticket);
   /// @brief A peer relays a request to this node.
-  /// @param done called once with whether the answer was whole
-  void OpenForward(core::Incarnation to,
-                   size_t ticket,
-                   core::AccountId account,
-                   std::function<void(bool answered, bool sent)> done);
+  /// @param done called once
+  /// @return the request's id here, if it was taken
+  std::optional<core::RequestId> OpenForward(
+      core::Incarnation to,
+      size_t ticket,
+      core::AccountId account,
+      std::function<void(const RelayEnd&)> done);
 
   bool alive() const { return m_core != nullptr; }
   bool paused() const { return m_paused; }
@@ -60,7 +69,7 @@
   /// What the shell knows of one request.
   struct Call {
     size_t ticket = 0;
-    std::function<void(bool answered, bool sent)> relay;  ///< for a peer
+    std::function<void(const RelayEnd&)> relay;  ///< for a peer
     std::vector<core::RequestId> joiners;
     std::optional<core::RequestId> leader;
     bool done = false;
@@ -89,8 +98,10 @@
 
   void Poll(const router::ReadLog& read, core::TimePoint until);
   void RunAttempt(const router::Dispatch& action);
+  void EndForward(core::RequestId id, const RelayEnd& end);
   void Complete(core::RequestId id, size_t answer_of_wish);
   void Fail(core::RequestId id, const router::Refuse& refuse);
+  void EndRefused(size_t ticket, const router::Refuse& refuse);
 
   Fleet& m_fleet;
   size_t m_index;
--- a/src/trial/audit.cc
+++ b/src/trial/audit.cc
@@ -13,6 +13,10 @@
   return router::RouterSettings{}.fold;
 }
 
+std::string ErrorOf(const Ticket& ticket) {
+  return ticket.error.has_value() ? core::ErrorCode(*ticket.error) : "none";
+}
+
 }  // namespace
 
 Audit::Audit(Fleet& fleet)
@@ -96,8 +100,8 @@
     const bool refused = ticket.state == Ticket::State::kRefused &&
                          ticket.run_state == core::RunState::kNotRun;
     if (refused && m_ticket_runs.contains(i)) {
-      found.push_back(
-          {"I4", "ticket " + std::to_string(i) + " ran but was refused"});
+      found.push_back({"I4", "ticket " + std::to_string(i) +
+                                 " ran but was refused: " + Describe(ticket)});
     }
     if (ticket.state == Ticket::State::kWhole &&
         ticket.answer_of_wish != ticket.wish) {
@@ -127,6 +131,14 @@
   }
 }
 
+std::string Audit::Describe(const Ticket& ticket) const {
+  const Wish& wish = m_fleet.wishes()[ticket.wish];
+  return "wish " + std::to_string(ticket.wish) + " at " +
+         RouterName(ticket.node).value() + " key " + wish.key +
+         (wish.non_idempotent ? " non-idempotent" : "") + " error " +
+         ErrorOf(ticket);
+}
+
 std::vector<Violation> Audit::CheckFolds() {
   std::vector<Violation> found;
   FoldNew(found);
--- a/src/trial/node.cc
+++ b/src/trial/node.cc
@@ -70,7 +70,7 @@
       continue;
     }
     if (call.relay) {
-      call.relay(false, true);
+      call.relay({false, true, {}});
     } else {
       m_fleet.EndTicket(call.ticket, Ticket::State::kBroken);
     }
@@ -174,18 +174,20 @@
   }
 }
 
-void Node::OpenForward(core::Incarnation to,
-                       size_t ticket,
-                       core::AccountId account,
-                       std::function<void(bool, bool)> done) {
+std::optional<RequestId> Node::OpenForward(
+    core::Incarnation to,
+    size_t ticket,
+    core::AccountId account,
+    std::function<void(const RelayEnd&)> done) {
   if (!alive() || to != m_core->incarnation()) {
-    done(false, false);
-    return;
+    done({false, false, {}});
+    return std::nullopt;
   }
   const RequestId id = NewCall({ticket, std::move(done), {}, {}, false, {}});
   router::RequestArrived event = ArrivalOf(id, ticket);
   event.forwarded_account = std::move(account);
   Deliver(std::move(event));
+  return id;
 }
 
 void Node::Complete(RequestId id, size_t answer_of_wish) {
@@ -197,7 +199,7 @@
   call.done = true;
   call.answer_of_wish = answer_of_wish;
   if (call.relay) {
-    call.relay(true, true);
+    call.relay({true, true, {}});
   } else {
     m_fleet.tickets()[call.ticket].answer_of_wish = answer_of_wish;
     m_fleet.EndTicket(call.ticket, Ticket::State::kWhole);
@@ -215,17 +217,22 @@
   }
   Call& call = found->second;
   call.done = true;
-  Ticket& ticket = m_fleet.tickets()[call.ticket];
-  ticket.error = refuse.error.id;
-  ticket.run_state = refuse.run_state;
-  ticket.retry_after = refuse.retry_after;
   if (call.relay) {
-    // The peer's refusal is an answer that is relayed whole.
-    call.relay(true, true);
-    m_fleet.EndTicket(call.ticket, Ticket::State::kRefused);
+    call.relay({true, true, refuse});
+    return;
+  }
+  EndRefused(call.ticket, refuse);
+}
+
+void Node::EndRefused(size_t number, const router::Refuse& refuse) {
+  Ticket& ticket = m_fleet.tickets()[number];
+  if (ticket.state != Ticket::State::kOpen) {
     return;
   }
-  m_fleet.EndTicket(call.ticket, Ticket::State::kRefused);
+  ticket.error = refuse.error.id;
+  ticket.run_state = refuse.run_state;
+  ticket.retry_after = refuse.retry_after;
+  m_fleet.EndTicket(number, Ticket::State::kRefused);
 }
 
 void Node::Do(const router::Refuse& action) {
@@ -371,33 +378,47 @@
   }
   const size_t ticket = found->second.ticket;
   Node* peer = m_fleet.FindRouter(action.router);
-  auto ended = std::make_shared<bool>(false);
-  const auto end = [this, id = action.request, ended](bool answered,
-                                                      bool sent) {
-    if (std::exchange(*ended, true)) {
-      return;
+  struct Relay {
+    bool ended = false;
+    std::optional<RequestId> there;
+  };
+  auto relay = std::make_shared<Relay>();
+  const auto end = [this, id = action.request, relay](const RelayEnd& how) {
+    if (!std::exchange(relay->ended, true)) {
+      Later(m_fleet.options().peer_delay,
+            [this, id, how] { EndForward(id, how); });
     }
-    Later(m_fleet.options().peer_delay, [this, id, answered, sent] {
-      const auto call = m_calls.find(id);
-      if (call == m_calls.end()) {
-        return;
-      }
-      if (answered && !call->second.done) {
-        const Ticket& t = m_fleet.tickets()[call->second.ticket];
-        Complete(id, t.wish);
-      }
-      Deliver(router::ForwardEnded{id, answered, sent, false});
-    });
   };
   if (peer == nullptr || m_fleet.IsCut(m_index, peer->index())) {
-    end(false, false);
+    end({false, false, {}});
     return;
   }
-  m_fleet.timeline().After(
-      m_fleet.options().peer_delay, [peer, action, ticket, end] {
+  m_fleet.timeline().After(m_fleet.options().peer_delay, [=] {
+    relay->there =
         peer->OpenForward(action.incarnation, ticket, action.account, end);
-      });
-  Later(kForwardTimeout, [end] { end(false, true); });
+  });
+  // A relay that is given up resets its stream: the peer's caller is gone.
+  Later(kForwardTimeout, [=] {
+    if (!relay->ended && relay->there.has_value()) {
+      peer->Deliver(router::CallerGone{*relay->there});
+    }
+    end({false, true, {}});
+  });
+}
+
+void Node::EndForward(RequestId id, const RelayEnd& end) {
+  const auto call = m_calls.find(id);
+  if (call == m_calls.end()) {
+    return;
+  }
+  const size_t ticket = call->second.ticket;
+  if (end.answered && end.refusal.has_value()) {
+    call->second.done = true;
+    EndRefused(ticket, *end.refusal);
+  } else if (end.answered && !call->second.done) {
+    Complete(id, m_fleet.tickets()[ticket].wish);
+  }
+  Deliver(router::ForwardEnded{id, end.answered, end.sent, false});
 }
 
 // ---- The log ---------------------------------------------------------------
