Carry forwards and joins in the core's order, and tell the account

Cause: a joiner's action could be overtaken by the end of what it joins, as the two may belong to different threads; keyed requests that the core had nobody to tell about stayed in memory. Conclusion: the store holds only what can still be asked for.

--- a/src/net/action_router.cc
+++ b/src/net/action_router.cc
@@ -43,18 +43,35 @@
   }
   void operator()(router::Exit&) const { m_owners.exit(); }
 
+  void operator()(router::JoinAnswer& action) const {
+    // Looked up here, in the order of the core's decisions: on its way to
+    // another thread it might be overtaken by the end of what it joins.
+    std::shared_ptr<Answer> leader = m_owners.answers->Find(action.leader);
+    const size_t thread = OwnerOf(action.request);
+    m_owners.pool->Post(thread, [worker = WorkerOf(thread), action,
+                                 leader = std::move(leader)] {
+      worker->Carry(action, leader);
+    });
+  }
+
   /// Whatever is about one request goes to the thread that owns it.
   template <typename OfRequest>
   void operator()(OfRequest& action) const {
-    const size_t thread =
-        TrafficWorker::OwnerOf(action.request, m_owners.pool->size());
-    TrafficWorker* worker = (*m_owners.workers)[thread].get();
-    m_owners.pool->Post(thread, [worker, action = std::move(action)] {
-      worker->Carry(action);
-    });
+    const size_t thread = OwnerOf(action.request);
+    m_owners.pool->Post(
+        thread, [worker = WorkerOf(thread), action = std::move(action)] {
+          worker->Carry(action);
+        });
   }
 
  private:
+  size_t OwnerOf(core::RequestId request) const {
+    return TrafficWorker::OwnerOf(request, m_owners.pool->size());
+  }
+  TrafficWorker* WorkerOf(size_t thread) const {
+    return (*m_owners.workers)[thread].get();
+  }
+
   const ActionOwners& m_owners;
 };
 
--- a/src/net/action_router.h
+++ b/src/net/action_router.h
@@ -22,6 +22,7 @@
   LogTransport* log = nullptr;        ///< of the platform thread
   PlatformWatch* platform = nullptr;  ///< of the platform thread
   PeerClient* peers = nullptr;        ///< null without a peer link
+  AnswerStore* answers = nullptr;
   EventSink report;
   std::function<void(const router::LogLine&)> log_line;
   std::function<void()> exit;
--- a/src/net/shell.cc
+++ b/src/net/shell.cc
@@ -64,8 +64,8 @@
           pool.Context(thread), thread, pool.size(), shared));
     }
     actions = std::make_unique<ActionRouter>(
-        ActionOwners{&pool, &workers, &log, &platform, peers.get(), Sink(),
-                     hooks.log, [this] { OnExit(); }});
+        ActionOwners{&pool, &workers, &log, &platform, peers.get(), &answers,
+                     Sink(), hooks.log, [this] { OnExit(); }});
     desk = {settings.operator_token, [this] { Drain(); }, hooks.metrics_text};
   }
 
@@ -227,8 +227,7 @@
     }
     callers.Close();
     operators.Close();
-    const auto peers_closed =
-        std::make_shared<std::atomic<bool>>(!peer_server);
+    const auto peers_closed = std::make_shared<std::atomic<bool>>(!peer_server);
     if (peer_server) {
       peer_server->Close([peers_closed] { *peers_closed = true; });
     }
@@ -289,6 +288,10 @@
   m_impl->pool.Start();
   m_impl->control.Start();
   m_impl->pool.Post(kPlatformThread, [this] { m_impl->platform.Start(); });
+  for (size_t thread = 0; thread < m_impl->pool.size(); ++thread) {
+    m_impl->pool.Post(
+        thread, [worker = m_impl->workers[thread].get()] { worker->Start(); });
+  }
   return core::Ok();
 }
 
--- a/src/net/traffic_worker.cc
+++ b/src/net/traffic_worker.cc
@@ -1,15 +1,15 @@
 #include "traffic_worker.h"
 
-#include <algorithm>  // max
 #include <boost/asio/post.hpp>
-#include <chrono>   // milliseconds
-#include <utility>  // move
+#include <chrono>    // minutes
+#include <iterator>  // next
+#include <utility>   // move
 
 #include "caller_routes.h"
 #include "coppervalve/net/clock.h"
 #include "coppervalve/net/model_json.h"
 #include "forward_relay.h"
-#include "wire.h"
+#include "outgoing.h"
 
 namespace coppervalve::net {
 
@@ -20,7 +20,9 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 constexpr std::string_view kActivePhase = "active";
-constexpr std::string_view kDeadlineHeader = "x-deadline-ms";
+constexpr std::chrono::seconds kSweepInterval{60};
+// Longer than any queue holds a request.
+constexpr std::chrono::minutes kAbandonedAfter{15};
 
 HttpHead JsonHead(unsigned status) {
   return {status, {{"content-type", "application/json"}}};
@@ -35,7 +37,8 @@
     : m_context(context),
       m_thread(thread),
       m_threads(threads),
-      m_shared(shared) {}
+      m_shared(shared),
+      m_sweep(context) {}
 
 TrafficWorker::~TrafficWorker() = default;
 
@@ -56,7 +59,6 @@
     entry.deadline = work->deadline;
   }
   entry.wants_usage = route.wants_usage;
-  entry.account = account;
   entry.http = std::move(http);
   entry.answer = m_shared.answers->Create(id, entry.keyed);
   Exchange exchange{id, entry.answer};
@@ -97,11 +99,7 @@
   if (!entry) {
     return;
   }
-  entry->caller_gone = true;
-  if (entry->forward && !entry->keyed) {
-    // Nobody is left to read it; a keyed one may still be asked for again.
-    entry->forward->Cancel();
-  }
+  entry->caller_gone = BootNow();
   DropIfAbandoned(request);
 }
 
@@ -125,7 +123,9 @@
     RefuseDispatch(action, "the caller has part of an answer");
     return;
   }
-  std::optional<AttemptPlan> plan = PlanFor(*entry, action);
+  std::optional<AttemptPlan> plan =
+      PlanAttempt({entry->http, entry->stream, entry->wants_usage}, action,
+                  *m_shared.settings, m_shared.request_prefix);
   if (!plan) {
     RefuseDispatch(action, "the body can't be rewritten");
     return;
@@ -144,15 +144,17 @@
     return;
   }
   entry->answer->Fail({action.error, action.run_state, action.retry_after});
+  // The core keeps refusals in mind itself and has nobody join one.
+  m_shared.answers->Forget(action.request);
   Erase(action.request);
 }
 
-void TrafficWorker::Carry(const router::JoinAnswer& action) {
+void TrafficWorker::Carry(const router::JoinAnswer& action,
+                          std::shared_ptr<Answer> leader) {
   Entry* entry = Find(action.request);
   if (!entry) {
     return;
   }
-  std::shared_ptr<Answer> leader = m_shared.answers->Find(action.leader);
   if (!leader) {
     entry->answer->Fail(
         RefusalOf({ErrorId::kAnswerExpired, "answer", "it is no longer kept"}));
@@ -170,7 +172,7 @@
 void TrafficWorker::Carry(const router::Forward& action) {
   Entry* entry = Find(action.request);
   if (!entry || !m_shared.peers) {
-    m_shared.report(router::ForwardEnded{action.request, false, false});
+    m_shared.report(router::ForwardEnded{action.request, false, false, false});
     return;
   }
   ForwardCallbacks callbacks = RelayForward(
@@ -181,16 +183,21 @@
         });
       });
   entry->forward = m_shared.peers->StartForward(
-      action.address, ForwardHeadOf(*entry, action), entry->http.body,
-      std::move(callbacks));
+      action.address, ForwardHeadOf(entry->http, entry->deadline, action),
+      entry->http.body, std::move(callbacks));
 }
 
 void TrafficWorker::Carry(const router::CancelAttempt& action) {
   Entry* entry = Find(action.request);
-  if (!entry || !entry->attempt || entry->attempt->id() != action.attempt) {
+  if (!entry) {
     return;
   }
-  entry->attempt.reset();
+  if (entry->forward && action.attempt == core::AttemptId()) {
+    entry->forward->Cancel();
+  }
+  if (entry->attempt && entry->attempt->id() == action.attempt) {
+    entry->attempt.reset();
+  }
   DropIfAbandoned(action.request);
 }
 
@@ -242,13 +249,17 @@
 
 void TrafficWorker::OnForwardEnd(core::RequestId request,
                                  const ForwardOutcome& outcome) {
-  m_shared.report(router::ForwardEnded{request, outcome.whole, outcome.sent});
   Entry* entry = Find(request);
+  const bool relayed = entry && entry->answer->started();
+  m_shared.report(
+      router::ForwardEnded{request, outcome.whole, outcome.sent, relayed});
   if (!entry) {
     return;
   }
   entry->forward.reset();
   if (outcome.whole) {
+    // The peer that ran it keeps it for callers that come again.
+    m_shared.answers->Forget(request);
     Erase(request);
     return;
   }
@@ -263,101 +274,6 @@
       {ErrorId::kBadRequest, "dispatch", std::move(detail)}});
 }
 
-// ---- What is sent ----------------------------------------------------------
-
-std::optional<AttemptPlan> TrafficWorker::PlanFor(
-    const Entry& entry,
-    const router::Dispatch& action) const {
-  HttpRequest request;
-  request.method = entry.http.method;
-  request.target = entry.http.target;
-  request.headers = UpstreamHeaders(entry, action);
-  request.body = entry.http.body;
-  if (action.model_work) {
-    core::Result<std::string> capped =
-        CapModelRequest(entry.http.body, action.max_output_tokens);
-    if (!core::IsOk(capped)) {
-      return std::nullopt;
-    }
-    request.body = core::TakeValue(std::move(capped));
-  } else {
-    request.target = ServiceTarget(entry.http.target);
-  }
-  // An answer in one piece shows nothing until its last token. A dead
-  // connection is noticed by the kernel's probes; this bounds a hung engine.
-  constexpr std::chrono::milliseconds kSlowestToken{100};
-  const ShellSettings& settings = *m_shared.settings;
-  AttemptPlan plan;
-  plan.request = action.request;
-  plan.attempt = action.attempt;
-  plan.address = action.address;
-  plan.wire = WireRequest(request, action.address);
-  plan.head_request = request.method == "HEAD";
-  plan.model_work = action.model_work;
-  plan.stream = entry.stream;
-  plan.relay_usage = entry.wants_usage;
-  plan.connect_timeout = settings.connect_timeout;
-  plan.first_token_timeout = action.first_token_timeout;
-  plan.inter_token_timeout = action.inter_token_timeout;
-  plan.whole_timeout = action.first_token_timeout +
-                       kSlowestToken * action.max_output_tokens.value();
-  plan.max_answer_bytes = settings.max_answer_bytes;
-  return plan;
-}
-
-HeaderList TrafficWorker::UpstreamHeaders(
-    const Entry& entry,
-    const router::Dispatch& action) const {
-  HeaderList headers;
-  for (const auto& [name, value] : entry.http.headers) {
-    const bool ours = name == "authorization" || name == kDeadlineHeader ||
-                      name == "x-request-id" ||
-                      name.starts_with("x-coppervalve-");
-    if (!ours) {
-      headers.emplace_back(name, value);
-    }
-  }
-  headers.emplace_back(
-      "x-request-id",
-      m_shared.request_prefix + std::to_string(action.request.value()));
-  if (entry.account) {
-    headers.emplace_back("x-coppervalve-account", entry.account->value());
-  }
-  headers.emplace_back("x-coppervalve-priority",
-                       std::to_string(action.priority));
-  return headers;
-}
-
-ForwardHead TrafficWorker::ForwardHeadOf(const Entry& entry,
-                                         const router::Forward& action) const {
-  ForwardHead head;
-  head.account = action.account;
-  head.to_incarnation = action.incarnation;
-  head.method = entry.http.method;
-  head.path = entry.http.target;
-  for (const auto& [name, value] : entry.http.headers) {
-    if (name == "idempotency-key") {
-      head.idempotency_key = value;
-      continue;
-    }
-    const bool dropped = IsHopByHop(name) || name == "host" ||
-                         name == "authorization" || name == kDeadlineHeader;
-    if (!dropped) {
-      head.headers.emplace_back(name, value);
-    }
-  }
-  if (entry.deadline) {
-    // The header counts from arrival: sent on as it is, each hop would give
-    // the request its whole time again.
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        *entry.deadline - BootNow());
-    head.headers.emplace_back(
-        std::string(kDeadlineHeader),
-        std::to_string(std::max<int64_t>(left.count(), 1)));
-  }
-  return head;
-}
-
 // ---- Bookkeeping -----------------------------------------------------------
 
 core::RequestId TrafficWorker::NextId() {
@@ -387,4 +303,31 @@
   }
 }
 
+void TrafficWorker::Start() {
+  m_sweep.expires_after(kSweepInterval);
+  m_sweep.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Sweep();
+      Start();
+    }
+  });
+}
+
+void TrafficWorker::Sweep() {
+  // The core tells those who wait how a request ended. Of a keyed one whose
+  // caller and joiners have all gone it need tell nobody, so its body would
+  // stay here for good. Should the core dispatch it after all, it hears that
+  // nothing was sent.
+  const core::TimePoint oldest = BootNow() - kAbandonedAfter;
+  for (auto it = m_requests.begin(); it != m_requests.end();) {
+    const Entry& entry = it->second;
+    const bool abandoned = entry.caller_gone && *entry.caller_gone < oldest &&
+                           !entry.attempt && !entry.forward;
+    if (abandoned) {
+      m_shared.answers->Forget(it->first);
+    }
+    it = abandoned ? m_requests.erase(it) : std::next(it);
+  }
+}
+
 }  // namespace coppervalve::net
--- a/src/net/traffic_worker.h
+++ b/src/net/traffic_worker.h
@@ -2,6 +2,7 @@
 #define COPPERVALVE_SRC_NET_TRAFFIC_WORKER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>     // function
 #include <memory>         // unique_ptr
 #include <optional>       // optional
@@ -58,12 +59,17 @@
   Exchange AnswerNow(HttpHead head, std::string_view body);
   Exchange RefuseNow(core::Error error);
 
+  /// @brief Begins to look for requests that nobody will end.
+  void Start();
+
   void OnCallerGone(core::RequestId request);
   void OnServed(core::RequestId request);
 
   void Carry(const router::Dispatch& action);
   void Carry(const router::Refuse& action);
-  void Carry(const router::JoinAnswer& action);
+  /// @param leader the answer to join, looked up when the core decided; null
+  /// when it is no longer kept
+  void Carry(const router::JoinAnswer& action, std::shared_ptr<Answer> leader);
   void Carry(const router::Forward& action);
   void Carry(const router::CancelAttempt& action);
   void Carry(const router::ReplyJson& action);
@@ -76,26 +82,20 @@
     std::unique_ptr<UpstreamAttempt> attempt;
     std::optional<ForwardHandle> forward;
     std::optional<core::TimePoint> deadline;
-    std::optional<core::AccountId> account;
     bool stream = false;
     bool wants_usage = false;
     bool keyed = false;
     bool readiness = false;
     bool joined = false;
-    bool caller_gone = false;
+    std::optional<core::TimePoint> caller_gone;  ///< since when
   };
 
   core::RequestId NextId();
   Entry* Find(core::RequestId request);
   void Erase(core::RequestId request);
   void DropIfAbandoned(core::RequestId request);
+  void Sweep();
 
-  std::optional<AttemptPlan> PlanFor(const Entry& entry,
-                                     const router::Dispatch& action) const;
-  HeaderList UpstreamHeaders(const Entry& entry,
-                             const router::Dispatch& action) const;
-  ForwardHead ForwardHeadOf(const Entry& entry,
-                            const router::Forward& action) const;
   void OnAttemptEvent(core::RequestId request,
                       core::AttemptId attempt,
                       router::Event event);
@@ -108,6 +108,7 @@
   const WorkerContext& m_shared;
   uint64_t m_next = 1;
   UpstreamPool m_pool;
+  boost::asio::steady_timer m_sweep;
   std::unordered_map<core::RequestId, Entry> m_requests;
 };
 
--- a/src/net/upstream_attempt.cc
+++ b/src/net/upstream_attempt.cc
@@ -17,6 +17,7 @@
 #include "coppervalve/net/stream_relay.h"
 #include "deadline.h"
 #include "socket_util.h"
+#include "upstream_fault.h"
 #include "upstream_load.h"
 #include "upstream_pool.h"
 
@@ -41,17 +42,6 @@
 constexpr unsigned kServerErrors = 500;
 constexpr unsigned kUnavailable = 503;
 
-HttpHead RelayedHead(const HttpHead& head) {
-  HttpHead relayed;
-  relayed.status = head.status;
-  for (const auto& [name, value] : head.headers) {
-    if (!IsHopByHop(name) && !name.starts_with("x-engine-")) {
-      relayed.headers.emplace_back(name, value);
-    }
-  }
-  return relayed;
-}
-
 }  // namespace
 
 struct UpstreamAttempt::Impl
@@ -401,24 +391,10 @@
     return deadline.expired() ? "timeout" : e.message();
   }
 
-  // What a connection that broke after the first byte says of the answer.
   core::Error Broken(std::string_view step, error_code e) const {
-    const std::string detail = std::string(step) + ": " + Text(e);
-    if (deadline.expired()) {
-      return {ErrorId::kUpstreamSilent, plan.address, detail};
-    }
-    if (e == http::error::partial_message) {
-      return {ErrorId::kAnswerCut, plan.address, detail};
-    }
-    const bool closed = e == http::error::end_of_stream;
-    if (!closed &&
-        e.category() ==
-            http::make_error_code(http::error::bad_line_ending).category()) {
-      return {ErrorId::kUpstreamProtocol, plan.address, detail};
-    }
-    const bool begun = whole_parser || stream_parser;
-    return {begun ? ErrorId::kAnswerCut : ErrorId::kUpstreamFailed,
-            plan.address, detail};
+    return FaultOf({plan.address, std::string(step) + ": " + Text(e),
+                    deadline.expired(), whole_parser || stream_parser},
+                   e);
   }
 
   asio::io_context& context;
--- /dev/null
+++ b/src/net/upstream_fault.h
@@ -0,0 +1,28 @@
+#ifndef COPPERVALVE_SRC_NET_UPSTREAM_FAULT_H_
+#define COPPERVALVE_SRC_NET_UPSTREAM_FAULT_H_
+
+#include <boost/system/error_code.hpp>
+#include <string>  // string
+
+#include "coppervalve/core/error.h"
+#include "coppervalve/net/http_types.h"
+
+namespace coppervalve::net {
+
+/// @brief How a connection to an upstream broke after the first byte was sent.
+struct Breakage {
+  std::string address;
+  std::string detail;
+  bool expired = false;  ///< we closed it, as it was silent for too long
+  bool begun = false;    ///< the head of the answer had come
+};
+
+/// @return kUpstreamSilent, kAnswerCut, kUpstreamProtocol or kUpstreamFailed
+core::Error FaultOf(Breakage breakage, boost::system::error_code error);
+
+/// @brief The head of an upstream's answer as callers get it.
+HttpHead RelayedHead(const HttpHead& head);
+
+}  // namespace coppervalve::net
+
+#endif  // COPPERVALVE_SRC_NET_UPSTREAM_FAULT_H_
--- a/tests/net/test_shell.cc
+++ b/tests/net/test_shell.cc
@@ -65,6 +65,7 @@
   dispatch.upstream = core::UpstreamId("u1");
   dispatch.address = address;
   dispatch.model_work = model_work;
+  dispatch.account = core::AccountId("tours");
   dispatch.max_output_tokens = core::Tokens(64);
   dispatch.first_token_timeout = std::chrono::seconds(5);
   dispatch.inter_token_timeout = std::chrono::seconds(5);
--- a/tests/net/unit-upstream.cc
+++ b/tests/net/unit-upstream.cc
@@ -52,6 +52,7 @@
   CHECK(Has(seen, "idempotency-key: k9"));
   CHECK(Has(seen, "x-request-id: r1-"));
   CHECK(Has(seen, "x-coppervalve-priority: 0"));
+  CHECK(Has(seen, "x-coppervalve-account: tours"));
   CHECK_FALSE(Has(seen, "key-1"));
 }
 
