--- a/apps/coppervalve/publish.cc
+++ b/apps/coppervalve/publish.cc
@@ -202,7 +202,12 @@
     }
   }
 
+  // A fleet without a live router has nothing in force: ending well then would
+  // tell an operator that a dead fleet follows.
   std::string Unconfirmed(core::ConfigVersion version) const {
+    if (m_view.fold().LiveMembers().empty()) {
+      return "any router: none is live";
+    }
     std::string missing;
     for (const ledger::Member* member : m_view.fold().LiveMembers()) {
       if (member->confirmed_config < version) {
--- a/apps/coppervalve/session.cc
+++ b/apps/coppervalve/session.cc
@@ -84,6 +84,10 @@
   for (const ledger::Member* member : core::Value(view).fold().LiveMembers()) {
     addresses.push_back(member->joined.operator_address());
   }
+  if (addresses.empty()) {
+    return core::Error{ErrorId::kUnknownRouter, "routers",
+                       "none is live in the log"};
+  }
   return addresses;
 }
 
--- a/apps/coppervalve/session.h
+++ b/apps/coppervalve/session.h
@@ -38,6 +38,7 @@
                              const LogView::Observer& observer) const;
 
   /// @brief Operator endpoints: those given, else those of the live routers.
+  /// @error kUnknownRouter when there is none, and those of ReadLog
   core::Result<std::vector<std::string>> OperatorEndpoints() const;
 
  private:
--- a/tests/cli/operators_tool.sh
+++ b/tests/cli/operators_tool.sh
@@ -73,7 +73,8 @@
 expect "an empty log holds no publication" 0 "OUTCOME" "$tool" config history
 expect "the first publication is version 1" 0 "accepted as version 1" "$tool" config publish examples/boleteria.json
 expect "the same file again changes nothing" 0 "already in force as version 1" "$tool" config publish examples/boleteria.json
-expect "--wait with no live router ends at once" 0 "0 routers" "$tool" config publish examples/boleteria.json --wait 5
+expect "--wait without a live router does not end well" 1 "CV-808" "$tool" config publish examples/boleteria.json --wait 1
+expect "a status without a live router is no success" 1 "CV-806" "$tool" status
 sed 's/"prepaid_tokens": 50000}/"prepaid_tokens": 60000}/' examples/boleteria.json >"$work/grown.json"
 sed 's/"gate_queue_ms": 2000/"gate_queue_ms": 1500/' examples/boleteria.json >"$work/ben.json"
 expect "diff names the path" 0 '$.budgets[id=night-events].prepaid_tokens' "$tool" config diff "$work/grown.json"
