--- /dev/null
+++ b/tools/harness/ports.py
@@ -0,0 +1,40 @@
+"""Ports for child processes."""
+
+import random
+import socket
+
+HOST = "127.0.0.1"
+
+# Below the range from which the kernel takes ports for outgoing connections: a
+# port that was free a moment ago is then not taken by somebody's connection.
+_FIRST_PORT = 20000
+_LAST_PORT = 31999
+_ATTEMPTS = 200
+
+_given_out: set[int] = set()
+
+
+def free_port() -> int:
+    """Returns a port that nobody listens on and that was not given out before."""
+    for _ in range(_ATTEMPTS):
+        port = random.randint(_FIRST_PORT, _LAST_PORT)
+        if port not in _given_out and is_free(port):
+            _given_out.add(port)
+            return port
+    raise OSError("no free port found")
+
+
+def is_free(port: int) -> bool:
+    """Tells whether a process could listen on the port."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+def free_address() -> str:
+    """Returns "ip:port" of a free port."""
+    return f"{HOST}:{free_port()}"
--- /dev/null
+++ b/tools/harness/waiting.py
@@ -0,0 +1,19 @@
+"""Waiting for a condition with a bound."""
+
+import time
+from collections.abc import Callable
+
+_PAUSE_S = 0.05
+
+
+class WaitTimeout(Exception):
+    """The condition did not hold in time."""
+
+
+def wait_until(condition: Callable[[], bool], timeout_s: float, what: str) -> None:
+    """Polls until the condition holds; raises WaitTimeout when it does not."""
+    give_up = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() >= give_up:
+            raise WaitTimeout(f"{what}: not within {timeout_s} s")
+        time.sleep(_PAUSE_S)
