--- a/apps/coppervalved/daemon.cc
+++ b/apps/coppervalved/daemon.cc
@@ -141,7 +141,7 @@
   static telemetry::RouterMetrics metrics;
   static Brain brain(settings);
   static net::Shell shell(settings.shell, HooksOf(brain, metrics));
-  const core::Status started = shell.Start();
+  core::Status started = shell.Start();
   if (!core::IsOk(started)) {
     return started;
   }
--- a/src/net/upstream_attempt.cc
+++ b/src/net/upstream_attempt.cc
@@ -2,7 +2,6 @@
 
 #include <array>  // array
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -15,8 +14,7 @@
 #include "beast_util.h"
 #include "coppervalve/net/model_json.h"
 #include "coppervalve/net/stream_relay.h"
-#include "deadline.h"
-#include "socket_util.h"
+#include "upstream_connection.h"
 #include "upstream_fault.h"
 #include "upstream_load.h"
 #include "upstream_pool.h"
@@ -28,7 +26,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-using asio::ip::tcp;
 using boost::system::error_code;
 using core::ErrorId;
 
@@ -56,75 +53,37 @@
        std::shared_ptr<Answer> a_answer,
        Report a_report)
       : context(a_context),
-        pool(a_pool),
         plan(std::move(a_plan)),
         answer(std::move(a_answer)),
         report(std::move(a_report)),
-        socket(a_context),
-        deadline(a_context) {}
+        link(std::make_shared<UpstreamConnection>(a_context,
+                                                  a_pool,
+                                                  plan.address)) {}
 
   void Start() {
-    if (auto idle = pool.Take(plan.address)) {
-      socket = std::move(*idle);
-      reused = true;
-      Write();
-      return;
-    }
-    Connect();
+    const bool piecewise = plan.stream || !plan.model_work;
+    link->Send(plan.wire, plan.connect_timeout,
+               piecewise ? plan.first_token_timeout : plan.whole_timeout,
+               [self = shared_from_this()](SendEnd end, error_code e) {
+                 self->OnSent(end, e);
+               });
   }
 
-  void Connect() {
-    reused = false;
-    const auto endpoint = ParseEndpoint(plan.address);
-    if (!endpoint) {
-      EndNotSent("not an address");
-      return;
-    }
-    ArmDeadline(plan.connect_timeout);
-    socket.async_connect(*endpoint, [self = shared_from_this()](error_code e) {
-      if (self->ended) {
+  void OnSent(SendEnd end, error_code e) {
+    switch (end) {
+      case SendEnd::kSent:
+        ReadHead();
         return;
-      }
-      if (e) {
-        self->EndNotSent("connect: " + self->Text(e));
+      case SendEnd::kNotSent:
+        End(router::AttemptNotSent{
+            plan.request,
+            plan.attempt,
+            {ErrorId::kUpstreamFailed, plan.address, link->Explain(e)}});
+        return;
+      case SendEnd::kBroken:
+        EndFailed(Broken("write", e));
         return;
-      }
-      ConfigureSocket(self->socket);
-      self->Write();
-    });
-  }
-
-  void Write() {
-    ArmDeadline(plan.stream || !plan.model_work ? plan.first_token_timeout
-                                                : plan.whole_timeout);
-    asio::async_write(
-        socket, asio::buffer(plan.wire),
-        [self = shared_from_this()](error_code e, size_t written) {
-          self->OnWritten(e, written);
-        });
-  }
-
-  void OnWritten(error_code e, size_t written) {
-    if (ended) {
-      return;
-    }
-    if (!e) {
-      ReadHead();
-      return;
-    }
-    // Point of no return: once the kernel took a byte, the upstream may have
-    // the request, and sending it again could run it twice. With no byte
-    // taken, another connection is safe.
-    if (written > 0) {
-      EndFailed(Broken("write", e));
-      return;
-    }
-    if (reused && !deadline.expired()) {
-      CloseSocket();
-      Connect();
-      return;
     }
-    EndNotSent("write: " + Text(e));
   }
 
   void ReadHead() {
@@ -135,7 +94,7 @@
       head_parser->skip(true);
     }
     http::async_read_header(
-        socket, buffer, *head_parser,
+        link->socket(), buffer, *head_parser,
         [self = shared_from_this()](error_code e, size_t) { self->OnHead(e); });
   }
 
@@ -187,7 +146,7 @@
       EndWhole();
       return;
     }
-    http::async_read_some(socket, buffer, *whole_parser,
+    http::async_read_some(link->socket(), buffer, *whole_parser,
                           [self = shared_from_this()](error_code e, size_t) {
                             self->OnWholePart(e);
                           });
@@ -208,7 +167,7 @@
     }
     ReportFirstToken();
     if (!plan.model_work) {
-      ArmDeadline(plan.inter_token_timeout);
+      link->Watch(plan.inter_token_timeout);
     }
     ReadWhole();
   }
@@ -251,7 +210,7 @@
     body.data = chunk.data();
     body.size = chunk.size();
     body.more = true;
-    http::async_read_some(socket, buffer, *stream_parser,
+    http::async_read_some(link->socket(), buffer, *stream_parser,
                           [self = shared_from_this()](error_code e, size_t) {
                             self->OnStreamPart(e);
                           });
@@ -275,7 +234,7 @@
     if (relay->output_seen() > before) {
       ReportFirstToken();
       // Only tokens count: an engine may send comments while it hangs.
-      ArmDeadline(plan.inter_token_timeout);
+      link->Watch(plan.inter_token_timeout);
     }
     if (stream_parser->is_done()) {
       EndStream();
@@ -284,7 +243,7 @@
     if (answer->Lag() > kHighWater) {
       // A slow caller, not a silent upstream: the watchdog rests.
       paused = true;
-      deadline.Disarm();
+      link->StopWatching();
       Resume();
       return;
     }
@@ -296,7 +255,7 @@
       return;
     }
     paused = false;
-    ArmDeadline(plan.inter_token_timeout);
+    link->Watch(plan.inter_token_timeout);
     ReadStream();
   }
 
@@ -316,9 +275,8 @@
                core::Bytes size) {
     // Bytes past the end of this answer would be taken for the next one's.
     const bool reusable = keep_alive && buffer.size() == 0;
-    deadline.Disarm();
     if (reusable) {
-      pool.Put(plan.address, std::move(socket));
+      link->GiveBack();
     }
     End(router::AttemptDone{plan.request, plan.attempt, head.status, usage,
                             size, load});
@@ -334,13 +292,6 @@
                                 retry_after, load});
   }
 
-  void EndNotSent(std::string detail) {
-    End(router::AttemptNotSent{
-        plan.request,
-        plan.attempt,
-        {ErrorId::kUpstreamFailed, plan.address, std::move(detail)}});
-  }
-
   void EndFailed(core::Error error) {
     End(router::AttemptFailed{plan.request, plan.attempt, std::move(error),
                               answer->started(),
@@ -361,9 +312,8 @@
       return;
     }
     ended = true;
-    deadline.Disarm();
     answer->OnTaken(nullptr);
-    CloseSocket();
+    link->Close();
   }
 
   // ---- Helpers -------------------------------------------------------------
@@ -374,37 +324,17 @@
     }
   }
 
-  void ArmDeadline(std::chrono::microseconds after) {
-    deadline.Arm(after, [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        self->CloseSocket();
-      }
-    });
-  }
-
-  void CloseSocket() {
-    error_code ignored;
-    socket.close(ignored);
-  }
-
-  std::string Text(error_code e) const {
-    return deadline.expired() ? "timeout" : e.message();
-  }
-
   core::Error Broken(std::string_view step, error_code e) const {
-    return FaultOf({plan.address, std::string(step) + ": " + Text(e),
-                    deadline.expired(), whole_parser || stream_parser},
+    return FaultOf({plan.address, std::string(step) + ": " + link->Explain(e),
+                    link->expired(), whole_parser || stream_parser},
                    e);
   }
 
   asio::io_context& context;
-  UpstreamPool& pool;
   const AttemptPlan plan;
   const std::shared_ptr<Answer> answer;
   Report report;
-  tcp::socket socket;
-  Deadline deadline;
-  bool reused = false;
+  const std::shared_ptr<UpstreamConnection> link;
   bool ended = false;
   bool paused = false;
   bool first_token_reported = false;
--- a/src/net/upstream_pool.cc
+++ b/src/net/upstream_pool.cc
@@ -30,6 +30,10 @@
   return std::nullopt;
 }
 
+void UpstreamPool::Drop(const std::string& address) {
+  m_idle.erase(address);
+}
+
 void UpstreamPool::Put(const std::string& address,
                        boost::asio::ip::tcp::socket socket) {
   std::vector<Idle>& idle = m_idle[address];
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -15,6 +15,8 @@
  public:
   /// @return a connection that looked alive just now
   std::optional<boost::asio::ip::tcp::socket> Take(const std::string& address);
+  /// @brief Closes the idle connections to an upstream.
+  void Drop(const std::string& address);
   void Put(const std::string& address, boost::asio::ip::tcp::socket socket);
 
  private:
--- a/tests/net/test_shell.h
+++ b/tests/net/test_shell.h
@@ -21,7 +21,7 @@
 
   explicit TestShell(Decide decide, ShellSettings settings = Settings());
 
-  /// @brief Short timeouts where a test waits for them, long ones elsewhere.
+  /// @brief Long timeouts; a test that waits for one sets it.
   static ShellSettings Settings();
 
   RawSocket Caller() const { return RawSocket(m_shell->caller_port()); }
