Look only at ejected upstreams for probes, estimate waits less often

Cause: the core asks for probes and expired entries after every event; at 10,000 upstreams each event looked at all of them, and at each entry that waits. Ruled out: a timer in the shell (the core's interface is Tick). Change: the table keeps the ejected slots; probes and expected waits are looked at once in 10 ms. Overdue entries are still refused at once. Conclusion: an event costs nothing for upstreams that are healthy.

--- a/include/coppervalve/routing/admission_queue.h
+++ b/include/coppervalve/routing/admission_queue.h
@@ -102,7 +102,7 @@
   /// @complexity O(starts * (pools + accounts * lanes))
   size_t Drain(core::TimePoint now, const TryStart& try_start);
   /// @brief Refusals of entries that are too late, or cannot make it any more.
-  /// @complexity O(n)
+  /// @complexity O(n * accounts) once in 10 ms, else O(accounts * lanes)
   std::vector<QueueRefusal> Expire(core::TimePoint now);
   /// @brief The caller is gone. @return false when the request does not wait
   bool Remove(core::RequestId request);
@@ -153,6 +153,7 @@
   RandomHook m_random;
   std::map<PoolId, std::unique_ptr<Pool>> m_pools;
   std::unordered_map<core::RequestId, QueueEntry> m_entries;
+  core::TimePoint m_estimated_at{};
   std::array<size_t, 3> m_class_sizes{};
   std::array<std::unordered_map<core::AccountId, size_t>, 3> m_account_sizes;
 };
--- a/include/coppervalve/routing/upstream_table.h
+++ b/include/coppervalve/routing/upstream_table.h
@@ -5,6 +5,7 @@
 #include <cstdint>        // uint32_t, uint64_t
 #include <memory>         // unique_ptr
 #include <optional>       // optional
+#include <set>            // set
 #include <string>         // string
 #include <unordered_map>  // unordered_map
 #include <vector>         // vector
@@ -126,7 +127,7 @@
 
   /// @brief Probes to make now; each is handed out once until it ends or its
   /// timeout passes; those past the bound are due again at the next call.
-  /// @complexity O(n)
+  /// @complexity O(ejected) once in 10 ms, else O(1)
   std::vector<ProbeDue> TakeProbesDue(core::TimePoint now);
   void OnProbe(const core::UpstreamId& id,
                bool healthy,
@@ -166,6 +167,7 @@
   size_t TakeFreeSlot();
   void IndexSets();
   static void EndAttempt(Entry& entry);
+  void NoteHealth(const Entry& entry, core::TimePoint now);
   void ForgetIfIdle(const core::UpstreamId& id);
   void SortByHash(CandidateSet& set) const;
   static bool Serves(const UpstreamInfo& info, const WorkTarget& target);
@@ -180,7 +182,9 @@
   RandomHook m_random;
   std::vector<std::unique_ptr<Entry>> m_entries;  ///< by slot; null when free
   std::vector<size_t> m_free_slots;
-  size_t m_next_probed = 0;  ///< slot where the next call goes on
+  std::set<size_t> m_ejected;  ///< slots to be probed
+  size_t m_next_probed = 0;    ///< slot where the next call goes on
+  core::TimePoint m_probes_looked_at{};
   std::unordered_map<core::UpstreamId, size_t> m_slots;
   std::unordered_map<core::ModelId, CandidateSet> m_by_model;
   std::unordered_map<core::ServiceId, CandidateSet> m_by_service;
--- a/src/routing/admission_queue.cc
+++ b/src/routing/admission_queue.cc
@@ -18,6 +18,7 @@
 constexpr size_t kBatch = 2;
 /// Pools without waiting entries keep their drain rates up to this number.
 constexpr size_t kIdlePools = 256;
+constexpr core::Duration kEstimateEvery{10'000};
 
 size_t ClassIndex(v1::AdmissionClass admission_class) {
   switch (admission_class) {
@@ -235,6 +236,9 @@
 
 std::vector<QueueRefusal> AdmissionQueue::Expire(core::TimePoint now) {
   std::vector<QueueRefusal> refusals;
+  // Called after every event; the estimates of all entries need not be.
+  const bool estimate = now - m_estimated_at >= kEstimateEvery;
+  m_estimated_at = estimate ? now : m_estimated_at;
   for (const auto& [id, pool] : m_pools) {
     if (pool->Size() == 0) {
       continue;
@@ -244,6 +248,9 @@
       refusals.push_back(
           {entry.request, Refuse(core::ErrorId::kQueueTimeout, entry, now)});
     }
+    if (!estimate) {
+      continue;
+    }
     for (const QueueEntry& entry : Hopeless(*pool, now)) {
       Erase(entry);
       refusals.push_back(
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -15,6 +15,7 @@
 /// the upstream has more work than its batch takes.
 constexpr uint32_t kQueueShareOfRunning = 16;
 constexpr uint32_t kQueueAlwaysAllowed = 1;
+constexpr core::Duration kProbeResolution{10'000};
 
 bool HasStandingQueue(const LoadReport& load) {
   return load.queued >
@@ -91,6 +92,7 @@
     const uint32_t own = known->own;
     *known = Entry(info, m_options);
     known->own = own;
+    m_ejected.erase(m_slots[info.id]);
     return;
   }
   known->info = info;
@@ -216,6 +218,7 @@
     return;
   }
   entry->health.OnFailure(kind, now, m_random);
+  NoteHealth(*entry, now);
   EndAttempt(*entry);
   ForgetIfIdle(id);
 }
@@ -226,6 +229,7 @@
     return;
   }
   entry->health.OnNotSent(now, m_random);
+  NoteHealth(*entry, now);
   EndAttempt(*entry);
   ForgetIfIdle(id);
 }
@@ -268,24 +272,41 @@
 
 std::vector<ProbeDue> UpstreamTable::TakeProbesDue(core::TimePoint now) {
   std::vector<ProbeDue> due;
-  const size_t start = m_entries.empty() ? 0 : m_next_probed % m_entries.size();
-  for (size_t step = 0; step < m_entries.size(); ++step) {
-    const size_t slot = (start + step) % m_entries.size();
-    Entry* entry = m_entries[slot].get();
-    if (entry == nullptr || entry->removed || entry->leaving) {
+  // Asked after every event: looking at each upstream each time would cost more
+  // than all other decisions in a large fleet.
+  if (m_ejected.empty() || now - m_probes_looked_at < kProbeResolution) {
+    return due;
+  }
+  m_probes_looked_at = now;
+  std::vector<size_t> in_turn(m_ejected.lower_bound(m_next_probed),
+                              m_ejected.end());
+  in_turn.insert(in_turn.end(), m_ejected.begin(),
+                 m_ejected.lower_bound(m_next_probed));
+  for (const size_t slot : in_turn) {
+    Entry& entry = *m_entries[slot];
+    if (entry.removed || entry.leaving) {
       continue;
     }
     if (due.size() == m_options.probes_at_once) {
       m_next_probed = slot;
       break;
     }
-    if (entry->health.TakeProbeDue(now)) {
-      due.push_back({entry->info.id, entry->info.address});
+    if (entry.health.TakeProbeDue(now)) {
+      due.push_back({entry.info.id, entry.info.address});
     }
   }
   return due;
 }
 
+void UpstreamTable::NoteHealth(const Entry& entry, core::TimePoint now) {
+  const size_t slot = m_slots.at(entry.info.id);
+  if (entry.health.state(now) == HealthState::kEjected) {
+    m_ejected.insert(slot);
+    return;
+  }
+  m_ejected.erase(slot);
+}
+
 void UpstreamTable::OnProbe(const core::UpstreamId& id,
                             bool healthy,
                             const std::optional<LoadReport>& load,
@@ -295,6 +316,7 @@
     return;
   }
   entry->health.OnProbe(healthy, now, m_random);
+  NoteHealth(*entry, now);
   if (load) {
     OnLoad(id, *load, now);
   }
@@ -467,6 +489,7 @@
   }
   const size_t slot = m_slots[id];
   m_entries[slot].reset();
+  m_ejected.erase(slot);
   m_free_slots.push_back(slot);
   m_slots.erase(id);
 }
--- a/tests/routing/unit-upstream-table.cc
+++ b/tests/routing/unit-upstream-table.cc
@@ -86,6 +86,22 @@
   CHECK(probed_at.back() - probed_at[probed_at.size() - 2] >= 2000);
 }
 
+TEST(UpstreamTable, a_fleet_that_is_ejected_whole_is_probed_little_by_little) {
+  // A cut takes all 100 engines away. Their probes come due together; sent at
+  // once by every router they would be a burst of their own. None is forgotten.
+  RouterView view(100);
+  for (int number = 0; number < 100; ++number) {
+    view.Eject(number, At(0));
+  }
+  size_t probed = 0;
+  for (int64_t now = 1000; now < 1050; now += 10) {
+    const size_t due = view.table.TakeProbesDue(At(now)).size();
+    CHECK(due <= UpstreamTableOptions{}.probes_at_once);
+    probed += due;
+  }
+  LONGS_EQUAL(100, probed);
+}
+
 TEST(UpstreamTable, a_lost_probe_is_made_again) {
   // The probe's connection goes silent for good and no result ever comes. The
   // upstream must not stay ejected for ever.
