End waits for a claim in time; charge answers without a count

Cause: a hold whose claim was on its way when the log went out waited for ever; a whole answer without usage cost nothing, so an account could use the engine without end. Ruled out: a run after the refusal (the claim names this incarnation, where the key is known as not run). Change: claims share the deadlines of token waits; an uncounted answer costs what was reserved, a 4xx without a count costs nothing. Conclusion: every stage of a request now has an end.

--- a/include/coppervalve/router/detail/request_flow.h
+++ b/include/coppervalve/router/detail/request_flow.h
@@ -114,6 +114,7 @@
   void ExpireQueue(core::TimePoint now);
 
   // Attempts.
+  core::Tokens CostOf(const Work& work, const AttemptDone& done) const;
   Work* FindAttempt(core::RequestId id, core::AttemptId attempt);
   void AfterNotRun(core::TimePoint now,
                    Work& work,
@@ -153,7 +154,8 @@
   /// Requests that wait for tokens, by budget, in the order they are served.
   std::unordered_map<core::BudgetId, std::deque<core::RequestId>> m_waiting;
   Pauses m_pauses;
-  std::multimap<core::TimePoint, core::RequestId> m_token_deadlines;
+  /// When requests that wait for a claim or for tokens are given up.
+  std::multimap<core::TimePoint, core::RequestId> m_deadlines;
   /// Started entries that turned out to have no upstream alive.
   std::vector<core::RequestId> m_dead_ends;
   std::unordered_map<core::RequestId, v1::RequestStatus> m_status_relays;
--- a/include/coppervalve/trial/fleet.h
+++ b/include/coppervalve/trial/fleet.h
@@ -78,6 +78,9 @@
   bool IsCut(size_t a, size_t b) const;
   LogLink& log_link(size_t node) { return m_log_links[node]; }
   void SetFate(std::function<AttemptFate()> fate) { m_fate = std::move(fate); }
+  /// @brief Whether engines say how many tokens they used.
+  void SetReportsUsage(bool reports) { m_reports_usage = reports; }
+  bool reports_usage() const { return m_reports_usage; }
   AttemptFate NextFate() { return m_fate ? m_fate() : AttemptFate::kAnswered; }
   /// @brief Called when a ticket ends.
   void SetOnTicket(std::function<void(size_t ticket)> on_ticket) {
@@ -123,6 +126,7 @@
   std::function<AttemptFate()> m_fate;
   std::function<void(size_t)> m_on_ticket;
   std::function<void(size_t, const router::LogLine&)> m_on_line;
+  bool m_reports_usage = true;
   uint64_t m_config_version = 0;
   uint64_t m_top_ups = 0;
   std::vector<std::unique_ptr<Node>> m_nodes;
--- a/src/router/flow_admission.cc
+++ b/src/router/flow_admission.cc
@@ -69,7 +69,7 @@
                priority < PriorityOf(known->route.admission_class);
       });
   waiting.insert(later, work.id);
-  m_token_deadlines.emplace(work.start_by, work.id);
+  m_deadlines.emplace(work.start_by, work.id);
 }
 
 void RequestFlow::WakeWaiters(TimePoint now) {
@@ -92,19 +92,26 @@
 }
 
 void RequestFlow::ExpireWaiters(TimePoint now) {
-  while (!m_token_deadlines.empty() &&
-         m_token_deadlines.begin()->first <= now) {
-    const RequestId id = m_token_deadlines.begin()->second;
-    m_token_deadlines.erase(m_token_deadlines.begin());
+  while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+    const RequestId id = m_deadlines.begin()->second;
+    m_deadlines.erase(m_deadlines.begin());
     Work* work = Find(id);
-    if (work == nullptr || work->stage != Stage::kTokens ||
-        work->start_by > now) {
+    if (work == nullptr || work->start_by > now) {
       continue;
     }
-    GiveUp(now, *work,
-           {ErrorId::kBudgetBusy, work->budget.value(),
-            "no tokens became free in the time the request may wait"},
-           kRetryWhenBusy);
+    if (work->stage == Stage::kTokens) {
+      GiveUp(now, *work,
+             {ErrorId::kBudgetBusy, work->budget.value(),
+              "no tokens became free in the time the request may wait"},
+             kRetryWhenBusy);
+    } else if (work->stage == Stage::kClaim) {
+      // The claim may still win later. It then names this incarnation, where
+      // the key is known as not run, so a retry may run it here and only here.
+      GiveUp(now, *work,
+             {ErrorId::kClaimUnavailable, work->account.value(),
+              "the log did not answer in the time the request may wait"},
+             kRetryAfterOutage);
+    }
   }
 }
 
--- a/src/router/flow_arrival.cc
+++ b/src/router/flow_arrival.cc
@@ -256,6 +256,7 @@
     return;
   }
   work.stage = Stage::kClaim;
+  m_deadlines.emplace(work.start_by, work.id);
   m_claims.insert_or_assign(key, work.id);
 }
 
--- a/src/router/flow_attempts.cc
+++ b/src/router/flow_attempts.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+constexpr uint32_t kFirstClientError = 400;
+constexpr uint32_t kFirstServerError = 500;
+
 std::optional<routing::LoadReport> ReportOf(
     const std::optional<UpstreamLoad>& load) {
   if (!load.has_value()) {
@@ -120,6 +123,18 @@
   m_upstreams.OnFirstToken(work->upstream, now - work->dispatched, now);
 }
 
+// An engine that answers without its count may have used all it was allowed.
+// Only a refusal of the request itself (4xx) shows that it generated nothing.
+Tokens RequestFlow::CostOf(const Work& work, const AttemptDone& done) const {
+  const bool refused = done.http_status >= kFirstClientError &&
+                       done.http_status < kFirstServerError;
+  const bool uncounted = !work.target.model.empty() && !done.usage && !refused;
+  if (uncounted && work.reservation.has_value()) {
+    return work.reservation->bound;
+  }
+  return m_parts.configured.CostAt(work.upstream, done.usage);
+}
+
 void RequestFlow::OnDone(TimePoint now, const AttemptDone& event) {
   m_now = now;
   Work* work = FindAttempt(event.request, event.attempt);
@@ -128,7 +143,7 @@
   }
   m_upstreams.OnDone(work->upstream, now - work->dispatched,
                      ReportOf(event.load), now);
-  const Tokens cost = m_parts.configured.CostAt(work->upstream, event.usage);
+  const Tokens cost = CostOf(*work, event);
   budget::Charge charge = budget::Unkeyed{};
   if (work->key.has_value()) {
     charge = budget::Bill{*work->key, work->account};
--- a/src/trial/node.cc
+++ b/src/trial/node.cc
@@ -329,7 +329,7 @@
     router::AttemptDone done;
     done.request = action.request;
     done.attempt = action.attempt;
-    if (action.model_work) {
+    if (action.model_work && m_fleet.reports_usage()) {
       done.usage = router::Usage{wish.prompt, output};
     }
     if (m_paused) {
--- a/tests/router/unit-at-most-once.cc
+++ b/tests/router/unit-at-most-once.cc
@@ -66,6 +66,22 @@
   LONGS_EQUAL(1, whole);
 }
 
+// A hold waits for its claim when the log goes out and stays out. Its caller
+// must not be kept waiting for the log: it gets its answer when the time that
+// the request may wait is over, and the hold has truly not run.
+TEST(AtMostOnce, a_hold_whose_claim_never_returns_is_refused_in_time) {
+  RunningFleet run;
+  const size_t wish = run.fleet.Wants(run.Hold("seat-18"));
+  for (size_t i = 0; i < run.fleet.size(); ++i) {
+    run.fleet.log_link(i).up = false;
+  }
+  const size_t ticket = run.fleet.Send(wish, 2);
+  run.Run(seconds(8));
+  CHECK(run.StateOf(ticket) == Ticket::State::kRefused);
+  CHECK(run.fleet.tickets()[ticket].run_state == core::RunState::kNotRun);
+  LONGS_EQUAL(0, run.RunsOf(wish));
+}
+
 // The log is out, so a key without an origin cannot be claimed: the hold is
 // refused at once and truthfully. A key bound to the router needs no log.
 TEST(AtMostOnce, with_the_log_out_only_origin_bound_holds_run) {
--- a/tests/router/unit-fleet.cc
+++ b/tests/router/unit-fleet.cc
@@ -181,6 +181,21 @@
   CHECK(run.audit.CheckFolds().empty());
 }
 
+// An engine answers wholly but does not say how much it used. Billing nothing
+// would let the account use the engine for ever; the bound that was reserved is
+// charged.
+TEST(Fleet, an_answer_without_usage_costs_what_was_reserved) {
+  RunningFleet run;
+  run.fleet.SetReportsUsage(false);
+  const size_t wish = run.fleet.Wants(run.Draft("", seconds(1)));
+  const size_t ticket = run.fleet.Send(wish, 0);
+  run.Run(seconds(5));
+  CHECK(run.StateOf(ticket) == Ticket::State::kWhole);
+  const TokenCount count = run.audit.Count();
+  CHECK(count.billed >= count.used);
+  CHECK(count.used > 0);
+}
+
 // The VM list says that an upstream leaves. No dispatch goes there any more,
 // while those in progress end.
 TEST(Fleet, a_leaving_upstream_gets_no_new_work) {
