--- a/tests/net/unit-forward.cc
+++ b/tests/net/unit-forward.cc
@@ -212,7 +212,8 @@
                      WithPeers());
   v1::PeerMessage message;
   message.set_from_router("r1");
-  const auto send = [&message](std::string address) -> TestShell::Decide {
+  const auto send =
+      [&message](const std::string& address) -> TestShell::Decide {
     return
         [&message, address](const router::Event& event) -> TestShell::Actions {
           if (std::holds_alternative<router::AddressesAsked>(event)) {
