Refuse what has no upstream alive without counting it as served

Cause: the queue took a refusal for want of an upstream for a start, so in an outage the measured drain rate, and with it Retry-After, was too optimistic. Ruled out: refusing before the queue only (entries already waiting would stay). Change: dead ends are refused after each round; the trial's probes fail while its upstreams do. Conclusion: Retry-After rests on work that was served.

--- a/include/coppervalve/router/detail/request_flow.h
+++ b/include/coppervalve/router/detail/request_flow.h
@@ -107,6 +107,8 @@
   void ExpireWaiters(core::TimePoint now);
   void Enqueue(core::TimePoint now, Work& work);
   void DrainQueue(core::TimePoint now);
+  /// @return whether there were any, so that others may be at the front now
+  bool RefuseDeadEnds(core::TimePoint now);
   bool TryStart(core::TimePoint now, const routing::QueueEntry& entry);
   void Start(core::TimePoint now,
              Work& work,
@@ -156,7 +158,7 @@
   Pauses m_pauses;
   /// When requests that wait for a claim or for tokens are given up.
   std::multimap<core::TimePoint, core::RequestId> m_deadlines;
-  /// Started entries that turned out to have no upstream alive.
+  /// Entries at the front of their lanes with no upstream alive.
   std::vector<core::RequestId> m_dead_ends;
   std::unordered_map<core::RequestId, v1::RequestStatus> m_status_relays;
   uint64_t m_last_attempt = 0;
--- a/src/router/flow_admission.cc
+++ b/src/router/flow_admission.cc
@@ -139,10 +139,16 @@
 }
 
 void RequestFlow::DrainQueue(TimePoint now) {
-  m_queue.Drain(now, [this, now](const routing::QueueEntry& entry) {
-    return TryStart(now, entry);
-  });
-  for (const RequestId id : std::exchange(m_dead_ends, {})) {
+  do {
+    m_queue.Drain(now, [this, now](const routing::QueueEntry& entry) {
+      return TryStart(now, entry);
+    });
+  } while (RefuseDeadEnds(now));
+}
+
+bool RequestFlow::RefuseDeadEnds(TimePoint now) {
+  const std::vector<RequestId> dead_ends = std::exchange(m_dead_ends, {});
+  for (const RequestId id : dead_ends) {
     if (Work* work = Find(id)) {
       GiveUp(now, *work,
              {ErrorId::kNoUpstream, work->route.rule.value(),
@@ -150,6 +156,7 @@
              kRetryAfterOutage);
     }
   }
+  return !dead_ends.empty();
 }
 
 bool RequestFlow::TryStart(TimePoint now, const routing::QueueEntry& entry) {
@@ -172,9 +179,10 @@
   const bool dead = decision.why == routing::PlacementWhy::kNoneAlive ||
                     decision.why == routing::PlacementWhy::kNoCandidate;
   // BATCH work may wait for an upstream to return; a person would wait in vain.
+  // It is refused after this round and not reported as a start: starts measure
+  // the drain rate, and callers would be told to come back too early.
   if (dead && work->route.admission_class != v1::BATCH) {
     m_dead_ends.push_back(work->id);
-    return true;
   }
   return false;
 }
--- a/src/trial/node.cc
+++ b/src/trial/node.cc
@@ -347,7 +347,8 @@
 
 void Node::Do(const router::ProbeUpstream& action) {
   Later(kProbeTime, [this, action] {
-    Deliver(router::ProbeEnded{action.upstream, true, std::nullopt});
+    const bool healthy = m_fleet.NextFate() == AttemptFate::kAnswered;
+    Deliver(router::ProbeEnded{action.upstream, healthy, std::nullopt});
   });
 }
 
--- a/tests/router/unit-fleet.cc
+++ b/tests/router/unit-fleet.cc
@@ -196,6 +196,32 @@
   CHECK(count.used > 0);
 }
 
+// Every upstream fails for all requests. Callers that wait are refused at once,
+// with when to come back, and the fleet does not multiply the load by retrying.
+TEST(Fleet, a_full_outage_of_the_upstreams_is_refused_without_a_retry_storm) {
+  LoadOptions options;
+  options.prepaid = 10'000'000;
+  options.max_tries = 1;
+  options.draft_share = 0;
+  options.hold_share = 0;
+  RunningFleet run({}, options);
+  uint64_t attempts = 0;
+  run.fleet.SetFate([] { return AttemptFate::kNotSent; });
+  run.fleet.SetOnLogLine([&](size_t, const router::LogLine& line) {
+    attempts += line.event == "routed" ? 1 : 0;
+  });
+  Load load(run.fleet, run.audit, options);
+  load.Start();
+  run.Run(seconds(30));
+  load.Stop();
+  run.Run(seconds(15));
+  const ClassCount total = load.Total();
+  CHECK(total.wishes > 400);
+  LONGS_EQUAL(total.wishes, total.refused);
+  // Two attempts a request would be a storm; ejection keeps it below one.
+  CHECK(attempts < total.wishes);
+}
+
 // The VM list says that an upstream leaves. No dispatch goes there any more,
 // while those in progress end.
 TEST(Fleet, a_leaving_upstream_gets_no_new_work) {
