--- /dev/null
+++ b/tools/load/attempt.h
@@ -0,0 +1,24 @@
+#ifndef COPPERVALVE_TOOLS_LOAD_ATTEMPT_H_
+#define COPPERVALVE_TOOLS_LOAD_ATTEMPT_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <string>  // string
+
+#include "tools/load/outcome.h"
+#include "tools/load/plan.h"
+
+namespace coppervalve::load {
+
+/// @brief Sends a request to one address and judges what comes back.
+/// @param plan must outlive the attempt
+boost::asio::awaitable<AttemptEnd> Attempt(const ClassPlan& plan,
+                                           std::string address,
+                                           std::string key,
+                                           std::string body);
+
+/// @return the body of a request of this class
+std::string BodyOf(const ClassPlan& plan, size_t number);
+
+}  // namespace coppervalve::load
+
+#endif  // COPPERVALVE_TOOLS_LOAD_ATTEMPT_H_
--- /dev/null
+++ b/tools/load/audit.cc
@@ -0,0 +1,224 @@
+#include "tools/load/audit.h"
+
+#include <boost/json/array.hpp>
+#include <filesystem>     // exists
+#include <thread>         // sleep_for
+#include <unordered_map>  // unordered_map
+#include <unordered_set>  // unordered_set
+#include <utility>        // move
+#include <variant>        // get_if
+
+#include "coppervalve/core/hash.h"
+#include "tools/load/clock.h"
+#include "tools/load/json.h"
+#include "tools/load/log_reader.h"
+#include "tools/load/upstream_use.h"
+
+namespace coppervalve::load {
+
+namespace {
+
+namespace json = boost::json;
+using core::ErrorId;
+using core::Tokens;
+
+constexpr std::chrono::milliseconds kFollowPause{200};
+
+/// One request of a load report.
+struct Asked {
+  std::string request_id;
+  std::string verdict;
+  bool earlier_unknown = false;
+  bool non_idempotent = false;
+};
+
+/// How often each key was billed. Kept apart from the fold's own memory of
+/// billed keys, which is what is audited.
+using Bills = std::unordered_map<core::Hash128, size_t>;
+
+// A key is an account's own: two accounts may use the same text. The log's
+// records name it by the hash of this identity.
+std::string IdentityOf(const std::string& account, const std::string& key) {
+  std::string identity = account;
+  identity.push_back('\0');
+  return identity + key;
+}
+
+class Join {
+ public:
+  explicit Join(Findings& findings) : m_findings(findings) {}
+
+  core::Status TakeReport(const std::string& path) {
+    const core::Result<json::value> read = ReadJsonFile(path);
+    if (!core::IsOk(read)) {
+      return core::Failure(read);
+    }
+    const json::object* report = core::Value(read).if_object();
+    const json::array* keys =
+        report == nullptr ? nullptr : ArrayOf(*report, "keys");
+    if (keys == nullptr) {
+      return core::Error{ErrorId::kMalformedJson, path, "no load report"};
+    }
+    for (const json::value& item : *keys) {
+      if (item.is_object()) {
+        TakeAsked(item.get_object());
+      }
+    }
+    return core::Ok();
+  }
+
+  void TakeRuns(const UpstreamUse& use) {
+    m_findings.runs = use.runs.size();
+    m_findings.begun_only = use.begun_only;
+    m_findings.missing = use.missing;
+    for (const Run& run : use.runs) {
+      const std::string identity = IdentityOf(run.account, run.key);
+      m_owner_of.emplace(run.request_id, identity);
+      if (run.key.empty()) {
+        continue;
+      }
+      ++m_runs_of[identity];
+      m_changes_state[identity] |= run.changes_state;
+    }
+  }
+
+  void Finish(const Bills& bills) {
+    for (const auto& [hash, count] : bills) {
+      m_findings.billed_twice += count > 1 ? 1 : 0;
+    }
+    for (const auto& [identity, count] : m_runs_of) {
+      const auto asked = m_asked.find(identity);
+      const bool once =
+          m_changes_state[identity] ||
+          (asked != m_asked.end() && asked->second.non_idempotent);
+      m_findings.ran_twice += once && count > 1 ? 1 : 0;
+    }
+    for (const auto& [identity, asked] : m_asked) {
+      JudgeAnswer(identity, asked, bills);
+    }
+  }
+
+ private:
+  void TakeAsked(const json::object& item) {
+    Asked asked;
+    asked.request_id = TextOf(item, "request_id");
+    asked.verdict = TextOf(item, "verdict");
+    asked.earlier_unknown = FlagOf(item, "earlier_unknown");
+    asked.non_idempotent = FlagOf(item, "non_idempotent");
+    const std::string key = TextOf(item, "key");
+    if (!key.empty()) {
+      m_asked[IdentityOf(TextOf(item, "account"), key)] = std::move(asked);
+    }
+  }
+
+  void JudgeAnswer(const std::string& identity,
+                   const Asked& asked,
+                   const Bills& bills) {
+    if (asked.verdict == "wrong") {
+      ++m_findings.wrong_answers;
+    }
+    if (asked.verdict == "not_run" && !asked.earlier_unknown &&
+        m_runs_of.contains(identity)) {
+      ++m_findings.ran_after_not_run;
+    }
+    if (asked.verdict != "whole") {
+      return;
+    }
+    ++m_findings.answered;
+    m_findings.answered_unbilled +=
+        bills.contains(core::HashOf(identity)) ? 0 : 1;
+    // Whole, and the answer to somebody else's request: the caller cannot tell,
+    // but the upstream wrote down whose request it was.
+    const auto owner = m_owner_of.find(asked.request_id);
+    if (owner == m_owner_of.end()) {
+      ++m_findings.answers_unproved;
+    } else if (owner->second != identity) {
+      ++m_findings.wrong_answers;
+    }
+  }
+
+  Findings& m_findings;
+  std::unordered_map<std::string, Asked> m_asked;
+  std::unordered_map<std::string, size_t> m_runs_of;
+  std::unordered_map<std::string, bool> m_changes_state;
+  std::unordered_map<std::string, std::string> m_owner_of;
+};
+
+core::Status Follow(const AuditOptions& options, LogReader& reader) {
+  const Clock::time_point give_up = Clock::now() + options.follow_limit;
+  while (!options.follow_until.empty() && Clock::now() < give_up &&
+         !std::filesystem::exists(options.follow_until)) {
+    const core::Status read = reader.CatchUp();
+    // An outage of the log is part of some trials; a gap is not mended by
+    // waiting.
+    if (!core::IsOk(read) &&
+        core::Failure(read).id != ErrorId::kLogUnavailable) {
+      return read;
+    }
+    std::this_thread::sleep_for(kFollowPause);
+  }
+  return reader.CatchUp();
+}
+
+void TakeBudgets(const ledger::Fold& fold,
+                 const std::map<std::string, Tokens>& used,
+                 Findings& findings) {
+  for (const ledger::Budget* budget : fold.Budgets()) {
+    BudgetFinding& finding = findings.budgets[budget->id.value()];
+    finding.paid_in = budget->paid_in;
+    finding.billed = budget->billed;
+    finding.written_off = budget->written_off;
+  }
+  for (const auto& [budget, tokens] : used) {
+    findings.budgets[budget].used = tokens;
+  }
+  for (const auto& [budget, finding] : findings.budgets) {
+    findings.overspend += finding.Overspend();
+  }
+}
+
+}  // namespace
+
+bool Findings::Clean() const {
+  return overspend == Tokens(0) && billed_twice == 0 && ran_twice == 0 &&
+         wrong_answers == 0 && ran_after_not_run == 0 && missing.empty();
+}
+
+core::Result<Findings> Audit(const AuditOptions& options) {
+  Bills bills;
+  LogReader reader(
+      options.log, [&bills](const std::vector<ledger::Effect>& effects) {
+        for (const ledger::Effect& effect : effects) {
+          if (const auto* billed = std::get_if<ledger::Billed>(&effect)) {
+            ++bills[billed->key_hash];
+          }
+        }
+      });
+  const core::Status read = Follow(options, reader);
+  if (!core::IsOk(read)) {
+    return core::Failure(read);
+  }
+  const auto configuration = reader.fold().configuration();
+  if (reader.fold().config_version() == core::ConfigVersion(0)) {
+    return core::Error{ErrorId::kConfigMissingField, options.log,
+                       "no configuration is in force"};
+  }
+  Findings findings;
+  findings.started_at = reader.started_at();
+  findings.next_offset = reader.fold().next_offset();
+  Join join(findings);
+  for (const std::string& path : options.reports) {
+    const core::Status taken = join.TakeReport(path);
+    if (!core::IsOk(taken)) {
+      return core::Failure(taken);
+    }
+  }
+  const UpstreamUse use =
+      ReadUpstreamUse(*configuration, options.record_folder);
+  join.TakeRuns(use);
+  join.Finish(bills);
+  TakeBudgets(reader.fold(), UseByBudget(*configuration, use), findings);
+  return findings;
+}
+
+}  // namespace coppervalve::load
--- /dev/null
+++ b/tools/load/caller.cc
@@ -0,0 +1,90 @@
+#include "tools/load/caller.h"
+
+#include <chrono>   // milliseconds
+#include <utility>  // move
+
+#include "tools/load/attempt.h"
+#include "tools/load/pause.h"
+
+namespace coppervalve::load {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kNoAddressPause{200};
+constexpr milliseconds kLeastPause{20};
+
+}  // namespace
+
+Caller::Caller(const ClassPlan& plan,
+               AddressList addresses,
+               std::function<uint64_t()> random)
+    : m_plan(plan),
+      m_addresses(std::move(addresses)),
+      m_random(std::move(random)) {}
+
+asio::awaitable<Outcome> Caller::Send(size_t number) {
+  Outcome outcome;
+  const std::string body = BodyOf(m_plan, number);
+  const Clock::time_point start = Clock::now();
+  const Clock::time_point give_up = start + m_plan.patience;
+  for (size_t place = 0; place < m_plan.max_attempts; ++place) {
+    const auto address = co_await m_addresses.At(place);
+    if (!address) {
+      co_await PauseFor(kNoAddressPause);
+      continue;
+    }
+    if (outcome.key.empty()) {
+      outcome.key = NewKey(address->key_prefix);
+    }
+    const Clock::time_point sent = Clock::now();
+    AttemptEnd end =
+        co_await Attempt(m_plan, address->address, outcome.key, body);
+    if (end.times.first_token_ms) {
+      *end.times.first_token_ms += MillisBetween(start, sent);
+    }
+    ++outcome.attempts;
+    // A request whose last attempt found no router keeps what it was told.
+    if (end.verdict != Verdict::kNotSent || outcome.attempts == 1) {
+      outcome.earlier_unknown |= outcome.last.verdict == Verdict::kUnknown ||
+                                 outcome.last.verdict == Verdict::kCut;
+      outcome.last = std::move(end);
+    }
+    const milliseconds pause = outcome.last.retry_after.value_or(kLeastPause);
+    if (!MayRetry(outcome.last) || Clock::now() + pause >= give_up) {
+      break;
+    }
+    co_await PauseFor(pause);
+  }
+  outcome.ended_at = Clock::now();
+  outcome.total_ms = MillisBetween(start, outcome.ended_at);
+  co_return outcome;
+}
+
+// Always under the same key, so that the fleet can tell a retry from new work.
+bool Caller::MayRetry(const AttemptEnd& end) const {
+  switch (end.verdict) {
+    case Verdict::kWhole:
+    case Verdict::kWrong:
+      return false;
+    case Verdict::kNotSent:
+      return true;
+    case Verdict::kRefused:
+      return end.retry_after.has_value() || end.retry_elsewhere;
+    case Verdict::kUnknown:
+    case Verdict::kCut:
+      // Told so by a router, the caller of non-idempotent work looks up the
+      // effect. A connection that broke told it nothing.
+      return !m_plan.non_idempotent || end.retry_after.has_value() ||
+             !end.error_id.starts_with("CV-");
+  }
+  return false;
+}
+
+std::string Caller::NewKey(const std::string& prefix) {
+  return prefix + m_plan.name + "-" + std::to_string(m_random());
+}
+
+}  // namespace coppervalve::load
--- /dev/null
+++ b/tools/load/stream_text.h
@@ -0,0 +1,44 @@
+#ifndef COPPERVALVE_TOOLS_LOAD_STREAM_TEXT_H_
+#define COPPERVALVE_TOOLS_LOAD_STREAM_TEXT_H_
+
+#include <boost/json/object.hpp>
+#include <optional>     // optional
+#include <string>       // string
+#include <string_view>  // string_view
+#include <vector>       // vector
+
+#include "tools/load/clock.h"
+
+namespace coppervalve::load {
+
+/// @brief Reads the events of a streamed completion as they come.
+class StreamText {
+ public:
+  void Feed(std::string_view bytes, Clock::time_point now);
+
+  /// @return the tokens so far
+  const std::string& text() const { return m_text; }
+  /// @return when each token came
+  const std::vector<Clock::time_point>& token_times() const {
+    return m_token_times;
+  }
+  /// @return whether the closing event came, with nothing after it
+  bool closed() const { return m_closed && !m_garbled; }
+  /// @return what ended the stream instead of its closing event
+  const std::optional<boost::json::object>& error() const { return m_error; }
+
+ private:
+  void TakeLine(std::string_view line, Clock::time_point now);
+  void TakeDocument(const boost::json::object& document, Clock::time_point now);
+
+  std::string m_partial;
+  std::string m_text;
+  std::vector<Clock::time_point> m_token_times;
+  std::optional<boost::json::object> m_error;
+  bool m_closed = false;
+  bool m_garbled = false;
+};
+
+}  // namespace coppervalve::load
+
+#endif  // COPPERVALVE_TOOLS_LOAD_STREAM_TEXT_H_
--- /dev/null
+++ b/tools/load/upstream_use.cc
@@ -0,0 +1,135 @@
+#include "tools/load/upstream_use.h"
+
+#include <boost/json/array.hpp>
+#include <fstream>   // ifstream, getline
+#include <optional>  // optional
+#include <utility>   // move
+
+#include "tools/load/http_exchange.h"
+#include "tools/load/json.h"
+
+namespace coppervalve::load {
+
+namespace {
+
+namespace json = boost::json;
+using core::Tokens;
+
+constexpr unsigned kHttpOk = 200;
+constexpr int64_t kPermille = 1'000;
+
+Tokens Priced(Tokens work, const v1::Upstream& upstream) {
+  const int64_t price =
+      upstream.price_permille() == 0 ? kPermille : upstream.price_permille();
+  return Tokens((work.value() * price + kPermille - 1) / kPermille);
+}
+
+std::optional<json::array> RecordsOverHttp(const v1::Upstream& upstream) {
+  ExchangeCall call;
+  call.address = upstream.address();
+  call.target = "/records";
+  const ExchangeReply reply = ExchangeNow(std::move(call));
+  if (reply.end != ExchangeEnd::kWhole || reply.status != kHttpOk) {
+    return std::nullopt;
+  }
+  const auto document = ParseJson(reply.body);
+  if (!document || !document->is_array()) {
+    return std::nullopt;
+  }
+  return document->get_array();
+}
+
+// An engine writes a line when a run begins and one when it ends; the later
+// line of a run replaces the earlier one. A service writes one line a call.
+std::optional<json::array> RecordsInFile(const v1::Upstream& upstream,
+                                         const std::string& folder) {
+  std::ifstream stream(folder + "/" + upstream.id() + ".jsonl");
+  if (folder.empty() || !stream) {
+    return std::nullopt;
+  }
+  json::array records;
+  std::map<std::string, size_t> running;
+  for (std::string line; std::getline(stream, line);) {
+    const auto document = ParseJson(line);
+    if (!document || !document->is_object()) {
+      continue;
+    }
+    const json::object& record = document->get_object();
+    const std::string id = TextOf(record, "request_id");
+    const auto begun = running.find(id);
+    if (begun != running.end()) {
+      records[begun->second] = record;
+      running.erase(begun);
+      continue;
+    }
+    if (TextOf(record, "state") == "running") {
+      running[id] = records.size();
+    }
+    records.emplace_back(record);
+  }
+  return records;
+}
+
+Run RunOf(const v1::Upstream& upstream, const json::object& record) {
+  Run run;
+  run.upstream = upstream.id();
+  run.request_id = TextOf(record, "request_id");
+  run.account = TextOf(record, "account");
+  run.key = TextOf(record, "key");
+  run.at_service = upstream.kind() == v1::PLAIN_SERVICE;
+  if (run.at_service) {
+    const std::string method = TextOf(record, "method");
+    run.changes_state = method != "GET" && method != "HEAD";
+    run.whole = true;
+    run.cost = Tokens(upstream.call_cost_tokens());
+    return run;
+  }
+  run.work = Tokens(NumberOf(record, "prompt_tokens") +
+                    NumberOf(record, "output_tokens"));
+  run.cost = Priced(run.work, upstream);
+  run.whole = FlagOf(record, "whole");
+  return run;
+}
+
+}  // namespace
+
+UpstreamUse ReadUpstreamUse(const v1::Configuration& configuration,
+                            const std::string& record_folder) {
+  UpstreamUse use;
+  for (const v1::Upstream& upstream : configuration.upstreams()) {
+    std::optional<json::array> records = RecordsOverHttp(upstream);
+    const bool died = !records;
+    if (died) {
+      records = RecordsInFile(upstream, record_folder);
+    }
+    if (!records) {
+      use.missing.push_back(upstream.id());
+      continue;
+    }
+    for (const json::value& record : *records) {
+      if (!record.is_object()) {
+        continue;
+      }
+      const json::object& object = record.get_object();
+      use.begun_only += died && TextOf(object, "state") == "running" ? 1 : 0;
+      use.runs.push_back(RunOf(upstream, object));
+    }
+  }
+  return use;
+}
+
+std::map<std::string, Tokens> UseByBudget(
+    const v1::Configuration& configuration,
+    const UpstreamUse& use) {
+  std::map<std::string, std::string> budget_of;
+  for (const v1::Account& account : configuration.accounts()) {
+    budget_of[account.id()] = account.budget();
+  }
+  std::map<std::string, Tokens> used;
+  for (const Run& run : use.runs) {
+    used[budget_of[run.account]] += run.cost;
+  }
+  return used;
+}
+
+}  // namespace coppervalve::load
