--- a/tools/load/audit.cc
+++ b/tools/load/audit.cc
@@ -148,7 +148,7 @@
   const Clock::time_point give_up = Clock::now() + options.follow_limit;
   while (!options.follow_until.empty() && Clock::now() < give_up &&
          !std::filesystem::exists(options.follow_until)) {
-    const core::Status read = reader.CatchUp();
+    core::Status read = reader.CatchUp();
     // An outage of the log is part of some trials; a gap is not mended by
     // waiting.
     if (!core::IsOk(read) &&
