--- /dev/null
+++ b/bench/capacity/requests.cc
@@ -0,0 +1,155 @@
+// One router under its share of the peak: cost of a request's events, and what
+// it appends and sends.
+#include <string>  // string
+
+#include "bench/capacity/core_driver.h"
+#include "bench/capacity/measures.h"
+#include "bench/capacity/sizes.h"
+
+namespace coppervalve::bench {
+
+namespace {
+
+constexpr core::Duration kWarmUp = std::chrono::seconds(20);
+constexpr double kMeasuredSeconds = 10;
+/// Volumes are averaged over more than two refills of a holding, which is asked
+/// for again after a fifth of ten minutes' demand.
+constexpr core::Duration kVolumeWarmUp = std::chrono::seconds(240);
+constexpr double kVolumeSeconds = 300;
+constexpr double kNanosecondsPerSecond = 1e9;
+
+struct VolumeBounds {
+  double appends_per_second;
+  double append_bytes_per_second;
+  double raise_bytes_per_second;
+};
+
+core::Duration Seconds(double seconds) {
+  return std::chrono::seconds(static_cast<int64_t>(seconds));
+}
+
+/// @return of one core
+double ShareOf(int64_t cpu_ns) {
+  return static_cast<double>(cpu_ns) / kNanosecondsPerSecond / kMeasuredSeconds;
+}
+
+double Rate(uint64_t count) {
+  return static_cast<double>(count) / kVolumeSeconds;
+}
+
+/// @brief What the events of requests cost.
+void ReportCosts(Figures& figures,
+                 const std::string& suffix,
+                 const FleetSizes& sizes,
+                 const RequestLoad& load,
+                 double bound,
+                 ControlInputs& inputs) {
+  CoreDriver driver(sizes);
+  driver.Start();
+  driver.SetLoad(load);
+  driver.Advance(kWarmUp);
+  driver.ResetTraffic();
+  driver.Advance(Seconds(kMeasuredSeconds));
+  const Traffic& traffic = driver.traffic();
+  const EventCost& arrived = traffic.Of<router::RequestArrived>();
+  const EventCost& token = traffic.Of<router::AttemptFirstToken>();
+  const EventCost& done = traffic.Of<router::AttemptDone>();
+  figures.AtMost("request_allocations" + suffix,
+                 arrived.AllocationsEach() + token.AllocationsEach() +
+                     done.AllocationsEach(),
+                 "calls", bound);
+  figures.Inform("request_cpu_arrived" + suffix, arrived.CpuMicrosecondsEach(),
+                 "us");
+  figures.Inform("request_cpu_first_token" + suffix,
+                 token.CpuMicrosecondsEach(), "us");
+  figures.Inform("request_cpu_done" + suffix, done.CpuMicrosecondsEach(), "us");
+  figures.AtMost("request_refusals" + suffix,
+                 static_cast<double>(traffic.refusals), "count", 0);
+  const double requests = ShareOf(arrived.cpu_ns + token.cpu_ns + done.cpu_ns);
+  const double all = ShareOf(traffic.CpuNanoseconds());
+  const double reads = ShareOf(traffic.Of<router::LogRead>().cpu_ns);
+  figures.Inform("request_core_share" + suffix, requests * 100, "percent");
+  figures.Inform("all_events_core_share" + suffix, all * 100, "percent");
+  inputs.request_core_share = requests;
+  inputs.upkeep_core_share = all - requests - reads;
+}
+
+/// @brief What one router appends and sends. It depends on the budgets that it
+/// serves, not on those in view, so that a small fleet shows it.
+void ReportVolumes(Figures& figures,
+                   const std::string& suffix,
+                   const RequestLoad& load,
+                   const VolumeBounds& bounds,
+                   ControlInputs& inputs) {
+  FleetSizes sizes = kToday;
+  sizes.accounts = load.accounts;
+  sizes.budgets = load.accounts;
+  sizes.models = kDesign.models;
+  sizes.upstreams = 1'000;
+  CoreDriver driver(sizes);
+  driver.Start();
+  driver.SetLoad(load);
+  driver.Advance(kVolumeWarmUp);
+  driver.ResetTraffic();
+  driver.Advance(Seconds(kVolumeSeconds));
+  const Traffic& traffic = driver.traffic();
+  figures.AtMost("appends" + suffix, Rate(traffic.appended.count), "per_s",
+                 bounds.appends_per_second);
+  // The other routers of the driver take no snapshots, so that this one takes
+  // them all: they are counted by themselves.
+  const Volume snapshots = traffic.RecordsOf(v1::Record::kSnapshot);
+  const uint64_t bytes = traffic.appended.bytes - snapshots.bytes;
+  figures.AtMost("append_bytes" + suffix, Rate(bytes), "bytes_per_s",
+                 bounds.append_bytes_per_second);
+  figures.Inform("append_records" + suffix, Rate(traffic.RecordCount()),
+                 "per_s");
+  figures.Inform("append_records_spend" + suffix,
+                 Rate(traffic.RecordsOf(v1::Record::kSpendReported).count),
+                 "per_s");
+  figures.Inform("append_records_grant" + suffix,
+                 Rate(traffic.RecordsOf(v1::Record::kAllotmentRequested).count),
+                 "per_s");
+  figures.Inform("append_records_return" + suffix,
+                 Rate(traffic.RecordsOf(v1::Record::kAllotmentReturned).count),
+                 "per_s");
+  figures.Inform("raise_messages" + suffix, Rate(traffic.raises.count),
+                 "per_s");
+  figures.AtMost("raise_bytes" + suffix, Rate(traffic.raises.bytes),
+                 "bytes_per_s", bounds.raise_bytes_per_second);
+  figures.AtMost("volume_refusals" + suffix,
+                 static_cast<double>(traffic.refusals), "count", 0);
+  inputs.appends_per_second = Rate(traffic.appended.count);
+  inputs.append_bytes_per_second = Rate(bytes);
+  inputs.records_per_second = Rate(traffic.RecordCount());
+  inputs.raise_bytes_per_second = Rate(traffic.raises.bytes);
+}
+
+}  // namespace
+
+void MeasureRequests(Figures& figures, ControlInputs& inputs) {
+  RequestLoad today;
+  today.per_second = 20;
+  today.accounts = kToday.accounts;
+  today.answer_time = std::chrono::seconds(2);
+  today.output = core::Tokens(390);
+  FleetSizes members = kToday;
+  members.members = kDesign.members;
+  FleetSizes upstreams = kToday;
+  upstreams.upstreams = kDesign.upstreams;
+  const RequestLoad one_address =
+      ShareOfPeak(kDesign.accounts / kDesign.members);
+  const RequestLoad all_addresses =
+      ShareOfPeak(kDesign.accounts * kAddressesPerAccount / kDesign.members);
+
+  ReportCosts(figures, "_today", kToday, today, 180, inputs);
+  ReportCosts(figures, "_members_840", members, today, 3'200, inputs);
+  ReportCosts(figures, "_upstreams_10000", upstreams, today, 180, inputs);
+  ReportCosts(figures, "_design", kDesign, all_addresses, 3'200, inputs);
+
+  ReportVolumes(figures, "_today", today, {1.5, 900, 600}, inputs);
+  ReportVolumes(figures, "_share_one_address", one_address, {2.5, 4'500, 3'500},
+                inputs);
+  ReportVolumes(figures, "_share", all_addresses, {6, 6'000, 3'500}, inputs);
+}
+
+}  // namespace coppervalve::bench
