Clean up after the harness when it is told to end

Cause: SIGTERM ends the interpreter without running what atexit holds; the processes' output stayed behind. Change: the first fleet of a process turns SIGTERM into an ordinary exit, unless the process handles it itself.

--- a/tools/harness/fleet.py
+++ b/tools/harness/fleet.py
@@ -3,7 +3,9 @@
 import atexit
 import shutil
 import signal
+import sys
 import tempfile
+import threading
 from collections.abc import Iterable
 from pathlib import Path
 from types import TracebackType
@@ -19,6 +21,13 @@
 _PEER_SECRET = "harness-peer-secret"
 
 
+def _exit_on_sigterm() -> None:
+    """Lets SIGTERM end the interpreter in good order, unless it is handled."""
+    is_main = threading.current_thread() is threading.main_thread()
+    if is_main and signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
+
+
 class Fleet:
     """Starts processes and ends every one of them."""
 
@@ -32,6 +41,9 @@
         self._log: Log | None = None
         self._tool: OperatorTool | None = None
         atexit.register(self.close)
+        # A test runner that has lost its patience sends SIGTERM, which would end
+        # the interpreter without running what atexit holds.
+        _exit_on_sigterm()
 
     def __enter__(self) -> "Fleet":
         return self
