Put a configuration in force by a majority of voting routers

Cause: a majority cut off from the log went on under the old rules while a minority that could read the log took the new ones (found in review of membership); a router that resumed after a pause served requests from its sockets and queue under replaced rules (found by a new check in fuzz-router). Ruled out: stopping whenever the log is out (the product stops with it); requiring all members reachable (one crash in an outage stops it). Change: a publication is a proposal until more than half of the voters have written after reading it; votes change one at a time the same way; freshness is judged before each event, and a stale router starts nothing from its queue; publish waits for the outcome; the audit checks every dispatch against the version in force. Conclusion: no two configurations are in force at once; after losing most routers at once an operator must retire the lost ones.

--- a/apps/coppervalve/publish.cc
+++ b/apps/coppervalve/publish.cc
@@ -18,6 +18,8 @@
 using Outcome = std::variant<ledger::ConfigAccepted, ledger::ConfigRejected>;
 
 constexpr milliseconds kPoll{500};
+/// How long a proposal is waited for when --wait gives no time.
+constexpr uint32_t kAcceptanceWaitS = 10;
 
 std::string VersionText(core::ConfigVersion version) {
   return "version " + std::to_string(version.value());
@@ -104,6 +106,9 @@
     }
     core::Status read =
         m_session.AppendAndRead(m_view, core::Value(entry), watch.Observer());
+    if (core::IsOk(read)) {
+      read = AwaitOutcome(watch);
+    }
     if (watch.outcome()) {
       return Report(*watch.outcome());
     }
@@ -114,8 +119,25 @@
           "reports it as already in force if it did";
       return m_session.printer().Fail(error);
     }
-    return m_session.printer().Fail({ErrorId::kLogRecordInvalid, "change",
-                                     "acknowledged but not in the log"});
+    return m_session.printer().Fail(
+        {ErrorId::kNotInForce,
+         VersionText(core::ConfigVersion(based_on.value() + 1)),
+         "proposed, but fewer than half of the voting routers have read it; it "
+         "comes into force once they have, and no other change is taken "
+         "before"});
+  }
+
+  // A proposal comes into force once more than half of the voting routers have
+  // read it, which takes a second unless many are cut off from the log.
+  core::Status AwaitOutcome(OutcomeWatch& watch) {
+    const Clock::time_point give_up =
+        Clock::now() +
+        std::chrono::seconds(m_arguments.wait_s.value_or(kAcceptanceWaitS));
+    core::Status read = core::Ok();
+    while (core::IsOk(read) && !watch.outcome() && Clock::now() < give_up) {
+      read = m_view.CatchUp(kPoll, watch.Observer());
+    }
+    return read;
   }
 
   ExitCode Report(const Outcome& outcome) {
--- a/include/coppervalve/ledger/detail/record_handlers.h
+++ b/include/coppervalve/ledger/detail/record_handlers.h
@@ -49,6 +49,9 @@
 // fold_snapshot.cc
 void FoldSnapshot(EntryContext& context, const v1::Snapshot& r);
 
+/// @brief Lets the changes take effect that enough voters have read.
+void SettleAwaited(EntryContext& context);
+
 // Shared between the above.
 
 /// @brief Largest sum that a balance takes, so that sums cannot overflow.
--- a/include/coppervalve/ledger/detail/state.h
+++ b/include/coppervalve/ledger/detail/state.h
@@ -15,6 +15,7 @@
 #include "coppervalve/ledger/detail/budget_table.h"
 #include "coppervalve/ledger/detail/key_window.h"
 #include "coppervalve/ledger/detail/member_table.h"
+#include "coppervalve/ledger/detail/quorum.h"
 #include "coppervalve/ledger/fold.h"
 
 namespace coppervalve::ledger::detail {
@@ -62,6 +63,7 @@
   ConfigInForce config;
   BudgetTable budgets;
   MemberTable members;
+  Quorum quorum;
   KeyWindow<core::Hash128, Claim> claims;
   KeyWindow<core::Hash128, Seen> billed_keys;
   /// Top-up ids, and ids of operators' records that carry none of their own.
--- a/include/coppervalve/ledger/effects.h
+++ b/include/coppervalve/ledger/effects.h
@@ -1,6 +1,7 @@
 #ifndef COPPERVALVE_LEDGER_EFFECTS_H_
 #define COPPERVALVE_LEDGER_EFFECTS_H_
 
+#include <cstddef>  // size_t
 #include <cstdint>  // uint8_t, uint64_t
 #include <string>   // string
 #include <variant>  // variant
@@ -36,12 +37,20 @@
 
 /// @brief Why a published configuration did not come into force.
 enum class ConfigRejection : uint8_t {
-  kConflict,        ///< another one came into force first
+  kConflict,        ///< another one came first
   kPrepaidShrinks,  ///< a budget declares less than before
   kStale,           ///< written more than the dedup window ago
   kInvalid,         ///< a duplicate or empty id, or an amount out of range
 };
 
+/// @brief A configuration waits until more than half of the voters have read
+/// it.
+struct ConfigProposed {
+  core::ConfigVersion version;
+  std::string change_id;
+  std::string operator_name;
+};
+
 struct ConfigAccepted {
   core::ConfigVersion version;
   std::string change_id;
@@ -137,6 +146,11 @@
   core::Sequence last_sequence;
 };
 
+/// @brief The set of routers whose reading counts is another one now.
+struct VotersChanged {
+  size_t voters = 0;
+};
+
 struct DrainBegun {
   core::RouterId router;
   core::Incarnation incarnation;
@@ -234,7 +248,8 @@
   IgnoreReason reason = IgnoreReason::kEmpty;
 };
 
-using Effect = std::variant<ConfigAccepted,
+using Effect = std::variant<ConfigProposed,
+                            ConfigAccepted,
                             ConfigRejected,
                             ConfigConfirmed,
                             PaidIn,
@@ -246,6 +261,7 @@
                             JoinRefused,
                             Retired,
                             RetireVoided,
+                            VotersChanged,
                             DrainBegun,
                             WitnessInForce,
                             WitnessRefused,
--- a/include/coppervalve/ledger/fold.h
+++ b/include/coppervalve/ledger/fold.h
@@ -71,6 +71,11 @@
 
   core::LogOffset next_offset() const;
   core::ConfigVersion config_version() const;
+  /// @return the version in force, plus one while a proposal waits
+  core::ConfigVersion known_version() const;
+  /// @return whether the incarnation's reading counts for what is in force
+  bool IsVoter(core::Incarnation incarnation) const;
+  size_t voters() const;
   /// @return never null; empty before the first version
   std::shared_ptr<const v1::Configuration> configuration() const;
   /// @brief Where the configuration in force was published.
--- a/include/coppervalve/membership/freshness.h
+++ b/include/coppervalve/membership/freshness.h
@@ -24,6 +24,7 @@
   /// The same by its latest heartbeat, which may have been late on its way.
   std::optional<core::TimePoint> claimed_read_to_end;
   core::ConfigVersion config_version;
+  core::ConfigVersion known_version{};  ///< above it while a proposal is known
 };
 
 /// @brief Why a router is fresh.
@@ -55,9 +56,11 @@
 /// @brief What Freshness judges by.
 struct FreshnessInputs {
   core::ConfigVersion config_version;  ///< in force here
-  size_t live_members = 1;             ///< of the fold, this router included
+  size_t voters = 1;                   ///< of the fold, this router included
   bool sampled = false;                ///< vouchers cover a sample only
   std::vector<PeerVoucher> vouchers;
+  bool self_votes = true;
+  core::ConfigVersion known_version{};  ///< above it while a proposal is known
 };
 
 /// @brief Whether this router may take new work under its configuration.
--- a/include/coppervalve/membership/member.h
+++ b/include/coppervalve/membership/member.h
@@ -34,6 +34,7 @@
   MemberPhase phase = MemberPhase::kActive;
   core::Sequence last_sequence;     ///< of its latest entry that was folded
   std::optional<MemberId> witness;  ///< in force in the fold
+  bool voter = true;                ///< its reading counts, see ledger::Fold
 };
 
 /// @brief Text that rendezvous hashing knows a member by.
--- a/include/coppervalve/membership/peer_view.h
+++ b/include/coppervalve/membership/peer_view.h
@@ -110,6 +110,7 @@
     std::optional<core::TimePoint> read_to_end;  // see PeerVoucher
     std::optional<core::TimePoint> claimed_read_to_end;
     core::ConfigVersion config_version;
+    core::ConfigVersion known_version;
     bool draining = false;
     PeerLoad load;
     std::vector<v1::Spare> spares;
--- a/include/coppervalve/router/detail/peer_desk.h
+++ b/include/coppervalve/router/detail/peer_desk.h
@@ -60,7 +60,8 @@
       const std::optional<budget::PeerRef>& current);
   /// @brief Whether new work may be taken under this configuration version.
   membership::FreshnessVerdict JudgeFreshness(core::TimePoint now,
-                                              core::ConfigVersion version);
+                                              core::ConfigVersion version,
+                                              const ledger::Fold& fold);
   std::optional<core::Duration> LogAge(core::TimePoint now) const;
 
   /// @brief How this router sees an incarnation and where it takes work.
--- a/include/coppervalve/router/detail/request_flow.h
+++ b/include/coppervalve/router/detail/request_flow.h
@@ -72,7 +72,8 @@
   void OnVmList(const v1::VmList& vms);
 
   /// @brief Moves on what can move: tokens, queue, pauses, probes, expiry.
-  void Pump(core::TimePoint now);
+  /// @param may_start whether attempts may be started now
+  void Pump(core::TimePoint now, bool may_start);
 
   /// @brief The account of a caller.
   /// @error kUnauthorized
--- a/include/coppervalve/router/detail/session.h
+++ b/include/coppervalve/router/detail/session.h
@@ -78,11 +78,13 @@
   void OnEffect(core::TimePoint now, const ledger::Effect& effect);
   void AfterReading(core::TimePoint now, bool at_end);
   void FollowConfiguration();
+  void ConfirmConfiguration();
   void Join();
   void OnOwnRetirement(core::TimePoint now);
   void AdvanceDrain(core::TimePoint now);
   void AnnounceRetirement();
   void EndIfFinished(core::TimePoint now);
+  void JudgeFreshness(core::TimePoint now);
   void Pump(core::TimePoint now);
   v1::Heartbeat MakeHeartbeat(core::TimePoint now);
   void OnPeerHeartbeat(core::TimePoint now, const v1::PeerMessage& message);
--- a/include/coppervalve/trial/audit.h
+++ b/include/coppervalve/trial/audit.h
@@ -42,6 +42,9 @@
   /// @brief Compares all folds that are at the same offset, and all holdings.
   /// @complexity linear in the state
   std::vector<Violation> CheckFolds();
+  /// @brief A router starts an attempt now: it must not work under a version
+  /// that was replaced longer ago than the freshness bound.
+  void OnDispatch(size_t node);
   TokenCount Count() const;
   /// @return whether one counter with the whole truth had tokens for the wish
   bool WouldRun(const Wish& wish) const;
@@ -63,6 +66,10 @@
   std::unordered_map<size_t, uint64_t> m_ticket_runs;  ///< by ticket
   std::unordered_map<core::Hash128, uint64_t> m_bills;
   std::vector<uint64_t> m_versions;
+  /// When each version came into force, by version; and what broke since the
+  /// last Check().
+  std::vector<core::TimePoint> m_in_force_since;
+  std::vector<Violation> m_late_dispatches;
   std::vector<core::Incarnation> m_incarnations;
 };
 
--- a/src/ledger/fold.cc
+++ b/src/ledger/fold.cc
@@ -131,6 +131,8 @@
   member.last_sequence = context.sequence();
   member.last_offset = context.offset();
   context.set_writer(&member);
+  context.state().quorum.OnSeen(member.incarnation,
+                                LogOffset(context.entry().seen_offset()));
   FoldRecords(context, first);
 }
 
@@ -212,6 +214,7 @@
   } else {
     FoldRouterEntry(context);
   }
+  SettleAwaited(context);
   context.Finish();
   if (context.failure().has_value()) {
     state.failure = context.failure();
@@ -224,6 +227,19 @@
   return context.TakeEffects();
 }
 
+bool Fold::IsVoter(Incarnation incarnation) const {
+  return m_state->quorum.IsVoter(incarnation);
+}
+
+size_t Fold::voters() const {
+  return m_state->quorum.voters().size();
+}
+
+core::ConfigVersion Fold::known_version() const {
+  const bool waits = m_state->quorum.WaitingProposal() != nullptr;
+  return core::ConfigVersion(config_version().value() + (waits ? 1 : 0));
+}
+
 LogOffset Fold::next_offset() const {
   return m_state->next_offset;
 }
--- a/src/ledger/fold_config.cc
+++ b/src/ledger/fold_config.cc
@@ -31,7 +31,8 @@
   if (context.stale()) {
     return ConfigRejection::kStale;
   }
-  if (ConfigVersion(r.based_on()) != state.config.version) {
+  if (ConfigVersion(r.based_on()) != state.config.version ||
+      state.quorum.WaitingProposal() != nullptr) {
     return ConfigRejection::kConflict;
   }
   std::unordered_set<std::string> ids;
@@ -69,24 +70,22 @@
       [&id](const v1::Upstream& upstream) { return upstream.id() == id; });
 }
 
-}  // namespace
+// The reply to the first append was lost and its writer repeated it. A
+// rejection would tell an operator that the own change had lost.
+bool IsRepetition(const State& state, const v1::ConfigPublished& r) {
+  const Proposal* waiting = state.quorum.WaitingProposal();
+  const bool waits =
+      waiting != nullptr && r.change_id() == waiting->published.change_id();
+  return !r.change_id().empty() &&
+         (waits || r.change_id() == state.config.change_id);
+}
 
-void FoldConfigPublished(EntryContext& context, const v1::ConfigPublished& r) {
+void InstallConfig(EntryContext& context,
+                   core::LogOffset offset,
+                   const v1::ConfigPublished& r) {
   ConfigInForce& config = context.state().config;
-  if (!r.change_id().empty() && r.change_id() == config.change_id) {
-    // The reply to the first append was lost and its writer repeated it. A
-    // rejection here would tell an operator that the own change had lost.
-    context.Ignore(IgnoreReason::kDuplicate);
-    return;
-  }
-  if (const auto rejection = Check(context, r)) {
-    context.Emit(ConfigRejected{*rejection, r.change_id(),
-                                ConfigVersion(r.based_on()), config.version,
-                                config.operator_name, config.change_id});
-    return;
-  }
   config.version = ConfigVersion(r.based_on() + 1);
-  config.offset = context.offset();
+  config.offset = offset;
   config.operator_name = r.operator_name();
   config.change_id = r.change_id();
   config.configuration = std::make_shared<v1::Configuration>(r.configuration());
@@ -98,6 +97,51 @@
   }
 }
 
+}  // namespace
+
+void FoldConfigPublished(EntryContext& context, const v1::ConfigPublished& r) {
+  State& state = context.state();
+  if (IsRepetition(state, r)) {
+    context.Ignore(IgnoreReason::kDuplicate);
+    return;
+  }
+  if (const auto rejection = Check(context, r)) {
+    const Proposal* waiting = state.quorum.WaitingProposal();
+    const ConfigInForce& config = state.config;
+    context.Emit(ConfigRejected{
+        *rejection, r.change_id(), ConfigVersion(r.based_on()), config.version,
+        waiting ? waiting->published.operator_name() : config.operator_name,
+        waiting ? waiting->published.change_id() : config.change_id});
+    return;
+  }
+  state.quorum.Await({context.offset(), Proposal{r}});
+  context.Emit(ConfigProposed{ConfigVersion(r.based_on() + 1), r.change_id(),
+                              r.operator_name()});
+}
+
+// Failure: a minority of routers reads a configuration that the rest, cut off
+// from the log, cannot know. Symptom: two rule sets in force at once. Enough:
+// what is in force was read by more than half of the voters, and routers go on
+// without the log only in a group of more than half, none of whom knows of a
+// proposal; two majorities share a voter.
+void SettleAwaited(EntryContext& context) {
+  State& state = context.state();
+  while (auto ready = state.quorum.TakeReady()) {
+    if (const auto* joins = std::get_if<VoterJoins>(&ready->change)) {
+      const Member* member = state.members.Find(joins->incarnation);
+      if (member != nullptr && member->live()) {
+        state.quorum.Add(joins->incarnation, ready->offset);
+        context.Emit(VotersChanged{state.quorum.voters().size()});
+      }
+    } else if (const auto* leaves = std::get_if<VoterLeaves>(&ready->change)) {
+      state.quorum.Remove(leaves->incarnation);
+      context.Emit(VotersChanged{state.quorum.voters().size()});
+    } else if (const auto* proposal = std::get_if<Proposal>(&ready->change)) {
+      InstallConfig(context, ready->offset, proposal->published);
+    }
+  }
+}
+
 void FoldConfigConfirmed(EntryContext& context, const v1::ConfigConfirmed& r) {
   const ConfigVersion version(r.version());
   if (version > context.state().config.version) {
--- a/src/ledger/fold_members.cc
+++ b/src/ledger/fold_members.cc
@@ -59,8 +59,14 @@
     return nullptr;
   }
   MemberTable& members = context.state().members;
+  Quorum& quorum = context.state().quorum;
+  const core::LogOffset seen(context.entry().seen_offset());
   if (Member* older = members.FindLive(id)) {
+    const Incarnation replaced = older->incarnation;
     RetireMember(context, *older, v1::REPLACED);
+    quorum.Replace(replaced, incarnation, seen);
+  } else {
+    quorum.Await({context.offset(), VoterJoins{incarnation}});
   }
   Member member;
   member.id = id;
@@ -90,6 +96,14 @@
         RetireVoided{member->id, member->incarnation, member->last_sequence});
     return;
   }
+  // An operator has seen that the router is gone; without this way out, a fleet
+  // that lost most of its routers at once could never change again.
+  Quorum& quorum = context.state().quorum;
+  if (context.from_operator()) {
+    quorum.Remove(member->incarnation);
+  } else {
+    quorum.Await({context.offset(), VoterLeaves{member->incarnation}});
+  }
   RetireMember(context, *member, r.reason());
 }
 
--- a/src/ledger/snapshot_codec.cc
+++ b/src/ledger/snapshot_codec.cc
@@ -21,6 +21,28 @@
 
 // ---- Writing ---------------------------------------------------------------
 
+void EncodeAwaited(const Awaited& awaited, v1::AwaitedState& to) {
+  to.set_offset(awaited.offset.value());
+  if (const auto* joins = std::get_if<VoterJoins>(&awaited.change)) {
+    to.set_voter_joins(joins->incarnation.value());
+  } else if (const auto* leaves = std::get_if<VoterLeaves>(&awaited.change)) {
+    to.set_voter_leaves(leaves->incarnation.value());
+  } else if (const auto* proposal = std::get_if<Proposal>(&awaited.change)) {
+    *to.mutable_proposal() = proposal->published;
+  }
+}
+
+void EncodeQuorum(const Quorum& quorum, v1::FoldState& to) {
+  for (const auto& [incarnation, seen] : quorum.voters()) {
+    v1::VoterState& voter = *to.add_voters();
+    voter.set_incarnation(incarnation.value());
+    voter.set_seen_offset(seen.value());
+  }
+  for (const Awaited& awaited : quorum.awaited()) {
+    EncodeAwaited(awaited, *to.add_awaited());
+  }
+}
+
 void EncodeConfig(const ConfigInForce& config, v1::FoldState& to) {
   to.set_config_version(config.version.value());
   to.set_config_change_id(config.change_id);
@@ -213,6 +235,24 @@
 
 // ---- Reading ---------------------------------------------------------------
 
+void DecodeQuorum(const v1::FoldState& from, Quorum& quorum) {
+  for (const v1::VoterState& voter : from.voters()) {
+    quorum.Add(core::Incarnation(voter.incarnation()),
+               LogOffset(voter.seen_offset()));
+  }
+  for (const v1::AwaitedState& encoded : from.awaited()) {
+    Awaited awaited{LogOffset(encoded.offset()), {}};
+    if (encoded.has_proposal()) {
+      awaited.change = Proposal{encoded.proposal()};
+    } else if (encoded.has_voter_leaves()) {
+      awaited.change = VoterLeaves{core::Incarnation(encoded.voter_leaves())};
+    } else {
+      awaited.change = VoterJoins{core::Incarnation(encoded.voter_joins())};
+    }
+    quorum.Await(std::move(awaited));
+  }
+}
+
 void DecodeConfig(const v1::FoldState& from, ConfigInForce& config) {
   config.version = ConfigVersion(from.config_version());
   config.offset = LogOffset(from.config_offset());
@@ -365,6 +405,7 @@
   v1::FoldState to;
   to.set_next_offset(state.next_offset.value());
   EncodeConfig(state.config, to);
+  EncodeQuorum(state.quorum, to);
   *to.mutable_configuration() = *state.config.configuration;
   EncodeBudgets(state, to);
   EncodeWindows(state, to);
@@ -375,6 +416,7 @@
 core::Status Decode(const v1::FoldState& from, State& state) {
   state.next_offset = LogOffset(from.next_offset());
   DecodeConfig(from, state.config);
+  DecodeQuorum(from, state.quorum);
   core::Status status = DecodeMembers(from, state.members);
   if (core::IsOk(status)) {
     status = DecodeBudgets(from, state);
@@ -395,6 +437,7 @@
   v1::FoldState scalars;
   scalars.set_next_offset(state.next_offset.value());
   EncodeConfig(state.config, scalars);
+  EncodeQuorum(state.quorum, scalars);
   EncodeOrders(state, scalars);
   digest.Add(scalars, PartKind::kScalars);
   digest.Add(*state.config.configuration, PartKind::kConfiguration);
--- a/src/membership/freshness.cc
+++ b/src/membership/freshness.cc
@@ -24,7 +24,8 @@
   if (inputs.sampled) {
     return reachable * kSampleDenominator >= counted * kSampleNumerator;
   }
-  return (reachable + 1) * 2 > inputs.live_members;
+  const size_t self = inputs.self_votes ? 1 : 0;
+  return (reachable + self) * 2 > inputs.voters;
 }
 
 }  // namespace
@@ -92,6 +93,16 @@
       })) {
     return StaleReason::kNotVouched;
   }
+  // Failure: voters outside this group accept a proposal that some inside have
+  // read. Symptom: this group works on under the version before. Enough: a
+  // majority accepted it, so one voter of any other majority has read it, and
+  // one that has is enough to stop all.
+  if (inputs.known_version > inputs.config_version ||
+      any([&](const PeerVoucher& peer) {
+        return peer.known_version > inputs.config_version;
+      })) {
+    return StaleReason::kNewerVersion;
+  }
   if (!ReachesMajority(inputs)) {
     return StaleReason::kMinority;
   }
--- a/src/membership/peer_view.cc
+++ b/src/membership/peer_view.cc
@@ -110,6 +110,7 @@
   entry.claimed_read_to_end = read;
   entry.heard = now;
   entry.config_version = core::ConfigVersion(heartbeat.config_version());
+  entry.known_version = core::ConfigVersion(heartbeat.known_version());
   entry.draining = heartbeat.draining();
   entry.load = {heartbeat.in_progress(), heartbeat.queued()};
   entry.spares.assign(heartbeat.spares().begin(), heartbeat.spares().end());
@@ -279,9 +280,11 @@
     if (!IsContact(now, entry)) {
       continue;
     }
-    vouchers.push_back({EntryReachable(now, entry), Contains(m_chosen, id),
-                        entry.read_to_end, entry.claimed_read_to_end,
-                        entry.config_version});
+    const bool counts =
+        Contains(m_chosen, id) && (Sampled() || entry.member.voter);
+    vouchers.push_back({EntryReachable(now, entry), counts, entry.read_to_end,
+                        entry.claimed_read_to_end, entry.config_version,
+                        entry.known_version});
   }
   return vouchers;
 }
--- a/src/router/flow_admission.cc
+++ b/src/router/flow_admission.cc
@@ -236,13 +236,15 @@
   }
 }
 
-void RequestFlow::Pump(TimePoint now) {
+void RequestFlow::Pump(TimePoint now, bool may_start) {
   m_now = now;
   WakeWaiters(now);
   ExpireWaiters(now);
   ResumePaused(now);
   ExpireQueue(now);
-  DrainQueue(now);
+  if (may_start) {
+    DrainQueue(now);
+  }
   for (const routing::ProbeDue& probe : m_upstreams.TakeProbesDue(now)) {
     m_parts.outbox.Add(ProbeUpstream{probe.upstream, probe.address});
   }
--- a/src/router/peer_desk.cc
+++ b/src/router/peer_desk.cc
@@ -31,6 +31,7 @@
   std::vector<Member> members;
   for (const ledger::Member* member : fold.LiveMembers()) {
     members.push_back(ToMember(*member));
+    members.back().voter = fold.IsVoter(member->incarnation);
   }
   return members;
 }
@@ -123,10 +124,13 @@
 
 membership::FreshnessVerdict PeerDesk::JudgeFreshness(
     TimePoint now,
-    core::ConfigVersion version) {
+    core::ConfigVersion version,
+    const ledger::Fold& fold) {
   membership::FreshnessInputs inputs;
   inputs.config_version = version;
-  inputs.live_members = m_view.live_members();
+  inputs.known_version = fold.known_version();
+  inputs.voters = fold.voters();
+  inputs.self_votes = fold.IsVoter(self().id.incarnation);
   inputs.sampled = m_view.Sampled();
   inputs.vouchers = m_view.Vouchers(now);
   return m_freshness.Judge(now, inputs);
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -59,11 +59,28 @@
 
 std::vector<Action> Session::Handle(TimePoint now, const Event& event) {
   m_now = now;
+  JudgeFreshness(now);
   std::visit([&](const auto& e) { On(now, e); }, event);
+  JudgeFreshness(now);
   Pump(now);
   return m_outbox.Take();
 }
 
+// Failure: the process is paused for a minute and resumes with requests in its
+// sockets. Symptom: it serves them under rules that were replaced meanwhile.
+// Enough: freshness is judged before the first event after the pause, and again
+// when the event may have brought a newer reading.
+void Session::JudgeFreshness(TimePoint now) {
+  const auto verdict =
+      m_peers.JudgeFreshness(now, m_configured.version(), m_log.fold());
+  const auto* stale = std::get_if<membership::Stale>(&verdict);
+  m_stale.reset();
+  if (stale != nullptr) {
+    m_stale = Error{ErrorId::kConfigurationStale, m_settings.router.value(),
+                    std::string(ReasonOf(stale->why))};
+  }
+}
+
 // ---- Callers ---------------------------------------------------------------
 
 std::optional<Error> Session::WhyUnfit() const {
@@ -242,12 +259,19 @@
   m_outbox.Info("configuration_in_force",
                 {{"version", std::to_string(m_configured.version().value())},
                  {"operator", m_log.fold().config_operator()}});
-  if (m_phase == Phase::kMember) {
-    v1::Record record;
-    record.mutable_config_confirmed()->set_version(
-        m_configured.version().value());
-    Append(std::move(record));
+  ConfirmConfiguration();
+}
+
+// The entry itself shows the fleet how far this router has read, which is what
+// a proposal waits for, so it is written at once and not with a later batch.
+void Session::ConfirmConfiguration() {
+  if (m_phase != Phase::kMember) {
+    return;
   }
+  v1::Record record;
+  record.mutable_config_confirmed()->set_version(
+      m_configured.version().value());
+  Append(std::move(record));
 }
 
 void Session::Append(v1::Record record) {
@@ -277,10 +301,7 @@
     if (IsSelf(joined->router, joined->incarnation)) {
       m_phase = Phase::kMember;
       m_outbox.Info("joined", {{"router", joined->router.value()}});
-      v1::Record record;
-      record.mutable_config_confirmed()->set_version(
-          m_log.fold().config_version().value());
-      Append(std::move(record));
+      ConfirmConfiguration();
     }
   } else if (const auto* retired = std::get_if<ledger::Retired>(&effect)) {
     m_members_changed = true;
@@ -295,8 +316,11 @@
     m_members_changed = true;
     m_drain_announced =
         m_drain_announced || IsSelf(drain->router, drain->incarnation);
-  } else if (std::holds_alternative<ledger::WitnessInForce>(effect)) {
+  } else if (std::holds_alternative<ledger::WitnessInForce>(effect) ||
+             std::holds_alternative<ledger::VotersChanged>(effect)) {
     m_members_changed = true;
+  } else if (std::holds_alternative<ledger::ConfigProposed>(effect)) {
+    ConfirmConfiguration();
   } else if (const auto* won = std::get_if<ledger::ClaimWon>(&effect)) {
     if (IsSelf(won->router, won->incarnation)) {
       m_flow.OnClaim(now, won->key_hash, {won->router, won->incarnation});
@@ -401,6 +425,7 @@
                     .count())
           : std::numeric_limits<uint64_t>::max());
   heartbeat.set_config_version(m_configured.version().value());
+  heartbeat.set_known_version(m_log.fold().known_version().value());
   heartbeat.set_draining(draining());
   heartbeat.set_in_progress(static_cast<uint32_t>(m_flow.in_progress()));
   heartbeat.set_queued(static_cast<uint32_t>(m_flow.queued()));
@@ -464,13 +489,6 @@
 
 void Session::Pump(TimePoint now) {
   if (m_phase == Phase::kMember || m_phase == Phase::kRetired) {
-    const auto verdict = m_peers.JudgeFreshness(now, m_configured.version());
-    const auto* stale = std::get_if<membership::Stale>(&verdict);
-    m_stale.reset();
-    if (stale != nullptr) {
-      m_stale = Error{ErrorId::kConfigurationStale, m_settings.router.value(),
-                      std::string(ReasonOf(stale->why))};
-    }
     m_budgets.ReviewWitness(now);
     for (v1::RouterRetired& retired : m_peers.TakeRetirements(now)) {
       v1::Record record;
@@ -478,7 +496,7 @@
       Append(std::move(record));
     }
     m_budgets.Tick(now);
-    m_flow.Pump(now);
+    m_flow.Pump(now, !m_stale.has_value());
     m_budgets.Send(now);
     m_peers.Beat(now, [&] { return MakeHeartbeat(now); });
   }
--- a/src/trial/audit.cc
+++ b/src/trial/audit.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// The default of config_freshness_ms.
+constexpr core::Duration kFreshnessBound = std::chrono::seconds(8);
+
 ledger::FoldSettings AuditSettings() {
   return router::RouterSettings{}.fold;
 }
@@ -32,9 +35,25 @@
   CheckExecutions(found);
   CheckTickets(found);
   CheckVersions(found);
+  for (Violation& violation : std::exchange(m_late_dispatches, {})) {
+    found.push_back(std::move(violation));
+  }
   return found;
 }
 
+void Audit::OnDispatch(size_t node) {
+  const uint64_t version =
+      m_fleet.node(node).core().Status(m_fleet.now()).config_version();
+  const uint64_t next = version + 1;
+  if (next >= m_in_force_since.size() ||
+      m_fleet.now() - m_in_force_since[next] <= kFreshnessBound) {
+    return;
+  }
+  m_late_dispatches.push_back(
+      {"I8", RouterName(node).value() + " worked under version " +
+                 std::to_string(version) + " after it was replaced"});
+}
+
 void Audit::FoldNew(std::vector<Violation>& found) {
   while (m_fold.next_offset() < m_fleet.log().end()) {
     const v1::ReadReply reply = m_fleet.log().Read(m_fold.next_offset());
@@ -46,6 +65,8 @@
         found.push_back({"I1", core::ToString(core::Failure(result))});
         return;
       }
+      m_in_force_since.resize(m_fold.config_version().value() + 1,
+                              m_fleet.now());
       for (const ledger::Effect& effect : core::Value(result)) {
         const auto* billed = std::get_if<ledger::Billed>(&effect);
         if (billed != nullptr && ++m_bills[billed->key_hash] > 1) {
--- a/src/trial/chaos.cc
+++ b/src/trial/chaos.cc
@@ -250,10 +250,14 @@
   fleet_options.seed = options.seed;
   fleet_options.log_retain = options.log_retain;
   Fleet fleet(fleet_options);
+  Audit audit(fleet);
   fleet.SetOnLogLine([&](size_t node, const router::LogLine& line) {
     if (line.event == "retired") {
       ++result.retirements;
     }
+    if (line.event == "routed") {
+      audit.OnDispatch(node);
+    }
     if (line.level == router::LogLine::Level::kError) {
       std::string text = RouterName(node).value();
       for (const auto& [name, value] : line.fields) {
@@ -262,7 +266,6 @@
       result.trace.push_back(text);
     }
   });
-  Audit audit(fleet);
   LoadOptions load_options;
   load_options.prepaid = options.prepaid;
   Load load(fleet, audit, load_options);
--- a/tests/ledger/test_log.h
+++ b/tests/ledger/test_log.h
@@ -267,6 +267,25 @@
     Write(r3, Join());
   }
 
+  /// @brief A router writes an entry and so shows how far it has read.
+  std::vector<Effect> Read(Writer& router) {
+    v1::Record record;
+    record.mutable_config_confirmed()->set_version(
+        fold().config_version().value());
+    return Write(router, record);
+  }
+
+  /// @return what changed by all routers reading to the end
+  std::vector<Effect> ReadByAll() {
+    std::vector<Effect> all;
+    for (Writer* router : {&r1, &r2, &r3}) {
+      for (Effect& effect : Read(*router)) {
+        all.push_back(std::move(effect));
+      }
+    }
+    return all;
+  }
+
   /// @brief r1 draws 100, is witnessed by r2, spends 30 and falls silent.
   void RetireFirst() {
     Write(r1, Ask(100));
--- a/tests/router/fleet_fixture.h
+++ b/tests/router/fleet_fixture.h
@@ -17,6 +17,11 @@
  public:
   explicit RunningFleet(FleetOptions options = {}, LoadOptions load = {})
       : fleet(options), audit(fleet), load_options(load) {
+    fleet.SetOnLogLine([this](size_t node, const router::LogLine& line) {
+      if (line.event == "routed") {
+        audit.OnDispatch(node);
+      }
+    });
     fleet.Publish(TrialConfiguration(load_options));
     fleet.StartAll();
     Run(std::chrono::seconds(4));
--- a/tests/router/unit-fleet.cc
+++ b/tests/router/unit-fleet.cc
@@ -129,6 +129,85 @@
   LONGS_EQUAL(2, run.Version(4));
 }
 
+// Four of seven routers are cut off from the log and from the other three, and
+// an operator publishes. The four know of nothing newer and go on under the old
+// version, so the new one may not come into force anywhere until they are back,
+// however long that takes and however many of them the three retire meanwhile.
+TEST(Fleet, a_partition_never_puts_two_configurations_in_force) {
+  RunningFleet run;
+  for (size_t a = 0; a < 4; ++a) {
+    run.fleet.log_link(a).up = false;
+    for (size_t b = 4; b < run.fleet.size(); ++b) {
+      run.fleet.Cut(a, b, true);
+    }
+  }
+  run.Run(seconds(1));
+  run.fleet.Publish(TrialConfiguration(run.load_options));
+  run.Run(seconds(60));
+  for (size_t i = 0; i < run.fleet.size(); ++i) {
+    LONGS_EQUAL(1, run.Version(i));
+  }
+  STRCMP_EQUAL("active", run.Phase(0).c_str());
+  for (size_t a = 0; a < 4; ++a) {
+    run.fleet.log_link(a).up = true;
+    run.fleet.CutAll(a, false);
+  }
+  run.Run(seconds(20));
+  for (size_t i = 0; i < run.fleet.size(); ++i) {
+    LONGS_EQUAL(2, run.Version(i));
+  }
+}
+
+// A router is paused while a configuration comes into force, with requests in
+// its sockets and in its queue. The first thing it does on resume is to handle
+// them; it must not serve a single one under the rules of a minute ago.
+TEST(Fleet, a_router_that_resumes_serves_nothing_under_the_old_version) {
+  RunningFleet run;
+  run.fleet.node(2).Pause();
+  run.fleet.Publish(TrialConfiguration(run.load_options));
+  run.Run(seconds(9));
+  std::vector<size_t> tickets;
+  for (int i = 0; i < 10; ++i) {
+    const std::string key = run.Prefix(2) + "r" + std::to_string(i);
+    tickets.push_back(
+        run.fleet.Send(run.fleet.Wants(run.Draft(key, seconds(1))), 2));
+  }
+  LONGS_EQUAL(1, run.Version(2));
+  run.fleet.node(2).Resume();
+  run.Run(seconds(5));
+  for (const size_t ticket : tickets) {
+    CHECK(run.fleet.tickets()[ticket].error ==
+          core::ErrorId::kConfigurationStale);
+  }
+  LONGS_EQUAL(2, run.Version(2));
+}
+
+// The three that can reach the log are the minority, and one of the four read
+// the proposal before the cut. It came into force without the four; since one
+// of them knows of it, none of the four may go on under the old version.
+TEST(Fleet, a_majority_that_knows_of_a_newer_version_stops) {
+  RunningFleet run;
+  run.fleet.Publish(TrialConfiguration(run.load_options));
+  run.Run(milliseconds(1));
+  for (size_t a = 1; a < 4; ++a) {
+    run.fleet.log_link(a).up = false;
+  }
+  run.Run(seconds(1));
+  run.fleet.log_link(0).up = false;
+  for (size_t a = 0; a < 4; ++a) {
+    for (size_t b = 4; b < run.fleet.size(); ++b) {
+      run.fleet.Cut(a, b, true);
+    }
+  }
+  run.Run(seconds(12));
+  for (size_t b = 4; b < run.fleet.size(); ++b) {
+    LONGS_EQUAL(2, run.Version(b));
+  }
+  for (size_t a = 1; a < 4; ++a) {
+    CHECK(run.Version(a) == 2 || run.Phase(a) == "stale");
+  }
+}
+
 // The log is out for everybody for ten minutes. Nobody can have accepted a
 // newer configuration that some router follows, so the fleet goes on from its
 // holdings; nothing is overspent and nothing is lost when the log is back.
