--- a/bench/capacity/changes.cc
+++ b/bench/capacity/changes.cc
@@ -23,6 +23,10 @@
 constexpr double kNanosecondsPerMillisecond = 1e6;
 constexpr double kMebibyte = 1 << 20;
 constexpr core::Duration kSettleTime = std::chrono::seconds(30);
+/// Enough entries for a snapshot and its checkpoint, and time for the turn of
+/// the last of seven routers.
+constexpr size_t kSnapshotEntries = 600;
+constexpr core::Duration kSnapshotTime = std::chrono::seconds(150);
 constexpr core::Duration kChangeTime = std::chrono::milliseconds(20);
 
 double Milliseconds(const EventCost& cost) {
@@ -118,6 +122,28 @@
                  "count", 1'700);
 }
 
+/// @brief Whether a router appends a snapshot that is due, or refuses it as too
+/// large.
+void ReportSnapshots(Figures& figures,
+                     const std::string& name,
+                     size_t budgets) {
+  FleetSizes sizes = kToday;
+  sizes.budgets = budgets;
+  CoreDriver driver(sizes);
+  driver.Start();
+  for (size_t i = 0; i < kSnapshotEntries; ++i) {
+    driver.Append(EntryOf(1, driver.NextSequence(1), driver.log_end()));
+  }
+  driver.Advance(kSnapshotTime);
+  const Traffic& traffic = driver.traffic();
+  figures.Inform(
+      "snapshots_written_" + name,
+      static_cast<double>(traffic.RecordsOf(v1::Record::kSnapshot).count),
+      "count");
+  figures.Inform("snapshots_refused_" + name,
+                 static_cast<double>(traffic.alarms), "count");
+}
+
 void ReportStart(Figures& figures, const ledger::Fold& fold) {
   const std::string bytes = fold.ToState().SerializeAsString();
   const int64_t start = ThreadCpuNanoseconds();
@@ -144,6 +170,8 @@
   driver.SetLoad({});
   ReportChanges(figures, driver, inputs);
   ReportStart(figures, driver.core().fold());
+  ReportSnapshots(figures, "today", kToday.budgets);
+  ReportSnapshots(figures, "budgets_73000", kDesign.budgets);
 }
 
 }  // namespace coppervalve::bench
