Don't count the retry of admitted work against the request limit

Ruled out: a limit that is split wrongly (the account was at its limit). Change: a request that may have run before is not counted again. Conclusion: an admitted request stays admitted.

--- a/src/router/flow_arrival.cc
+++ b/src/router/flow_arrival.cc
@@ -236,9 +236,14 @@
 }
 
 // The limit comes after the key: a retry that fetches the answer of a running
-// request costs nothing upstream and must not be turned away.
+// request costs nothing upstream and must not be turned away. Nor must the
+// retry of work whose router was lost: it was counted when it was first
+// admitted.
 void RequestFlow::RunHere(TimePoint now, Work& work) {
-  const auto limited = m_limiter.Admit(work.account, now);
+  const request::RequestRecord* record = m_table.Find(work.id);
+  const bool admitted_before = record != nullptr && record->may_have_run;
+  const auto limited =
+      admitted_before ? std::nullopt : m_limiter.Admit(work.account, now);
   if (limited.has_value()) {
     GiveUp(now, work, limited->error, limited->retry_after);
     return;
--- a/tests/router/unit-at-most-once.cc
+++ b/tests/router/unit-at-most-once.cc
@@ -151,6 +151,30 @@
   LONGS_EQUAL(300, run.audit.Count().billed);
 }
 
+// The account has reached its request limit when the router of an admitted
+// draft dies. The caller's retry elsewhere is not a new request: refusing it
+// would cost an answer that was promised.
+TEST(AtMostOnce, a_retry_after_a_lost_router_is_not_counted_against_the_limit) {
+  RunningFleet run;
+  v1::Configuration limited = TrialConfiguration(run.load_options);
+  limited.mutable_accounts(0)->set_requests_per_second(1);
+  limited.mutable_accounts(0)->set_burst(1);
+  run.fleet.Publish(limited);
+  run.Run(seconds(5));
+  const size_t wish =
+      run.fleet.Wants(run.Draft(run.Prefix(0) + "plan-4", seconds(3)));
+  run.fleet.Send(wish, 0);
+  run.Run(seconds(1));
+  run.fleet.node(0).Kill();
+  run.Run(seconds(15));
+  for (int i = 0; i < 20; ++i) {
+    run.fleet.Send(run.fleet.Wants(run.Draft("", seconds(1))), 1);
+  }
+  const size_t retry = run.fleet.Send(wish, 1);
+  run.Run(seconds(8));
+  CHECK(run.StateOf(retry) == Ticket::State::kWhole);
+}
+
 // A key names one request. The same key with another body is refused and runs
 // nothing.
 TEST(AtMostOnce, a_key_with_another_body_is_refused) {
