--- a/src/net/beast_parser.h
+++ b/src/net/beast_parser.h
@@ -5,7 +5,9 @@
 // for uninitialized, although every read of it is guarded. Only the library's
 // own lines are exempt.
 #pragma GCC diagnostic push
+#ifndef __clang__
 #pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #pragma GCC diagnostic pop
