--- a/include/coppervalve/ledger/detail/budget_table.h
+++ b/include/coppervalve/ledger/detail/budget_table.h
@@ -23,6 +23,7 @@
   }
   /// @brief By id. @complexity n log n
   std::vector<const Budget*> Sorted() const;
+  size_t size() const { return m_budgets.size(); }
   /// @brief Marks all as named by no configuration: no grants, strictest
   /// release. @complexity linear
   void ForgetPolicies();
--- a/include/coppervalve/ledger/fold.h
+++ b/include/coppervalve/ledger/fold.h
@@ -23,7 +23,8 @@
   /// Offsets for which ids are remembered; older operators' entries are stale.
   uint64_t dedup_window = 100'000;
   /// The fold keeps its digest at every multiple of this offset, so that a
-  /// snapshot taken there can be compared wherever its record lands; 0: never.
+  /// snapshot taken there can be compared wherever its record lands. With many
+  /// budgets it is doubled as often as they double past 512.
   uint64_t checkpoint_interval = 4'096;
   size_t kept_checkpoints = 16;
 };
--- a/include/coppervalve/router/detail/log_desk.h
+++ b/include/coppervalve/router/detail/log_desk.h
@@ -80,6 +80,7 @@
   bool m_writing = false;
   bool m_lost_continuity = false;
   bool m_snapshot_wanted = false;
+  core::TimePoint m_next_snapshot_review{};
   std::optional<core::Error> m_failure;
   std::optional<core::TimePoint> m_read_failing_since;
 };
--- a/src/ledger/fold.cc
+++ b/src/ledger/fold.cc
@@ -1,5 +1,6 @@
 #include "coppervalve/ledger/fold.h"
 
+#include <bit>      // bit_ceil
 #include <string>   // to_string
 #include <utility>  // move
 
@@ -16,6 +17,9 @@
 
 namespace {
 
+/// Budgets for which checkpoints come at the interval of the settings.
+constexpr size_t kBudgetsPerStep = 512;
+
 bool IsOperatorRecord(v1::Record::BodyCase body) {
   return body == v1::Record::kConfigPublished ||
          body == v1::Record::kToppedUp ||
@@ -171,8 +175,12 @@
   return false;
 }
 
+// A checkpoint costs the whole state, so the larger the state, the rarer it is.
+// The factor follows from the state alone: all readers choose the same offsets.
 bool IsCheckpoint(const detail::State& state) {
-  const uint64_t interval = state.settings.checkpoint_interval;
+  const uint64_t factor =
+      std::bit_ceil(state.budgets.size() / kBudgetsPerStep + 1);
+  const uint64_t interval = state.settings.checkpoint_interval * factor;
   return interval != 0 && state.next_offset.value() % interval == 0;
 }
 
--- a/src/membership/freshness.cc
+++ b/src/membership/freshness.cc
@@ -55,6 +55,10 @@
   return Stale{*m_stale_since, *std::get_if<StaleReason>(&decision)};
 }
 
+bool Freshness::ReadRecently(core::TimePoint now) const {
+  return Recent(now, m_read_to_end);
+}
+
 std::optional<core::Duration> Freshness::LogAge(core::TimePoint now) const {
   if (!m_read_to_end) {
     return std::nullopt;
--- a/src/router/flow_attempts.cc
+++ b/src/router/flow_attempts.cc
@@ -245,6 +245,9 @@
   for (const RequestId waiter : waiters) {
     m_parts.outbox.Add(Refuse{waiter, error, run_state, retry_after});
   }
+  if (waiters.empty()) {
+    m_parts.outbox.Add(ForgetAnswer{id});
+  }
   Erase(id);
 }
 
--- a/src/router/log_desk.cc
+++ b/src/router/log_desk.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Each review ranks all live members.
+constexpr core::Duration kReviewSnapshotsEvery = std::chrono::seconds(1);
+
 // 53 random bits scaled to [0, 1): all that a double can hold.
 logclient::JitterHook JitterFrom(const RouterHooks& hooks) {
   return [random = hooks.random] {
@@ -162,9 +165,11 @@
 }
 
 void LogDesk::PumpSnapshot(TimePoint now) {
-  if (m_snapshot_wanted || m_reader.is_scanning()) {
+  if (m_snapshot_wanted || m_reader.is_scanning() ||
+      now < m_next_snapshot_review) {
     return;
   }
+  m_next_snapshot_review = now + kReviewSnapshotsEvery;
   std::vector<core::RouterId> live;
   for (const ledger::Member* member : m_fold.LiveMembers()) {
     live.push_back(member->id);
--- a/src/router/peer_desk.cc
+++ b/src/router/peer_desk.cc
@@ -132,7 +132,10 @@
   inputs.voters = fold.voters();
   inputs.self_votes = fold.IsVoter(self().id.incarnation);
   inputs.sampled = m_view.Sampled();
-  inputs.vouchers = m_view.Vouchers(now);
+  // Asked for each event: the scan of the members is for outages only.
+  if (!m_freshness.ReadRecently(now)) {
+    inputs.vouchers = m_view.Vouchers(now);
+  }
   return m_freshness.Judge(now, inputs);
 }
 
