--- a/include/coppervalve/budget/book.h
+++ b/include/coppervalve/budget/book.h
@@ -249,7 +249,6 @@
     core::Tokens unmet;
     core::Tokens smallest_unmet;
     bool gate_waits = false;
-    bool asked_before = false;
     std::optional<bool> grant_asked;  ///< outstanding; whether of class GATE
     bool denied = false;              ///< by the last answer
     core::Sequence last_answer;       ///< entry of the last grant or denial
--- a/include/coppervalve/budget/sizing.h
+++ b/include/coppervalve/budget/sizing.h
@@ -31,7 +31,6 @@
   core::Tokens gate_only;          ///< spare that only GATE may reserve
   bool idle = false;               ///< no request asked for kIdleAfter
   bool log_out = false;
-  bool asked_before = false;
 
   /// @return what the requests that wait could reserve
   core::Tokens Spare() const {
@@ -64,10 +63,11 @@
   double ride_through_seconds = 600.0;    ///< demand held when there is plenty
   double low_seconds = 4.0;               ///< demand asked for near exhaustion
   double keep_low_seconds = 2.0;          ///< demand kept near exhaustion
-  double ceiling_seconds = 2.0;           ///< demand ahead of the ceiling
+  double ceiling_seconds = 0.5;           ///< demand ahead of the ceiling
   double ceiling_log_out_seconds = 10.0;  ///< the same while the log is out
-  int64_t fair_share_divisor = 2;         ///< ask at most free / (this * N)
-  int64_t bounds_ahead = 4;               ///< smallest holding, in requests
+  int64_t held_permille = 900;     ///< of what is left, held by all together
+  int64_t fair_share_divisor = 2;  ///< a queue asks at most free / (this * N)
+  int64_t bounds_ahead = 4;        ///< smallest holding, in requests
   int64_t low_ask_permille = 100;  ///< of paid-in: below it, ask for little
   int64_t low_keep_permille = 50;  ///< of paid-in: below it, return the rest
 };
@@ -77,7 +77,8 @@
 SizingPolicy DefaultSizing(SizingOptions options = {});
 
 /// @brief Baseline for benchmarks: an equal part of paid-in for each router,
-/// asked for once, never returned or transferred, no ceiling below it.
+/// asked for when it is paid in, never returned or transferred, no ceiling
+/// below it.
 SizingPolicy EqualSplit();
 
 }  // namespace coppervalve::budget
--- a/src/budget/book.cc
+++ b/src/budget/book.cc
@@ -55,7 +55,6 @@
   view.gate_only = account.holding.gate_only;
   view.idle = now - account.demand.LastAsked() > kIdleAfter;
   view.log_out = m_log_out;
-  view.asked_before = account.asked_before;
   return view;
 }
 
--- a/src/budget/book_outputs.cc
+++ b/src/budget/book_outputs.cc
@@ -80,7 +80,6 @@
       continue;
     }
     account.grant_asked = ask.gate;
-    account.asked_before = true;
     v1::AllotmentRequested* request =
         out.emplace_back().mutable_allotment_requested();
     request->set_budget(account.id.value());
--- a/src/budget/sizing.cc
+++ b/src/budget/sizing.cc
@@ -41,6 +41,16 @@
   return Tokens(view.largest_bound.value() * count);
 }
 
+/// This router's part of all that the live fleet has left. What is free is of
+/// no use while the log is out, so most of it is held; the rest is for routers
+/// that join and for demand that moves.
+Tokens PartOfRest(const SizingOptions& options, const SizingView& view) {
+  const Tokens rest = OpenBalance(view) + view.balance.held_by_others +
+                      AtLeastZero(view.Spare());
+  const int64_t routers = std::max<int64_t>(view.active_routers, 1);
+  return Tokens(rest.value() / kPermille * options.held_permille / routers);
+}
+
 Tokens FairShare(const SizingOptions& options,
                  const SizingView& view,
                  Tokens available) {
@@ -58,18 +68,20 @@
 }
 
 /// What the holding should have spare.
-Tokens Target(const SizingOptions& options,
-              const SizingView& view,
-              Tokens share) {
+Tokens Target(const SizingOptions& options, const SizingView& view) {
   const bool low = BalanceIsBelow(view, options.low_ask_permille);
+  // Near exhaustion what is free must suffice for whole requests somewhere:
+  // shared out in full it would lie in pieces that are too small for any.
+  const Tokens cap = low ? FairShare(options, view, OpenBalance(view))
+                         : PartOfRest(options, view);
   if (view.idle) {
-    return low ? kNone : std::min(Standby(view), share);
+    return low ? kNone : std::min(Standby(view), cap);
   }
   const Tokens wished =
       low ? DemandOf(view, options.low_seconds)
           : std::max({DemandOf(view, options.ride_through_seconds),
                       Bounds(view, options.bounds_ahead), Standby(view)});
-  return std::min(wished, share);
+  return std::min(wished, cap);
 }
 
 GrantAsk DefaultGrant(const SizingOptions& options, const SizingView& view) {
@@ -88,7 +100,7 @@
     return {};
   }
   const Tokens share = FairShare(options, view, open);
-  const Tokens target = Target(options, view, share);
+  const Tokens target = Target(options, view);
   const bool refill =
       spare.value() < target.value() - target.value() / kRefillBelow;
   if (!refill && missing == kNone) {
@@ -116,18 +128,20 @@
 
 Tokens DefaultCeilingStep(const SizingOptions& options,
                           const SizingView& view) {
+  // A raise takes one round trip to a peer, so little is kept ahead: a crash
+  // strands it. While the log is out a witness that dies can't be replaced, and
+  // what is ahead is all that is left to work with.
   const double seconds =
       view.log_out ? options.ceiling_log_out_seconds : options.ceiling_seconds;
-  return std::max(DemandOf(view, seconds), view.largest_bound);
+  const Tokens ahead = DemandOf(view, seconds);
+  return view.log_out ? std::max(ahead, view.largest_bound) : ahead;
 }
 
 GrantAsk EqualGrant(const SizingView& view) {
-  if (view.asked_before) {
-    return {};
-  }
   const int64_t routers = std::max<int64_t>(view.active_routers, 1);
-  return {.tokens = Tokens(view.balance.paid_in.value() / routers),
-          .minimum = Tokens(1)};
+  const Tokens share(view.balance.paid_in.value() / routers);
+  const Tokens missing = std::min(share - view.received, view.balance.free);
+  return {.tokens = AtLeastZero(missing), .minimum = Tokens(1)};
 }
 
 }  // namespace
--- a/tests/budget/unit-witness.cc
+++ b/tests/budget/unit-witness.cc
@@ -43,13 +43,16 @@
 
   f.Skip(3'600'000);
   int64_t committed = 100;
-  while (f.TryReserve(100)) {
-    committed += 100;
+  bool reserved = true;
+  while (reserved) {
+    reserved = f.TryReserve(100).has_value();
+    committed += reserved ? 100 : 0;
     for (const auto& raise : f.book().TakeCeilingRaises(f.now())) {
       Deliver(f, desk, raise);
     }
     f.Pass(1'000);
   }
+  CHECK(!f.TryReserve(100));
   CHECK(committed <= stated);
   CHECK(stated < 10'000);
   CHECK(f.book().WitnessRefuses());
