Measure budgets under the standard schedules

Cause: What the budget policy refuses and strands was known from a scratch simulation only. A refusal of other work than GATE counts as false only when tokens past the gate's held-back share are left: the operator ordered that share, and one counter would keep it too. New counts: wishes whose last word is a false refusal, and lost ones, where each token that was there counts once.

--- /dev/null
+++ b/bench/budget/report.h
@@ -0,0 +1,33 @@
+#ifndef COPPERVALVE_BENCH_BUDGET_REPORT_H_
+#define COPPERVALVE_BENCH_BUDGET_REPORT_H_
+
+#include <optional>  // optional
+#include <string>    // string
+
+namespace coppervalve::bench {
+
+/// @brief Which values a figure may have.
+struct Bound {
+  enum class Kind { kAtMost, kAtLeast };
+
+  Kind kind = Kind::kAtMost;
+  double value = 0;
+};
+
+/// @brief Prints figures and remembers whether one broke its bound.
+class Report {
+ public:
+  /// @param bound nothing: the figure is only printed, for comparison
+  void Print(const std::string& name,
+             double value,
+             const std::string& unit,
+             const std::optional<Bound>& bound = std::nullopt);
+  bool exceeded() const { return m_exceeded; }
+
+ private:
+  bool m_exceeded = false;
+};
+
+}  // namespace coppervalve::bench
+
+#endif  // COPPERVALVE_BENCH_BUDGET_REPORT_H_
--- /dev/null
+++ b/bench/budget/stage.h
@@ -0,0 +1,79 @@
+#ifndef COPPERVALVE_BENCH_BUDGET_STAGE_H_
+#define COPPERVALVE_BENCH_BUDGET_STAGE_H_
+
+#include <cstddef>        // size_t
+#include <cstdint>        // int64_t, uint64_t
+#include <functional>     // function
+#include <map>            // map
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/budget/sizing.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/trial/audit.h"
+#include "coppervalve/trial/fleet.h"
+#include "coppervalve/trial/load.h"
+
+namespace coppervalve::bench {
+
+/// @brief What one schedule came to under one sizing policy.
+struct Outcome {
+  int64_t overspend = 0;  ///< most tokens used past paid-in, over all budgets
+  uint64_t violations = 0;
+  std::map<v1::AdmissionClass, trial::ClassCount> classes;
+  trial::ClassCount total;
+  trial::TokenCount tokens;
+  uint64_t log_appends = 0;
+  uint64_t peer_messages = 0;
+  uint64_t crashes = 0;
+  uint64_t crashes_returned = 0;  ///< whose spare tokens came back
+  core::Duration return_time{};   ///< mean, of those
+};
+
+/// @brief A fleet of 7 with its callers and its auditor, for one schedule.
+class Stage {
+ public:
+  Stage(uint64_t seed,
+        const trial::LoadOptions& load,
+        const budget::SizingPolicy& sizing);
+
+  /// @brief Lets the routers join and the callers begin.
+  void Start();
+  /// @brief Runs on in virtual time, and audits on the way.
+  void Run(core::Duration duration);
+  /// @brief Ends new wishes, waits for those in progress and counts.
+  Outcome Finish();
+
+  void TopUp(size_t budget, core::Tokens tokens);
+  void SetLog(size_t node, bool up) { m_fleet.log_link(node).up = up; }
+  void Kill(size_t node);
+  trial::Fleet& fleet() { return m_fleet; }
+
+ private:
+  /// An incarnation that was killed.
+  struct Crash {
+    core::RouterId router;
+    core::Incarnation incarnation;
+    core::TimePoint at;
+    bool returned = false;
+  };
+
+  void Check();
+  void CountOverspend();
+  void WatchCrashes();
+  core::Tokens ReleasedOf(const Crash& crash) const;
+
+  trial::Fleet m_fleet;
+  trial::Audit m_audit;
+  trial::LoadOptions m_load_options;
+  trial::Load m_load;
+  Outcome m_outcome;
+  std::vector<Crash> m_crashes;
+  size_t m_executions_seen = 0;
+  std::unordered_map<core::BudgetId, int64_t> m_used;
+};
+
+}  // namespace coppervalve::bench
+
+#endif  // COPPERVALVE_BENCH_BUDGET_STAGE_H_
--- a/include/coppervalve/trial/audit.h
+++ b/include/coppervalve/trial/audit.h
@@ -46,8 +46,9 @@
   /// that was replaced longer ago than the freshness bound.
   void OnDispatch(size_t node);
   TokenCount Count() const;
-  /// @return whether one counter with the whole truth had tokens for the wish
-  bool WouldRun(const Wish& wish) const;
+  /// @return whether one counter with the whole truth had tokens for the wish,
+  /// and `besides` for others
+  bool WouldRun(const Wish& wish, core::Tokens besides = core::Tokens(0)) const;
   const ledger::Fold& fold() const { return m_fold; }
 
  private:
--- a/include/coppervalve/trial/load.h
+++ b/include/coppervalve/trial/load.h
@@ -27,6 +27,8 @@
   size_t max_tries = 4;       ///< of one wish
   core::Duration caller_patience = std::chrono::seconds(15);
   uint32_t gate_reserve_permille = 50;
+  /// How many times more callers the last router has than the first.
+  double uneven = 1;
 };
 
 /// @brief How wishes of one class ended.
@@ -37,6 +39,10 @@
   uint64_t unknown = 0;         ///< last word: outcome unknown
   uint64_t open = 0;            ///< no last word yet
   uint64_t false_refusals = 0;  ///< for want of tokens that were there
+  uint64_t false_ends = 0;      ///< wishes whose last word was one of them
+  /// Wishes that one counter with the whole truth would have run besides all
+  /// that ran: like false_ends, but each token that was there counts once.
+  uint64_t lost = 0;
 };
 
 /// @brief The configuration that the load needs: accounts "a0".., a budget
@@ -62,12 +68,15 @@
     size_t tries = 0;
     std::optional<size_t> ticket;
     bool ended = false;
+    bool false_end = false;
+    bool lost = false;
   };
 
   void ScheduleNext();
   Wish MakeWish();
   void Try(size_t wish);
   void OnTicket(size_t ticket);
+  void EndFalsely(size_t wish);
   size_t PickNode();
   double Share();
 
@@ -78,6 +87,7 @@
   uint64_t m_last_key = 0;
   std::unordered_map<size_t, Pending> m_pending;
   std::map<v1::AdmissionClass, uint64_t> m_false_refusals;
+  std::unordered_map<core::BudgetId, core::Tokens> m_lost;
 };
 
 }  // namespace coppervalve::trial
--- a/src/trial/audit.cc
+++ b/src/trial/audit.cc
@@ -196,14 +196,17 @@
   return count;
 }
 
-bool Audit::WouldRun(const Wish& wish) const {
+// The counter keeps the operator's order that a share is for GATE work only.
+bool Audit::WouldRun(const Wish& wish, core::Tokens besides) const {
   const ledger::Budget* budget = m_fold.FindBudget(wish.budget);
   if (budget == nullptr) {
     return false;
   }
   const auto used = m_used.find(wish.budget);
   const int64_t spent = used == m_used.end() ? 0 : used->second;
-  return budget->paid_in.value() - spent >= wish.Cost().value();
+  ledger::Budget counter = *budget;
+  counter.free = budget->paid_in - core::Tokens(spent) - besides;
+  return counter.Available(wish.admission_class) >= wish.Cost();
 }
 
 }  // namespace coppervalve::trial
