--- a/bench/budget/main.cc
+++ b/bench/budget/main.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>  // max
 #include <chrono>     // duration
+#include <cstdint>    // uint64_t
 #include <optional>   // optional
 #include <string>     // string
 
@@ -157,13 +158,16 @@
   CLI::App app("Measures budgets under the standard schedules.");
   std::string only;
   app.add_option("--only", only, "run the schedule of this name only");
+  uint64_t more = 0;
+  app.add_option("--seed-offset", more, "added to each schedule's seed");
   CLI11_PARSE(app, argc, argv);
 
   Report report;
-  for (const Schedule& schedule : coppervalve::bench::StandardSchedules()) {
+  for (Schedule schedule : coppervalve::bench::StandardSchedules()) {
     if (!only.empty() && schedule.name != only) {
       continue;
     }
+    schedule.seed += more;
     const Outcome own = Play(schedule, budget::DefaultSizing());
     const Outcome baseline = Play(schedule, budget::EqualSplit());
     Comparison(report, schedule, own, baseline).PrintAll();
