Carry orders to model engines out, one sender by the log

Cause: orders were recorded in the log but nobody sent them, and nothing kept an older order from taking effect after a newer one at an engine that ignores fencing numbers.

Ruled out: "the first in rank sends, the next takes over when it is retired". The retired router may be paused with the order in hand and deliver it after a newer one; model/order.pml has the counterexample (BROKEN_RETIRED_HOLDER_IS_REPLACED). A lease checked before sending: bounds nothing for a process paused between check and write.

Change: records OrderTaken and OrderEnded. A router sends an order only after its own take is folded; the first take in the log wins, others wait by rendezvous rank. An engine that checks gets newer orders and, after its sender's retirement, the same number from another router. One that ignores numbers gets no newer order while a taken one is unsettled; after a lost reply or its sender's retirement an operator settles it (`orders settle`). At most two loads are taken and open over the whole fleet, exactly, by the fold. New library `orders` (OrderDesk), POST /admin/order in the shell, `orders list` and `orders settle`, orders in the trial fleet and in fuzz-router with invariant I9 (no older order after a newer one), docs/ORDERS.md, a model.

Not run: the whole of make check, sanitizers, the tests with real processes.

Conclusion: an older order takes effect after a newer one only if an operator settles without looking, or a checking engine forgets its highest number.

--- a/apps/coppervalve/main.cc
+++ b/apps/coppervalve/main.cc
@@ -8,6 +8,7 @@
 #include "apps/coppervalve/exit_code.h"
 #include "apps/coppervalve/fleet_commands.h"
 #include "apps/coppervalve/order.h"
+#include "apps/coppervalve/order_state.h"
 #include "apps/coppervalve/publish.h"
 #include "apps/coppervalve/session.h"
 
@@ -52,6 +53,14 @@
   coppervalve budget release tours router-3          says what is at stake
   coppervalve budget release tours router-3 --yes    releases)";
 
+constexpr const char* kSettleFooter = R"(
+An engine that ignores fencing numbers gets no newer order while an older one may
+still reach it. Look at the engine, then settle the older one.
+
+Examples:
+  coppervalve orders settle engine-03          says what is at stake
+  coppervalve orders settle engine-03 --yes    settles)";
+
 // The arguments of all commands; CLI11 writes into them while it parses.
 struct Arguments {
   Options options;
@@ -62,6 +71,7 @@
   TopUpArguments top_up;
   ReleaseArguments release;
   OrderArguments order;
+  SettleArguments settle;
   std::string budget;
   std::string router;
   std::string key;
@@ -222,6 +232,20 @@
       "\nExample:\n  coppervalve order engine-03 --load-model chat-7b");
 }
 
+void AddOrdersCommands(CLI::App& app, Arguments& arguments) {
+  CLI::App& group = *AddGroup(app, "orders", "Show and settle orders");
+  AddCommand(group, "list", "List the latest order of each upstream", arguments,
+             ListOrders);
+  CLI::App* settle =
+      AddCommand(group, "settle", "End an order whose outcome is unknown",
+                 arguments, [&](const Session& session) {
+                   return SettleOrder(session, arguments.settle);
+                 });
+  settle->add_option("UPSTREAM", arguments.settle.upstream)->required();
+  settle->add_flag("--yes", arguments.settle.yes, "do it");
+  settle->footer(kSettleFooter);
+}
+
 int Run(Arguments& arguments) {
   arguments.options.json = arguments.output == "json";
   arguments.options.patience = std::chrono::seconds(arguments.timeout_s);
@@ -242,6 +266,7 @@
   AddBudgetCommands(app, arguments);
   AddFleetCommands(app, arguments);
   AddOrderCommand(app, arguments);
+  AddOrdersCommands(app, arguments);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/apps/coppervalve/order.cc
+++ b/apps/coppervalve/order.cc
@@ -71,19 +71,33 @@
   }
   const uint64_t own = core::Value(entry).incarnation();
   std::optional<core::FencingNumber> fencing;
+  std::optional<core::FencingNumber> unsettled;
   const core::Status appended = session.AppendAndRead(
       view, core::Value(entry),
       [&](core::LogOffset, const v1::Entry& folded, const auto& effects) {
         for (const ledger::Effect& effect : effects) {
+          if (folded.incarnation() != own) {
+            continue;
+          }
           const auto* order = std::get_if<ledger::OrderInForce>(&effect);
-          if (order != nullptr && folded.incarnation() == own && !fencing) {
+          if (order != nullptr && !fencing) {
             fencing = order->fencing;
           }
+          if (const auto* no = std::get_if<ledger::OrderRefused>(&effect)) {
+            unsettled = no->unsettled;
+          }
         }
       });
   if (fencing) {
     return PrintOrder(session, *engine, *fencing);
   }
+  if (unsettled) {
+    return session.printer().Fail(
+        {ErrorId::kOrderFenced, arguments.upstream,
+         "order " + std::to_string(unsettled->value()) +
+             " may still reach this engine, which ignores fencing numbers; see "
+             "`coppervalve orders settle`"});
+  }
   return session.printer().Fail(
       core::IsOk(appended)
           ? core::Error{ErrorId::kOrderFenced, arguments.upstream,
--- a/apps/coppervalved/setting_table.cc
+++ b/apps/coppervalved/setting_table.cc
@@ -260,6 +260,9 @@
   add(
       "probe-timeout-ms", "1000", "For an upstream to answer a probe",
       [](Settings & s) -> auto& { return s.shell.probe_timeout; });
+  add(
+      "order-timeout-ms", "30000", "For an engine to acknowledge an order",
+      [](Settings & s) -> auto& { return s.shell.order_timeout; });
   add(
       "vm-list-interval-ms", "2000", "Between two looks at the VM list",
       [](Settings & s) -> auto& { return s.shell.vm_list_interval; });
--- a/bench/fuzz/main.cc
+++ b/bench/fuzz/main.cc
@@ -21,7 +21,8 @@
             << " false refusals " << result.total.false_refusals << " used "
             << result.tokens.used << " of " << result.tokens.paid_in
             << " stranded " << result.tokens.stranded << " retirements "
-            << result.retirements << " appends " << result.log_appends << '\n';
+            << result.retirements << " orders applied " << result.orders_applied
+            << " appends " << result.log_appends << '\n';
   if (result.violations.empty()) {
     return;
   }
@@ -49,6 +50,7 @@
   uint64_t wishes = 0;
   uint64_t whole = 0;
   uint64_t false_refusals = 0;
+  uint64_t orders_applied = 0;
   for (uint64_t seed = first; seed < first + seeds; ++seed) {
     options.seed = seed;
     const ChaosResult result = coppervalve::trial::RunChaos(options);
@@ -56,12 +58,14 @@
     wishes += result.total.wishes;
     whole += result.total.whole;
     false_refusals += result.total.false_refusals;
+    orders_applied += result.orders_applied;
     if (!quiet || !result.violations.empty()) {
       Print(seed, result);
     }
   }
   std::cout << "fuzz: " << seeds - failed << " seeds passed, " << failed
             << " failed; wishes " << wishes << " whole " << whole
-            << " false refusals " << false_refusals << '\n';
+            << " false refusals " << false_refusals << " orders applied "
+            << orders_applied << '\n';
   return failed == 0 ? 0 : 1;
 }
--- a/include/coppervalve/ledger/detail/record_handlers.h
+++ b/include/coppervalve/ledger/detail/record_handlers.h
@@ -14,9 +14,17 @@
 // fold_config.cc
 void FoldConfigPublished(EntryContext& context, const v1::ConfigPublished& r);
 void FoldConfigConfirmed(EntryContext& context, const v1::ConfigConfirmed& r);
+
+// fold_orders.cc
 void FoldOrderIssued(EntryContext& context,
                      const v1::OrderIssued& r,
                      size_t index);
+void FoldOrderTaken(EntryContext& context, const v1::OrderTaken& r);
+void FoldOrderEnded(EntryContext& context,
+                    const v1::OrderEnded& r,
+                    size_t index);
+/// @return how many more orders to load may be taken
+size_t FreeLoads(const State& state);
 
 // fold_balance.cc
 void FoldToppedUp(EntryContext& context, const v1::ToppedUp& r);
--- a/include/coppervalve/ledger/effects.h
+++ b/include/coppervalve/ledger/effects.h
@@ -31,6 +31,7 @@
   kSpendNotMonotone,  ///< a cumulative spend lower than the one before
   kNotWitness,        ///< not the witness in force of a retired router
   kReleasePolicy,     ///< the budget's policy forbids this release
+  kOrderUnderWay,     ///< its holder has still to state the outcome
   kInvalid,           ///< a field has no possible meaning
   kEmpty,             ///< no record, or a record of an unknown kind
 };
@@ -230,6 +231,41 @@
   v1::OrderIssued order;
 };
 
+/// @brief An order without effect: the one before it may yet reach an upstream
+/// that ignores fencing numbers.
+struct OrderRefused {
+  core::UpstreamId upstream;
+  core::FencingNumber unsettled;  ///< the order that must be settled first
+};
+
+/// @brief From here on this incarnation, and no other, sends the order.
+struct OrderTaken {
+  core::RouterId router;
+  core::Incarnation incarnation;
+  core::UpstreamId upstream;
+  core::FencingNumber fencing;
+};
+
+enum class OrderTakeRefusal : uint8_t {
+  kNotInForce,  ///< overtaken, or ended
+  kHeld,        ///< by another incarnation
+  kManyLoads,   ///< as many loads as allowed are under way
+};
+
+struct OrderTakeRefused {
+  OrderTakeRefusal reason = OrderTakeRefusal::kNotInForce;
+  core::RouterId router;
+  core::Incarnation incarnation;
+  core::UpstreamId upstream;
+  core::FencingNumber fencing;
+};
+
+struct OrderEnded {
+  core::UpstreamId upstream;
+  core::FencingNumber fencing;
+  v1::OrderOutcome outcome = v1::ORDER_OUTCOME_UNSPECIFIED;
+};
+
 /// @brief A snapshot that this fold cannot compare: taken at an offset whose
 /// digest it has not kept.
 struct SnapshotFolded {
@@ -272,6 +308,10 @@
                             BillWrittenOff,
                             TransferFolded,
                             OrderInForce,
+                            OrderRefused,
+                            OrderTaken,
+                            OrderTakeRefused,
+                            OrderEnded,
                             SnapshotFolded,
                             SnapshotMatched,
                             EntryIgnored>;
--- a/include/coppervalve/ledger/fold.h
+++ b/include/coppervalve/ledger/fold.h
@@ -27,6 +27,9 @@
   /// budgets it is doubled as often as they double past 512.
   uint64_t checkpoint_interval = 4'096;
   size_t kept_checkpoints = 16;
+  /// Orders to load something that may be carried out at the same time: the
+  /// weight store is rate-limited.
+  size_t max_loads = 2;
 };
 
 /// @brief The winner of a key.
@@ -40,6 +43,22 @@
 struct Order {
   core::FencingNumber fencing;
   v1::OrderIssued order;
+  v1::OrderOutcome outcome = v1::ORDER_OUTCOME_UNSPECIFIED;
+  core::RouterId holder;  ///< that carries it out; empty: nobody took it
+  core::Incarnation holder_incarnation;
+
+  bool taken() const { return !holder.empty(); }
+  /// @brief Nothing more can come of it.
+  bool settled() const {
+    return outcome != v1::ORDER_OUTCOME_UNSPECIFIED &&
+           outcome != v1::OUTCOME_UNKNOWN;
+  }
+  /// @brief Still to be carried out.
+  bool open() const { return outcome == v1::ORDER_OUTCOME_UNSPECIFIED; }
+  /// @brief Whether carrying it out draws on the weight store.
+  bool loads() const {
+    return order.has_load_model() || order.has_load_adapter();
+  }
 };
 
 namespace detail {
@@ -108,6 +127,11 @@
   bool IsBilled(const core::Hash128& key_hash) const;
   /// @return the latest order to an upstream, else null
   const Order* FindOrder(const core::UpstreamId& upstream) const;
+  /// @brief The latest orders, by upstream. @complexity linear
+  std::vector<const Order*> Orders() const;
+  /// @return how many more orders to load may be taken now
+  /// @complexity linear in the orders
+  size_t FreeLoads() const;
 
   /// @brief Recomputes every balance from its holdings.
   /// @error kConservationBroken names the first budget that is off
--- a/include/coppervalve/net/shell_settings.h
+++ b/include/coppervalve/net/shell_settings.h
@@ -32,6 +32,8 @@
   /// Beyond the wait that the log service was asked for.
   std::chrono::milliseconds log_timeout{3'000};
   std::chrono::milliseconds probe_timeout{1'000};
+  /// For an engine to acknowledge an order; after it the outcome is unknown.
+  std::chrono::milliseconds order_timeout{30'000};
   std::chrono::milliseconds vm_list_interval{2'000};
   /// How long open connections may take to end once the drain is complete.
   std::chrono::milliseconds close_patience{10'000};
--- a/include/coppervalve/router/detail/session.h
+++ b/include/coppervalve/router/detail/session.h
@@ -13,6 +13,7 @@
 #include "coppervalve/router/detail/budget_desk.h"
 #include "coppervalve/router/detail/configured.h"
 #include "coppervalve/router/detail/log_desk.h"
+#include "coppervalve/router/detail/order_link.h"
 #include "coppervalve/router/detail/outbox.h"
 #include "coppervalve/router/detail/peer_desk.h"
 #include "coppervalve/router/detail/request_flow.h"
@@ -69,6 +70,7 @@
   void On(core::TimePoint now, const PeerReceived& event);
   void On(core::TimePoint now, const PeerSendFailed& event);
   void On(core::TimePoint now, const ProbeEnded& event);
+  void On(core::TimePoint now, const OrderSent& event);
   void On(core::TimePoint now, const DrainAsked& event);
   void On(core::TimePoint now, const Tick& event);
 
@@ -104,6 +106,7 @@
   BudgetDesk m_budgets;
   Configured m_configured;
   RequestFlow m_flow;
+  OrderLink m_orders;
   membership::AddressBook m_addresses;
   membership::Drain m_drain;
 
--- a/include/coppervalve/router/events.h
+++ b/include/coppervalve/router/events.h
@@ -12,8 +12,10 @@
 #include "coppervalve/core/hash.h"
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
+#include "coppervalve/orders/send_outcome.h"
 #include "coppervalve/peer.pb.h"
 #include "coppervalve/platform.pb.h"
+#include "coppervalve/records.pb.h"
 
 /// The narrow interface between the decision core and its shell: the shell
 /// feeds events with the time they happened, the core answers with actions.
@@ -158,6 +160,13 @@
   std::optional<UpstreamLoad> load;
 };
 
+/// @brief An order that the core asked for ended.
+struct OrderSent {
+  core::UpstreamId upstream;
+  core::FencingNumber fencing;
+  orders::SendOutcome outcome = orders::SendOutcome::kUnknown;
+};
+
 /// @brief SIGTERM or an operator's drain. A second one changes nothing.
 struct DrainAsked {};
 
@@ -183,6 +192,7 @@
                            PeerReceived,
                            PeerSendFailed,
                            ProbeEnded,
+                           OrderSent,
                            DrainAsked,
                            Tick>;
 
@@ -270,6 +280,16 @@
   std::string address;
 };
 
+/// @brief Give a model engine an order (POST /admin/order); answered by
+/// OrderSent. The fencing number lets an engine that checks it refuse an order
+/// that was overtaken.
+struct SendOrder {
+  core::UpstreamId upstream;
+  std::string address;
+  core::FencingNumber fencing;
+  v1::OrderIssued order;
+};
+
 /// @brief One structured log line.
 struct LogLine {
   enum class Level : uint8_t { kInfo, kWarning, kError };
@@ -292,6 +312,7 @@
                             AppendLog,
                             SendPeer,
                             ProbeUpstream,
+                            SendOrder,
                             LogLine,
                             Exit>;
 
--- a/include/coppervalve/trial/audit.h
+++ b/include/coppervalve/trial/audit.h
@@ -16,7 +16,7 @@
 
 /// @brief What broke, in words for the trace.
 struct Violation {
-  std::string invariant;  ///< "I1" to "I8", see docs/INVARIANTS.md
+  std::string invariant;  ///< "I1" to "I9", see docs/INVARIANTS.md
   std::string what;
 };
 
@@ -58,6 +58,7 @@
   void CheckTickets(std::vector<Violation>& found);
   std::string Describe(const Ticket& ticket) const;
   void CheckVersions(std::vector<Violation>& found);
+  void CheckOrders(std::vector<Violation>& found);
 
   Fleet& m_fleet;
   ledger::Fold m_fold;
@@ -71,6 +72,8 @@
   /// last Check().
   std::vector<core::TimePoint> m_in_force_since;
   std::vector<Violation> m_late_dispatches;
+  size_t m_orders_seen = 0;
+  std::unordered_map<core::UpstreamId, core::FencingNumber> m_newest_order;
   std::vector<core::Incarnation> m_incarnations;
 };
 
--- a/include/coppervalve/trial/chaos.h
+++ b/include/coppervalve/trial/chaos.h
@@ -29,6 +29,7 @@
   ClassCount total;
   TokenCount tokens;
   uint64_t log_appends = 0;
+  uint64_t orders_applied = 0;  ///< at engines
   uint64_t retirements = 0;
 };
 
--- /dev/null
+++ b/include/coppervalve/trial/engine_orders.h
@@ -0,0 +1,40 @@
+#ifndef COPPERVALVE_TRIAL_ENGINE_ORDERS_H_
+#define COPPERVALVE_TRIAL_ENGINE_ORDERS_H_
+
+#include <set>     // set
+#include <string>  // string
+#include <vector>  // vector
+
+#include "coppervalve/config.pb.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/records.pb.h"
+
+namespace coppervalve::trial {
+
+/// @brief An order that took effect at an engine.
+struct AppliedOrder {
+  core::UpstreamId upstream;
+  core::FencingNumber fencing;
+  v1::OrderIssued order;
+};
+
+/// @brief What the engines were ordered to do, in the order of arrival.
+class EngineOrders {
+ public:
+  /// @brief Learns which engines check fencing numbers.
+  void Configure(const v1::Configuration& configuration);
+  /// @return false: refused, since an engine that checks has a newer number
+  bool Arrive(AppliedOrder order);
+
+  const std::vector<AppliedOrder>& applied() const { return m_applied; }
+  /// @return those that took effect at one engine, in order of arrival
+  std::vector<core::FencingNumber> At(const std::string& upstream) const;
+
+ private:
+  std::set<core::UpstreamId> m_checking;
+  std::vector<AppliedOrder> m_applied;
+};
+
+}  // namespace coppervalve::trial
+
+#endif  // COPPERVALVE_TRIAL_ENGINE_ORDERS_H_
--- a/include/coppervalve/trial/fleet.h
+++ b/include/coppervalve/trial/fleet.h
@@ -11,6 +11,7 @@
 
 #include "coppervalve/core/units.h"
 #include "coppervalve/router/settings.h"
+#include "coppervalve/trial/engine_orders.h"
 #include "coppervalve/trial/fake_log.h"
 #include "coppervalve/trial/node.h"
 #include "coppervalve/trial/records.h"
@@ -62,6 +63,11 @@
   void Publish(v1::Configuration configuration);
   void TopUp(const core::BudgetId& budget, core::Tokens tokens);
 
+  void Order(const core::UpstreamId& upstream, const std::string& model);
+  /// @brief Settles an order after a look at the engine.
+  void SettleOrder(const core::UpstreamId& upstream,
+                   core::FencingNumber fencing);
+
   // What callers do.
   /// @return the number of the new wish
   size_t Wants(Wish wish);
@@ -103,6 +109,7 @@
   Timeline& timeline() { return m_timeline; }
   core::TimePoint now() const { return m_timeline.now(); }
   FakeLog& log() { return m_log; }
+  EngineOrders& engine_orders() { return m_engine_orders; }
   const FleetOptions& options() const { return m_options; }
   size_t size() const { return m_nodes.size(); }
   Node& node(size_t index) { return *m_nodes[index]; }
@@ -117,6 +124,7 @@
   FleetOptions m_options;
   Timeline m_timeline;
   FakeLog m_log;
+  EngineOrders m_engine_orders;
   std::unique_ptr<Chance> m_chance;
   std::vector<LogLink> m_log_links;
   std::set<std::pair<size_t, size_t>> m_cuts;
--- a/include/coppervalve/trial/node.h
+++ b/include/coppervalve/trial/node.h
@@ -93,11 +93,13 @@
   void Do(const router::AppendLog& action);
   void Do(const router::SendPeer& action);
   void Do(const router::ProbeUpstream& action);
+  void Do(const router::SendOrder& action);
   void Do(const router::LogLine& action);
   void Do(const router::Exit& action);
 
   void Poll(const router::ReadLog& read, core::TimePoint until);
   void RunAttempt(const router::Dispatch& action);
+  void RunOrder(const router::SendOrder& action);
   void EndForward(core::RequestId id, const RelayEnd& end);
   void Complete(core::RequestId id, size_t answer_of_wish);
   void Fail(core::RequestId id, const router::Refuse& refuse);
--- a/model/check.sh
+++ b/model/check.sh
@@ -25,6 +25,11 @@
   for flag in $(broken_flags claim); do
     echo "claim $flag|broken|claim|-DKIND=$(kind_of "$flag") -D$flag"
   done
+  echo "order IGNORES|holds|order|-DCHECKS=0"
+  echo "order CHECKS|holds|order|-DCHECKS=1"
+  for flag in $(broken_flags order); do
+    echo "order $flag|broken|order|-DCHECKS=$(checks_of "$flag") -D$flag"
+  done
 }
 
 # Taken from the model itself, so that no variant can be forgotten here.
@@ -41,6 +46,14 @@
   esac
 }
 
+# Whether the engine whose rule a variant breaks checks fencing numbers.
+checks_of() {
+  case "$1" in
+    BROKEN_ENGINE*) echo 1 ;;
+    *) echo 0 ;;
+  esac
+}
+
 verdict_of() {
   if grep -q 'assertion violated' "$1"; then
     echo broken
--- a/src/ledger/fold.cc
+++ b/src/ledger/fold.cc
@@ -29,7 +29,8 @@
 // What any writer may state.
 bool IsSharedRecord(v1::Record::BodyCase body) {
   return body == v1::Record::kRouterRetired ||
-         body == v1::Record::kOrderIssued || body == v1::Record::kSnapshot;
+         body == v1::Record::kOrderIssued || body == v1::Record::kOrderEnded ||
+         body == v1::Record::kSnapshot;
 }
 
 // What a retired incarnation may still add: the truth about its own past.
@@ -91,6 +92,10 @@
       return FoldSnapshot(context, r.snapshot());
     case v1::Record::kOrderIssued:
       return FoldOrderIssued(context, r.order_issued(), index);
+    case v1::Record::kOrderTaken:
+      return FoldOrderTaken(context, r.order_taken());
+    case v1::Record::kOrderEnded:
+      return FoldOrderEnded(context, r.order_ended(), index);
     case v1::Record::kConfigConfirmed:
       return FoldConfigConfirmed(context, r.config_confirmed());
     case v1::Record::kDrainStarted:
@@ -320,6 +325,18 @@
   return found == m_state->orders.end() ? nullptr : &found->second;
 }
 
+std::vector<const Order*> Fold::Orders() const {
+  std::vector<const Order*> orders;
+  for (const auto& [upstream, order] : m_state->orders) {
+    orders.push_back(&order);
+  }
+  return orders;
+}
+
+size_t Fold::FreeLoads() const {
+  return detail::FreeLoads(*m_state);
+}
+
 core::Status Fold::CheckConservation() const {
   return detail::CheckConservation(*m_state);
 }
--- a/src/ledger/fold_config.cc
+++ b/src/ledger/fold_config.cc
@@ -1,4 +1,4 @@
-#include <algorithm>      // any_of, max
+#include <algorithm>      // max
 #include <memory>         // make_shared
 #include <unordered_set>  // unordered_set
 
@@ -63,13 +63,6 @@
   context.Emit(PaidIn{budget.id, growth, ""});
 }
 
-bool HasUpstream(const v1::Configuration& configuration,
-                 const std::string& id) {
-  return std::any_of(
-      configuration.upstreams().begin(), configuration.upstreams().end(),
-      [&id](const v1::Upstream& upstream) { return upstream.id() == id; });
-}
-
 // The reply to the first append was lost and its writer repeated it. A
 // rejection would tell an operator that the own change had lost.
 bool IsRepetition(const State& state, const v1::ConfigPublished& r) {
@@ -153,21 +146,4 @@
   context.Emit(ConfigConfirmed{member.id, member.incarnation, version});
 }
 
-void FoldOrderIssued(EntryContext& context,
-                     const v1::OrderIssued& r,
-                     size_t index) {
-  State& state = context.state();
-  if (!HasUpstream(*state.config.configuration, r.upstream())) {
-    context.Ignore(IgnoreReason::kUnknownUpstream);
-    return;
-  }
-  if (context.from_operator() && !RememberOperatorRecord(context, index)) {
-    return;
-  }
-  const core::UpstreamId upstream(r.upstream());
-  const core::FencingNumber fencing(context.offset().value());
-  state.orders[upstream] = Order{fencing, r};
-  context.Emit(OrderInForce{upstream, fencing, r});
-}
-
 }  // namespace coppervalve::ledger::detail
--- a/src/ledger/snapshot_codec.cc
+++ b/src/ledger/snapshot_codec.cc
@@ -156,6 +156,9 @@
     encoded->set_upstream(upstream.value());
     encoded->set_fencing_number(order.fencing.value());
     *encoded->mutable_order() = order.order;
+    encoded->set_outcome(order.outcome);
+    encoded->set_holder_router(order.holder.value());
+    encoded->set_holder_incarnation(order.holder_incarnation.value());
   }
 }
 
@@ -395,7 +398,9 @@
 void DecodeOrders(const v1::FoldState& from, State& state) {
   for (const v1::OrderState& encoded : from.orders()) {
     state.orders[core::UpstreamId(encoded.upstream())] =
-        Order{core::FencingNumber(encoded.fencing_number()), encoded.order()};
+        Order{core::FencingNumber(encoded.fencing_number()), encoded.order(),
+              encoded.outcome(), RouterId(encoded.holder_router()),
+              Incarnation(encoded.holder_incarnation())};
   }
 }
 
--- a/src/net/action_router.cc
+++ b/src/net/action_router.cc
@@ -25,6 +25,10 @@
     m_owners.pool->Post(kPlatformThread, [platform = m_owners.platform,
                                           action] { platform->Probe(action); });
   }
+  void operator()(router::SendOrder& action) const {
+    m_owners.pool->Post(kPlatformThread, [platform = m_owners.platform,
+                                          action] { platform->Send(action); });
+  }
   void operator()(router::SendPeer& action) const {
     const auto failed = [report = m_owners.report,
                          router = action.router](const core::Error&) {
--- a/src/net/http_channel.cc
+++ b/src/net/http_channel.cc
@@ -36,6 +36,7 @@
              std::chrono::milliseconds timeout,
              Done a_done) {
     done = std::move(a_done);
+    sent = false;
     wire = WireRequest(request, address);
     deadline.Arm(timeout, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
@@ -70,9 +71,11 @@
   }
 
   void Write() {
+    sent = true;
     asio::async_write(socket, asio::buffer(wire),
-                      [self = shared_from_this()](error_code e, size_t) {
+                      [self = shared_from_this()](error_code e, size_t size) {
                         if (e) {
+                          self->sent = size > 0;
                           self->End(self->Fault("write: " + e.message()));
                           return;
                         }
@@ -131,6 +134,7 @@
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::string_body>> parser;
   std::string wire;
+  bool sent = false;
   Done done;
 };
 
@@ -145,6 +149,10 @@
   m_impl->Close();
 }
 
+bool HttpChannel::sent() const {
+  return m_impl->sent;
+}
+
 void HttpChannel::Call(const HttpRequest& request,
                        std::chrono::milliseconds timeout,
                        Done done) {
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -40,6 +40,8 @@
   void Call(const HttpRequest& request,
             std::chrono::milliseconds timeout,
             Done done);
+  /// @return whether a byte of the latest call may have left
+  bool sent() const;
 
  private:
   struct Impl;
--- a/src/net/platform_watch.cc
+++ b/src/net/platform_watch.cc
@@ -3,6 +3,8 @@
 #include <google/protobuf/util/json_util.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 #include <optional>       // optional
 #include <unordered_map>  // unordered_map
 #include <utility>        // move
@@ -15,7 +17,12 @@
 namespace {
 
 constexpr unsigned kOk = 200;
+constexpr unsigned kRedirect = 300;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kServerError = 500;
 constexpr size_t kMaxListBytes = size_t{4} * 1024 * 1024;
+constexpr size_t kMaxOrderReplyBytes = size_t{64} * 1024;
 constexpr size_t kMaxHealthBytes = size_t{64} * 1024;
 
 HttpRequest Get(std::string target) {
@@ -25,6 +32,40 @@
   return request;
 }
 
+HttpRequest PostOf(const router::SendOrder& action) {
+  boost::json::object body{{"fencing", action.fencing.value()}};
+  const v1::OrderIssued& order = action.order;
+  if (order.has_load_model()) {
+    body["load_model"] = order.load_model();
+  } else if (order.has_load_adapter()) {
+    body["load_adapter"] = order.load_adapter();
+  } else if (order.has_change_role()) {
+    body["change_role"] = order.change_role();
+  }
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/admin/order";
+  request.headers = {{"content-type", "application/json"}};
+  request.body = boost::json::serialize(body);
+  return request;
+}
+
+orders::SendOutcome OutcomeOf(const core::Result<HttpReply>& result,
+                              bool sent) {
+  if (!core::IsOk(result)) {
+    return sent ? orders::SendOutcome::kUnknown : orders::SendOutcome::kNotSent;
+  }
+  const unsigned status = core::Value(result).head.status;
+  if (status >= kOk && status < kRedirect) {
+    return orders::SendOutcome::kDone;
+  }
+  // A 408 or a 5xx may come after the engine has begun; other 4xx refuse.
+  return status >= kBadRequest && status < kServerError &&
+                 status != kRequestTimeout
+             ? orders::SendOutcome::kRefused
+             : orders::SendOutcome::kUnknown;
+}
+
 std::optional<v1::VmList> ParseList(const core::Result<HttpReply>& result) {
   if (!core::IsOk(result) || core::Value(result).head.status != kOk) {
     return std::nullopt;
@@ -89,17 +130,25 @@
       ended.healthy = head.status == kOk;
       ended.load = LoadOf(head.headers);
     }
-    probes.erase(id);
+    calls.erase(id);
     report(std::move(ended));
   }
 
+  void EndOrder(size_t id,
+                const router::SendOrder& action,
+                const core::Result<HttpReply>& result) {
+    const auto outcome = OutcomeOf(result, calls.at(id)->sent());
+    calls.erase(id);
+    report(router::OrderSent{action.upstream, action.fencing, outcome});
+  }
+
   boost::asio::io_context& context;
   const ShellSettings& settings;
   const EventSink report;
   boost::asio::steady_timer timer;
   HttpChannel list;
-  size_t next_probe = 0;
-  std::unordered_map<size_t, std::unique_ptr<HttpChannel>> probes;
+  size_t next_call = 0;
+  std::unordered_map<size_t, std::unique_ptr<HttpChannel>> calls;
 };
 
 PlatformWatch::PlatformWatch(boost::asio::io_context& context,
@@ -118,8 +167,8 @@
 void PlatformWatch::Probe(const router::ProbeUpstream& action) {
   // A connection of its own for each probe: a kept one might be dead in the
   // middle while new ones work, and the probe is to judge the upstream.
-  const size_t id = m_impl->next_probe++;
-  auto& channel = m_impl->probes[id];
+  const size_t id = m_impl->next_call++;
+  auto& channel = m_impl->calls[id];
   channel = std::make_unique<HttpChannel>(m_impl->context, action.address,
                                           kMaxHealthBytes);
   channel->Call(
@@ -132,4 +181,18 @@
       });
 }
 
+void PlatformWatch::Send(const router::SendOrder& action) {
+  const size_t id = m_impl->next_call++;
+  auto& channel = m_impl->calls[id];
+  channel = std::make_unique<HttpChannel>(m_impl->context, action.address,
+                                          kMaxOrderReplyBytes);
+  channel->Call(PostOf(action), m_impl->settings.order_timeout,
+                [weak = m_impl->weak_from_this(), id,
+                 action](const core::Result<HttpReply>& result) {
+                  if (const auto self = weak.lock()) {
+                    self->EndOrder(id, action, result);
+                  }
+                });
+}
+
 }  // namespace coppervalve::net
--- a/src/net/platform_watch.h
+++ b/src/net/platform_watch.h
@@ -10,8 +10,8 @@
 
 namespace coppervalve::net {
 
-/// @brief Asks for the VM list again and again, and probes upstreams. Belongs
-/// to one thread; answers by VmListRead and ProbeEnded.
+/// @brief Asks for the VM list again and again, probes upstreams and gives them
+/// orders. Belongs to one thread; answers by VmListRead, ProbeEnded, OrderSent.
 class PlatformWatch {
  public:
   PlatformWatch(boost::asio::io_context& context,
@@ -24,6 +24,7 @@
   /// @brief Begins to ask for the VM list, if there is an address for it.
   void Start();
   void Probe(const router::ProbeUpstream& action);
+  void Send(const router::SendOrder& action);
 
  private:
   struct Impl;
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -50,6 +50,7 @@
       m_budgets(settings, incarnation, m_log, m_peers),
       m_flow({settings, hooks, incarnation, m_log, m_peers, m_budgets.book(),
               m_configured, m_outbox}),
+      m_orders(settings.router, incarnation, m_log, m_outbox),
       m_addresses(m_peers.self(), PrefixOf) {
   m_log.SetOnFolded([this](const v1::Entry& entry,
                            const std::vector<ledger::Effect>& effects) {
@@ -189,6 +190,10 @@
   m_flow.OnProbeEnded(now, event);
 }
 
+void Session::On(TimePoint now, const OrderSent& event) {
+  m_orders.OnSent(now, event);
+}
+
 // ---- The platform ----------------------------------------------------------
 
 void Session::On(TimePoint now, const VmListRead& event) {
@@ -216,6 +221,7 @@
 
 void Session::AfterReading(TimePoint now, bool at_end) {
   FollowConfiguration();
+  m_orders.AfterReading(now);
   if (std::exchange(m_members_changed, false)) {
     m_peers.SetMembers(m_log.fold());
     m_flow.limiter().SetRouters(
@@ -291,6 +297,7 @@
                        const std::vector<ledger::Effect>& effects) {
   m_budgets.OnFolded(now, entry, effects);
   for (const ledger::Effect& effect : effects) {
+    m_orders.OnEffect(now, effect);
     OnEffect(now, effect);
   }
 }
@@ -389,7 +396,7 @@
   }
   membership::DrainInputs inputs;
   inputs.announced = m_drain_announced;
-  inputs.in_progress = m_flow.in_progress();
+  inputs.in_progress = m_flow.in_progress() + m_orders.busy();
   inputs.queued = m_flow.queued();
   inputs.holdings_settled = m_budgets.Settled();
   inputs.finalized = m_phase == Phase::kEnded || m_phase == Phase::kReading ||
@@ -498,6 +505,9 @@
     m_budgets.Tick(now);
     m_flow.Pump(now, !m_stale.has_value());
     m_budgets.Send(now);
+    if (m_phase == Phase::kMember) {
+      m_orders.Pump(now, {!m_stale.has_value(), draining()});
+    }
     m_peers.Beat(now, [&] { return MakeHeartbeat(now); });
   }
   if (m_phase != Phase::kEnded) {
--- a/src/trial/audit.cc
+++ b/src/trial/audit.cc
@@ -1,7 +1,8 @@
 #include "coppervalve/trial/audit.h"
 
-#include <utility>  // move
-#include <variant>  // get_if
+#include <algorithm>  // max
+#include <utility>    // move
+#include <variant>    // get_if
 
 #include "coppervalve/budget/book.h"
 
@@ -38,6 +39,7 @@
   for (Violation& violation : std::exchange(m_late_dispatches, {})) {
     found.push_back(std::move(violation));
   }
+  CheckOrders(found);
   return found;
 }
 
@@ -152,6 +154,21 @@
   }
 }
 
+void Audit::CheckOrders(std::vector<Violation>& found) {
+  const auto& applied = m_fleet.engine_orders().applied();
+  for (; m_orders_seen < applied.size(); ++m_orders_seen) {
+    const AppliedOrder& order = applied[m_orders_seen];
+    core::FencingNumber& newest = m_newest_order[order.upstream];
+    if (order.fencing < newest) {
+      found.push_back({"I9", order.upstream.value() + " took order " +
+                                 std::to_string(order.fencing.value()) +
+                                 " after order " +
+                                 std::to_string(newest.value())});
+    }
+    newest = std::max(newest, order.fencing);
+  }
+}
+
 std::string Audit::Describe(const Ticket& ticket) const {
   const Wish& wish = m_fleet.wishes()[ticket.wish];
   return "wish " + std::to_string(ticket.wish) + " at " +
--- a/src/trial/chaos.cc
+++ b/src/trial/chaos.cc
@@ -2,6 +2,7 @@
 
 #include <cmath>       // log
 #include <functional>  // function
+#include <set>         // set
 #include <utility>     // move
 
 #include "coppervalve/trial/audit.h"
@@ -15,19 +16,24 @@
 namespace {
 
 constexpr Duration kCheckEvery = milliseconds(100);
+constexpr Duration kOrderEvery = seconds(3);
 constexpr Duration kWarmUp = seconds(3);
 constexpr size_t kMaxViolations = 5;
 
 /// @brief Picks faults at random and undoes each after a random time.
 class Chaos {
  public:
-  Chaos(Fleet& fleet, ChaosOptions options, std::vector<std::string>& trace)
-      : m_fleet(fleet), m_options(options), m_trace(trace) {}
+  Chaos(Fleet& fleet,
+        const Audit& audit,
+        ChaosOptions options,
+        std::vector<std::string>& trace)
+      : m_fleet(fleet), m_audit(audit), m_options(options), m_trace(trace) {}
 
   void Start() {
     m_running = true;
     m_fleet.SetFate([this] { return NextFate(); });
     ScheduleNext();
+    ScheduleOrder();
   }
 
   /// @brief Undoes all faults and starts what is down.
@@ -77,6 +83,44 @@
     });
   }
 
+  void ScheduleOrder() {
+    m_fleet.timeline().After(kOrderEvery, [this] {
+      if (m_running) {
+        OrderOne();
+        ScheduleOrder();
+      }
+    });
+  }
+
+  // An operator orders one engine after the other, and settles what stays open
+  // for good.
+  void OrderOne() {
+    const core::UpstreamId upstream("engine-" + std::to_string(m_orders % 4));
+    m_fleet.Order(upstream, "model-" + std::to_string(m_orders++));
+    for (const ledger::Order* order : m_audit.fold().Orders()) {
+      if (order->settled() || !order->taken() || !HasLookedAt(*order)) {
+        continue;
+      }
+      m_fleet.SettleOrder(core::UpstreamId(order->order.upstream()),
+                          order->fencing);
+    }
+  }
+
+  // Settled only when the router that took it cannot send it any more: its
+  // process has gone, or has been running without a pause since the last look.
+  bool HasLookedAt(const ledger::Order& order) {
+    const Node* node = m_fleet.FindRouter(order.holder);
+    const bool halted = node->alive() && node->paused();
+    const bool live = m_audit.fold().FindLive(order.holder) != nullptr &&
+                      m_audit.fold().FindLive(order.holder)->incarnation ==
+                          order.holder_incarnation;
+    if (halted || (live && order.open())) {
+      m_looked.erase(order.fencing);
+      return false;
+    }
+    return !m_looked.insert(order.fencing).second;
+  }
+
   void UndoLater(Duration mean, std::function<void()> undo) {
     m_fleet.timeline().After(RandomTime(mean), [this, undo = std::move(undo)] {
       if (m_running) {
@@ -236,10 +280,13 @@
   }
 
   Fleet& m_fleet;
+  const Audit& m_audit;
   ChaosOptions m_options;
   std::vector<std::string>& m_trace;
   bool m_running = false;
   double m_failing = 0.02;
+  uint64_t m_orders = 0;
+  std::set<core::FencingNumber> m_looked;  ///< by the operator, once
 };
 
 }  // namespace
@@ -269,7 +316,7 @@
   LoadOptions load_options;
   load_options.prepaid = options.prepaid;
   Load load(fleet, audit, load_options);
-  Chaos chaos(fleet, options, result.trace);
+  Chaos chaos(fleet, audit, options, result.trace);
 
   const auto run_checked = [&](Duration duration) {
     const core::TimePoint end = fleet.now() + duration;
@@ -297,6 +344,7 @@
   }
   result.total = load.Total();
   result.tokens = audit.Count();
+  result.orders_applied = fleet.engine_orders().applied().size();
   result.log_appends = fleet.log().appends();
   return result;
 }
--- a/src/trial/fleet.cc
+++ b/src/trial/fleet.cc
@@ -39,6 +39,7 @@
 }
 
 void Fleet::Publish(v1::Configuration configuration) {
+  m_engine_orders.Configure(configuration);
   v1::Record record;
   v1::ConfigPublished& published = *record.mutable_config_published();
   published.set_based_on(m_config_version++);
@@ -57,6 +58,23 @@
   m_log.AppendAsOperator("trial", std::move(record));
 }
 
+void Fleet::Order(const core::UpstreamId& upstream, const std::string& model) {
+  v1::Record record;
+  record.mutable_order_issued()->set_upstream(upstream.value());
+  record.mutable_order_issued()->set_load_model(model);
+  m_log.AppendAsOperator("trial", std::move(record));
+}
+
+void Fleet::SettleOrder(const core::UpstreamId& upstream,
+                        core::FencingNumber fencing) {
+  v1::Record record;
+  v1::OrderEnded& ended = *record.mutable_order_ended();
+  ended.set_upstream(upstream.value());
+  ended.set_fencing_number(fencing.value());
+  ended.set_outcome(v1::SETTLED);
+  m_log.AppendAsOperator("trial", std::move(record));
+}
+
 size_t Fleet::Wants(Wish wish) {
   m_wishes.push_back(std::move(wish));
   return m_wishes.size() - 1;
--- a/src/trial/load.cc
+++ b/src/trial/load.cc
@@ -60,6 +60,7 @@
     engine.add_models("draft");
     engine.add_models("chat");
     engine.set_max_concurrency(256);
+    engine.set_checks_fencing(i % 2 == 0);
   }
   v1::Upstream& service = *configuration.add_upstreams();
   service.set_id("holds-0");
--- a/src/trial/node.cc
+++ b/src/trial/node.cc
@@ -18,6 +18,7 @@
 constexpr Duration kLogTimeout = std::chrono::milliseconds(500);
 constexpr Duration kPollStep = std::chrono::milliseconds(10);
 constexpr Duration kProbeTime = std::chrono::milliseconds(20);
+constexpr Duration kOrderTimeout = std::chrono::seconds(5);
 constexpr Duration kForwardTimeout = std::chrono::seconds(3);
 constexpr uint32_t kMinutesPerDay = 1440;
 constexpr size_t kDomains = 3;
@@ -352,6 +353,38 @@
   });
 }
 
+void Node::Do(const router::SendOrder& action) {
+  Later(kUpstreamDelay, [this, action] { RunOrder(action); });
+}
+
+// A pause may fall between the decision and its first byte, however close to
+// each other they are: the order then leaves when the process resumes.
+void Node::RunOrder(const router::SendOrder& action) {
+  if (m_paused) {
+    Later(kPollStep, [this, action] { RunOrder(action); });
+    return;
+  }
+  router::OrderSent ended{action.upstream, action.fencing};
+  const AttemptFate fate = m_fleet.NextFate();
+  if (fate == AttemptFate::kNotSent || fate == AttemptFate::kDeclined) {
+    ended.outcome = fate == AttemptFate::kNotSent
+                        ? orders::SendOutcome::kNotSent
+                        : orders::SendOutcome::kRefused;
+    Deliver(ended);
+    return;
+  }
+  const bool taken = m_fleet.engine_orders().Arrive(
+      {action.upstream, action.fencing, action.order});
+  ended.outcome =
+      taken ? orders::SendOutcome::kDone : orders::SendOutcome::kRefused;
+  if (fate != AttemptFate::kAnswered) {
+    ended.outcome = orders::SendOutcome::kUnknown;
+    Later(kOrderTimeout, [this, ended] { Deliver(ended); });
+    return;
+  }
+  Later(kUpstreamDelay, [this, ended] { Deliver(ended); });
+}
+
 // ---- Peers -----------------------------------------------------------------
 
 void Node::Do(const router::SendPeer& action) {
--- a/tests/cli/operators_tool.sh
+++ b/tests/cli/operators_tool.sh
@@ -112,6 +112,10 @@
 expect "the lost replies paid in once" 0 "3000570" "$tool" budget show refunds
 
 expect "an order gets its fencing number" 0 "fencing number" "$tool" order engine-01 --load-model chat-7b
+expect "an order that no router took waits" 0 "WAITING" "$tool" orders list
+expect "nothing is settled without --yes" 2 "At stake" "$tool" orders settle engine-01
+expect "an order is settled" 0 "settled order" "$tool" orders settle engine-01 --yes
+expect "a settled order is not settled again" 1 "CV-809" "$tool" orders settle engine-01 --yes
 expect "an order to a plain service is refused" 1 "CV-107" "$tool" order ticketing-1 --load-model x
 expect "an order of two kinds is wrong usage" 2 "Exactly 1" "$tool" order engine-01 --load-model x --change-role y
 expect "the log is conserved" 0 "conserved" "$tool" audit
--- a/tests/net/unit-platform.cc
+++ b/tests/net/unit-platform.cc
@@ -173,3 +173,35 @@
   CHECK(ended.has_value());
   CHECK_FALSE(ended->healthy);
 }
+
+// What an engine's answer, or its absence, says about an order. Only a
+// connection that never came about proves that nothing was sent.
+TEST(Platform, an_order_ends_by_what_the_engine_answered) {
+  v1::OrderIssued issued;
+  issued.set_load_model("chat-8");
+  const auto outcome_at = [&issued](const std::string& address) {
+    TestShell shell(OnRequest({router::SendOrder{
+        core::UpstreamId("u1"), address, core::FencingNumber(7), issued}}));
+    Trigger(shell);
+    const auto ended = shell.WaitFor<router::OrderSent>();
+    CHECK(ended.has_value());
+    CHECK(ended->fencing == core::FencingNumber(7));
+    return ended->outcome;
+  };
+  FakeServer done(AlwaysReply(Reply("{}")));
+  FakeServer fenced(
+      AlwaysReply("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"));
+  FakeServer broken(
+      AlwaysReply("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"));
+  std::string request;
+  FakeServer silent([&request](RawSocket& socket, size_t) {
+    request = socket.ReadMessage();
+  });
+  CHECK(outcome_at(done.address()) == orders::SendOutcome::kDone);
+  CHECK(outcome_at(fenced.address()) == orders::SendOutcome::kRefused);
+  CHECK(outcome_at(broken.address()) == orders::SendOutcome::kUnknown);
+  CHECK(outcome_at(silent.address()) == orders::SendOutcome::kUnknown);
+  CHECK(Has(request, "POST /admin/order"));
+  CHECK(Has(request, R"({"fencing":7,"load_model":"chat-8"})"));
+  CHECK(outcome_at("127.0.0.1:1") == orders::SendOutcome::kNotSent);
+}
--- /dev/null
+++ b/tests/orders/unit-order_desk.cc
@@ -0,0 +1,172 @@
+#include <CppUTest/TestHarness.h>
+
+#include "desk_fixture.h"
+
+namespace coppervalve::orders {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+std::function<SendOutcome(const Send&)> Always(SendOutcome outcome) {
+  return [outcome](const Send&) { return outcome; };
+}
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(OrderDesk){};
+// clang-format on
+
+TEST(OrderDesk, one_router_sends_an_order_once_and_states_that_it_is_done) {
+  Desks run;
+  run.reply = Always(SendOutcome::kDone);
+  const core::FencingNumber fencing = run.Issue("blind");
+  run.Run(minutes(1));
+  LONGS_EQUAL(1, run.sent.size());
+  CHECK(run.sent[0].command.fencing == fencing);
+  LONGS_EQUAL(v1::DONE, run.Outcome("blind"));
+}
+
+// The reply to an order is lost: the engine may have taken it. One that checks
+// fencing numbers is sent the same number again, which changes nothing there.
+TEST(OrderDesk, a_lost_reply_of_a_checking_engine_is_followed_by_a_resend) {
+  Desks run({"e0"});
+  run.reply = [&run](const Send&) {
+    return run.sent.size() < 3 ? SendOutcome::kUnknown : SendOutcome::kDone;
+  };
+  const core::FencingNumber fencing = run.Issue("e0");
+  run.Run(minutes(1));
+  LONGS_EQUAL(3, run.sent.size());
+  for (const Desks::Sent& sent : run.sent) {
+    CHECK(sent.command.fencing == fencing);
+  }
+  LONGS_EQUAL(v1::DONE, run.Outcome("e0"));
+}
+
+// The same at an engine that ignores the numbers: a resend could undo a later
+// order, so there is none, and the operator reads that the outcome is unknown.
+TEST(OrderDesk, a_lost_reply_of_an_ignoring_engine_is_left_to_the_operator) {
+  Desks run;
+  run.reply = Always(SendOutcome::kUnknown);
+  run.Issue("blind");
+  run.Run(minutes(10));
+  LONGS_EQUAL(1, run.sent.size());
+  LONGS_EQUAL(v1::OUTCOME_UNKNOWN, run.Outcome("blind"));
+}
+
+// A first try reached the engine without a reply, the second is refused. That
+// refusal does not say that nothing changed.
+TEST(OrderDesk, a_refusal_after_a_lost_reply_is_no_proof_that_nothing_changed) {
+  Desks run({"e0"});
+  run.reply = [&run](const Send&) {
+    return run.sent.size() == 1 ? SendOutcome::kUnknown : SendOutcome::kRefused;
+  };
+  run.Issue("e0");
+  run.Run(minutes(1));
+  LONGS_EQUAL(v1::OUTCOME_UNKNOWN, run.Outcome("e0"));
+}
+
+TEST(OrderDesk, an_order_that_never_leaves_is_tried_again_and_then_given_up) {
+  Desks run;
+  run.reply = Always(SendOutcome::kNotSent);
+  run.Issue("blind");
+  run.Run(seconds(5));
+  CHECK(run.sent.size() >= 2);
+  run.Run(minutes(10));
+  LONGS_EQUAL(OrderDeskOptions{}.max_tries, run.sent.size());
+  LONGS_EQUAL(v1::NOT_SENT, run.Outcome("blind"));
+}
+
+// The router that sends an order is paused before any reply and retired in the
+// log. An engine that checks gets the same number from another router; for one
+// that does not, nobody may send while the paused one still can.
+TEST(OrderDesk, the_order_of_a_retired_sender_goes_on_only_where_it_is_safe) {
+  for (const char* upstream : {"e0", "blind"}) {
+    Desks run({"e0"});
+    run.Issue(upstream);
+    run.Run(seconds(10));
+    LONGS_EQUAL(1, run.sent.size());
+    const size_t first = run.sent[0].router;
+    run.halted.insert(first);
+    run.Run(minutes(1));
+    LONGS_EQUAL(1, run.sent.size());
+    run.RetireRouter(first);
+    run.Run(minutes(1));
+    LONGS_EQUAL(std::string(upstream) == "e0" ? 2 : 1, run.sent.size());
+    CHECK(run.sent.back().router != first || std::string(upstream) == "blind");
+  }
+}
+
+// The first in rank cannot show that its configuration is the newest, or is
+// about to leave: the next one takes the order after its head start.
+TEST(OrderDesk, a_stale_or_draining_router_leaves_the_order_to_the_next) {
+  Desks probe;
+  probe.Issue("blind");
+  probe.Run(seconds(10));
+  const size_t first = probe.sent.at(0).router;
+  for (const bool drains : {false, true}) {
+    Desks run;
+    (drains ? run.draining : run.stale).insert(first);
+    run.Issue("blind");
+    run.Run(seconds(10));
+    LONGS_EQUAL(1, run.sent.size());
+    CHECK(run.sent[0].router != first);
+  }
+}
+
+// A router took an order and could not connect; then it is told to drain. It
+// must not leave with the order: another router sends it at once, without an
+// operator, and the drain waits until that is safe.
+TEST(OrderDesk, a_draining_router_hands_an_unsent_order_back) {
+  Desks run;
+  run.reply = Always(SendOutcome::kNotSent);
+  run.Issue("blind");
+  run.Run(seconds(2));
+  const size_t first = run.sent.at(0).router;
+  LONGS_EQUAL(1, run.desks[first].busy());
+  run.draining.insert(first);
+  run.reply = Always(SendOutcome::kDone);
+  run.Run(seconds(10));
+  LONGS_EQUAL(0, run.desks[first].busy());
+  CHECK(run.sent.back().router != first);
+  LONGS_EQUAL(v1::DONE, run.Outcome("blind"));
+}
+
+TEST(OrderDesk, two_loads_at_once_and_the_third_when_one_has_ended) {
+  Desks run({"e0", "e1", "e2"});
+  run.Issue("e0");
+  run.Issue("e1");
+  const core::FencingNumber last = run.Issue("e2");
+  run.Run(seconds(20));
+  LONGS_EQUAL(2, run.sent.size());
+  const Desks::Sent ended = run.sent[0];
+  CHECK(ended.command.fencing < last);
+  run.desks[ended.router].OnSent(run.now, ended.command.upstream,
+                                 ended.command.fencing, SendOutcome::kDone);
+  run.Run(seconds(10));
+  LONGS_EQUAL(3, run.sent.size());
+  CHECK(run.sent[2].command.fencing == last);
+}
+
+// A newer order comes into force while the older one is still being sent by the
+// same router. Both at once could arrive in either order, so the newer waits.
+TEST(OrderDesk, an_upstream_gets_one_order_at_a_time) {
+  Desks run({"e0"});
+  run.halted = {1, 2};
+  run.Issue("e0");
+  run.Run(seconds(10));
+  LONGS_EQUAL(1, run.sent.size());
+  const Send first = run.sent[0].command;
+  const core::FencingNumber second = run.Issue("e0");
+  run.Run(seconds(10));
+  LONGS_EQUAL(1, run.sent.size());
+  run.desks[0].OnSent(run.now, first.upstream, first.fencing,
+                      SendOutcome::kDone);
+  run.Run(seconds(10));
+  LONGS_EQUAL(2, run.sent.size());
+  CHECK(run.sent[1].command.fencing == second);
+}
+
+}  // namespace coppervalve::orders
