Model when a configuration comes into force

Cause: acceptance by majority was tested, not checked. Ruled out: a larger search (the first models passed 480 MB before their end).

--- a/model/check.sh
+++ b/model/check.sh
@@ -19,6 +19,11 @@
   for flag in $(broken_flags allotment); do
     echo "allotment $flag|broken|allotment|-D$flag"
   done
+  echo "acceptance RETIREMENTS|holds|acceptance|"
+  echo "acceptance JOINS|holds|acceptance|-DJOINS"
+  for flag in $(broken_flags acceptance); do
+    echo "acceptance $flag|broken|acceptance|$(joins_of "$flag") -D$flag"
+  done
   echo "claim CLAIMED|holds|claim|-DKIND=0"
   echo "claim ORIGIN|holds|claim|-DKIND=1"
   echo "claim IDEMPOTENT|holds|claim|-DKIND=2"
@@ -46,6 +51,13 @@
   esac
 }
 
+# Variants of joining need the model with joins.
+joins_of() {
+  case "$1" in
+    *JOINED*) echo -DJOINS ;;
+  esac
+}
+
 # Whether the engine whose rule a variant breaks checks fencing numbers.
 checks_of() {
   case "$1" in
@@ -75,7 +87,7 @@
   # shellcheck disable=SC2086  # flags are several words
   spin -a $flags "$model.pml" >spin.log 2>&1 || true
   # Generated code: its warnings are not ours.
-  gcc -w -O2 -DSAFETY -DMEMLIM=$MEMORY_MB -o pan pan.c >cc.log 2>&1 || true
+  gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=$MEMORY_MB -o pan pan.c >cc.log 2>&1 || true
   ./pan -m$MAX_DEPTH >pan.log 2>&1 || true
   verdict=$(verdict_of pan.log)
   states=$(awk '/states, stored/ { print $1; exit }' pan.log)
