--- a/bench/budget/schedules.cc
+++ b/bench/budget/schedules.cc
@@ -132,10 +132,9 @@
   partition.fewer_losses = 5;
   ScheduleBounds at_three = served;
   at_three.whole = 6'400;
-  at_three.lost = {20, 50, 70};
-  at_three.false_ends = 130;
-  at_three.false_refusals = 1'600;
-  at_three.fewer_losses = 2;
+  at_three.lost = {12, 35, 50};
+  at_three.false_ends = 90;
+  at_three.false_refusals = 1'300;
   ScheduleBounds log_out = served;
   log_out.whole = 13'200;
   log_out.appends = 150;
