Format

Cause: make check on a fresh clone stopped at one line of freshness.h. Ruled out: - Change: clang-format over the tree. Figures: style check passes.

--- a/include/coppervalve/membership/freshness.h
+++ b/include/coppervalve/membership/freshness.h
@@ -75,8 +75,8 @@
   /// @return the verdict at `now`, on a clock that runs through suspend
   /// @complexity linear in the number of vouchers
   FreshnessVerdict Judge(core::TimePoint now, const FreshnessInputs& inputs);
-  /// @return whether the own reading alone shows that nothing newer is in force;
-  /// then Judge() needs no vouchers
+  /// @return whether the own reading alone shows that nothing newer is in
+  /// force; then Judge() needs no vouchers
   bool ReadRecently(core::TimePoint now) const;
   /// @return how long ago the last read to the end was issued; none: never
   std::optional<core::Duration> LogAge(core::TimePoint now) const;
