--- a/include/coppervalve/core/error.h
+++ b/include/coppervalve/core/error.h
@@ -94,6 +94,9 @@
   kRan,      ///< it ran to its end
 };
 
+/// @return "not_run", "unknown" or "ran", as answers, logs and metrics say it
+std::string_view RunStateName(RunState state);
+
 /// @brief Fixed facts about an error id.
 struct ErrorInfo {
   ErrorId id;
--- a/include/coppervalve/net/refusal.h
+++ b/include/coppervalve/net/refusal.h
@@ -21,9 +21,6 @@
 /// @brief A refusal with the run state of the catalogue.
 Refusal RefusalOf(core::Error error);
 
-/// @return "not_run", "unknown" or "ran"
-std::string_view RunStateName(core::RunState state);
-
 /// @brief Status and headers of the error answer.
 HttpHead RefusalHead(const Refusal& refusal);
 
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -90,6 +90,18 @@
   return kCatalogue.front();
 }
 
+std::string_view RunStateName(RunState state) {
+  switch (state) {
+    case RunState::kNotRun:
+      return "not_run";
+    case RunState::kRan:
+      return "ran";
+    case RunState::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
 std::string ErrorCode(ErrorId id) {
   return "CV-" + std::to_string(static_cast<unsigned>(id));
 }
--- a/src/net/refusal.cc
+++ b/src/net/refusal.cc
@@ -10,24 +10,12 @@
   return {std::move(error), state, std::nullopt};
 }
 
-std::string_view RunStateName(core::RunState state) {
-  switch (state) {
-    case core::RunState::kNotRun:
-      return "not_run";
-    case core::RunState::kRan:
-      return "ran";
-    case core::RunState::kUnknown:
-      break;
-  }
-  return "unknown";
-}
-
 HttpHead RefusalHead(const Refusal& refusal) {
   HttpHead head;
   head.status = core::Describe(refusal.error.id).http_status;
   head.headers = {{"content-type", "application/json"},
                   {"x-coppervalve-run-state",
-                   std::string(RunStateName(refusal.run_state))}};
+                   std::string(core::RunStateName(refusal.run_state))}};
   if (refusal.retry_after) {
     // Rounded up: a caller that comes back too early is refused again.
     const auto seconds =
@@ -48,7 +36,7 @@
       {"id", core::ErrorCode(error.id)},
       {"name", core::Describe(error.id).name},
       {"message", message},
-      {"run_state", RunStateName(refusal.run_state)},
+      {"run_state", core::RunStateName(refusal.run_state)},
   };
   if (refusal.retry_after) {
     const auto millis =
--- a/src/request/request_status.cc
+++ b/src/request/request_status.cc
@@ -25,25 +25,13 @@
   return "unknown";
 }
 
-constexpr const char* RunStateName(core::RunState run_state) {
-  switch (run_state) {
-    case core::RunState::kNotRun:
-      return "not_run";
-    case core::RunState::kUnknown:
-      return "unknown";
-    case core::RunState::kRan:
-      return "ran";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 void DescribeTo(core::TimePoint now,
                 const RequestRecord& record,
                 v1::RequestStatus& status) {
   status.set_state(StateName(record.phase));
-  status.set_run_state(RunStateName(RunStateOf(record)));
+  status.set_run_state(std::string(core::RunStateName(RunStateOf(record))));
   status.set_upstream(record.upstream.value());
   if (record.error) {
     status.set_error(core::ErrorCode(*record.error));
--- a/src/telemetry/router_metrics.cc
+++ b/src/telemetry/router_metrics.cc
@@ -46,18 +46,6 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-std::string_view RunStateName(core::RunState state) {
-  switch (state) {
-    case core::RunState::kNotRun:
-      return "not_run";
-    case core::RunState::kRan:
-      return "ran";
-    case core::RunState::kUnknown:
-      break;
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 struct RouterMetrics::Impl {
@@ -158,7 +146,7 @@
   void On(core::TimePoint /*now*/, const router::Refuse& action) {
     Count(refusals,
           {{"error", core::ErrorCode(action.error.id)},
-           {"run_state", std::string(RunStateName(action.run_state))}});
+           {"run_state", std::string(core::RunStateName(action.run_state))}});
     EndRequest(action.request);
   }
   void On(core::TimePoint /*now*/, const router::JoinAnswer& action) {
