--- a/cmake/CoppervalveTargets.cmake
+++ b/cmake/CoppervalveTargets.cmake
@@ -28,18 +28,23 @@
     coppervalve_compile_options(coppervalve_${area})
   endif()
 
+  coppervalve_unit_test(${area} ${ARG_TEST_DEPS} coppervalve_${area})
+endfunction()
+
+# The one test program of a library: unit-<area> from tests/<area>/*.cc.
+function(coppervalve_unit_test area)
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${area}/*.cc)
-  if(tests AND COPPERVALVE_BUILD_TESTS)
-    add_executable(unit-${area} ${tests} ${CMAKE_SOURCE_DIR}/tests/support/test_main.cc)
-    target_include_directories(unit-${area} PRIVATE ${CMAKE_SOURCE_DIR}/tests/support)
-    # CppUTest replaces `new` by a macro, which breaks placement new in the library headers.
-    target_compile_definitions(unit-${area} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED CPPUTEST_USE_MEM_LEAK_DETECTION=0)
-    target_link_libraries(unit-${area} PRIVATE ${ARG_TEST_DEPS} coppervalve_${area}
-      CppUTest CppUTestExt)
-    coppervalve_compile_options(unit-${area})
-    add_test(NAME unit-${area} COMMAND unit-${area})
-    set_tests_properties(unit-${area} PROPERTIES TIMEOUT 600)
+  if(NOT tests OR NOT COPPERVALVE_BUILD_TESTS)
+    return()
   endif()
+  add_executable(unit-${area} ${tests} ${CMAKE_SOURCE_DIR}/tests/support/test_main.cc)
+  target_include_directories(unit-${area} PRIVATE ${CMAKE_SOURCE_DIR}/tests/support)
+  # CppUTest replaces `new` by a macro, which breaks placement new in the library headers.
+  target_compile_definitions(unit-${area} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED CPPUTEST_USE_MEM_LEAK_DETECTION=0)
+  target_link_libraries(unit-${area} PRIVATE ${ARGN} CppUTest CppUTestExt)
+  coppervalve_compile_options(unit-${area})
+  add_test(NAME unit-${area} COMMAND unit-${area})
+  set_tests_properties(unit-${area} PROPERTIES TIMEOUT 600)
 endfunction()
 
 # coppervalve_program(<name> <folder> <targets...>): an executable from <folder>/*.cc.
@@ -53,3 +58,16 @@
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
   coppervalve_compile_options(${name})
 endfunction()
+
+# coppervalve_adapter(<folder> DEPS <targets...>): a library from a top-level
+# folder that translates between the product and one place where it runs; test
+# program: unit-<folder> from tests/<folder>/*.cc.
+function(coppervalve_adapter folder)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${folder}/*.cc)
+  add_library(coppervalve_${folder} STATIC ${sources})
+  target_include_directories(coppervalve_${folder} PUBLIC ${CMAKE_SOURCE_DIR})
+  target_link_libraries(coppervalve_${folder} PUBLIC ${ARG_DEPS})
+  coppervalve_compile_options(coppervalve_${folder})
+  coppervalve_unit_test(${folder} coppervalve_${folder})
+endfunction()
--- /dev/null
+++ b/include/coppervalve/entry/allotment_book.h
@@ -0,0 +1,131 @@
+#ifndef COPPERVALVE_ENTRY_ALLOTMENT_BOOK_H_
+#define COPPERVALVE_ENTRY_ALLOTMENT_BOOK_H_
+
+#include <cstdint>        // uint8_t, uint32_t, uint64_t
+#include <optional>       // optional
+#include <unordered_map>  // unordered_map
+
+#include "coppervalve/beat.pb.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/entry/configuration.h"
+#include "coppervalve/entry/demand.h"
+
+namespace coppervalve::entry {
+
+/// @brief What became of an attempt to set tokens aside.
+enum class Reservation : uint8_t {
+  kHeld,
+  kUnlimited,  ///< the account has no prepaid total
+  kShort,      ///< not within this router's ceiling at present
+  kExhausted,  ///< the account's total cannot cover it, whoever holds the rest
+};
+
+/// @brief Constants of how far a router's ceiling runs ahead of its spending.
+struct BookOptions {
+  /// A router goes on serving for about this long without the store.
+  core::Duration ahead{10'000'000};
+  /// Share of what is left that all routers together take before they have
+  /// seen any demand.
+  double first_share = 0.35;
+  core::Duration learning{8'000'000};
+  /// Share of its part of what is left that a router holds at most.
+  double most_of_rest = 0.55;
+  /// Ask for more below this share of the aim, give back above that one.
+  double raise_below = 0.8;
+  double lower_above = 1.5;
+};
+
+/// @brief This router's part of every account's prepaid total.
+///
+/// A router spends below its ceiling only. A ceiling counts as used from the
+/// moment its record is in the log, for all routers and for good, unless the
+/// same incarnation lowers it by a later record. So the sum of all ceilings
+/// never exceeds the total, however routers die, pause or lose each other,
+/// and no clock is part of the argument (model/ceiling.pml).
+class AllotmentBook {
+ public:
+  explicit AllotmentBook(BookOptions options) : m_options(options) {}
+
+  /// @brief Totals of the configuration in force.
+  void OnConfiguration(const Configuration& configuration);
+  /// @brief This router's own last record of an earlier incarnation: its
+  /// ceilings count as used up. Call it once, before the first claim.
+  void OnPredecessor(const v1::RouterBeat& beat);
+  /// @brief A record of another router, in log order.
+  void OnOtherBeat(const core::RouterId& router, const v1::RouterBeat& beat);
+  /// @brief This incarnation's own record came back from the log, after every
+  /// record before it went through OnOtherBeat().
+  void OnOwnBeat(const v1::RouterBeat& beat);
+
+  /// @brief A request was asked for: counts towards the demand, once.
+  void OnDemand(const core::AccountId& account,
+                core::Tokens tokens,
+                core::TimePoint now);
+  /// @brief Sets tokens aside for a request at its most.
+  Reservation Reserve(const core::AccountId& account, core::Tokens tokens);
+  /// @brief Replaces a reservation by what was really used.
+  /// @pre the tokens were reserved and `used` is at most `reserved`
+  void Settle(const core::AccountId& account,
+              core::Tokens reserved,
+              core::Tokens used);
+  /// @brief Writes what this router claims from now on. Lower ceilings hold
+  /// at once, higher ones when the record came back.
+  /// @param routers live at present, this one included
+  /// @param closing claim only what is in use
+  void WriteClaims(v1::RouterBeat& beat,
+                   uint32_t routers,
+                   bool closing,
+                   core::TimePoint now);
+
+  /// @return whether another router or a later claim may yet cover `tokens`
+  bool MayBeCovered(const core::AccountId& account, core::Tokens tokens) const;
+
+  /// @brief Figures of one account, for logs and metrics.
+  struct Figures {
+    std::optional<core::Tokens> total;
+    core::Tokens ceiling{};
+    core::Tokens spent{};
+    core::Tokens reserved{};
+    core::Tokens others{};  ///< claimed by others and by earlier incarnations
+  };
+  Figures FiguresOf(const core::AccountId& account) const;
+
+ private:
+  struct OtherClaim {
+    core::Tokens claimed{};
+    core::Tokens spent{};
+  };
+  struct Entry {
+    std::optional<core::Tokens> total;
+    core::Tokens retired{};
+    core::Tokens retired_spent{};
+    core::Tokens ceiling{};  ///< may be spent up to here
+    core::Tokens asked{};    ///< stated in the newest record
+    core::Tokens spent{};
+    core::Tokens reserved{};
+    core::Tokens others_claimed{};
+    core::Tokens others_spent{};
+    core::Tokens largest{};  ///< request seen
+    bool stated = false;     ///< has been in a record
+    std::unordered_map<core::RouterId, OtherClaim> others;
+    Demand demand;
+  };
+  static core::Tokens InUse(const Entry& entry);
+  static core::Tokens Free(const Entry& entry);
+  static core::Tokens LeastSpent(const Entry& entry);
+  core::Tokens Aim(const Entry& entry,
+                   uint32_t routers,
+                   core::TimePoint now) const;
+  core::Tokens NextCeiling(const Entry& entry,
+                           uint32_t routers,
+                           core::TimePoint now) const;
+
+  BookOptions m_options;
+  std::unordered_map<core::AccountId, Entry> m_entries;
+  std::optional<core::TimePoint> m_first_demand;
+};
+
+}  // namespace coppervalve::entry
+
+#endif  // COPPERVALVE_ENTRY_ALLOTMENT_BOOK_H_
--- /dev/null
+++ b/include/coppervalve/entry/demand.h
@@ -0,0 +1,29 @@
+#ifndef COPPERVALVE_ENTRY_DEMAND_H_
+#define COPPERVALVE_ENTRY_DEMAND_H_
+
+#include "coppervalve/core/units.h"
+
+namespace coppervalve::entry {
+
+/// @brief Tokens a second that are asked for, smoothed over two spans so that
+/// a sudden rise counts at once and a lull does not.
+class Demand {
+ public:
+  /// @complexity constant, as all of this class
+  void Add(core::Tokens tokens, core::TimePoint now);
+  /// @return the larger of the two averages
+  double PerSecond(core::TimePoint now) const;
+
+ private:
+  struct Average {
+    double per_second = 0;
+    double At(double seconds_later, double span) const;
+  };
+  Average m_fast;
+  Average m_slow;
+  core::TimePoint m_updated{};
+};
+
+}  // namespace coppervalve::entry
+
+#endif  // COPPERVALVE_ENTRY_DEMAND_H_
--- /dev/null
+++ b/include/coppervalve/entry/in_force.h
@@ -0,0 +1,52 @@
+#ifndef COPPERVALVE_ENTRY_IN_FORCE_H_
+#define COPPERVALVE_ENTRY_IN_FORCE_H_
+
+#include <cstddef>        // size_t
+#include <cstdint>        // uint64_t
+#include <string>         // string
+#include <string_view>    // string_view
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/entry/configuration.h"
+
+namespace coppervalve::entry {
+
+/// @brief A configuration with its look-ups. It never changes: requests keep
+/// the one they began with.
+class InForce {
+ public:
+  explicit InForce(Configuration configuration);
+  InForce(const InForce&) = delete;
+  InForce& operator=(const InForce&) = delete;
+
+  const Configuration& configuration() const { return m_configuration; }
+  core::ConfigVersion version() const { return m_configuration.version; }
+  bool has_accounts() const { return !m_configuration.accounts.empty(); }
+
+  /// @brief The rule with the longest prefix that begins the path.
+  /// @param host as the caller sent it, with or without a port
+  /// @param target path with or without a query
+  /// @return null when no rule matches
+  /// @complexity linear in the rules of that host
+  const Route* FindRoute(std::string_view host, std::string_view target) const;
+  /// @return the account that holds the key; null for an unknown key
+  const Account* FindAccount(const std::string& key) const;
+  const Service* FindService(const core::ServiceId& service) const;
+
+ private:
+  Configuration m_configuration;
+  /// Routes of each host, longest prefix first.
+  std::unordered_map<std::string, std::vector<const Route*>> m_routes;
+  std::unordered_map<std::string, const Account*> m_accounts;
+  std::unordered_map<core::ServiceId, const Service*> m_services;
+};
+
+/// @brief Chooses a service of a route by weight.
+/// @param draw uniform bits
+/// @return empty when the route has none
+core::ServiceId ChooseService(const Route& route, uint64_t draw);
+
+}  // namespace coppervalve::entry
+
+#endif  // COPPERVALVE_ENTRY_IN_FORCE_H_
--- /dev/null
+++ b/include/coppervalve/entry/member_list.h
@@ -0,0 +1,55 @@
+#ifndef COPPERVALVE_ENTRY_MEMBER_LIST_H_
+#define COPPERVALVE_ENTRY_MEMBER_LIST_H_
+
+#include <cstdint>  // uint32_t
+#include <map>      // map
+#include <string>   // string
+#include <vector>   // vector
+
+#include "coppervalve/beat.pb.h"
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/entry/store_contact.h"
+
+namespace coppervalve::entry {
+
+/// @brief The routers of the fleet as their beats tell, for the list of
+/// addresses that callers get and for shares of common bounds.
+class MemberList {
+ public:
+  /// @param silence after which a router that is heard of through a store in
+  /// good order counts as dead
+  MemberList(core::RouterId self, core::Duration silence)
+      : m_self(std::move(self)), m_silence(silence) {}
+
+  void OnBeat(const core::RouterId& router,
+              const v1::RouterBeat& beat,
+              core::TimePoint now);
+  /// @brief Call it while the store answers: only then does silence count.
+  /// While this router hears nobody, it keeps the list it had.
+  void Advance(const StoreContact& contact, core::TimePoint now);
+
+  /// @return callers' addresses of the live routers that are ready and stay
+  std::vector<std::string> Addresses() const;
+  /// @return routers that may be serving, this one included; at least 1
+  uint32_t Live() const;
+
+ private:
+  struct Member {
+    std::string address;
+    uint64_t epoch = 0;
+    uint64_t sequence = 0;
+    bool ready = false;
+    bool leaving = false;
+    bool live = true;
+    core::Duration silent_for{};
+  };
+  core::RouterId m_self;
+  core::Duration m_silence;
+  std::map<core::RouterId, Member> m_members;
+  core::TimePoint m_advanced{};
+};
+
+}  // namespace coppervalve::entry
+
+#endif  // COPPERVALVE_ENTRY_MEMBER_LIST_H_
--- /dev/null
+++ b/include/coppervalve/entry/upstream_health.h
@@ -0,0 +1,50 @@
+#ifndef COPPERVALVE_ENTRY_UPSTREAM_HEALTH_H_
+#define COPPERVALVE_ENTRY_UPSTREAM_HEALTH_H_
+
+#include <cstdint>  // uint8_t, uint32_t
+
+#include "coppervalve/core/units.h"
+
+namespace coppervalve::entry {
+
+/// @brief How an attempt at an upstream ended, for its health.
+enum class AttemptOutcome : uint8_t {
+  kAnswered,      ///< a whole answer that is not the upstream's own failure
+  kOwnFailure,    ///< an answer of status 500 and above that ran
+  kDeclined,      ///< said that it did not run the request
+  kUnreachable,   ///< no connection; nothing was sent
+  kBroken,        ///< the connection ended or made no sense
+  kSilent,        ///< nothing came in time
+  kMisaddressed,  ///< another upstream has the address now
+};
+
+/// @brief How much an upstream is trusted with the next request.
+enum class Trust : uint8_t { kFull, kSuspect, kNone };
+
+/// @brief Health of one upstream, judged by real traffic only.
+class UpstreamHealth {
+ public:
+  /// @complexity constant, as all of this class
+  void On(AttemptOutcome outcome, core::TimePoint now);
+  /// @brief Time to the first byte of an answer, in relation to what was
+  /// asked for.
+  void OnLatency(core::Duration latency);
+
+  Trust trust(core::TimePoint now) const;
+  /// @return smoothed time to the first byte; zero before any
+  core::Duration latency() const { return m_latency; }
+
+ private:
+  double FailuresAt(core::TimePoint now) const;
+  void AvoidFor(core::Duration span, core::TimePoint now);
+
+  double m_failures = 0;  ///< smoothed share of failures at m_failures_at
+  core::TimePoint m_failures_at{};
+  core::TimePoint m_avoid_until{};
+  uint32_t m_in_a_row = 0;
+  core::Duration m_latency{};
+};
+
+}  // namespace coppervalve::entry
+
+#endif  // COPPERVALVE_ENTRY_UPSTREAM_HEALTH_H_
--- /dev/null
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -0,0 +1,112 @@
+#ifndef COPPERVALVE_GATEWAY_CALLER_CONNECTION_H_
+#define COPPERVALVE_GATEWAY_CALLER_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <memory>      // shared_ptr, enable_shared_from_this
+#include <optional>    // optional
+#include <string>      // string
+
+#include "coppervalve/core/error.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/entry/configuration.h"
+#include "coppervalve/gateway/stream.h"
+#include "coppervalve/http1/header_list.h"
+#include "coppervalve/http1/request_reader.h"
+
+namespace coppervalve::gateway {
+
+class CallerConnection;
+using CallerRef = std::shared_ptr<CallerConnection>;
+
+/// @brief A whole request of a caller.
+struct CallerRequest {
+  http1::RequestHead head;
+  std::string body;
+  core::TimePoint arrived;  ///< its last byte
+};
+
+/// @brief An answer that is made here, as a whole.
+struct LocalAnswer {
+  int status = 200;
+  std::string reason = "OK";
+  http1::HeaderList headers;
+  std::string body;
+};
+
+/// @brief One connection of a caller: reads requests one after the other and
+/// writes their answers. A request that was read always ends with a whole
+/// answer or an abrupt end of the connection.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+ public:
+  struct Hooks {
+    std::function<void(const CallerRef&, CallerRequest)> on_request;
+    /// A request that makes no sense was answered.
+    std::function<void(const core::Error&)> on_bad_request;
+    std::function<entry::CallerBounds()> bounds;
+    /// Whether connections should be closed after their present answer.
+    std::function<bool()> leaving;
+    std::function<void()> on_closed;
+  };
+
+  CallerConnection(boost::asio::io_context& io,
+                   boost::asio::ip::tcp::socket socket,
+                   std::shared_ptr<const Hooks> hooks);
+  void Start();
+
+  /// @brief Called once when the caller goes before its answer has ended.
+  void WatchLeaving(std::function<void()> on_left);
+  /// @brief Called when all that was sent is in the kernel.
+  void WatchDrained(std::function<void()> on_drained);
+
+  void Answer(const LocalAnswer& answer);
+  /// @brief Begins an answer. @param head without framing headers
+  /// @param length of the body; none = chunked
+  void BeginAnswer(int status,
+                   const std::string& reason,
+                   const http1::HeaderList& headers,
+                   std::optional<uint64_t> length);
+  void SendBody(std::string_view bytes);
+  /// @brief The answer is whole. The connection goes on to the next request.
+  void EndAnswer();
+  /// @brief Ends the connection so that the answer can't look complete.
+  void Abort();
+
+  size_t unsent() const { return m_stream->unsent(); }
+  /// @return whether a request has begun and not been answered to its end
+  bool busy() const { return !m_closed && (m_busy || !m_unread.empty()); }
+  /// @brief Closes now unless a request is in progress.
+  void CloseIfIdle();
+
+ private:
+  void OnBytes(std::string_view bytes);
+  void OnEnd();
+  void Parse();
+  void Reject(const core::Error& error);
+  void NextRequest();
+  void ArmTimer(core::Duration time);
+  void OnTimer();
+  void Close();
+
+  boost::asio::steady_timer m_timer;
+  StreamRef m_stream;
+  std::shared_ptr<const Hooks> m_hooks;
+  std::unique_ptr<http1::RequestReader> m_reader;
+  std::string m_unread;
+  std::string m_head_text;  ///< of an answer of which nothing was sent yet
+  std::function<void()> m_on_left;
+  std::function<void()> m_on_drained;
+  bool m_busy = false;
+  bool m_chunked = false;
+  bool m_keep_alive = true;
+  bool m_head_request = false;
+  bool m_continue_sent = false;
+  bool m_closed = false;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_CALLER_CONNECTION_H_
--- /dev/null
+++ b/include/coppervalve/gateway/dialect.h
@@ -0,0 +1,67 @@
+#ifndef COPPERVALVE_GATEWAY_DIALECT_H_
+#define COPPERVALVE_GATEWAY_DIALECT_H_
+
+#include <cstdint>     // uint8_t
+#include <functional>  // function
+#include <optional>    // optional
+#include <string>      // string
+#include <vector>      // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/result.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/entry/admission.h"
+#include "coppervalve/entry/configuration.h"
+#include "coppervalve/entry/upstream_directory.h"
+#include "coppervalve/gateway/caller_connection.h"
+#include "coppervalve/http1/request_reader.h"
+#include "coppervalve/http1/response_reader.h"
+
+namespace coppervalve::gateway {
+
+/// @brief What an upstream is told beside the caller's own request.
+struct SendFacts {
+  core::Duration left{};  ///< until the final answer is due
+  core::UpstreamId upstream;
+  core::AccountId account;  ///< empty on a public route
+  bool has_accounts = false;
+  uint8_t priority = 0;
+  std::string resume_after;  ///< empty: from the start
+};
+
+/// @brief What an upstream's answer says about itself.
+struct AnswerFacts {
+  std::string request_id;  ///< echoed; empty when it wasn't
+  bool not_run = false;
+  bool other_upstream = false;  ///< the address belongs to another one now
+  bool genuine = true;          ///< may be passed on as a success
+};
+
+/// @brief How requests, answers and documents are put where the router runs.
+/// All of it translates; none of it decides or remembers.
+struct Dialect {
+  std::function<core::Result<entry::RequestFacts>(const http1::RequestHead&)>
+      read_request;
+  /// All headers of the request to an upstream but the framing.
+  std::function<http1::HeaderList(const http1::RequestHead&, const SendFacts&)>
+      upstream_headers;
+  std::function<AnswerFacts(const http1::ResponseHead&)> read_answer;
+  /// A refusal or failure of the router's own.
+  std::function<LocalAnswer(const core::Error&, std::optional<core::Duration>)>
+      refusal;
+  /// The answer to "where to connect"; no addresses = not known.
+  std::function<LocalAnswer(const http1::RequestHead&,
+                            const std::vector<std::string>&,
+                            core::Duration lifetime)>
+      addresses;
+  std::function<LocalAnswer(const http1::RequestHead&, bool ready)> readiness;
+  std::function<core::Result<entry::Configuration>(const std::string& document)>
+      read_configuration;
+  std::function<core::Result<entry::UpstreamEntry>(const std::string& key,
+                                                   const std::string& document)>
+      read_upstream;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_DIALECT_H_
--- /dev/null
+++ b/include/coppervalve/gateway/exchange.h
@@ -0,0 +1,137 @@
+#ifndef COPPERVALVE_GATEWAY_EXCHANGE_H_
+#define COPPERVALVE_GATEWAY_EXCHANGE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>      // uint32_t
+#include <functional>   // function
+#include <memory>       // shared_ptr, enable_shared_from_this
+#include <optional>     // optional
+#include <string>       // string
+#include <string_view>  // string_view
+#include <vector>       // vector
+
+#include "coppervalve/entry/admission.h"
+#include "coppervalve/entry/allotment_book.h"
+#include "coppervalve/entry/member_list.h"
+#include "coppervalve/entry/placement.h"
+#include "coppervalve/entry/retry_allowance.h"
+#include "coppervalve/entry/upstream_directory.h"
+#include "coppervalve/gateway/caller_connection.h"
+#include "coppervalve/gateway/dialect.h"
+#include "coppervalve/gateway/event_log.h"
+#include "coppervalve/gateway/gateway_metrics.h"
+#include "coppervalve/gateway/upstream_pool.h"
+#include "coppervalve/http1/event_cutter.h"
+
+namespace coppervalve::gateway {
+
+/// @brief What requests share; outlives all of them.
+struct ExchangeContext {
+  boost::asio::io_context& io;
+  const Dialect& dialect;
+  entry::UpstreamDirectory& directory;
+  const entry::Placer& placer;
+  entry::RetryAllowance& retries;
+  entry::AllotmentBook& book;
+  const entry::MemberList& members;
+  const entry::StoreContact& contact;
+  UpstreamPool& pool;
+  EventLog& log;
+  GatewayMetrics& metrics;
+  routing::RandomHook random;
+  std::function<entry::ConfigurationView()> configuration;
+  /// Asks for a higher ceiling soon; the exchange is told when it is there.
+  std::function<void(std::function<void()> on_grant)> wait_for_grant;
+};
+
+/// @brief One request of a caller from its last byte to its final answer.
+///
+/// The point of no return is the first byte that the kernel takes for an
+/// upstream: before it, and after a statement of the upstream that it did not
+/// run, the request may be refused; after it an answer says nothing about it.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(const ExchangeContext& context,
+           CallerRef caller,
+           CallerRequest request);
+  void Start();
+
+ private:
+  /// An attempt at one upstream.
+  struct Attempt {
+    entry::UpstreamRef upstream;
+    UpstreamConnectionRef connection;
+    core::TimePoint began;
+    AnswerFacts answer;
+    bool head_seen = false;
+    bool passing_on = false;  ///< its bytes go to the caller
+    bool resumed = false;
+  };
+
+  void Admit();
+  void Reserve();
+  void WaitForGrant();
+  void OnGrant();
+  void Place();
+  void Send(const entry::Placement& placement);
+  std::string RequestText(const SendFacts& facts) const;
+
+  void OnHead(const http1::ResponseHead& head);
+  void OnBody(std::string body);
+  void OnEnd(AttemptEnd end, std::string_view why);
+  void OnWhole();
+  void OnBroken(std::string_view why);
+  void OnDeclined();
+  void PassOn(std::string_view bytes);
+  void ForgetAnswer();
+  void CutAttempt(entry::AttemptOutcome outcome);
+  void LeaveUpstream(entry::AttemptOutcome outcome);
+
+  bool IsStream() const;
+  bool Repeatable() const;
+  bool AfterAnEvent() const { return m_cutter.events() != 0; }
+  /// @brief Whether another upstream may be sent this request; takes the
+  /// right to from the allowance.
+  bool TakeRepeat();
+
+  void Refuse(core::Error error, std::optional<core::Duration> retry_after);
+  void Fail(core::Error error);
+  void OnCallerLeft();
+  void Finish(std::string_view cause, int status);
+  void Settle();
+
+  void ArmTimer();
+  void OnTimer();
+  std::optional<core::TimePoint> WatchTime() const;
+  core::Duration Left() const;
+
+  const ExchangeContext& m_context;
+  CallerRef m_caller;
+  CallerRequest m_request;
+  entry::RequestFacts m_facts;
+  entry::Admitted m_admitted;
+  boost::asio::steady_timer m_timer;
+  core::TimePoint m_limit_at;
+  core::Tokens m_reserved{};
+  std::optional<core::TimePoint> m_waiting_since;
+  std::optional<core::TimePoint> m_wait_until;
+  std::optional<Attempt> m_attempt;
+  std::vector<core::UpstreamId> m_tried;
+  std::optional<http1::ResponseHead> m_head;
+  std::string m_body;
+  http1::EventCutter m_cutter;
+  core::TimePoint m_watch_from;  ///< silence of the upstream counts from here
+  core::Duration m_first_byte{};
+  uint32_t m_sends = 0;         ///< upstreams that got some of it
+  uint32_t m_tries = 0;         ///< placements, sent or not
+  bool m_may_have_run = false;  ///< at some upstream
+  bool m_answer_begun = false;
+  bool m_done = false;
+  std::string m_last_failure;
+  std::string_view m_placed_by;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_EXCHANGE_H_
--- /dev/null
+++ b/include/coppervalve/gateway/gateway.h
@@ -0,0 +1,147 @@
+#ifndef COPPERVALVE_GATEWAY_GATEWAY_H_
+#define COPPERVALVE_GATEWAY_GATEWAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <memory>      // shared_ptr
+#include <optional>    // optional
+#include <string>      // string
+#include <vector>      // vector
+
+#include "coppervalve/entry/allotment_book.h"
+#include "coppervalve/entry/in_force.h"
+#include "coppervalve/entry/member_list.h"
+#include "coppervalve/entry/placement.h"
+#include "coppervalve/entry/retry_allowance.h"
+#include "coppervalve/entry/store_contact.h"
+#include "coppervalve/entry/upstream_directory.h"
+#include "coppervalve/gateway/beat_writer.h"
+#include "coppervalve/gateway/dialect.h"
+#include "coppervalve/gateway/event_log.h"
+#include "coppervalve/gateway/exchange.h"
+#include "coppervalve/gateway/gateway_metrics.h"
+#include "coppervalve/gateway/keyed_store.h"
+#include "coppervalve/gateway/listener.h"
+#include "coppervalve/gateway/topic_follower.h"
+#include "coppervalve/gateway/upstream_pool.h"
+
+namespace coppervalve::gateway {
+
+/// @brief Where the durable store keeps what the router reads and writes.
+struct StoreLayout {
+  std::string configuration_topic;
+  std::string configuration_key;
+  std::string upstream_topic;
+  std::string beat_topic;
+};
+
+/// @brief What a router is told when it starts.
+struct GatewaySettings {
+  core::RouterId router;
+  core::FailureDomainId failure_domain;
+  std::string caller_address;     ///< listened on, and given to callers
+  std::string readiness_address;  ///< empty = not served
+  std::string directory_address;  ///< empty = not served
+  std::string metrics_address;    ///< empty = not served
+  /// From the signal to end until the process is ended by force.
+  core::Duration grace{8'000'000};
+  core::Duration address_lifetime{2'000'000};
+  entry::RetryBounds retries;
+  /// Keys are not honoured past this age of the configuration; 0 = for ever.
+  core::Duration keys_expire{};
+  /// Writes a second that the store takes from the whole fleet.
+  double store_writes_per_second = 600;
+  StoreLayout layout;
+};
+
+/// @brief One router of the entry fleet: callers' requests in, upstreams'
+/// answers out; configuration, upstreams and budgets from the durable store.
+///
+/// All of it runs on the thread of the io_context.
+class Gateway {
+ public:
+  Gateway(boost::asio::io_context& io,
+          GatewaySettings settings,
+          Dialect dialect,
+          KeyedStore store);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  /// @return kSettingBadValue when an address can't be listened on
+  core::Status Start();
+  /// @brief Leaves in order: out of the address list first, then the requests
+  /// in progress end, then the ceilings are given back.
+  /// @param on_done when nothing is left to do
+  void Drain(std::function<void()> on_done);
+  /// @brief The settings were read again. What changes at run time is taken
+  /// over; addresses stay as they were.
+  void OnReload(const GatewaySettings& settings);
+
+ private:
+  void Configure(const std::string& document);
+  void OnUpstreamRecord(const KeyedRecord& record);
+  void OnNewestUpstreams(const std::vector<KeyedRecord>& records);
+  void OnBeatRecord(const KeyedRecord& record);
+  void OnNewestBeats(const std::vector<KeyedRecord>& records);
+  void OnBeatsRead(uint64_t next);
+  void OnStoreAnswer(const std::string& topic);
+  void OnStoreFailure(const std::string& topic, const core::Error& error);
+  void ComposeBeat(v1::RouterBeat& beat);
+  void GrantsChanged();
+  void Tick();
+  void TryToEnd();
+  bool Ready() const;
+  entry::ConfigurationView View() const;
+
+  void MakeFollowers();
+  void MakeBeatWriter();
+  core::Status MakeListeners();
+  CallerConnection::Hooks CallerHooks(
+      std::function<void(const CallerRef&, CallerRequest)> on_request);
+  void ServeMetrics(const CallerRef& caller);
+  void Lifecycle(LogLine line);
+
+  boost::asio::io_context& m_io;
+  GatewaySettings m_settings;
+  Dialect m_dialect;
+  KeyedStore m_store;
+  routing::RandomHook m_random;
+  EventLog m_log;
+  GatewayMetrics m_metrics;
+
+  std::shared_ptr<const entry::InForce> m_in_force;
+  entry::StoreContact m_contact;         ///< of all topics
+  entry::StoreContact m_config_contact;  ///< of the configuration's topic
+  entry::UpstreamDirectory m_directory;
+  entry::Placer m_placer;
+  entry::RetryAllowance m_retries;
+  entry::AllotmentBook m_book;
+  entry::MemberList m_members;
+  UpstreamPool m_pool;
+  std::optional<ExchangeContext> m_context;
+
+  std::shared_ptr<TopicFollower> m_configuration;
+  std::shared_ptr<TopicFollower> m_upstreams;
+  std::shared_ptr<TopicFollower> m_beats;
+  std::shared_ptr<BeatWriter> m_writer;
+  std::vector<std::shared_ptr<Listener>> m_listeners;
+  std::shared_ptr<Listener> m_callers;
+  std::vector<std::function<void()>> m_waiting;
+  boost::asio::steady_timer m_tick;
+
+  v1::RouterBeat m_own_record;          ///< newest of an earlier start
+  std::optional<uint64_t> m_fenced_at;  ///< earlier starts write below it
+  bool m_upstreams_known = false;
+  bool m_first_beat_back = false;
+  bool m_was_ready = false;
+  std::optional<core::TimePoint> m_leaving_since;
+  bool m_closing = false;
+  std::function<void()> m_on_drained;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -0,0 +1,59 @@
+#ifndef COPPERVALVE_GATEWAY_GATEWAY_METRICS_H_
+#define COPPERVALVE_GATEWAY_GATEWAY_METRICS_H_
+
+#include <cstdint>      // uint64_t
+#include <memory>       // unique_ptr
+#include <string>       // string
+#include <string_view>  // string_view
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/entry/allotment_book.h"
+#include "coppervalve/entry/configuration.h"
+
+namespace coppervalve::gateway {
+
+/// @brief Figures of the process that change by themselves.
+struct ProcessFigures {
+  core::ConfigVersion version;
+  core::Duration configuration_age{};
+  uint32_t routers = 0;
+  uint64_t upstreams = 0;
+  uint64_t upstream_connections = 0;
+  uint64_t log_lines_left_out = 0;
+  bool ready = false;
+  bool store_up = false;
+};
+
+/// @brief Counters and histograms of a router, as docs/OPERATIONS.md lists
+/// them.
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+  ~GatewayMetrics();
+
+  /// @param cause stable name of what decided, "served" for a whole answer
+  void OnRequest(entry::RouteKind kind, std::string_view cause);
+  void OnFirstByte(entry::RouteKind kind, core::Duration since_arrival);
+  void OnServed(entry::RouteKind kind, core::Duration since_arrival);
+  void OnAttempt(std::string_view outcome);
+  void OnGrantWait(core::Duration waited);
+  void OnStoreCall(std::string_view topic, bool answered);
+  void OnAccount(const core::AccountId& account,
+                 const entry::AllotmentBook::Figures& figures);
+  void OnProcess(const ProcessFigures& figures);
+
+  /// @return all of it as text, in the format of Prometheus
+  std::string Text() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+/// @return "idempotent", "at_most_once" or "stream"
+std::string_view ToString(entry::RouteKind kind);
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_GATEWAY_METRICS_H_
--- /dev/null
+++ b/include/coppervalve/gateway/listener.h
@@ -0,0 +1,43 @@
+#ifndef COPPERVALVE_GATEWAY_LISTENER_H_
+#define COPPERVALVE_GATEWAY_LISTENER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>  // size_t
+#include <memory>   // shared_ptr, weak_ptr
+#include <string>   // string
+#include <vector>   // vector
+
+#include "coppervalve/core/result.h"
+#include "coppervalve/gateway/caller_connection.h"
+
+namespace coppervalve::gateway {
+
+/// @brief Accepts callers on one address.
+class Listener : public std::enable_shared_from_this<Listener> {
+ public:
+  Listener(boost::asio::io_context& io, CallerConnection::Hooks hooks);
+
+  /// @param address "ip:port"
+  /// @return kSettingBadValue when it can't be listened on
+  core::Status Listen(const std::string& address);
+  /// @return connections with a request in progress
+  size_t Busy() const;
+  /// @brief Closes connections on which nothing is in progress.
+  void CloseIdle();
+
+ private:
+  void Accept();
+
+  boost::asio::io_context& m_io;
+  std::shared_ptr<const CallerConnection::Hooks> m_hooks;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::steady_timer m_pause;
+  std::vector<std::weak_ptr<CallerConnection>> m_connections;
+  size_t m_cleaned_at = 0;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_LISTENER_H_
--- /dev/null
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -0,0 +1,68 @@
+#ifndef COPPERVALVE_GATEWAY_TOPIC_FOLLOWER_H_
+#define COPPERVALVE_GATEWAY_TOPIC_FOLLOWER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>     // uint32_t, uint64_t
+#include <functional>  // function
+#include <memory>      // enable_shared_from_this
+#include <string>      // string
+#include <vector>      // vector
+
+#include "coppervalve/gateway/keyed_store.h"
+#include "coppervalve/routing/random_hook.h"
+
+namespace coppervalve::gateway {
+
+/// @brief How one topic is followed.
+struct FollowerOptions {
+  std::string topic;
+  /// Pause after a read that brought records: many writers would otherwise
+  /// wake every reader with each record.
+  core::Duration pause{0};
+  core::Duration wait{1'000'000};
+  core::Duration first_backoff{100'000};
+  core::Duration longest_backoff{800'000};
+};
+
+/// @brief Reads a topic for good: first the newest of each key, then what
+/// comes. Starts over from the newest when the store kept too little.
+class TopicFollower : public std::enable_shared_from_this<TopicFollower> {
+ public:
+  struct Hooks {
+    std::function<void(const std::vector<KeyedRecord>&)> on_newest;
+    std::function<void(const KeyedRecord&)> on_record;
+    /// A batch was handed on; all records before `next` are known.
+    std::function<void(uint64_t next)> on_read;
+    std::function<void(const core::Error&)> on_failure;
+  };
+
+  TopicFollower(boost::asio::io_context& io,
+                FollowerOptions options,
+                const KeyedStore& store,
+                routing::RandomHook random,
+                Hooks hooks);
+  void Start() { ReadNewest(); }
+  void Stop();
+
+ private:
+  void ReadNewest();
+  void ReadOn();
+  void OnBatch(core::Result<RecordBatch> result);
+  void Fail(const core::Error& error);
+  void After(core::Duration delay, void (TopicFollower::*step)());
+
+  FollowerOptions m_options;
+  const KeyedStore& m_store;
+  routing::RandomHook m_random;
+  Hooks m_hooks;
+  boost::asio::steady_timer m_timer;
+  uint64_t m_next = 0;
+  uint32_t m_failures = 0;
+  bool m_has_newest = false;
+  bool m_stopped = false;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_TOPIC_FOLLOWER_H_
--- /dev/null
+++ b/include/coppervalve/gateway/upstream_connection.h
@@ -0,0 +1,86 @@
+#ifndef COPPERVALVE_GATEWAY_UPSTREAM_CONNECTION_H_
+#define COPPERVALVE_GATEWAY_UPSTREAM_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>      // uint8_t, uint64_t
+#include <functional>   // function
+#include <memory>       // shared_ptr, enable_shared_from_this
+#include <string>       // string
+#include <string_view>  // string_view
+
+#include "coppervalve/core/units.h"
+#include "coppervalve/gateway/stream.h"
+#include "coppervalve/http1/response_reader.h"
+
+namespace coppervalve::gateway {
+
+/// @brief How an attempt on a connection ended.
+enum class AttemptEnd : uint8_t {
+  kWhole,    ///< the answer is whole
+  kNotSent,  ///< the kernel took no byte of the request
+  kBroken,   ///< some of it was sent and no whole answer came
+};
+
+/// @brief One connection to an upstream; carries one request at a time.
+class UpstreamConnection
+    : public std::enable_shared_from_this<UpstreamConnection> {
+ public:
+  struct Handlers {
+    std::function<void(const http1::ResponseHead&)> on_head;
+    std::function<void(std::string body)> on_body;
+    /// Last call of an attempt. @param why for logs, when it isn't whole
+    std::function<void(AttemptEnd end, std::string_view why)> on_end;
+  };
+
+  UpstreamConnection(boost::asio::io_context& io, std::string address);
+
+  /// @brief Opens the connection and sends, or sends on the open one.
+  /// @param without_body of a HEAD request
+  void Send(std::string request, bool without_body, Handlers handlers);
+  /// @brief Gives the attempt up: nothing more is heard of it, and the
+  /// upstream sees the connection end.
+  void Cancel();
+
+  void PauseReading();
+  void ResumeReading();
+
+  /// @return whether another request may be sent, while idle
+  bool reusable() const { return m_reusable && m_stream && m_stream->open(); }
+  bool sent_any() const;
+  /// @return how long the upstream keeps an idle connection; zero: unknown
+  core::Duration keep_alive() const { return m_keep_alive; }
+  /// @brief Closes an idle connection.
+  void Close();
+
+ private:
+  void Connect();
+  void OnConnected();
+  void OnBytes(std::string_view bytes);
+  void OnEnd(StreamEnd end);
+  void Deliver();
+  void Finish(AttemptEnd end, std::string_view why);
+
+  boost::asio::io_context& m_io;
+  std::string m_address;
+  boost::asio::steady_timer m_connect_timer;
+  std::shared_ptr<boost::asio::ip::tcp::socket> m_connecting;
+  StreamRef m_stream;
+  std::string m_request;
+  std::string m_unread;
+  std::unique_ptr<http1::ResponseReader> m_reader;
+  /// Shared with a running handler, which may cancel the attempt.
+  std::shared_ptr<const Handlers> m_handlers;
+  core::Duration m_keep_alive{};
+  uint64_t m_sent_before = 0;
+  bool m_active = false;
+  bool m_head_delivered = false;
+  bool m_reusable = false;
+};
+
+using UpstreamConnectionRef = std::shared_ptr<UpstreamConnection>;
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_UPSTREAM_CONNECTION_H_
--- /dev/null
+++ b/include/coppervalve/http1/header_list.h
@@ -0,0 +1,43 @@
+#ifndef COPPERVALVE_HTTP1_HEADER_LIST_H_
+#define COPPERVALVE_HTTP1_HEADER_LIST_H_
+
+#include <cstddef>      // size_t
+#include <string>       // string
+#include <string_view>  // string_view
+#include <vector>       // vector
+
+namespace coppervalve::http1 {
+
+/// @brief One header as it was received.
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+/// @return whether two header names or tokens are equal but for case
+bool SameToken(std::string_view a, std::string_view b);
+
+/// @brief Headers in the order they came; names compare without case.
+class HeaderList {
+ public:
+  void Add(std::string_view name, std::string_view value);
+  /// @return the first value of that name; null when there is none
+  /// @complexity linear, as all of this class
+  const std::string* Find(std::string_view name) const;
+  size_t Count(std::string_view name) const;
+
+  auto begin() const { return m_headers.begin(); }
+  auto end() const { return m_headers.end(); }
+  bool empty() const { return m_headers.empty(); }
+
+ private:
+  std::vector<Header> m_headers;
+};
+
+/// @brief Whether a header concerns one connection only and is never passed
+/// on: the fixed set of HTTP/1.1, and what `Connection` names.
+bool IsHopByHop(const HeaderList& headers, std::string_view name);
+
+}  // namespace coppervalve::http1
+
+#endif  // COPPERVALVE_HTTP1_HEADER_LIST_H_
--- /dev/null
+++ b/include/coppervalve/http1/request_reader.h
@@ -0,0 +1,59 @@
+#ifndef COPPERVALVE_HTTP1_REQUEST_READER_H_
+#define COPPERVALVE_HTTP1_REQUEST_READER_H_
+
+#include <cstddef>      // size_t
+#include <memory>       // unique_ptr
+#include <string>       // string
+#include <string_view>  // string_view
+
+#include "coppervalve/core/result.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/http1/header_list.h"
+
+namespace coppervalve::http1 {
+
+/// @brief Bounds of what one request may send.
+struct RequestBounds {
+  core::Bytes header{16'384};
+  core::Bytes body{4'194'304};
+};
+
+/// @brief A request without its body.
+struct RequestHead {
+  std::string method;
+  std::string target;
+  HeaderList headers;
+  bool keep_alive = true;
+  bool expects_continue = false;
+};
+
+/// @brief Reads one request from a stream of bytes; refuses everything that
+/// two readers could understand in two ways.
+class RequestReader {
+ public:
+  explicit RequestReader(const RequestBounds& bounds);
+  ~RequestReader();
+  RequestReader(RequestReader&&) noexcept;
+  RequestReader& operator=(RequestReader&&) noexcept;
+
+  /// @brief Reads what it can; bytes that are left must be handed in again,
+  /// with more behind them.
+  /// @return how many bytes were used; kBadRequest, kHeaderTooLarge or
+  /// kBodyTooLarge
+  core::Result<size_t> Feed(std::string_view bytes);
+
+  bool begun() const;
+  bool head_done() const;
+  bool done() const;
+  const RequestHead& head() const;
+  /// @brief Moves the body out. @pre done()
+  std::string TakeBody();
+
+ private:
+  class Parser;
+  std::unique_ptr<Parser> m_parser;
+};
+
+}  // namespace coppervalve::http1
+
+#endif  // COPPERVALVE_HTTP1_REQUEST_READER_H_
--- /dev/null
+++ b/src/entry/allotment_book.cc
@@ -0,0 +1,228 @@
+#include "coppervalve/entry/allotment_book.h"
+
+#include <algorithm>      // min, max
+#include <unordered_set>  // unordered_set
+
+namespace coppervalve::entry {
+
+namespace {
+
+// A share of a part is raised to at least this many of the largest requests,
+// so that a rare one is not refused for want of a write to the store.
+constexpr int64_t kLeastRequests = 2;
+constexpr double kLeastShareOfFree = 0.25;
+
+core::Tokens Times(core::Tokens tokens, double factor) {
+  return core::Tokens(
+      static_cast<int64_t>(static_cast<double>(tokens.value()) * factor));
+}
+
+core::Tokens NotNegative(core::Tokens tokens) {
+  return std::max(tokens, core::Tokens(0));
+}
+
+}  // namespace
+
+core::Tokens AllotmentBook::InUse(const Entry& entry) {
+  return entry.spent + entry.reserved;
+}
+
+// What nobody has claimed; may be negative while claims race.
+core::Tokens AllotmentBook::Free(const Entry& entry) {
+  return *entry.total - entry.others_claimed - entry.retired - entry.asked;
+}
+
+// Lower bound of what the whole fleet has spent: the rest is the most that
+// any router could still grant.
+core::Tokens AllotmentBook::LeastSpent(const Entry& entry) {
+  return entry.others_spent + entry.retired_spent + InUse(entry);
+}
+
+void AllotmentBook::OnConfiguration(const Configuration& configuration) {
+  std::unordered_set<core::AccountId> listed;
+  for (const Account& account : configuration.accounts) {
+    listed.insert(account.name);
+    m_entries[account.name].total = account.prepaid;
+  }
+  for (auto& [account, entry] : m_entries) {
+    if (!listed.contains(account)) {
+      entry.total.reset();
+    }
+  }
+}
+
+void AllotmentBook::OnPredecessor(const v1::RouterBeat& beat) {
+  for (const v1::AccountClaim& claim : beat.claims()) {
+    Entry& entry = m_entries[core::AccountId(claim.account())];
+    entry.retired = core::Tokens(claim.retired() + claim.ceiling());
+    entry.retired_spent = core::Tokens(claim.retired_spent() + claim.spent());
+  }
+}
+
+// Other routers' claims count in full, granted or not: a claim that was only
+// granted in part is corrected by its own router's next record. Until then
+// this errs on the side of too little left, never of too much.
+void AllotmentBook::OnOtherBeat(const core::RouterId& router,
+                                const v1::RouterBeat& beat) {
+  for (const v1::AccountClaim& claim : beat.claims()) {
+    Entry& entry = m_entries[core::AccountId(claim.account())];
+    OtherClaim& other = entry.others[router];
+    entry.others_claimed -= other.claimed;
+    entry.others_spent -= other.spent;
+    other.claimed = core::Tokens(claim.retired() + claim.ceiling());
+    other.spent = core::Tokens(claim.retired_spent() + claim.spent());
+    entry.others_claimed += other.claimed;
+    entry.others_spent += other.spent;
+  }
+}
+
+void AllotmentBook::OnOwnBeat(const v1::RouterBeat& beat) {
+  for (const v1::AccountClaim& claim : beat.claims()) {
+    Entry& entry = m_entries[core::AccountId(claim.account())];
+    if (!entry.total) {
+      continue;
+    }
+    const core::Tokens available =
+        *entry.total - entry.others_claimed - entry.retired;
+    // A later record may already have lowered the claim: that one binds.
+    const core::Tokens granted =
+        std::min({core::Tokens(claim.ceiling()), available, entry.asked});
+    // What is in use was granted before and cannot be taken back.
+    entry.ceiling = std::max(granted, std::min(entry.ceiling, entry.asked));
+  }
+}
+
+void AllotmentBook::OnDemand(const core::AccountId& account,
+                             core::Tokens tokens,
+                             core::TimePoint now) {
+  Entry& entry = m_entries[account];
+  if (!m_first_demand) {
+    m_first_demand = now;
+  }
+  entry.demand.Add(tokens, now);
+  entry.largest = std::max(entry.largest, tokens);
+}
+
+Reservation AllotmentBook::Reserve(const core::AccountId& account,
+                                   core::Tokens tokens) {
+  Entry& entry = m_entries[account];
+  if (!entry.total) {
+    return Reservation::kUnlimited;
+  }
+  if (InUse(entry) + tokens <= entry.ceiling) {
+    entry.reserved += tokens;
+    return Reservation::kHeld;
+  }
+  if (LeastSpent(entry) + tokens > *entry.total) {
+    return Reservation::kExhausted;
+  }
+  return Reservation::kShort;
+}
+
+void AllotmentBook::Settle(const core::AccountId& account,
+                           core::Tokens reserved,
+                           core::Tokens used) {
+  Entry& entry = m_entries[account];
+  entry.reserved -= reserved;
+  entry.spent += used;
+}
+
+bool AllotmentBook::MayBeCovered(const core::AccountId& account,
+                                 core::Tokens tokens) const {
+  const auto found = m_entries.find(account);
+  if (found == m_entries.end() || !found->second.total) {
+    return true;
+  }
+  const Entry& entry = found->second;
+  return Free(entry) + entry.ceiling - InUse(entry) >= tokens;
+}
+
+// How far the ceiling should run ahead of what is in use.
+core::Tokens AllotmentBook::Aim(const Entry& entry,
+                                uint32_t routers,
+                                core::TimePoint now) const {
+  const core::Tokens rest = NotNegative(*entry.total - LeastSpent(entry));
+  const double by_routers = 1.0 / std::max(routers, 1U);
+  const core::Tokens spent_by_all = entry.others_spent + InUse(entry);
+  double own_part = by_routers;
+  if (spent_by_all > core::Tokens(0)) {
+    own_part =
+        std::max(own_part, static_cast<double>(InUse(entry).value()) /
+                               static_cast<double>(spent_by_all.value()));
+  }
+  const core::Tokens most = Times(rest, m_options.most_of_rest * own_part);
+  const double ahead = std::chrono::duration<double>(m_options.ahead).count();
+  core::Tokens aim =
+      core::Tokens(static_cast<int64_t>(entry.demand.PerSecond(now) * ahead));
+  const bool learning =
+      !m_first_demand || now - *m_first_demand < m_options.learning;
+  if (learning) {
+    aim = std::max(aim, Times(rest, m_options.first_share * by_routers));
+  }
+  aim = std::max(std::min(aim, most),
+                 core::Tokens(entry.largest.value() * kLeastRequests));
+  return std::min(aim, rest);
+}
+
+core::Tokens AllotmentBook::NextCeiling(const Entry& entry,
+                                        uint32_t routers,
+                                        core::TimePoint now) const {
+  const core::Tokens in_use = InUse(entry);
+  const core::Tokens aim = Aim(entry, routers, now);
+  const core::Tokens have = entry.ceiling - in_use;
+  if (have > Times(aim, m_options.lower_above)) {
+    return in_use + aim;
+  }
+  if (have >= Times(aim, m_options.raise_below)) {
+    return entry.ceiling;
+  }
+  const core::Tokens free =
+      NotNegative(Free(entry) + entry.asked - entry.ceiling);
+  const double share = std::max(1.0 / std::max(routers, 1U), kLeastShareOfFree);
+  const core::Tokens fair =
+      std::max(Times(free, share), std::min(free, entry.largest));
+  return std::max(entry.ceiling, std::min(in_use + aim, entry.ceiling + fair));
+}
+
+void AllotmentBook::WriteClaims(v1::RouterBeat& beat,
+                                uint32_t routers,
+                                bool closing,
+                                core::TimePoint now) {
+  for (auto& [account, entry] : m_entries) {
+    core::Tokens next = entry.ceiling;
+    if (closing) {
+      next = InUse(entry);
+    } else if (entry.total) {
+      next = NextCeiling(entry, routers, now);
+    }
+    entry.asked = next;
+    entry.ceiling = std::min(entry.ceiling, next);
+    const bool claims_nothing =
+        next == core::Tokens(0) && entry.retired == core::Tokens(0);
+    // Others keep the claim they read last, so what was stated once is stated
+    // again, also when it is nothing by now.
+    if (claims_nothing && !entry.stated) {
+      continue;
+    }
+    entry.stated = true;
+    v1::AccountClaim* claim = beat.add_claims();
+    claim->set_account(account.value());
+    claim->set_ceiling(next.value());
+    claim->set_spent(std::min(entry.spent, next).value());
+    claim->set_retired(entry.retired.value());
+    claim->set_retired_spent(entry.retired_spent.value());
+  }
+}
+
+AllotmentBook::Figures AllotmentBook::FiguresOf(
+    const core::AccountId& account) const {
+  const auto found = m_entries.find(account);
+  if (found == m_entries.end()) {
+    return {};
+  }
+  const Entry& entry = found->second;
+  return {entry.total, entry.ceiling, entry.spent, entry.reserved,
+          entry.others_claimed + entry.retired};
+}
+
+}  // namespace coppervalve::entry
--- /dev/null
+++ b/src/entry/in_force.cc
@@ -0,0 +1,75 @@
+#include "coppervalve/entry/in_force.h"
+
+#include <algorithm>  // stable_sort
+#include <utility>    // move
+
+namespace coppervalve::entry {
+
+InForce::InForce(Configuration configuration)
+    : m_configuration(std::move(configuration)) {
+  for (const Route& route : m_configuration.routes) {
+    m_routes[route.host].push_back(&route);
+  }
+  for (auto& [host, routes] : m_routes) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const Route* a, const Route* b) {
+                       return a->prefix.size() > b->prefix.size();
+                     });
+  }
+  for (const Account& account : m_configuration.accounts) {
+    for (const std::string& key : account.keys) {
+      m_accounts[key] = &account;
+    }
+  }
+  for (const Service& service : m_configuration.services) {
+    m_services[service.name] = &service;
+  }
+}
+
+const Route* InForce::FindRoute(std::string_view host,
+                                std::string_view target) const {
+  auto found = m_routes.find(std::string(host));
+  if (found == m_routes.end()) {
+    found = m_routes.find(std::string(host.substr(0, host.find(':'))));
+  }
+  if (found == m_routes.end()) {
+    return nullptr;
+  }
+  const std::string_view path = target.substr(0, target.find('?'));
+  for (const Route* route : found->second) {
+    if (path.starts_with(route->prefix)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const Account* InForce::FindAccount(const std::string& key) const {
+  const auto found = m_accounts.find(key);
+  return found == m_accounts.end() ? nullptr : found->second;
+}
+
+const Service* InForce::FindService(const core::ServiceId& service) const {
+  const auto found = m_services.find(service);
+  return found == m_services.end() ? nullptr : found->second;
+}
+
+core::ServiceId ChooseService(const Route& route, uint64_t draw) {
+  uint64_t total = 0;
+  for (const WeightedService& target : route.services) {
+    total += target.weight;
+  }
+  if (total == 0) {
+    return {};
+  }
+  uint64_t left = draw % total;
+  for (const WeightedService& target : route.services) {
+    if (left < target.weight) {
+      return target.service;
+    }
+    left -= target.weight;
+  }
+  return {};
+}
+
+}  // namespace coppervalve::entry
--- /dev/null
+++ b/src/entry/retry_allowance.cc
@@ -0,0 +1,49 @@
+#include "coppervalve/entry/retry_allowance.h"
+
+#include <algorithm>  // max
+
+namespace coppervalve::entry {
+
+namespace {
+
+// What is used of the bound: clocks of routers and of who counts differ, and
+// the number of routers is known late.
+constexpr double kUsedShare = 0.8;
+
+void DropBefore(std::deque<core::TimePoint>& times, core::TimePoint start) {
+  while (!times.empty() && times.front() < start) {
+    times.pop_front();
+  }
+}
+
+}  // namespace
+
+RetryAllowance::Window& RetryAllowance::Current(const core::ServiceId& service,
+                                                core::TimePoint now) {
+  Window& window = m_windows[service];
+  DropBefore(window.requests, now - m_bounds.window);
+  DropBefore(window.repeats, now - m_bounds.window);
+  return window;
+}
+
+void RetryAllowance::OnRequest(const core::ServiceId& service,
+                               core::TimePoint now) {
+  Current(service, now).requests.push_back(now);
+}
+
+bool RetryAllowance::Take(const core::ServiceId& service,
+                          uint32_t routers,
+                          core::TimePoint now) {
+  Window& window = Current(service, now);
+  const double earned =
+      m_bounds.ratio * static_cast<double>(window.requests.size());
+  const double slack = m_bounds.slack / std::max(routers, 1U);
+  const auto used = static_cast<double>(window.repeats.size());
+  if (used + 1 > kUsedShare * (earned + slack)) {
+    return false;
+  }
+  window.repeats.push_back(now);
+  return true;
+}
+
+}  // namespace coppervalve::entry
--- /dev/null
+++ b/src/entry/upstream_health.cc
@@ -0,0 +1,81 @@
+#include "coppervalve/entry/upstream_health.h"
+
+#include <algorithm>  // min, max
+#include <cmath>      // exp2
+
+namespace coppervalve::entry {
+
+namespace {
+
+constexpr double kWeightOfOne = 0.2;
+// Suspicion fades, so that an upstream that is well again gets traffic without
+// any probe: probes cost the upstream and tell less than real work.
+constexpr core::Duration kHalfLife{3'000'000};
+constexpr double kSuspectAbove = 0.15;
+constexpr core::Duration kFirstAvoidance{400'000};
+constexpr core::Duration kLongestAvoidance{4'000'000};
+constexpr core::Duration kDeclinedPause{60'000};
+constexpr uint32_t kMostDoublings = 4;
+constexpr double kLatencyWeight = 0.2;
+
+}  // namespace
+
+void UpstreamHealth::On(AttemptOutcome outcome, core::TimePoint now) {
+  const double failures = FailuresAt(now);
+  m_failures_at = now;
+  switch (outcome) {
+    case AttemptOutcome::kAnswered:
+      m_failures = failures * (1 - kWeightOfOne);
+      m_in_a_row = 0;
+      return;
+    case AttemptOutcome::kDeclined:
+      // Full for the moment, which says nothing about its health.
+      m_failures = failures;
+      AvoidFor(kDeclinedPause, now);
+      return;
+    case AttemptOutcome::kOwnFailure:
+    case AttemptOutcome::kBroken:
+      m_failures = failures + kWeightOfOne * (1 - failures);
+      return;
+    case AttemptOutcome::kUnreachable:
+    case AttemptOutcome::kSilent:
+    case AttemptOutcome::kMisaddressed:
+      m_failures = failures + kWeightOfOne * (1 - failures);
+      m_in_a_row = std::min(m_in_a_row + 1, kMostDoublings);
+      AvoidFor(std::min(kFirstAvoidance * (1U << (m_in_a_row - 1)),
+                        kLongestAvoidance),
+               now);
+      return;
+  }
+}
+
+void UpstreamHealth::OnLatency(core::Duration latency) {
+  if (m_latency == core::Duration::zero()) {
+    m_latency = latency;
+    return;
+  }
+  const auto step = static_cast<double>((latency - m_latency).count());
+  m_latency += core::Duration(static_cast<int64_t>(step * kLatencyWeight));
+}
+
+Trust UpstreamHealth::trust(core::TimePoint now) const {
+  if (now < m_avoid_until) {
+    return Trust::kNone;
+  }
+  return FailuresAt(now) > kSuspectAbove ? Trust::kSuspect : Trust::kFull;
+}
+
+double UpstreamHealth::FailuresAt(core::TimePoint now) const {
+  if (m_failures == 0) {
+    return 0;
+  }
+  const double half_lives = static_cast<double>((now - m_failures_at).count()) /
+                            static_cast<double>(kHalfLife.count());
+  return m_failures * std::exp2(-half_lives);
+}
+
+void UpstreamHealth::AvoidFor(core::Duration span, core::TimePoint now) {
+  m_avoid_until = std::max(m_avoid_until, now + span);
+}
+
+}  // namespace coppervalve::entry
--- /dev/null
+++ b/src/gateway/caller_connection.cc
@@ -0,0 +1,275 @@
+#include "coppervalve/gateway/caller_connection.h"
+
+#include <array>    // array
+#include <cstdio>   // snprintf
+#include <utility>  // move, exchange
+
+#include "coppervalve/net/clock.h"
+
+namespace coppervalve::gateway {
+
+namespace {
+
+// Pipelined bytes that are kept while a request is in progress; beyond it the
+// caller is not read, which also hides that it left.
+constexpr size_t kMostUnread = 65'536;
+
+bool HasNoBody(int status) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status == kNoContent || status == kNotModified;
+}
+
+std::string ChunkHead(size_t size) {
+  std::array<char, 24> text{};
+  std::snprintf(text.data(), text.size(), "%zx\r\n", size);
+  return text.data();
+}
+
+std::string_view ReasonOf(int status) {
+  switch (status) {
+    case 400:
+      return "Bad Request";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    default:
+      return "Refused";
+  }
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(boost::asio::io_context& io,
+                                   boost::asio::ip::tcp::socket socket,
+                                   std::shared_ptr<const Hooks> hooks)
+    : m_timer(io),
+      m_stream(std::make_shared<Stream>(std::move(socket))),
+      m_hooks(std::move(hooks)) {}
+
+void CallerConnection::Start() {
+  std::weak_ptr<CallerConnection> weak = weak_from_this();
+  const auto self = shared_from_this();
+  m_stream->Start({[self](std::string_view bytes) { self->OnBytes(bytes); },
+                   [self](StreamEnd /*end*/) { self->OnEnd(); },
+                   [weak] {
+                     const auto connection = weak.lock();
+                     if (connection && connection->m_on_drained) {
+                       const auto handler = connection->m_on_drained;
+                       handler();
+                     }
+                   }});
+  NextRequest();
+}
+
+void CallerConnection::WatchLeaving(std::function<void()> on_left) {
+  m_on_left = std::move(on_left);
+}
+
+void CallerConnection::WatchDrained(std::function<void()> on_drained) {
+  m_on_drained = std::move(on_drained);
+}
+
+void CallerConnection::NextRequest() {
+  m_busy = false;
+  m_on_left = nullptr;
+  m_on_drained = nullptr;
+  const entry::CallerBounds bounds = m_hooks->bounds();
+  m_reader = std::make_unique<http1::RequestReader>(
+      http1::RequestBounds{bounds.header, bounds.body});
+  m_continue_sent = false;
+  ArmTimer(bounds.idle_time);
+  if (!m_unread.empty()) {
+    Parse();
+  }
+}
+
+void CallerConnection::OnBytes(std::string_view bytes) {
+  m_unread.append(bytes);
+  if (!m_busy) {
+    Parse();
+    return;
+  }
+  if (m_unread.size() > kMostUnread) {
+    m_stream->PauseReading();
+  }
+}
+
+void CallerConnection::Parse() {
+  const bool had_begun = m_reader->begun();
+  const core::Result<size_t> used = m_reader->Feed(m_unread);
+  if (!core::IsOk(used)) {
+    Reject(core::Failure(used));
+    return;
+  }
+  m_unread.erase(0, core::Value(used));
+  if (m_reader->done()) {
+    m_timer.cancel();
+    m_busy = true;
+    m_keep_alive = m_reader->head().keep_alive;
+    m_head_request = m_reader->head().method == "HEAD";
+    m_hooks->on_request(
+        shared_from_this(),
+        {m_reader->head(), m_reader->TakeBody(), net::BootNow()});
+    return;
+  }
+  if (!had_begun && m_reader->begun()) {
+    ArmTimer(m_hooks->bounds().header_time);
+  }
+  if (m_reader->head_done() && m_reader->head().expects_continue &&
+      !m_continue_sent) {
+    m_continue_sent = true;
+    m_stream->Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void CallerConnection::Reject(const core::Error& error) {
+  m_hooks->on_bad_request(error);
+  m_busy = true;
+  m_keep_alive = false;
+  m_head_request = false;
+  const int status = core::Describe(error.id).http_status;
+  Answer({status,
+          std::string(ReasonOf(status)),
+          {},
+          core::ErrorCode(error.id) + "\n"});
+}
+
+void CallerConnection::Answer(const LocalAnswer& answer) {
+  BeginAnswer(answer.status, answer.reason, answer.headers, answer.body.size());
+  SendBody(answer.body);
+  EndAnswer();
+}
+
+void CallerConnection::BeginAnswer(int status,
+                                   const std::string& reason,
+                                   const http1::HeaderList& headers,
+                                   std::optional<uint64_t> length) {
+  if (m_closed) {
+    return;
+  }
+  std::string text =
+      "HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n";
+  for (const http1::Header& header : headers) {
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  m_chunked = false;
+  if (length) {
+    text += "Content-Length: " + std::to_string(*length) + "\r\n";
+  } else if (!HasNoBody(status)) {
+    m_chunked = !m_head_request;
+    text += "Transfer-Encoding: chunked\r\n";
+  }
+  m_keep_alive = m_keep_alive && !m_hooks->leaving();
+  if (!m_keep_alive) {
+    text += "Connection: close\r\n";
+  }
+  text += "\r\n";
+  m_head_text = std::move(text);
+}
+
+void CallerConnection::SendBody(std::string_view bytes) {
+  if (m_closed) {
+    return;
+  }
+  // The head goes out with the first bytes of the body: one packet, one call.
+  std::string text = std::exchange(m_head_text, {});
+  if (!bytes.empty() && !m_head_request) {
+    if (m_chunked) {
+      text += ChunkHead(bytes.size());
+      text += bytes;
+      text += "\r\n";
+    } else {
+      text += bytes;
+    }
+  }
+  if (!text.empty()) {
+    m_stream->Send(text);
+  }
+}
+
+void CallerConnection::EndAnswer() {
+  if (m_closed) {
+    return;
+  }
+  std::string text = std::exchange(m_head_text, {});
+  if (m_chunked) {
+    text += "0\r\n\r\n";
+  }
+  if (!text.empty()) {
+    m_stream->Send(text);
+  }
+  if (!m_keep_alive) {
+    m_busy = false;
+    m_stream->CloseWhenSent();
+    Close();
+    return;
+  }
+  m_stream->ResumeReading();
+  NextRequest();
+}
+
+void CallerConnection::Abort() {
+  if (m_closed) {
+    return;
+  }
+  m_stream->Abort();
+  m_busy = false;
+  Close();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (m_closed || busy() || m_reader->begun()) {
+    return;
+  }
+  m_stream->CloseWhenSent();
+  Close();
+}
+
+void CallerConnection::OnEnd() {
+  if (m_closed) {
+    return;
+  }
+  m_stream->Abort();
+  const auto on_left = std::exchange(m_on_left, nullptr);
+  m_busy = false;
+  Close();
+  if (on_left) {
+    on_left();
+  }
+}
+
+void CallerConnection::ArmTimer(core::Duration time) {
+  m_timer.expires_after(time);
+  m_timer.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& code) {
+        const auto self = weak.lock();
+        if (!code && self) {
+          self->OnTimer();
+        }
+      });
+}
+
+void CallerConnection::OnTimer() {
+  if (m_closed || m_busy) {
+    return;
+  }
+  if (m_reader->begun()) {
+    Reject({core::ErrorId::kSlowSender, "request", "not sent in time"});
+    return;
+  }
+  CloseIfIdle();
+}
+
+void CallerConnection::Close() {
+  m_closed = true;
+  m_timer.cancel();
+  m_on_left = nullptr;
+  m_on_drained = nullptr;
+  m_hooks->on_closed();
+}
+
+}  // namespace coppervalve::gateway
--- /dev/null
+++ b/src/gateway/event_log.cc
@@ -0,0 +1,147 @@
+#include "coppervalve/gateway/event_log.h"
+
+#include <poll.h>    // poll
+#include <unistd.h>  // write
+
+#include <algorithm>  // min
+#include <chrono>     // system_clock
+#include <utility>    // move
+
+#include "coppervalve/net/clock.h"
+#include "coppervalve/telemetry/json_text.h"
+
+namespace coppervalve::gateway {
+
+namespace {
+
+constexpr std::chrono::milliseconds kFlushEvery{250};
+// A pipe that polls as writable takes this much without blocking.
+constexpr size_t kAtOnce = 4'096;
+
+int64_t WallMillis() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+bool TakesBytes(int descriptor) {
+  pollfd ready{descriptor, POLLOUT, 0};
+  return poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+}
+
+}  // namespace
+
+LogLine::LogLine(std::string_view event) : m_text("{") {
+  Number("time_ms", WallMillis());
+  Text("event", event);
+}
+
+LogLine& LogLine::Text(std::string_view name, std::string_view value) {
+  if (m_text.size() > 1) {
+    m_text += ',';
+  }
+  telemetry::AppendJsonString(m_text, name);
+  m_text += ':';
+  telemetry::AppendJsonString(m_text, value);
+  return *this;
+}
+
+LogLine& LogLine::Number(std::string_view name, int64_t value) {
+  if (m_text.size() > 1) {
+    m_text += ',';
+  }
+  telemetry::AppendJsonString(m_text, name);
+  m_text += ':';
+  m_text += std::to_string(value);
+  return *this;
+}
+
+LogLine& LogLine::Millis(std::string_view name, core::Duration value) {
+  return Number(
+      name,
+      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+LogLine& LogLine::Flag(std::string_view name, bool value) {
+  return Number(name, value ? 1 : 0);
+}
+
+std::string LogLine::Finish() {
+  m_text += "}\n";
+  return std::move(m_text);
+}
+
+EventLog::EventLog(boost::asio::io_context& io, int descriptor, Bounds bounds)
+    : m_timer(io), m_descriptor(descriptor), m_bounds(bounds) {}
+
+bool EventLog::Admit(LineKind kind, size_t size) {
+  const auto index = static_cast<size_t>(kind);
+  const auto now = net::BootNow().time_since_epoch();
+  const int64_t second =
+      std::chrono::duration_cast<std::chrono::seconds>(now).count();
+  if (second != m_second) {
+    m_second = second;
+    m_this_second = {};
+  }
+  if (m_held.size() + size > m_bounds.held_bytes[index] ||
+      m_this_second[index] >= m_bounds.lines_per_second[index]) {
+    ++m_left_out;
+    return false;
+  }
+  ++m_this_second[index];
+  return true;
+}
+
+void EventLog::Write(LineKind kind, LogLine line) {
+  const std::string text = line.Finish();
+  if (!Admit(kind, text.size())) {
+    return;
+  }
+  m_held += text;
+  ArmTimer();
+}
+
+void EventLog::ArmTimer() {
+  if (m_armed) {
+    return;
+  }
+  m_armed = true;
+  m_timer.expires_after(kFlushEvery);
+  m_timer.async_wait([this](const boost::system::error_code& code) {
+    if (code) {
+      return;
+    }
+    m_armed = false;
+    Flush();
+    if (!m_held.empty()) {
+      ArmTimer();
+    }
+  });
+}
+
+void EventLog::StateLeftOut() {
+  if (m_left_out == m_stated) {
+    return;
+  }
+  m_held += LogLine("log_lines_left_out")
+                .Number("count", static_cast<int64_t>(m_left_out - m_stated))
+                .Finish();
+  m_stated = m_left_out;
+}
+
+void EventLog::Flush() {
+  size_t written = 0;
+  while (written < m_held.size() && TakesBytes(m_descriptor)) {
+    const ssize_t count = write(m_descriptor, m_held.data() + written,
+                                std::min(kAtOnce, m_held.size() - written));
+    if (count <= 0) {
+      break;
+    }
+    written += static_cast<size_t>(count);
+  }
+  m_held.erase(0, written);
+  if (m_held.empty()) {
+    StateLeftOut();
+  }
+}
+
+}  // namespace coppervalve::gateway
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,162 @@
+#include "coppervalve/gateway/gateway_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <chrono>  // duration
+
+namespace coppervalve::gateway {
+
+namespace {
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+using prometheus::Registry;
+
+const Histogram::BucketBoundaries kSecondsBuckets = {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,  0.2,
+    0.3,   0.5,    0.8,   1.0,  2.5,   5.0,  10.0, 30.0};
+
+double Seconds(core::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Family<Counter>& CounterOf(Registry& registry,
+                           const char* name,
+                           const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+Family<Gauge>& GaugeOf(Registry& registry, const char* name, const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+Family<Histogram>& HistogramOf(Registry& registry,
+                               const char* name,
+                               const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+}  // namespace
+
+struct GatewayMetrics::Impl {
+  Registry registry;
+  Family<Counter>& requests = CounterOf(registry,
+                                        "coppervalve_entry_requests_total",
+                                        "Requests ended, by kind and cause");
+  Family<Counter>& attempts = CounterOf(registry,
+                                        "coppervalve_entry_attempts_total",
+                                        "Attempts at upstreams, by outcome");
+  Family<Counter>& store_calls =
+      CounterOf(registry,
+                "coppervalve_entry_store_calls_total",
+                "Calls to the durable store, by topic and result");
+  Family<Histogram>& first_byte =
+      HistogramOf(registry,
+                  "coppervalve_entry_first_byte_seconds",
+                  "From a request's last byte to its answer's first");
+  Family<Histogram>& whole =
+      HistogramOf(registry,
+                  "coppervalve_entry_whole_answer_seconds",
+                  "From a request's last byte to its answer's last");
+  Family<Histogram>& grant_wait =
+      HistogramOf(registry,
+                  "coppervalve_entry_grant_wait_seconds",
+                  "Time requests waited for a higher ceiling");
+  Family<Gauge>& tokens =
+      GaugeOf(registry,
+              "coppervalve_entry_account_tokens",
+              "Tokens of an account at this router, by state");
+  Family<Gauge>& process = GaugeOf(registry,
+                                   "coppervalve_entry_state",
+                                   "State of the router, by figure");
+};
+
+GatewayMetrics::GatewayMetrics() : m_impl(std::make_unique<Impl>()) {}
+GatewayMetrics::~GatewayMetrics() = default;
+
+void GatewayMetrics::OnRequest(entry::RouteKind kind, std::string_view cause) {
+  m_impl->requests
+      .Add({{"kind", std::string(ToString(kind))},
+            {"cause", std::string(cause)}})
+      .Increment();
+}
+
+void GatewayMetrics::OnFirstByte(entry::RouteKind kind,
+                                 core::Duration since_arrival) {
+  m_impl->first_byte
+      .Add({{"kind", std::string(ToString(kind))}}, kSecondsBuckets)
+      .Observe(Seconds(since_arrival));
+}
+
+void GatewayMetrics::OnServed(entry::RouteKind kind,
+                              core::Duration since_arrival) {
+  m_impl->whole.Add({{"kind", std::string(ToString(kind))}}, kSecondsBuckets)
+      .Observe(Seconds(since_arrival));
+}
+
+void GatewayMetrics::OnAttempt(std::string_view outcome) {
+  m_impl->attempts.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+void GatewayMetrics::OnGrantWait(core::Duration waited) {
+  m_impl->grant_wait.Add({}, kSecondsBuckets).Observe(Seconds(waited));
+}
+
+void GatewayMetrics::OnStoreCall(std::string_view topic, bool answered) {
+  m_impl->store_calls
+      .Add({{"topic", std::string(topic)},
+            {"result", answered ? "answered" : "failed"}})
+      .Increment();
+}
+
+void GatewayMetrics::OnAccount(const core::AccountId& account,
+                               const entry::AllotmentBook::Figures& figures) {
+  const auto set = [&](const char* state, core::Tokens tokens) {
+    m_impl->tokens.Add({{"account", account.value()}, {"state", state}})
+        .Set(static_cast<double>(tokens.value()));
+  };
+  set("total", figures.total.value_or(core::Tokens(0)));
+  set("ceiling", figures.ceiling);
+  set("spent", figures.spent);
+  set("reserved", figures.reserved);
+  set("claimed_elsewhere", figures.others);
+}
+
+void GatewayMetrics::OnProcess(const ProcessFigures& figures) {
+  const auto set = [&](const char* figure, double value) {
+    m_impl->process.Add({{"figure", figure}}).Set(value);
+  };
+  set("configuration_version", static_cast<double>(figures.version.value()));
+  set("configuration_age_seconds", Seconds(figures.configuration_age));
+  set("routers", figures.routers);
+  set("upstreams", static_cast<double>(figures.upstreams));
+  set("upstream_connections_opened",
+      static_cast<double>(figures.upstream_connections));
+  set("log_lines_left_out", static_cast<double>(figures.log_lines_left_out));
+  set("ready", figures.ready ? 1 : 0);
+  set("store_up", figures.store_up ? 1 : 0);
+}
+
+std::string GatewayMetrics::Text() const {
+  return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
+}
+
+std::string_view ToString(entry::RouteKind kind) {
+  switch (kind) {
+    case entry::RouteKind::kIdempotent:
+      return "idempotent";
+    case entry::RouteKind::kStream:
+      return "stream";
+    case entry::RouteKind::kAtMostOnce:
+      break;
+  }
+  return "at_most_once";
+}
+
+}  // namespace coppervalve::gateway
--- /dev/null
+++ b/src/gateway/http_caller.cc
@@ -0,0 +1,176 @@
+#include "coppervalve/gateway/http_caller.h"
+
+#include <boost/asio/ip/address.hpp>  // make_address
+#include <boost/asio/post.hpp>        // post
+#include <utility>                    // move
+
+#include "coppervalve/net/endpoint.h"
+
+namespace coppervalve::gateway {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+core::Error NoAnswer(std::string detail) {
+  return {core::ErrorId::kLogUnavailable, "store", std::move(detail)};
+}
+
+std::string TextOf(const HttpCall& call, const std::string& address) {
+  std::string text = call.method + " " + call.target +
+                     " HTTP/1.1\r\nHost: " + address + "\r\n";
+  if (!call.content_type.empty()) {
+    text += "Content-Type: " + call.content_type + "\r\n";
+  }
+  if (!call.body.empty() || call.method != "GET") {
+    text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+  }
+  return text + "\r\n" + call.body;
+}
+
+}  // namespace
+
+HttpCaller::HttpCaller(boost::asio::io_context& io, std::string address)
+    : m_io(io), m_address(std::move(address)), m_timeout(io) {}
+
+void HttpCaller::Call(HttpCall call, Handler handler) {
+  m_queue.push_back({std::move(call), std::move(handler)});
+  Next();
+}
+
+void HttpCaller::Stop() {
+  m_queue.clear();
+  m_busy = false;
+  ++m_call_number;
+  m_timeout.cancel();
+  if (m_stream) {
+    m_stream->Abort();
+    m_stream.reset();
+  }
+}
+
+void HttpCaller::Next() {
+  if (m_busy || m_queue.empty()) {
+    return;
+  }
+  m_busy = true;
+  ++m_call_number;
+  m_reader = std::make_unique<http1::ResponseReader>(false);
+  m_unread.clear();
+  ArmTimeout();
+  if (m_stream && m_stream->open()) {
+    SendCurrent();
+    return;
+  }
+  Connect();
+}
+
+void HttpCaller::ArmTimeout() {
+  m_timeout.expires_after(m_queue.front().call.timeout);
+  m_timeout.async_wait([self = shared_from_this(),
+                        number = m_call_number](const ErrorCode& code) {
+    if (!code && number == self->m_call_number && self->m_busy) {
+      self->Finish(NoAnswer("no answer in time"), false);
+    }
+  });
+}
+
+void HttpCaller::Connect() {
+  const auto endpoint = net::ReadEndpoint(m_address);
+  ErrorCode bad_address;
+  const auto ip = boost::asio::ip::make_address(
+      endpoint ? endpoint->ip : std::string(), bad_address);
+  if (!endpoint || bad_address) {
+    Finish(NoAnswer("not an address: " + m_address), false);
+    return;
+  }
+  m_connecting = std::make_shared<tcp::socket>(m_io);
+  m_connecting->async_connect(
+      tcp::endpoint(ip, endpoint->port),
+      [self = shared_from_this(), socket = m_connecting,
+       number = m_call_number](const ErrorCode& code) {
+        if (number != self->m_call_number || !self->m_busy) {
+          return;
+        }
+        if (code) {
+          self->Finish(NoAnswer("no connection: " + code.message()), false);
+          return;
+        }
+        self->m_stream = std::make_shared<Stream>(std::move(*socket));
+        std::weak_ptr<HttpCaller> weak = self;
+        self->m_stream->Start({[weak](std::string_view bytes) {
+                                 if (const auto caller = weak.lock()) {
+                                   caller->OnBytes(bytes);
+                                 }
+                               },
+                               [weak](StreamEnd /*end*/) {
+                                 if (const auto caller = weak.lock()) {
+                                   caller->OnEnd();
+                                 }
+                               },
+                               {}});
+        self->SendCurrent();
+      });
+}
+
+void HttpCaller::SendCurrent() {
+  m_stream->Send(TextOf(m_queue.front().call, m_address));
+}
+
+void HttpCaller::OnBytes(std::string_view bytes) {
+  if (!m_busy) {
+    // Bytes that nobody asked for would be read as the next call's answer.
+    m_stream->Abort();
+    m_stream.reset();
+    return;
+  }
+  m_unread.append(bytes);
+  const core::Result<size_t> used = m_reader->Feed(m_unread);
+  if (!core::IsOk(used)) {
+    Finish(NoAnswer(core::Failure(used).detail), false);
+    return;
+  }
+  m_unread.erase(0, core::Value(used));
+  if (m_reader->done()) {
+    const bool keep = m_reader->head().keep_alive && m_unread.empty();
+    Finish(HttpReply{m_reader->head().status, m_reader->TakeBody()}, keep);
+  }
+}
+
+void HttpCaller::OnEnd() {
+  if (m_busy) {
+    Finish(NoAnswer("the connection ended"), false);
+    return;
+  }
+  if (m_stream) {
+    m_stream->Abort();
+    m_stream.reset();
+  }
+}
+
+void HttpCaller::Finish(core::Result<HttpReply> result, bool keep_connection) {
+  m_timeout.cancel();
+  ++m_call_number;
+  if (m_connecting) {
+    ErrorCode ignored;
+    m_connecting->close(ignored);
+    m_connecting.reset();
+  }
+  if (!keep_connection && m_stream) {
+    m_stream->Abort();
+    m_stream.reset();
+  }
+  Handler handler = std::move(m_queue.front().handler);
+  m_queue.pop_front();
+  m_busy = false;
+  // From the loop, so that a handler that calls again is not nested in this.
+  boost::asio::post(m_io,
+                    [self = shared_from_this(), handler = std::move(handler),
+                     result = std::move(result)]() mutable {
+                      handler(std::move(result));
+                      self->Next();
+                    });
+}
+
+}  // namespace coppervalve::gateway
--- /dev/null
+++ b/src/gateway/stream.cc
@@ -0,0 +1,230 @@
+#include "coppervalve/gateway/stream.h"
+
+#include <netinet/tcp.h>  // TCP_USER_TIMEOUT
+
+#include <array>                       // array
+#include <boost/asio/buffer.hpp>       // buffer
+#include <boost/asio/error.hpp>        // would_block
+#include <boost/asio/socket_base.hpp>  // linger
+#include <chrono>                      // milliseconds
+#include <utility>                     // move
+
+namespace coppervalve::gateway {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr size_t kReadChunk = 65'536;
+// Sent bytes that nobody acknowledges for this long end the connection: it
+// may have gone silent for good while new ones work.
+constexpr int kUnacknowledgedMs = 3'000;
+constexpr std::chrono::milliseconds kLingerTime{1'000};
+
+// One buffer for all connections: they are read on one thread, and nothing
+// keeps a view of it past its handler.
+std::array<char, kReadChunk>& ReadBuffer() {
+  thread_local std::array<char, kReadChunk> buffer;
+  return buffer;
+}
+
+bool WouldBlock(const ErrorCode& code) {
+  return code == boost::asio::error::would_block ||
+         code == boost::asio::error::try_again;
+}
+
+void SetOptions(tcp::socket& socket) {
+  ErrorCode ignored;
+  socket.non_blocking(true, ignored);
+  socket.set_option(tcp::no_delay(true), ignored);
+  const int timeout = kUnacknowledgedMs;
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+             sizeof(timeout));
+}
+
+}  // namespace
+
+Stream::Stream(tcp::socket socket)
+    : m_socket(std::move(socket)), m_linger(m_socket.get_executor()) {}
+
+void Stream::Start(Handlers handlers) {
+  m_handlers = std::make_shared<const Handlers>(std::move(handlers));
+  SetOptions(m_socket);
+  Read();
+}
+
+void Stream::ResumeReading() {
+  m_paused = false;
+  Read();
+}
+
+void Stream::Read() {
+  if (m_reading || m_paused || m_ended || !open()) {
+    return;
+  }
+  m_reading = true;
+  m_socket.async_wait(tcp::socket::wait_read,
+                      [self = shared_from_this()](const ErrorCode& code) {
+                        self->m_reading = false;
+                        if (!code) {
+                          self->OnReadable();
+                        }
+                      });
+}
+
+void Stream::OnReadable() {
+  if (!open() || m_paused) {
+    return;
+  }
+  ErrorCode code;
+  const size_t count =
+      m_socket.read_some(boost::asio::buffer(ReadBuffer()), code);
+  if (WouldBlock(code)) {
+    Read();
+    return;
+  }
+  if (code == boost::asio::error::eof) {
+    End(StreamEnd::kOrderly);
+    return;
+  }
+  if (code) {
+    End(StreamEnd::kReset);
+    return;
+  }
+  const auto handlers = m_handlers;
+  if (!m_closing && handlers && handlers->on_bytes) {
+    handlers->on_bytes(std::string_view(ReadBuffer().data(), count));
+  }
+  Read();
+}
+
+void Stream::End(StreamEnd end) {
+  if (m_ended) {
+    return;
+  }
+  m_ended = true;
+  if (m_closing) {
+    FinishClosing();
+    return;
+  }
+  const auto handlers = m_handlers;
+  if (handlers && handlers->on_end) {
+    handlers->on_end(end);
+  }
+}
+
+void Stream::Send(std::string_view bytes) {
+  if (!open() || m_closing) {
+    return;
+  }
+  if (m_out.empty()) {
+    ErrorCode code;
+    const size_t taken = m_socket.write_some(
+        boost::asio::buffer(bytes.data(), bytes.size()), code);
+    if (code && !WouldBlock(code)) {
+      // The reader sees the same break; it is reported from there, so that no
+      // caller is re-entered from its own Send().
+      Read();
+      return;
+    }
+    m_sent += taken;
+    bytes.remove_prefix(taken);
+    if (bytes.empty()) {
+      return;
+    }
+  }
+  m_out.append(bytes);
+  WaitWritable();
+}
+
+void Stream::WaitWritable() {
+  if (m_writing) {
+    return;
+  }
+  m_writing = true;
+  m_socket.async_wait(tcp::socket::wait_write,
+                      [self = shared_from_this()](const ErrorCode& code) {
+                        self->m_writing = false;
+                        if (!code) {
+                          self->Flush();
+                        }
+                      });
+}
+
+void Stream::Flush() {
+  if (!open()) {
+    return;
+  }
+  ErrorCode code;
+  const size_t taken = m_socket.write_some(
+      boost::asio::buffer(m_out.data() + m_out_sent, unsent()), code);
+  if (code && !WouldBlock(code)) {
+    End(StreamEnd::kReset);
+    return;
+  }
+  m_sent += taken;
+  m_out_sent += taken;
+  if (unsent() != 0) {
+    WaitWritable();
+    return;
+  }
+  m_out.clear();
+  m_out_sent = 0;
+  if (m_closing) {
+    FinishClosing();
+    return;
+  }
+  const auto handlers = m_handlers;
+  if (handlers && handlers->on_drained) {
+    handlers->on_drained();
+  }
+}
+
+// Closing a socket with unread bytes resets it, and the reset can overtake the
+// answer: the caller would lose an answer that was sent whole. So the write
+// side ends first, and the rest waits a moment for the other end to close.
+void Stream::CloseWhenSent() {
+  if (!open() || m_closing) {
+    return;
+  }
+  m_closing = true;
+  if (unsent() == 0) {
+    FinishClosing();
+  }
+}
+
+void Stream::FinishClosing() {
+  if (m_ended) {
+    Close();
+    return;
+  }
+  ErrorCode ignored;
+  m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  m_paused = false;
+  Read();
+  m_linger.expires_after(kLingerTime);
+  m_linger.async_wait([self = shared_from_this()](const ErrorCode& code) {
+    if (!code) {
+      self->Close();
+    }
+  });
+}
+
+void Stream::Abort() {
+  if (!open()) {
+    return;
+  }
+  ErrorCode ignored;
+  m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  Close();
+}
+
+void Stream::Close() {
+  ErrorCode ignored;
+  m_linger.cancel();
+  m_socket.close(ignored);
+  m_handlers.reset();
+}
+
+}  // namespace coppervalve::gateway
--- /dev/null
+++ b/src/gateway/topic_follower.cc
@@ -0,0 +1,105 @@
+#include "coppervalve/gateway/topic_follower.h"
+
+#include <algorithm>  // min
+#include <utility>    // move
+
+namespace coppervalve::gateway {
+
+namespace {
+
+constexpr uint32_t kMostDoublings = 4;
+
+}  // namespace
+
+TopicFollower::TopicFollower(boost::asio::io_context& io,
+                             FollowerOptions options,
+                             const KeyedStore& store,
+                             routing::RandomHook random,
+                             Hooks hooks)
+    : m_options(std::move(options)),
+      m_store(store),
+      m_random(std::move(random)),
+      m_hooks(std::move(hooks)),
+      m_timer(io) {}
+
+void TopicFollower::Stop() {
+  m_stopped = true;
+  m_timer.cancel();
+}
+
+void TopicFollower::ReadNewest() {
+  m_store.newest(m_options.topic, [self = shared_from_this()](
+                                      core::Result<NewestRecords> result) {
+    if (self->m_stopped) {
+      return;
+    }
+    if (!core::IsOk(result)) {
+      self->Fail(core::Failure(result));
+      return;
+    }
+    const NewestRecords& newest = core::Value(result);
+    self->m_failures = 0;
+    self->m_has_newest = true;
+    self->m_next = newest.next;
+    self->m_hooks.on_newest(newest.records);
+    self->m_hooks.on_read(self->m_next);
+    self->ReadOn();
+  });
+}
+
+void TopicFollower::ReadOn() {
+  m_store.read(m_options.topic, m_next, m_options.wait,
+               [self = shared_from_this()](core::Result<RecordBatch> result) {
+                 self->OnBatch(std::move(result));
+               });
+}
+
+void TopicFollower::OnBatch(core::Result<RecordBatch> result) {
+  if (m_stopped) {
+    return;
+  }
+  if (!core::IsOk(result)) {
+    if (core::Failure(result).id == core::ErrorId::kLogGap) {
+      ReadNewest();
+      return;
+    }
+    Fail(core::Failure(result));
+    return;
+  }
+  const RecordBatch& batch = core::Value(result);
+  m_failures = 0;
+  m_next = batch.next;
+  for (const KeyedRecord& record : batch.records) {
+    m_hooks.on_record(record);
+  }
+  m_hooks.on_read(m_next);
+  if (batch.records.empty()) {
+    ReadOn();
+    return;
+  }
+  After(m_options.pause, &TopicFollower::ReadOn);
+}
+
+// Without the random part all routers come back to a returning store at the
+// same moments and are turned away together.
+void TopicFollower::Fail(const core::Error& error) {
+  m_hooks.on_failure(error);
+  const auto factor = 1U << std::min(m_failures, kMostDoublings);
+  ++m_failures;
+  const core::Duration backoff =
+      std::min(m_options.first_backoff * factor, m_options.longest_backoff);
+  After(backoff / 2 + routing::UniformDuration(m_random, backoff),
+        m_has_newest ? &TopicFollower::ReadOn : &TopicFollower::ReadNewest);
+}
+
+void TopicFollower::After(core::Duration delay, void (TopicFollower::*step)()) {
+  m_timer.expires_after(delay);
+  m_timer.async_wait(
+      [self = shared_from_this(), step](const boost::system::error_code& code) {
+        if (!code && !self->m_stopped) {
+          (self.get()->*step)();
+        }
+      });
+}
+
+}  // namespace coppervalve::gateway
--- /dev/null
+++ b/src/gateway/upstream_connection.cc
@@ -0,0 +1,225 @@
+#include "coppervalve/gateway/upstream_connection.h"
+
+#include <boost/asio/ip/address.hpp>  // make_address
+#include <boost/asio/post.hpp>        // post
+#include <charconv>                   // from_chars
+#include <chrono>                     // milliseconds
+#include <utility>                    // move, exchange
+
+#include "coppervalve/net/endpoint.h"
+
+namespace coppervalve::gateway {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+// A first packet that is dropped is sent again only after a second: by then
+// another upstream has answered.
+constexpr std::chrono::milliseconds kConnectTime{350};
+
+core::Duration KeepAliveOf(const http1::ResponseHead& head) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string* value = head.headers.Find("keep-alive");
+  if (value == nullptr) {
+    return {};
+  }
+  const size_t at = value->find(kTimeout);
+  if (at == std::string::npos) {
+    return {};
+  }
+  int seconds = 0;
+  const char* first = value->data() + at + kTimeout.size();
+  std::from_chars(first, value->data() + value->size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(boost::asio::io_context& io,
+                                       std::string address)
+    : m_io(io), m_address(std::move(address)), m_connect_timer(io) {}
+
+void UpstreamConnection::Send(std::string request,
+                              bool without_body,
+                              Handlers handlers) {
+  m_request = std::move(request);
+  m_handlers = std::make_shared<const Handlers>(std::move(handlers));
+  m_reader = std::make_unique<http1::ResponseReader>(without_body);
+  m_unread.clear();
+  m_active = true;
+  m_head_delivered = false;
+  m_reusable = false;
+  if (!m_stream) {
+    Connect();
+    return;
+  }
+  m_sent_before = m_stream->sent();
+  m_stream->Send(m_request);
+}
+
+void UpstreamConnection::Connect() {
+  const auto endpoint = net::ReadEndpoint(m_address);
+  ErrorCode bad_address;
+  const auto ip = boost::asio::ip::make_address(
+      endpoint ? endpoint->ip : std::string(), bad_address);
+  if (!endpoint || bad_address) {
+    boost::asio::post(m_io, [self = shared_from_this()] {
+      self->Finish(AttemptEnd::kNotSent, "not an address");
+    });
+    return;
+  }
+  m_connecting = std::make_shared<tcp::socket>(m_io);
+  m_connect_timer.expires_after(kConnectTime);
+  m_connect_timer.async_wait(
+      [self = shared_from_this()](const ErrorCode& code) {
+        if (!code && self->m_connecting) {
+          ErrorCode ignored;
+          self->m_connecting->close(ignored);
+          self->m_connecting.reset();
+          self->Finish(AttemptEnd::kNotSent, "no connection in time");
+        }
+      });
+  m_connecting->async_connect(tcp::endpoint(ip, endpoint->port),
+                              [self = shared_from_this(),
+                               socket = m_connecting](const ErrorCode& code) {
+                                if (self->m_connecting != socket) {
+                                  return;
+                                }
+                                self->m_connect_timer.cancel();
+                                if (code) {
+                                  self->m_connecting.reset();
+                                  self->Finish(AttemptEnd::kNotSent,
+                                               "connection refused");
+                                  return;
+                                }
+                                self->OnConnected();
+                              });
+}
+
+void UpstreamConnection::OnConnected() {
+  m_stream = std::make_shared<Stream>(std::move(*m_connecting));
+  m_connecting.reset();
+  std::weak_ptr<UpstreamConnection> weak = weak_from_this();
+  m_stream->Start({[weak](std::string_view bytes) {
+                     if (const auto self = weak.lock()) {
+                       self->OnBytes(bytes);
+                     }
+                   },
+                   [weak](StreamEnd end) {
+                     if (const auto self = weak.lock()) {
+                       self->OnEnd(end);
+                     }
+                   },
+                   {}});
+  m_sent_before = 0;
+  m_stream->Send(m_request);
+}
+
+bool UpstreamConnection::sent_any() const {
+  return m_stream && m_stream->sent() > m_sent_before;
+}
+
+void UpstreamConnection::OnBytes(std::string_view bytes) {
+  if (!m_active) {
+    // Bytes that no request asked for: a late second answer. On a kept
+    // connection the next caller would get it for its own.
+    Close();
+    return;
+  }
+  m_unread.append(bytes);
+  const core::Result<size_t> used = m_reader->Feed(m_unread);
+  if (!core::IsOk(used)) {
+    Finish(AttemptEnd::kBroken, "not an HTTP answer");
+    return;
+  }
+  m_unread.erase(0, core::Value(used));
+  Deliver();
+}
+
+void UpstreamConnection::Deliver() {
+  const auto keep = shared_from_this();
+  const auto handlers = m_handlers;
+  if (!m_head_delivered && m_reader->head_done()) {
+    m_head_delivered = true;
+    m_keep_alive = KeepAliveOf(m_reader->head());
+    handlers->on_head(m_reader->head());
+  }
+  if (!m_active) {
+    return;
+  }
+  std::string body = m_reader->TakeBody();
+  if (!body.empty()) {
+    handlers->on_body(std::move(body));
+  }
+  if (m_active && m_reader->done()) {
+    // An upstream that answers before it has read the whole request would
+    // take the rest of it for the next one.
+    m_reusable = m_reader->head().keep_alive && m_unread.empty() &&
+                 m_stream->unsent() == 0;
+    Finish(AttemptEnd::kWhole, {});
+  }
+}
+
+void UpstreamConnection::OnEnd(StreamEnd end) {
+  if (!m_active) {
+    Close();
+    return;
+  }
+  // An answer without a length ends with its connection, but only with an
+  // orderly end: one that was reset on the way may lack its tail.
+  if (end == StreamEnd::kOrderly && m_reader->FinishAtEnd()) {
+    Deliver();
+    return;
+  }
+  const bool sent = sent_any();
+  Finish(sent ? AttemptEnd::kBroken : AttemptEnd::kNotSent,
+         end == StreamEnd::kOrderly ? "connection closed" : "connection reset");
+}
+
+void UpstreamConnection::Finish(AttemptEnd end, std::string_view why) {
+  if (!m_active) {
+    return;
+  }
+  m_active = false;
+  if (!m_reusable && m_stream) {
+    m_stream->Abort();
+  }
+  const auto handlers = std::exchange(m_handlers, nullptr);
+  handlers->on_end(end, why);
+}
+
+void UpstreamConnection::Cancel() {
+  m_active = false;
+  m_reusable = false;
+  m_handlers.reset();
+  m_connect_timer.cancel();
+  if (m_connecting) {
+    ErrorCode ignored;
+    m_connecting->close(ignored);
+    m_connecting.reset();
+  }
+  Close();
+}
+
+void UpstreamConnection::PauseReading() {
+  if (m_stream) {
+    m_stream->PauseReading();
+  }
+}
+
+void UpstreamConnection::ResumeReading() {
+  if (m_stream) {
+    m_stream->ResumeReading();
+  }
+}
+
+void UpstreamConnection::Close() {
+  m_reusable = false;
+  if (m_stream) {
+    m_stream->Abort();
+  }
+}
+
+}  // namespace coppervalve::gateway
--- /dev/null
+++ b/src/gateway/upstream_pool.cc
@@ -0,0 +1,75 @@
+#include "coppervalve/gateway/upstream_pool.h"
+
+#include <algorithm>  // max
+
+namespace coppervalve::gateway {
+
+namespace {
+
+// Unless the upstream says how long it keeps an idle connection.
+constexpr core::Duration kUnsaidKeepAlive{4'000'000};
+// The upstream's time is in whole seconds and counts from its own last byte.
+constexpr core::Duration kCloseAhead{700'000};
+constexpr core::Duration kLeastIdle{300'000};
+constexpr core::Duration kCarefulIdle{2'500'000};
+
+}  // namespace
+
+UpstreamConnectionRef UpstreamPool::Take(const entry::Upstream& upstream,
+                                         bool careful,
+                                         core::TimePoint now) {
+  std::vector<Idle>& idle = m_idle[upstream.entry.id];
+  while (!idle.empty()) {
+    // The one used last: it is the least likely to be closing.
+    const Idle last = idle.back();
+    if (careful && now - last.since > kCarefulIdle) {
+      break;
+    }
+    idle.pop_back();
+    if (last.connection->reusable() && now < last.usable_until) {
+      return last.connection;
+    }
+    last.connection->Close();
+  }
+  ++m_opened;
+  return std::make_shared<UpstreamConnection>(m_io, upstream.entry.address);
+}
+
+void UpstreamPool::Give(const core::UpstreamId& upstream,
+                        const UpstreamConnectionRef& connection,
+                        core::TimePoint now) {
+  if (!connection->reusable()) {
+    return;
+  }
+  core::Duration keep = connection->keep_alive();
+  if (keep == core::Duration::zero()) {
+    keep = kUnsaidKeepAlive;
+  }
+  m_idle[upstream].push_back(
+      {connection, now, now + std::max(keep - kCloseAhead, kLeastIdle)});
+}
+
+void UpstreamPool::CloseOld(core::TimePoint now) {
+  for (auto& [upstream, idle] : m_idle) {
+    std::erase_if(idle, [now](const Idle& one) {
+      const bool old = !one.connection->reusable() || now >= one.usable_until;
+      if (old) {
+        one.connection->Close();
+      }
+      return old;
+    });
+  }
+}
+
+void UpstreamPool::Forget(const core::UpstreamId& upstream) {
+  const auto found = m_idle.find(upstream);
+  if (found == m_idle.end()) {
+    return;
+  }
+  for (const Idle& one : found->second) {
+    one.connection->Close();
+  }
+  m_idle.erase(found);
+}
+
+}  // namespace coppervalve::gateway
--- /dev/null
+++ b/src/http1/event_cutter.cc
@@ -0,0 +1,73 @@
+#include "coppervalve/http1/event_cutter.h"
+
+#include <algorithm>  // max
+#include <utility>    // exchange
+
+namespace coppervalve::http1 {
+
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// @return the position behind the last blank line; 0 when there is none
+size_t EndOfLastEvent(std::string_view text) {
+  size_t end = 0;
+  const size_t plain = text.rfind("\n\n");
+  if (plain != std::string_view::npos) {
+    end = plain + 2;
+  }
+  const size_t with_returns = text.rfind("\r\n\r\n");
+  if (with_returns != std::string_view::npos) {
+    end = std::max(end, with_returns + 4);
+  }
+  return end;
+}
+
+std::string_view ValueOf(std::string_view line) {
+  line.remove_prefix(kIdField.size());
+  if (line.starts_with(' ')) {
+    line.remove_prefix(1);
+  }
+  return line;
+}
+
+}  // namespace
+
+std::string EventCutter::Feed(std::string_view bytes) {
+  m_tail.append(bytes);
+  const size_t end = EndOfLastEvent(m_tail);
+  if (end == 0) {
+    return {};
+  }
+  std::string whole = m_tail.substr(0, end);
+  m_tail.erase(0, end);
+  Count(whole);
+  return whole;
+}
+
+std::string EventCutter::TakeTail() {
+  return std::exchange(m_tail, {});
+}
+
+void EventCutter::Count(std::string_view events) {
+  bool in_event = false;
+  while (!events.empty()) {
+    const size_t newline = events.find('\n');
+    std::string_view line = events.substr(0, newline);
+    events.remove_prefix(newline + 1);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (line.empty()) {
+      m_events += in_event ? 1 : 0;
+      in_event = false;
+      continue;
+    }
+    in_event = true;
+    if (line.starts_with(kIdField)) {
+      m_last_id = ValueOf(line);
+    }
+  }
+}
+
+}  // namespace coppervalve::http1
--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -7,7 +7,7 @@
   g++ cmake make ninja-build ccache git python3 curl
   libboost1.81-dev libnghttp2-dev prometheus-cpp-dev libcli11-dev
   libeasyloggingpp-dev cpputest libcpputest-dev
-  protobuf-compiler libprotobuf-dev libssl-dev libxxhash-dev libpcg-cpp-dev
+  protobuf-compiler libprotobuf-dev libssl-dev libtomlplusplus-dev libxxhash-dev libpcg-cpp-dev
   libbenchmark-dev spin valgrind
   clang-format clang-tidy
 )
