Claim by an account's share of what came here, from unbiased averages

Cause: work was refused in cuts and after the loss of all power. The logs show why: some accounts come to two routers only and got an even sixth; young averages stood at half the true demand five seconds into traffic; ceilings of all routers together took all that was left before the power went, and all of it was lost. Change: demand of the fleet times the own share (shrunk to an even part by twelve requests), plus one deviation; at most 35% of what can still be spent is held; averages corrected for their age; a waiting request states what it wants.

--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -24,16 +24,19 @@
 /// @brief Constants of how far a router's ceiling runs ahead of its spending.
 struct BookOptions {
   /// A router goes on serving for about this long without the store.
-  core::Duration ahead{10'000'000};
-  /// Share of what is left that all routers together take before they have
-  /// seen any demand.
-  double first_share = 0.35;
+  core::Duration ahead{9'000'000};
+  /// Standard deviations of the demand of that time that are held on top.
+  double spread = 1.0;
+  /// Share of what can still be spent that all routers together take before
+  /// they have seen any demand.
+  double first_share = 0.3;
   core::Duration learning{8'000'000};
-  /// Share of its part of what is left that a router holds at most.
-  double most_of_rest = 0.55;
+  /// Share of what can still be spent that all routers hold at most: the rest
+  /// stays free for those whose demand grows.
+  double most_held = 0.35;
   /// Ask for more below this share of the aim, give back above that one.
-  double raise_below = 0.8;
-  double lower_above = 1.5;
+  double raise_below = 0.97;
+  double lower_above = 1.1;
 };
 
 /// @brief This router's part of every account's prepaid total.
@@ -53,7 +56,9 @@
   /// ceilings count as used up. Call it once, before the first claim.
   void OnPredecessor(const v1::RouterBeat& beat);
   /// @brief A record of another router, in log order.
-  void OnOtherBeat(const core::RouterId& router, const v1::RouterBeat& beat);
+  void OnOtherBeat(const core::RouterId& router,
+                   const v1::RouterBeat& beat,
+                   core::TimePoint now);
   /// @brief This incarnation's own record came back from the log, after every
   /// record before it went through OnOtherBeat().
   void OnOwnBeat(const v1::RouterBeat& beat);
@@ -68,7 +73,8 @@
   /// @pre the tokens were reserved and `used` is at most `reserved`
   void Settle(const core::AccountId& account,
               core::Tokens reserved,
-              core::Tokens used);
+              core::Tokens used,
+              core::TimePoint now);
   /// @brief Writes what this router claims from now on. Lower ceilings hold
   /// at once, higher ones when the record came back.
   /// @param routers live at present, this one included
@@ -95,6 +101,9 @@
   struct OtherClaim {
     core::Tokens claimed{};
     core::Tokens spent{};
+    core::Tokens unspent{};  ///< of the present incarnation
+    uint64_t epoch = 0;
+    core::Tokens ceiling_spent{};  ///< by the present incarnation
   };
   struct Entry {
     std::optional<core::Tokens> total;
@@ -106,14 +115,20 @@
     core::Tokens reserved{};
     core::Tokens others_claimed{};
     core::Tokens others_spent{};
-    core::Tokens largest{};  ///< request seen
-    bool stated = false;     ///< has been in a record
+    core::Tokens others_unspent{};
+    core::Tokens others_live_spent{};  ///< by present incarnations
+    core::Tokens largest{};            ///< request seen
+    core::Tokens wanted{};  ///< by requests that wait for a higher ceiling
+    bool stated = false;    ///< has been in a record
     std::unordered_map<core::RouterId, OtherClaim> others;
-    Demand demand;
+    Demand own_demand;    ///< asked for here, served or not
+    Demand fleet_demand;  ///< spent by all routers
   };
   static core::Tokens InUse(const Entry& entry);
   static core::Tokens Free(const Entry& entry);
   static core::Tokens LeastSpent(const Entry& entry);
+  static core::Tokens Spendable(const Entry& entry);
+  static double OwnShare(const Entry& entry, uint32_t routers);
   core::Tokens Aim(const Entry& entry,
                    uint32_t routers,
                    core::TimePoint now) const;
--- a/include/coppervalve/entry/demand.h
+++ b/include/coppervalve/entry/demand.h
@@ -1,6 +1,8 @@
 #ifndef COPPERVALVE_ENTRY_DEMAND_H_
 #define COPPERVALVE_ENTRY_DEMAND_H_
 
+#include <optional>  // optional
+
 #include "coppervalve/core/units.h"
 
 namespace coppervalve::entry {
@@ -19,8 +21,10 @@
     double per_second = 0;
     double At(double seconds_later, double span) const;
   };
+  double Corrected(double average, double span, core::TimePoint now) const;
   Average m_fast;
   Average m_slow;
+  std::optional<core::TimePoint> m_began;
   core::TimePoint m_updated{};
 };
 
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -1,16 +1,18 @@
 #include "coppervalve/entry/allotment_book.h"
 
 #include <algorithm>      // min, max
+#include <cmath>          // sqrt
 #include <unordered_set>  // unordered_set
 
 namespace coppervalve::entry {
 
 namespace {
 
-// A share of a part is raised to at least this many of the largest requests,
-// so that a rare one is not refused for want of a write to the store.
-constexpr int64_t kLeastRequests = 2;
 constexpr double kLeastShareOfFree = 0.25;
+// Own demand is a small sample of the fleet's; it counts in full only where
+// it is far above the router's even part.
+constexpr double kOwnWeight = 0.5;
+constexpr double kPriorRequests = 12;
 
 core::Tokens Times(core::Tokens tokens, double factor) {
   return core::Tokens(
@@ -38,6 +40,13 @@
   return entry.others_spent + entry.retired_spent + InUse(entry);
 }
 
+// What is neither spent nor lost with an earlier start of a router: free or in
+// the hands of a router that lives.
+core::Tokens AllotmentBook::Spendable(const Entry& entry) {
+  return NotNegative(NotNegative(Free(entry)) + entry.asked - InUse(entry) +
+                     entry.others_unspent);
+}
+
 void AllotmentBook::OnConfiguration(const Configuration& configuration) {
   std::unordered_set<core::AccountId> listed;
   for (const Account& account : configuration.accounts) {
@@ -63,16 +72,28 @@
 // granted in part is corrected by its own router's next record. Until then
 // this errs on the side of too little left, never of too much.
 void AllotmentBook::OnOtherBeat(const core::RouterId& router,
-                                const v1::RouterBeat& beat) {
+                                const v1::RouterBeat& beat,
+                                core::TimePoint now) {
   for (const v1::AccountClaim& claim : beat.claims()) {
     Entry& entry = m_entries[core::AccountId(claim.account())];
     OtherClaim& other = entry.others[router];
+    const core::Tokens spent_now(claim.spent());
+    if (other.epoch == beat.epoch() && spent_now > other.ceiling_spent) {
+      entry.fleet_demand.Add(spent_now - other.ceiling_spent, now);
+    }
     entry.others_claimed -= other.claimed;
     entry.others_spent -= other.spent;
+    entry.others_unspent -= other.unspent;
+    entry.others_live_spent -= other.ceiling_spent;
     other.claimed = core::Tokens(claim.retired() + claim.ceiling());
     other.spent = core::Tokens(claim.retired_spent() + claim.spent());
+    other.unspent = core::Tokens(claim.ceiling() - claim.spent());
+    other.ceiling_spent = spent_now;
+    other.epoch = beat.epoch();
     entry.others_claimed += other.claimed;
     entry.others_spent += other.spent;
+    entry.others_unspent += other.unspent;
+    entry.others_live_spent += other.ceiling_spent;
   }
 }
 
@@ -99,7 +120,7 @@
   if (!m_first_demand) {
     m_first_demand = now;
   }
-  entry.demand.Add(tokens, now);
+  entry.own_demand.Add(tokens, now);
   entry.largest = std::max(entry.largest, tokens);
 }
 
@@ -116,15 +137,18 @@
   if (LeastSpent(entry) + tokens > *entry.total) {
     return Reservation::kExhausted;
   }
+  entry.wanted += tokens;
   return Reservation::kShort;
 }
 
 void AllotmentBook::Settle(const core::AccountId& account,
                            core::Tokens reserved,
-                           core::Tokens used) {
+                           core::Tokens used,
+                           core::TimePoint now) {
   Entry& entry = m_entries[account];
   entry.reserved -= reserved;
   entry.spent += used;
+  entry.fleet_demand.Add(used, now);
 }
 
 bool AllotmentBook::MayBeCovered(const core::AccountId& account,
@@ -137,31 +161,41 @@
   return Free(entry) + entry.ceiling - InUse(entry) >= tokens;
 }
 
+// Callers choose routers at random, but some accounts come to a few routers
+// only. What came so far tells, once it is more than a few requests: until
+// then an even part is the better guess.
+double AllotmentBook::OwnShare(const Entry& entry, uint32_t routers) {
+  const double even = 1.0 / std::max(routers, 1U);
+  const auto own = static_cast<double>(InUse(entry).value());
+  const auto all = own + static_cast<double>(entry.others_live_spent.value());
+  const double prior =
+      kPriorRequests * static_cast<double>(entry.largest.value());
+  if (all + prior <= 0) {
+    return even;
+  }
+  return (own + prior * even) / (all + prior);
+}
+
 // How far the ceiling should run ahead of what is in use.
 core::Tokens AllotmentBook::Aim(const Entry& entry,
                                 uint32_t routers,
                                 core::TimePoint now) const {
-  const core::Tokens rest = NotNegative(*entry.total - LeastSpent(entry));
-  const double by_routers = 1.0 / std::max(routers, 1U);
-  const core::Tokens spent_by_all = entry.others_spent + InUse(entry);
-  double own_part = by_routers;
-  if (spent_by_all > core::Tokens(0)) {
-    own_part =
-        std::max(own_part, static_cast<double>(InUse(entry).value()) /
-                               static_cast<double>(spent_by_all.value()));
-  }
-  const core::Tokens most = Times(rest, m_options.most_of_rest * own_part);
-  const double ahead = std::chrono::duration<double>(m_options.ahead).count();
-  core::Tokens aim =
-      core::Tokens(static_cast<int64_t>(entry.demand.PerSecond(now) * ahead));
+  const double share = OwnShare(entry, routers);
+  const core::Tokens spendable = Spendable(entry);
+  const double seconds = std::chrono::duration<double>(m_options.ahead).count();
+  const double expected =
+      std::max(entry.fleet_demand.PerSecond(now) * share * seconds,
+               entry.own_demand.PerSecond(now) * kOwnWeight * seconds);
+  const auto largest = static_cast<double>(entry.largest.value());
+  const double spread = m_options.spread * std::sqrt(expected * largest);
+  core::Tokens aim(static_cast<int64_t>(expected + spread));
   const bool learning =
       !m_first_demand || now - *m_first_demand < m_options.learning;
   if (learning) {
-    aim = std::max(aim, Times(rest, m_options.first_share * by_routers));
+    aim = std::max(aim, Times(spendable, m_options.first_share * share));
   }
-  aim = std::max(std::min(aim, most),
-                 core::Tokens(entry.largest.value() * kLeastRequests));
-  return std::min(aim, rest);
+  aim = std::min(aim, Times(spendable, m_options.most_held * share));
+  return std::min(std::max(aim, entry.wanted), spendable);
 }
 
 core::Tokens AllotmentBook::NextCeiling(const Entry& entry,
@@ -180,7 +214,7 @@
       NotNegative(Free(entry) + entry.asked - entry.ceiling);
   const double share = std::max(1.0 / std::max(routers, 1U), kLeastShareOfFree);
   const core::Tokens fair =
-      std::max(Times(free, share), std::min(free, entry.largest));
+      std::max(Times(free, share), std::min(free, entry.wanted));
   return std::max(entry.ceiling, std::min(in_use + aim, entry.ceiling + fair));
 }
 
@@ -195,6 +229,7 @@
     } else if (entry.total) {
       next = NextCeiling(entry, routers, now);
     }
+    entry.wanted = core::Tokens(0);
     entry.asked = next;
     entry.ceiling = std::min(entry.ceiling, next);
     const bool claims_nothing =
--- a/src/entry/demand.cc
+++ b/src/entry/demand.cc
@@ -7,8 +7,12 @@
 
 namespace {
 
-constexpr double kFastSpan = 1.5;  // seconds
-constexpr double kSlowSpan = 5;    // seconds
+constexpr double kFastSpan = 2.5;  // seconds
+constexpr double kSlowSpan = 8;    // seconds
+// A short span is mostly chance: it counts where it is well above the long one.
+constexpr double kFastWeight = 0.75;
+// One request right after the beginning is no rate.
+constexpr double kLeastAge = 1.5;  // seconds
 
 double SecondsSince(core::TimePoint start, core::TimePoint now) {
   return std::max(0.0, std::chrono::duration<double>(now - start).count());
@@ -21,6 +25,9 @@
 }
 
 void Demand::Add(core::Tokens tokens, core::TimePoint now) {
+  if (!m_began) {
+    m_began = now;
+  }
   const double passed = SecondsSince(m_updated, now);
   const auto amount = static_cast<double>(tokens.value());
   m_fast.per_second = m_fast.At(passed, kFastSpan) + amount / kFastSpan;
@@ -28,9 +35,23 @@
   m_updated = now;
 }
 
+// An average that began a moment ago has not seen its whole span yet and would
+// stay far below the truth for that long.
+double Demand::Corrected(double average,
+                         double span,
+                         core::TimePoint now) const {
+  const double age = std::max(SecondsSince(*m_began, now), kLeastAge);
+  return average / (1 - std::exp(-age / span));
+}
+
 double Demand::PerSecond(core::TimePoint now) const {
+  if (!m_began) {
+    return 0;
+  }
   const double passed = SecondsSince(m_updated, now);
-  return std::max(m_fast.At(passed, kFastSpan), m_slow.At(passed, kSlowSpan));
+  const double fast = Corrected(m_fast.At(passed, kFastSpan), kFastSpan, now);
+  const double slow = Corrected(m_slow.At(passed, kSlowSpan), kSlowSpan, now);
+  return std::max(kFastWeight * fast, slow);
 }
 
 }  // namespace coppervalve::entry
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -30,7 +30,7 @@
 // When to come back, by what is missing.
 constexpr core::Duration kSoon{200'000};
 constexpr core::Duration kAfterReading{500'000};
-constexpr core::Duration kAfterACut{2'000'000};
+constexpr core::Duration kAfterACut{4'000'000};
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -559,7 +559,8 @@
     used = std::min(m_reserved,
                     m_facts.prompt + std::min(output, m_facts.most_output));
   }
-  m_context.book.Settle(m_admitted.account->name, m_reserved, used);
+  m_context.book.Settle(m_admitted.account->name, m_reserved, used,
+                        net::BootNow());
   m_reserved = core::Tokens(0);
 }
 
@@ -587,6 +588,8 @@
     const auto figures = m_context.book.FiguresOf(account);
     line.Text("account", account.value())
         .Number("tokens_most", (m_facts.prompt + m_facts.most_output).value())
+        .Number("total", figures.total.value_or(core::Tokens(0)).value())
+        .Number("elsewhere", figures.others.value())
         .Number("ceiling", figures.ceiling.value())
         .Number("spent", figures.spent.value())
         .Number("reserved", figures.reserved.value());
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -350,7 +350,7 @@
     const core::RouterId router(record.key);
     m_members.OnBeat(router, beat, net::BootNow());
     if (router != m_settings.router) {
-      m_book.OnOtherBeat(router, beat);
+      m_book.OnOtherBeat(router, beat, net::BootNow());
       continue;
     }
     // No grant is taken from here: the list is not a snapshot, and a record
@@ -372,7 +372,7 @@
   const core::RouterId router(record.key);
   m_members.OnBeat(router, beat, net::BootNow());
   if (router != m_settings.router) {
-    m_book.OnOtherBeat(router, beat);
+    m_book.OnOtherBeat(router, beat, net::BootNow());
     return;
   }
   if (beat.epoch() != m_writer->epoch()) {
