Place by the expected wait, with loads shared by datagrams

Cause: a tenth of the streams were late with three quarters of the engines' reading time idle. Change: cost = tokens in prefill of all routers + own uncached tokens + a missed prefix times eight, times how slow the upstream proved; routers tell each other their work every 50 ms, to eight peers at most; silence counts as work like our own.

--- a/include/coppervalve/entry/admission.h
+++ b/include/coppervalve/entry/admission.h
@@ -22,7 +22,8 @@
   core::Tokens prompt{};
   core::Tokens most_output{};
   std::string shared_prefix;  ///< parts of the prompt shared with others
-  std::string resume_after;   ///< id of the last event the caller has
+  core::Tokens shared_tokens{};
+  std::string resume_after;  ///< id of the last event the caller has
 };
 
 /// @brief A request that may be sent.
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -31,12 +31,15 @@
 
   /// @return callers' addresses of the live routers that are ready and stay
   std::vector<std::string> Addresses() const;
+  /// @return where the other live routers take load reports
+  std::vector<std::string> LoadAddresses() const;
   /// @return routers that may be serving, this one included; at least 1
   uint32_t Live() const;
 
  private:
   struct Member {
     std::string address;
+    std::string load_address;
     uint64_t epoch = 0;
     uint64_t sequence = 0;
     bool ready = false;
--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -2,11 +2,13 @@
 #define COPPERVALVE_ENTRY_PLACEMENT_H_
 
 #include <cstdint>      // uint8_t, uint32_t
+#include <string>       // string
 #include <string_view>  // string_view
 #include <vector>       // vector
 
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
+#include "coppervalve/entry/peer_loads.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/routing/random_hook.h"
 
@@ -14,9 +16,9 @@
 
 /// @brief Why an upstream was chosen, or why none was.
 enum class PlacedBy : uint8_t {
-  kLeastLoad,
-  kPrefixOwner,  ///< first by rendezvous hashing of the shared prompt parts
-  kPrefixNext,   ///< a later one: those before it are above the load bound
+  kLeastCost,    ///< least expected wait
+  kPrefixOwner,  ///< as above, and first by hashing of the shared prefix
+  kPrefixSent,   ///< as above, and this router sent the prefix there lately
   kLastResort,   ///< none that is trusted is left
   kNoneLeft,     ///< none chosen: all were tried or are at their bound
   kNoneKnown,    ///< none chosen: the service has no upstream
@@ -28,9 +30,13 @@
 /// @brief What is to be placed.
 struct PlacementQuery {
   core::ServiceId service;
-  std::string_view shared_prefix;  ///< empty = no affinity
+  bool engine = false;           ///< the service's upstreams are engines
+  std::string shared_prefix;     ///< empty = nothing to find again
+  core::Tokens shared_tokens{};  ///< of the prefix
+  core::Tokens prompt{};         ///< all of it
   std::vector<core::UpstreamId> exclude;
   uint32_t connection_bound = 0;  ///< of this router per upstream; 0 = none
+  uint32_t routers = 1;           ///< that send to the service, this included
 };
 
 /// @brief Where it goes, and the facts that decided.
@@ -38,49 +44,73 @@
   UpstreamRef upstream;  ///< null: see `why`
   PlacedBy why = PlacedBy::kNoneKnown;
   uint32_t candidates = 0;
-  double load = 0;
+  uint32_t reporting = 0;  ///< routers whose work was known
+  double cost = 0;
 };
 
-/// @brief Constants of the policy.
+/// @brief Constants of the policy. Costs of engines are in prompt tokens that
+/// must be read first, those of plain services in requests.
 struct PlacementOptions {
-  /// The owner of a prefix is passed over above this multiple of the mean.
-  double load_bound = 1.25;
-  /// Load that is always allowed, so that a calm fleet keeps affinity.
-  double free_load = 4;
-  /// Prompt tokens in prefill that weigh as much as one running request.
-  double prefill_unit = 4'000;
-  /// Load that another failure domain must save to be worth the way.
-  double domain_bonus = 0.5;
+  /// A shared token that must be read again counts this often: it delays this
+  /// request and takes time and memory from others.
+  double missed_prefix = 8;
+  /// A running generation slows others a little.
+  double running = 40;
+  /// Beyond its slots an engine makes requests wait for a whole one to end.
+  double beyond_slots = 6'000;
+  /// Reading grows faster than the prompt: twice the cost a token at this
+  /// length.
+  double double_at = 40'000;
+  /// Saved by staying in the own failure domain, in requests.
+  double own_domain = 0.4;
+  /// Requests of a plain service beyond its slots count this often.
+  double beyond_plain_slots = 3;
 };
 
-/// @brief Places requests on the upstreams of a service by what this router
-/// has in progress there: it must work without word from others.
+/// @brief Places requests on the upstreams of a service by the wait that they
+/// are expected to meet there: what this router and those that reported have
+/// in progress; for routers that did not report, as much as this one has.
 class Placer {
  public:
   Placer(PlacementOptions options,
          core::FailureDomainId own_domain,
+         const PeerLoads& peers,
          routing::RandomHook random);
 
   /// @complexity linear in the upstreams of the service
   Placement Choose(const UpstreamDirectory& directory,
                    const PlacementQuery& query,
                    core::TimePoint now) const;
+  /// @return what reading a prompt costs, in tokens of a short one
+  double ReadingCost(core::Tokens prompt) const;
 
  private:
   struct Candidate {
     UpstreamRef upstream;
-    double load = 0;
+    double cost = 0;
+    bool owner = false;
+    bool sent = false;
   };
-  std::vector<Candidate> Candidates(const std::vector<UpstreamRef>& upstreams,
-                                    const PlacementQuery& query,
-                                    Trust least,
-                                    core::TimePoint now) const;
-  Placement ByPrefix(std::vector<Candidate> candidates,
-                     std::string_view prefix) const;
-  Placement ByLoad(const std::vector<Candidate>& candidates) const;
+  std::vector<UpstreamRef> Usable(const std::vector<UpstreamRef>& upstreams,
+                                  const PlacementQuery& query,
+                                  Trust least,
+                                  core::TimePoint now) const;
+  Load LoadOf(const Upstream& upstream, const PlacementQuery& query) const;
+  Candidate CostAtEngine(const UpstreamRef& upstream,
+                         const PlacementQuery& query,
+                         bool owner,
+                         double usual_pace,
+                         core::TimePoint now) const;
+  Candidate CostAtPlain(const UpstreamRef& upstream,
+                        const PlacementQuery& query,
+                        double usual_pace) const;
+  Placement Cheapest(const std::vector<UpstreamRef>& usable,
+                     const PlacementQuery& query,
+                     core::TimePoint now) const;
 
   PlacementOptions m_options;
   core::FailureDomainId m_own_domain;
+  const PeerLoads& m_peers;
   routing::RandomHook m_random;
 };
 
--- /dev/null
+++ b/include/coppervalve/entry/prefix_memory.h
@@ -0,0 +1,29 @@
+#ifndef COPPERVALVE_ENTRY_PREFIX_MEMORY_H_
+#define COPPERVALVE_ENTRY_PREFIX_MEMORY_H_
+
+#include <cstddef>        // size_t
+#include <cstdint>        // uint64_t
+#include <deque>          // deque
+#include <unordered_map>  // unordered_map
+#include <utility>        // pair
+
+#include "coppervalve/core/units.h"
+
+namespace coppervalve::entry {
+
+/// @brief Which shared prompt parts this router sent to one upstream lately,
+/// and which the upstream therefore probably still keeps.
+class PrefixMemory {
+ public:
+  /// @complexity amortized constant, as all of this class
+  void Remember(uint64_t prefix, core::TimePoint now);
+  bool Holds(uint64_t prefix, core::TimePoint now) const;
+
+ private:
+  std::unordered_map<uint64_t, core::TimePoint> m_last_use;
+  std::deque<std::pair<core::TimePoint, uint64_t>> m_uses;
+};
+
+}  // namespace coppervalve::entry
+
+#endif  // COPPERVALVE_ENTRY_PREFIX_MEMORY_H_
--- a/include/coppervalve/entry/upstream_directory.h
+++ b/include/coppervalve/entry/upstream_directory.h
@@ -10,6 +10,7 @@
 
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
+#include "coppervalve/entry/prefix_memory.h"
 #include "coppervalve/entry/store_contact.h"
 #include "coppervalve/entry/upstream_health.h"
 
@@ -30,9 +31,10 @@
 struct Upstream {
   UpstreamEntry entry;
   UpstreamHealth health;
-  uint32_t in_flight = 0;     ///< requests of this router
-  core::Tokens in_prefill{};  ///< prompt tokens sent and not yet answered
-  uint32_t connections = 0;   ///< open, of this router
+  uint32_t load_key = 0;   ///< its name in load reports
+  uint32_t in_flight = 0;  ///< requests of this router
+  double in_prefill = 0;   ///< cost of reading what has not answered yet
+  PrefixMemory prefixes;
   /// The entry went while the store was not well; it may be back soon.
   std::optional<core::TimePoint> lapsed;
 };
@@ -70,6 +72,9 @@
   /// until the next change
   const std::vector<UpstreamRef>& Of(const core::ServiceId& service) const;
   UpstreamRef Find(const core::UpstreamId& id) const;
+  const std::unordered_map<core::UpstreamId, UpstreamRef>& all() const {
+    return m_by_id;
+  }
   size_t size() const { return m_by_id.size(); }
 
  private:
--- a/include/coppervalve/entry/upstream_health.h
+++ b/include/coppervalve/entry/upstream_health.h
@@ -26,13 +26,14 @@
  public:
   /// @complexity constant, as all of this class
   void On(AttemptOutcome outcome, core::TimePoint now);
-  /// @brief Time to the first byte of an answer, in relation to what was
-  /// asked for.
-  void OnLatency(core::Duration latency);
+  /// @brief Time to the first byte of an answer.
+  /// @param cost that was expected of the request, in any unit that is the
+  /// same for all upstreams of the service
+  void OnFirstByte(core::Duration time, double cost);
 
   Trust trust(core::TimePoint now) const;
-  /// @return smoothed time to the first byte; zero before any
-  core::Duration latency() const { return m_latency; }
+  /// @return smoothed microseconds a unit of cost; 0 before any answer
+  double pace() const { return m_pace; }
 
  private:
   double FailuresAt(core::TimePoint now) const;
@@ -42,7 +43,7 @@
   core::TimePoint m_failures_at{};
   core::TimePoint m_avoid_until{};
   uint32_t m_in_a_row = 0;
-  core::Duration m_latency{};
+  double m_pace = 0;
 };
 
 }  // namespace coppervalve::entry
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -66,7 +66,8 @@
     UpstreamConnectionRef connection;
     core::TimePoint began;
     AnswerFacts answer;
-    bool head_seen = false;
+    double reading = 0;       ///< its part of the upstream's in_prefill
+    double cost = 0;          ///< expected when it was placed
     bool passing_on = false;  ///< its bytes go to the caller
     bool resumed = false;
   };
@@ -86,6 +87,7 @@
   void OnBroken(std::string_view why);
   void OnDeclined();
   void PassOn(std::string_view bytes);
+  void EndReading();
   void ForgetAnswer();
   void CutAttempt(entry::AttemptOutcome outcome);
   void LeaveUpstream(entry::AttemptOutcome outcome);
@@ -132,6 +134,7 @@
   bool m_done = false;
   std::string m_last_failure;
   std::string_view m_placed_by;
+  double m_placed_cost = 0;
 };
 
 }  // namespace coppervalve::gateway
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "coppervalve/gateway/gateway_metrics.h"
 #include "coppervalve/gateway/keyed_store.h"
 #include "coppervalve/gateway/listener.h"
+#include "coppervalve/gateway/load_exchange.h"
 #include "coppervalve/gateway/topic_follower.h"
 #include "coppervalve/gateway/upstream_pool.h"
 
@@ -45,6 +46,7 @@
   std::string readiness_address;  ///< empty = not served
   std::string directory_address;  ///< empty = not served
   std::string metrics_address;    ///< empty = not served
+  std::string load_address;       ///< of load reports; empty = none
   /// From the signal to end until the process is ended by force.
   core::Duration grace{8'000'000};
   core::Duration address_lifetime{2'000'000};
@@ -99,6 +101,7 @@
 
   void MakeFollowers();
   void MakeBeatWriter();
+  void ShareLoads(uint64_t epoch);
   core::Status MakeListeners();
   CallerConnection::Hooks CallerHooks(
       std::function<void(const CallerRef&, CallerRequest)> on_request);
@@ -117,6 +120,7 @@
   entry::StoreContact m_contact;         ///< of all topics
   entry::StoreContact m_config_contact;  ///< of the configuration's topic
   entry::UpstreamDirectory m_directory;
+  entry::PeerLoads m_peer_loads;
   entry::Placer m_placer;
   entry::RetryAllowance m_retries;
   entry::AllotmentBook m_book;
@@ -128,6 +132,7 @@
   std::shared_ptr<TopicFollower> m_upstreams;
   std::shared_ptr<TopicFollower> m_beats;
   std::shared_ptr<BeatWriter> m_writer;
+  std::unique_ptr<LoadExchange> m_loads;
   std::vector<std::shared_ptr<Listener>> m_listeners;
   std::shared_ptr<Listener> m_callers;
   std::vector<std::function<void()>> m_waiting;
--- /dev/null
+++ b/include/coppervalve/gateway/load_exchange.h
@@ -0,0 +1,53 @@
+#ifndef COPPERVALVE_GATEWAY_LOAD_EXCHANGE_H_
+#define COPPERVALVE_GATEWAY_LOAD_EXCHANGE_H_
+
+#include <array>  // array
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <string>      // string
+#include <vector>      // vector
+
+#include "coppervalve/core/result.h"
+#include "coppervalve/load.pb.h"
+
+namespace coppervalve::gateway {
+
+/// @brief Tells other routers by datagrams what is in progress here, and takes
+/// what they tell. Nothing depends on any of it arriving.
+class LoadExchange {
+ public:
+  struct Hooks {
+    /// Addresses of the others, "ip:port".
+    std::function<std::vector<std::string>()> peers;
+    /// Fills in the loads.
+    std::function<void(v1::LoadReport&)> compose;
+    std::function<void(const v1::LoadReport&)> on_report;
+  };
+
+  LoadExchange(boost::asio::io_context& io, std::string router, Hooks hooks);
+  /// @param address "ip:port" to take reports on
+  /// @return kSettingBadValue when it can't be used
+  core::Status Start(const std::string& address, uint64_t epoch);
+
+ private:
+  void Receive();
+  void Tick();
+  void SendTo(const std::string& address, const std::string& bytes);
+
+  boost::asio::ip::udp::socket m_socket;
+  boost::asio::steady_timer m_timer;
+  boost::asio::ip::udp::endpoint m_sender;
+  std::array<char, 65'536> m_buffer;
+  Hooks m_hooks;
+  v1::LoadReport m_report;
+  std::string m_last_loads;
+  uint64_t m_round = 0;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_LOAD_EXCHANGE_H_
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -22,13 +22,13 @@
   if (!newer) {
     return;
   }
-  member = {beat.caller_address(),
-            beat.epoch(),
-            beat.sequence(),
-            beat.ready(),
-            beat.leaving(),
-            true,
-            {}};
+  member = Member();
+  member.address = beat.caller_address();
+  member.load_address = beat.load_address();
+  member.epoch = beat.epoch();
+  member.sequence = beat.sequence();
+  member.ready = beat.ready();
+  member.leaving = beat.leaving();
 }
 
 void MemberList::Advance(const StoreContact& contact, core::TimePoint now) {
@@ -56,6 +56,16 @@
   return addresses;
 }
 
+std::vector<std::string> MemberList::LoadAddresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [router, member] : m_members) {
+    if (member.live && router != m_self && !member.load_address.empty()) {
+      addresses.push_back(member.load_address);
+    }
+  }
+  return addresses;
+}
+
 uint32_t MemberList::Live() const {
   uint32_t live = 0;
   for (const auto& [router, member] : m_members) {
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/entry/placement.h"
 
-#include <algorithm>  // find, nth_element, clamp, sort
+#include <algorithm>  // find, nth_element, clamp, max
 #include <utility>    // move
 
 #include "coppervalve/core/hash.h"
@@ -9,20 +9,19 @@
 
 namespace {
 
-constexpr double kMostSlowness = 4;
+constexpr double kMostSlowness = 5;
 
 bool Excluded(const PlacementQuery& query, const core::UpstreamId& id) {
   return std::find(query.exclude.begin(), query.exclude.end(), id) !=
          query.exclude.end();
 }
 
-// Median of the smoothed latencies: what is usual for the present mix.
-double UsualLatency(const std::vector<UpstreamRef>& upstreams) {
+// Median pace: what is usual for the present work.
+double UsualPace(const std::vector<UpstreamRef>& upstreams) {
   std::vector<double> known;
   for (const UpstreamRef& upstream : upstreams) {
-    const auto latency = upstream->health.latency().count();
-    if (latency > 0) {
-      known.push_back(static_cast<double>(latency));
+    if (upstream->health.pace() > 0) {
+      known.push_back(upstream->health.pace());
     }
   }
   if (known.empty()) {
@@ -35,23 +34,39 @@
 }
 
 double Slowness(const Upstream& upstream, double usual) {
-  const auto latency = static_cast<double>(upstream.health.latency().count());
-  if (usual <= 0 || latency <= 0) {
+  const double pace = upstream.health.pace();
+  if (usual <= 0 || pace <= 0) {
     return 1;
   }
-  return std::clamp(latency / usual, 1.0, kMostSlowness);
+  return std::clamp(pace / usual, 1.0, kMostSlowness);
+}
+
+// All routers agree on the owner of a prefix without talking.
+const Upstream* OwnerOf(const std::vector<UpstreamRef>& upstreams,
+                        const std::string& prefix) {
+  const Upstream* owner = nullptr;
+  uint64_t highest = 0;
+  for (const UpstreamRef& upstream : upstreams) {
+    const uint64_t rank =
+        core::RendezvousRank(prefix, upstream->entry.id.value());
+    if (owner == nullptr || rank > highest) {
+      owner = upstream.get();
+      highest = rank;
+    }
+  }
+  return owner;
 }
 
 }  // namespace
 
 std::string_view ToString(PlacedBy why) {
   switch (why) {
-    case PlacedBy::kLeastLoad:
-      return "least_load";
+    case PlacedBy::kLeastCost:
+      return "least_cost";
     case PlacedBy::kPrefixOwner:
       return "prefix_owner";
-    case PlacedBy::kPrefixNext:
-      return "prefix_next";
+    case PlacedBy::kPrefixSent:
+      return "prefix_sent";
     case PlacedBy::kLastResort:
       return "last_resort";
     case PlacedBy::kNoneLeft:
@@ -64,11 +79,18 @@
 
 Placer::Placer(PlacementOptions options,
                core::FailureDomainId own_domain,
+               const PeerLoads& peers,
                routing::RandomHook random)
     : m_options(options),
       m_own_domain(std::move(own_domain)),
+      m_peers(peers),
       m_random(std::move(random)) {}
 
+double Placer::ReadingCost(core::Tokens prompt) const {
+  const auto tokens = static_cast<double>(prompt.value());
+  return tokens * (1 + tokens / m_options.double_at);
+}
+
 Placement Placer::Choose(const UpstreamDirectory& directory,
                          const PlacementQuery& query,
                          core::TimePoint now) const {
@@ -77,30 +99,28 @@
     return {};
   }
   for (const Trust least : {Trust::kFull, Trust::kSuspect, Trust::kNone}) {
-    std::vector<Candidate> candidates =
-        Candidates(upstreams, query, least, now);
-    if (candidates.empty()) {
+    const std::vector<UpstreamRef> usable =
+        Usable(upstreams, query, least, now);
+    if (usable.empty()) {
       continue;
     }
-    Placement placement = query.shared_prefix.empty()
-                              ? ByLoad(candidates)
-                              : ByPrefix(candidates, query.shared_prefix);
-    placement.candidates = static_cast<uint32_t>(candidates.size());
+    Placement placement = Cheapest(usable, query, now);
     if (least == Trust::kNone) {
       placement.why = PlacedBy::kLastResort;
     }
     return placement;
   }
-  return {nullptr, PlacedBy::kNoneLeft, 0, 0};
+  Placement none;
+  none.why = PlacedBy::kNoneLeft;
+  return none;
 }
 
-std::vector<Placer::Candidate> Placer::Candidates(
+std::vector<UpstreamRef> Placer::Usable(
     const std::vector<UpstreamRef>& upstreams,
     const PlacementQuery& query,
     Trust least,
     core::TimePoint now) const {
-  const double usual = UsualLatency(upstreams);
-  std::vector<Candidate> candidates;
+  std::vector<UpstreamRef> usable;
   for (const UpstreamRef& upstream : upstreams) {
     if (upstream->health.trust(now) > least ||
         Excluded(query, upstream->entry.id)) {
@@ -110,63 +130,89 @@
         upstream->in_flight >= query.connection_bound) {
       continue;
     }
-    const double prefill = static_cast<double>(upstream->in_prefill.value()) /
-                           m_options.prefill_unit;
-    const double load = (static_cast<double>(upstream->in_flight) + prefill) *
-                        Slowness(*upstream, usual);
-    candidates.push_back({upstream, load});
+    usable.push_back(upstream);
   }
-  return candidates;
+  return usable;
 }
 
-// Consistent hashing with bounded loads: all routers agree on the owner of a
-// prefix without talking, and none is driven past a multiple of the mean.
-Placement Placer::ByPrefix(std::vector<Candidate> candidates,
-                           std::string_view prefix) const {
-  double total = 0;
-  for (const Candidate& candidate : candidates) {
-    total += candidate.load;
-  }
-  const double mean = total / static_cast<double>(candidates.size());
-  const double bound = mean * m_options.load_bound + m_options.free_load;
-  struct Ranked {
-    uint64_t rank;
-    size_t index;
-  };
-  std::vector<Ranked> order;
-  for (size_t i = 0; i < candidates.size(); ++i) {
-    const std::string& id = candidates[i].upstream->entry.id.value();
-    order.push_back({core::RendezvousRank(prefix, id), i});
-  }
-  std::sort(order.begin(), order.end(),
-            [](const Ranked& a, const Ranked& b) { return a.rank > b.rank; });
-  for (size_t place = 0; place < order.size(); ++place) {
-    const Candidate& candidate = candidates[order[place].index];
-    if (candidate.load > bound) {
-      continue;
-    }
-    return {candidate.upstream,
-            place == 0 ? PlacedBy::kPrefixOwner : PlacedBy::kPrefixNext, 0,
-            candidate.load};
+// A router that reports nothing is cut off or lost its datagrams. It gets the
+// same callers as this one, so its work is taken to be like ours.
+Load Placer::LoadOf(const Upstream& upstream,
+                    const PlacementQuery& query) const {
+  const Load peers = m_peers.At(upstream.load_key);
+  const uint32_t known = m_peers.Reporting() + 1;
+  const double silent = query.routers > known ? query.routers - known : 0;
+  return {upstream.in_flight * (1 + silent) + peers.in_flight,
+          upstream.in_prefill * (1 + silent) + peers.in_prefill};
+}
+
+Placer::Candidate Placer::CostAtEngine(const UpstreamRef& upstream,
+                                       const PlacementQuery& query,
+                                       bool owner,
+                                       double usual_pace,
+                                       core::TimePoint now) const {
+  Candidate candidate{upstream, 0, owner, false};
+  const uint64_t prefix = core::Hash64(query.shared_prefix);
+  candidate.sent =
+      !query.shared_prefix.empty() && upstream->prefixes.Holds(prefix, now);
+  const bool kept = owner || candidate.sent;
+  const core::Tokens own = query.prompt - query.shared_tokens;
+  const double missed =
+      kept ? 0
+           : m_options.missed_prefix *
+                 static_cast<double>(query.shared_tokens.value());
+  const Load load = LoadOf(*upstream, query);
+  const double beyond =
+      std::max(0.0, load.in_flight + 1 - upstream->entry.slots);
+  const double wait = load.in_prefill + m_options.running * load.in_flight +
+                      m_options.beyond_slots * beyond + ReadingCost(own);
+  candidate.cost = wait * Slowness(*upstream, usual_pace) + missed;
+  return candidate;
+}
+
+Placer::Candidate Placer::CostAtPlain(const UpstreamRef& upstream,
+                                      const PlacementQuery& query,
+                                      double usual_pace) const {
+  const Load load = LoadOf(*upstream, query);
+  const double beyond =
+      std::max(0.0, load.in_flight + 1 - upstream->entry.slots);
+  double cost = 1 + load.in_flight + m_options.beyond_plain_slots * beyond;
+  cost *= Slowness(*upstream, usual_pace);
+  if (upstream->entry.failure_domain == m_own_domain) {
+    cost -= m_options.own_domain;
   }
-  return ByLoad(candidates);
+  return {upstream, cost, false, false};
 }
 
-Placement Placer::ByLoad(const std::vector<Candidate>& candidates) const {
-  const Candidate* best = nullptr;
-  double best_load = 0;
+Placement Placer::Cheapest(const std::vector<UpstreamRef>& usable,
+                           const PlacementQuery& query,
+                           core::TimePoint now) const {
+  const double usual_pace = UsualPace(usable);
+  const Upstream* owner = query.shared_prefix.empty()
+                              ? nullptr
+                              : OwnerOf(usable, query.shared_prefix);
+  Candidate best;
   // Starting at a random one spreads ties over all.
-  const size_t start = routing::UniformBelow(m_random, candidates.size());
-  for (size_t i = 0; i < candidates.size(); ++i) {
-    const Candidate& candidate = candidates[(start + i) % candidates.size()];
-    const bool own = candidate.upstream->entry.failure_domain == m_own_domain;
-    const double load = candidate.load - (own ? m_options.domain_bonus : 0);
-    if (best == nullptr || load < best_load) {
-      best = &candidate;
-      best_load = load;
+  const size_t start = routing::UniformBelow(m_random, usable.size());
+  for (size_t i = 0; i < usable.size(); ++i) {
+    const UpstreamRef& upstream = usable[(start + i) % usable.size()];
+    const Candidate candidate =
+        query.engine ? CostAtEngine(upstream, query, upstream.get() == owner,
+                                    usual_pace, now)
+                     : CostAtPlain(upstream, query, usual_pace);
+    if (best.upstream == nullptr || candidate.cost < best.cost) {
+      best = candidate;
     }
   }
-  return {best->upstream, PlacedBy::kLeastLoad, 0, best->load};
+  PlacedBy why = PlacedBy::kLeastCost;
+  if (best.sent) {
+    why = PlacedBy::kPrefixSent;
+  }
+  if (best.owner) {
+    why = PlacedBy::kPrefixOwner;
+  }
+  return {best.upstream, why, static_cast<uint32_t>(usable.size()),
+          m_peers.Reporting(), best.cost};
 }
 
 }  // namespace coppervalve::entry
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -3,6 +3,8 @@
 #include <algorithm>      // sort
 #include <unordered_set>  // unordered_set
 
+#include "coppervalve/entry/peer_loads.h"
+
 namespace coppervalve::entry {
 
 namespace {
@@ -25,6 +27,7 @@
   UpstreamRef& upstream = m_by_id[entry.id];
   if (!upstream) {
     upstream = std::make_shared<Upstream>();
+    upstream->load_key = LoadKey(entry.id);
   } else if (!upstream->lapsed && SameForUs(upstream->entry, entry)) {
     return false;
   }
--- a/src/entry/upstream_health.cc
+++ b/src/entry/upstream_health.cc
@@ -16,7 +16,7 @@
 constexpr core::Duration kLongestAvoidance{4'000'000};
 constexpr core::Duration kDeclinedPause{60'000};
 constexpr uint32_t kMostDoublings = 4;
-constexpr double kLatencyWeight = 0.2;
+constexpr double kPaceWeight = 0.15;
 
 }  // namespace
 
@@ -49,13 +49,9 @@
   }
 }
 
-void UpstreamHealth::OnLatency(core::Duration latency) {
-  if (m_latency == core::Duration::zero()) {
-    m_latency = latency;
-    return;
-  }
-  const auto step = static_cast<double>((latency - m_latency).count());
-  m_latency += core::Duration(static_cast<int64_t>(step * kLatencyWeight));
+void UpstreamHealth::OnFirstByte(core::Duration time, double cost) {
+  const double pace = static_cast<double>(time.count()) / std::max(cost, 1.0);
+  m_pace = m_pace == 0 ? pace : m_pace + (pace - m_pace) * kPaceWeight;
 }
 
 Trust UpstreamHealth::trust(core::TimePoint now) const {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -4,6 +4,7 @@
 #include <chrono>     // milliseconds
 #include <utility>    // move
 
+#include "coppervalve/core/hash.h"
 #include "coppervalve/net/clock.h"
 
 namespace coppervalve::gateway {
@@ -26,6 +27,8 @@
 constexpr core::Duration kLeastGapWatch{700'000};
 constexpr int kWatchFactor = 4;
 constexpr int kServerError = 500;
+// What any request costs an upstream, so that paces of small ones compare.
+constexpr double kCostOfAny = 1;
 
 // When to come back, by what is missing.
 constexpr core::Duration kSoon{200'000};
@@ -211,8 +214,12 @@
   entry::PlacementQuery query;
   query.service = m_admitted.service;
   query.exclude = m_tried;
+  query.engine = service != nullptr && service->engine.has_value();
+  query.prompt = m_facts.prompt;
+  query.routers = m_context.members.Live();
   if (m_admitted.route->prefix_affinity) {
     query.shared_prefix = m_facts.shared_prefix;
+    query.shared_tokens = std::min(m_facts.shared_tokens, m_facts.prompt);
   }
   if (service != nullptr && service->max_connections != 0) {
     // The upstream resets what comes beyond its own bound, which all routers
@@ -224,6 +231,7 @@
   const entry::Placement placement =
       m_context.placer.Choose(m_context.directory, query, net::BootNow());
   m_placed_by = entry::ToString(placement.why);
+  m_placed_cost = placement.cost;
   if (placement.upstream == nullptr || ++m_tries > kMostTries) {
     core::Error error{
         core::ErrorId::kNoUpstream, m_admitted.service.value(),
@@ -277,8 +285,14 @@
   attempt.resumed = AfterAnEvent();
   attempt.connection = m_context.pool.Take(*upstream, !Repeatable(), now);
   m_attempt = attempt;
+  m_attempt->reading = m_context.placer.ReadingCost(
+      m_facts.prompt - std::min(m_facts.shared_tokens, m_facts.prompt));
+  m_attempt->cost = placement.cost;
   ++upstream->in_flight;
-  upstream->in_prefill += m_facts.prompt;
+  upstream->in_prefill += m_attempt->reading;
+  if (!m_facts.shared_prefix.empty()) {
+    upstream->prefixes.Remember(core::Hash64(m_facts.shared_prefix), now);
+  }
   m_watch_from = now;
   std::weak_ptr<Exchange> weak = weak_from_this();
   attempt.connection->Send(
@@ -302,11 +316,11 @@
 
 void Exchange::OnHead(const http1::ResponseHead& head) {
   Attempt& attempt = *m_attempt;
-  attempt.head_seen = true;
   attempt.answer = m_context.dialect.read_answer(head);
   m_watch_from = net::BootNow();
-  attempt.upstream->in_prefill -= m_facts.prompt;
-  attempt.upstream->health.OnLatency(m_watch_from - attempt.began);
+  EndReading();
+  attempt.upstream->health.OnFirstByte(m_watch_from - attempt.began,
+                                       attempt.cost + kCostOfAny);
   const std::string& echoed = attempt.answer.request_id;
   const bool of_another = !echoed.empty() && echoed != m_facts.id;
   if (of_another || (IsSuccess(head.status) && !attempt.answer.genuine)) {
@@ -371,12 +385,14 @@
   });
 }
 
+void Exchange::EndReading() {
+  m_attempt->upstream->in_prefill -= std::exchange(m_attempt->reading, 0);
+}
+
 void Exchange::LeaveUpstream(AttemptOutcome outcome) {
   entry::Upstream& upstream = *m_attempt->upstream;
   --upstream.in_flight;
-  if (!m_attempt->head_seen) {
-    upstream.in_prefill -= m_facts.prompt;
-  }
+  EndReading();
   upstream.health.On(outcome, net::BootNow());
   m_context.metrics.OnAttempt(NameOf(outcome));
   if (outcome != AttemptOutcome::kAnswered) {
@@ -541,9 +557,7 @@
     m_may_have_run = m_may_have_run || sent;
     m_attempt->connection->Cancel();
     --m_attempt->upstream->in_flight;
-    if (!m_attempt->head_seen) {
-      m_attempt->upstream->in_prefill -= m_facts.prompt;
-    }
+    EndReading();
     m_attempt.reset();
   }
   Finish("caller_left", 0);
@@ -603,6 +617,7 @@
   if (!m_tried.empty()) {
     line.Text("upstream", m_tried.back().value())
         .Text("placed_by", m_placed_by)
+        .Number("cost", static_cast<int64_t>(m_placed_cost))
         .Number("sends", m_sends);
   }
   if (!m_last_failure.empty()) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -24,6 +24,7 @@
 constexpr core::Duration kBeatPeriod{1'000'000};
 // Beats may take this part of the writes that the store allows the fleet.
 constexpr double kBeatShareOfWrites = 0.4;
+constexpr core::Duration kLoadLifetime{800'000};
 constexpr core::Duration kRouterSilence{3'500'000};
 // How long callers may still come after the address list stopped naming us.
 constexpr core::Duration kLeaveIdleAfter{3'000'000};
@@ -54,7 +55,8 @@
       m_random(SeededRandom()),
       m_log(io, STDOUT_FILENO, {}),
       m_directory({}),
-      m_placer({}, m_settings.failure_domain, m_random),
+      m_peer_loads(kLoadLifetime),
+      m_placer({}, m_settings.failure_domain, m_peer_loads, m_random),
       m_retries(m_settings.retries),
       m_book({}),
       m_members(m_settings.router, kRouterSilence),
@@ -161,6 +163,7 @@
   };
   hooks.on_fenced = [this](uint64_t epoch, uint64_t end) {
     m_fenced_at = end;
+    ShareLoads(epoch);
     Lifecycle(LogLine("epoch_announced")
                   .Number("epoch", static_cast<int64_t>(epoch))
                   .Number("log_end", static_cast<int64_t>(end)));
@@ -182,6 +185,36 @@
       m_store, m_random, std::move(hooks));
 }
 
+void Gateway::ShareLoads(uint64_t epoch) {
+  if (m_settings.load_address.empty() || m_loads) {
+    return;
+  }
+  LoadExchange::Hooks hooks;
+  hooks.peers = [this] { return m_members.LoadAddresses(); };
+  hooks.compose = [this](v1::LoadReport& report) {
+    for (const auto& [id, upstream] : m_directory.all()) {
+      if (upstream->in_flight == 0) {
+        continue;
+      }
+      v1::UpstreamLoad* load = report.add_loads();
+      load->set_upstream(upstream->load_key);
+      load->set_in_flight(upstream->in_flight);
+      load->set_in_prefill(
+          static_cast<uint32_t>(std::max(upstream->in_prefill, 0.0)));
+    }
+  };
+  hooks.on_report = [this](const v1::LoadReport& report) {
+    m_peer_loads.OnReport(report, net::BootNow());
+  };
+  m_loads = std::make_unique<LoadExchange>(m_io, m_settings.router.value(),
+                                           std::move(hooks));
+  const core::Status started = m_loads->Start(m_settings.load_address, epoch);
+  if (!core::IsOk(started)) {
+    Lifecycle(LogLine("loads_not_shared")
+                  .Text("why", core::ToString(core::Failure(started))));
+  }
+}
+
 CallerConnection::Hooks Gateway::CallerHooks(
     std::function<void(const CallerRef&, CallerRequest)> on_request) {
   CallerConnection::Hooks hooks;
@@ -427,6 +460,7 @@
 
 void Gateway::ComposeBeat(v1::RouterBeat& beat) {
   beat.set_caller_address(m_settings.caller_address);
+  beat.set_load_address(m_settings.load_address);
   beat.set_failure_domain(m_settings.failure_domain.value());
   // Ready as soon as this very beat is back: it brings the first ceilings.
   beat.set_ready(m_in_force && m_upstreams_known && !m_leaving_since);
@@ -462,6 +496,7 @@
     Lifecycle(LogLine("upstream_gone").Text("upstream", id.value()));
   }
   m_members.Advance(m_contact, now);
+  m_peer_loads.Advance(now);
   m_pool.CloseOld(now);
   if (Ready() != m_was_ready) {
     m_was_ready = Ready();
--- /dev/null
+++ b/src/gateway/load_exchange.cc
@@ -0,0 +1,109 @@
+#include "coppervalve/gateway/load_exchange.h"
+
+#include <algorithm>                  // min
+#include <boost/asio/buffer.hpp>      // buffer
+#include <boost/asio/ip/address.hpp>  // make_address
+#include <chrono>                     // milliseconds
+#include <utility>                    // move
+
+#include "coppervalve/net/endpoint.h"
+
+namespace coppervalve::gateway {
+
+namespace {
+
+using boost::asio::ip::udp;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::chrono::milliseconds kEvery{50};
+// In a large fleet each report goes to some in turn: what a router sends and
+// hears does not grow with the fleet, only the age of what it knows.
+constexpr size_t kMostPeers = 8;
+// An unchanged report is repeated this seldom, to tell that we are there.
+constexpr uint64_t kRepeatRounds = 6;
+
+}  // namespace
+
+LoadExchange::LoadExchange(boost::asio::io_context& io,
+                           std::string router,
+                           Hooks hooks)
+    : m_socket(io), m_timer(io), m_buffer{}, m_hooks(std::move(hooks)) {
+  m_report.set_router(std::move(router));
+}
+
+core::Status LoadExchange::Start(const std::string& address, uint64_t epoch) {
+  const auto endpoint = net::ReadEndpoint(address);
+  ErrorCode code;
+  const auto ip = boost::asio::ip::make_address(
+      endpoint ? endpoint->ip : std::string(), code);
+  if (!code) {
+    m_socket.open(udp::v4(), code);
+  }
+  if (!code) {
+    m_socket.bind(udp::endpoint(ip, endpoint->port), code);
+  }
+  if (code) {
+    return core::Error{core::ErrorId::kSettingBadValue, address,
+                       code.message()};
+  }
+  m_socket.non_blocking(true, code);
+  m_report.set_epoch(epoch);
+  Receive();
+  Tick();
+  return core::Ok();
+}
+
+void LoadExchange::Receive() {
+  m_socket.async_receive_from(
+      boost::asio::buffer(m_buffer), m_sender,
+      [this](const ErrorCode& code, size_t size) {
+        if (code == boost::asio::error::operation_aborted) {
+          return;
+        }
+        v1::LoadReport report;
+        if (!code &&
+            report.ParseFromArray(m_buffer.data(), static_cast<int>(size)) &&
+            report.router() != m_report.router()) {
+          m_hooks.on_report(report);
+        }
+        Receive();
+      });
+}
+
+void LoadExchange::Tick() {
+  ++m_round;
+  m_report.clear_loads();
+  m_hooks.compose(m_report);
+  m_report.clear_sequence();
+  const std::string loads = m_report.SerializeAsString();
+  if (loads != m_last_loads || m_round % kRepeatRounds == 0) {
+    m_last_loads = loads;
+    m_report.set_sequence(m_round);
+    const std::string bytes = m_report.SerializeAsString();
+    const std::vector<std::string> peers = m_hooks.peers();
+    const size_t count = std::min(peers.size(), kMostPeers);
+    for (size_t i = 0; i < count; ++i) {
+      SendTo(peers[(m_round * kMostPeers + i) % peers.size()], bytes);
+    }
+  }
+  m_timer.expires_after(kEvery);
+  m_timer.async_wait([this](const ErrorCode& code) {
+    if (!code) {
+      Tick();
+    }
+  });
+}
+
+void LoadExchange::SendTo(const std::string& address,
+                          const std::string& bytes) {
+  const auto endpoint = net::ReadEndpoint(address);
+  ErrorCode code;
+  const auto ip = boost::asio::ip::make_address(
+      endpoint ? endpoint->ip : std::string(), code);
+  if (!code) {
+    m_socket.send_to(boost::asio::buffer(bytes),
+                     udp::endpoint(ip, endpoint->port), 0, code);
+  }
+}
+
+}  // namespace coppervalve::gateway
--- a/tests/entry/unit-upstream-directory.cc
+++ b/tests/entry/unit-upstream-directory.cc
@@ -26,7 +26,8 @@
   CHECK(directory.Of(tickets).empty());
 }
 
-TEST(UpstreamDirectory, entries_that_lapsed_in_an_outage_serve_until_they_return) {
+TEST(UpstreamDirectory,
+     entries_that_lapsed_in_an_outage_serve_until_they_return) {
   // Callers are refused with every upstream idle. The store is away for longer
   // than an upstream's silence lasts; when it is back the first thing read is
   // that all entries lapsed; the upstreams announce themselves again only a
@@ -41,7 +42,8 @@
   CHECK_EQUAL(1, directory.Of(tickets).size());
 }
 
-TEST(UpstreamDirectory, what_has_not_returned_two_seconds_after_the_store_is_gone) {
+TEST(UpstreamDirectory,
+     what_has_not_returned_two_seconds_after_the_store_is_gone) {
   contact.OnFailure();
   contact.OnAnswer(At(20));
   directory.Remove(one, contact, At(20));
@@ -49,7 +51,8 @@
   CHECK(directory.Of(tickets).empty());
 }
 
-TEST(UpstreamDirectory, an_entry_that_goes_well_after_the_return_is_gone_at_once) {
+TEST(UpstreamDirectory,
+     an_entry_that_goes_well_after_the_return_is_gone_at_once) {
   // A caller's seat hold reaches an upstream that left. The store was away and
   // came back; two and a half seconds later an upstream leaves in order; the
   // router took that for a lapse of the outage and sent to it for two seconds
@@ -68,7 +71,8 @@
   CHECK(directory.Find(one) != nullptr);
 }
 
-TEST(UpstreamDirectory, a_restarted_upstream_is_another_one_at_the_same_address) {
+TEST(UpstreamDirectory,
+     a_restarted_upstream_is_another_one_at_the_same_address) {
   directory.Put(EntryOf("two"));
   CHECK_EQUAL(2, directory.Of(tickets).size());
 }
