Begin beats as soon as everything below the epoch is read

Ruled out: slow start-up, slow store (first answers within 20 ms). Change: the announcement looks whether all below it is read already.

--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -88,7 +88,7 @@
   void OnNewestUpstreams(const std::vector<KeyedRecord>& records);
   void OnBeatRecord(const KeyedRecord& record);
   void OnNewestBeats(const std::vector<KeyedRecord>& records);
-  void OnBeatsRead(uint64_t next);
+  void BeginBeatsIfAllRead();
   void OnStoreAnswer(const std::string& topic);
   void OnStoreFailure(const std::string& topic, const core::Error& error);
   void ComposeBeat(v1::RouterBeat& beat);
@@ -140,6 +140,7 @@
 
   v1::RouterBeat m_own_record;          ///< newest of an earlier start
   std::optional<uint64_t> m_fenced_at;  ///< earlier starts write below it
+  uint64_t m_beats_read = 0;  ///< all records below it are known
   bool m_upstreams_known = false;
   bool m_first_beat_back = false;
   bool m_was_ready = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -144,7 +144,8 @@
   };
   of_beats.on_read = [this, topic = layout.beat_topic](uint64_t next) {
     OnStoreAnswer(topic);
-    OnBeatsRead(next);
+    m_beats_read = next;
+    BeginBeatsIfAllRead();
   };
   m_beats = std::make_shared<TopicFollower>(
       m_io, FollowerOptions{layout.beat_topic, kBeatPause}, m_store, m_random,
@@ -164,6 +165,7 @@
   hooks.on_fenced = [this](uint64_t epoch, uint64_t end) {
     m_fenced_at = end;
     ShareLoads(epoch);
+    BeginBeatsIfAllRead();
     Lifecycle(LogLine("epoch_announced")
                   .Number("epoch", static_cast<int64_t>(epoch))
                   .Number("log_end", static_cast<int64_t>(end)));
@@ -421,8 +423,8 @@
 
 // Once everything below the announced epoch is read, no record of an earlier
 // start can follow: what it claimed last is final and counts as used.
-void Gateway::OnBeatsRead(uint64_t next) {
-  if (!m_fenced_at || next < *m_fenced_at) {
+void Gateway::BeginBeatsIfAllRead() {
+  if (!m_fenced_at || m_beats_read < *m_fenced_at) {
     return;
   }
   m_fenced_at.reset();
