Read own beats back at once; suspect an upstream well above its usual failures

Cause: a waiting request got its ceiling after up to a quarter of a second, the pause of the beats' reader; and a service that fails one request in seven by itself made all its upstreams suspect in turn.

--- a/include/coppervalve/gateway/beat_writer.h
+++ b/include/coppervalve/gateway/beat_writer.h
@@ -18,7 +18,7 @@
 struct BeatOptions {
   std::string topic;
   std::string router;  ///< key of the record and name of the writer
-  core::Duration least_gap{80'000};
+  core::Duration least_gap{30'000};
   core::Duration retry{150'000};
 };
 
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -43,6 +43,9 @@
                 routing::RandomHook random,
                 Hooks hooks);
   void Start() { ReadNewest(); }
+  /// @brief Cuts the pause after a read short: something that matters was
+  /// just written.
+  void Hurry();
   void Stop();
 
  private:
@@ -60,6 +63,7 @@
   uint64_t m_next = 0;
   uint32_t m_failures = 0;
   bool m_has_newest = false;
+  bool m_pausing = false;
   bool m_stopped = false;
 };
 
--- a/src/entry/upstream_health.cc
+++ b/src/entry/upstream_health.cc
@@ -7,11 +7,13 @@
 
 namespace {
 
-constexpr double kWeightOfOne = 0.2;
+constexpr double kWeightOfOne = 0.12;
 // Suspicion fades, so that an upstream that is well again gets traffic without
 // any probe: probes cost the upstream and tell less than real work.
 constexpr core::Duration kHalfLife{3'000'000};
-constexpr double kSuspectAbove = 0.15;
+// Some services answer one request in seven with a failure of their own; an
+// upstream is suspect well above that.
+constexpr double kSuspectAbove = 0.3;
 constexpr core::Duration kFirstAvoidance{400'000};
 constexpr core::Duration kLongestAvoidance{4'000'000};
 constexpr core::Duration kDeclinedPause{60'000};
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -172,6 +172,9 @@
   };
   hooks.on_written = [this](const v1::RouterBeat& beat) {
     m_metrics.OnStoreCall("beat_write", true);
+    if (!m_waiting.empty() || !m_first_beat_back) {
+      m_beats->Hurry();
+    }
     m_last_claim_written = beat.closing();
   };
   hooks.on_failure = [this](const core::Error& error) {
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -48,6 +48,7 @@
 }
 
 void TopicFollower::ReadOn() {
+  m_pausing = false;
   m_store.read(m_options.topic, m_next, m_options.wait,
                [self = shared_from_this()](core::Result<RecordBatch> result) {
                  self->OnBatch(std::move(result));
@@ -77,9 +78,16 @@
     ReadOn();
     return;
   }
+  m_pausing = true;
   After(m_options.pause, &TopicFollower::ReadOn);
 }
 
+void TopicFollower::Hurry() {
+  if (m_pausing && !m_stopped) {
+    After(core::Duration::zero(), &TopicFollower::ReadOn);
+  }
+}
+
 // Without the random part all routers come back to a returning store at the
 // same moments and are turned away together.
 void TopicFollower::Fail(const core::Error& error) {
