--- a/model/check.sh
+++ b/model/check.sh
@@ -19,6 +19,10 @@
   for flag in $(broken_flags allotment); do
     echo "allotment $flag|broken|allotment|-D$flag"
   done
+  echo "ceiling|holds|ceiling|"
+  for flag in $(broken_flags ceiling); do
+    echo "ceiling $flag|broken|ceiling|-D$flag"
+  done
   echo "acceptance RETIREMENTS|holds|acceptance|"
   echo "acceptance JOINS|holds|acceptance|-DJOINS"
   for flag in $(broken_flags acceptance); do
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -13,6 +13,8 @@
 // it is far above the router's even part.
 constexpr double kOwnWeight = 0.5;
 constexpr double kPriorRequests = 12;
+// For the first requests of an account that came to other routers so far.
+constexpr double kLeastShareOfEven = 0.1;
 
 core::Tokens Times(core::Tokens tokens, double factor) {
   return core::Tokens(
@@ -173,7 +175,8 @@
   if (all + prior <= 0) {
     return even;
   }
-  return (own + prior * even) / (all + prior);
+  return std::max((own + prior * even) / (all + prior),
+                  kLeastShareOfEven * even);
 }
 
 // How far the ceiling should run ahead of what is in use.
--- /dev/null
+++ b/tests/entry/unit-allotment-book.cc
@@ -0,0 +1,160 @@
+#include "coppervalve/entry/allotment_book.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "entry_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::entry;
+using namespace coppervalve::entry::testing;
+
+namespace {
+
+const core::AccountId kGate("gate");
+const core::RouterId kOther("router-2");
+
+Configuration Prepaid(int64_t tokens) {
+  Configuration configuration;
+  Account account;
+  account.name = kGate;
+  account.prepaid = core::Tokens(tokens);
+  configuration.accounts = {account};
+  return configuration;
+}
+
+v1::RouterBeat Claim(int64_t ceiling, int64_t spent, int64_t retired = 0) {
+  v1::RouterBeat beat;
+  beat.set_epoch(1);
+  v1::AccountClaim* claim = beat.add_claims();
+  claim->set_account("gate");
+  claim->set_ceiling(ceiling);
+  claim->set_spent(spent);
+  claim->set_retired(retired);
+  return beat;
+}
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(AllotmentBook) {
+  AllotmentBook book{BookOptions{}};
+  v1::RouterBeat written;
+  void setup() override { book.OnConfiguration(Prepaid(100'000)); }
+
+  void Write(double now, bool closing = false) {
+    written = v1::RouterBeat();
+    written.set_epoch(1);
+    book.WriteClaims(written, 2, closing, At(now));
+  }
+  void WriteAndRead(double now, bool closing = false) {
+    Write(now, closing);
+    book.OnOwnBeat(written);
+  }
+  int64_t Ceiling() { return book.FiguresOf(kGate).ceiling.value(); }
+};
+// clang-format on
+
+TEST(AllotmentBook, nothing_may_be_spent_before_the_claim_came_back) {
+  Write(0);
+  CHECK(book.Reserve(kGate, core::Tokens(10)) == Reservation::kShort);
+  book.OnOwnBeat(written);
+  CHECK(book.Reserve(kGate, core::Tokens(10)) == Reservation::kHeld);
+}
+
+TEST(AllotmentBook, a_claim_holds_only_within_what_others_left) {
+  // Two routers claim most of a budget at the same moment. Both records are
+  // in the log; the first one holds, the second finds the rest.
+  Write(0);
+  written.mutable_claims(0)->set_ceiling(written.claims(0).ceiling());
+  book.OnOtherBeat(kOther, Claim(95'000, 0), At(0));
+  book.OnOwnBeat(written);
+  CHECK(Ceiling() <= 5'000);
+}
+
+TEST(AllotmentBook, an_earlier_start_of_this_router_counts_as_spent) {
+  book.OnPredecessor(Claim(60'000, 1'000, 30'000));
+  WriteAndRead(0);
+  CHECK(Ceiling() <= 10'000);
+  CHECK_EQUAL(90'000, written.claims(0).retired());
+}
+
+TEST(AllotmentBook, closing_gives_back_all_that_was_not_spent) {
+  WriteAndRead(0);
+  book.Reserve(kGate, core::Tokens(500));
+  book.Settle(kGate, core::Tokens(500), core::Tokens(300), At(1));
+  WriteAndRead(1, true);
+  CHECK_EQUAL(300, written.claims(0).ceiling());
+  CHECK(book.Reserve(kGate, core::Tokens(1)) != Reservation::kHeld);
+}
+
+TEST(AllotmentBook, a_lowered_ceiling_holds_before_its_record_does) {
+  WriteAndRead(0);
+  const int64_t before = Ceiling();
+  // Others hold nearly all there is by now, so that less is aimed at.
+  book.OnOtherBeat(kOther, Claim(80'000, 80'000), At(20));
+  Write(20);
+  CHECK(Ceiling() < before);
+}
+
+TEST(AllotmentBook, a_record_that_comes_back_late_does_not_undo_a_lowering) {
+  Write(0);
+  const v1::RouterBeat raised = written;
+  book.OnOtherBeat(kOther, Claim(80'000, 80'000), At(20));
+  Write(20);
+  const int64_t lowered = written.claims(0).ceiling();
+  book.OnOwnBeat(raised);
+  CHECK(Ceiling() <= lowered);
+}
+
+TEST(AllotmentBook, only_what_nobody_can_grant_is_exhausted) {
+  // A caller is told that its budget is used up while other routers hold the
+  // rest of it unspent: it goes away for good instead of coming back.
+  book.OnOtherBeat(kOther, Claim(99'990, 0), At(0));
+  WriteAndRead(0);
+  CHECK(book.Reserve(kGate, core::Tokens(100)) == Reservation::kShort);
+  book.OnOtherBeat(kOther, Claim(99'990, 99'950), At(1));
+  CHECK(book.Reserve(kGate, core::Tokens(100)) == Reservation::kExhausted);
+}
+
+TEST(AllotmentBook, a_top_up_can_be_claimed) {
+  book.OnOtherBeat(kOther, Claim(100'000, 100'000), At(0));
+  WriteAndRead(0);
+  CHECK_EQUAL(0, Ceiling());
+  book.OnConfiguration(Prepaid(150'000));
+  WriteAndRead(1);
+  CHECK(Ceiling() > 0);
+}
+
+TEST(AllotmentBook, a_request_that_waits_is_claimed_for) {
+  WriteAndRead(0);
+  const auto large = core::Tokens(Ceiling() + 10'000);
+  CHECK(book.Reserve(kGate, large) == Reservation::kShort);
+  WriteAndRead(0.1);
+  CHECK(book.Reserve(kGate, large) == Reservation::kHeld);
+}
+
+TEST(AllotmentBook, an_account_that_comes_to_one_router_gets_its_ceiling_there) {
+  // All work of an account is refused in a cut at the one router it comes to,
+  // while other routers hold ceilings for it that nobody asks for.
+  for (int i = 0; i < 100; ++i) {
+    const core::TimePoint now = At(i * 0.1);
+    book.OnDemand(kGate, core::Tokens(100), now);
+    if (book.Reserve(kGate, core::Tokens(100)) == Reservation::kHeld) {
+      book.Settle(kGate, core::Tokens(100), core::Tokens(100), now);
+    }
+    if (i % 10 == 0) {
+      WriteAndRead(i * 0.1);
+    }
+  }
+  WriteAndRead(10);
+  // 1,000 tokens a second for nine seconds.
+  CHECK(Ceiling() - book.FiguresOf(kGate).spent.value() > 8'000);
+}
+
+TEST(AllotmentBook, accounts_without_a_total_are_not_bounded) {
+  Configuration configuration = Prepaid(0);
+  configuration.accounts[0].prepaid.reset();
+  book.OnConfiguration(configuration);
+  CHECK(book.Reserve(kGate, core::Tokens(1'000'000)) ==
+        Reservation::kUnlimited);
+}
--- /dev/null
+++ b/tests/entry/unit-placement.cc
@@ -0,0 +1,155 @@
+#include "coppervalve/entry/placement.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>  // to_string
+
+#include "entry_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::entry;
+using namespace coppervalve::entry::testing;
+
+// clang-format off
+TEST_GROUP(Placement) {
+  UpstreamDirectory directory{DirectoryOptions{}};
+  PeerLoads peers{core::Duration(800'000)};
+  uint64_t draw = 0;
+  Placer placer{{}, core::FailureDomainId("fd-a"), peers,
+                [this] { return draw += 0x9e3779b97f4a7c15; }};
+  PlacementQuery query;
+
+  void setup() override {
+    for (int i = 0; i < 4; ++i) {
+      UpstreamEntry entry = EntryOf("e" + std::to_string(i), "engines");
+      entry.slots = 64;
+      directory.Put(entry);
+    }
+    query.service = core::ServiceId("engines");
+    query.engine = true;
+    query.prompt = core::Tokens(6'000);
+  }
+  UpstreamRef Engine(int i) {
+    return directory.Find(core::UpstreamId("e" + std::to_string(i)));
+  }
+  std::string Chosen() {
+    const Placement placement = placer.Choose(directory, query, At(1));
+    return placement.upstream ? placement.upstream->entry.id.value() : "";
+  }
+};
+// clang-format on
+
+TEST(Placement, short_prompts_keep_away_from_long_ones) {
+  // A gate chat waits behind a group's itinerary of 50,000 tokens. Requests
+  // are counted, not what they make the engine read first.
+  Engine(0)->in_flight = 1;
+  Engine(0)->in_prefill = placer.ReadingCost(core::Tokens(50'000));
+  for (int i = 1; i < 4; ++i) {
+    Engine(i)->in_flight = 3;
+  }
+  query.prompt = core::Tokens(300);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Chosen() != "e0");
+  }
+}
+
+TEST(Placement, a_shared_prefix_goes_to_its_owner_on_every_router) {
+  query.shared_prefix = "castle-tour";
+  query.shared_tokens = core::Tokens(5'000);
+  const std::string owner = Chosen();
+  PeerLoads other_peers{core::Duration(800'000)};
+  uint64_t other_draw = 77;
+  const Placer other({}, core::FailureDomainId("fd-b"), other_peers,
+                     [&] { return other_draw += 13; });
+  const Placement placement = other.Choose(directory, query, At(1));
+  CHECK(placement.upstream->entry.id.value() == owner);
+  CHECK(placement.why == PlacedBy::kPrefixOwner);
+}
+
+TEST(Placement, a_busy_owner_is_passed_over) {
+  query.shared_prefix = "castle-tour";
+  query.shared_tokens = core::Tokens(500);
+  const std::string owner = Chosen();
+  directory.Find(core::UpstreamId(owner))->in_prefill = 100'000;
+  CHECK(Chosen() != owner);
+}
+
+TEST(Placement, what_other_routers_reported_counts) {
+  // Six routers send to the same idle engine at once. Each sees its own work
+  // only, which is a sixth.
+  v1::LoadReport report;
+  report.set_router("router-2");
+  report.set_sequence(1);
+  for (int i = 0; i < 3; ++i) {
+    v1::UpstreamLoad* load = report.add_loads();
+    load->set_upstream(Engine(i)->load_key);
+    load->set_in_flight(2);
+    load->set_in_prefill(30'000);
+  }
+  peers.OnReport(report, At(1));
+  query.routers = 2;
+  STRCMP_EQUAL("e3", Chosen().c_str());
+}
+
+TEST(Placement, a_late_report_does_not_replace_a_newer_one) {
+  v1::LoadReport report;
+  report.set_router("router-2");
+  report.set_sequence(2);
+  peers.OnReport(report, At(1));
+  report.set_sequence(1);
+  v1::UpstreamLoad* load = report.add_loads();
+  load->set_upstream(Engine(0)->load_key);
+  load->set_in_flight(5);
+  peers.OnReport(report, At(1));
+  DOUBLES_EQUAL(0, peers.At(Engine(0)->load_key).in_flight, 0.001);
+}
+
+TEST(Placement, silent_reports_are_forgotten) {
+  v1::LoadReport report;
+  report.set_router("router-2");
+  report.set_sequence(1);
+  v1::UpstreamLoad* load = report.add_loads();
+  load->set_upstream(Engine(0)->load_key);
+  load->set_in_flight(5);
+  peers.OnReport(report, At(1));
+  peers.Advance(At(2));
+  CHECK_EQUAL(0, peers.Reporting());
+  DOUBLES_EQUAL(0, peers.At(Engine(0)->load_key).in_flight, 0.001);
+}
+
+TEST(Placement, an_upstream_that_cannot_be_reached_is_the_last_resort) {
+  for (int i = 0; i < 4; ++i) {
+    Engine(i)->health.On(AttemptOutcome::kUnreachable, At(1));
+  }
+  const Placement placement = placer.Choose(directory, query, At(1));
+  CHECK(placement.upstream != nullptr);
+  CHECK(placement.why == PlacedBy::kLastResort);
+}
+
+TEST(Placement, an_upstream_that_fails_often_gets_less_until_it_is_forgotten) {
+  for (int i = 0; i < 10; ++i) {
+    Engine(1)->health.On(AttemptOutcome::kBroken, At(1));
+  }
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Chosen() != "e1");
+  }
+  CHECK(Engine(1)->health.trust(At(20)) == Trust::kFull);
+}
+
+TEST(Placement, one_request_in_seven_failing_is_not_suspect) {
+  for (int i = 0; i < 70; ++i) {
+    Engine(1)->health.On(i % 7 == 0 ? AttemptOutcome::kOwnFailure
+                                    : AttemptOutcome::kAnswered,
+                         At(1));
+  }
+  CHECK(Engine(1)->health.trust(At(1)) == Trust::kFull);
+}
+
+TEST(Placement, tried_upstreams_are_not_tried_again) {
+  for (int i = 0; i < 4; ++i) {
+    query.exclude.push_back(core::UpstreamId("e" + std::to_string(i)));
+  }
+  const Placement placement = placer.Choose(directory, query, At(1));
+  CHECK(placement.upstream == nullptr);
+  CHECK(placement.why == PlacedBy::kNoneLeft);
+}
