--- a/include/coppervalve/gateway/beat_writer.h
+++ b/include/coppervalve/gateway/beat_writer.h
@@ -63,7 +63,7 @@
   void Announce();
   void Compose();
   void Append();
-  void OnAppended(core::Result<WriteReceipt> result);
+  void OnAppended(const core::Result<WriteReceipt>& result);
   void Schedule(core::Duration delay, void (BeatWriter::*step)());
 
   BeatOptions m_options;
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -81,7 +81,7 @@
   std::string RequestText(const SendFacts& facts) const;
 
   void OnHead(const http1::ResponseHead& head);
-  void OnBody(std::string body);
+  void OnBody(const std::string& body);
   void OnEnd(AttemptEnd end, std::string_view why);
   void OnWhole();
   void OnBroken(std::string_view why);
@@ -99,8 +99,9 @@
   /// right to from the allowance.
   bool TakeRepeat();
 
-  void Refuse(core::Error error, std::optional<core::Duration> retry_after);
-  void Fail(core::Error error);
+  void Refuse(const core::Error& error,
+              std::optional<core::Duration> retry_after);
+  void Fail(const core::Error& error);
   void OnCallerLeft();
   void Finish(std::string_view cause, int status);
   void Settle();
--- a/include/coppervalve/gateway/http_caller.h
+++ b/include/coppervalve/gateway/http_caller.h
@@ -38,7 +38,7 @@
 /// for may still be done: the next call opens a new one.
 class HttpCaller : public std::enable_shared_from_this<HttpCaller> {
  public:
-  using Handler = std::function<void(core::Result<HttpReply>)>;
+  using Handler = std::function<void(const core::Result<HttpReply>&)>;
 
   /// @param address "ip:port"
   HttpCaller(boost::asio::io_context& io, std::string address);
--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -51,7 +51,7 @@
 /// epoch of the writer exists), kLogRecordInvalid (refused as it is).
 struct KeyedStore {
   template <typename T>
-  using Handler = std::function<void(core::Result<T>)>;
+  using Handler = std::function<void(const core::Result<T>&)>;
 
   std::function<void(const std::string& topic, Handler<NewestRecords>)> newest;
   /// Waits up to `wait` for the first record.
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -51,7 +51,7 @@
  private:
   void ReadNewest();
   void ReadOn();
-  void OnBatch(core::Result<RecordBatch> result);
+  void OnBatch(const core::Result<RecordBatch>& result);
   void Fail(const core::Error& error);
   void After(core::Duration delay, void (TopicFollower::*step)());
 
--- a/include/coppervalve/gateway/upstream_connection.h
+++ b/include/coppervalve/gateway/upstream_connection.h
@@ -29,7 +29,7 @@
  public:
   struct Handlers {
     std::function<void(const http1::ResponseHead&)> on_head;
-    std::function<void(std::string body)> on_body;
+    std::function<void(const std::string& body)> on_body;
     /// Last call of an attempt. @param why for logs, when it isn't whole
     std::function<void(AttemptEnd end, std::string_view why)> on_end;
   };
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -105,9 +105,9 @@
 
 const std::vector<UpstreamRef>& UpstreamDirectory::Of(
     const core::ServiceId& service) const {
-  static const std::vector<UpstreamRef> kNone;
+  static const std::vector<UpstreamRef> none;
   const auto found = m_by_service.find(service);
-  return found == m_by_service.end() ? kNone : found->second;
+  return found == m_by_service.end() ? none : found->second;
 }
 
 UpstreamRef UpstreamDirectory::Find(const core::UpstreamId& id) const {
--- a/src/gateway/beat_writer.cc
+++ b/src/gateway/beat_writer.cc
@@ -28,7 +28,7 @@
 void BeatWriter::Announce() {
   m_store.append(
       m_options.topic, KeyedRecord{}, {m_options.router, m_epoch, 0},
-      [self = shared_from_this()](core::Result<WriteReceipt> result) {
+      [self = shared_from_this()](const core::Result<WriteReceipt>& result) {
         if (self->m_stopped) {
           return;
         }
@@ -79,12 +79,12 @@
   m_store.append(
       m_options.topic, {m_options.router, m_beat.SerializeAsString(), 0},
       {m_options.router, m_epoch, m_sequence},
-      [self = shared_from_this()](core::Result<WriteReceipt> result) {
-        self->OnAppended(std::move(result));
+      [self = shared_from_this()](const core::Result<WriteReceipt>& result) {
+        self->OnAppended(result);
       });
 }
 
-void BeatWriter::OnAppended(core::Result<WriteReceipt> result) {
+void BeatWriter::OnAppended(const core::Result<WriteReceipt>& result) {
   if (m_stopped) {
     return;
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -238,9 +238,9 @@
         m_last_failure.empty() ? std::string(m_placed_by) : m_last_failure};
     if (m_may_have_run) {
       error.id = core::ErrorId::kUpstreamFailed;
-      Fail(std::move(error));
+      Fail(error);
     } else {
-      Refuse(std::move(error), kSoon);
+      Refuse(error, kSoon);
     }
     return;
   }
@@ -302,9 +302,9 @@
            self->OnHead(head);
          }
        },
-       [weak](std::string body) {
+       [weak](const std::string& body) {
          if (const auto self = weak.lock()) {
-           self->OnBody(std::move(body));
+           self->OnBody(body);
          }
        },
        // Holds the exchange for as long as the attempt goes on.
@@ -339,7 +339,7 @@
   attempt.passing_on = IsStream() && IsSuccess(head.status);
 }
 
-void Exchange::OnBody(std::string body) {
+void Exchange::OnBody(const std::string& body) {
   Attempt& attempt = *m_attempt;
   m_watch_from = net::BootNow();
   if (attempt.passing_on && !IsStream()) {
@@ -526,7 +526,7 @@
                                 net::BootNow());
 }
 
-void Exchange::Refuse(core::Error error,
+void Exchange::Refuse(const core::Error& error,
                       std::optional<core::Duration> retry_after) {
   const core::ErrorInfo& info = core::Describe(error.id);
   m_last_failure = error.subject + ": " + error.detail;
@@ -536,7 +536,7 @@
 
 // After the point of no return nothing is promised: the status says neither
 // "not run" nor "ran", and an answer that began must not look complete.
-void Exchange::Fail(core::Error error) {
+void Exchange::Fail(const core::Error& error) {
   const core::ErrorInfo& info = core::Describe(error.id);
   m_last_failure = error.subject + ": " + error.detail;
   if (m_answer_begun) {
--- a/src/gateway/http_caller.cc
+++ b/src/gateway/http_caller.cc
@@ -168,7 +168,7 @@
   boost::asio::post(m_io,
                     [self = shared_from_this(), handler = std::move(handler),
                      result = std::move(result)]() mutable {
-                      handler(std::move(result));
+                      handler(result);
                       self->Next();
                     });
 }
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -28,34 +28,36 @@
 }
 
 void TopicFollower::ReadNewest() {
-  m_store.newest(m_options.topic, [self = shared_from_this()](
-                                      core::Result<NewestRecords> result) {
-    if (self->m_stopped) {
-      return;
-    }
-    if (!core::IsOk(result)) {
-      self->Fail(core::Failure(result));
-      return;
-    }
-    const NewestRecords& newest = core::Value(result);
-    self->m_failures = 0;
-    self->m_has_newest = true;
-    self->m_next = newest.next;
-    self->m_hooks.on_newest(newest.records);
-    self->m_hooks.on_read(self->m_next);
-    self->ReadOn();
-  });
+  m_store.newest(
+      m_options.topic,
+      [self = shared_from_this()](const core::Result<NewestRecords>& result) {
+        if (self->m_stopped) {
+          return;
+        }
+        if (!core::IsOk(result)) {
+          self->Fail(core::Failure(result));
+          return;
+        }
+        const NewestRecords& newest = core::Value(result);
+        self->m_failures = 0;
+        self->m_has_newest = true;
+        self->m_next = newest.next;
+        self->m_hooks.on_newest(newest.records);
+        self->m_hooks.on_read(self->m_next);
+        self->ReadOn();
+      });
 }
 
 void TopicFollower::ReadOn() {
   m_pausing = false;
-  m_store.read(m_options.topic, m_next, m_options.wait,
-               [self = shared_from_this()](core::Result<RecordBatch> result) {
-                 self->OnBatch(std::move(result));
-               });
+  m_store.read(
+      m_options.topic, m_next, m_options.wait,
+      [self = shared_from_this()](const core::Result<RecordBatch>& result) {
+        self->OnBatch(result);
+      });
 }
 
-void TopicFollower::OnBatch(core::Result<RecordBatch> result) {
+void TopicFollower::OnBatch(const core::Result<RecordBatch>& result) {
   if (m_stopped) {
     return;
   }
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -149,9 +149,9 @@
   if (!m_active) {
     return;
   }
-  std::string body = m_reader->TakeBody();
+  const std::string body = m_reader->TakeBody();
   if (!body.empty()) {
-    handlers->on_body(std::move(body));
+    handlers->on_body(body);
   }
   if (m_active && m_reader->done()) {
     // An upstream that answers before it has read the whole request would
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -162,9 +162,7 @@
 }
 
 ScriptedUpstream::ScriptedUpstream(boost::asio::io_context& io)
-    : m_io(io),
-      m_address(FreeAddress(io)),
-      m_acceptor(io, EndpointOf(m_address)) {
+    : m_address(FreeAddress(io)), m_acceptor(io, EndpointOf(m_address)) {
   Accept();
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -34,7 +34,6 @@
  private:
   void Accept();
 
-  boost::asio::io_context& m_io;
   std::string m_address;
   boost::asio::ip::tcp::acceptor m_acceptor;
   OnRequest m_on_request;
