--- /dev/null
+++ b/bench/ceiling/fleet.cc
@@ -0,0 +1,317 @@
+#include "bench/ceiling/fleet.h"
+
+#include <algorithm>  // max
+#include <cmath>      // log
+
+namespace coppervalve::bench {
+
+namespace {
+
+constexpr double kStep = 0.01;  // seconds
+constexpr double kBeatPeriod = 1;
+constexpr double kHurry = 0.03;
+constexpr double kPatience = 0.4;  // of a request that waits for a ceiling
+constexpr double kRestart = 1;
+constexpr double kRunTime = 1.5;
+// A fifth of the requests is large, as group itineraries are.
+constexpr double kLargeShare = 0.22;
+constexpr int64_t kLargeTokens = 12'000;
+constexpr int64_t kSmallTokens = 1'500;
+constexpr double kUsedOfMost = 0.9;
+constexpr double kSpread = 0.6;
+
+core::TimePoint At(double seconds) {
+  return core::TimePoint(core::Duration(static_cast<int64_t>(seconds * 1e6)));
+}
+
+core::AccountId AccountName(uint32_t account) {
+  return core::AccountId("account-" + std::to_string(account));
+}
+
+core::RouterId RouterName(uint32_t router) {
+  return core::RouterId("router-" + std::to_string(router));
+}
+
+}  // namespace
+
+Fleet::Fleet(const FleetOptions& options, Policy policy)
+    : m_options(options),
+      m_policy(policy),
+      m_random(options.seed),
+      m_routers(options.routers),
+      m_spent(options.accounts),
+      m_in_use(options.accounts) {
+  double sum = 0;
+  for (uint32_t i = 0; i < options.accounts; ++i) {
+    m_weights.push_back(1.0 / (i + 1));
+    sum += m_weights.back();
+  }
+  const double mean = kLargeShare * static_cast<double>(kLargeTokens) +
+                      (1 - kLargeShare) * static_cast<double>(kSmallTokens);
+  const double all = options.requests_per_second * options.end * mean *
+                     kUsedOfMost * options.prepaid_ratio;
+  for (double& weight : m_weights) {
+    weight /= sum;
+    m_totals.push_back(static_cast<int64_t>(all * weight));
+    m_outcome.total += m_totals.back();
+  }
+  for (uint32_t i = 0; i < options.routers; ++i) {
+    for (const int64_t total : m_totals) {
+      m_routers[i].split.push_back(total / options.routers);
+    }
+    StartRouter(i);
+  }
+}
+
+double Fleet::Uniform() {
+  constexpr double kBits = 9007199254740992.0;  // 2^53
+  return static_cast<double>(m_random() >> 11) / kBits;
+}
+
+entry::Configuration Fleet::ConfigurationOf() const {
+  entry::Configuration configuration;
+  for (uint32_t i = 0; i < m_options.accounts; ++i) {
+    entry::Account account;
+    account.name = AccountName(i);
+    account.prepaid = core::Tokens(m_totals[i]);
+    configuration.accounts.push_back(account);
+  }
+  return configuration;
+}
+
+void Fleet::StartRouter(uint32_t index) {
+  Router& router = m_routers[index];
+  router.up = true;
+  ++router.epoch;
+  router.sequence = 0;
+  router.read = 0;
+  router.next_beat = m_now + 0.05;
+  router.book = std::make_unique<entry::AllotmentBook>(entry::BookOptions{});
+  router.book->OnConfiguration(ConfigurationOf());
+  v1::RouterBeat own;
+  for (; router.read < m_log.size(); ++router.read) {
+    const Record& record = m_log[router.read];
+    if (record.router == index) {
+      own = record.beat;
+      continue;
+    }
+    router.book->OnOtherBeat(RouterName(record.router), record.beat, At(m_now));
+  }
+  router.book->OnPredecessor(own);
+}
+
+void Fleet::ReadLog(uint32_t index) {
+  Router& router = m_routers[index];
+  for (; router.read < m_log.size(); ++router.read) {
+    const Record& record = m_log[router.read];
+    if (record.router != index) {
+      router.book->OnOtherBeat(RouterName(record.router), record.beat,
+                               At(m_now));
+      continue;
+    }
+    if (record.beat.epoch() == router.epoch) {
+      router.book->OnOwnBeat(record.beat);
+    }
+  }
+}
+
+void Fleet::Beat(uint32_t index) {
+  Router& router = m_routers[index];
+  Record record;
+  record.router = index;
+  record.beat.set_epoch(router.epoch);
+  record.beat.set_sequence(++router.sequence);
+  router.book->WriteClaims(record.beat, m_options.routers, false, At(m_now));
+  m_log.push_back(std::move(record));
+  ++m_outcome.records;
+  router.next_beat = m_now + kBeatPeriod;
+}
+
+void Fleet::EndRequests(Router& router) {
+  while (!router.running.empty() && router.running.front().ends <= m_now) {
+    const Request request = router.running.front();
+    router.running.pop_front();
+    m_in_use[request.account] -= request.most;
+    m_spent[request.account] += request.used;
+    if (m_policy == Policy::kCeilings) {
+      router.book->Settle(AccountName(request.account),
+                          core::Tokens(request.most),
+                          core::Tokens(request.used), At(m_now));
+    } else {
+      router.split[request.account] += request.most - request.used;
+    }
+  }
+}
+
+bool Fleet::TryServe(Router& router, const Request& request) {
+  if (m_policy == Policy::kEqualSplit) {
+    if (router.split[request.account] < request.most) {
+      return false;
+    }
+    router.split[request.account] -= request.most;
+  } else if (router.book->Reserve(AccountName(request.account),
+                                  core::Tokens(request.most)) !=
+             entry::Reservation::kHeld) {
+    return false;
+  }
+  m_in_use[request.account] += request.most;
+  ++m_outcome.served;
+  Request running = request;
+  running.ends = m_now + kRunTime;
+  router.running.push_back(running);
+  return true;
+}
+
+void Fleet::Refuse(const Request& request) {
+  const int64_t left = m_totals[request.account] - m_spent[request.account] -
+                       m_in_use[request.account];
+  if (left >= request.most) {
+    ++m_outcome.false_refusals;
+  }
+}
+
+uint32_t Fleet::RouterFor(uint32_t account) {
+  const auto draw = static_cast<uint32_t>(m_random() >> 32);
+  if (account < m_options.accounts_of_two) {
+    return (account * 2 + draw % 2) % m_options.routers;
+  }
+  return draw % m_options.routers;
+}
+
+void Fleet::Serve(uint32_t index, const Request& request) {
+  Router& router = m_routers[index];
+  ++m_outcome.requests;
+  if (!router.up) {
+    --m_outcome.requests;  // the caller finds no router: not a refusal
+    return;
+  }
+  router.book->OnDemand(AccountName(request.account),
+                        core::Tokens(request.most), At(m_now));
+  if (TryServe(router, request)) {
+    return;
+  }
+  if (router.cut || m_policy == Policy::kEqualSplit ||
+      !router.book->MayBeCovered(AccountName(request.account),
+                                 core::Tokens(request.most))) {
+    Refuse(request);
+    return;
+  }
+  Request waiting = request;
+  waiting.ends = m_now + kPatience;
+  router.waiting.push_back(waiting);
+  router.next_beat = std::min(router.next_beat, m_now + kHurry);
+}
+
+void Fleet::Arrivals() {
+  double expected = m_options.requests_per_second * kStep;
+  while (Uniform() < expected) {
+    expected -= 1;
+    Request request;
+    double draw = Uniform();
+    while (request.account + 1 < m_options.accounts &&
+           draw >= m_weights[request.account]) {
+      draw -= m_weights[request.account];
+      ++request.account;
+    }
+    const int64_t mean = Uniform() < kLargeShare ? kLargeTokens : kSmallTokens;
+    const double factor = 1 - kSpread / 2 + kSpread * Uniform();
+    request.most = static_cast<int64_t>(static_cast<double>(mean) * factor);
+    request.used =
+        static_cast<int64_t>(static_cast<double>(request.most) * kUsedOfMost);
+    Serve(RouterFor(request.account), request);
+  }
+}
+
+void Fleet::Step() {
+  m_now += kStep;
+  for (uint32_t i = 0; i < m_routers.size(); ++i) {
+    Router& router = m_routers[i];
+    if (!router.up && m_now >= router.starts_at && !router.cut) {
+      StartRouter(i);
+    }
+    if (!router.up) {
+      continue;
+    }
+    EndRequests(router);
+    if (m_policy == Policy::kEqualSplit || router.cut) {
+      continue;
+    }
+    ReadLog(i);
+    if (m_now >= router.next_beat) {
+      Beat(i);
+    }
+    std::deque<Request> waiting = std::exchange(router.waiting, {});
+    for (const Request& request : waiting) {
+      if (TryServe(router, request)) {
+        continue;
+      }
+      if (m_now >= request.ends ||
+          !router.book->MayBeCovered(AccountName(request.account),
+                                     core::Tokens(request.most))) {
+        Refuse(request);
+        continue;
+      }
+      router.waiting.push_back(request);
+      router.next_beat = std::min(router.next_beat, m_now + kHurry);
+    }
+  }
+  Arrivals();
+}
+
+void Fleet::RunUntil(double seconds) {
+  while (m_now < seconds) {
+    Step();
+  }
+}
+
+void Fleet::Cut(uint32_t first, uint32_t last, bool cut) {
+  for (uint32_t i = first; i < last; ++i) {
+    m_routers[i].cut = cut;
+  }
+}
+
+void Fleet::Kill(uint32_t index) {
+  Router& router = m_routers[index];
+  if (!router.up) {
+    return;
+  }
+  router.up = false;
+  router.starts_at = m_now + kRestart;
+  // What was in progress is charged at its most: the upstreams may have run it.
+  for (const Request& request : router.running) {
+    m_in_use[request.account] -= request.most;
+    m_spent[request.account] += request.most;
+  }
+  router.running.clear();
+  router.waiting.clear();
+  if (m_policy == Policy::kEqualSplit) {
+    // Nothing says what the router spent of its part.
+    for (int64_t& left : router.split) {
+      m_outcome.stranded += left;
+      left = 0;
+    }
+    return;
+  }
+  for (uint32_t i = 0; i < m_options.accounts; ++i) {
+    const auto figures = router.book->FiguresOf(AccountName(i));
+    m_outcome.stranded +=
+        (figures.ceiling - figures.spent - figures.reserved).value();
+  }
+}
+
+void Fleet::KillAll() {
+  for (uint32_t i = 0; i < m_routers.size(); ++i) {
+    Kill(i);
+  }
+}
+
+Outcome Fleet::Finish() {
+  RunUntil(m_options.end);
+  for (uint32_t i = 0; i < m_options.accounts; ++i) {
+    m_outcome.overspend +=
+        std::max<int64_t>(0, m_spent[i] + m_in_use[i] - m_totals[i]);
+  }
+  return m_outcome;
+}
+
+}  // namespace coppervalve::bench
--- /dev/null
+++ b/bench/ceiling/main.cc
@@ -0,0 +1,132 @@
+// Ceilings of the entry routers under cuts and losses: `bench-ceiling`. The
+// product's books on a log in memory, in virtual time, beside an equal split.
+#include <cstdlib>     // EXIT_FAILURE
+#include <functional>  // function
+#include <string>      // string
+#include <vector>      // vector
+
+#include "bench/budget/report.h"
+#include "bench/ceiling/fleet.h"
+
+namespace {
+
+using namespace coppervalve::bench;
+
+constexpr uint64_t kSeeds = 4;
+
+/// @brief What happens to a fleet, and what may come of it at most.
+struct Schedule {
+  std::string name;
+  std::function<void(Fleet&, const FleetOptions&)> play;
+  double false_refusals_per_thousand = 0;  ///< bound
+  double stranded_per_thousand = 0;        ///< bound, of the totals
+};
+
+void CutAll(Fleet& fleet, const FleetOptions& options, double at, double span) {
+  fleet.RunUntil(at);
+  fleet.Cut(0, options.routers, true);
+  fleet.RunUntil(at + span);
+  fleet.Cut(0, options.routers, false);
+}
+
+std::vector<Schedule> Schedules() {
+  return {
+      {"calm", [](Fleet&, const FleetOptions&) {}, 1, 0},
+      {"all_cut_twice",
+       [](Fleet& fleet, const FleetOptions& options) {
+         CutAll(fleet, options, 5, 9);
+         CutAll(fleet, options, 23, 8.5);
+       },
+       60, 0},
+      {"all_power_lost",
+       [](Fleet& fleet, const FleetOptions&) {
+         fleet.RunUntil(34);
+         fleet.KillAll();
+       },
+       10, 180},
+      {"cut_then_power_lost",
+       [](Fleet& fleet, const FleetOptions& options) {
+         CutAll(fleet, options, 5, 9);
+         CutAll(fleet, options, 23, 8.5);
+         fleet.RunUntil(34);
+         fleet.KillAll();
+       },
+       70, 180},
+      {"one_killed_every_3s",
+       [](Fleet& fleet, const FleetOptions& options) {
+         for (uint32_t i = 0; i < 14; ++i) {
+           fleet.RunUntil(3.0 * (i + 1));
+           fleet.Kill(i % options.routers);
+         }
+       },
+       180, 400},
+      {"half_turned_away",
+       [](Fleet& fleet, const FleetOptions& options) {
+         fleet.RunUntil(8);
+         fleet.Cut(0, options.routers / 2, true);
+         fleet.RunUntil(17);
+         fleet.Cut(0, options.routers / 2, false);
+       },
+       30, 0},
+  };
+}
+
+Outcome PlayAll(const Schedule& schedule, Policy policy) {
+  Outcome sum;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FleetOptions options;
+    options.seed = seed;
+    Fleet fleet(options, policy);
+    schedule.play(fleet, options);
+    const Outcome one = fleet.Finish();
+    sum.requests += one.requests;
+    sum.served += one.served;
+    sum.false_refusals += one.false_refusals;
+    sum.overspend += one.overspend;
+    sum.stranded += one.stranded;
+    sum.total += one.total;
+    sum.records += one.records;
+  }
+  return sum;
+}
+
+double PerThousand(double part, double whole) {
+  return 1'000 * part / whole;
+}
+
+}  // namespace
+
+int main() {
+  Report report;
+  for (const Schedule& schedule : Schedules()) {
+    const Outcome own = PlayAll(schedule, Policy::kCeilings);
+    const Outcome split = PlayAll(schedule, Policy::kEqualSplit);
+    const auto requests = static_cast<double>(own.requests);
+    const auto total = static_cast<double>(own.total);
+    const auto line = [&](const std::string& figure, double value,
+                          const std::string& unit, std::optional<Bound> bound) {
+      report.Print(schedule.name + "." + figure, value, unit, bound);
+    };
+    line("overspend", static_cast<double>(own.overspend), "tokens",
+         Bound{Bound::Kind::kAtMost, 0});
+    line("false_refusals",
+         PerThousand(static_cast<double>(own.false_refusals), requests),
+         "per thousand",
+         Bound{Bound::Kind::kAtMost, schedule.false_refusals_per_thousand});
+    line("false_refusals_equal_split",
+         PerThousand(static_cast<double>(split.false_refusals),
+                     static_cast<double>(split.requests)),
+         "per thousand", std::nullopt);
+    line("stranded", PerThousand(static_cast<double>(own.stranded), total),
+         "per thousand",
+         Bound{Bound::Kind::kAtMost, schedule.stranded_per_thousand});
+    line("stranded_equal_split",
+         PerThousand(static_cast<double>(split.stranded), total),
+         "per thousand", std::nullopt);
+    line("records",
+         static_cast<double>(own.records) /
+             (FleetOptions{}.end * FleetOptions{}.routers * kSeeds),
+         "a router and second", Bound{Bound::Kind::kAtMost, 2});
+  }
+  return report.exceeded() ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,115 @@
+"""Callers that check every answer they get."""
+
+import asyncio
+import json
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from tests.soak.http import read_chunks, read_head, read_message
+
+PROMPT, MOST_OUTPUT = 200, 70
+HOST = "desk.example"
+
+
+@dataclass
+class Seen:
+    """What callers saw."""
+
+    outcomes: Counter[str] = field(default_factory=Counter)
+    wrong: list[str] = field(default_factory=list)  # answers that no rule allows
+    not_run: set[str] = field(default_factory=set)  # ids that were promised so
+    delivered: Counter[str] = field(default_factory=Counter)  # events, by id
+
+
+class Callers:
+    def __init__(self, directories: list[str], seed: int) -> None:
+        self.seen = Seen()
+        self._directories = directories
+        self._random = random.Random(seed)
+        self._number = 0
+
+    async def run(self, per_second: float, until: float) -> None:
+        loop = asyncio.get_running_loop()
+        tasks = []
+        while loop.time() < until:
+            tasks.append(asyncio.create_task(self._request()))
+            await asyncio.sleep(self._random.expovariate(per_second))
+        await asyncio.gather(*tasks)
+
+    async def _address(self) -> str | None:
+        for directory in self._random.sample(self._directories, 3):
+            reply = await self._call(directory, f"GET /api/resolve?name={HOST} HTTP/1.1\r\n"
+                                     f"Host: {HOST}\r\n\r\n")
+            if reply is not None and reply.status == 200:
+                return self._random.choice(json.loads(reply.body)["addresses"])
+        return None
+
+    async def _call(self, address: str, text: str):
+        host, port = address.split(":")
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+            writer.write(text.encode())
+            reply, whole = await asyncio.wait_for(read_message(reader), 8)
+            writer.close()
+        except (OSError, TimeoutError):
+            return None
+        return reply if whole else None
+
+    async def _request(self) -> None:
+        self._number += 1
+        request_id = f"r{self._number}"
+        kind = self._random.choice(["chat", "chat", "draft", "hold", "lookup"])
+        address = await self._address()
+        if address is None:
+            self.seen.outcomes["no address"] += 1
+            return
+        text = (f"POST /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+                "Deadline-Ms: 6000\r\nAuthorization: Token key\r\nContent-Length: 0\r\n")
+        if kind in ("chat", "draft"):
+            text += f"Model: m\r\nToken-Usage: {PROMPT},{MOST_OUTPUT}\r\nPrefix-Hash: a:100,b:100\r\n"
+        await self._exchange(address, text + "\r\n", kind, request_id)
+
+    async def _exchange(self, address: str, text: str, kind: str, request_id: str) -> None:
+        host, port = address.split(":")
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+            writer.write(text.encode())
+            head = await asyncio.wait_for(read_head(reader), 8)
+            if head is None:
+                self.seen.outcomes["closed"] += 1
+                return
+            body, whole = await asyncio.wait_for(self._body(reader, head), 8)
+            writer.close()
+        except (OSError, TimeoutError):
+            self.seen.outcomes["unreachable"] += 1
+            return
+        self._judge(kind, request_id, head, body, whole)
+
+    async def _body(self, reader, head):
+        if head.headers.get("transfer-encoding") == "chunked":
+            return await read_chunks(reader)
+        try:
+            return await reader.readexactly(int(head.headers["content-length"])), True
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b"", False
+
+    def _judge(self, kind: str, request_id: str, head, body: bytes, whole: bool) -> None:
+        seen = self.seen
+        events = [line for line in body.decode().split("\n") if line.startswith("data: ")]
+        seen.delivered[request_id] += len(events)
+        seen.outcomes[f"{head.status}{'' if whole else ' cut'}"] += 1
+        if head.status in (429, 503):
+            seen.not_run.add(request_id)
+        if head.status >= 300:
+            return
+        if not head.headers.get("server-signature", "").endswith(f".{request_id}"):
+            seen.wrong.append(f"{request_id}: signature")
+        if kind in ("chat", "draft"):
+            wanted = [f"data: {request_id} {n}" for n in range(1, len(events) + 1)]
+            if events != wanted:
+                seen.wrong.append(f"{request_id}: pieces {events}")
+            if whole and len(events) != MOST_OUTPUT // 7:
+                seen.wrong.append(f"{request_id}: looks whole with {len(events)} pieces")
+        elif whole and body != f"plain {request_id}".encode():
+            seen.wrong.append(f"{request_id}: body {body!r}")
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,91 @@
+"""Stand-ins of upstreams: an engine that streams, and a plain service. They
+record what they ran, which is what the verdict is taken from."""
+
+import asyncio
+import random
+from collections import Counter
+
+from tests.soak.http import Message, answer, chunk, read_message
+
+TOKENS_PER_EVENT = 7
+
+
+class Ledger:
+    """What ran where, by request id."""
+
+    def __init__(self) -> None:
+        self.runs: Counter[str] = Counter()
+        self.streamed: Counter[str] = Counter()  # events made, of all runs
+        self.kind: dict[str, str] = {}
+        self.prompt: dict[str, int] = {}
+
+
+class Server:
+    def __init__(self, name: str, service: str, ledger: Ledger, seed: int) -> None:
+        self.name = name
+        self.service = service
+        self.address = ""
+        self.cut = 0.0  # share of answers that break off
+        self.decline = 0.0  # share that are not run
+        self._ledger = ledger
+        self._random = random.Random(seed)
+
+    async def listen(self) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = server
+        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    def entry(self, state: str = "ready") -> dict:
+        return {"service": self.service, "address": self.address, "zone": "a",
+                "slots": 64, "state": state, "sequence": 1}
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            while True:
+                request, whole = await read_message(reader)
+                if request is None or not whole or not await self._run(request, writer):
+                    break
+        except ConnectionError:
+            pass
+        writer.close()
+
+    async def _run(self, request: Message, writer) -> bool:
+        headers = request.headers
+        request_id = headers["request-id"]
+        if headers.get("expected-instance") != self.name:
+            writer.write(answer(421))
+            return True
+        if self._random.random() < self.decline:
+            writer.write(answer(503, Not_Executed="1", Request_Id=request_id))
+            return True
+        self._ledger.runs[request_id] += 1
+        self._ledger.kind[request_id] = request.first.split()[1].split("/")[1]
+        signed = {"Server_Signature": f"{self.name}.{request_id}", "Request_Id": request_id}
+        breaks = self._random.random() < self.cut
+        if "token-usage" not in headers:
+            await asyncio.sleep(0.01)
+            if breaks:
+                return False
+            writer.write(answer(200, f"plain {request_id}".encode(), **signed))
+            return True
+        return await self._stream(request, writer, signed, breaks)
+
+    async def _stream(self, request: Message, writer, signed: dict, breaks: bool) -> bool:
+        request_id = request.headers["request-id"]
+        prompt, most = request.headers["token-usage"].split(",")
+        self._ledger.prompt[request_id] = int(prompt)
+        lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in signed.items()]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        count = int(most) // TOKENS_PER_EVENT
+        for number in range(int(request.headers.get("last-event-id", 0)) + 1, count + 1):
+            await asyncio.sleep(0.01)
+            event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            if breaks and number > count // 2:
+                writer.write(chunk(event[: len(event) // 2]))
+                return False
+            writer.write(chunk(event))
+            await writer.drain()
+            self._ledger.streamed[request_id] += 1
+        writer.write(b"0\r\n\r\n")
+        return True
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,127 @@
+"""Stand-in of the platform's store: topics that keep the newest of each key.
+
+Each router reaches it at a port of its own, so that some can be turned away
+while others are served."""
+
+import asyncio
+import base64
+import json
+import random
+import struct
+from urllib.parse import parse_qs, urlsplit
+
+from tests.soak.http import Message, answer, read_message
+
+
+class Topic:
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[tuple[str, bytes]] = []
+        self.newest: dict[str, tuple[int, bytes]] = {}
+        self.writers: dict[str, tuple[int, int, bytes]] = {}
+        self.grew = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes) -> None:
+        if value:
+            self.newest[key] = (self.end, value)
+        else:
+            self.newest.pop(key, None)
+        self.records.append((key, value))
+        self.grew.set()
+        self.grew = asyncio.Event()
+
+
+class Store:
+    def __init__(self, seed: int) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.down: set[int] = set()  # ports that are turned away
+        self.lose = 0.0  # share of appends that are done and not answered
+        self.calls = 0
+        self._random = random.Random(seed)
+        self._servers: list[asyncio.Server] = []
+
+    def topic(self, name: str) -> Topic:
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic: str, key: str, value: dict | None) -> None:
+        self.topic(topic).append(key, json.dumps(value).encode() if value else b"")
+
+    def forget(self) -> None:
+        """Drops all records but the newest of each key."""
+        for topic in self.topics.values():
+            topic.first = topic.end
+            topic.records = []
+
+    async def listen(self) -> int:
+        server = await asyncio.start_server(lambda r, w: self._serve(r, w, port), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        self._servers.append(server)
+        return port
+
+    async def _serve(self, reader, writer, port: int) -> None:
+        while True:
+            request, whole = await read_message(reader)
+            if request is None or not whole:
+                break
+            self.calls += 1
+            if port in self.down:
+                if self._random.random() < 0.5:
+                    break
+                writer.write(answer(503))
+                continue
+            reply = await self._answer(request)
+            if reply is None or port in self.down:
+                break
+            writer.write(reply)
+        writer.close()
+
+    async def _answer(self, request: Message) -> bytes | None:
+        method, target, _ = request.first.split()
+        url = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        topic = self.topic(query["topic"])
+        if url.path == "/api/log-newest":
+            entries = [
+                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                for key, (offset, value) in sorted(topic.newest.items())
+            ]
+            body = {"entries": entries, "hasMore": False, "endOffset": topic.end}
+            return answer(200, json.dumps(body).encode())
+        if url.path == "/api/log-read":
+            return await self._read(topic, int(query["from"]), int(query["waitMs"]))
+        return self._append(topic, query, request.body)
+
+    async def _read(self, topic: Topic, start: int, wait_ms: int) -> bytes:
+        if start >= topic.end:
+            try:
+                await asyncio.wait_for(topic.grew.wait(), wait_ms / 1000)
+            except TimeoutError:
+                pass
+        if start < topic.first:
+            return answer(410, json.dumps({"firstOffset": topic.first}).encode())
+        body = struct.pack(">QQ", topic.end, topic.first)
+        for key, value in topic.records[start - topic.first :]:
+            record = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(record)) + record
+        return answer(200, body)
+
+    def _append(self, topic: Topic, query: dict, body: bytes) -> bytes | None:
+        epoch, sequence = int(query["epoch"]), int(query["sequence"])
+        known_epoch, known_sequence, known_reply = topic.writers.get(query["producer"], (0, 0, b""))
+        if epoch < known_epoch:
+            return answer(409, b'{"reason":"fenced"}')
+        if epoch == known_epoch and sequence == known_sequence and known_reply:
+            return known_reply
+        if epoch == known_epoch and sequence != known_sequence + 1:
+            return answer(409, b'{"reason":"seq"}')
+        offset = topic.end
+        if body:
+            key_size = body[4]
+            topic.append(body[5 : 5 + key_size].decode(), body[5 + key_size :])
+        reply = answer(200, json.dumps({"offset": offset, "endOffset": topic.end}).encode())
+        topic.writers[query["producer"]] = (epoch, sequence, reply)
+        return None if self._random.random() < self.lose else reply
