--- a/src/budget/sizing.cc
+++ b/src/budget/sizing.cc
@@ -41,6 +41,10 @@
   return Tokens(view.largest_bound.value() * count);
 }
 
+/// Least step of a ceiling, in parts of the largest request seen: at this size
+/// one raise serves two requests, and a crash strands less than with a whole.
+constexpr int64_t kStepPermille = 750;
+
 /// This router's part of all that the live fleet has left. What is free is of
 /// no use while the log is out, so most of it is held; the rest is for routers
 /// that join and for demand that moves.
@@ -138,13 +142,18 @@
 
 Tokens DefaultCeilingStep(const SizingOptions& options,
                           const SizingView& view) {
+  // A step smaller than most requests raises the ceiling for each of them.
   // A raise takes one round trip to a peer, so little is kept ahead: a crash
   // strands it. While the log is out a witness that dies can't be replaced, and
   // what is ahead is all that is left to work with.
   const double seconds =
       view.log_out ? options.ceiling_log_out_seconds : options.ceiling_seconds;
   const Tokens ahead = DemandOf(view, seconds);
-  return view.log_out ? std::max(ahead, view.largest_bound) : ahead;
+  const Tokens floor =
+      view.log_out
+          ? view.largest_bound
+          : Tokens(view.largest_bound.value() * kStepPermille / kPermille);
+  return std::max(ahead, floor);
 }
 
 GrantAsk EqualGrant(const SizingView& view) {
