Ask again for a refused page alone; page in the product

Cause looked for: 300 routers take 10 s for a configuration. Test: Lifecycle, a_page_that_is_turned_away.

--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -18,11 +18,12 @@
   uint64_t offset = 0;
 };
 
-/// @brief The newest record of each key. Not a snapshot: records from `next`
-/// on may be in it already.
-struct NewestRecords {
+/// @brief A page of the newest records of each key. Pages are not a snapshot:
+/// records from `end` on may be in them already.
+struct NewestPage {
   std::vector<KeyedRecord> records;
-  uint64_t next = 0;  ///< where to read on
+  uint64_t end = 0;   ///< of the log, when the page was made
+  std::string after;  ///< key to go on after; empty = this was the last page
 };
 
 /// @brief Records in the order of their offsets.
@@ -53,7 +54,11 @@
   template <typename T>
   using Handler = std::function<void(const core::Result<T>&)>;
 
-  std::function<void(const std::string& topic, Handler<NewestRecords>)> newest;
+  /// @param after key of the page before; empty = from the first
+  std::function<void(const std::string& topic,
+                     const std::string& after,
+                     Handler<NewestPage>)>
+      newest;
   /// Waits up to `wait` for the first record.
   std::function<void(const std::string& topic,
                      uint64_t from,
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -51,6 +51,8 @@
 
  private:
   void ReadNewest();
+  void ReadPage();
+  void OnPage(const core::Result<NewestPage>& result);
   void ReadOn();
   void OnBatch(const core::Result<RecordBatch>& result);
   void Fail(const core::Error& error);
@@ -62,6 +64,8 @@
   Hooks m_hooks;
   boost::asio::steady_timer m_timer;
   uint64_t m_next = 0;
+  std::vector<KeyedRecord> m_newest;  ///< of the pages read so far
+  std::string m_after;
   core::TimePoint m_began;
   uint32_t m_failures = 0;
   bool m_has_newest = false;
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -30,27 +30,51 @@
 }
 
 void TopicFollower::ReadNewest() {
+  m_has_newest = false;
+  m_newest.clear();
+  m_after.clear();
+  ReadPage();
+}
+
+void TopicFollower::ReadPage() {
   m_began = net::BootNow();
   m_store.newest(
-      m_options.topic,
-      [self = shared_from_this()](const core::Result<NewestRecords>& result) {
-        if (self->m_stopped) {
-          return;
-        }
-        if (!core::IsOk(result)) {
-          self->Fail(core::Failure(result));
-          return;
-        }
-        const NewestRecords& newest = core::Value(result);
-        self->m_failures = 0;
-        self->m_has_newest = true;
-        self->m_next = newest.next;
-        self->m_hooks.on_newest(newest.records);
-        self->m_hooks.on_read(self->m_next);
-        self->ReadOn();
+      m_options.topic, m_after,
+      [self = shared_from_this()](const core::Result<NewestPage>& result) {
+        self->OnPage(result);
       });
 }
 
+// A page that is turned away is asked for again, and those before it are kept:
+// hundreds of routers that start at once would otherwise begin anew with each
+// refusal and keep the store at its bound for good.
+void TopicFollower::OnPage(const core::Result<NewestPage>& result) {
+  if (m_stopped) {
+    return;
+  }
+  if (!core::IsOk(result)) {
+    Fail(core::Failure(result));
+    return;
+  }
+  const NewestPage& page = core::Value(result);
+  m_failures = 0;
+  if (m_after.empty()) {
+    // Only what came before the first page is known to be in all of them.
+    m_next = page.end;
+  }
+  m_newest.insert(m_newest.end(), page.records.begin(), page.records.end());
+  m_after = page.after;
+  if (!m_after.empty()) {
+    ReadPage();
+    return;
+  }
+  m_has_newest = true;
+  m_hooks.on_newest(m_newest);
+  m_newest = {};
+  m_hooks.on_read(m_next);
+  ReadOn();
+}
+
 void TopicFollower::ReadOn() {
   m_pausing = false;
   m_began = net::BootNow();
@@ -103,7 +127,7 @@
   const core::Duration backoff =
       std::min(m_options.first_backoff * factor, m_options.longest_backoff);
   After(backoff / 2 + routing::UniformDuration(m_random, backoff),
-        m_has_newest ? &TopicFollower::ReadOn : &TopicFollower::ReadNewest);
+        m_has_newest ? &TopicFollower::ReadOn : &TopicFollower::ReadPage);
 }
 
 void TopicFollower::After(core::Duration delay, void (TopicFollower::*step)()) {
--- a/tests/gateway/fake_store.cc
+++ b/tests/gateway/fake_store.cc
@@ -76,19 +76,26 @@
 
 KeyedStore FakeStore::Calls() {
   KeyedStore calls;
-  calls.newest = [this](const std::string& topic, auto handler) {
+  calls.newest = [this](const std::string& topic, const std::string& after,
+                        auto handler) {
     ++reads_of_newest;
-    if (away) {
-      Later<NewestRecords>(handler, Away());
+    if (away || refuse_newest > 0) {
+      refuse_newest -= away ? 0 : 1;
+      Later<NewestPage>(handler, Away());
       return;
     }
     const Topic& kept = m_topics[topic];
-    NewestRecords newest;
-    newest.next = EndOf(kept);
-    for (const auto& [key, record] : kept.newest) {
-      newest.records.push_back(record);
+    NewestPage page;
+    page.end = EndOf(kept);
+    for (auto found = kept.newest.upper_bound(after);
+         found != kept.newest.end(); ++found) {
+      if (page.records.size() == page_size) {
+        page.after = page.records.back().key;
+        break;
+      }
+      page.records.push_back(found->second);
     }
-    Later<NewestRecords>(handler, newest);
+    Later<NewestPage>(handler, page);
   };
   calls.read = [this](const std::string& topic, uint64_t from,
                       core::Duration /*wait*/, auto handler) {
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -26,8 +26,10 @@
   /// as a gap.
   void Compact(const std::string& topic);
 
-  bool away = false;        ///< no call is answered in time
-  int lose_answers = 0;     ///< of the next appends, which are done
+  bool away = false;      ///< no call is answered in time
+  int lose_answers = 0;   ///< of the next appends, which are done
+  int refuse_newest = 0;  ///< of the next pages
+  size_t page_size = 500;
   int appends = 0;          ///< calls
   int reads_of_newest = 0;  ///< calls
   /// Newest record of a key; empty when there is none.
--- a/tests/gateway/unit-lifecycle.cc
+++ b/tests/gateway/unit-lifecycle.cc
@@ -125,3 +125,26 @@
   CHECK(Has(late, "HTTP/1.1 503"));
   CHECK(Has(late, "Retry-After"));
 }
+
+TEST(Lifecycle, a_page_that_is_turned_away_is_asked_for_again_alone) {
+  // Hundreds of routers that start together are not ready for ten seconds: the
+  // store turns some pages away, and each time the whole list was read anew.
+  router.store.page_size = 1;
+  for (int i = 0; i < 6; ++i) {
+    router.AddUpstream("u" + std::to_string(i), "hold")
+        .Answer([](const StreamRef& stream, const std::string& request) {
+          stream->Send(Signed(request, "held"));
+        });
+  }
+  router.store.refuse_newest = 3;
+  router.Start();
+  std::string answer;
+  for (int i = 0; i < 200 && !Has(answer, "held"); ++i) {
+    answer = router.Ask("/hold/x");
+    router.io.run_for(std::chrono::milliseconds(10));
+  }
+  CHECK(Has(answer, "held"));
+  // One page of the configuration and of the beats, six of the upstreams, and
+  // the three that were turned away.
+  CHECK_EQUAL(1 + 1 + 6 + 3, router.store.reads_of_newest);
+}
