Number budgets in raises of ceilings

Change: a link numbers the budgets it asks for; the name goes along until a raise that carried it was acknowledged. A witness refuses a number without a name.

--- a/include/coppervalve/budget/ceiling_link.h
+++ b/include/coppervalve/budget/ceiling_link.h
@@ -1,7 +1,7 @@
 #ifndef COPPERVALVE_BUDGET_CEILING_LINK_H_
 #define COPPERVALVE_BUDGET_CEILING_LINK_H_
 
-#include <cstdint>        // uint64_t
+#include <cstdint>        // uint32_t, uint64_t
 #include <optional>       // optional
 #include <unordered_map>  // unordered_map
 #include <vector>         // vector
@@ -48,14 +48,18 @@
   struct Ceiling {
     core::Tokens asked;
     core::Tokens acked;
+    uint32_t number = 0;  ///< names the budget to this witness; 0 = not yet
+    bool named = false;   ///< the witness acknowledged name and number
     bool queued = false;
   };
 
   v1::CeilingRaise NextRaise(uint64_t serial);
+  void Write(const core::BudgetId& budget, v1::PeerCeiling& ceiling);
 
   std::optional<PeerRef> m_peer;
   std::unordered_map<core::BudgetId, Ceiling> m_ceilings;
-  std::vector<core::BudgetId> m_queue;  ///< asked for and not sent yet
+  std::vector<core::BudgetId> m_queue;     ///< asked for and not sent yet
+  std::vector<core::BudgetId> m_numbered;  ///< number n is at n - 1
   std::optional<v1::CeilingRaise> m_outstanding;
   core::TimePoint m_sent_at{};
   bool m_complete = false;
--- a/include/coppervalve/budget/witness_desk.h
+++ b/include/coppervalve/budget/witness_desk.h
@@ -1,6 +1,7 @@
 #ifndef COPPERVALVE_BUDGET_WITNESS_DESK_H_
 #define COPPERVALVE_BUDGET_WITNESS_DESK_H_
 
+#include <cstdint>        // uint32_t
 #include <optional>       // optional
 #include <unordered_map>  // unordered_map
 
@@ -36,9 +37,12 @@
   struct Ward {
     bool complete = false;
     std::unordered_map<core::BudgetId, core::Tokens> ceilings;
+    std::unordered_map<uint32_t, core::BudgetId> names;  ///< by number
     bool closed = false;
   };
 
+  static bool TakeNames(const v1::CeilingRaise& raise, Ward& ward);
+
   std::unordered_map<core::Incarnation, Ward> m_wards;
 };
 
--- a/src/budget/ceiling_link.cc
+++ b/src/budget/ceiling_link.cc
@@ -73,16 +73,29 @@
                            : m_queue.size();
   const auto last = m_queue.begin() + static_cast<std::ptrdiff_t>(count);
   for (auto budget = m_queue.begin(); budget != last; ++budget) {
-    Ceiling& entry = m_ceilings[*budget];
-    entry.queued = false;
-    v1::PeerCeiling* ceiling = raise.add_ceilings();
-    ceiling->set_budget(budget->value());
-    ceiling->set_tokens(entry.asked.value());
+    Write(*budget, *raise.add_ceilings());
   }
   m_queue.erase(m_queue.begin(), last);
   return raise;
 }
 
+// Names are most of a raise. A raise that was lost may have carried a name, so
+// it is repeated until the witness said that it has it.
+void CeilingLink::Write(const core::BudgetId& budget,
+                        v1::PeerCeiling& ceiling) {
+  Ceiling& entry = m_ceilings[budget];
+  entry.queued = false;
+  if (entry.number == 0) {
+    m_numbered.push_back(budget);
+    entry.number = static_cast<uint32_t>(m_numbered.size());
+  }
+  if (!entry.named) {
+    ceiling.set_budget(budget.value());
+  }
+  ceiling.set_number(entry.number);
+  ceiling.set_tokens(entry.asked.value());
+}
+
 std::vector<core::BudgetId> CeilingLink::OnAck(const v1::CeilingAck& ack) {
   // An acknowledgement binds exactly what its raise carried. Taken for a later
   // raise that was lost, it would let this router commit past what the witness
@@ -99,10 +112,11 @@
   m_complete = true;
   std::vector<core::BudgetId> raised;
   for (const v1::PeerCeiling& ceiling : raise.ceilings()) {
-    core::BudgetId budget(ceiling.budget());
+    const core::BudgetId& budget = m_numbered[ceiling.number() - 1];
     Ceiling& entry = m_ceilings[budget];
+    entry.named = true;
     entry.acked = std::max(entry.acked, core::Tokens(ceiling.tokens()));
-    raised.push_back(std::move(budget));
+    raised.push_back(budget);
   }
   return raised;
 }
--- a/src/budget/witness_desk.cc
+++ b/src/budget/witness_desk.cc
@@ -13,7 +13,7 @@
   // A raise acknowledged after the statement was made would let a router that
   // was only paused commit tokens that the fold has given back to the balance:
   // the budget would be overspent. Refusing for ever needs no clock.
-  if (ward.closed) {
+  if (ward.closed || !TakeNames(raise, ward)) {
     ack.set_refused(true);
     return ack;
   }
@@ -21,12 +21,26 @@
   // A raise that overtook a later one must not lower what that one was
   // acknowledged for.
   for (const v1::PeerCeiling& ceiling : raise.ceilings()) {
-    core::Tokens& kept = ward.ceilings[core::BudgetId(ceiling.budget())];
+    core::Tokens& kept = ward.ceilings[ward.names.at(ceiling.number())];
     kept = std::max(kept, core::Tokens(ceiling.tokens()));
   }
   return ack;
 }
 
+// A number without a known name can't be kept. Acknowledged all the same, the
+// peer would commit tokens that the statement after its death leaves out.
+bool WitnessDesk::TakeNames(const v1::CeilingRaise& raise, Ward& ward) {
+  for (const v1::PeerCeiling& ceiling : raise.ceilings()) {
+    if (!ceiling.budget().empty()) {
+      ward.names[ceiling.number()] = core::BudgetId(ceiling.budget());
+    }
+    if (!ward.names.contains(ceiling.number())) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void WitnessDesk::Close(const PeerRef& peer) {
   m_wards[peer.incarnation].closed = true;
 }
@@ -66,6 +80,7 @@
   }
   ward.complete = false;
   ward.ceilings.clear();
+  ward.names.clear();
 }
 
 }  // namespace coppervalve::budget
--- a/tests/budget/unit-witness.cc
+++ b/tests/budget/unit-witness.cc
@@ -201,3 +201,36 @@
   CHECK(desk.OnCeilingRaise(Peer(3), raise).refused());
   CHECK_FALSE(desk.StatementFor(Peer(3)));
 }
+
+// A raise that carried a budget's name is lost. Were the name left out of the
+// next one, the witness could not tell whose ceiling it is.
+TEST(Witness, a_name_goes_along_until_it_was_acknowledged) {
+  BookFixture f;
+  WitnessDesk desk;
+  f.Grant(10'000);
+  f.UseWitness(Peer(2));
+  f.Reserve(200);
+  const CeilingRaiseTo lost = Only(f.book().TakeCeilingRaises(f.now()));
+  CHECK_FALSE(lost.raise.ceilings(0).budget().empty());
+  f.Pass(1'000);
+  const CeilingRaiseTo again = Only(f.book().TakeCeilingRaises(f.now()));
+  CHECK_FALSE(again.raise.ceilings(0).budget().empty());
+  Deliver(f, desk, again);
+  f.Reserve(5'000);
+  const CeilingRaiseTo next = Only(f.book().TakeCeilingRaises(f.now()));
+  CHECK(next.raise.ceilings(0).budget().empty());
+  CHECK_FALSE(desk.OnCeilingRaise(Peer(1), next.raise).refused());
+}
+
+// A witness gets a number that it has no name for. Acknowledged, the peer would
+// commit tokens that the witness can't state after the peer's death.
+TEST(Witness, a_number_without_a_name_is_refused) {
+  WitnessDesk desk;
+  v1::CeilingRaise raise;
+  raise.set_serial(1);
+  raise.set_full(true);
+  v1::PeerCeiling* ceiling = raise.add_ceilings();
+  ceiling->set_number(7);
+  ceiling->set_tokens(500);
+  CHECK(desk.OnCeilingRaise(Peer(1), raise).refused());
+}
