Lead callers to the few most capable routers; the rest stand by

A router and account saw one large request in ten seconds, so that each held a piece smaller than one request (refused with tokens free fleet-wide), a share of 1/80 was claimed everywhere, and weak VMs (0.12 of a core, 10 Mbit/s) carried what the strong ones had room for. Ruled out: holding more a router (all power lost takes it all); asking peers for tokens (no help in a cut of all). Change: beats state capacity (from the VM's size) and load; every router chooses the same active set: the most capable of each failure domain in turn, eight at least, until they carry 1.5 times the load. Shares, load reports and addresses follow it; standbys read and write the store less often. A router whose own reports stop is left out after 1.2 s (the store tells after 3.5 s).

--- a/bench/ceiling/fleet.cc
+++ b/bench/ceiling/fleet.cc
@@ -122,7 +122,9 @@
   record.router = index;
   record.beat.set_epoch(router.epoch);
   record.beat.set_sequence(++router.sequence);
-  router.book->WriteClaims(record.beat, m_options.routers, false, At(m_now));
+  entry::ClaimContext context;
+  context.routers = m_options.routers;
+  router.book->WriteClaims(record.beat, context, At(m_now));
   m_log.push_back(std::move(record));
   ++m_outcome.records;
   router.next_beat = m_now + kBeatPeriod;
--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -18,13 +18,16 @@
   kHeld,
   kUnlimited,  ///< the account has no prepaid total
   kShort,      ///< not within this router's ceiling at present
-  kExhausted,  ///< the account's total cannot cover it, whoever holds the rest
+  /// What may not have been spent yet cannot cover it, whoever holds the rest.
+  kExhausted,
 };
 
 /// @brief Constants of how far a router's ceiling runs ahead of its spending.
 struct BookOptions {
   /// A router goes on serving for about this long without the store.
   core::Duration ahead{9'000'000};
+  /// A router that leaves keeps this much: its callers are on their way.
+  core::Duration ahead_leaving{1'500'000};
   /// Standard deviations of the demand of that time that are held on top.
   double spread = 1.0;
   /// Share of what can still be spent that all routers together take before
@@ -44,6 +47,14 @@
   double lower_above = 1.1;
 };
 
+/// @brief What a router is in the fleet when it states its claims.
+struct ClaimContext {
+  uint32_t routers = 1;  ///< that callers are led to
+  bool active = true;    ///< this one is among them
+  bool leaving = false;  ///< its callers go to others: claim little ahead
+  bool closing = false;  ///< claim only what is in use
+};
+
 /// @brief This router's part of every account's prepaid total.
 ///
 /// A router spends below its ceiling only. A ceiling counts as used from the
@@ -82,11 +93,8 @@
               core::TimePoint now);
   /// @brief Writes what this router claims from now on. Lower ceilings hold
   /// at once, higher ones when the record came back.
-  /// @param routers live at present, this one included
-  /// @param closing claim only what is in use
   void WriteClaims(v1::RouterBeat& beat,
-                   uint32_t routers,
-                   bool closing,
+                   const ClaimContext& context,
                    core::TimePoint now);
 
   /// @return whether another router or a later claim may yet cover `tokens`
@@ -105,7 +113,7 @@
  private:
   struct OtherClaim {
     core::Tokens claimed{};
-    core::Tokens spent{};
+    core::Tokens retired{};  ///< ceilings of earlier incarnations
     core::Tokens unspent{};  ///< of the present incarnation
     uint64_t epoch = 0;
     core::Tokens lost{};           ///< with earlier incarnations
@@ -120,7 +128,7 @@
     core::Tokens spent{};
     core::Tokens reserved{};
     core::Tokens others_claimed{};
-    core::Tokens others_spent{};
+    core::Tokens others_retired{};
     core::Tokens others_unspent{};
     core::Tokens others_lost{};
     core::Tokens others_live_spent{};  ///< by present incarnations
@@ -134,19 +142,16 @@
   };
   static core::Tokens InUse(const Entry& entry);
   static core::Tokens Free(const Entry& entry);
-  static core::Tokens LeastSpent(const Entry& entry);
+  static core::Tokens Unavailable(const Entry& entry);
   static core::Tokens Spendable(const Entry& entry);
-  static double OwnShare(const Entry& entry, uint32_t routers);
-  core::Tokens Aim(const Entry& entry,
-                   uint32_t routers,
-                   core::TimePoint now) const;
+  double OwnShare(const Entry& entry) const;
+  core::Tokens Aim(const Entry& entry, core::TimePoint now) const;
   bool Paced(const Entry& entry) const;
-  void Pace(Entry& entry, uint32_t routers, core::Duration passed) const;
-  core::Tokens NextCeiling(const Entry& entry,
-                           uint32_t routers,
-                           core::TimePoint now) const;
+  void Pace(Entry& entry, core::Duration passed) const;
+  core::Tokens NextCeiling(const Entry& entry, core::TimePoint now) const;
 
   BookOptions m_options;
+  ClaimContext m_context;
   std::unordered_map<core::AccountId, Entry> m_entries;
   std::optional<core::TimePoint> m_first_demand;
   std::optional<core::TimePoint> m_last_claims;
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>  // uint32_t
 #include <map>      // map
+#include <set>      // set
 #include <string>   // string
 #include <vector>   // vector
 
 #include "coppervalve/beat.pb.h"
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
+#include "coppervalve/entry/peer_contact.h"
 #include "coppervalve/entry/store_contact.h"
 
 namespace coppervalve::entry {
@@ -19,8 +21,10 @@
  public:
   /// @param silence after which a router that is heard of through a store in
   /// good order counts as dead
-  MemberList(core::RouterId self, core::Duration silence)
-      : m_self(std::move(self)), m_silence(silence) {}
+  MemberList(core::RouterId self,
+             core::Duration silence,
+             const PeerContact& peers)
+      : m_self(std::move(self)), m_silence(silence), m_peers(peers) {}
 
   void OnBeat(const core::RouterId& router,
               const v1::RouterBeat& beat,
@@ -29,10 +33,14 @@
   /// While this router hears nobody, it keeps the list it had.
   void Advance(const StoreContact& contact, core::TimePoint now);
 
-  /// @return callers' addresses of the live routers that are ready and stay
+  /// @return callers' addresses of the active routers
   std::vector<std::string> Addresses() const;
-  /// @return where the other live routers take load reports
+  /// @return where the other active routers take load reports
   std::vector<std::string> LoadAddresses() const;
+  /// @return routers that callers are led to; at least 1
+  uint32_t Active() const;
+  /// @return whether this router is one of them
+  bool SelfActive() const { return m_active.contains(m_self); }
   /// @return routers that may be serving, this one included; at least 1
   uint32_t Live() const;
 
@@ -40,6 +48,9 @@
   struct Member {
     std::string address;
     std::string load_address;
+    core::FailureDomainId failure_domain;
+    double capacity = 0;
+    double load = 0;
     uint64_t epoch = 0;
     uint64_t sequence = 0;
     bool ready = false;
@@ -47,9 +58,15 @@
     bool live = true;
     core::Duration silent_for{};
   };
+  void ChooseActiveAgain(core::TimePoint now);
+  double Load() const;
+
   core::RouterId m_self;
   core::Duration m_silence;
+  const PeerContact& m_peers;
   std::map<core::RouterId, Member> m_members;
+  std::set<core::RouterId> m_active;
+  double m_need = 0;  ///< requests a second that the active ones must take
   core::TimePoint m_advanced{};
 };
 
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -14,6 +14,7 @@
 #include "coppervalve/entry/admission.h"
 #include "coppervalve/entry/allotment_book.h"
 #include "coppervalve/entry/member_list.h"
+#include "coppervalve/entry/peer_contact.h"
 #include "coppervalve/entry/placement.h"
 #include "coppervalve/entry/retry_allowance.h"
 #include "coppervalve/entry/upstream_directory.h"
@@ -35,6 +36,7 @@
   entry::RetryAllowance& retries;
   entry::AllotmentBook& book;
   const entry::MemberList& members;
+  const entry::PeerContact& peers;
   const entry::StoreContact& contact;
   UpstreamPool& pool;
   EventLog& log;
@@ -75,6 +77,7 @@
   void Admit();
   void Reserve();
   void WaitForGrant();
+  void RefuseForWantOfTokens(core::TimePoint now);
   void OnGrant();
   void Place();
   void Send(const entry::Placement& placement);
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -55,6 +55,9 @@
   core::Duration keys_expire{};
   /// Writes a second that the store takes from the whole fleet.
   double store_writes_per_second = 600;
+  /// Of this VM; 0 = not said.
+  double processor_cores = 0;
+  double link_megabits_per_second = 0;
   StoreLayout layout;
 };
 
@@ -94,9 +97,11 @@
                       const core::Error& error,
                       core::TimePoint began);
   void ComposeBeat(v1::RouterBeat& beat);
+  double Capacity() const;
   void GrantsChanged();
   void Tick();
   void TryToEnd();
+  void TellActive();
   std::optional<core::Duration> TimeToStop() const;
   bool Ready() const;
   entry::ConfigurationView View() const;
@@ -123,6 +128,7 @@
   entry::StoreContact m_config_contact;  ///< of the configuration's topic
   entry::UpstreamDirectory m_directory;
   entry::PeerLoads m_peer_loads;
+  entry::PeerContact m_peers;
   entry::Placer m_placer;
   entry::RetryAllowance m_retries;
   entry::AllotmentBook m_book;
@@ -138,6 +144,7 @@
   std::vector<std::shared_ptr<Listener>> m_listeners;
   std::shared_ptr<Listener> m_callers;
   std::vector<std::function<void()>> m_waiting;
+  entry::Demand m_arrivals;  ///< requests, not tokens
   boost::asio::steady_timer m_tick;
 
   v1::RouterBeat m_own_record;          ///< newest of an earlier start
@@ -146,6 +153,8 @@
   bool m_upstreams_known = false;
   bool m_first_beat_back = false;
   bool m_was_ready = false;
+  bool m_was_active = false;
+  uint32_t m_active_told = 0;
   std::optional<core::TimePoint> m_leaving_since;
   std::optional<core::TimePoint> m_closing_since;
   bool m_last_claim_written = false;
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -18,6 +18,8 @@
   core::ConfigVersion version;
   core::Duration configuration_age{};
   uint32_t routers = 0;
+  uint32_t active_routers = 0;
+  bool active = false;
   uint64_t upstreams = 0;
   uint64_t upstream_connections = 0;
   uint64_t log_lines_left_out = 0;
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -36,6 +36,8 @@
     std::function<void(uint64_t next)> on_read;
     /// @param began when the call that failed was made
     std::function<void(const core::Error&, core::TimePoint began)> on_failure;
+    /// The pause to make, where it is not always the usual one.
+    std::function<core::Duration(core::Duration usual)> pause;
   };
 
   TopicFollower(boost::asio::io_context& io,
--- /dev/null
+++ b/src/entry/active_set.cc
@@ -0,0 +1,74 @@
+#include "coppervalve/entry/active_set.h"
+
+#include <algorithm>  // sort, min_element
+#include <map>        // map
+
+#include "coppervalve/core/hash.h"
+
+namespace coppervalve::entry {
+
+namespace {
+
+/// @brief The candidates of one failure domain, the best first.
+struct Domain {
+  std::vector<Candidate> ranked;
+  size_t chosen = 0;
+  bool HasMore() const { return chosen < ranked.size(); }
+};
+
+bool Better(const Candidate& a, const Candidate& b) {
+  if (a.capacity != b.capacity) {
+    return a.capacity > b.capacity;
+  }
+  // By hash, so that the first names of a domain don't carry all the load.
+  return core::Hash64(a.router.value()) < core::Hash64(b.router.value());
+}
+
+// The domain with the fewest chosen so far; the better next one among equals.
+Domain* NextDomain(std::map<core::FailureDomainId, Domain>& domains) {
+  Domain* next = nullptr;
+  for (auto& [name, domain] : domains) {
+    if (!domain.HasMore()) {
+      continue;
+    }
+    const bool fewer = next == nullptr || domain.chosen < next->chosen;
+    const bool better =
+        next != nullptr && domain.chosen == next->chosen &&
+        Better(domain.ranked[domain.chosen], next->ranked[next->chosen]);
+    if (fewer || better) {
+      next = &domain;
+    }
+  }
+  return next;
+}
+
+}  // namespace
+
+// Spread over all routers of a large fleet, an account's tokens lie in pieces
+// that are too small for a large request, and callers that stay with one
+// address may stay with a VM that is too weak for them. So callers are led to
+// as few and as capable routers as carry the load.
+std::vector<core::RouterId> ChooseActive(std::vector<Candidate> candidates,
+                                         const ActiveNeed& need) {
+  std::map<core::FailureDomainId, Domain> domains;
+  for (Candidate& candidate : candidates) {
+    domains[candidate.failure_domain].ranked.push_back(std::move(candidate));
+  }
+  for (auto& [name, domain] : domains) {
+    std::sort(domain.ranked.begin(), domain.ranked.end(), Better);
+  }
+  std::vector<core::RouterId> chosen;
+  double capacity = 0;
+  while (chosen.size() < need.least || capacity < need.requests_per_second) {
+    Domain* domain = NextDomain(domains);
+    if (domain == nullptr) {
+      break;
+    }
+    const Candidate& candidate = domain->ranked[domain->chosen++];
+    capacity += candidate.capacity;
+    chosen.push_back(candidate.router);
+  }
+  return chosen;
+}
+
+}  // namespace coppervalve::entry
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -36,10 +36,12 @@
   return *entry.total - entry.others_claimed - entry.retired - entry.asked;
 }
 
-// Lower bound of what the whole fleet has spent: the rest is the most that
-// any router could still grant.
-core::Tokens AllotmentBook::LeastSpent(const Entry& entry) {
-  return entry.others_spent + entry.retired_spent + InUse(entry);
+// What no router that lives can grant any more. What was lost with an earlier
+// start of a router may have been spent, so it counts as spent for good: said
+// to be "busy", callers come back for it in vain.
+core::Tokens AllotmentBook::Unavailable(const Entry& entry) {
+  return entry.others_live_spent + entry.others_retired + entry.retired +
+         InUse(entry);
 }
 
 // What is neither spent nor lost with an earlier start of a router: free or in
@@ -84,19 +86,19 @@
       entry.fleet_demand.Add(spent_now - other.ceiling_spent, now);
     }
     entry.others_claimed -= other.claimed;
-    entry.others_spent -= other.spent;
     entry.others_unspent -= other.unspent;
     entry.others_live_spent -= other.ceiling_spent;
     entry.others_lost -= other.lost;
+    entry.others_retired -= other.retired;
     other.claimed = core::Tokens(claim.retired() + claim.ceiling());
-    other.spent = core::Tokens(claim.retired_spent() + claim.spent());
     other.unspent = core::Tokens(claim.ceiling() - claim.spent());
     other.ceiling_spent = spent_now;
     other.lost = core::Tokens(claim.retired() - claim.retired_spent());
     entry.others_lost += other.lost;
+    other.retired = core::Tokens(claim.retired());
+    entry.others_retired += other.retired;
     other.epoch = beat.epoch();
     entry.others_claimed += other.claimed;
-    entry.others_spent += other.spent;
     entry.others_unspent += other.unspent;
     entry.others_live_spent += other.ceiling_spent;
   }
@@ -139,7 +141,7 @@
     entry.reserved += tokens;
     return Reservation::kHeld;
   }
-  if (LeastSpent(entry) + tokens > *entry.total) {
+  if (Unavailable(entry) + tokens > *entry.total) {
     return Reservation::kExhausted;
   }
   entry.wanted += tokens;
@@ -171,26 +173,27 @@
 // Callers choose routers at random, but some accounts come to a few routers
 // only. What came so far tells, once it is more than a few requests: until
 // then an even part is the better guess.
-double AllotmentBook::OwnShare(const Entry& entry, uint32_t routers) {
-  const double even = 1.0 / std::max(routers, 1U);
+double AllotmentBook::OwnShare(const Entry& entry) const {
+  const double even = 1.0 / std::max(m_context.routers, 1U);
   const auto own = static_cast<double>(InUse(entry).value());
   const auto all = own + static_cast<double>(entry.others_live_spent.value());
   const double prior =
       kPriorRequests * static_cast<double>(entry.largest.value());
+  const double guess = m_context.active ? even : kLeastShareOfEven * even;
   if (all + prior <= 0) {
-    return even;
+    return guess;
   }
-  return std::max((own + prior * even) / (all + prior),
+  return std::max((own + prior * guess) / (all + prior),
                   kLeastShareOfEven * even);
 }
 
 // How far the ceiling should run ahead of what is in use.
-core::Tokens AllotmentBook::Aim(const Entry& entry,
-                                uint32_t routers,
-                                core::TimePoint now) const {
-  const double share = OwnShare(entry, routers);
+core::Tokens AllotmentBook::Aim(const Entry& entry, core::TimePoint now) const {
+  const double share = OwnShare(entry);
   const core::Tokens spendable = Spendable(entry);
-  const double seconds = std::chrono::duration<double>(m_options.ahead).count();
+  const core::Duration ahead =
+      m_context.leaving ? m_options.ahead_leaving : m_options.ahead;
+  const double seconds = std::chrono::duration<double>(ahead).count();
   const double expected =
       std::max(entry.fleet_demand.PerSecond(now) * share * seconds,
                entry.own_demand.PerSecond(now) * kOwnWeight * seconds);
@@ -199,7 +202,7 @@
   core::Tokens aim(static_cast<int64_t>(expected + spread));
   const bool learning =
       !m_first_demand || now - *m_first_demand < m_options.learning;
-  if (learning) {
+  if (learning && !m_context.leaving) {
     aim = std::max(aim, Times(spendable, m_options.first_share * share));
   }
   aim = std::min(aim, Times(spendable, m_options.most_held * share));
@@ -217,12 +220,10 @@
   return lost > Times(Spendable(entry), m_options.loss_counts);
 }
 
-void AllotmentBook::Pace(Entry& entry,
-                         uint32_t routers,
-                         core::Duration passed) const {
+void AllotmentBook::Pace(Entry& entry, core::Duration passed) const {
   const double part = std::chrono::duration<double>(passed) /
                       std::chrono::duration<double>(m_options.spread_rest);
-  const double share = OwnShare(entry, routers);
+  const double share = OwnShare(entry);
   entry.paced += Times(Spendable(entry), share * std::min(part, 1.0));
   // Saved up for one large request, and no more.
   const core::Tokens most = std::max(
@@ -231,10 +232,9 @@
 }
 
 core::Tokens AllotmentBook::NextCeiling(const Entry& entry,
-                                        uint32_t routers,
                                         core::TimePoint now) const {
   const core::Tokens in_use = InUse(entry);
-  const core::Tokens aim = Aim(entry, routers, now);
+  const core::Tokens aim = Aim(entry, now);
   const core::Tokens have = entry.ceiling - in_use;
   if (have > Times(aim, m_options.lower_above)) {
     return in_use + aim;
@@ -244,7 +244,8 @@
   }
   const core::Tokens free =
       NotNegative(Free(entry) + entry.asked - entry.ceiling);
-  const double share = std::max(1.0 / std::max(routers, 1U), kLeastShareOfFree);
+  const double share =
+      std::max(1.0 / std::max(m_context.routers, 1U), kLeastShareOfFree);
   core::Tokens fair =
       std::max(Times(free, share), std::min(free, entry.wanted));
   if (Paced(entry)) {
@@ -254,21 +255,21 @@
 }
 
 void AllotmentBook::WriteClaims(v1::RouterBeat& beat,
-                                uint32_t routers,
-                                bool closing,
+                                const ClaimContext& context,
                                 core::TimePoint now) {
+  m_context = context;
   const core::Duration passed =
       m_last_claims ? now - *m_last_claims : m_options.spread_rest / 2;
   m_last_claims = now;
   for (auto& [account, entry] : m_entries) {
     core::Tokens next = entry.ceiling;
     if (entry.total) {
-      Pace(entry, routers, passed);
+      Pace(entry, passed);
     }
-    if (closing) {
+    if (context.closing) {
       next = InUse(entry);
     } else if (entry.total) {
-      next = NextCeiling(entry, routers, now);
+      next = NextCeiling(entry, now);
     }
     entry.paced = NotNegative(entry.paced - NotNegative(next - entry.ceiling));
     entry.wanted = core::Tokens(0);
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>  // max
 
+#include "coppervalve/entry/active_set.h"
+
 namespace coppervalve::entry {
 
 namespace {
@@ -9,12 +11,17 @@
 // A gap between two calls that is longer than this was spent paused or cut
 // off, and tells nothing about the others.
 constexpr core::Duration kLongestStep{1'000'000};
+// Room for a burst, and for what routers that die leave to the others.
+constexpr double kHeadroom = 1.5;
+// What the active ones must take grows at once and shrinks by this part with
+// each step: callers that come and go must not make routers come and go.
+constexpr double kShrink = 0.99;
 
 }  // namespace
 
 void MemberList::OnBeat(const core::RouterId& router,
                         const v1::RouterBeat& beat,
-                        core::TimePoint /*now*/) {
+                        core::TimePoint now) {
   Member& member = m_members[router];
   const bool newer =
       beat.epoch() > member.epoch ||
@@ -22,6 +29,8 @@
   if (!newer) {
     return;
   }
+  const bool changed =
+      member.ready != beat.ready() || member.leaving != beat.leaving();
   member = Member();
   member.address = beat.caller_address();
   member.load_address = beat.load_address();
@@ -29,6 +38,12 @@
   member.sequence = beat.sequence();
   member.ready = beat.ready();
   member.leaving = beat.leaving();
+  member.failure_domain = core::FailureDomainId(beat.failure_domain());
+  member.capacity = beat.capacity();
+  member.load = beat.load();
+  if (changed) {
+    ChooseActiveAgain(now);
+  }
 }
 
 void MemberList::Advance(const StoreContact& contact, core::TimePoint now) {
@@ -44,28 +59,57 @@
     member.silent_for += step;
     member.live = member.live && member.silent_for < m_silence;
   }
+  m_need = std::max(m_need * kShrink, Load() * kHeadroom);
+  ChooseActiveAgain(now);
 }
 
-std::vector<std::string> MemberList::Addresses() const {
-  std::vector<std::string> addresses;
+double MemberList::Load() const {
+  double load = 0;
+  for (const auto& [router, member] : m_members) {
+    load += member.live ? member.load : 0;
+  }
+  return load;
+}
+
+// A router whose own reports stopped is left out sooner than the store tells.
+void MemberList::ChooseActiveAgain(core::TimePoint now) {
+  std::vector<Candidate> candidates;
   for (const auto& [router, member] : m_members) {
-    if (member.live && member.ready && !member.leaving) {
-      addresses.push_back(member.address);
+    const bool lost = router != m_self && m_peers.Lost(router, now);
+    if (member.live && member.ready && !member.leaving && !lost) {
+      candidates.push_back({router, member.failure_domain, member.capacity});
     }
   }
+  ActiveNeed need;
+  need.requests_per_second = m_need;
+  const std::vector<core::RouterId> chosen =
+      ChooseActive(std::move(candidates), need);
+  m_active = {chosen.begin(), chosen.end()};
+}
+
+std::vector<std::string> MemberList::Addresses() const {
+  std::vector<std::string> addresses;
+  for (const core::RouterId& router : m_active) {
+    addresses.push_back(m_members.at(router).address);
+  }
   return addresses;
 }
 
 std::vector<std::string> MemberList::LoadAddresses() const {
   std::vector<std::string> addresses;
-  for (const auto& [router, member] : m_members) {
-    if (member.live && router != m_self && !member.load_address.empty()) {
-      addresses.push_back(member.load_address);
+  for (const core::RouterId& router : m_active) {
+    const std::string& address = m_members.at(router).load_address;
+    if (router != m_self && !address.empty()) {
+      addresses.push_back(address);
     }
   }
   return addresses;
 }
 
+uint32_t MemberList::Active() const {
+  return std::max(static_cast<uint32_t>(m_active.size()), 1U);
+}
+
 uint32_t MemberList::Live() const {
   uint32_t live = 0;
   for (const auto& [router, member] : m_members) {
--- /dev/null
+++ b/src/entry/peer_contact.cc
@@ -0,0 +1,41 @@
+#include "coppervalve/entry/peer_contact.h"
+
+namespace coppervalve::entry {
+
+void PeerContact::OnReport(const core::RouterId& router,
+                           bool store_up,
+                           core::TimePoint now) {
+  m_peers[router] = {now, store_up};
+}
+
+bool PeerContact::Heard(const Peer& peer, core::TimePoint now) const {
+  return now - peer.heard < m_silence;
+}
+
+bool PeerContact::HearsAny(core::TimePoint now) const {
+  for (const auto& [router, peer] : m_peers) {
+    if (Heard(peer, now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool PeerContact::Lost(const core::RouterId& router,
+                       core::TimePoint now) const {
+  const auto found = m_peers.find(router);
+  if (found == m_peers.end() || Heard(found->second, now)) {
+    return false;
+  }
+  return now - found->second.heard < m_memory && HearsAny(now);
+}
+
+uint32_t PeerContact::WithStore(core::TimePoint now) const {
+  uint32_t count = 0;
+  for (const auto& [router, peer] : m_peers) {
+    count += Heard(peer, now) && peer.store_up ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace coppervalve::entry
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -126,10 +126,7 @@
   const bool waited_out = m_wait_until && now >= *m_wait_until;
   if (!m_context.contact.up() || waited_out ||
       !m_context.book.MayBeCovered(account, most)) {
-    Refuse({core::ErrorId::kBudgetBusy, account.value(),
-            m_context.contact.up() ? "others hold the rest"
-                                   : "the store can't be reached for more"},
-           m_context.contact.up() ? kAfterReading : kAfterACut);
+    RefuseForWantOfTokens(now);
     return;
   }
   if (!m_wait_until) {
@@ -144,6 +141,25 @@
   });
 }
 
+// A router that the store turned away hears from its peers whether they reach
+// it: they can raise their ceilings, so its callers are served there. With
+// nobody heard it can't tell, and says how long such a cut may last.
+void Exchange::RefuseForWantOfTokens(core::TimePoint now) {
+  core::Error error{core::ErrorId::kBudgetBusy,
+                    m_admitted.account->name.value(), "others hold the rest"};
+  if (m_context.contact.up()) {
+    Refuse(error, kAfterReading);
+    return;
+  }
+  if (m_context.peers.WithStore(now) != 0) {
+    error.detail = "the store turned this router away, others reach it";
+    Refuse(error, kElsewhere);
+    return;
+  }
+  error.detail = "the store can't be reached for more";
+  Refuse(error, kAfterACut);
+}
+
 void Exchange::OnGrant() {
   if (m_done || m_attempt || m_reserved != core::Tokens(0) || m_sends != 0) {
     return;
@@ -164,7 +180,7 @@
   query.exclude = m_tried;
   query.engine = service != nullptr && service->engine.has_value();
   query.prompt = m_facts.prompt;
-  query.routers = m_context.members.Live();
+  query.routers = m_context.members.Active();
   if (m_admitted.route->prefix_affinity) {
     query.shared_prefix = m_facts.shared_prefix;
     query.shared_tokens = std::min(m_facts.shared_tokens, m_facts.prompt);
@@ -173,7 +189,7 @@
     // The upstream resets what comes beyond its own bound, which all routers
     // share; a part stays free for routers that are not known yet.
     const uint32_t share =
-        service->max_connections * 4 / 5 / m_context.members.Live();
+        service->max_connections * 4 / 5 / m_context.members.Active();
     query.connection_bound = std::max(share, 2U);
   }
   const entry::Placement placement =
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,6 +18,8 @@
 // A configuration counts as the newest while its topic answered this recently.
 constexpr core::Duration kFreshFor{1'900'000};
 constexpr core::Duration kLoadLifetime{800'000};
+constexpr core::Duration kPeerSilence{1'200'000};
+constexpr core::Duration kPeerMemory{5'000'000};
 constexpr core::Duration kRouterSilence{3'500'000};
 // How long callers may still come after the address list stopped naming us.
 constexpr core::Duration kLeaveIdleAfter{3'000'000};
@@ -49,20 +51,22 @@
       m_log(io, STDOUT_FILENO, {}),
       m_directory({}),
       m_peer_loads(kLoadLifetime),
+      m_peers(kPeerSilence, kPeerMemory),
       m_placer({}, m_settings.failure_domain, m_peer_loads, m_random),
       m_retries(m_settings.retries),
       m_book({}),
-      m_members(m_settings.router, kRouterSilence),
+      m_members(m_settings.router, kRouterSilence, m_peers),
       m_pool(io),
       m_tick(io) {
-  m_context.emplace(ExchangeContext{
-      m_io, m_dialect, m_directory, m_placer, m_retries, m_book, m_members,
-      m_contact, m_pool, m_log, m_metrics, m_random, [this] { return View(); },
-      [this](std::function<void()> on_grant) {
-        m_waiting.push_back(std::move(on_grant));
-        m_writer->Hurry();
-      },
-      [this] { return TimeToStop(); }});
+  m_context.emplace(ExchangeContext{m_io, m_dialect, m_directory, m_placer,
+                                    m_retries, m_book, m_members, m_peers,
+                                    m_contact, m_pool, m_log, m_metrics,
+                                    m_random, [this] { return View(); },
+                                    [this](std::function<void()> on_grant) {
+                                      m_waiting.push_back(std::move(on_grant));
+                                      m_writer->Hurry();
+                                    },
+                                    [this] { return TimeToStop(); }});
 }
 
 Gateway::~Gateway() = default;
@@ -107,6 +111,7 @@
     Lifecycle(LogLine("upstream_gone").Text("upstream", id.value()));
   }
   m_members.Advance(m_contact, now);
+  TellActive();
   m_peer_loads.Advance(now);
   m_pool.CloseOld(now);
   if (Ready() != m_was_ready) {
@@ -124,6 +129,23 @@
   });
 }
 
+void Gateway::TellActive() {
+  const uint32_t active = m_members.Active();
+  if (active == m_active_told && m_members.SelfActive() == m_was_active) {
+    return;
+  }
+  if (m_members.SelfActive() != m_was_active) {
+    // Its claims follow what it is now.
+    m_writer->Hurry();
+  }
+  m_active_told = active;
+  m_was_active = m_members.SelfActive();
+  Lifecycle(LogLine("active_routers")
+                .Number("active", active)
+                .Number("live", m_members.Live())
+                .Flag("this_one", m_was_active));
+}
+
 void Gateway::Drain(std::function<void()> on_done) {
   if (m_leaving_since) {
     return;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -135,6 +135,8 @@
   set("configuration_version", static_cast<double>(figures.version.value()));
   set("configuration_age_seconds", Seconds(figures.configuration_age));
   set("routers", figures.routers);
+  set("active_routers", figures.active_routers);
+  set("active", figures.active ? 1 : 0);
   set("upstreams", static_cast<double>(figures.upstreams));
   set("upstream_connections_opened",
       static_cast<double>(figures.upstream_connections));
--- a/src/gateway/gateway_serve.cc
+++ b/src/gateway/gateway_serve.cc
@@ -15,6 +15,7 @@
   LoadExchange::Hooks hooks;
   hooks.peers = [this] { return m_members.LoadAddresses(); };
   hooks.compose = [this](v1::LoadReport& report) {
+    report.set_store_up(m_contact.up());
     for (const auto& [id, upstream] : m_directory.all()) {
       if (upstream->in_flight == 0) {
         continue;
@@ -27,7 +28,9 @@
     }
   };
   hooks.on_report = [this](const v1::LoadReport& report) {
-    m_peer_loads.OnReport(report, net::BootNow());
+    const core::TimePoint now = net::BootNow();
+    m_peer_loads.OnReport(report, now);
+    m_peers.OnReport(core::RouterId(report.router()), report.store_up(), now);
   };
   m_loads = std::make_unique<LoadExchange>(m_io, m_settings.router.value(),
                                            std::move(hooks));
@@ -69,6 +72,7 @@
       {m_settings.caller_address,
        [this](const CallerRef& caller, CallerRequest request) {
          m_last_request = request.arrived;
+         m_arrivals.Add(core::Tokens(1), request.arrived);
          std::make_shared<Exchange>(*m_context, caller, std::move(request))
              ->Start();
        }},
@@ -112,6 +116,8 @@
     }
   }
   figures.routers = m_members.Live();
+  figures.active_routers = m_members.Active();
+  figures.active = m_members.SelfActive();
   figures.upstreams = m_directory.size();
   figures.upstream_connections = m_pool.opened();
   figures.log_lines_left_out = m_log.left_out();
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -15,6 +15,14 @@
 constexpr core::Duration kBeatPeriod{1'000'000};
 // Beats may take this part of the writes that the store allows the fleet.
 constexpr double kBeatShareOfWrites = 0.4;
+// A router that stands by has little to tell and nothing to decide soon: its
+// reads and writes leave the store's rates to those that serve.
+constexpr core::Duration kStandbyPause{800'000};
+constexpr int kStandbyPeriods = 2;
+// A third of what a core and a link were measured to take: bursts need room.
+constexpr double kRequestsPerCore = 500;
+constexpr double kRequestsPerMegabit = 2.5;
+constexpr double kUnsaidCapacity = 1'000;
 
 }  // namespace
 
@@ -22,6 +30,9 @@
   const auto hooks = [this](const std::string& topic) {
     TopicFollower::Hooks made;
     made.on_read = [this, topic](uint64_t /*next*/) { OnStoreAnswer(topic); };
+    made.pause = [this](core::Duration usual) {
+      return m_members.SelfActive() ? usual : std::max(usual, kStandbyPause);
+    };
     made.on_failure = [this, topic](const core::Error& error,
                                     core::TimePoint began) {
       OnStoreFailure(topic, error, began);
@@ -82,8 +93,9 @@
   hooks.period = [this] {
     const double rate = m_settings.store_writes_per_second * kBeatShareOfWrites;
     const double seconds = m_members.Live() / std::max(rate, 1.0);
-    return std::max(kBeatPeriod,
-                    core::Duration(static_cast<int64_t>(seconds * 1e6)));
+    const core::Duration own =
+        m_members.SelfActive() ? kBeatPeriod : kBeatPeriod * kStandbyPeriods;
+    return std::max(own, core::Duration(static_cast<int64_t>(seconds * 1e6)));
   };
   hooks.on_fenced = [this](uint64_t epoch, uint64_t end) {
     m_fenced_at = end;
@@ -279,7 +291,30 @@
   beat.set_ready(m_in_force && m_upstreams_known && !m_leaving_since);
   beat.set_leaving(m_leaving_since.has_value());
   beat.set_closing(m_closing_since.has_value());
-  m_book.WriteClaims(beat, m_members.Live(), beat.closing(), net::BootNow());
+  const core::TimePoint now = net::BootNow();
+  beat.set_capacity(Capacity());
+  beat.set_load(m_arrivals.PerSecond(now));
+  entry::ClaimContext context;
+  context.routers = m_members.Active();
+  // Whether it will be among them isn't known before the others know of it.
+  context.active = m_members.SelfActive() || !m_first_beat_back;
+  context.leaving = beat.leaving();
+  context.closing = beat.closing();
+  m_book.WriteClaims(beat, context, now);
+}
+
+// Estimates from the size of the VM: what a request costs is much the same
+// everywhere, and the rates leave most of the VM free for bursts.
+double Gateway::Capacity() const {
+  const double by_processor =
+      m_settings.processor_cores > 0
+          ? m_settings.processor_cores * kRequestsPerCore
+          : kUnsaidCapacity;
+  const double by_link =
+      m_settings.link_megabits_per_second > 0
+          ? m_settings.link_megabits_per_second * kRequestsPerMegabit
+          : kUnsaidCapacity;
+  return std::min(by_processor, by_link);
 }
 
 void Gateway::GrantsChanged() {
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -109,7 +109,9 @@
     return;
   }
   m_pausing = true;
-  After(m_options.pause, &TopicFollower::ReadOn);
+  const core::Duration usual = m_options.pause;
+  const bool varies = usual > core::Duration::zero() && m_hooks.pause;
+  After(varies ? m_hooks.pause(usual) : usual, &TopicFollower::ReadOn);
 }
 
 void TopicFollower::Hurry() {
--- /dev/null
+++ b/tests/entry/unit-active-set.cc
@@ -0,0 +1,96 @@
+#include "coppervalve/entry/active_set.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>  // count, reverse
+#include <set>        // set
+#include <string>     // string
+
+using namespace coppervalve;
+using namespace coppervalve::entry;
+
+namespace {
+
+constexpr double kLarge = 250;
+constexpr double kSmall = 25;
+
+// Two large and twenty small routers in each of three failure domains.
+std::vector<Candidate> Fleet() {
+  std::vector<Candidate> fleet;
+  for (const char domain : {'a', 'b', 'c'}) {
+    for (int i = 0; i < 22; ++i) {
+      const std::string name = std::string(1, domain) + std::to_string(i);
+      fleet.push_back({core::RouterId(name),
+                       core::FailureDomainId(std::string(1, domain)),
+                       i >= 20 ? kLarge : kSmall});
+    }
+  }
+  return fleet;
+}
+
+std::set<core::RouterId> Chosen(std::vector<Candidate> fleet, double load) {
+  ActiveNeed need;
+  need.requests_per_second = load;
+  const auto chosen = ChooseActive(std::move(fleet), need);
+  return {chosen.begin(), chosen.end()};
+}
+
+size_t InDomain(const std::set<core::RouterId>& chosen, char domain) {
+  size_t count = 0;
+  for (const core::RouterId& router : chosen) {
+    count += router.value().front() == domain ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(ActiveSet){};
+// clang-format on
+
+TEST(ActiveSet, the_most_capable_of_each_domain_come_first) {
+  const auto chosen = Chosen(Fleet(), 100);
+  CHECK_EQUAL(8, chosen.size());
+  for (const char* name : {"a20", "a21", "b20", "b21", "c20", "c21"}) {
+    CHECK(chosen.contains(core::RouterId(name)));
+  }
+}
+
+TEST(ActiveSet, failure_domains_share_the_callers) {
+  const auto chosen = Chosen(Fleet(), 1'800);
+  CHECK(chosen.size() > 12);
+  CHECK(InDomain(chosen, 'a') - InDomain(chosen, 'b') + 1 <= 2);
+  CHECK(InDomain(chosen, 'b') - InDomain(chosen, 'c') + 1 <= 2);
+}
+
+TEST(ActiveSet, a_load_beyond_all_takes_all) {
+  CHECK_EQUAL(66, Chosen(Fleet(), 1e9).size());
+}
+
+TEST(ActiveSet, few_routers_are_all_active) {
+  std::vector<Candidate> few = Fleet();
+  few.resize(6);
+  CHECK_EQUAL(6, Chosen(few, 0).size());
+  CHECK_EQUAL(0, Chosen({}, 10).size());
+}
+
+TEST(ActiveSet, the_order_of_the_candidates_does_not_matter) {
+  // Routers that choose otherwise send callers to and fro.
+  std::vector<Candidate> reversed = Fleet();
+  std::reverse(reversed.begin(), reversed.end());
+  CHECK(Chosen(Fleet(), 700) == Chosen(reversed, 700));
+}
+
+TEST(ActiveSet, the_loss_of_a_domain_is_made_up_by_the_others) {
+  std::vector<Candidate> fleet = Fleet();
+  std::erase_if(fleet, [](const Candidate& candidate) {
+    return candidate.failure_domain.value() == "a";
+  });
+  const auto chosen = Chosen(fleet, 1'000);
+  double capacity = 0;
+  for (const Candidate& candidate : fleet) {
+    capacity += chosen.contains(candidate.router) ? candidate.capacity : 0;
+  }
+  CHECK(capacity >= 1'000);
+}
--- a/tests/entry/unit-allotment-book.cc
+++ b/tests/entry/unit-allotment-book.cc
@@ -44,7 +44,10 @@
   void Write(double now, bool closing = false) {
     written = v1::RouterBeat();
     written.set_epoch(1);
-    book.WriteClaims(written, 2, closing, At(now));
+    ClaimContext context;
+    context.routers = 2;
+    context.closing = closing;
+    book.WriteClaims(written, context, At(now));
   }
   void WriteAndRead(double now, bool closing = false) {
     Write(now, closing);
@@ -186,3 +189,44 @@
   CHECK(claimed_early < kRest * 3 / 4);
   CHECK(Ceiling() > claimed_early + kRest / 10);
 }
+
+TEST(AllotmentBook, what_was_lost_with_the_dead_counts_as_spent) {
+  // After a loss of all power callers are told "not now" for the rest of the
+  // day and come back in vain, though nobody can ever grant the tokens again.
+  book.OnOtherBeat(kOther, Claim(0, 0, 95'000), At(0));
+  WriteAndRead(0);
+  CHECK(book.Reserve(kGate, core::Tokens(6'000)) == Reservation::kExhausted);
+  book.OnOtherBeat(kOther, Claim(95'000, 0), At(1));
+  CHECK(book.Reserve(kGate, core::Tokens(6'000)) == Reservation::kShort);
+}
+
+TEST(AllotmentBook, a_router_that_leaves_gives_most_back_at_once) {
+  // Callers move to a router that has nothing for their account, while the one
+  // that leaves holds nine seconds of their work until it ends.
+  for (int i = 0; i < 200; ++i) {
+    book.OnDemand(kGate, core::Tokens(100), At(i * 0.1));
+    WriteAndRead(i * 0.1);
+  }
+  const int64_t before = Ceiling();
+  ClaimContext context;
+  context.routers = 2;
+  context.leaving = true;
+  written = v1::RouterBeat();
+  book.WriteClaims(written, context, At(20));
+  CHECK(Ceiling() < before / 2);
+}
+
+TEST(AllotmentBook, a_router_that_stands_by_claims_little) {
+  // Spread over all routers of a large fleet, an account's tokens lie in pieces
+  // too small for a large request.
+  Write(0);
+  const int64_t active = written.claims(0).ceiling();
+  AllotmentBook standby{BookOptions{}};
+  standby.OnConfiguration(Prepaid(100'000));
+  ClaimContext context;
+  context.routers = 2;
+  context.active = false;
+  v1::RouterBeat beat;
+  standby.WriteClaims(beat, context, At(0));
+  CHECK(beat.claims(0).ceiling() * 5 < active);
+}
--- a/tests/entry/unit-member-list.cc
+++ b/tests/entry/unit-member-list.cc
@@ -23,7 +23,9 @@
 
 // clang-format off
 TEST_GROUP(MemberList) {
-  MemberList members{core::RouterId("router-1"), core::Duration(3'500'000)};
+  PeerContact peers{core::Duration(1'200'000), core::Duration(5'000'000)};
+  MemberList members{core::RouterId("router-1"), core::Duration(3'500'000),
+                     peers};
   StoreContact contact;
   void setup() override {
     contact.OnAnswer(At(0));
@@ -73,3 +75,34 @@
   members.OnBeat(core::RouterId("router-2"), leaving, At(1));
   CHECK_EQUAL(2, members.Addresses().size());
 }
+
+TEST(MemberList, a_router_whose_reports_stopped_is_not_given_out) {
+  // Callers connect to a VM that lost power a second ago and wait for a second
+  // each; the store tells of it two seconds later.
+  const core::RouterId third("router-3");
+  members.OnBeat(third, Beat("10.0.0.3:80", 1), At(0));
+  peers.OnReport(core::RouterId("router-2"), true, At(0));
+  peers.OnReport(third, true, At(0));
+  members.Advance(contact, At(0.2));
+  CHECK_EQUAL(3, members.Addresses().size());
+  peers.OnReport(third, true, At(1.5));
+  Pass(0.4, 1.6);
+  CHECK_EQUAL(2, members.Addresses().size());
+  CHECK_EQUAL(3, members.Live());
+}
+
+TEST(MemberList, weak_routers_stand_by_until_the_load_needs_them) {
+  for (int i = 3; i <= 40; ++i) {
+    v1::RouterBeat beat = Beat("10.0.0." + std::to_string(i) + ":80", 1);
+    beat.set_capacity(25);
+    members.OnBeat(core::RouterId("router-" + std::to_string(i)), beat, At(0));
+  }
+  members.Advance(contact, At(0.2));
+  CHECK_EQUAL(8, members.Active());
+  v1::RouterBeat busy = Beat("10.0.0.3:80", 2);
+  busy.set_capacity(25);
+  busy.set_load(200);
+  members.OnBeat(core::RouterId("router-3"), busy, At(0.3));
+  members.Advance(contact, At(0.4));
+  CHECK(members.Active() >= 12);
+}
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -1,10 +1,11 @@
 #include "gateway_fixture.h"
 
 #include <boost/asio/ip/address.hpp>  // make_address
-#include <chrono>                     // seconds
-#include <cstdio>                     // snprintf
-#include <sstream>                    // istringstream
-#include <utility>                    // move
+#include <boost/asio/ip/udp.hpp>
+#include <chrono>   // seconds
+#include <cstdio>   // snprintf
+#include <sstream>  // istringstream
+#include <utility>  // move
 
 #include "coppervalve/http1/response_reader.h"
 #include "coppervalve/net/endpoint.h"
@@ -132,7 +133,8 @@
     answer.status = core::Describe(error.id).http_status;
     answer.reason = "Refused";
     if (retry_after) {
-      answer.headers.Add("Retry-After", "1");
+      answer.headers.Add("Retry-After",
+                         std::to_string(retry_after->count()) + " us");
     }
     answer.body = core::ToString(error);
     return answer;
@@ -161,6 +163,16 @@
   return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
+void SendDatagram(boost::asio::io_context& io,
+                  const std::string& address,
+                  const std::string& bytes) {
+  using boost::asio::ip::udp;
+  const tcp::endpoint to = EndpointOf(address);
+  udp::socket socket(io, udp::v4());
+  socket.send_to(boost::asio::buffer(bytes),
+                 udp::endpoint(to.address(), to.port()));
+}
+
 ScriptedUpstream::ScriptedUpstream(boost::asio::io_context& io)
     : m_address(FreeAddress(io)), m_acceptor(io, EndpointOf(m_address)) {
   Accept();
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -17,6 +17,11 @@
 /// @brief "127.0.0.1:PORT" with a port that was free a moment ago.
 std::string FreeAddress(boost::asio::io_context& io);
 
+/// @brief Sends one datagram to "ip:port".
+void SendDatagram(boost::asio::io_context& io,
+                  const std::string& address,
+                  const std::string& bytes);
+
 /// @brief An upstream that answers as the test says.
 class ScriptedUpstream {
  public:
--- a/tests/gateway/unit-exchange.cc
+++ b/tests/gateway/unit-exchange.cc
@@ -225,3 +225,25 @@
   CHECK(Has(answer, "HTTP/1.1 503"));
   CHECK(Has(answer, "Retry-After"));
 }
+
+TEST(Exchange, a_caller_is_sent_to_routers_that_reach_the_store) {
+  // The store turns one router away and serves the others. Its callers were
+  // told to come back after the whole cut, with tokens free a router further.
+  router.settings.load_address = FreeAddress(router.io);
+  router.Start(10'000);
+  router.store.away = true;
+  router.store.Put("other", "wake", "x");
+  v1::LoadReport report;
+  report.set_router("router-2");
+  report.set_epoch(1);
+  report.set_store_up(true);
+  std::string answer;
+  for (int i = 0; i < 50 && !Has(answer, "HTTP/1.1 503"); ++i) {
+    report.set_sequence(static_cast<uint64_t>(i) + 1);
+    SendDatagram(router.io, router.settings.load_address,
+                 report.SerializeAsString());
+    answer =
+        router.Ask("/chat/x", "X-Tokens: 9900\r\n", "r-" + std::to_string(i));
+  }
+  CHECK(Has(answer, "Retry-After: 50000 us"));
+}
