Let all standbys together claim a tenth of what an active router guesses

Ruled out: no claim at all while standing by (callers who keep to an address come to standbys, and a cut may begin with the traffic). Change: a standby guesses at a tenth divided by the standbys.

--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -49,8 +49,9 @@
 
 /// @brief What a router is in the fleet when it states its claims.
 struct ClaimContext {
-  uint32_t routers = 1;  ///< that callers are led to
-  bool active = true;    ///< this one is among them
+  uint32_t routers = 1;   ///< that callers are led to
+  uint32_t standbys = 0;  ///< live ones that they are not led to
+  bool active = true;     ///< this one is among the former
   bool leaving = false;  ///< its callers go to others: claim little ahead
   bool closing = false;  ///< claim only what is in use
 };
@@ -144,6 +145,7 @@
   static core::Tokens Free(const Entry& entry);
   static core::Tokens Unavailable(const Entry& entry);
   static core::Tokens Spendable(const Entry& entry);
+  double GuessedShare() const;
   double OwnShare(const Entry& entry) const;
   core::Tokens Aim(const Entry& entry, core::TimePoint now) const;
   bool Paced(const Entry& entry) const;
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -15,6 +15,10 @@
 constexpr double kPriorRequests = 12;
 // For the first requests of an account that came to other routers so far.
 constexpr double kLeastShareOfEven = 0.1;
+// Callers who keep to an address come to routers that stand by, too. Together
+// they guess at this part; each with a part of an even share, hundreds of them
+// held as much as those that serve.
+constexpr double kShareOfStandbys = 0.1;
 
 core::Tokens Times(core::Tokens tokens, double factor) {
   return core::Tokens(
@@ -170,21 +174,27 @@
   return more + entry.ceiling - InUse(entry) >= tokens;
 }
 
+double AllotmentBook::GuessedShare() const {
+  if (m_context.active) {
+    return 1.0 / std::max(m_context.routers, 1U);
+  }
+  return kShareOfStandbys / std::max(m_context.standbys, 1U);
+}
+
 // Callers choose routers at random, but some accounts come to a few routers
 // only. What came so far tells, once it is more than a few requests: until
 // then an even part is the better guess.
 double AllotmentBook::OwnShare(const Entry& entry) const {
-  const double even = 1.0 / std::max(m_context.routers, 1U);
   const auto own = static_cast<double>(InUse(entry).value());
   const auto all = own + static_cast<double>(entry.others_live_spent.value());
   const double prior =
       kPriorRequests * static_cast<double>(entry.largest.value());
-  const double guess = m_context.active ? even : kLeastShareOfEven * even;
+  const double guess = GuessedShare();
   if (all + prior <= 0) {
     return guess;
   }
   return std::max((own + prior * guess) / (all + prior),
-                  kLeastShareOfEven * even);
+                  kLeastShareOfEven * guess);
 }
 
 // How far the ceiling should run ahead of what is in use.
--- a/tests/entry/unit-allotment-book.cc
+++ b/tests/entry/unit-allotment-book.cc
@@ -226,7 +226,9 @@
   ClaimContext context;
   context.routers = 2;
   context.active = false;
+  context.standbys = 20;
   v1::RouterBeat beat;
   standby.WriteClaims(beat, context, At(0));
-  CHECK(beat.claims(0).ceiling() * 5 < active);
+  // All twenty together hold less than one that serves.
+  CHECK(beat.claims(0).ceiling() * 20 < active);
 }
