Ask other routers for tokens that the store can't grant

The giver debits itself first; the taker spends the gift outside its ceiling, once; asks and gifts that come twice count once.

--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -4,6 +4,7 @@
 #include <cstdint>        // uint8_t, uint32_t, uint64_t
 #include <optional>       // optional
 #include <unordered_map>  // unordered_map
+#include <vector>         // vector
 
 #include "coppervalve/beat.pb.h"
 #include "coppervalve/core/ids.h"
@@ -52,8 +53,8 @@
   uint32_t routers = 1;   ///< that callers are led to
   uint32_t standbys = 0;  ///< live ones that they are not led to
   bool active = true;     ///< this one is among the former
-  bool leaving = false;  ///< its callers go to others: claim little ahead
-  bool closing = false;  ///< claim only what is in use
+  bool leaving = false;   ///< its callers go to others: claim little ahead
+  bool closing = false;   ///< claim only what is in use
 };
 
 /// @brief This router's part of every account's prepaid total.
@@ -92,6 +93,31 @@
               core::Tokens reserved,
               core::Tokens used,
               core::TimePoint now);
+  /// @brief Takes tokens out of this router's ceiling for another router. They
+  /// count as spent here from now on, whatever becomes of them: so they are
+  /// covered by this router's claim, also when either of both dies.
+  /// @return between `least` and `wanted`, or 0 when it can't spare them
+  core::Tokens Give(const core::AccountId& account,
+                    core::Tokens least,
+                    core::Tokens wanted,
+                    core::TimePoint now);
+  /// @brief Tokens that another router gave up for this one.
+  void OnGift(const core::AccountId& account, core::Tokens tokens);
+  /// @brief Sets given tokens aside. @return false when there are too few
+  bool ReserveGiven(const core::AccountId& account, core::Tokens tokens);
+  /// @brief What a request did not use is kept for the next one.
+  void SettleGiven(const core::AccountId& account,
+                   core::Tokens reserved,
+                   core::Tokens used);
+  /// @return routers that may spare so many, the richest first
+  std::vector<core::RouterId> Lenders(const core::AccountId& account,
+                                      core::Tokens tokens) const;
+  /// @return what this router asks for when it lacks `tokens`: enough for the
+  /// requests of a while
+  core::Tokens WantedFor(const core::AccountId& account,
+                         core::Tokens tokens,
+                         core::TimePoint now) const;
+
   /// @brief Writes what this router claims from now on. Lower ceilings hold
   /// at once, higher ones when the record came back.
   void WriteClaims(v1::RouterBeat& beat,
@@ -128,6 +154,7 @@
     core::Tokens asked{};    ///< stated in the newest record
     core::Tokens spent{};
     core::Tokens reserved{};
+    core::Tokens given{};  ///< by other routers, not under this ceiling
     core::Tokens others_claimed{};
     core::Tokens others_retired{};
     core::Tokens others_unspent{};
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -41,6 +41,8 @@
   uint32_t Active() const;
   /// @return whether this router is one of them
   bool SelfActive() const { return m_active.contains(m_self); }
+  /// @return where a live router takes datagrams; empty when it doesn't
+  std::string LoadAddressOf(const core::RouterId& router) const;
   /// @return routers that may be serving, this one included; at least 1
   uint32_t Live() const;
 
--- /dev/null
+++ b/include/coppervalve/gateway/borrower.h
@@ -0,0 +1,79 @@
+#ifndef COPPERVALVE_GATEWAY_BORROWER_H_
+#define COPPERVALVE_GATEWAY_BORROWER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>        // uint64_t
+#include <functional>     // function
+#include <memory>         // shared_ptr
+#include <optional>       // optional
+#include <string>         // string
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/load.pb.h"
+
+namespace coppervalve::gateway {
+
+/// @brief Asks other routers for tokens that this one can't claim: the store
+/// is away, or what is left lies in the others' ceilings.
+///
+/// One ask an account is out at a time; requests that come meanwhile wait for
+/// its answer. Where nobody answers, no request is held for the next while.
+class Borrower {
+ public:
+  struct Hooks {
+    /// Addresses of routers that may spare so many, the richest first.
+    std::function<std::vector<std::string>(const core::AccountId&,
+                                           core::Tokens)>
+        lenders;
+    std::function<core::Tokens(const core::AccountId&, core::Tokens)> wanted;
+    std::function<void(const std::string& address, const v1::TokenAsk&)> send;
+    std::function<void(const core::AccountId&, core::Tokens)> on_tokens;
+  };
+
+  Borrower(boost::asio::io_context& io,
+           std::string router,
+           std::string reply_address,
+           Hooks hooks);
+  void SetEpoch(uint64_t epoch) { m_epoch = epoch; }
+
+  /// @param on_done tokens came, or none will; never called from within
+  /// @return false when there is nobody to ask
+  bool Borrow(const core::AccountId& account,
+              core::Tokens tokens,
+              std::function<void()> on_done);
+  void OnGift(const v1::TokenGift& gift);
+
+ private:
+  struct Ask {
+    core::Tokens least{};
+    std::vector<std::string> lenders;
+    size_t next = 0;       ///< lender to ask
+    uint64_t message = 0;  ///< id of the one that is out
+    std::vector<std::function<void()>> waiting;
+    std::shared_ptr<boost::asio::steady_timer> timer;
+  };
+  bool Silent(core::TimePoint now) const;
+  void AskNext(const core::AccountId& account);
+  void AskNextOrEnd(const core::AccountId& account);
+  void OnNoAnswer(const core::AccountId& account, uint64_t message);
+  void End(const core::AccountId& account);
+
+  boost::asio::io_context& m_io;
+  std::string m_router;
+  std::string m_reply_address;
+  Hooks m_hooks;
+  uint64_t m_epoch = 0;
+  uint64_t m_last_message = 0;
+  std::unordered_map<core::AccountId, Ask> m_asks;
+  /// Messages that no gift came for yet; each takes one, also a late one.
+  std::unordered_map<uint64_t, core::AccountId> m_sent;
+  std::optional<core::TimePoint> m_unanswered_at;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_BORROWER_H_
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -45,6 +45,10 @@
   std::function<entry::ConfigurationView()> configuration;
   /// Asks for a higher ceiling soon; the exchange is told when it is there.
   std::function<void(std::function<void()> on_grant)> wait_for_grant;
+  /// Asks other routers for tokens. @return false when there is nobody to ask
+  std::function<
+      bool(const core::AccountId&, core::Tokens, std::function<void()> on_done)>
+      borrow;
   /// Time in which a request that comes now must have ended; none = no bound.
   std::function<std::optional<core::Duration>()> time_to_stop;
 };
@@ -76,7 +80,11 @@
 
   void Admit();
   void Reserve();
+  core::Tokens Most() const { return m_facts.prompt + m_facts.most_output; }
   void WaitForGrant();
+  bool TryGiven();
+  bool TryBorrow();
+  void OnBorrowed();
   void RefuseForWantOfTokens(core::TimePoint now);
   void OnGrant();
   void Place();
@@ -122,6 +130,9 @@
   boost::asio::steady_timer m_timer;
   core::TimePoint m_limit_at;
   core::Tokens m_reserved{};
+  bool m_by_gift = false;  ///< reserved of what others gave
+  bool m_borrowing = false;
+  bool m_borrowed = false;  ///< asked others once
   std::optional<core::TimePoint> m_waiting_since;
   std::optional<core::TimePoint> m_wait_until;
   std::optional<Attempt> m_attempt;
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <vector>      // vector
 
 #include "coppervalve/entry/allotment_book.h"
+#include "coppervalve/entry/gift_memory.h"
 #include "coppervalve/entry/in_force.h"
 #include "coppervalve/entry/member_list.h"
 #include "coppervalve/entry/placement.h"
@@ -18,6 +19,7 @@
 #include "coppervalve/entry/store_contact.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/gateway/beat_writer.h"
+#include "coppervalve/gateway/borrower.h"
 #include "coppervalve/gateway/dialect.h"
 #include "coppervalve/gateway/event_log.h"
 #include "coppervalve/gateway/exchange.h"
@@ -109,6 +111,8 @@
   void MakeFollowers();
   void MakeBeatWriter();
   void ShareLoads(uint64_t epoch);
+  void MakeBorrower();
+  void OnTokenAsk(const v1::TokenAsk& ask);
   core::Status MakeListeners();
   CallerConnection::Hooks CallerHooks(
       std::function<void(const CallerRef&, CallerRequest)> on_request);
@@ -141,6 +145,8 @@
   std::shared_ptr<TopicFollower> m_beats;
   std::shared_ptr<BeatWriter> m_writer;
   std::unique_ptr<LoadExchange> m_loads;
+  std::unique_ptr<Borrower> m_borrower;
+  entry::GiftMemory m_gifts;
   std::vector<std::shared_ptr<Listener>> m_listeners;
   std::shared_ptr<Listener> m_callers;
   std::vector<std::function<void()>> m_waiting;
--- a/include/coppervalve/gateway/load_exchange.h
+++ b/include/coppervalve/gateway/load_exchange.h
@@ -16,8 +16,9 @@
 
 namespace coppervalve::gateway {
 
-/// @brief Tells other routers by datagrams what is in progress here, and takes
-/// what they tell. Nothing depends on any of it arriving.
+/// @brief Datagrams between routers: tells the others what is in progress here,
+/// and carries asks for tokens and their answers. Nothing depends on any of it
+/// arriving.
 class LoadExchange {
  public:
   struct Hooks {
@@ -26,15 +27,20 @@
     /// Fills in the loads.
     std::function<void(v1::LoadReport&)> compose;
     std::function<void(const v1::LoadReport&)> on_report;
+    std::function<void(const v1::TokenAsk&)> on_ask;
+    std::function<void(const v1::TokenGift&)> on_gift;
   };
 
   LoadExchange(boost::asio::io_context& io, std::string router, Hooks hooks);
   /// @param address "ip:port" to take reports on
   /// @return kSettingBadValue when it can't be used
   core::Status Start(const std::string& address, uint64_t epoch);
+  /// @param address "ip:port" of another router
+  void Send(const std::string& address, const v1::PeerDatagram& datagram);
 
  private:
   void Receive();
+  void OnDatagram(size_t size);
   void Tick();
   void SendTo(const std::string& address, const std::string& bytes);
 
--- a/model/check.sh
+++ b/model/check.sh
@@ -23,6 +23,10 @@
   for flag in $(broken_flags ceiling); do
     echo "ceiling $flag|broken|ceiling|-D$flag"
   done
+  echo "gift|holds|gift|"
+  for flag in $(broken_flags gift); do
+    echo "gift $flag|broken|gift|-D$flag"
+  done
   echo "acceptance RETIREMENTS|holds|acceptance|"
   echo "acceptance JOINS|holds|acceptance|-DJOINS"
   for flag in $(broken_flags acceptance); do
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -106,6 +106,13 @@
   return addresses;
 }
 
+std::string MemberList::LoadAddressOf(const core::RouterId& router) const {
+  const auto found = m_members.find(router);
+  return found != m_members.end() && found->second.live
+             ? found->second.load_address
+             : std::string();
+}
+
 uint32_t MemberList::Active() const {
   return std::max(static_cast<uint32_t>(m_active.size()), 1U);
 }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -81,27 +81,28 @@
   m_limit_at = m_request.arrived + m_admitted.limit;
   m_context.retries.OnRequest(m_admitted.service, m_request.arrived);
   ArmTimer();
-  const core::Tokens most = m_facts.prompt + m_facts.most_output;
-  if (m_admitted.account == nullptr || most == core::Tokens(0)) {
+  if (m_admitted.account == nullptr || Most() == core::Tokens(0)) {
     Place();
     return;
   }
-  m_context.book.OnDemand(m_admitted.account->name, most, m_request.arrived);
+  m_context.book.OnDemand(m_admitted.account->name, Most(), m_request.arrived);
   Reserve();
 }
 
 void Exchange::Reserve() {
   const core::AccountId& account = m_admitted.account->name;
-  const core::Tokens most = m_facts.prompt + m_facts.most_output;
-  switch (m_context.book.Reserve(account, most)) {
+  switch (m_context.book.Reserve(account, Most())) {
     case entry::Reservation::kHeld:
-      m_reserved = most;
+      m_reserved = Most();
       Place();
       return;
     case entry::Reservation::kUnlimited:
       Place();
       return;
     case entry::Reservation::kExhausted:
+      if (TryGiven()) {
+        return;
+      }
       // The total may have grown by a configuration that this router missed.
       if (m_context.configuration().fresh) {
         Refuse({core::ErrorId::kBudgetExhausted, account.value(),
@@ -120,13 +121,16 @@
 }
 
 void Exchange::WaitForGrant() {
-  const core::AccountId& account = m_admitted.account->name;
-  const core::Tokens most = m_facts.prompt + m_facts.most_output;
+  if (TryGiven()) {
+    return;
+  }
   const core::TimePoint now = net::BootNow();
   const bool waited_out = m_wait_until && now >= *m_wait_until;
   if (!m_context.contact.up() || waited_out ||
-      !m_context.book.MayBeCovered(account, most)) {
-    RefuseForWantOfTokens(now);
+      !m_context.book.MayBeCovered(m_admitted.account->name, Most())) {
+    if (!TryBorrow()) {
+      RefuseForWantOfTokens(now);
+    }
     return;
   }
   if (!m_wait_until) {
@@ -141,6 +145,41 @@
   });
 }
 
+bool Exchange::TryGiven() {
+  if (!m_context.book.ReserveGiven(m_admitted.account->name, Most())) {
+    return false;
+  }
+  m_by_gift = true;
+  m_reserved = Most();
+  Place();
+  return true;
+}
+
+// What this router can't claim may lie unused in the ceiling of another one.
+bool Exchange::TryBorrow() {
+  if (m_borrowed) {
+    return false;
+  }
+  m_borrowed = true;
+  m_borrowing = m_context.borrow(m_admitted.account->name, Most(),
+                                 [weak = weak_from_this()] {
+                                   if (const auto self = weak.lock()) {
+                                     self->OnBorrowed();
+                                   }
+                                 });
+  return m_borrowing;
+}
+
+void Exchange::OnBorrowed() {
+  m_borrowing = false;
+  if (m_done || m_reserved != core::Tokens(0)) {
+    return;
+  }
+  if (!TryGiven()) {
+    RefuseForWantOfTokens(net::BootNow());
+  }
+}
+
 // A router that the store turned away hears from its peers whether they reach
 // it: they can raise their ceilings, so its callers are served there. With
 // nobody heard it can't tell, and says how long such a cut may last.
@@ -161,7 +200,8 @@
 }
 
 void Exchange::OnGrant() {
-  if (m_done || m_attempt || m_reserved != core::Tokens(0) || m_sends != 0) {
+  if (m_done || m_attempt || m_reserved != core::Tokens(0) || m_sends != 0 ||
+      m_borrowing) {
     return;
   }
   Reserve();
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -72,8 +72,12 @@
     used = std::min(m_reserved,
                     m_facts.prompt + std::min(output, m_facts.most_output));
   }
-  m_context.book.Settle(m_admitted.account->name, m_reserved, used,
-                        net::BootNow());
+  const core::AccountId& account = m_admitted.account->name;
+  if (m_by_gift) {
+    m_context.book.SettleGiven(account, m_reserved, used);
+  } else {
+    m_context.book.Settle(account, m_reserved, used, net::BootNow());
+  }
   m_reserved = core::Tokens(0);
 }
 
@@ -105,7 +109,8 @@
         .Number("elsewhere", figures.others.value())
         .Number("ceiling", figures.ceiling.value())
         .Number("spent", figures.spent.value())
-        .Number("reserved", figures.reserved.value());
+        .Number("reserved", figures.reserved.value())
+        .Flag("by_gift", m_by_gift);
   }
   if (!m_tried.empty()) {
     line.Text("upstream", m_tried.back().value())
@@ -143,7 +148,7 @@
 
 void Exchange::ArmTimer() {
   core::TimePoint next = m_limit_at;
-  if (m_wait_until) {
+  if (m_wait_until && !m_borrowing) {
     next = std::min(next, *m_wait_until);
   }
   if (const auto watch = WatchTime()) {
@@ -178,7 +183,7 @@
     }
     return;
   }
-  if (m_wait_until && now >= *m_wait_until) {
+  if (m_wait_until && now >= *m_wait_until && !m_borrowing) {
     WaitForGrant();
     return;
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -58,15 +58,20 @@
       m_members(m_settings.router, kRouterSilence, m_peers),
       m_pool(io),
       m_tick(io) {
-  m_context.emplace(ExchangeContext{m_io, m_dialect, m_directory, m_placer,
-                                    m_retries, m_book, m_members, m_peers,
-                                    m_contact, m_pool, m_log, m_metrics,
-                                    m_random, [this] { return View(); },
-                                    [this](std::function<void()> on_grant) {
-                                      m_waiting.push_back(std::move(on_grant));
-                                      m_writer->Hurry();
-                                    },
-                                    [this] { return TimeToStop(); }});
+  m_context.emplace(ExchangeContext{
+      m_io, m_dialect, m_directory, m_placer, m_retries, m_book, m_members,
+      m_peers, m_contact, m_pool, m_log, m_metrics, m_random,
+      [this] { return View(); },
+      [this](std::function<void()> on_grant) {
+        m_waiting.push_back(std::move(on_grant));
+        m_writer->Hurry();
+      },
+      [this](const core::AccountId& account, core::Tokens tokens,
+             std::function<void()> on_done) {
+        return m_borrower->Borrow(account, tokens, std::move(on_done));
+      },
+      [this] { return TimeToStop(); }});
+  MakeBorrower();
 }
 
 Gateway::~Gateway() = default;
--- /dev/null
+++ b/src/gateway/gateway_gifts.cc
@@ -0,0 +1,66 @@
+// Tokens asked of other routers, and given to them.
+#include <utility>  // move
+
+#include "coppervalve/gateway/gateway.h"
+#include "coppervalve/net/clock.h"
+
+namespace coppervalve::gateway {
+
+void Gateway::MakeBorrower() {
+  Borrower::Hooks hooks;
+  hooks.lenders = [this](const core::AccountId& account, core::Tokens tokens) {
+    std::vector<std::string> addresses;
+    for (const core::RouterId& router : m_book.Lenders(account, tokens)) {
+      std::string address = m_members.LoadAddressOf(router);
+      if (!address.empty()) {
+        addresses.push_back(std::move(address));
+      }
+    }
+    return addresses;
+  };
+  hooks.wanted = [this](const core::AccountId& account, core::Tokens tokens) {
+    return m_book.WantedFor(account, tokens, net::BootNow());
+  };
+  hooks.send = [this](const std::string& address, const v1::TokenAsk& ask) {
+    if (m_loads) {
+      v1::PeerDatagram datagram;
+      *datagram.mutable_ask() = ask;
+      m_loads->Send(address, datagram);
+    }
+  };
+  hooks.on_tokens = [this](const core::AccountId& account,
+                           core::Tokens tokens) {
+    m_book.OnGift(account, tokens);
+    m_log.Write(LineKind::kRoutine, LogLine("tokens_borrowed")
+                                        .Text("account", account.value())
+                                        .Number("tokens", tokens.value()));
+  };
+  m_borrower =
+      std::make_unique<Borrower>(m_io, m_settings.router.value(),
+                                 m_settings.load_address, std::move(hooks));
+}
+
+void Gateway::OnTokenAsk(const v1::TokenAsk& ask) {
+  const core::TimePoint now = net::BootNow();
+  const core::AccountId account(ask.account());
+  std::optional<core::Tokens> given = m_gifts.Answered(ask);
+  if (!given) {
+    given = m_book.Give(account, core::Tokens(ask.least()),
+                        core::Tokens(ask.wanted()), now);
+    m_gifts.Remember(ask, *given, now);
+    m_log.Write(LineKind::kRoutine, LogLine("tokens_given")
+                                        .Text("account", account.value())
+                                        .Text("to", ask.router())
+                                        .Number("asked", ask.least())
+                                        .Number("tokens", given->value()));
+  }
+  v1::PeerDatagram datagram;
+  v1::TokenGift& gift = *datagram.mutable_gift();
+  gift.set_router(m_settings.router.value());
+  gift.set_ask_epoch(ask.epoch());
+  gift.set_ask_id(ask.id());
+  gift.set_tokens(given->value());
+  m_loads->Send(ask.reply_address(), datagram);
+}
+
+}  // namespace coppervalve::gateway
--- a/src/gateway/gateway_serve.cc
+++ b/src/gateway/gateway_serve.cc
@@ -32,6 +32,11 @@
     m_peer_loads.OnReport(report, now);
     m_peers.OnReport(core::RouterId(report.router()), report.store_up(), now);
   };
+  hooks.on_ask = [this](const v1::TokenAsk& ask) { OnTokenAsk(ask); };
+  hooks.on_gift = [this](const v1::TokenGift& gift) {
+    m_borrower->OnGift(gift);
+  };
+  m_borrower->SetEpoch(epoch);
   m_loads = std::make_unique<LoadExchange>(m_io, m_settings.router.value(),
                                            std::move(hooks));
   const core::Status started = m_loads->Start(m_settings.load_address, epoch);
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -296,7 +296,8 @@
   beat.set_load(m_arrivals.PerSecond(now));
   entry::ClaimContext context;
   context.routers = m_members.Active();
-  context.standbys = m_members.Live() - std::min(m_members.Live(), context.routers);
+  context.standbys =
+      m_members.Live() - std::min(m_members.Live(), context.routers);
   // Whether it will be among them isn't known before the others know of it.
   context.active = m_members.SelfActive() || !m_first_beat_back;
   context.leaving = beat.leaving();
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -60,16 +60,36 @@
         if (code == boost::asio::error::operation_aborted) {
           return;
         }
-        v1::LoadReport report;
-        if (!code &&
-            report.ParseFromArray(m_buffer.data(), static_cast<int>(size)) &&
-            report.router() != m_report.router()) {
-          m_hooks.on_report(report);
+        if (!code) {
+          OnDatagram(size);
         }
         Receive();
       });
 }
 
+void LoadExchange::OnDatagram(size_t size) {
+  v1::PeerDatagram datagram;
+  if (!datagram.ParseFromArray(m_buffer.data(), static_cast<int>(size))) {
+    return;
+  }
+  if (datagram.has_load() && datagram.load().router() != m_report.router()) {
+    m_hooks.on_report(datagram.load());
+  }
+  if (datagram.has_ask() && m_hooks.on_ask) {
+    m_hooks.on_ask(datagram.ask());
+  }
+  if (datagram.has_gift() && m_hooks.on_gift) {
+    m_hooks.on_gift(datagram.gift());
+  }
+}
+
+void LoadExchange::Send(const std::string& address,
+                        const v1::PeerDatagram& datagram) {
+  if (m_socket.is_open()) {
+    SendTo(address, datagram.SerializeAsString());
+  }
+}
+
 void LoadExchange::Tick() {
   ++m_round;
   m_report.clear_loads();
@@ -79,7 +99,9 @@
   if (loads != m_last_loads || m_round % kRepeatRounds == 0) {
     m_last_loads = loads;
     m_report.set_sequence(m_round);
-    const std::string bytes = m_report.SerializeAsString();
+    v1::PeerDatagram datagram;
+    *datagram.mutable_load() = m_report;
+    const std::string bytes = datagram.SerializeAsString();
     const std::vector<std::string> peers = m_hooks.peers();
     const size_t count = std::min(peers.size(), kMostPeers);
     for (size_t i = 0; i < count; ++i) {
--- a/tests/entry/unit-allotment-book.cc
+++ b/tests/entry/unit-allotment-book.cc
@@ -232,3 +232,46 @@
   // All twenty together hold less than one that serves.
   CHECK(beat.claims(0).ceiling() * 20 < active);
 }
+
+TEST(AllotmentBook, what_is_given_away_counts_as_spent_by_the_giver) {
+  // Were it not taken out first, the giver's next request and the taker's would
+  // be paid with the same tokens.
+  WriteAndRead(0);
+  const int64_t ceiling = Ceiling();
+  const core::Tokens given =
+      book.Give(kGate, core::Tokens(100), core::Tokens(ceiling - 50), At(0));
+  CHECK_EQUAL(ceiling - 50, given.value());
+  CHECK(book.Reserve(kGate, core::Tokens(51)) != Reservation::kHeld);
+  Write(1);
+  CHECK(written.claims(0).spent() >= ceiling - 50);
+}
+
+TEST(AllotmentBook, a_giver_keeps_what_its_own_callers_need) {
+  WriteAndRead(0);
+  const int64_t ceiling = Ceiling();
+  for (int i = 0; i < 50; ++i) {
+    book.OnDemand(kGate, core::Tokens(ceiling / 5), At(i * 0.1));
+  }
+  CHECK_EQUAL(
+      0, book.Give(kGate, core::Tokens(100), core::Tokens(100), At(5)).value());
+}
+
+TEST(AllotmentBook, what_a_request_leaves_of_a_gift_serves_the_next_one) {
+  book.OnGift(kGate, core::Tokens(1'000));
+  CHECK(book.ReserveGiven(kGate, core::Tokens(1'000)));
+  CHECK_FALSE(book.ReserveGiven(kGate, core::Tokens(1)));
+  book.SettleGiven(kGate, core::Tokens(1'000), core::Tokens(300));
+  CHECK(book.ReserveGiven(kGate, core::Tokens(700)));
+  Write(0);
+  CHECK_EQUAL(0, written.claims(0).spent());
+}
+
+TEST(AllotmentBook, the_richest_router_is_asked_first) {
+  const core::RouterId rich("router-3");
+  book.OnOtherBeat(kOther, Claim(2'000, 500), At(0));
+  book.OnOtherBeat(rich, Claim(9'000, 500), At(0));
+  const auto lenders = book.Lenders(kGate, core::Tokens(1'000));
+  CHECK_EQUAL(2, lenders.size());
+  CHECK(lenders.front() == rich);
+  CHECK_EQUAL(1, book.Lenders(kGate, core::Tokens(2'000)).size());
+}
--- a/tests/gateway/unit-exchange.cc
+++ b/tests/gateway/unit-exchange.cc
@@ -233,7 +233,8 @@
   router.Start(10'000);
   router.store.away = true;
   router.store.Put("other", "wake", "x");
-  v1::LoadReport report;
+  v1::PeerDatagram datagram;
+  v1::LoadReport& report = *datagram.mutable_load();
   report.set_router("router-2");
   report.set_epoch(1);
   report.set_store_up(true);
@@ -241,7 +242,7 @@
   for (int i = 0; i < 50 && !Has(answer, "HTTP/1.1 503"); ++i) {
     report.set_sequence(static_cast<uint64_t>(i) + 1);
     SendDatagram(router.io, router.settings.load_address,
-                 report.SerializeAsString());
+                 datagram.SerializeAsString());
     answer =
         router.Ask("/chat/x", "X-Tokens: 9900\r\n", "r-" + std::to_string(i));
   }
