Say what a placement chose from; weigh a missed prefix twice as much; drop dead code

Change: a missed prefix counts 16 times its tokens, not 8; the request line has candidates and reporting; coppervalve_entry_gifts_total; Stop of three classes, BeatWriter::writing and Service::health_path are gone.

--- a/include/coppervalve/entry/configuration.h
+++ b/include/coppervalve/entry/configuration.h
@@ -51,7 +51,6 @@
 struct Service {
   core::ServiceId name;
   uint32_t max_connections = 0;  ///< from all routers together; 0 = no bound
-  std::string health_path;
   std::optional<EngineFacts> engine;
 };
 
--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -53,7 +53,7 @@
 struct PlacementOptions {
   /// A shared token that must be read again counts this often: it delays this
   /// request and takes time and memory from others.
-  double missed_prefix = 8;
+  double missed_prefix = 16;
   /// A running generation slows others a little.
   double running = 40;
   /// Beyond its slots an engine makes requests wait for a whole one to end.
--- a/include/coppervalve/gateway/beat_writer.h
+++ b/include/coppervalve/gateway/beat_writer.h
@@ -55,8 +55,6 @@
   void BeginBeats();
   /// @brief Writes a beat soon instead of at its turn.
   void Hurry();
-  void Stop();
-  bool writing() const { return m_in_flight; }
   uint64_t epoch() const { return m_epoch; }
 
  private:
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -148,8 +148,7 @@
   bool m_answer_begun = false;
   bool m_done = false;
   std::string m_last_failure;
-  std::string_view m_placed_by;
-  double m_placed_cost = 0;
+  entry::Placement m_placed;  ///< the last one
 };
 
 }  // namespace coppervalve::gateway
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -39,6 +39,8 @@
   void OnFirstByte(entry::RouteKind kind, core::Duration since_arrival);
   void OnServed(entry::RouteKind kind, core::Duration since_arrival);
   void OnAttempt(std::string_view outcome);
+  /// @param way "taken", "given" or "none_to_spare"
+  void OnGift(std::string_view way);
   void OnGrantWait(core::Duration waited);
   void OnStoreCall(std::string_view topic, bool answered);
   void OnAccount(const core::AccountId& account,
--- a/include/coppervalve/gateway/http_caller.h
+++ b/include/coppervalve/gateway/http_caller.h
@@ -46,8 +46,6 @@
   /// @brief Queues a call. @return through the handler: the reply, or
   /// kLogUnavailable when none came in time
   void Call(HttpCall call, Handler handler);
-  /// @brief Drops what is queued and its handlers.
-  void Stop();
 
  private:
   struct Pending {
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -49,7 +49,6 @@
   /// @brief Cuts the pause after a read short: something that matters was
   /// just written.
   void Hurry();
-  void Stop();
 
  private:
   void ReadNewest();
@@ -72,7 +71,6 @@
   uint32_t m_failures = 0;
   bool m_has_newest = false;
   bool m_pausing = false;
-  bool m_stopped = false;
 };
 
 }  // namespace coppervalve::gateway
--- a/src/gateway/beat_writer.cc
+++ b/src/gateway/beat_writer.cc
@@ -20,11 +20,6 @@
   Announce();
 }
 
-void BeatWriter::Stop() {
-  m_stopped = true;
-  m_timer.cancel();
-}
-
 void BeatWriter::Announce() {
   m_store.append(
       m_options.topic, KeyedRecord{}, {m_options.router, m_epoch, 0},
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -234,12 +234,12 @@
   }
   const entry::Placement placement =
       m_context.placer.Choose(m_context.directory, query, net::BootNow());
-  m_placed_by = entry::ToString(placement.why);
-  m_placed_cost = placement.cost;
+  m_placed = placement;
   if (placement.upstream == nullptr || ++m_tries > kMostTries) {
-    core::Error error{
-        core::ErrorId::kNoUpstream, m_admitted.service.value(),
-        m_last_failure.empty() ? std::string(m_placed_by) : m_last_failure};
+    core::Error error{core::ErrorId::kNoUpstream, m_admitted.service.value(),
+                      m_last_failure.empty()
+                          ? std::string(entry::ToString(placement.why))
+                          : m_last_failure};
     if (m_may_have_run) {
       error.id = core::ErrorId::kUpstreamFailed;
       Fail(error);
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -114,8 +114,10 @@
   }
   if (!m_tried.empty()) {
     line.Text("upstream", m_tried.back().value())
-        .Text("placed_by", m_placed_by)
-        .Number("cost", static_cast<int64_t>(m_placed_cost))
+        .Text("placed_by", entry::ToString(m_placed.why))
+        .Number("cost", static_cast<int64_t>(m_placed.cost))
+        .Number("candidates", m_placed.candidates)
+        .Number("reporting", m_placed.reporting)
         .Number("sends", m_sends);
   }
   if (!m_last_failure.empty()) {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -52,6 +52,10 @@
   Family<Counter>& attempts = CounterOf(registry,
                                         "coppervalve_entry_attempts_total",
                                         "Attempts at upstreams, by outcome");
+  Family<Counter>& gifts =
+      CounterOf(registry,
+                "coppervalve_entry_gifts_total",
+                "Tokens asked of other routers and given to them, by way");
   Family<Counter>& store_calls =
       CounterOf(registry,
                 "coppervalve_entry_store_calls_total",
@@ -104,6 +108,10 @@
   m_impl->attempts.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void GatewayMetrics::OnGift(std::string_view way) {
+  m_impl->gifts.Add({{"way", std::string(way)}}).Increment();
+}
+
 void GatewayMetrics::OnGrantWait(core::Duration waited) {
   m_impl->grant_wait.Add({}, kSecondsBuckets).Observe(Seconds(waited));
 }
--- a/src/gateway/http_caller.cc
+++ b/src/gateway/http_caller.cc
@@ -39,17 +39,6 @@
   Next();
 }
 
-void HttpCaller::Stop() {
-  m_queue.clear();
-  m_busy = false;
-  ++m_call_number;
-  m_timeout.cancel();
-  if (m_stream) {
-    m_stream->Abort();
-    m_stream.reset();
-  }
-}
-
 void HttpCaller::Next() {
   if (m_busy || m_queue.empty()) {
     return;
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -24,11 +24,6 @@
       m_hooks(std::move(hooks)),
       m_timer(io) {}
 
-void TopicFollower::Stop() {
-  m_stopped = true;
-  m_timer.cancel();
-}
-
 void TopicFollower::ReadNewest() {
   m_has_newest = false;
   m_newest.clear();
@@ -49,9 +44,6 @@
 // hundreds of routers that start at once would otherwise begin anew with each
 // refusal and keep the store at its bound for good.
 void TopicFollower::OnPage(const core::Result<NewestPage>& result) {
-  if (m_stopped) {
-    return;
-  }
   if (!core::IsOk(result)) {
     Fail(core::Failure(result));
     return;
@@ -86,9 +78,6 @@
 }
 
 void TopicFollower::OnBatch(const core::Result<RecordBatch>& result) {
-  if (m_stopped) {
-    return;
-  }
   if (!core::IsOk(result)) {
     if (core::Failure(result).id == core::ErrorId::kLogGap) {
       ReadNewest();
@@ -115,7 +104,7 @@
 }
 
 void TopicFollower::Hurry() {
-  if (m_pausing && !m_stopped) {
+  if (m_pausing) {
     After(core::Duration::zero(), &TopicFollower::ReadOn);
   }
 }
@@ -136,7 +125,7 @@
   m_timer.expires_after(delay);
   m_timer.async_wait(
       [self = shared_from_this(), step](const boost::system::error_code& code) {
-        if (!code && !self->m_stopped) {
+        if (!code) {
           (self.get()->*step)();
         }
       });
