--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -266,6 +266,20 @@
   io.run_for(std::chrono::milliseconds(20));
 }
 
+std::unique_ptr<Gateway> Router::StartPeer(const std::string& name) {
+  GatewaySettings other = settings;
+  other.router = core::RouterId(name);
+  other.caller_address = FreeAddress(io);
+  other.load_address = FreeAddress(io);
+  auto peer =
+      std::make_unique<Gateway>(io, other, TestDialect(), store.Calls());
+  peer->Start();
+  Until([&] { return !store.Newest("routers", name).empty(); });
+  // Both know what the other claims by now.
+  io.run_for(std::chrono::milliseconds(2'500));
+  return peer;
+}
+
 ScriptedUpstream& Router::AddUpstream(const std::string& id,
                                       const std::string& service) {
   m_upstreams.push_back(std::make_unique<ScriptedUpstream>(io));
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -78,6 +78,9 @@
 
   /// @brief Starts the router and waits until it is ready.
   void Start(int64_t prepaid = 1'000'000);
+  /// @brief Starts another router on the same store and upstreams.
+  /// @pre `settings.load_address` is set and Start() was called
+  std::unique_ptr<Gateway> StartPeer(const std::string& name);
   ScriptedUpstream& AddUpstream(const std::string& id,
                                 const std::string& service);
   std::unique_ptr<TestCaller> Caller();
--- a/tests/gateway/unit-exchange.cc
+++ b/tests/gateway/unit-exchange.cc
@@ -248,3 +248,32 @@
   }
   CHECK(Has(answer, "Retry-After: 50000 us"));
 }
+
+TEST(Exchange, a_router_short_of_tokens_is_helped_while_the_store_is_away) {
+  // A tenant's callers all come to one router when the store goes away. It was
+  // refused at that router's ceiling, with tokens idle in another's; together
+  // both never spend more than the total.
+  ScriptedUpstream& one = router.AddUpstream("one", "chat");
+  one.Answer([](const StreamRef& stream, const std::string& request) {
+    stream->Send(SignedStreamHead(request) + Chunk(Event(1)) + "0\r\n\r\n");
+  });
+  constexpr int64_t kTotal = 100'000;
+  constexpr int64_t kEach = 500;
+  router.settings.load_address = FreeAddress(router.io);
+  router.Start(kTotal);
+  const std::unique_ptr<Gateway> peer = router.StartPeer("router-2");
+  v1::RouterBeat own;
+  own.ParseFromString(router.store.Newest("routers", "router-1"));
+  const int64_t ceiling = own.claims(0).ceiling();
+  router.store.away = true;
+  router.store.Put("other", "wake", "x");
+  int64_t served = 0;
+  while (
+      Has(router.Ask("/chat/x", "X-Tokens: " + std::to_string(kEach) + "\r\n",
+                     "r-" + std::to_string(served)),
+          "HTTP/1.1 200")) {
+    ++served;
+  }
+  CHECK(served * kEach > ceiling + ceiling / 4);
+  CHECK(served * kEach <= kTotal);
+}
