--- a/src/entry/allotment_gifts.cc
+++ b/src/entry/allotment_gifts.cc
@@ -76,6 +76,7 @@
   std::sort(rich.begin(), rich.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
   std::vector<core::RouterId> lenders;
+  lenders.reserve(rich.size());
   for (const auto& [unspent, router] : rich) {
     lenders.push_back(router);
   }
