Grant no old claim after a later one lowered it

Cause, from the log's claims and ceilings: a router may write the next claim as soon as the last one is acknowledged, before it reads it back. Claim much, claim little, claim much again, then read the first: it was granted within the newest claim, though the second, in the log by then, had given the tokens back and another router had taken them. What a cut router's waiting requests want makes claims swing, which is why it showed now. Ruled out: gifts (debited first, each message taken once: both sums agree with the log), the fence of earlier starts, a late or repeated append. Change: of all claims written after the one that is read, the lowest binds. Test: a_claim_lowered_and_raised_again_grants_no_old_claim, fails before.

--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -2,6 +2,7 @@
 #define COPPERVALVE_ENTRY_ALLOTMENT_BOOK_H_
 
 #include <cstdint>        // uint8_t, uint32_t, uint64_t
+#include <deque>          // deque
 #include <optional>       // optional
 #include <unordered_map>  // unordered_map
 #include <vector>         // vector
@@ -101,6 +102,9 @@
                     core::Tokens least,
                     core::Tokens wanted,
                     core::TimePoint now);
+  /// @brief Somebody lacks tokens of the account: the next claim is to cover
+  /// them.
+  void Want(const core::AccountId& account, core::Tokens tokens);
   /// @brief Tokens that another router gave up for this one.
   void OnGift(const core::AccountId& account, core::Tokens tokens);
   /// @brief Sets given tokens aside. @return false when there are too few
@@ -146,8 +150,14 @@
     core::Tokens lost{};           ///< with earlier incarnations
     core::Tokens ceiling_spent{};  ///< by the present incarnation
   };
+  /// A claim that was written and has not been read back yet.
+  struct Pending {
+    uint64_t sequence = 0;
+    core::Tokens claim{};
+  };
   struct Entry {
     std::optional<core::Tokens> total;
+    std::deque<Pending> pending;  ///< in the order of writing
     core::Tokens retired{};
     core::Tokens retired_spent{};
     core::Tokens ceiling{};  ///< may be spent up to here
@@ -170,6 +180,7 @@
   };
   static core::Tokens InUse(const Entry& entry);
   static core::Tokens Free(const Entry& entry);
+  static core::Tokens LeastPending(const Entry& entry);
   static core::Tokens Unavailable(const Entry& entry);
   static core::Tokens Spendable(const Entry& entry);
   double GuessedShare() const;
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>      // min, max
 #include <cmath>          // sqrt
+#include <limits>         // numeric_limits
 #include <unordered_set>  // unordered_set
 
 namespace coppervalve::entry {
@@ -111,17 +112,31 @@
 void AllotmentBook::OnOwnBeat(const v1::RouterBeat& beat) {
   for (const v1::AccountClaim& claim : beat.claims()) {
     Entry& entry = m_entries[core::AccountId(claim.account())];
+    while (!entry.pending.empty() &&
+           entry.pending.front().sequence <= beat.sequence()) {
+      entry.pending.pop_front();
+    }
     if (!entry.total) {
       continue;
     }
     const core::Tokens available =
         *entry.total - entry.others_claimed - entry.retired;
-    // A later record may already have lowered the claim: that one binds.
-    const core::Tokens granted =
-        std::min({core::Tokens(claim.ceiling()), available, entry.asked});
+    const core::Tokens granted = std::min(
+        {core::Tokens(claim.ceiling()), available, LeastPending(entry)});
     // What is in use was granted before and cannot be taken back.
-    entry.ceiling = std::max(granted, std::min(entry.ceiling, entry.asked));
+    entry.ceiling = std::max(entry.ceiling, granted);
+  }
+}
+
+// Of all claims written after the one that was just read, the lowest binds:
+// where it lies in the log, others may already hold what it gave back, however
+// much a still later one asks for.
+core::Tokens AllotmentBook::LeastPending(const Entry& entry) {
+  core::Tokens least(std::numeric_limits<int64_t>::max());
+  for (const Pending& pending : entry.pending) {
+    least = std::min(least, pending.claim);
   }
+  return least;
 }
 
 void AllotmentBook::OnDemand(const core::AccountId& account,
@@ -148,7 +163,7 @@
   if (Unavailable(entry) + tokens > *entry.total) {
     return Reservation::kExhausted;
   }
-  entry.wanted += tokens;
+  Want(account, tokens);
   return Reservation::kShort;
 }
 
@@ -293,6 +308,7 @@
       continue;
     }
     entry.stated = true;
+    entry.pending.push_back({beat.sequence(), next});
     v1::AccountClaim* claim = beat.add_claims();
     claim->set_account(account.value());
     claim->set_ceiling(next.value());
--- a/src/entry/allotment_gifts.cc
+++ b/src/entry/allotment_gifts.cc
@@ -39,6 +39,10 @@
   return given;
 }
 
+void AllotmentBook::Want(const core::AccountId& account, core::Tokens tokens) {
+  m_entries[account].wanted += tokens;
+}
+
 void AllotmentBook::OnGift(const core::AccountId& account,
                            core::Tokens tokens) {
   m_entries[account].given += tokens;
--- a/tests/entry/unit-allotment-book.cc
+++ b/tests/entry/unit-allotment-book.cc
@@ -39,11 +39,13 @@
 TEST_GROUP(AllotmentBook) {
   AllotmentBook book{BookOptions{}};
   v1::RouterBeat written;
+  uint64_t sequence = 0;
   void setup() override { book.OnConfiguration(Prepaid(100'000)); }
 
   void Write(double now, bool closing = false) {
     written = v1::RouterBeat();
     written.set_epoch(1);
+    written.set_sequence(++sequence);
     ClaimContext context;
     context.routers = 2;
     context.closing = closing;
@@ -275,3 +277,28 @@
   CHECK(lenders.front() == rich);
   CHECK_EQUAL(1, book.Lenders(kGate, core::Tokens(2'000)).size());
 }
+
+TEST(AllotmentBook, a_claim_lowered_and_raised_again_grants_no_old_claim) {
+  // A tenant gets more than it paid for. A router claims much, then little,
+  // then much again before it reads any of it back. Others took what the second
+  // record gave back; the first one, read now, must not grant it once more
+  // (fortaleza-cv, trouble-3: 1,633,842 of 1,611,251 tokens).
+  book.Want(kGate, core::Tokens(90'000));
+  Write(0);
+  const v1::RouterBeat much = written;
+  CHECK(much.claims(0).ceiling() >= 60'000);
+  Write(1);
+  const v1::RouterBeat little = written;
+  CHECK(little.claims(0).ceiling() < 40'000);
+  const int64_t left = 100'000 - little.claims(0).ceiling();
+  book.Want(kGate, core::Tokens(90'000));
+  Write(2);
+  const v1::RouterBeat much_again = written;
+  CHECK(much_again.claims(0).ceiling() >= 60'000);
+  book.OnOwnBeat(much);
+  CHECK(Ceiling() <= little.claims(0).ceiling());
+  book.OnOwnBeat(little);
+  book.OnOtherBeat(kOther, Claim(left, 0), At(3));
+  book.OnOwnBeat(much_again);
+  CHECK(Ceiling() <= little.claims(0).ceiling());
+}
