Model claims written before the last one was read

Change: with UNREAD it may have several, the lowest of all later ones binds; BROKEN_UNREAD_GRANT_OLD is the fault as it was. Includes of active_set.cc named rightly; no code changed.

--- a/model/ceiling.pml
+++ b/model/ceiling.pml
@@ -11,9 +11,19 @@
  *   BROKEN_FORGET        an earlier start's ceiling is not counted as used
  *   BROKEN_LOWER_LATE    a lowered ceiling holds when it is read, not when written
  *   BROKEN_NO_FENCE      writes of an earlier start may still be done
+ *   BROKEN_UNREAD_GRANT_OLD  only the newest claim binds a grant (with UNREAD)
+ *
+ * UNREAD: a router writes the next claim before it has read the last one. The
+ * total is one token then, so that the search stays small.
  */
 #define ROUTERS 2
+#ifdef UNREAD
+#define TOTAL 1
+#define MAY_WRITE true
+#else
 #define TOTAL 2
+#define MAY_WRITE (asked == ceiling)
+#endif
 #define RECORDS 4
 
 /* The log: who, which start, cumulative claim of that start and before. */
@@ -63,6 +73,30 @@
   }
 }
 
+/* No more than any claim written after the one that is being read. */
+inline least_later(result) {
+#ifdef BROKEN_UNREAD_GRANT_OLD
+  result = (asked < result -> asked : result);
+#else
+  j = seen + 1;
+  do
+  :: j < log_end ->
+     if
+     :: log_who[j] == me && log_epoch[j] == epoch && log_claim[j] < result ->
+        result = log_claim[j]
+     :: else -> skip
+     fi;
+     j++
+  :: else -> break
+  od;
+  j = 0;
+  if
+  :: late && late_epoch == epoch && late_claim < result -> result = late_claim
+  :: else -> skip
+  fi
+#endif
+}
+
 proctype Router(byte me) {
   byte epoch = 1;
   byte ceiling = 0;   /* may be spent up to here */
@@ -76,13 +110,14 @@
   byte late_retired = 0;
   bool late = false;  /* a write without an answer, maybe done later */
   byte i = 0;
+  byte j = 0;
   byte starts = 1;
 
   /* All may rest at any time: only what is spent is checked. */
 end_rest:
   do
   /* Claim one more. */
-  :: !(late && late_epoch == epoch) && asked == ceiling && asked + retired < TOTAL && log_end < RECORDS ->
+  :: !(late && late_epoch == epoch) && MAY_WRITE && ceiling + retired < TOTAL && log_end < RECORDS ->
      asked = ceiling + 1;
      if
      :: append(me, epoch, asked, retired)
@@ -101,7 +136,7 @@
   :: late && late_epoch != epoch ->
      d_step { late = false; late_claim = 0; late_epoch = 0; late_retired = 0 }
   /* Lower to what is spent. */
-  :: !(late && late_epoch == epoch) && asked == ceiling && ceiling > spent && log_end < RECORDS ->
+  :: !(late && late_epoch == epoch) && MAY_WRITE && asked > spent && log_end < RECORDS ->
      asked = spent;
 #ifndef BROKEN_LOWER_LATE
      ceiling = spent;
@@ -118,15 +153,22 @@
 #else
           i = (others + retired > TOTAL -> 0 : TOTAL - others - retired);
           i = (log_claim[seen] < i -> log_claim[seen] : i);
+#ifdef UNREAD
+          least_later(i);
+          ceiling = (i > ceiling -> i : ceiling);
+#else
           i = (asked < i -> asked : i);
           ceiling = (i > spent -> i : spent);
+#endif
           i = 0;
           others = 0;
 #endif
+#ifndef UNREAD
           if
           :: seen + 1 == log_end -> asked = ceiling
           :: else -> skip
           fi
+#endif
         }
      :: else -> skip
      fi;
--- a/model/check.sh
+++ b/model/check.sh
@@ -20,8 +20,9 @@
     echo "allotment $flag|broken|allotment|-D$flag"
   done
   echo "ceiling|holds|ceiling|"
+  echo "ceiling UNREAD|holds|ceiling|-DUNREAD"
   for flag in $(broken_flags ceiling); do
-    echo "ceiling $flag|broken|ceiling|-D$flag"
+    echo "ceiling $flag|broken|ceiling|$(unread_of "$flag") -D$flag"
   done
   echo "gift|holds|gift|"
   for flag in $(broken_flags gift); do
@@ -59,6 +60,13 @@
   esac
 }
 
+# Variants with several unread claims need the model that has them.
+unread_of() {
+  case "$1" in
+    *UNREAD*) echo -DUNREAD ;;
+  esac
+}
+
 # Variants of joining need the model with joins.
 joins_of() {
   case "$1" in
--- a/src/entry/active_set.cc
+++ b/src/entry/active_set.cc
@@ -1,7 +1,8 @@
 #include "coppervalve/entry/active_set.h"
 
-#include <algorithm>  // sort, min_element
+#include <algorithm>  // sort
 #include <map>        // map
+#include <utility>    // move
 
 #include "coppervalve/core/hash.h"
 
