Know each start of an upstream apart; take no upstream from what can't be read

An unknown state counted as ready; an unreadable record left the old entry in use; in a full list it counted as lapsed, kept for two seconds after an outage. Ruled out: telling starts apart by address (a restart may keep it) or by the record's count (it starts anew with the start). Change: entry::WorthOf says what a record is worth (usable, leaving, none) for single records and lists alike; each start is an object of its own, with its own name in load reports; a later start ends the kept connections, and an answer of an earlier start leaves none behind; an earlier start's late record changes nothing, also after the later one went.

--- a/include/coppervalve/entry/upstream_directory.h
+++ b/include/coppervalve/entry/upstream_directory.h
@@ -1,7 +1,7 @@
 #ifndef COPPERVALVE_ENTRY_UPSTREAM_DIRECTORY_H_
 #define COPPERVALVE_ENTRY_UPSTREAM_DIRECTORY_H_
 
-#include <cstdint>        // uint32_t
+#include <cstdint>        // uint8_t, uint32_t, int64_t
 #include <memory>         // shared_ptr
 #include <optional>       // optional
 #include <string>         // string
@@ -16,8 +16,8 @@
 
 namespace coppervalve::entry {
 
-/// @brief One upstream as it announces itself. The id is of one start of it:
-/// after a restart the same address has another.
+/// @brief One upstream as it announces itself. Most starts have an id of their
+/// own; one that starts again under its id says so by a later `born`.
 struct UpstreamEntry {
   core::UpstreamId id;
   core::ServiceId service;
@@ -25,9 +25,33 @@
   core::FailureDomainId failure_domain;
   uint32_t slots = 1;
   bool leaving = false;
+  std::optional<int64_t> born;  ///< grows with each start under this id
 };
 
-/// @brief An upstream with what this router has seen of it.
+/// @brief What a record of the table is worth to a router.
+enum class RecordWorth : uint8_t {
+  kUsable,   ///< names an upstream that takes work
+  kLeaving,  ///< names one that takes no new work
+  kNone,     ///< names none: unreadable, or in words that we don't know
+};
+
+/// @brief A record of the table: its key, and its entry where it names one.
+struct UpstreamRecord {
+  core::UpstreamId id;
+  std::optional<UpstreamEntry> entry;
+};
+
+RecordWorth WorthOf(const UpstreamRecord& record);
+
+/// @brief What a record changed.
+enum class DirectoryChange : uint8_t {
+  kNothing,   ///< the same as known, or of an earlier start
+  kChanged,   ///< the upstream is new, or described otherwise
+  kNewStart,  ///< it started again under its id and knows nothing of before
+  kDropped,   ///< it was known, and the record names no upstream any more
+};
+
+/// @brief One start of an upstream with what this router has seen of it.
 struct Upstream {
   UpstreamEntry entry;
   UpstreamHealth health;
@@ -53,16 +77,20 @@
  public:
   explicit UpstreamDirectory(DirectoryOptions options) : m_options(options) {}
 
-  /// @brief An entry is new or changed. @return whether it changed for us
-  bool Put(const UpstreamEntry& entry);
+  /// @brief A record was read; what it is worth is decided here, whether it
+  /// came alone or in a list. What is known of a start ends with it: requests
+  /// in progress keep the object of the start they were sent to.
+  DirectoryChange OnRecord(const UpstreamRecord& record);
   /// @brief An entry went. @return whether it is gone for good
   bool Remove(const core::UpstreamId& id,
               const StoreContact& contact,
               core::TimePoint now);
   /// @brief The whole list was read: what it lacks went.
-  void ReplaceAll(const std::vector<UpstreamEntry>& entries,
-                  const StoreContact& contact,
-                  core::TimePoint now);
+  /// @return ids whose connections are of no use any more
+  std::vector<core::UpstreamId> ReplaceAll(
+      const std::vector<UpstreamRecord>& records,
+      const StoreContact& contact,
+      core::TimePoint now);
   /// @brief Drops what lapsed and did not come back. Call it now and then.
   /// @return the ids that are gone
   std::vector<core::UpstreamId> DropLapsed(const StoreContact& contact,
@@ -79,12 +107,18 @@
 
  private:
   bool ReturnsAreOver(const StoreContact& contact, core::TimePoint now) const;
+  bool OfEarlierStart(const UpstreamEntry& entry) const;
+  void RememberBorn(const UpstreamEntry& entry);
+  DirectoryChange Put(const UpstreamEntry& entry);
+  DirectoryChange Drop(const core::UpstreamId& id);
   void Forget(const core::UpstreamId& id);
   void Rebuild();
 
   DirectoryOptions m_options;
   std::unordered_map<core::UpstreamId, UpstreamRef> m_by_id;
   std::unordered_map<core::ServiceId, std::vector<UpstreamRef>> m_by_service;
+  /// Latest start seen under each id, also of those that went.
+  std::unordered_map<core::UpstreamId, int64_t> m_born;
 };
 
 }  // namespace coppervalve::entry
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -94,6 +94,7 @@
   void OnHead(const http1::ResponseHead& head);
   void OnBody(const std::string& body);
   void OnEnd(AttemptEnd end, std::string_view why);
+  void KeepConnection();
   void OnWhole();
   void OnBroken(std::string_view why);
   void OnDeclined();
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -90,6 +90,7 @@
  private:
   void Configure(const std::string& document);
   void OnUpstreamRecord(const KeyedRecord& record);
+  entry::UpstreamRecord ReadUpstreamRecord(const KeyedRecord& record);
   void OnNewestUpstreams(const std::vector<KeyedRecord>& records);
   void OnBeatRecord(const KeyedRecord& record);
   void OnNewestBeats(const std::vector<KeyedRecord>& records);
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -1,6 +1,7 @@
 #include "coppervalve/entry/upstream_directory.h"
 
 #include <algorithm>      // sort
+#include <string>         // to_string
 #include <unordered_set>  // unordered_set
 
 #include "coppervalve/entry/peer_loads.h"
@@ -15,26 +16,105 @@
          a.leaving == b.leaving;
 }
 
+// Load reports of a start must not count for the next one.
+uint32_t LoadKeyOf(const UpstreamEntry& entry) {
+  if (!entry.born) {
+    return LoadKey(entry.id);
+  }
+  return LoadKey(
+      core::UpstreamId(entry.id.value() + "#" + std::to_string(*entry.born)));
+}
+
+// Ids that went are not used again for long; this many are many days of them.
+constexpr size_t kMostBornKept = 20'000;
+
 }  // namespace
 
+RecordWorth WorthOf(const UpstreamRecord& record) {
+  if (!record.entry) {
+    return RecordWorth::kNone;
+  }
+  return record.entry->leaving ? RecordWorth::kLeaving : RecordWorth::kUsable;
+}
+
 bool UpstreamDirectory::ReturnsAreOver(const StoreContact& contact,
                                        core::TimePoint now) const {
   const auto regained = contact.regained();
   return regained && now - *regained >= m_options.return_time;
 }
 
-bool UpstreamDirectory::Put(const UpstreamEntry& entry) {
-  UpstreamRef& upstream = m_by_id[entry.id];
-  if (!upstream) {
-    upstream = std::make_shared<Upstream>();
-    upstream->load_key = LoadKey(entry.id);
-  } else if (!upstream->lapsed && SameForUs(upstream->entry, entry)) {
-    return false;
+DirectoryChange UpstreamDirectory::OnRecord(const UpstreamRecord& record) {
+  switch (WorthOf(record)) {
+    case RecordWorth::kUsable:
+    case RecordWorth::kLeaving:
+      return Put(*record.entry);
+    case RecordWorth::kNone:
+      break;
+  }
+  return Drop(record.id);
+}
+
+// A record of an earlier start that is read late would bring back the address
+// of a start that ended: work would be sent to nobody, or to another upstream.
+bool UpstreamDirectory::OfEarlierStart(const UpstreamEntry& entry) const {
+  const auto latest = m_born.find(entry.id);
+  return entry.born && latest != m_born.end() && *entry.born < latest->second;
+}
+
+void UpstreamDirectory::RememberBorn(const UpstreamEntry& entry) {
+  if (!entry.born) {
+    return;
+  }
+  if (m_born.size() >= kMostBornKept) {
+    std::erase_if(m_born, [this](const auto& one) {
+      return !m_by_id.contains(one.first);
+    });
   }
-  upstream->entry = entry;
-  upstream->lapsed.reset();
+  m_born[entry.id] = *entry.born;
+}
+
+// Kept over a restart, what was seen of the earlier start misleads: prefixes
+// that the new one doesn't hold, suspicion that it didn't earn, work in
+// progress that ended with the earlier one. So each start is an object anew.
+DirectoryChange UpstreamDirectory::Put(const UpstreamEntry& entry) {
+  if (OfEarlierStart(entry)) {
+    return DirectoryChange::kNothing;
+  }
+  RememberBorn(entry);
+  UpstreamEntry put = entry;
+  UpstreamRef& known = m_by_id[entry.id];
+  const bool restarted = known && entry.born && known->entry.born &&
+                         *entry.born != *known->entry.born;
+  if (known && !restarted) {
+    put.born = entry.born ? entry.born : known->entry.born;
+    const bool tells_nothing = !known->lapsed && SameForUs(known->entry, put);
+    known->entry.born = put.born;
+    if (tells_nothing) {
+      return DirectoryChange::kNothing;
+    }
+  }
+  if (restarted) {
+    known->entry.leaving = true;
+  }
+  if (!known || restarted) {
+    known = std::make_shared<Upstream>();
+    known->load_key = LoadKeyOf(put);
+  }
+  known->entry = put;
+  known->lapsed.reset();
   Rebuild();
-  return true;
+  return restarted ? DirectoryChange::kNewStart : DirectoryChange::kChanged;
+}
+
+// Whoever wrote it, the record replaced the upstream's own: where it is now,
+// and whether it still is, nobody says.
+DirectoryChange UpstreamDirectory::Drop(const core::UpstreamId& id) {
+  if (!m_by_id.contains(id)) {
+    return DirectoryChange::kNothing;
+  }
+  Forget(id);
+  Rebuild();
+  return DirectoryChange::kDropped;
 }
 
 // The store drops the entries of upstreams that it has not heard of, and while
@@ -63,13 +143,19 @@
   return false;
 }
 
-void UpstreamDirectory::ReplaceAll(const std::vector<UpstreamEntry>& entries,
-                                   const StoreContact& contact,
-                                   core::TimePoint now) {
+std::vector<core::UpstreamId> UpstreamDirectory::ReplaceAll(
+    const std::vector<UpstreamRecord>& records,
+    const StoreContact& contact,
+    core::TimePoint now) {
   std::unordered_set<core::UpstreamId> listed;
-  for (const UpstreamEntry& entry : entries) {
-    listed.insert(entry.id);
-    Put(entry);
+  std::vector<core::UpstreamId> ended;
+  for (const UpstreamRecord& record : records) {
+    listed.insert(record.id);
+    const DirectoryChange change = OnRecord(record);
+    if (change == DirectoryChange::kNewStart ||
+        change == DirectoryChange::kDropped) {
+      ended.push_back(record.id);
+    }
   }
   std::vector<core::UpstreamId> missing;
   for (const auto& [id, upstream] : m_by_id) {
@@ -78,8 +164,11 @@
     }
   }
   for (const core::UpstreamId& id : missing) {
-    Remove(id, contact, now);
+    if (Remove(id, contact, now)) {
+      ended.push_back(id);
+    }
   }
+  return ended;
 }
 
 std::vector<core::UpstreamId> UpstreamDirectory::DropLapsed(
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -239,8 +239,7 @@
     OnBroken(why);
     return;
   }
-  m_context.pool.Give(m_attempt->upstream->entry.id, m_attempt->connection,
-                      net::BootNow());
+  KeepConnection();
   if (m_attempt->answer.not_run) {
     OnDeclined();
     return;
@@ -249,6 +248,17 @@
   OnWhole();
 }
 
+// The upstream may have started again, or left, while it answered: what is kept
+// under its id then belongs to another start.
+void Exchange::KeepConnection() {
+  const core::UpstreamId& id = m_attempt->upstream->entry.id;
+  if (m_context.directory.Find(id) == m_attempt->upstream) {
+    m_context.pool.Give(id, m_attempt->connection, net::BootNow());
+  } else {
+    m_attempt->connection->Close();
+  }
+}
+
 // An upstream's own word is the only proof that a request it was sent did not
 // run.
 void Exchange::OnDeclined() {
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -163,39 +163,56 @@
                   .Flag("gone", gone));
     return;
   }
-  const core::Result<entry::UpstreamEntry> entry =
-      m_dialect.read_upstream(record.key, record.value);
-  if (!core::IsOk(entry)) {
-    Lifecycle(LogLine("upstream_entry_unreadable")
-                  .Text("why", core::ToString(core::Failure(entry))));
-    return;
-  }
-  if (!m_directory.Put(core::Value(entry))) {
+  const entry::UpstreamRecord read = ReadUpstreamRecord(record);
+  const entry::DirectoryChange change = m_directory.OnRecord(read);
+  if (change == entry::DirectoryChange::kNothing) {
     return;
   }
-  if (core::Value(entry).leaving) {
+  const entry::RecordWorth worth = entry::WorthOf(read);
+  const bool new_start = change == entry::DirectoryChange::kNewStart;
+  if (new_start || worth != entry::RecordWorth::kUsable) {
     m_pool.Forget(id);
   }
+  if (worth == entry::RecordWorth::kNone) {
+    Lifecycle(LogLine("upstream_dropped").Text("upstream", record.key));
+    return;
+  }
   Lifecycle(LogLine("upstream_entry")
                 .Text("upstream", record.key)
-                .Text("service", core::Value(entry).service.value())
-                .Text("address", core::Value(entry).address)
-                .Flag("leaving", core::Value(entry).leaving));
+                .Text("service", read.entry->service.value())
+                .Text("address", read.entry->address)
+                .Flag("leaving", read.entry->leaving)
+                .Flag("new_start", new_start));
+}
+
+entry::UpstreamRecord Gateway::ReadUpstreamRecord(const KeyedRecord& record) {
+  entry::UpstreamRecord read{core::UpstreamId(record.key), std::nullopt};
+  core::Result<entry::UpstreamEntry> entry =
+      m_dialect.read_upstream(record.key, record.value);
+  if (core::IsOk(entry)) {
+    read.entry = core::TakeValue(std::move(entry));
+    return read;
+  }
+  Lifecycle(LogLine("upstream_entry_unreadable")
+                .Text("upstream", record.key)
+                .Text("why", core::ToString(core::Failure(entry))));
+  return read;
 }
 
 void Gateway::OnNewestUpstreams(const std::vector<KeyedRecord>& records) {
-  std::vector<entry::UpstreamEntry> entries;
+  std::vector<entry::UpstreamRecord> read;
   for (const KeyedRecord& record : records) {
-    core::Result<entry::UpstreamEntry> entry =
-        m_dialect.read_upstream(record.key, record.value);
-    if (!record.value.empty() && core::IsOk(entry)) {
-      entries.push_back(core::TakeValue(std::move(entry)));
+    if (!record.value.empty()) {
+      read.push_back(ReadUpstreamRecord(record));
     }
   }
-  m_directory.ReplaceAll(entries, m_contact, net::BootNow());
+  for (const core::UpstreamId& id :
+       m_directory.ReplaceAll(read, m_contact, net::BootNow())) {
+    m_pool.Forget(id);
+  }
   m_upstreams_known = true;
   Lifecycle(LogLine("upstreams_read")
-                .Number("listed", static_cast<int64_t>(entries.size()))
+                .Number("listed", static_cast<int64_t>(read.size()))
                 .Number("kept", static_cast<int64_t>(m_directory.size())));
 }
 
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -24,6 +24,15 @@
   return entry;
 }
 
+inline UpstreamRecord RecordOf(const UpstreamEntry& entry) {
+  return {entry.id, entry};
+}
+
+/// @brief A record that names no upstream, whatever was written into it.
+inline UpstreamRecord Unreadable(const std::string& id) {
+  return {core::UpstreamId(id), std::nullopt};
+}
+
 }  // namespace coppervalve::entry::testing
 
 #endif  // COPPERVALVE_TESTS_ENTRY_ENTRY_FIXTURE_H_
--- a/tests/entry/unit-placement.cc
+++ b/tests/entry/unit-placement.cc
@@ -23,7 +23,7 @@
     for (int i = 0; i < 4; ++i) {
       UpstreamEntry entry = EntryOf("e" + std::to_string(i), "engines");
       entry.slots = 64;
-      directory.Put(entry);
+      directory.OnRecord(RecordOf(entry));
     }
     query.service = core::ServiceId("engines");
     query.engine = true;
--- a/tests/entry/unit-upstream-directory.cc
+++ b/tests/entry/unit-upstream-directory.cc
@@ -16,7 +16,7 @@
   core::UpstreamId one{"one"};
   void setup() override {
     contact.OnAnswer(At(0));
-    directory.Put(EntryOf("one"));
+    directory.OnRecord(RecordOf(EntryOf("one")));
   }
 };
 // clang-format on
@@ -37,7 +37,7 @@
   CHECK_FALSE(directory.Remove(one, contact, At(20)));
   CHECK_EQUAL(1, directory.Of(tickets).size());
   CHECK(directory.DropLapsed(contact, At(21)).empty());
-  directory.Put(EntryOf("one"));
+  directory.OnRecord(RecordOf(EntryOf("one")));
   CHECK(directory.DropLapsed(contact, At(23)).empty());
   CHECK_EQUAL(1, directory.Of(tickets).size());
 }
@@ -66,19 +66,19 @@
 TEST(UpstreamDirectory, a_leaving_upstream_gets_no_new_work) {
   UpstreamEntry leaving = EntryOf("one");
   leaving.leaving = true;
-  CHECK(directory.Put(leaving));
+  CHECK(directory.OnRecord(RecordOf(leaving)) == DirectoryChange::kChanged);
   CHECK(directory.Of(tickets).empty());
   CHECK(directory.Find(one) != nullptr);
 }
 
 TEST(UpstreamDirectory,
      a_restarted_upstream_is_another_one_at_the_same_address) {
-  directory.Put(EntryOf("two"));
+  directory.OnRecord(RecordOf(EntryOf("two")));
   CHECK_EQUAL(2, directory.Of(tickets).size());
 }
 
 TEST(UpstreamDirectory, a_list_read_anew_takes_away_what_it_lacks) {
-  directory.ReplaceAll({EntryOf("two")}, contact, At(10));
+  directory.ReplaceAll({RecordOf(EntryOf("two"))}, contact, At(10));
   CHECK_EQUAL(1, directory.Of(tickets).size());
   STRCMP_EQUAL("two", directory.Of(tickets).front()->entry.id.value().c_str());
 }
@@ -95,3 +95,83 @@
   contact.OnFailure(At(19));
   CHECK_EQUAL(1, directory.DropLapsed(contact, At(22)).size());
 }
+
+namespace {
+
+UpstreamEntry BornAt(int64_t born) {
+  UpstreamEntry entry = EntryOf("one");
+  entry.born = born;
+  return entry;
+}
+
+}  // namespace
+
+TEST(UpstreamDirectory, a_start_under_the_same_id_is_known_nothing_of) {
+  // Work is placed by what an earlier start held, and it is avoided for
+  // failures that the new one didn't make. The upstream crashed and started
+  // again under its id; only `born` tells.
+  directory.OnRecord(RecordOf(BornAt(100)));
+  const UpstreamRef before = directory.Find(one);
+  before->in_flight = 7;
+  before->in_prefill = 50'000;
+  before->prefixes.Remember(1, At(1));
+  for (int i = 0; i < 20; ++i) {
+    before->health.On(AttemptOutcome::kBroken, At(1));
+  }
+  CHECK(directory.OnRecord(RecordOf(BornAt(200))) ==
+        DirectoryChange::kNewStart);
+  const UpstreamRef after = directory.Find(one);
+  CHECK_EQUAL(0, after->in_flight);
+  CHECK_EQUAL(0, after->in_prefill);
+  CHECK_FALSE(after->prefixes.Holds(1, At(1)));
+  CHECK(after->health.trust(At(1)) == Trust::kFull);
+  CHECK(after->load_key != before->load_key);
+  // Requests in progress end at the start that they were sent to.
+  CHECK(before != after);
+  CHECK_EQUAL(7, before->in_flight);
+  CHECK(before->entry.leaving);
+}
+
+TEST(UpstreamDirectory, a_late_record_of_an_earlier_start_changes_nothing) {
+  // Work goes to an address where nobody is any more: the record of a start
+  // that ended was read after that of the start that followed.
+  directory.OnRecord(RecordOf(BornAt(200)));
+  UpstreamEntry late = BornAt(100);
+  late.address = "10.0.0.9:80";
+  late.leaving = true;
+  CHECK(directory.OnRecord(RecordOf(late)) == DirectoryChange::kNothing);
+  CHECK_EQUAL(1, directory.Of(tickets).size());
+  CHECK(directory.Find(one)->entry.address == "10.0.0.1:80");
+  // Also after the later start went for good.
+  CHECK(directory.Remove(one, contact, At(10)));
+  CHECK(directory.OnRecord(RecordOf(late)) == DirectoryChange::kNothing);
+  CHECK(directory.Of(tickets).empty());
+}
+
+TEST(UpstreamDirectory, a_record_that_names_no_upstream_takes_the_entry_away) {
+  // Work goes on to an upstream whose entry somebody else wrote over: its
+  // address may be another's by now.
+  CHECK(directory.OnRecord(Unreadable("one")) == DirectoryChange::kDropped);
+  CHECK(directory.Of(tickets).empty());
+  CHECK(directory.OnRecord(Unreadable("never-seen")) ==
+        DirectoryChange::kNothing);
+  directory.OnRecord(RecordOf(EntryOf("one")));
+  CHECK_EQUAL(1, directory.Of(tickets).size());
+}
+
+TEST(UpstreamDirectory, a_list_drops_what_it_can_not_name_and_keeps_the_rest) {
+  // Right after an outage, when entries that merely lapsed are kept.
+  directory.OnRecord(RecordOf(EntryOf("two")));
+  contact.OnFailure(At(1));
+  contact.OnAnswer(At(20));
+  const auto ended = directory.ReplaceAll(
+      {RecordOf(EntryOf("two")), Unreadable("one")}, contact, At(20));
+  CHECK_EQUAL(1, ended.size());
+  CHECK_EQUAL(1, directory.Of(tickets).size());
+  STRCMP_EQUAL("two", directory.Of(tickets).front()->entry.id.value().c_str());
+}
+
+TEST(UpstreamDirectory, an_entry_of_an_unknown_service_serves_no_other_one) {
+  directory.OnRecord(RecordOf(EntryOf("one", "nobody-knows")));
+  CHECK(directory.Of(tickets).empty());
+}
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -123,6 +123,13 @@
     entry::UpstreamEntry entry;
     entry.id = core::UpstreamId(key);
     words >> service >> entry.address;
+    if (service == kNamesNoUpstream) {
+      return core::Error{core::ErrorId::kConfigSyntax, key, document};
+    }
+    int64_t born = 0;
+    if (words >> born) {
+      entry.born = born;
+    }
     entry.service = core::ServiceId(service);
     entry.slots = 8;
     return entry;
@@ -247,6 +254,10 @@
   return "id: " + std::to_string(id) + "\ndata: piece\n\n";
 }
 
+void Router::SetUpstream(const std::string& id, const std::string& document) {
+  store.Put("upstreams", id, document);
+}
+
 Router::Router() : store(io) {
   settings.router = core::RouterId("router-1");
   settings.failure_domain = core::FailureDomainId("fd-a");
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -22,6 +22,9 @@
                   const std::string& address,
                   const std::string& bytes);
 
+/// @brief A word in the place of the service: the record can't be read.
+inline constexpr const char* kNamesNoUpstream = "?";
+
 /// @brief An upstream that answers as the test says.
 class ScriptedUpstream {
  public:
@@ -83,6 +86,8 @@
   std::unique_ptr<Gateway> StartPeer(const std::string& name);
   ScriptedUpstream& AddUpstream(const std::string& id,
                                 const std::string& service);
+  /// @brief Writes "SERVICE ADDRESS [BORN]" under an upstream's id.
+  void SetUpstream(const std::string& id, const std::string& document);
   std::unique_ptr<TestCaller> Caller();
   /// @brief Runs until a condition holds. @return false when it never did
   bool Until(const std::function<bool()>& condition);
--- a/tests/gateway/unit-lifecycle.cc
+++ b/tests/gateway/unit-lifecycle.cc
@@ -1,6 +1,8 @@
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>  // milliseconds
 #include <string>  // string
+#include <vector>  // vector
 
 #include "gateway_fixture.h"
 
@@ -148,3 +150,54 @@
   // the three that were turned away.
   CHECK_EQUAL(1 + 1 + 6 + 3, router.store.reads_of_newest);
 }
+
+TEST(Lifecycle, a_connection_of_an_earlier_start_gets_no_work_of_the_next) {
+  // A caller's work is lost with 502: it was sent on a connection that was
+  // kept from before the upstream started again under its id.
+  ScriptedUpstream& one = router.AddUpstream("one", "hold");
+  one.Answer([](const StreamRef& stream, const std::string& request) {
+    stream->Send(Signed(request, "held"));
+  });
+  router.Start();
+  router.SetUpstream("one", "hold " + one.address() + " 100");
+  CHECK(router.Until([&] { return router.store.waiting_readers() == 3; }));
+  CHECK(Has(router.Ask("/hold/x", {}, "r-1"), "held"));
+  CHECK(Has(router.Ask("/hold/x", {}, "r-2"), "held"));
+  CHECK_EQUAL(1, one.connections);
+  router.SetUpstream("one", "hold " + one.address() + " 200");
+  CHECK(router.Until([&] { return one.closed == 1; }));
+  CHECK(Has(router.Ask("/hold/x", {}, "r-3"), "held"));
+  CHECK_EQUAL(2, one.connections);
+}
+
+TEST(Lifecycle, an_answer_of_an_earlier_start_leaves_no_connection_behind) {
+  // As above, but the request was in progress while the upstream started again.
+  ScriptedUpstream& one = router.AddUpstream("one", "hold");
+  std::vector<StreamRef> waiting;
+  one.Answer([&waiting](const StreamRef& stream, const std::string&) {
+    waiting.push_back(stream);
+  });
+  router.Start();
+  router.SetUpstream("one", "hold " + one.address() + " 100");
+  CHECK(router.Until([&] { return router.store.waiting_readers() == 3; }));
+  const auto caller = router.Caller();
+  caller->Send(Router::RequestText("/hold/x", {}, "r-1"));
+  CHECK(router.Until([&] { return waiting.size() == 1; }));
+  router.SetUpstream("one", "hold " + one.address() + " 200");
+  router.io.run_for(std::chrono::milliseconds(600));
+  waiting.front()->Send(Signed(one.requests.front(), "held"));
+  CHECK(router.Until([&] { return Has(caller->received, "held"); }));
+  CHECK(router.Until([&] { return one.closed == 1; }));
+}
+
+TEST(Lifecycle, an_upstream_whose_record_can_not_be_read_gets_no_work) {
+  ScriptedUpstream& one = router.AddUpstream("one", "hold");
+  one.Answer([](const StreamRef& stream, const std::string& request) {
+    stream->Send(Signed(request, "held"));
+  });
+  router.Start();
+  CHECK(Has(router.Ask("/hold/x", {}, "r-1"), "held"));
+  router.SetUpstream("one", kNamesNoUpstream);
+  CHECK(router.Until([&] { return one.closed == 1; }));
+  CHECK(Has(router.Ask("/hold/x", {}, "r-2"), "HTTP/1.1 503"));
+}
--- a/tests/platform/unit-documents.cc
+++ b/tests/platform/unit-documents.cc
@@ -84,8 +84,9 @@
   const auto read =
       ReadUpstream("i-1",
                    R"({"service": "s1", "address": "10.0.0.9:80", "zone": "a",
-          "slots": 64, "state": "draining", "sequence": 4})");
+          "slots": 64, "state": "draining", "sequence": 4, "born": 1700})");
   CHECK(core::IsOk(read));
+  CHECK_EQUAL(1700, *core::Value(read).born);
   CHECK(core::Value(read).leaving);
   CHECK_EQUAL(64, core::Value(read).slots);
   STRCMP_EQUAL("i-1", core::Value(read).id.value().c_str());
@@ -97,3 +98,41 @@
     CHECK_FALSE(core::IsOk(ReadConfiguration(whole.substr(0, size))));
   }
 }
+
+TEST(Documents, an_entry_of_another_writer_names_no_server) {
+  // Work goes to a server that is leaving, or that is none: a field is
+  // missing, of another type, or in a word that we don't know.
+  const std::string good =
+      R"({"service": "s", "address": "10.0.0.9:80", "zone": "a", "slots": 6,
+          "state": "ready"})";
+  CHECK(core::IsOk(ReadUpstream("i-1", good)));
+  const auto with = [&good](const std::string& from, const std::string& to) {
+    std::string changed = good;
+    changed.replace(changed.find(from), from.size(), to);
+    return changed;
+  };
+  const std::string bad[] = {with("\"ready\"", "\"retired\""),
+                             with("\"ready\"", "null"),
+                             with("\"ready\"", "7"),
+                             with("\"state\"", "\"status\""),
+                             with("\"service\"", "\"kind\""),
+                             with("\"s\"", "[\"s\"]"),
+                             with("\"s\"", "\"\""),
+                             with("\"10.0.0.9:80\"", "10"),
+                             with("\"address\"", "\"at\""),
+                             with("\"zone\"", "\"room\""),
+                             with("\"a\"", "{}"),
+                             with("6", "\"6\""),
+                             with("6", "0"),
+                             with("6", "-3"),
+                             with("6", "1e300"),
+                             with("{", "["),
+                             "",
+                             "null",
+                             "\xff\xfe",
+                             "[]"};
+  for (const std::string& document : bad) {
+    CHECK_FALSE_TEXT(core::IsOk(ReadUpstream("i-1", document)),
+                     document.c_str());
+  }
+}
