--- a/apps/coppervalved/main.cc
+++ b/apps/coppervalved/main.cc
@@ -12,6 +12,7 @@
 
 constexpr int kUsageExit = 2;
 constexpr std::string_view kPlatformMode = "platform";
+constexpr std::string_view kPolicyFlag = "--policy";
 
 int Fail(const coppervalve::core::Error& error) {
   const std::string line = coppervalve::core::ToString(error) + "\n";
@@ -19,14 +20,31 @@
   return kUsageExit;
 }
 
+// The entry router takes its settings from where it runs, not from flags; the
+// policy is changed for experiments only.
+int RunOnPlatform(int argc, char** argv) {
+  using namespace coppervalve;
+  std::string_view changes;
+  if (argc == 4 && std::string_view(argv[2]) == kPolicyFlag) {
+    changes = argv[3];
+  } else if (argc != 2) {
+    return Fail({core::ErrorId::kSettingBadValue, argv[2],
+                 "allowed: --policy name=number,..."});
+  }
+  const core::Result<entry::Policy> policy = entry::ReadPolicy(changes);
+  if (!core::IsOk(policy)) {
+    return Fail(core::Failure(policy));
+  }
+  const core::Status ended = platform::Run(core::Value(policy));
+  return core::IsOk(ended) ? EXIT_SUCCESS : Fail(core::Failure(ended));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   using namespace coppervalve;
-  // The entry router takes its settings from where it runs, not from flags.
-  if (argc == 2 && std::string_view(argv[1]) == kPlatformMode) {
-    const core::Status ended = platform::Run();
-    return core::IsOk(ended) ? EXIT_SUCCESS : Fail(core::Failure(ended));
+  if (argc >= 2 && std::string_view(argv[1]) == kPlatformMode) {
+    return RunOnPlatform(argc, argv);
   }
   const core::Result<daemon::CommandLine> read =
       daemon::ReadCommandLine(argc, argv);
--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -44,6 +44,12 @@
   core::Duration spread_rest{4'000'000};
   /// A loss counts when it took more than this part of what is left.
   double loss_counts = 0.25;
+  /// Guess by what came to this router so far; else by an even part.
+  bool own_share = true;
+  /// Callers who keep to an address come to routers that stand by, too.
+  /// Together those guess at this part; each with a part of an even share,
+  /// hundreds of them held as much as those that serve.
+  double standbys_share = 0.1;
   /// Ask for more below this share of the aim, give back above that one.
   double raise_below = 0.97;
   double lower_above = 1.1;
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -21,10 +21,15 @@
  public:
   /// @param silence after which a router that is heard of through a store in
   /// good order counts as dead
+  /// @param choose_active lead callers to a part of the routers; else to all
   MemberList(core::RouterId self,
              core::Duration silence,
-             const PeerContact& peers)
-      : m_self(std::move(self)), m_silence(silence), m_peers(peers) {}
+             const PeerContact& peers,
+             bool choose_active = true)
+      : m_self(std::move(self)),
+        m_silence(silence),
+        m_peers(peers),
+        m_choose_active(choose_active) {}
 
   void OnBeat(const core::RouterId& router,
               const v1::RouterBeat& beat,
@@ -66,6 +71,7 @@
   core::RouterId m_self;
   core::Duration m_silence;
   const PeerContact& m_peers;
+  bool m_choose_active;
   std::map<core::RouterId, Member> m_members;
   std::set<core::RouterId> m_active;
   double m_need = 0;  ///< requests a second that the active ones must take
--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -65,6 +65,16 @@
   double own_domain = 0.4;
   /// Requests of a plain service beyond its slots count this often.
   double beyond_plain_slots = 3;
+  /// Send a shared prefix to the upstream that all routers agree on.
+  bool prefix_owner = true;
+  /// Send it where this router sent it lately.
+  bool prefix_sent = true;
+  /// Expect slow upstreams to be slow again.
+  bool slowness = true;
+  /// Prefer upstreams that did not fail lately.
+  bool suspicion = true;
+  /// Take the work of routers that don't report to be like ours.
+  bool guess_silent = true;
 };
 
 /// @brief Places requests on the upstreams of a service by the wait that they
--- /dev/null
+++ b/include/coppervalve/entry/policy.h
@@ -0,0 +1,34 @@
+#ifndef COPPERVALVE_ENTRY_POLICY_H_
+#define COPPERVALVE_ENTRY_POLICY_H_
+
+#include <string_view>  // string_view
+#include <vector>       // vector
+
+#include "coppervalve/core/result.h"
+#include "coppervalve/entry/allotment_book.h"
+#include "coppervalve/entry/placement.h"
+
+namespace coppervalve::entry {
+
+/// @brief Every mechanism of the decisions, with its constants. The defaults
+/// ship. Not a setting of operators: experiments switch one part off by name,
+/// so that its worth is measured without an edit of code.
+struct Policy {
+  BookOptions book;
+  PlacementOptions placement;
+  bool gifts = true;         ///< ask other routers for tokens
+  bool active_set = true;    ///< lead callers to the most capable routers only
+  bool load_reports = true;  ///< count the work that other routers report
+};
+
+/// @brief Changes the defaults by "name=number" parts, divided by commas;
+/// switches take 0 and 1, durations milliseconds.
+/// @return kSettingBadValue with the part that was not understood
+core::Result<Policy> ReadPolicy(std::string_view changes);
+
+/// @return all names that ReadPolicy() takes
+std::vector<std::string_view> PolicyNames();
+
+}  // namespace coppervalve::entry
+
+#endif  // COPPERVALVE_ENTRY_POLICY_H_
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "coppervalve/entry/in_force.h"
 #include "coppervalve/entry/member_list.h"
 #include "coppervalve/entry/placement.h"
+#include "coppervalve/entry/policy.h"
 #include "coppervalve/entry/retry_allowance.h"
 #include "coppervalve/entry/store_contact.h"
 #include "coppervalve/entry/upstream_directory.h"
@@ -72,7 +73,8 @@
   Gateway(boost::asio::io_context& io,
           GatewaySettings settings,
           Dialect dialect,
-          KeyedStore store);
+          KeyedStore store,
+          entry::Policy policy = {});
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
@@ -122,6 +124,7 @@
 
   boost::asio::io_context& m_io;
   GatewaySettings m_settings;
+  entry::Policy m_policy;
   Dialect m_dialect;
   KeyedStore m_store;
   routing::RandomHook m_random;
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -16,10 +16,6 @@
 constexpr double kPriorRequests = 12;
 // For the first requests of an account that came to other routers so far.
 constexpr double kLeastShareOfEven = 0.1;
-// Callers who keep to an address come to routers that stand by, too. Together
-// they guess at this part; each with a part of an even share, hundreds of them
-// held as much as those that serve.
-constexpr double kShareOfStandbys = 0.1;
 
 core::Tokens Times(core::Tokens tokens, double factor) {
   return core::Tokens(
@@ -193,7 +189,7 @@
   if (m_context.active) {
     return 1.0 / std::max(m_context.routers, 1U);
   }
-  return kShareOfStandbys / std::max(m_context.standbys, 1U);
+  return m_options.standbys_share / std::max(m_context.standbys, 1U);
 }
 
 // Callers choose routers at random, but some accounts come to a few routers
@@ -205,7 +201,7 @@
   const double prior =
       kPriorRequests * static_cast<double>(entry.largest.value());
   const double guess = GuessedShare();
-  if (all + prior <= 0) {
+  if (all + prior <= 0 || !m_options.own_share) {
     return guess;
   }
   return std::max((own + prior * guess) / (all + prior),
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -82,6 +82,9 @@
   }
   ActiveNeed need;
   need.requests_per_second = m_need;
+  if (!m_choose_active) {
+    need.least = candidates.size();
+  }
   const std::vector<core::RouterId> chosen =
       ChooseActive(std::move(candidates), need);
   m_active = {chosen.begin(), chosen.end()};
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -98,7 +98,8 @@
   if (upstreams.empty()) {
     return {};
   }
-  for (const Trust least : {Trust::kFull, Trust::kSuspect, Trust::kNone}) {
+  const Trust first = m_options.suspicion ? Trust::kFull : Trust::kSuspect;
+  for (const Trust least : {first, Trust::kSuspect, Trust::kNone}) {
     const std::vector<UpstreamRef> usable =
         Usable(upstreams, query, least, now);
     if (usable.empty()) {
@@ -144,7 +145,8 @@
                     const PlacementQuery& query) const {
   const Load peers = m_peers.At(upstream.load_key);
   const uint32_t known = m_peers.Reporting() + 1;
-  const double silent = query.routers > known ? query.routers - known : 0;
+  const bool guess = m_options.guess_silent && query.routers > known;
+  const double silent = guess ? query.routers - known : 0;
   return {upstream.in_flight * (1 + silent) + peers.in_flight,
           upstream.in_prefill * (1 + silent) + peers.in_prefill};
 }
@@ -156,8 +158,8 @@
                                        core::TimePoint now) const {
   Candidate candidate{upstream, 0, owner, false};
   const uint64_t prefix = core::Hash64(query.shared_prefix);
-  candidate.sent =
-      !query.shared_prefix.empty() && upstream->prefixes.Holds(prefix, now);
+  candidate.sent = m_options.prefix_sent && !query.shared_prefix.empty() &&
+                   upstream->prefixes.Holds(prefix, now);
   const bool kept = owner || candidate.sent;
   const core::Tokens own = query.prompt - query.shared_tokens;
   const double missed =
@@ -190,10 +192,10 @@
 Placement Placer::Cheapest(const std::vector<UpstreamRef>& usable,
                            const PlacementQuery& query,
                            core::TimePoint now) const {
-  const double usual_pace = UsualPace(usable);
-  const Upstream* owner = query.shared_prefix.empty()
-                              ? nullptr
-                              : OwnerOf(usable, query.shared_prefix);
+  const double usual_pace = m_options.slowness ? UsualPace(usable) : 0;
+  const bool has_owner = m_options.prefix_owner && !query.shared_prefix.empty();
+  const Upstream* owner =
+      has_owner ? OwnerOf(usable, query.shared_prefix) : nullptr;
   Candidate best;
   // Starting at a random one spreads ties over all.
   const size_t start = routing::UniformBelow(m_random, usable.size());
--- /dev/null
+++ b/src/entry/policy.cc
@@ -0,0 +1,117 @@
+#include "coppervalve/entry/policy.h"
+
+#include <algorithm>     // min
+#include <array>         // to_array
+#include <charconv>      // from_chars
+#include <chrono>        // milliseconds
+#include <string>        // string
+#include <system_error>  // errc
+#include <variant>       // variant, visit
+
+namespace coppervalve::entry {
+
+namespace {
+
+using Field = std::variant<double*, bool*, core::Duration*>;
+
+/// @brief A part of the policy that can be changed by name.
+struct NamedField {
+  std::string_view name;
+  Field (*of)(Policy&);
+};
+
+constexpr auto kFields = std::to_array<NamedField>({
+    {"book.ahead", [](Policy& p) -> Field { return &p.book.ahead; }},
+    {"book.spread", [](Policy& p) -> Field { return &p.book.spread; }},
+    {"book.first_share",
+     [](Policy& p) -> Field { return &p.book.first_share; }},
+    {"book.most_held", [](Policy& p) -> Field { return &p.book.most_held; }},
+    {"book.spread_rest",
+     [](Policy& p) -> Field { return &p.book.spread_rest; }},
+    {"book.loss_counts",
+     [](Policy& p) -> Field { return &p.book.loss_counts; }},
+    {"book.own_share", [](Policy& p) -> Field { return &p.book.own_share; }},
+    {"book.standbys_share",
+     [](Policy& p) -> Field { return &p.book.standbys_share; }},
+    {"placement.missed_prefix",
+     [](Policy& p) -> Field { return &p.placement.missed_prefix; }},
+    {"placement.running",
+     [](Policy& p) -> Field { return &p.placement.running; }},
+    {"placement.beyond_slots",
+     [](Policy& p) -> Field { return &p.placement.beyond_slots; }},
+    {"placement.beyond_plain_slots",
+     [](Policy& p) -> Field { return &p.placement.beyond_plain_slots; }},
+    {"placement.own_domain",
+     [](Policy& p) -> Field { return &p.placement.own_domain; }},
+    {"placement.prefix_owner",
+     [](Policy& p) -> Field { return &p.placement.prefix_owner; }},
+    {"placement.prefix_sent",
+     [](Policy& p) -> Field { return &p.placement.prefix_sent; }},
+    {"placement.slowness",
+     [](Policy& p) -> Field { return &p.placement.slowness; }},
+    {"placement.suspicion",
+     [](Policy& p) -> Field { return &p.placement.suspicion; }},
+    {"placement.guess_silent",
+     [](Policy& p) -> Field { return &p.placement.guess_silent; }},
+    {"gifts", [](Policy& p) -> Field { return &p.gifts; }},
+    {"active_set", [](Policy& p) -> Field { return &p.active_set; }},
+    {"load_reports", [](Policy& p) -> Field { return &p.load_reports; }},
+});
+
+void Set(Field field, double number) {
+  if (bool** flag = std::get_if<bool*>(&field)) {
+    **flag = number != 0;
+  } else if (core::Duration** span = std::get_if<core::Duration*>(&field)) {
+    constexpr double kMicrosPerMilli = 1'000;
+    **span = core::Duration(static_cast<int64_t>(number * kMicrosPerMilli));
+  } else {
+    *std::get<double*>(field) = number;
+  }
+}
+
+bool ReadPart(std::string_view part, Policy& policy) {
+  const size_t equals = part.find('=');
+  if (equals == std::string_view::npos) {
+    return false;
+  }
+  const std::string_view name = part.substr(0, equals);
+  const std::string_view value = part.substr(equals + 1);
+  double number = 0;
+  const auto read =
+      std::from_chars(value.data(), value.data() + value.size(), number);
+  if (read.ec != std::errc() || read.ptr != value.data() + value.size()) {
+    return false;
+  }
+  for (const NamedField& field : kFields) {
+    if (field.name == name) {
+      Set(field.of(policy), number);
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+core::Result<Policy> ReadPolicy(std::string_view changes) {
+  Policy policy;
+  while (!changes.empty()) {
+    const std::string_view part = changes.substr(0, changes.find(','));
+    if (!ReadPart(part, policy)) {
+      return core::Error{core::ErrorId::kSettingBadValue, "policy",
+                         std::string(part)};
+    }
+    changes.remove_prefix(std::min(part.size() + 1, changes.size()));
+  }
+  return policy;
+}
+
+std::vector<std::string_view> PolicyNames() {
+  std::vector<std::string_view> names;
+  for (const NamedField& field : kFields) {
+    names.push_back(field.name);
+  }
+  return names;
+}
+
+}  // namespace coppervalve::entry
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -42,9 +42,11 @@
 Gateway::Gateway(boost::asio::io_context& io,
                  GatewaySettings settings,
                  Dialect dialect,
-                 KeyedStore store)
+                 KeyedStore store,
+                 entry::Policy policy)
     : m_io(io),
       m_settings(std::move(settings)),
+      m_policy(policy),
       m_dialect(std::move(dialect)),
       m_store(std::move(store)),
       m_random(SeededRandom()),
@@ -52,10 +54,13 @@
       m_directory({}),
       m_peer_loads(kLoadLifetime),
       m_peers(kPeerSilence, kPeerMemory),
-      m_placer({}, m_settings.failure_domain, m_peer_loads, m_random),
+      m_placer(policy.placement,
+               m_settings.failure_domain,
+               m_peer_loads,
+               m_random),
       m_retries(m_settings.retries),
-      m_book({}),
-      m_members(m_settings.router, kRouterSilence, m_peers),
+      m_book(policy.book),
+      m_members(m_settings.router, kRouterSilence, m_peers, policy.active_set),
       m_pool(io),
       m_tick(io) {
   m_context.emplace(ExchangeContext{
@@ -68,7 +73,8 @@
       },
       [this](const core::AccountId& account, core::Tokens tokens,
              std::function<void()> on_done) {
-        return m_borrower->Borrow(account, tokens, std::move(on_done));
+        return m_policy.gifts &&
+               m_borrower->Borrow(account, tokens, std::move(on_done));
       },
       [this] { return TimeToStop(); }});
   MakeBorrower();
--- a/src/gateway/gateway_serve.cc
+++ b/src/gateway/gateway_serve.cc
@@ -29,7 +29,9 @@
   };
   hooks.on_report = [this](const v1::LoadReport& report) {
     const core::TimePoint now = net::BootNow();
-    m_peer_loads.OnReport(report, now);
+    if (m_policy.load_reports) {
+      m_peer_loads.OnReport(report, now);
+    }
     m_peers.OnReport(core::RouterId(report.router()), report.store_up(), now);
   };
   hooks.on_ask = [this](const v1::TokenAsk& ask) { OnTokenAsk(ask); };
--- /dev/null
+++ b/tests/entry/unit-policy.cc
@@ -0,0 +1,42 @@
+#include "coppervalve/entry/policy.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>  // string
+
+using namespace coppervalve;
+using namespace coppervalve::entry;
+
+// clang-format off
+TEST_GROUP(Policy){};
+// clang-format on
+
+TEST(Policy, without_changes_it_is_what_ships) {
+  const Policy policy = core::Value(ReadPolicy(""));
+  CHECK(policy.gifts);
+  CHECK_EQUAL(BookOptions{}.most_held, policy.book.most_held);
+}
+
+TEST(Policy, parts_are_changed_by_name) {
+  const Policy policy =
+      core::Value(ReadPolicy("gifts=0,book.ahead=4500,placement.running=7.5"));
+  CHECK_FALSE(policy.gifts);
+  CHECK(policy.book.ahead == std::chrono::milliseconds(4'500));
+  CHECK_EQUAL(7.5, policy.placement.running);
+  CHECK(policy.active_set);
+}
+
+TEST(Policy, every_name_is_taken) {
+  for (const std::string_view name : PolicyNames()) {
+    CHECK(core::IsOk(ReadPolicy(std::string(name) + "=1")));
+  }
+}
+
+TEST(Policy, what_is_not_understood_is_named) {
+  for (const char* changes : {"gift=0", "gifts", "gifts=", "gifts=no",
+                              "gifts=1x", "=1", "gifts=0,,book.ahead=1"}) {
+    CHECK_FALSE(core::IsOk(ReadPolicy(changes)));
+  }
+  STRCMP_EQUAL("gift=0",
+               core::Failure(ReadPolicy("book.ahead=1,gift=0")).detail.c_str());
+}
