--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -94,6 +94,7 @@
   void OnUpstreamRecord(const KeyedRecord& record);
   entry::UpstreamRecord ReadUpstreamRecord(const KeyedRecord& record);
   void OnNewestUpstreams(const std::vector<KeyedRecord>& records);
+  std::optional<v1::RouterBeat> ReadBeatRecord(const KeyedRecord& record);
   void OnBeatRecord(const KeyedRecord& record);
   void OnNewestBeats(const std::vector<KeyedRecord>& records);
   void BeginBeatsIfAllRead();
--- /dev/null
+++ b/src/entry/beat_reader.cc
@@ -0,0 +1,42 @@
+#include "coppervalve/entry/beat_reader.h"
+
+#include <cstdint>  // int64_t
+
+namespace coppervalve::entry {
+
+namespace {
+
+// Sums over all routers of a large fleet stay far from what 64 bits hold.
+constexpr int64_t kMostTokens = int64_t{1} << 50;
+
+bool Within(int64_t value, int64_t most) {
+  return value >= 0 && value <= most;
+}
+
+bool Plausible(const v1::AccountClaim& claim) {
+  return Within(claim.ceiling(), kMostTokens) &&
+         Within(claim.spent(), claim.ceiling()) &&
+         Within(claim.retired(), kMostTokens) &&
+         Within(claim.retired_spent(), claim.retired());
+}
+
+core::Error Invalid(const char* what) {
+  return {core::ErrorId::kLogRecordInvalid, "beat", what};
+}
+
+}  // namespace
+
+core::Result<v1::RouterBeat> ReadBeat(const std::string& bytes) {
+  v1::RouterBeat beat;
+  if (!beat.ParseFromString(bytes)) {
+    return Invalid("not a message");
+  }
+  for (const v1::AccountClaim& claim : beat.claims()) {
+    if (!Plausible(claim)) {
+      return Invalid("a claim that can't be");
+    }
+  }
+  return beat;
+}
+
+}  // namespace coppervalve::entry
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -1,3 +1,4 @@
+#include "coppervalve/entry/beat_reader.h"
 #include "coppervalve/gateway/gateway.h"
 
 #include <algorithm>  // max
@@ -216,13 +217,26 @@
                 .Number("kept", static_cast<int64_t>(m_directory.size())));
 }
 
+std::optional<v1::RouterBeat> Gateway::ReadBeatRecord(
+    const KeyedRecord& record) {
+  core::Result<v1::RouterBeat> read = entry::ReadBeat(record.value);
+  if (core::IsOk(read)) {
+    return core::TakeValue(std::move(read));
+  }
+  Lifecycle(LogLine("beat_unreadable")
+                .Text("router", record.key)
+                .Text("why", core::Failure(read).detail));
+  return std::nullopt;
+}
+
 void Gateway::OnNewestBeats(const std::vector<KeyedRecord>& records) {
   uint64_t last_epoch = 0;
   for (const KeyedRecord& record : records) {
-    v1::RouterBeat beat;
-    if (!beat.ParseFromString(record.value)) {
+    const std::optional<v1::RouterBeat> read = ReadBeatRecord(record);
+    if (!read) {
       continue;
     }
+    const v1::RouterBeat& beat = *read;
     const core::RouterId router(record.key);
     m_members.OnBeat(router, beat, net::BootNow());
     if (router != m_settings.router) {
@@ -240,11 +254,11 @@
 }
 
 void Gateway::OnBeatRecord(const KeyedRecord& record) {
-  v1::RouterBeat beat;
-  if (!beat.ParseFromString(record.value)) {
-    Lifecycle(LogLine("beat_unreadable").Text("router", record.key));
+  const std::optional<v1::RouterBeat> read = ReadBeatRecord(record);
+  if (!read) {
     return;
   }
+  const v1::RouterBeat& beat = *read;
   const core::RouterId router(record.key);
   m_members.OnBeat(router, beat, net::BootNow());
   if (router != m_settings.router) {
