Hold back what a crash should not lose; count what running requests may use

Ruled out: proofs after a loss of power (another boot; the time of day jumps, the store's own times stand still while it is down, upstreams' counts stop with it): all is lost there, as before. Change: a claim names a part that is not touched before a time of the VM's clock. Beats every 0.6 s. 402 as soon as what is neither spent nor set aside can't cover a request. libprotobuf writes no lines of its own any more.

--- a/apps/coppervalved/main.cc
+++ b/apps/coppervalved/main.cc
@@ -1,3 +1,5 @@
+#include <google/protobuf/stubs/logging.h>
+
 #include <cstdio>       // fputs
 #include <cstdlib>      // _Exit
 #include <string>       // string
@@ -35,6 +37,9 @@
   if (!core::IsOk(policy)) {
     return Fail(core::Failure(policy));
   }
+  // The library would write a line of its own, unbounded, for each damaged
+  // message; ours say what was damaged.
+  google::protobuf::SetLogHandler(nullptr);
   const core::Status ended = platform::Run(core::Value(policy));
   return core::IsOk(ended) ? EXIT_SUCCESS : Fail(core::Failure(ended));
 }
--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -44,6 +44,14 @@
   core::Duration spread_rest{4'000'000};
   /// A loss counts when it took more than this part of what is left.
   double loss_counts = 0.25;
+  /// What a claim holds ahead is not touched before this time has passed since
+  /// it was written. So a process that died and whose successor began sooner
+  /// can't have spent it. A restart on the same VM takes a second or two, and
+  /// beats come every half second. 0 = nothing is held back.
+  core::Duration held_back{2'500'000};
+  /// Standard deviations of the demand of that time that are not held back: a
+  /// request that doesn't fit has the claim written anew at once.
+  double held_back_spread = 1.0;
   /// Guess by what came to this router so far; else by an even part.
   bool own_share = true;
   /// Callers who keep to an address come to routers that stand by, too.
@@ -79,7 +87,8 @@
   void OnConfiguration(const Configuration& configuration);
   /// @brief This router's own last record of an earlier incarnation: its
   /// ceilings count as used up. Call it once, before the first claim.
-  void OnPredecessor(const v1::RouterBeat& beat);
+  /// @param held_back it provably never touched what it held back
+  void OnPredecessor(const v1::RouterBeat& beat, bool held_back = false);
   /// @brief A record of another router, in log order.
   void OnOtherBeat(const core::RouterId& router,
                    const v1::RouterBeat& beat,
@@ -88,12 +97,18 @@
   /// record before it went through OnOtherBeat().
   void OnOwnBeat(const v1::RouterBeat& beat);
 
+  /// @brief The store acknowledged the claims of this start up to a sequence:
+  /// what they state may be spent at once is known to be in the log.
+  void OnWritten(uint64_t sequence);
+
   /// @brief A request was asked for: counts towards the demand, once.
   void OnDemand(const core::AccountId& account,
                 core::Tokens tokens,
                 core::TimePoint now);
   /// @brief Sets tokens aside for a request at its most.
-  Reservation Reserve(const core::AccountId& account, core::Tokens tokens);
+  Reservation Reserve(const core::AccountId& account,
+                      core::Tokens tokens,
+                      core::TimePoint now);
   /// @brief Replaces a reservation by what was really used.
   /// @pre the tokens were reserved and `used` is at most `reserved`
   void Settle(const core::AccountId& account,
@@ -128,8 +143,15 @@
                          core::Tokens tokens,
                          core::TimePoint now) const;
 
+  /// @return when tokens that are held back cover a request, should no claim
+  /// get through until then; none when they don't, or are not held back
+  std::optional<core::TimePoint> CoveredAt(const core::AccountId& account,
+                                           core::Tokens tokens,
+                                           core::TimePoint now) const;
+
   /// @brief Writes what this router claims from now on. Lower ceilings hold
-  /// at once, higher ones when the record came back.
+  /// at once, higher ones when the record came back. Reserves are stated where
+  /// the beat says before when they are not touched.
   void WriteClaims(v1::RouterBeat& beat,
                    const ClaimContext& context,
                    core::TimePoint now);
@@ -155,15 +177,24 @@
     uint64_t epoch = 0;
     core::Tokens lost{};           ///< with earlier incarnations
     core::Tokens ceiling_spent{};  ///< by the present incarnation
+    core::Tokens committed{};      ///< that, and by requests in progress
   };
   /// A claim that was written and has not been read back yet.
   struct Pending {
     uint64_t sequence = 0;
     core::Tokens claim{};
   };
+  /// What a claim lets this router spend before a time.
+  struct Early {
+    uint64_t sequence = 0;
+    core::Tokens limit{};
+    core::TimePoint not_before;
+  };
   struct Entry {
     std::optional<core::Tokens> total;
     std::deque<Pending> pending;  ///< in the order of writing
+    /// Of the newest claim that is known to be written and of all after it.
+    std::deque<Early> early;
     core::Tokens retired{};
     core::Tokens retired_spent{};
     core::Tokens ceiling{};  ///< may be spent up to here
@@ -175,8 +206,8 @@
     core::Tokens others_retired{};
     core::Tokens others_unspent{};
     core::Tokens others_lost{};
-    core::Tokens others_live_spent{};  ///< by present incarnations
-    core::Tokens largest{};            ///< request seen
+    core::Tokens others_committed{};  ///< by present incarnations
+    core::Tokens largest{};           ///< request seen
     core::Tokens wanted{};  ///< by requests that wait for a higher ceiling
     core::Tokens paced{};   ///< may be claimed more by now, after a loss
     bool stated = false;    ///< has been in a record
@@ -187,10 +218,23 @@
   static core::Tokens InUse(const Entry& entry);
   static core::Tokens Free(const Entry& entry);
   static core::Tokens LeastPending(const Entry& entry);
+  static core::Tokens Limit(const Entry& entry, core::TimePoint now);
+  core::Tokens NextEarly(const Entry& entry,
+                         core::Tokens next,
+                         core::TimePoint now) const;
+  void StateReserve(Entry& entry,
+                    core::Tokens next,
+                    const v1::RouterBeat& beat,
+                    v1::AccountClaim& claim,
+                    core::TimePoint now) const;
   static core::Tokens Unavailable(const Entry& entry);
   static core::Tokens Spendable(const Entry& entry);
   double GuessedShare() const;
   double OwnShare(const Entry& entry) const;
+  bool Learning(core::TimePoint now) const;
+  double ExpectedIn(const Entry& entry,
+                    double seconds,
+                    core::TimePoint now) const;
   core::Tokens Aim(const Entry& entry, core::TimePoint now) const;
   bool Paced(const Entry& entry) const;
   void Pace(Entry& entry, core::Duration passed) const;
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -10,6 +10,7 @@
 #include "coppervalve/beat.pb.h"
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
+#include "coppervalve/entry/active_set.h"
 #include "coppervalve/entry/peer_contact.h"
 #include "coppervalve/entry/store_contact.h"
 
@@ -21,15 +22,15 @@
  public:
   /// @param silence after which a router that is heard of through a store in
   /// good order counts as dead
-  /// @param choose_active lead callers to a part of the routers; else to all
+  /// @param least_active routers that callers are led to, where there are
   MemberList(core::RouterId self,
              core::Duration silence,
              const PeerContact& peers,
-             bool choose_active = true)
+             size_t least_active = ActiveNeed{}.least)
       : m_self(std::move(self)),
         m_silence(silence),
         m_peers(peers),
-        m_choose_active(choose_active) {}
+        m_least_active(least_active) {}
 
   void OnBeat(const core::RouterId& router,
               const v1::RouterBeat& beat,
@@ -71,7 +72,7 @@
   core::RouterId m_self;
   core::Duration m_silence;
   const PeerContact& m_peers;
-  bool m_choose_active;
+  size_t m_least_active;
   std::map<core::RouterId, Member> m_members;
   std::set<core::RouterId> m_active;
   double m_need = 0;  ///< requests a second that the active ones must take
--- a/include/coppervalve/entry/policy.h
+++ b/include/coppervalve/entry/policy.h
@@ -16,8 +16,10 @@
 struct Policy {
   BookOptions book;
   PlacementOptions placement;
-  bool gifts = true;         ///< ask other routers for tokens
-  bool active_set = true;    ///< lead callers to the most capable routers only
+  bool gifts = true;  ///< ask other routers for tokens
+  /// Lead callers to so many routers at least, the most capable; more where
+  /// the load needs it.
+  double least_active = 8;
   bool load_reports = true;  ///< count the work that other routers report
 };
 
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -102,6 +102,7 @@
   void OnStoreFailure(const std::string& topic,
                       const core::Error& error,
                       core::TimePoint began);
+  core::Duration BeatPeriod() const;
   void ComposeBeat(v1::RouterBeat& beat);
   double Capacity() const;
   void GrantsChanged();
@@ -114,6 +115,8 @@
 
   void MakeFollowers();
   void MakeBeatWriter();
+  void TakePort();
+  void MakeLoadExchange();
   void ShareLoads(uint64_t epoch);
   void MakeBorrower();
   void OnTokenAsk(const v1::TokenAsk& ask);
@@ -150,6 +153,10 @@
   std::shared_ptr<TopicFollower> m_beats;
   std::shared_ptr<BeatWriter> m_writer;
   std::unique_ptr<LoadExchange> m_loads;
+  /// Since when no earlier process of this VM can live; none: can't be told.
+  std::optional<core::TimePoint> m_alone_since;
+  bool m_sharing = false;
+  std::string m_boot;  ///< empty when it can't be told
   std::unique_ptr<Borrower> m_borrower;
   entry::GiftMemory m_gifts;
   std::vector<std::shared_ptr<Listener>> m_listeners;
--- a/include/coppervalve/gateway/load_exchange.h
+++ b/include/coppervalve/gateway/load_exchange.h
@@ -32,9 +32,13 @@
   };
 
   LoadExchange(boost::asio::io_context& io, std::string router, Hooks hooks);
+  /// @brief Takes the port, alone: as long as this object lives, no other
+  /// process of the VM has it.
   /// @param address "ip:port" to take reports on
-  /// @return kSettingBadValue when it can't be used
-  core::Status Start(const std::string& address, uint64_t epoch);
+  /// @return kSettingBadValue when it can't be had
+  core::Status Bind(const std::string& address);
+  /// @brief Begins to report, once Bind() succeeded.
+  void Start(uint64_t epoch);
   /// @param address "ip:port" of another router
   void Send(const std::string& address, const v1::PeerDatagram& datagram);
 
--- a/model/check.sh
+++ b/model/check.sh
@@ -28,6 +28,11 @@
   for flag in $(broken_flags gift); do
     echo "gift $flag|broken|gift|-D$flag"
   done
+  echo "reserve|holds|reserve|"
+  echo "reserve THREE|holds|reserve|-DTHREE"
+  for flag in $(broken_flags reserve); do
+    echo "reserve $flag|broken|reserve|-D$flag"
+  done
   echo "acceptance RETIREMENTS|holds|acceptance|"
   echo "acceptance JOINS|holds|acceptance|-DJOINS"
   for flag in $(broken_flags acceptance); do
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -38,10 +38,11 @@
 }
 
 // What no router that lives can grant any more. What was lost with an earlier
-// start of a router may have been spent, so it counts as spent for good: said
-// to be "busy", callers come back for it in vain.
+// start of a router may have been spent, so it counts as spent for good; what
+// requests in progress may use counts at its most, as it does where it is
+// reserved. Said to be "busy", callers come back for it in vain.
 core::Tokens AllotmentBook::Unavailable(const Entry& entry) {
-  return entry.others_live_spent + entry.others_retired + entry.retired +
+  return entry.others_committed + entry.others_retired + entry.retired +
          InUse(entry);
 }
 
@@ -65,10 +66,11 @@
   }
 }
 
-void AllotmentBook::OnPredecessor(const v1::RouterBeat& beat) {
+void AllotmentBook::OnPredecessor(const v1::RouterBeat& beat, bool held_back) {
   for (const v1::AccountClaim& claim : beat.claims()) {
     Entry& entry = m_entries[core::AccountId(claim.account())];
-    entry.retired = core::Tokens(claim.retired() + claim.ceiling());
+    const int64_t untouched = held_back ? claim.reserve() : 0;
+    entry.retired = core::Tokens(claim.retired() + claim.ceiling() - untouched);
     entry.retired_spent = core::Tokens(claim.retired_spent() + claim.spent());
   }
 }
@@ -86,14 +88,17 @@
     if (other.epoch == beat.epoch() && spent_now > other.ceiling_spent) {
       entry.fleet_demand.Add(spent_now - other.ceiling_spent, now);
     }
+    const core::Tokens committed_now(
+        std::max(claim.spent(), claim.committed()));
     entry.others_claimed -= other.claimed;
     entry.others_unspent -= other.unspent;
-    entry.others_live_spent -= other.ceiling_spent;
+    entry.others_committed -= other.committed;
     entry.others_lost -= other.lost;
     entry.others_retired -= other.retired;
     other.claimed = core::Tokens(claim.retired() + claim.ceiling());
-    other.unspent = core::Tokens(claim.ceiling() - claim.spent());
+    other.unspent = core::Tokens(claim.ceiling()) - committed_now;
     other.ceiling_spent = spent_now;
+    other.committed = committed_now;
     other.lost = core::Tokens(claim.retired() - claim.retired_spent());
     entry.others_lost += other.lost;
     other.retired = core::Tokens(claim.retired());
@@ -101,7 +106,7 @@
     other.epoch = beat.epoch();
     entry.others_claimed += other.claimed;
     entry.others_unspent += other.unspent;
-    entry.others_live_spent += other.ceiling_spent;
+    entry.others_committed += other.committed;
   }
 }
 
@@ -146,13 +151,54 @@
   entry.largest = std::max(entry.largest, tokens);
 }
 
+// What may be spent now. Until a claim is known to be written, the one before
+// it may be the last in the log, and a successor goes by that: so the least of
+// all that may be the last binds, each until its own time.
+core::Tokens AllotmentBook::Limit(const Entry& entry, core::TimePoint now) {
+  core::Tokens limit = entry.ceiling;
+  for (const Early& early : entry.early) {
+    if (now < early.not_before) {
+      limit = std::min(limit, early.limit);
+    }
+  }
+  return limit;
+}
+
+void AllotmentBook::OnWritten(uint64_t sequence) {
+  for (auto& [account, entry] : m_entries) {
+    // The newest one that is written stays: it binds until its time.
+    while (entry.early.size() > 1 && entry.early[1].sequence <= sequence) {
+      entry.early.pop_front();
+    }
+  }
+}
+
+std::optional<core::TimePoint> AllotmentBook::CoveredAt(
+    const core::AccountId& account,
+    core::Tokens tokens,
+    core::TimePoint now) const {
+  const auto found = m_entries.find(account);
+  if (found == m_entries.end() ||
+      InUse(found->second) + tokens > found->second.ceiling) {
+    return std::nullopt;
+  }
+  core::TimePoint at = now;
+  for (const Early& early : found->second.early) {
+    if (InUse(found->second) + tokens > early.limit) {
+      at = std::max(at, early.not_before);
+    }
+  }
+  return at;
+}
+
 Reservation AllotmentBook::Reserve(const core::AccountId& account,
-                                   core::Tokens tokens) {
+                                   core::Tokens tokens,
+                                   core::TimePoint now) {
   Entry& entry = m_entries[account];
   if (!entry.total) {
     return Reservation::kUnlimited;
   }
-  if (InUse(entry) + tokens <= entry.ceiling) {
+  if (InUse(entry) + tokens <= Limit(entry, now)) {
     entry.reserved += tokens;
     return Reservation::kHeld;
   }
@@ -197,7 +243,7 @@
 // then an even part is the better guess.
 double AllotmentBook::OwnShare(const Entry& entry) const {
   const auto own = static_cast<double>(InUse(entry).value());
-  const auto all = own + static_cast<double>(entry.others_live_spent.value());
+  const auto all = own + static_cast<double>(entry.others_committed.value());
   const double prior =
       kPriorRequests * static_cast<double>(entry.largest.value());
   const double guess = GuessedShare();
@@ -208,22 +254,30 @@
                   kLeastShareOfEven * guess);
 }
 
+bool AllotmentBook::Learning(core::TimePoint now) const {
+  return !m_first_demand || now - *m_first_demand < m_options.learning;
+}
+
+// Tokens that callers of this router will ask for within some seconds.
+double AllotmentBook::ExpectedIn(const Entry& entry,
+                                 double seconds,
+                                 core::TimePoint now) const {
+  return std::max(entry.fleet_demand.PerSecond(now) * OwnShare(entry) * seconds,
+                  entry.own_demand.PerSecond(now) * kOwnWeight * seconds);
+}
+
 // How far the ceiling should run ahead of what is in use.
 core::Tokens AllotmentBook::Aim(const Entry& entry, core::TimePoint now) const {
   const double share = OwnShare(entry);
   const core::Tokens spendable = Spendable(entry);
   const core::Duration ahead =
       m_context.leaving ? m_options.ahead_leaving : m_options.ahead;
-  const double seconds = std::chrono::duration<double>(ahead).count();
   const double expected =
-      std::max(entry.fleet_demand.PerSecond(now) * share * seconds,
-               entry.own_demand.PerSecond(now) * kOwnWeight * seconds);
+      ExpectedIn(entry, std::chrono::duration<double>(ahead).count(), now);
   const auto largest = static_cast<double>(entry.largest.value());
   const double spread = m_options.spread * std::sqrt(expected * largest);
   core::Tokens aim(static_cast<int64_t>(expected + spread));
-  const bool learning =
-      !m_first_demand || now - *m_first_demand < m_options.learning;
-  if (learning && !m_context.leaving) {
+  if (Learning(now) && !m_context.leaving) {
     aim = std::max(aim, Times(spendable, m_options.first_share * share));
   }
   aim = std::min(aim, Times(spendable, m_options.most_held * share));
@@ -293,7 +347,6 @@
       next = NextCeiling(entry, now);
     }
     entry.paced = NotNegative(entry.paced - NotNegative(next - entry.ceiling));
-    entry.wanted = core::Tokens(0);
     entry.asked = next;
     entry.ceiling = std::min(entry.ceiling, next);
     const bool claims_nothing =
@@ -301,6 +354,7 @@
     // Others keep the claim they read last, so what was stated once is stated
     // again, also when it is nothing by now.
     if (claims_nothing && !entry.stated) {
+      entry.wanted = core::Tokens(0);
       continue;
     }
     entry.stated = true;
@@ -309,9 +363,45 @@
     claim->set_account(account.value());
     claim->set_ceiling(next.value());
     claim->set_spent(std::min(entry.spent, next).value());
+    claim->set_committed(std::min(InUse(entry), next).value());
     claim->set_retired(entry.retired.value());
     claim->set_retired_spent(entry.retired_spent.value());
+    StateReserve(entry, next, beat, *claim, now);
+  }
+}
+
+// What may be spent before the next claims are written, or before the reserve
+// may be touched where none are.
+core::Tokens AllotmentBook::NextEarly(const Entry& entry,
+                                      core::Tokens next,
+                                      core::TimePoint now) const {
+  const double seconds =
+      std::chrono::duration<double>(m_options.held_back).count();
+  const double expected = ExpectedIn(entry, seconds, now);
+  const auto largest = static_cast<double>(entry.largest.value());
+  core::Tokens ahead(static_cast<int64_t>(
+      expected + m_options.held_back_spread * std::sqrt(expected * largest)));
+  if (Learning(now)) {
+    const double part =
+        seconds / std::chrono::duration<double>(m_options.ahead).count();
+    ahead = std::max(ahead, Times(next - InUse(entry), part));
+  }
+  return std::min(next, InUse(entry) + std::max(ahead, entry.wanted));
+}
+
+void AllotmentBook::StateReserve(Entry& entry,
+                                 core::Tokens next,
+                                 const v1::RouterBeat& beat,
+                                 v1::AccountClaim& claim,
+                                 core::TimePoint now) const {
+  core::Tokens early = next;
+  if (beat.not_before() != 0) {
+    early = NextEarly(entry, next, now);
   }
+  claim.set_reserve((next - early).value());
+  const core::TimePoint not_before{core::Duration(beat.not_before())};
+  entry.early.push_back({beat.sequence(), early, not_before});
+  entry.wanted = core::Tokens(0);
 }
 
 AllotmentBook::Figures AllotmentBook::FiguresOf(
--- a/src/entry/allotment_gifts.cc
+++ b/src/entry/allotment_gifts.cc
@@ -28,7 +28,7 @@
     return core::Tokens(0);
   }
   Entry& entry = found->second;
-  const core::Tokens free = entry.ceiling - InUse(entry);
+  const core::Tokens free = Limit(entry, now) - InUse(entry);
   const core::Tokens kept =
       InSeconds(entry.own_demand.PerSecond(now), kKeptSeconds);
   if (least <= core::Tokens(0) || free - kept < least) {
--- a/src/entry/beat_reader.cc
+++ b/src/entry/beat_reader.cc
@@ -16,6 +16,8 @@
 bool Plausible(const v1::AccountClaim& claim) {
   return Within(claim.ceiling(), kMostTokens) &&
          Within(claim.spent(), claim.ceiling()) &&
+         Within(claim.reserve(), claim.ceiling()) &&
+         Within(claim.committed(), claim.ceiling()) &&
          Within(claim.retired(), kMostTokens) &&
          Within(claim.retired_spent(), claim.retired());
 }
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>  // max
 
-#include "coppervalve/entry/active_set.h"
-
 namespace coppervalve::entry {
 
 namespace {
@@ -82,9 +80,7 @@
   }
   ActiveNeed need;
   need.requests_per_second = m_need;
-  if (!m_choose_active) {
-    need.least = candidates.size();
-  }
+  need.least = m_least_active;
   const std::vector<core::RouterId> chosen =
       ChooseActive(std::move(candidates), need);
   m_active = {chosen.begin(), chosen.end()};
--- a/src/entry/policy.cc
+++ b/src/entry/policy.cc
@@ -30,6 +30,9 @@
      [](Policy& p) -> Field { return &p.book.spread_rest; }},
     {"book.loss_counts",
      [](Policy& p) -> Field { return &p.book.loss_counts; }},
+    {"book.held_back", [](Policy& p) -> Field { return &p.book.held_back; }},
+    {"book.held_back_spread",
+     [](Policy& p) -> Field { return &p.book.held_back_spread; }},
     {"book.own_share", [](Policy& p) -> Field { return &p.book.own_share; }},
     {"book.standbys_share",
      [](Policy& p) -> Field { return &p.book.standbys_share; }},
@@ -54,7 +57,7 @@
     {"placement.guess_silent",
      [](Policy& p) -> Field { return &p.placement.guess_silent; }},
     {"gifts", [](Policy& p) -> Field { return &p.gifts; }},
-    {"active_set", [](Policy& p) -> Field { return &p.active_set; }},
+    {"least_active", [](Policy& p) -> Field { return &p.least_active; }},
     {"load_reports", [](Policy& p) -> Field { return &p.load_reports; }},
 });
 
--- /dev/null
+++ b/src/entry/reading_pace.cc
@@ -0,0 +1,69 @@
+#include "coppervalve/entry/reading_pace.h"
+
+#include <algorithm>  // max
+
+namespace coppervalve::entry {
+
+namespace {
+
+// Part of what is known that one more answer replaces: some fifty answers are
+// the memory, which is a second of a busy router.
+constexpr double kFading = 0.98;
+// Fewer answers are no line.
+constexpr double kLeastWeight = 8;
+
+core::Duration Micros(double micros) {
+  return core::Duration(static_cast<int64_t>(std::max(micros, 0.0)));
+}
+
+}  // namespace
+
+// Least squares. Where all answers had the same to read there is no slope to
+// be seen: then all of the time counts for the tokens.
+double ReadingPace::Line::Slope() const {
+  const double spread = weight * tokens_squared - tokens * tokens;
+  if (spread <= 1e-9 * tokens_squared * weight) {
+    return tokens > 0 ? micros / tokens : 0;
+  }
+  return std::max((weight * tokens_micros - tokens * micros) / spread, 0.0);
+}
+
+double ReadingPace::Line::Fixed() const {
+  return std::max((micros - Slope() * tokens) / weight, 0.0);
+}
+
+void ReadingPace::OnFirstPiece(const core::ServiceId& service,
+                               double to_read,
+                               core::Duration time) {
+  Line& line = m_lines[service];
+  const auto micros = static_cast<double>(time.count());
+  line.weight = line.weight * kFading + 1;
+  line.tokens = line.tokens * kFading + to_read;
+  line.micros = line.micros * kFading + micros;
+  line.tokens_squared = line.tokens_squared * kFading + to_read * to_read;
+  line.tokens_micros = line.tokens_micros * kFading + to_read * micros;
+}
+
+const ReadingPace::Line* ReadingPace::Find(
+    const core::ServiceId& service) const {
+  const auto found = m_lines.find(service);
+  return found == m_lines.end() || found->second.weight < kLeastWeight
+             ? nullptr
+             : &found->second;
+}
+
+core::Duration ReadingPace::ToRead(const core::ServiceId& service,
+                                   double tokens) const {
+  const Line* line = Find(service);
+  return line == nullptr ? core::Duration::zero()
+                         : Micros(line->Slope() * tokens);
+}
+
+core::Duration ReadingPace::ToFirstPiece(const core::ServiceId& service,
+                                         double to_read) const {
+  const Line* line = Find(service);
+  return line == nullptr ? core::Duration::zero()
+                         : Micros(line->Fixed() + line->Slope() * to_read);
+}
+
+}  // namespace coppervalve::entry
--- /dev/null
+++ b/src/entry/shedding.cc
@@ -0,0 +1,34 @@
+#include "coppervalve/entry/shedding.h"
+
+#include <algorithm>  // max
+#include <cmath>      // pow
+
+namespace coppervalve::entry {
+
+namespace {
+
+// Sooner than this nothing has changed.
+constexpr core::Duration kSoonest{200'000};
+
+}  // namespace
+
+std::optional<core::Duration> Shed(const SheddingOptions& options,
+                                   const Backlog& backlog,
+                                   double draw) {
+  const auto wait = static_cast<double>(backlog.wait.count());
+  const double base = static_cast<double>(backlog.objective.count()) *
+                      std::pow(options.rank_part, backlog.rank);
+  const double free = base * options.free_part;
+  const double full = base * options.full_part;
+  if (!options.on || base <= 0 || wait <= free) {
+    return std::nullopt;
+  }
+  const double refused = full > free ? (wait - free) / (full - free) : 1;
+  if (draw >= refused) {
+    return std::nullopt;
+  }
+  // By then the work that waits now is done.
+  return std::max(backlog.wait, kSoonest);
+}
+
+}  // namespace coppervalve::entry
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -91,7 +91,7 @@
 
 void Exchange::Reserve() {
   const core::AccountId& account = m_admitted.account->name;
-  switch (m_context.book.Reserve(account, Most())) {
+  switch (m_context.book.Reserve(account, Most(), net::BootNow())) {
     case entry::Reservation::kHeld:
       m_reserved = Most();
       Place();
@@ -184,8 +184,9 @@
 // it: they can raise their ceilings, so its callers are served there. With
 // nobody heard it can't tell, and says how long such a cut may last.
 void Exchange::RefuseForWantOfTokens(core::TimePoint now) {
-  core::Error error{core::ErrorId::kBudgetBusy,
-                    m_admitted.account->name.value(), "others hold the rest"};
+  const core::AccountId& account = m_admitted.account->name;
+  core::Error error{core::ErrorId::kBudgetBusy, account.value(),
+                    "others hold the rest"};
   if (m_context.contact.up()) {
     Refuse(error, kAfterReading);
     return;
@@ -195,6 +196,12 @@
     Refuse(error, kElsewhere);
     return;
   }
+  const auto covered = m_context.book.CoveredAt(account, Most(), now);
+  if (covered) {
+    error.detail = "held back while the store may still answer";
+    Refuse(error, std::max(*covered - now, kElsewhere));
+    return;
+  }
   error.detail = "the store can't be reached for more";
   Refuse(error, kAfterACut);
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -60,7 +60,10 @@
                m_random),
       m_retries(m_settings.retries),
       m_book(policy.book),
-      m_members(m_settings.router, kRouterSilence, m_peers, policy.active_set),
+      m_members(m_settings.router,
+                kRouterSilence,
+                m_peers,
+                static_cast<size_t>(policy.least_active)),
       m_pool(io),
       m_tick(io) {
   m_context.emplace(ExchangeContext{
@@ -91,6 +94,8 @@
   if (!core::IsOk(listening)) {
     return listening;
   }
+  m_boot = net::BootId();
+  TakePort();
   MakeBeatWriter();
   MakeFollowers();
   m_configuration->Start();
--- a/src/gateway/gateway_serve.cc
+++ b/src/gateway/gateway_serve.cc
@@ -8,10 +8,35 @@
 
 namespace coppervalve::gateway {
 
+// The port is taken before anything else: from then on no earlier process of
+// this VM lives, and what it held back stays untouched.
+void Gateway::TakePort() {
+  if (m_settings.load_address.empty() || m_alone_since) {
+    return;
+  }
+  if (!m_loads) {
+    MakeLoadExchange();
+  }
+  const core::Status bound = m_loads->Bind(m_settings.load_address);
+  if (core::IsOk(bound)) {
+    m_alone_since = net::BootNow();
+    return;
+  }
+  Lifecycle(LogLine("loads_not_shared")
+                .Text("why", core::ToString(core::Failure(bound))));
+}
+
 void Gateway::ShareLoads(uint64_t epoch) {
-  if (m_settings.load_address.empty() || m_loads) {
+  TakePort();
+  if (!m_alone_since || m_sharing) {
     return;
   }
+  m_sharing = true;
+  m_borrower->SetEpoch(epoch);
+  m_loads->Start(epoch);
+}
+
+void Gateway::MakeLoadExchange() {
   LoadExchange::Hooks hooks;
   hooks.peers = [this] { return m_members.LoadAddresses(); };
   hooks.compose = [this](v1::LoadReport& report) {
@@ -38,14 +63,8 @@
   hooks.on_gift = [this](const v1::TokenGift& gift) {
     m_borrower->OnGift(gift);
   };
-  m_borrower->SetEpoch(epoch);
   m_loads = std::make_unique<LoadExchange>(m_io, m_settings.router.value(),
                                            std::move(hooks));
-  const core::Status started = m_loads->Start(m_settings.load_address, epoch);
-  if (!core::IsOk(started)) {
-    Lifecycle(LogLine("loads_not_shared")
-                  .Text("why", core::ToString(core::Failure(started))));
-  }
 }
 
 CallerConnection::Hooks Gateway::CallerHooks(
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -1,4 +1,5 @@
 #include "coppervalve/entry/beat_reader.h"
+#include "coppervalve/entry/succession.h"
 #include "coppervalve/gateway/gateway.h"
 
 #include <algorithm>  // max
@@ -13,13 +14,14 @@
 constexpr core::Duration kConfigurationWait{1'000'000};
 constexpr core::Duration kUpstreamPause{300'000};
 constexpr core::Duration kBeatPause{250'000};
-constexpr core::Duration kBeatPeriod{1'000'000};
+// What a process that dies can have spent is known to within a beat.
+constexpr core::Duration kBeatPeriod{600'000};
 // Beats may take this part of the writes that the store allows the fleet.
 constexpr double kBeatShareOfWrites = 0.4;
 // A router that stands by has little to tell and nothing to decide soon: its
 // reads and writes leave the store's rates to those that serve.
 constexpr core::Duration kStandbyPause{800'000};
-constexpr int kStandbyPeriods = 2;
+constexpr int kStandbyPeriods = 4;
 // A third of what a core and a link were measured to take: bursts need room.
 constexpr double kRequestsPerCore = 500;
 constexpr double kRequestsPerMegabit = 2.5;
@@ -90,14 +92,7 @@
 void Gateway::MakeBeatWriter() {
   BeatWriter::Hooks hooks;
   hooks.compose = [this](v1::RouterBeat& beat) { ComposeBeat(beat); };
-  // More routers beat more slowly: the store's rate is for the whole fleet.
-  hooks.period = [this] {
-    const double rate = m_settings.store_writes_per_second * kBeatShareOfWrites;
-    const double seconds = m_members.Live() / std::max(rate, 1.0);
-    const core::Duration own =
-        m_members.SelfActive() ? kBeatPeriod : kBeatPeriod * kStandbyPeriods;
-    return std::max(own, core::Duration(static_cast<int64_t>(seconds * 1e6)));
-  };
+  hooks.period = [this] { return BeatPeriod(); };
   hooks.on_fenced = [this](uint64_t epoch, uint64_t end) {
     m_fenced_at = end;
     ShareLoads(epoch);
@@ -108,10 +103,12 @@
   };
   hooks.on_written = [this](const v1::RouterBeat& beat) {
     m_metrics.OnStoreCall("beat_write", true);
+    m_book.OnWritten(beat.sequence());
     if (!m_waiting.empty() || !m_first_beat_back) {
       m_beats->Hurry();
     }
     m_last_claim_written = beat.closing();
+    GrantsChanged();
   };
   hooks.on_failure = [this](const core::Error& error) {
     m_metrics.OnStoreCall("beat_write", false);
@@ -126,6 +123,15 @@
       m_store, m_random, std::move(hooks));
 }
 
+// More routers beat more slowly: the store's rate is for the whole fleet.
+core::Duration Gateway::BeatPeriod() const {
+  const double rate = m_settings.store_writes_per_second * kBeatShareOfWrites;
+  const double seconds = m_members.Live() / std::max(rate, 1.0);
+  const core::Duration own =
+      m_members.SelfActive() ? kBeatPeriod : kBeatPeriod * kStandbyPeriods;
+  return std::max(own, core::Duration(static_cast<int64_t>(seconds * 1e6)));
+}
+
 void Gateway::Configure(const std::string& document) {
   core::Result<entry::Configuration> read =
       m_dialect.read_configuration(document);
@@ -281,7 +287,24 @@
     return;
   }
   m_fenced_at.reset();
-  m_book.OnPredecessor(m_own_record);
+  entry::Succession succession;
+  succession.boot = m_boot;
+  succession.alone_since = m_alone_since;
+  const bool held_back = entry::HeldBack(m_own_record, succession);
+  int64_t claimed = 0;
+  int64_t spent = 0;
+  int64_t reserved = 0;
+  for (const v1::AccountClaim& claim : m_own_record.claims()) {
+    claimed += claim.ceiling();
+    spent += claim.spent();
+    reserved += claim.reserve();
+  }
+  Lifecycle(LogLine("predecessor")
+                .Number("epoch", static_cast<int64_t>(m_own_record.epoch()))
+                .Number("claimed", claimed)
+                .Number("spent", spent)
+                .Number("held_back", held_back ? reserved : 0));
+  m_book.OnPredecessor(m_own_record, held_back);
   m_writer->BeginBeats();
 }
 
@@ -333,6 +356,14 @@
   context.active = m_members.SelfActive() || !m_first_beat_back;
   context.leaving = beat.leaving();
   context.closing = beat.closing();
+  if (m_alone_since && !m_boot.empty() &&
+      m_policy.book.held_back > core::Duration::zero()) {
+    beat.set_boot(m_boot);
+    beat.set_written_at(now.time_since_epoch().count());
+    const core::TimePoint not_before =
+        now + m_policy.book.held_back + BeatPeriod() - kBeatPeriod;
+    beat.set_not_before(not_before.time_since_epoch().count());
+  }
   m_book.WriteClaims(beat, context, now);
 }
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -31,7 +31,7 @@
   m_report.set_router(std::move(router));
 }
 
-core::Status LoadExchange::Start(const std::string& address, uint64_t epoch) {
+core::Status LoadExchange::Bind(const std::string& address) {
   const auto endpoint = net::ReadEndpoint(address);
   ErrorCode code;
   const auto ip = boost::asio::ip::make_address(
@@ -43,14 +43,19 @@
     m_socket.bind(udp::endpoint(ip, endpoint->port), code);
   }
   if (code) {
+    ErrorCode ignored;
+    m_socket.close(ignored);
     return core::Error{core::ErrorId::kSettingBadValue, address,
                        code.message()};
   }
   m_socket.non_blocking(true, code);
+  return core::Ok();
+}
+
+void LoadExchange::Start(uint64_t epoch) {
   m_report.set_epoch(epoch);
   Receive();
   Tick();
-  return core::Ok();
 }
 
 void LoadExchange::Receive() {
--- a/src/net/clock.cc
+++ b/src/net/clock.cc
@@ -2,7 +2,8 @@
 
 #include <time.h>  // clock_gettime
 
-#include <chrono>  // duration_cast
+#include <chrono>   // duration_cast
+#include <fstream>  // ifstream
 
 namespace coppervalve::net {
 
@@ -17,4 +18,11 @@
       std::chrono::duration_cast<core::Duration>(since_boot));
 }
 
+std::string BootId() {
+  std::ifstream file("/proc/sys/kernel/random/boot_id");
+  std::string id;
+  std::getline(file, id);
+  return id;
+}
+
 }  // namespace coppervalve::net
--- a/tests/entry/unit-beat-reader.cc
+++ b/tests/entry/unit-beat-reader.cc
@@ -1,6 +1,7 @@
 #include "coppervalve/entry/beat_reader.h"
 
 #include <CppUTest/TestHarness.h>
+#include <google/protobuf/stubs/logging.h>
 
 #include <pcg_random.hpp>
 #include <string>  // string
@@ -58,6 +59,7 @@
   constexpr int kRounds = 20'000;
   constexpr int64_t kTotal = 100'000;
   const std::string good = GoodBeat().SerializeAsString();
+  google::protobuf::SetLogHandler(nullptr);
   pcg64 random(20261202);
   for (int round = 0; round < kRounds; ++round) {
     std::string bytes = good;
--- a/tests/gateway/unit-lifecycle.cc
+++ b/tests/gateway/unit-lifecycle.cc
@@ -1,9 +1,13 @@
 #include <CppUTest/TestHarness.h>
 
+#include <boost/asio/ip/address.hpp>  // make_address
+#include <boost/asio/ip/udp.hpp>
 #include <chrono>  // milliseconds
 #include <string>  // string
 #include <vector>  // vector
 
+#include "coppervalve/net/clock.h"
+#include "coppervalve/net/endpoint.h"
 #include "gateway_fixture.h"
 
 using namespace coppervalve;
@@ -201,3 +205,50 @@
   CHECK(router.Until([&] { return one.closed == 1; }));
   CHECK(Has(router.Ask("/hold/x", {}, "r-2"), "HTTP/1.1 503"));
 }
+
+namespace {
+
+// The last record of a process that ended a second ago on this VM.
+v1::RouterBeat CrashedASecondAgo() {
+  v1::RouterBeat before;
+  before.set_epoch(4);
+  before.set_boot(net::BootId());
+  const int64_t now = net::BootNow().time_since_epoch().count();
+  before.set_written_at(now - 1'000'000);
+  before.set_not_before(now + 60'000'000);
+  v1::AccountClaim* claim = before.add_claims();
+  claim->set_account("gate");
+  claim->set_ceiling(9'000);
+  claim->set_reserve(7'000);
+  return before;
+}
+
+}  // namespace
+
+TEST(Lifecycle, a_restarted_process_gets_back_what_the_one_before_held_back) {
+  // A process crashes and starts again a moment later on the same VM. All that
+  // it had claimed counted as spent, and its callers found nothing left.
+  router.settings.load_address = FreeAddress(router.io);
+  router.store.Put("routers", "router-1",
+                   CrashedASecondAgo().SerializeAsString());
+  router.Start(10'000);
+  CHECK_EQUAL(2'000, NewestBeat(router).claims(0).retired());
+  // It holds back part of its own claim in turn.
+  CHECK(NewestBeat(router).claims(0).reserve() > 0);
+  CHECK(NewestBeat(router).boot() == net::BootId());
+}
+
+TEST(Lifecycle, a_process_that_may_have_company_gets_nothing_back) {
+  // The port is taken: the process before may live, and spend what it held
+  // back.
+  router.settings.load_address = FreeAddress(router.io);
+  boost::asio::ip::udp::socket taken(router.io);
+  const auto endpoint = net::ReadEndpoint(router.settings.load_address);
+  taken.open(boost::asio::ip::udp::v4());
+  taken.bind({boost::asio::ip::make_address(endpoint->ip), endpoint->port});
+  router.store.Put("routers", "router-1",
+                   CrashedASecondAgo().SerializeAsString());
+  router.Start(10'000);
+  CHECK_EQUAL(9'000, NewestBeat(router).claims(0).retired());
+  CHECK_EQUAL(0, NewestBeat(router).claims(0).reserve());
+}
