Lead callers to three routers and as many more as the load needs

Cause: an account's tokens lay in eight or nine pieces, about one large request each; in a cut a large one was refused with most of the account idle elsewhere. Change: at least three active routers in place of eight; the load they must take together decides as before.

--- a/include/coppervalve/entry/policy.h
+++ b/include/coppervalve/entry/policy.h
@@ -19,7 +19,7 @@
   bool gifts = true;  ///< ask other routers for tokens
   /// Lead callers to so many routers at least, the most capable; more where
   /// the load needs it.
-  double least_active = 8;
+  double least_active = 3;
   bool load_reports = true;  ///< count the work that other routers report
 };
 
