--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -34,14 +34,14 @@
   double spread = 1.0;
   /// Share of what can still be spent that all routers together take before
   /// they have seen any demand.
-  double first_share = 0.3;
+  double first_share = 0.4;
   core::Duration learning{8'000'000};
   /// Share of what can still be spent that all routers hold at most: the rest
   /// stays free for those whose demand grows.
-  double most_held = 0.3;
+  double most_held = 0.35;
   /// After a loss, what is left of an account is claimed at a rate that would
   /// last for about this long.
-  core::Duration spread_rest{4'000'000};
+  core::Duration spread_rest{1'500'000};
   /// A loss counts when it took more than this part of what is left.
   double loss_counts = 0.25;
   /// What a claim holds ahead is not touched before this time has passed since
