Refuse at once what upstreams can't read in time

Change: the time until the least busy engine could read the request's own part is learned from answers (entry::ReadingPace); beyond a fifth of the shortest objective that is as urgent a growing part is refused (entry::Shed), all of it from six tenths on, before any tokens are set aside, with the time at which the waiting work is done. Sizes and accounts don't matter. What an engine must read of a shared part that it doesn't keep counts as work there.

--- a/include/coppervalve/entry/in_force.h
+++ b/include/coppervalve/entry/in_force.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>        // size_t
 #include <cstdint>        // uint64_t
+#include <map>            // map
 #include <string>         // string
 #include <string_view>    // string_view
 #include <unordered_map>  // unordered_map
@@ -33,13 +34,23 @@
   /// @return the account that holds the key; null for an unknown key
   const Account* FindAccount(const std::string& key) const;
   const Service* FindService(const core::ServiceId& service) const;
+  /// @return the shortest objective of the service's routes that are as urgent
+  /// as a priority or more; 0 when none of them states one
+  /// @complexity linear in the priorities in use
+  core::Duration ObjectiveOf(const core::ServiceId& service,
+                             uint8_t priority) const;
 
  private:
+  void NoteObjective(const core::ServiceId& service, const Route& route);
+
   Configuration m_configuration;
   /// Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> m_routes;
   std::unordered_map<std::string, const Account*> m_accounts;
   std::unordered_map<core::ServiceId, const Service*> m_services;
+  /// Shortest objective of the routes to a service, by their priority.
+  std::unordered_map<core::ServiceId, std::map<uint8_t, core::Duration>>
+      m_objectives;
 };
 
 /// @brief Chooses a service of a route by weight.
--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -46,6 +46,14 @@
   uint32_t candidates = 0;
   uint32_t reporting = 0;  ///< routers whose work was known
   double cost = 0;
+  /// What must be read before the request's own part where that is least: work
+  /// that waits, and what the engine doesn't keep of the shared part; in tokens
+  /// of an engine of usual pace.
+  double waiting = 0;
+  /// What waits at the chosen engine, with all of the request's own.
+  double to_read = 0;
+  /// The request's own part of it.
+  double own_reading = 0;
 };
 
 /// @brief Constants of the policy. Costs of engines are in prompt tokens that
@@ -100,6 +108,9 @@
     double cost = 0;
     bool owner = false;
     bool sent = false;
+    double in_prefill = 0;
+    double own_reading = 0;  ///< of what it doesn't keep
+    double slowness = 1;
   };
   std::vector<UpstreamRef> Usable(const std::vector<UpstreamRef>& upstreams,
                                   const PlacementQuery& query,
@@ -114,6 +125,8 @@
   Candidate CostAtPlain(const UpstreamRef& upstream,
                         const PlacementQuery& query,
                         double usual_pace) const;
+  double WaitingAt(const Candidate& candidate,
+                   const PlacementQuery& query) const;
   Placement Cheapest(const std::vector<UpstreamRef>& usable,
                      const PlacementQuery& query,
                      core::TimePoint now) const;
--- a/include/coppervalve/entry/policy.h
+++ b/include/coppervalve/entry/policy.h
@@ -7,6 +7,7 @@
 #include "coppervalve/core/result.h"
 #include "coppervalve/entry/allotment_book.h"
 #include "coppervalve/entry/placement.h"
+#include "coppervalve/entry/shedding.h"
 
 namespace coppervalve::entry {
 
@@ -16,6 +17,7 @@
 struct Policy {
   BookOptions book;
   PlacementOptions placement;
+  SheddingOptions shedding;
   bool gifts = true;  ///< ask other routers for tokens
   /// Lead callers to so many routers at least, the most capable; more where
   /// the load needs it.
--- a/include/coppervalve/entry/reading_pace.h
+++ b/include/coppervalve/entry/reading_pace.h
@@ -8,9 +8,9 @@
 
 namespace coppervalve::entry {
 
-/// @brief How long the engines of a service take to the first piece of an
-/// answer, learned from their answers: a fixed part and a part for each token
-/// that they must read first.
+/// @brief How long the engines of a service take to read prompts, learned from
+/// their answers: what grows with the tokens that must be read first, and not
+/// what is the same for all.
 class ReadingPace {
  public:
   /// @param to_read tokens read before the first piece: those that were waiting
@@ -22,9 +22,6 @@
 
   /// @return time until so many tokens are read; 0 while nothing is known
   core::Duration ToRead(const core::ServiceId& service, double tokens) const;
-  /// @return time to the first piece; 0 while nothing is known
-  core::Duration ToFirstPiece(const core::ServiceId& service,
-                              double to_read) const;
 
  private:
   /// A line through the answers of late: older ones count less and less.
@@ -35,7 +32,6 @@
     double tokens_squared = 0;
     double tokens_micros = 0;
     double Slope() const;
-    double Fixed() const;
   };
   const Line* Find(const core::ServiceId& service) const;
 
--- a/include/coppervalve/entry/shedding.h
+++ b/include/coppervalve/entry/shedding.h
@@ -19,12 +19,12 @@
 /// @brief Constants of what is refused when upstreams can't keep up.
 struct SheddingOptions {
   bool on = true;
-  /// Up to this part of the objective may be spent waiting without any refusal:
-  /// reading and the way there and back need the rest.
-  double free_part = 0.25;
-  /// From this part on everything is refused: what is taken then is late for
-  /// sure, and makes all that comes after it late.
-  double full_part = 0.75;
+  /// Up to this part of the objective may be spent waiting without any refusal.
+  /// Waits of a tenth are met with upstreams at half of what they can do.
+  double free_part = 0.2;
+  /// From this part on everything is refused: reading a large prompt, and what
+  /// comes between the report of a wait and the request, need the rest.
+  double full_part = 0.6;
   /// Less urgent requests are refused a little earlier, for each rank.
   double rank_part = 0.9;
 };
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -16,6 +16,8 @@
 #include "coppervalve/entry/member_list.h"
 #include "coppervalve/entry/peer_contact.h"
 #include "coppervalve/entry/placement.h"
+#include "coppervalve/entry/policy.h"
+#include "coppervalve/entry/reading_pace.h"
 #include "coppervalve/entry/retry_allowance.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/gateway/caller_connection.h"
@@ -32,7 +34,9 @@
   boost::asio::io_context& io;
   const Dialect& dialect;
   entry::UpstreamDirectory& directory;
+  const entry::Policy& policy;
   const entry::Placer& placer;
+  entry::ReadingPace& pace;
   entry::RetryAllowance& retries;
   entry::AllotmentBook& book;
   const entry::MemberList& members;
@@ -73,12 +77,16 @@
     core::TimePoint began;
     AnswerFacts answer;
     double reading = 0;       ///< its part of the upstream's in_prefill
+    double to_read = 0;       ///< that and what waited, at usual pace
     double cost = 0;          ///< expected when it was placed
     bool passing_on = false;  ///< its bytes go to the caller
     bool resumed = false;
   };
 
   void Admit();
+  void SetTokensAside();
+  /// @brief Refuses the request when upstreams can't keep up. @return whether
+  bool ShedIfOverloaded();
   void Reserve();
   core::Tokens Most() const { return m_facts.prompt + m_facts.most_output; }
   void WaitForGrant();
@@ -88,6 +96,7 @@
   void RefuseForWantOfTokens(core::TimePoint now);
   void OnGrant();
   void Place();
+  entry::Placement ChoosePlacement();
   void Send(const entry::Placement& placement);
   std::string RequestText(const SendFacts& facts) const;
 
@@ -150,6 +159,9 @@
   bool m_done = false;
   std::string m_last_failure;
   entry::Placement m_placed;  ///< the last one
+  /// Chosen before tokens were set aside, and good until anything was waited
+  /// for.
+  std::optional<entry::Placement> m_planned;
 };
 
 }  // namespace coppervalve::gateway
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -142,6 +142,7 @@
   entry::PeerLoads m_peer_loads;
   entry::PeerContact m_peers;
   entry::Placer m_placer;
+  entry::ReadingPace m_pace;
   entry::RetryAllowance m_retries;
   entry::AllotmentBook m_book;
   entry::MemberList m_members;
--- a/src/entry/in_force.cc
+++ b/src/entry/in_force.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/entry/in_force.h"
 
-#include <algorithm>  // stable_sort
+#include <algorithm>  // min, stable_sort
 #include <utility>    // move
 
 namespace coppervalve::entry {
@@ -24,6 +24,37 @@
   for (const Service& service : m_configuration.services) {
     m_services[service.name] = &service;
   }
+  for (const Route& route : m_configuration.routes) {
+    for (const WeightedService& target : route.services) {
+      NoteObjective(target.service, route);
+    }
+  }
+}
+
+void InForce::NoteObjective(const core::ServiceId& service,
+                            const Route& route) {
+  if (route.target_latency <= core::Duration::zero()) {
+    return;
+  }
+  core::Duration& shortest = m_objectives[service]
+                                 .emplace(route.priority, route.target_latency)
+                                 .first->second;
+  shortest = std::min(shortest, route.target_latency);
+}
+
+core::Duration InForce::ObjectiveOf(const core::ServiceId& service,
+                                    uint8_t priority) const {
+  const auto found = m_objectives.find(service);
+  if (found == m_objectives.end()) {
+    return core::Duration::zero();
+  }
+  core::Duration shortest = core::Duration::max();
+  for (const auto& [rank, objective] : found->second) {
+    if (rank <= priority) {
+      shortest = std::min(shortest, objective);
+    }
+  }
+  return shortest == core::Duration::max() ? core::Duration::zero() : shortest;
 }
 
 const Route* InForce::FindRoute(std::string_view host,
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -1,6 +1,7 @@
 #include "coppervalve/entry/placement.h"
 
-#include <algorithm>  // find, nth_element, clamp, max
+#include <algorithm>  // find, nth_element, clamp, max, min
+#include <limits>     // numeric_limits
 #include <utility>    // move
 
 #include "coppervalve/core/hash.h"
@@ -171,7 +172,10 @@
       std::max(0.0, load.in_flight + 1 - upstream->entry.slots);
   const double wait = load.in_prefill + m_options.running * load.in_flight +
                       m_options.beyond_slots * beyond + ReadingCost(own);
-  candidate.cost = wait * Slowness(*upstream, usual_pace) + missed;
+  candidate.slowness = Slowness(*upstream, usual_pace);
+  candidate.cost = wait * candidate.slowness + missed;
+  candidate.in_prefill = load.in_prefill;
+  candidate.own_reading = ReadingCost(kept ? own : query.prompt);
   return candidate;
 }
 
@@ -186,7 +190,17 @@
   if (upstream->entry.failure_domain == m_own_domain) {
     cost -= m_options.own_domain;
   }
-  return {upstream, cost, false, false};
+  Candidate candidate{upstream};
+  candidate.cost = cost;
+  return candidate;
+}
+
+// What is read there before the part of the request that nobody can spare it.
+double Placer::WaitingAt(const Candidate& candidate,
+                         const PlacementQuery& query) const {
+  const double alone = ReadingCost(query.prompt - query.shared_tokens);
+  return (candidate.in_prefill + candidate.own_reading - alone) *
+         candidate.slowness;
 }
 
 Placement Placer::Cheapest(const std::vector<UpstreamRef>& usable,
@@ -197,6 +211,7 @@
   const Upstream* owner =
       has_owner ? OwnerOf(usable, query.shared_prefix) : nullptr;
   Candidate best;
+  double least_waiting = std::numeric_limits<double>::max();
   // Starting at a random one spreads ties over all.
   const size_t start = routing::UniformBelow(m_random, usable.size());
   for (size_t i = 0; i < usable.size(); ++i) {
@@ -205,6 +220,7 @@
         query.engine ? CostAtEngine(upstream, query, upstream.get() == owner,
                                     usual_pace, now)
                      : CostAtPlain(upstream, query, usual_pace);
+    least_waiting = std::min(least_waiting, WaitingAt(candidate, query));
     if (best.upstream == nullptr || candidate.cost < best.cost) {
       best = candidate;
     }
@@ -216,8 +232,16 @@
   if (best.owner) {
     why = PlacedBy::kPrefixOwner;
   }
-  return {best.upstream, why, static_cast<uint32_t>(usable.size()),
-          m_peers.Reporting(), best.cost};
+  Placement placement;
+  placement.upstream = best.upstream;
+  placement.why = why;
+  placement.candidates = static_cast<uint32_t>(usable.size());
+  placement.reporting = m_peers.Reporting();
+  placement.cost = best.cost;
+  placement.waiting = least_waiting;
+  placement.own_reading = best.own_reading;
+  placement.to_read = (best.in_prefill + best.own_reading) * best.slowness;
+  return placement;
 }
 
 }  // namespace coppervalve::entry
--- a/src/entry/reading_pace.cc
+++ b/src/entry/reading_pace.cc
@@ -12,10 +12,6 @@
 // Fewer answers are no line.
 constexpr double kLeastWeight = 8;
 
-core::Duration Micros(double micros) {
-  return core::Duration(static_cast<int64_t>(std::max(micros, 0.0)));
-}
-
 }  // namespace
 
 // Least squares. Where all answers had the same to read there is no slope to
@@ -28,10 +24,6 @@
   return std::max((weight * tokens_micros - tokens * micros) / spread, 0.0);
 }
 
-double ReadingPace::Line::Fixed() const {
-  return std::max((micros - Slope() * tokens) / weight, 0.0);
-}
-
 void ReadingPace::OnFirstPiece(const core::ServiceId& service,
                                double to_read,
                                core::Duration time) {
@@ -56,14 +48,8 @@
                                    double tokens) const {
   const Line* line = Find(service);
   return line == nullptr ? core::Duration::zero()
-                         : Micros(line->Slope() * tokens);
-}
-
-core::Duration ReadingPace::ToFirstPiece(const core::ServiceId& service,
-                                         double to_read) const {
-  const Line* line = Find(service);
-  return line == nullptr ? core::Duration::zero()
-                         : Micros(line->Fixed() + line->Slope() * to_read);
+                         : core::Duration(static_cast<int64_t>(
+                               line->Slope() * std::max(tokens, 0.0)));
 }
 
 }  // namespace coppervalve::entry
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -16,6 +16,7 @@
 // attempt each.
 constexpr uint32_t kMostTries = 6;
 constexpr core::Duration kGrantWait{400'000};
+constexpr int64_t kMicrosPerMilli = 1'000;
 
 core::Duration RetryAfter(const core::Error& error) {
   switch (error.id) {
@@ -27,6 +28,12 @@
   }
 }
 
+// Uniform in [0, 1).
+double Fraction(const routing::RandomHook& random) {
+  constexpr uint64_t kSteps = 1'000'000;
+  return static_cast<double>(routing::UniformBelow(random, kSteps)) / kSteps;
+}
+
 }  // namespace
 
 Exchange::Exchange(const ExchangeContext& context,
@@ -80,7 +87,39 @@
   }
   m_limit_at = m_request.arrived + m_admitted.limit;
   m_context.retries.OnRequest(m_admitted.service, m_request.arrived);
+  if (ShedIfOverloaded()) {
+    return;
+  }
   ArmTimer();
+  SetTokensAside();
+}
+
+bool Exchange::ShedIfOverloaded() {
+  const entry::Service* service =
+      m_admitted.in_force->FindService(m_admitted.service);
+  if (service == nullptr || !service->engine) {
+    return false;
+  }
+  m_planned = ChoosePlacement();
+  entry::Backlog backlog;
+  backlog.wait = m_context.pace.ToRead(m_admitted.service, m_planned->waiting);
+  backlog.objective = m_admitted.in_force->ObjectiveOf(
+      m_admitted.service, m_admitted.route->priority);
+  backlog.rank = m_admitted.route->priority;
+  const std::optional<core::Duration> come_back = entry::Shed(
+      m_context.policy.shedding, backlog, Fraction(m_context.random));
+  if (!come_back) {
+    return false;
+  }
+  m_placed = *m_planned;
+  Refuse({core::ErrorId::kBacklogFull, m_admitted.service.value(),
+          "work that waits for " +
+              std::to_string(backlog.wait.count() / kMicrosPerMilli) + " ms"},
+         come_back);
+  return true;
+}
+
+void Exchange::SetTokensAside() {
   if (m_admitted.account == nullptr || Most() == core::Tokens(0)) {
     Place();
     return;
@@ -133,6 +172,7 @@
     }
     return;
   }
+  m_planned.reset();
   if (!m_wait_until) {
     m_waiting_since = now;
     m_wait_until = now + std::min(kGrantWait, m_admitted.limit / 4);
@@ -161,6 +201,7 @@
     return false;
   }
   m_borrowed = true;
+  m_planned.reset();
   m_borrowing = m_context.borrow(m_admitted.account->name, Most(),
                                  [weak = weak_from_this()] {
                                    if (const auto self = weak.lock()) {
@@ -220,6 +261,26 @@
     m_waiting_since.reset();
     m_wait_until.reset();
   }
+  const entry::Placement placement =
+      m_planned ? *std::exchange(m_planned, std::nullopt) : ChoosePlacement();
+  m_placed = placement;
+  if (placement.upstream == nullptr || ++m_tries > kMostTries) {
+    core::Error error{core::ErrorId::kNoUpstream, m_admitted.service.value(),
+                      m_last_failure.empty()
+                          ? std::string(entry::ToString(placement.why))
+                          : m_last_failure};
+    if (m_may_have_run) {
+      error.id = core::ErrorId::kUpstreamFailed;
+      Fail(error);
+    } else {
+      Refuse(error, kSoon);
+    }
+    return;
+  }
+  Send(placement);
+}
+
+entry::Placement Exchange::ChoosePlacement() {
   const entry::Service* service =
       m_admitted.in_force->FindService(m_admitted.service);
   entry::PlacementQuery query;
@@ -239,23 +300,7 @@
         service->max_connections * 4 / 5 / m_context.members.Active();
     query.connection_bound = std::max(share, 2U);
   }
-  const entry::Placement placement =
-      m_context.placer.Choose(m_context.directory, query, net::BootNow());
-  m_placed = placement;
-  if (placement.upstream == nullptr || ++m_tries > kMostTries) {
-    core::Error error{core::ErrorId::kNoUpstream, m_admitted.service.value(),
-                      m_last_failure.empty()
-                          ? std::string(entry::ToString(placement.why))
-                          : m_last_failure};
-    if (m_may_have_run) {
-      error.id = core::ErrorId::kUpstreamFailed;
-      Fail(error);
-    } else {
-      Refuse(error, kSoon);
-    }
-    return;
-  }
-  Send(placement);
+  return m_context.placer.Choose(m_context.directory, query, net::BootNow());
 }
 
 }  // namespace coppervalve::gateway
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -95,8 +95,8 @@
   attempt.resumed = AfterAnEvent();
   attempt.connection = m_context.pool.Take(*upstream, !Repeatable(), now);
   m_attempt = attempt;
-  m_attempt->reading = m_context.placer.ReadingCost(
-      m_facts.prompt - std::min(m_facts.shared_tokens, m_facts.prompt));
+  m_attempt->reading = placement.own_reading;
+  m_attempt->to_read = placement.to_read;
   m_attempt->cost = placement.cost;
   ++upstream->in_flight;
   upstream->in_prefill += m_attempt->reading;
@@ -131,6 +131,10 @@
   EndReading();
   attempt.upstream->health.OnFirstByte(m_watch_from - attempt.began,
                                        attempt.cost + kCostOfAny);
+  if (attempt.to_read > 0 && IsSuccess(head.status)) {
+    m_context.pace.OnFirstPiece(m_admitted.service, attempt.to_read,
+                                m_watch_from - attempt.began);
+  }
   const std::string& echoed = attempt.answer.request_id;
   const bool of_another = !echoed.empty() && echoed != m_facts.id;
   if (of_another || (IsSuccess(head.status) && !attempt.answer.genuine)) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -67,8 +67,8 @@
       m_pool(io),
       m_tick(io) {
   m_context.emplace(ExchangeContext{
-      m_io, m_dialect, m_directory, m_placer, m_retries, m_book, m_members,
-      m_peers, m_contact, m_pool, m_log, m_metrics, m_random,
+      m_io, m_dialect, m_directory, m_policy, m_placer, m_pace, m_retries,
+      m_book, m_members, m_peers, m_contact, m_pool, m_log, m_metrics, m_random,
       [this] { return View(); },
       [this](std::function<void()> on_grant) {
         m_waiting.push_back(std::move(on_grant));
