Take a peer's word that it reaches the store for 0.65 s, not 1.2 s

The peers' word was from before the cut. Change: it holds for 0.65 s; a router knows of its own loss after 0.9 s.

--- a/include/coppervalve/entry/peer_contact.h
+++ b/include/coppervalve/entry/peer_contact.h
@@ -28,7 +28,7 @@
   /// can't tell. Routers that stand by are silent by design: that is why the
   /// memory is short.
   bool Lost(const core::RouterId& router, core::TimePoint now) const;
-  /// @return routers heard lately that reach the store
+  /// @return routers that reach the store, by a word of a moment ago
   uint32_t WithStore(core::TimePoint now) const;
 
  private:
--- a/src/entry/peer_contact.cc
+++ b/src/entry/peer_contact.cc
@@ -2,6 +2,13 @@
 
 namespace coppervalve::entry {
 
+namespace {
+
+// Reports are repeated every 0.3 s: one of two may be lost.
+constexpr core::Duration kWordHolds{650'000};
+
+}  // namespace
+
 void PeerContact::OnReport(const core::RouterId& router,
                            bool store_up,
                            core::TimePoint now) {
@@ -30,10 +37,15 @@
   return now - found->second.heard < m_memory && HearsAny(now);
 }
 
+// In a cut of all routers each still had the others' word from before it, that
+// they reach the store, and sent its callers to them: they were refused again
+// at once, a hundred a cut. A router that lost the store knows so after nine
+// tenths of a second at the earliest, and by then such a word is too old.
 uint32_t PeerContact::WithStore(core::TimePoint now) const {
   uint32_t count = 0;
   for (const auto& [router, peer] : m_peers) {
-    count += Heard(peer, now) && peer.store_up ? 1 : 0;
+    const bool fresh = now - peer.heard < kWordHolds;
+    count += fresh && peer.store_up ? 1 : 0;
   }
   return count;
 }
--- a/tests/entry/unit-peer-contact.cc
+++ b/tests/entry/unit-peer-contact.cc
@@ -46,6 +46,15 @@
 TEST(PeerContact, only_those_heard_lately_count_as_reaching_the_store) {
   peers.OnReport(kTwo, true, At(0));
   peers.OnReport(kThree, false, At(0));
-  CHECK_EQUAL(1, peers.WithStore(At(1)));
-  CHECK_EQUAL(0, peers.WithStore(At(2)));
+  CHECK_EQUAL(1, peers.WithStore(At(0.6)));
+  CHECK_EQUAL(0, peers.WithStore(At(0.7)));
+}
+
+TEST(PeerContact, in_a_cut_of_all_nobody_is_said_to_reach_the_store) {
+  // A caller is sent to another router "that reaches the store" and is refused
+  // there once more. All were cut at second 0; the store is known to be lost
+  // nine tenths of a second later.
+  peers.OnReport(kTwo, true, At(0));
+  peers.OnReport(kThree, true, At(0));
+  CHECK_EQUAL(0, peers.WithStore(At(0.9)));
 }
