--- a/src/entry/policy.cc
+++ b/src/entry/policy.cc
@@ -118,6 +118,7 @@
 
 std::vector<std::string_view> PolicyNames() {
   std::vector<std::string_view> names;
+  names.reserve(kFields.size());
   for (const NamedField& field : kFields) {
     names.push_back(field.name);
   }
