--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -47,7 +47,7 @@
   /// What a claim holds ahead is not touched before this time has passed since
   /// it was written. So a process that died and whose successor began sooner
   /// can't have spent it. A restart on the same VM takes a second or two, and
-  /// beats come every half second. 0 = nothing is held back.
+  /// beats come more often than that. 0 = nothing is held back.
   core::Duration held_back{2'500'000};
   /// Standard deviations of the demand of that time that are not held back: a
   /// request that doesn't fit has the claim written anew at once.
