--- a/bench/ceiling/fleet.cc
+++ b/bench/ceiling/fleet.cc
@@ -42,6 +42,7 @@
       m_policy(policy),
       m_random(options.seed),
       m_routers(options.routers),
+      m_pressure(options.accounts, 1.0),
       m_spent(options.accounts),
       m_in_use(options.accounts) {
   double sum = 0;
@@ -89,7 +90,7 @@
   router.sequence = 0;
   router.read = 0;
   router.next_beat = m_now + 0.05;
-  router.book = std::make_unique<entry::AllotmentBook>(entry::BookOptions{});
+  router.book = std::make_unique<entry::AllotmentBook>(m_options.book);
   router.book->OnConfiguration(ConfigurationOf());
   v1::RouterBeat own;
   for (; router.read < m_log.size(); ++router.read) {
@@ -138,18 +139,19 @@
   }
 }
 
-void Fleet::Beat(uint32_t index) {
+void Fleet::Beat(uint32_t index, bool closing) {
   Router& router = m_routers[index];
   Record record;
   record.router = index;
   record.beat.set_epoch(router.epoch);
   record.beat.set_sequence(++router.sequence);
-  const core::TimePoint not_before = At(m_now) + entry::BookOptions{}.held_back;
+  const core::TimePoint not_before = At(m_now) + m_options.book.held_back;
   record.beat.set_boot(std::to_string(router.boot));
   record.beat.set_written_at(At(m_now).time_since_epoch().count());
   record.beat.set_not_before(not_before.time_since_epoch().count());
   entry::ClaimContext context;
   context.routers = m_options.routers;
+  context.closing = closing;
   router.book->WriteClaims(record.beat, context, At(m_now));
   m_log.push_back(std::move(record));
   ++m_outcome.records;
@@ -237,14 +239,18 @@
 }
 
 void Fleet::Arrivals() {
-  double expected = m_options.requests_per_second * kStep;
+  double pressure = 0;
+  for (uint32_t i = 0; i < m_options.accounts; ++i) {
+    pressure += m_weights[i] * m_pressure[i];
+  }
+  double expected = m_options.requests_per_second * pressure * kStep;
   while (Uniform() < expected) {
     expected -= 1;
     Request request;
-    double draw = Uniform();
+    double draw = Uniform() * pressure;
     while (request.account + 1 < m_options.accounts &&
-           draw >= m_weights[request.account]) {
-      draw -= m_weights[request.account];
+           draw >= m_weights[request.account] * m_pressure[request.account]) {
+      draw -= m_weights[request.account] * m_pressure[request.account];
       ++request.account;
     }
     const int64_t mean = Uniform() < kLargeShare ? kLargeTokens : kSmallTokens;
@@ -340,6 +346,24 @@
   }
 }
 
+// What is in progress ends before the process does.
+void Fleet::Drain(uint32_t index) {
+  Router& router = m_routers[index];
+  if (!router.up || router.cut) {
+    return;
+  }
+  for (Request& request : router.running) {
+    request.ends = m_now;
+  }
+  EndRequests(router);
+  Beat(index, true);
+  Kill(index, End::kProcess);
+}
+
+void Fleet::Press(uint32_t account, double times) {
+  m_pressure[account] = times;
+}
+
 Outcome Fleet::Finish() {
   RunUntil(m_options.end);
   for (uint32_t i = 0; i < m_options.accounts; ++i) {
--- a/bench/ceiling/fleet.h
+++ b/bench/ceiling/fleet.h
@@ -30,6 +30,7 @@
   double prepaid_ratio = 1.3;
   double end = 50;  ///< seconds
   uint64_t seed = 1;
+  entry::BookOptions book;
 };
 
 /// @brief What came of a run.
@@ -63,6 +64,10 @@
   };
   void Kill(uint32_t router, End end);
   void KillAll(End end);
+  /// @brief A router gives back what it does not use, ends, and starts again.
+  void Drain(uint32_t router);
+  /// @brief From now on an account sends `times` what it sent at first.
+  void Press(uint32_t account, double times);
   Outcome Finish();
 
  private:
@@ -99,7 +104,7 @@
                      const v1::RouterBeat& last,
                      bool held_back);
   void ReadLog(uint32_t index);
-  void Beat(uint32_t index);
+  void Beat(uint32_t index, bool closing = false);
   void EndRequests(Router& router);
   void Arrivals();
   void Serve(uint32_t index, const Request& request);
@@ -115,10 +120,11 @@
   double m_now = 0;
   std::vector<Router> m_routers;
   std::vector<Record> m_log;
-  std::vector<double> m_weights;  ///< share of the requests, by account
-  std::vector<int64_t> m_totals;  ///< by account
-  std::vector<int64_t> m_spent;   ///< truly, by account
-  std::vector<int64_t> m_in_use;  ///< reserved at present, by account
+  std::vector<double> m_weights;   ///< share of the requests, by account
+  std::vector<double> m_pressure;  ///< times that share, by account
+  std::vector<int64_t> m_totals;   ///< by account
+  std::vector<int64_t> m_spent;    ///< truly, by account
+  std::vector<int64_t> m_in_use;   ///< reserved at present, by account
   Outcome m_outcome;
 };
 
--- a/bench/ceiling/main.cc
+++ b/bench/ceiling/main.cc
@@ -6,116 +6,85 @@
 #include <vector>      // vector
 
 #include "bench/budget/report.h"
-#include "bench/ceiling/fleet.h"
+#include "bench/ceiling/schedule.h"
 
 namespace {
 
 using namespace coppervalve::bench;
 
-constexpr uint64_t kSeeds = 4;
-
-/// @brief What happens to a fleet, and what may come of it at most.
-struct Schedule {
-  std::string name;
-  std::function<void(Fleet&, const FleetOptions&)> play;
-  double false_refusals_per_thousand = 0;  ///< bound
-  double stranded_per_thousand = 0;        ///< bound, of the totals
-  double late_served_per_thousand = 0;     ///< bound, of the last five seconds
-  double prepaid_ratio = 1.3;
+/// @brief A schedule, and what may come of it at most.
+struct Bounded {
+  Schedule schedule;
+  double false_refusals_per_thousand = 0;
+  double stranded_per_thousand = 0;     ///< of the totals
+  double late_served_per_thousand = 0;  ///< at least, of the last five seconds
 };
 
-void CutAll(Fleet& fleet, const FleetOptions& options, double at, double span) {
-  fleet.RunUntil(at);
-  fleet.Cut(0, options.routers, true);
-  fleet.RunUntil(at + span);
-  fleet.Cut(0, options.routers, false);
-}
-
-std::vector<Schedule> Schedules() {
+std::vector<Bounded> Schedules() {
   return {
-      {"calm", [](Fleet&, const FleetOptions&) {}, 1, 0},
-      {"all_cut_twice",
-       [](Fleet& fleet, const FleetOptions& options) {
-         CutAll(fleet, options, 5, 9);
-         CutAll(fleet, options, 23, 8.5);
-       },
-       9, 0},
-      {"all_power_lost",
-       [](Fleet& fleet, const FleetOptions&) {
-         fleet.RunUntil(34);
-         fleet.KillAll(Fleet::End::kPower);
-       },
-       17, 175},
-      {"all_power_lost_and_little_left",
-       [](Fleet& fleet, const FleetOptions&) {
-         fleet.RunUntil(34);
-         fleet.KillAll(Fleet::End::kPower);
-       },
-       100, 110, 420, 0.95},
-      {"all_processes_killed",
-       [](Fleet& fleet, const FleetOptions&) {
-         fleet.RunUntil(34);
-         fleet.KillAll(Fleet::End::kProcess);
-       },
-       17, 70},
-      {"cut_then_power_lost",
-       [](Fleet& fleet, const FleetOptions& options) {
-         CutAll(fleet, options, 5, 9);
-         CutAll(fleet, options, 23, 8.5);
-         fleet.RunUntil(34);
-         fleet.KillAll(Fleet::End::kPower);
-       },
-       22, 180},
-      {"one_killed_every_3s",
-       [](Fleet& fleet, const FleetOptions& options) {
-         for (uint32_t i = 0; i < 14; ++i) {
-           fleet.RunUntil(3.0 * (i + 1));
-           fleet.Kill(i % options.routers, Fleet::End::kProcess);
-         }
-       },
-       200, 450},
-      {"half_turned_away",
-       [](Fleet& fleet, const FleetOptions& options) {
-         fleet.RunUntil(8);
-         fleet.Cut(0, options.routers / 2, true);
-         fleet.RunUntil(17);
-         fleet.Cut(0, options.routers / 2, false);
-       },
-       4, 0},
+      {{"calm", [](Fleet&, const FleetOptions&) {}}, 1, 0},
+      {{"all_cut_twice",
+        [](Fleet& fleet, const FleetOptions& options) {
+          CutAll(fleet, options, 5, 9);
+          CutAll(fleet, options, 23, 8.5);
+        }},
+       9,
+       0},
+      {{"all_power_lost",
+        [](Fleet& fleet, const FleetOptions&) {
+          LoseAll(fleet, 34, Fleet::End::kPower);
+        }},
+       17,
+       175},
+      {{"all_power_lost_and_little_left",
+        [](Fleet& fleet, const FleetOptions&) {
+          LoseAll(fleet, 34, Fleet::End::kPower);
+        },
+        0.95},
+       100,
+       110,
+       420},
+      {{"all_processes_killed",
+        [](Fleet& fleet, const FleetOptions&) {
+          LoseAll(fleet, 34, Fleet::End::kProcess);
+        }},
+       17,
+       70},
+      {{"cut_then_power_lost",
+        [](Fleet& fleet, const FleetOptions& options) {
+          CutAll(fleet, options, 5, 9);
+          CutAll(fleet, options, 23, 8.5);
+          LoseAll(fleet, 34, Fleet::End::kPower);
+        }},
+       22,
+       180},
+      {{"one_killed_every_3s",
+        [](Fleet& fleet, const FleetOptions& options) {
+          for (uint32_t i = 0; i < 14; ++i) {
+            fleet.RunUntil(3.0 * (i + 1));
+            fleet.Kill(i % options.routers, Fleet::End::kProcess);
+          }
+        }},
+       200,
+       450},
+      {{"half_turned_away",
+        [](Fleet& fleet, const FleetOptions& options) {
+          fleet.RunUntil(8);
+          fleet.Cut(0, options.routers / 2, true);
+          fleet.RunUntil(17);
+          fleet.Cut(0, options.routers / 2, false);
+        }},
+       4,
+       0},
   };
 }
 
-Outcome PlayAll(const Schedule& schedule, Policy policy) {
-  Outcome sum;
-  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    FleetOptions options;
-    options.seed = seed;
-    options.prepaid_ratio = schedule.prepaid_ratio;
-    Fleet fleet(options, policy);
-    schedule.play(fleet, options);
-    const Outcome one = fleet.Finish();
-    sum.requests += one.requests;
-    sum.served += one.served;
-    sum.false_refusals += one.false_refusals;
-    sum.overspend += one.overspend;
-    sum.stranded += one.stranded;
-    sum.total += one.total;
-    sum.records += one.records;
-    sum.late_requests += one.late_requests;
-    sum.late_served += one.late_served;
-  }
-  return sum;
-}
-
-double PerThousand(double part, double whole) {
-  return 1'000 * part / whole;
-}
-
 }  // namespace
 
 int main() {
   Report report;
-  for (const Schedule& schedule : Schedules()) {
+  for (const Bounded& bounded : Schedules()) {
+    const Schedule& schedule = bounded.schedule;
     const Outcome own = PlayAll(schedule, Policy::kCeilings);
     const Outcome split = PlayAll(schedule, Policy::kEqualSplit);
     const auto requests = static_cast<double>(own.requests);
@@ -129,14 +98,14 @@
     line("false_refusals",
          PerThousand(static_cast<double>(own.false_refusals), requests),
          "per thousand",
-         Bound{Bound::Kind::kAtMost, schedule.false_refusals_per_thousand});
+         Bound{Bound::Kind::kAtMost, bounded.false_refusals_per_thousand});
     line("false_refusals_equal_split",
          PerThousand(static_cast<double>(split.false_refusals),
                      static_cast<double>(split.requests)),
          "per thousand", std::nullopt);
     line("stranded", PerThousand(static_cast<double>(own.stranded), total),
          "per thousand",
-         Bound{Bound::Kind::kAtMost, schedule.stranded_per_thousand});
+         Bound{Bound::Kind::kAtMost, bounded.stranded_per_thousand});
     line("stranded_equal_split",
          PerThousand(static_cast<double>(split.stranded), total),
          "per thousand", std::nullopt);
@@ -144,10 +113,10 @@
          PerThousand(static_cast<double>(own.late_served),
                      static_cast<double>(own.late_requests)),
          "per thousand",
-         Bound{Bound::Kind::kAtLeast, schedule.late_served_per_thousand});
+         Bound{Bound::Kind::kAtLeast, bounded.late_served_per_thousand});
     line("records",
          static_cast<double>(own.records) /
-             (FleetOptions{}.end * FleetOptions{}.routers * kSeeds),
+             (FleetOptions{}.end * FleetOptions{}.routers * kScheduleSeeds),
          "a router and second", Bound{Bound::Kind::kAtMost, 2.5});
   }
   return report.exceeded() ? EXIT_FAILURE : EXIT_SUCCESS;
--- /dev/null
+++ b/bench/losses/main.cc
@@ -0,0 +1,169 @@
+// Callers get 402 and 503 for the rest of the day after all routers have lost
+// power a few times. What a router claims ahead of its spending, so as to serve
+// through a cut, counts as spent once it dies, as nothing proves that it was
+// not; each loss took a third of what was left, until nothing was.
+// `bench-losses` plays losses of all routers alone, in series, and mixed with
+// cuts, drains and a hot account, and says what callers of the last five
+// seconds got.
+#include <cstdlib>  // EXIT_FAILURE
+#include <string>   // string
+#include <vector>   // vector
+
+#include "bench/budget/report.h"
+#include "bench/ceiling/schedule.h"
+
+namespace {
+
+using namespace coppervalve::bench;
+using End = Fleet::End;
+
+/// @brief A schedule, and what must come of it. All requests of it spend
+/// tokens: plain ones would be served whatever is left.
+struct Bounded {
+  Schedule schedule;
+  /// Of the last five seconds' requests, at least. Service counts as back when
+  /// a quarter is served.
+  double late_served_per_thousand = 250;
+  /// Of the totals, lost with the dead in all, at most.
+  double stranded_per_thousand = 0;
+};
+
+constexpr double kSeriesOfLosses[] = {8, 16, 24, 28, 34};
+constexpr double kLastLoss = 34;
+
+void LoseInSeries(Fleet& fleet, End end) {
+  for (const double at : kSeriesOfLosses) {
+    LoseAll(fleet, at, end);
+  }
+}
+
+std::vector<Bounded> Schedules() {
+  return {
+      {{"one_loss",
+        [](Fleet& fleet, const FleetOptions&) {
+          LoseAll(fleet, kLastLoss, End::kPower);
+        }},
+       900,
+       180},
+      {{"losses_in_series",
+        [](Fleet& fleet, const FleetOptions&) {
+          LoseInSeries(fleet, End::kPower);
+        }},
+       500,
+       400},
+      {{"crashes_in_series",
+        [](Fleet& fleet, const FleetOptions&) {
+          LoseInSeries(fleet, End::kProcess);
+        }},
+       700,
+       250},
+      {{"losses_every_three_seconds",
+        [](Fleet& fleet, const FleetOptions&) {
+          for (double at = 4; at < kLastLoss; at += 3) {
+            LoseAll(fleet, at, End::kPower);
+          }
+        }},
+       500,
+       450},
+      {{"losses_and_little_left",
+        [](Fleet& fleet, const FleetOptions&) {
+          LoseAll(fleet, 16, End::kPower);
+          LoseAll(fleet, kLastLoss, End::kPower);
+        },
+        0.95},
+       250,
+       300},
+      {{"loss_between_cuts",
+        [](Fleet& fleet, const FleetOptions& options) {
+          CutAll(fleet, options, 4, 8);
+          LoseAll(fleet, 16, End::kPower);
+          CutAll(fleet, options, 23, 8);
+          LoseAll(fleet, kLastLoss, End::kPower);
+        }},
+       500,
+       350},
+      {{"loss_in_a_cut",
+        [](Fleet& fleet, const FleetOptions& options) {
+          fleet.RunUntil(5);
+          fleet.Cut(0, options.routers, true);
+          LoseAll(fleet, 9, End::kPower);
+          fleet.RunUntil(13);
+          fleet.Cut(0, options.routers, false);
+          LoseAll(fleet, kLastLoss, End::kPower);
+        }},
+       500,
+       400},
+      {{"loss_right_after_each_cut",
+        [](Fleet& fleet, const FleetOptions& options) {
+          for (const double at : {5.0, 17.0, 26.0}) {
+            CutAll(fleet, options, at, 7);
+            LoseAll(fleet, at + 8, End::kPower);
+          }
+        }},
+       500,
+       350},
+      {{"losses_with_half_cut_off",
+        [](Fleet& fleet, const FleetOptions& options) {
+          for (const double at : {10.0, 22.0, kLastLoss}) {
+            LoseAll(fleet, at, End::kPower);
+            fleet.Cut(0, options.routers / 2, true);
+            fleet.RunUntil(at + 4);
+            fleet.Cut(0, options.routers / 2, false);
+          }
+        }},
+       500,
+       350},
+      {{"losses_with_a_hot_account",
+        [](Fleet& fleet, const FleetOptions&) {
+          fleet.RunUntil(3);
+          fleet.Press(3, 6);
+          LoseAll(fleet, 9, End::kPower);
+          LoseAll(fleet, 18, End::kPower);
+          fleet.RunUntil(23);
+          fleet.Press(3, 1);
+          LoseAll(fleet, 27, End::kPower);
+          LoseAll(fleet, kLastLoss, End::kPower);
+        }},
+       400,
+       400},
+      {{"losses_between_drains",
+        [](Fleet& fleet, const FleetOptions& options) {
+          for (uint32_t i = 0; i < options.routers; ++i) {
+            fleet.RunUntil(4 + 4 * i);
+            fleet.Drain(i);
+          }
+          LoseAll(fleet, 26, End::kPower);
+          LoseAll(fleet, kLastLoss, End::kPower);
+        }},
+       500,
+       350},
+  };
+}
+
+}  // namespace
+
+int main() {
+  Report report;
+  for (const Bounded& bounded : Schedules()) {
+    const std::string& name = bounded.schedule.name;
+    const Outcome outcome = PlayAll(bounded.schedule, Policy::kCeilings);
+    const auto requests = static_cast<double>(outcome.requests);
+    const auto total = static_cast<double>(outcome.total);
+    report.Print(name + ".overspend", static_cast<double>(outcome.overspend),
+                 "tokens", Bound{Bound::Kind::kAtMost, 0});
+    report.Print(name + ".served",
+                 PerThousand(static_cast<double>(outcome.served), requests),
+                 "per thousand");
+    report.Print(
+        name + ".served_in_the_last_five_seconds",
+        PerThousand(static_cast<double>(outcome.late_served),
+                    static_cast<double>(outcome.late_requests)),
+        "per thousand",
+        Bound{Bound::Kind::kAtLeast, bounded.late_served_per_thousand});
+    report.Print(name + ".stranded",
+                 PerThousand(static_cast<double>(outcome.stranded), total),
+                 "per thousand",
+                 Bound{Bound::Kind::kAtMost, bounded.stranded_per_thousand});
+  }
+  return report.exceeded() ? EXIT_FAILURE : EXIT_SUCCESS;
+}
