Say in each line what an account lost with the dead and what is free

Change: request lines carry lost and free; a refusal for want of tokens says whether the rest is only claimed slowly; predecessor says what was lost before.

--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -166,6 +166,9 @@
     core::Tokens spent{};
     core::Tokens reserved{};
     core::Tokens others{};  ///< claimed by others and by earlier incarnations
+    core::Tokens lost{};    ///< of those, never spent as far as is known
+    core::Tokens free{};    ///< claimed by nobody
+    bool paced = false;     ///< claimed slowly, after a loss
   };
   Figures FiguresOf(const core::AccountId& account) const;
 
@@ -236,6 +239,7 @@
                     double seconds,
                     core::TimePoint now) const;
   core::Tokens Aim(const Entry& entry, core::TimePoint now) const;
+  static core::Tokens Lost(const Entry& entry);
   bool Paced(const Entry& entry) const;
   void Pace(Entry& entry, core::Duration passed) const;
   core::Tokens NextCeiling(const Entry& entry, core::TimePoint now) const;
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -244,15 +244,18 @@
   return std::min(std::max(aim, entry.wanted), spendable);
 }
 
+// Claimed by earlier starts of all routers, and not known to be spent.
+core::Tokens AllotmentBook::Lost(const Entry& entry) {
+  return entry.others_lost + entry.retired - entry.retired_spent;
+}
+
 // Callers are served for a few seconds after a loss of power and then nobody is
 // until the end of the day: what the dead had claimed is gone, and the rest is
 // spent as fast as ever. Claimed at a rate that follows what is left, it never
 // ends at once: every kind of request still gets its part, and an operator has
 // the time to top up.
 bool AllotmentBook::Paced(const Entry& entry) const {
-  const core::Tokens lost =
-      entry.others_lost + entry.retired - entry.retired_spent;
-  return lost > Times(Spendable(entry), m_options.loss_counts);
+  return Lost(entry) > Times(Spendable(entry), m_options.loss_counts);
 }
 
 void AllotmentBook::Pace(Entry& entry, core::Duration passed) const {
@@ -337,8 +340,18 @@
     return {};
   }
   const Entry& entry = found->second;
-  return {entry.total, entry.ceiling, entry.spent, entry.reserved,
-          entry.others_claimed + entry.retired};
+  Figures figures;
+  figures.total = entry.total;
+  figures.ceiling = entry.ceiling;
+  figures.spent = entry.spent;
+  figures.reserved = entry.reserved;
+  figures.others = entry.others_claimed + entry.retired;
+  figures.lost = Lost(entry);
+  if (entry.total) {
+    figures.free = Free(entry);
+    figures.paced = Paced(entry);
+  }
+  return figures;
 }
 
 }  // namespace coppervalve::entry
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -229,6 +229,10 @@
   core::Error error{core::ErrorId::kBudgetBusy, account.value(),
                     "others hold the rest"};
   if (m_context.contact.up()) {
+    const auto figures = m_context.book.FiguresOf(account);
+    if (figures.paced && figures.free >= Most()) {
+      error.detail = "the rest is claimed slowly after a loss";
+    }
     Refuse(error, kAfterReading);
     return;
   }
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -107,6 +107,8 @@
         .Number("tokens_most", (m_facts.prompt + m_facts.most_output).value())
         .Number("total", figures.total.value_or(core::Tokens(0)).value())
         .Number("elsewhere", figures.others.value())
+        .Number("lost", figures.lost.value())
+        .Number("free", figures.free.value())
         .Number("ceiling", figures.ceiling.value())
         .Number("spent", figures.spent.value())
         .Number("reserved", figures.reserved.value())
--- a/src/gateway/gateway_beats.cc
+++ b/src/gateway/gateway_beats.cc
@@ -145,7 +145,9 @@
   int64_t claimed = 0;
   int64_t spent = 0;
   int64_t reserved = 0;
+  int64_t lost_before = 0;
   for (const v1::AccountClaim& claim : m_own_record.claims()) {
+    lost_before += claim.retired() - claim.retired_spent();
     claimed += claim.ceiling();
     spent += claim.spent();
     reserved += claim.reserve();
@@ -154,6 +156,7 @@
                 .Number("epoch", static_cast<int64_t>(m_own_record.epoch()))
                 .Number("claimed", claimed)
                 .Number("spent", spent)
+                .Number("lost_before", lost_before)
                 .Number("held_back", held_back ? reserved : 0));
 }
 
--- a/tests/entry/unit-allotment-book.cc
+++ b/tests/entry/unit-allotment-book.cc
@@ -316,3 +316,14 @@
         Reservation::kExhausted);
   CHECK(book.Lenders(kGate, core::Tokens(2'000)).empty());
 }
+
+TEST(AllotmentBook, figures_tell_what_was_lost_from_what_is_free) {
+  // Most refusals after a loss read alike; whether tokens are gone with the
+  // dead, in the hands of others or only withheld decides what to do.
+  book.OnPredecessor(Claim(30'000, 10'000));
+  book.OnOtherBeat(kOther, Claim(25'000, 5'000, 0), At(0));
+  const auto figures = book.FiguresOf(kGate);
+  CHECK_EQUAL(20'000, figures.lost.value());
+  CHECK_EQUAL(45'000, figures.free.value());
+  CHECK(figures.paced);
+}
