--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -43,7 +43,7 @@
   double most_held = 0.35;
   /// After a loss, what is left of an account is claimed at a rate that would
   /// last for about this long.
-  core::Duration spread_rest{1'500'000};
+  core::Duration spread_rest{2'500'000};
   /// A loss counts when it took more than this part of what is left.
   double loss_counts = 0.25;
   /// Only where what is left would not last for this long at today's demand.
