--- a/bench/ceiling/main.cc
+++ b/bench/ceiling/main.cc
@@ -98,7 +98,9 @@
 
 int main() {
   Report report;
-  for (const auto& [schedule, bounds] : Schedules()) {
+  for (const Bounded& bounded : Schedules()) {
+    const Schedule& schedule = bounded.schedule;
+    const Bounds& bounds = bounded.bounds;
     const Outcome own = PlayAll(schedule, Policy::kCeilings);
     const Outcome split = PlayAll(schedule, Policy::kEqualSplit);
     const auto requests = static_cast<double>(own.requests);
