Read in parts, skip to the newest, judge silence by each topic's own reads

Cause: after a common cut of 195 routers each read all that it had missed, version by version, up to 1 MB a call, in 0.8 s for the whole answer. That is more than the store's shared rate and a 20 Mbit link carry; half-read answers were thrown away and asked for again by all, on three topics at once. Answers of the small topics kept "the store answers" up, so beats and entries that were not read looked like silence: live fell from 195 to 1 and sound upstreams were dropped. Ruled out: parts of 96 KB with 2.5 s a call (a trial of the lead): versions still come one by one. Change: entry::ReadPlan decides what a reader asks for next; entry::CallPatience how long it waits: 0.4 s for a connection, as before for the first byte, then for progress. What was missed is skipped to the newest of each key where that costs less; of versions that come together only the newest is parsed. A call that nobody answered is followed by the next one soon. Each topic has its own contact: lapsed entries and silent routers count by the topic that tells of them. A fleet that falls silent all at once is kept for 10.5 s. An answer that is too long is not kept.

--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -35,8 +35,9 @@
   void OnBeat(const core::RouterId& router,
               const v1::RouterBeat& beat,
               core::TimePoint now);
-  /// @brief Call it while the store answers: only then does silence count.
-  /// While this router hears nobody, it keeps the list it had.
+  /// @param contact with the topic that the beats are read from: only while it
+  /// is read does silence count, and while no other router is heard at all, the
+  /// list stays for a while as it was
   void Advance(const StoreContact& contact, core::TimePoint now);
 
   /// @return callers' addresses of the active routers
@@ -66,6 +67,8 @@
     bool live = true;
     core::Duration silent_for{};
   };
+  core::Duration LeastSilence() const;
+  void DropSilent();
   void ChooseActiveAgain(core::TimePoint now);
   double Load() const;
 
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -102,6 +102,7 @@
   void TellPredecessor(bool held_back);
   void TellHold();
   void VouchForReserves(v1::RouterBeat& beat, core::TimePoint now) const;
+  entry::StoreContact& ContactOf(const std::string& topic);
   void OnStoreAnswer(const std::string& topic);
   void OnStoreFailure(const std::string& topic,
                       const core::Error& error,
@@ -140,8 +141,12 @@
   GatewayMetrics m_metrics;
 
   std::shared_ptr<const entry::InForce> m_in_force;
-  entry::StoreContact m_contact;         ///< of all topics
-  entry::StoreContact m_config_contact;  ///< of the configuration's topic
+  entry::StoreContact m_contact;  ///< of all topics
+  /// Of each topic alone. What a topic doesn't say proves something only while
+  /// that topic itself is read: another one's answers don't.
+  entry::StoreContact m_config_contact;
+  entry::StoreContact m_upstream_contact;
+  entry::StoreContact m_beat_contact;
   entry::UpstreamDirectory m_directory;
   entry::PeerLoads m_peer_loads;
   entry::PeerContact m_peers;
--- a/include/coppervalve/gateway/http_caller.h
+++ b/include/coppervalve/gateway/http_caller.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>     // size_t
 #include <cstdint>     // uint64_t
 #include <deque>       // deque
 #include <functional>  // function
@@ -12,6 +13,7 @@
 
 #include "coppervalve/core/result.h"
 #include "coppervalve/core/units.h"
+#include "coppervalve/entry/call_patience.h"
 #include "coppervalve/gateway/stream.h"
 #include "coppervalve/http1/response_reader.h"
 
@@ -23,7 +25,9 @@
   std::string target;
   std::string content_type;  ///< empty = no body type is sent
   std::string body;
-  core::Duration timeout{1'000'000};
+  entry::CallPatience patience;
+  /// Of the answer: one that says it is longer, or never ends, is not kept.
+  size_t most_bytes = 8 * 1024 * 1024;
 };
 
 /// @brief Its whole answer.
@@ -58,6 +62,7 @@
   void OnBytes(std::string_view bytes);
   void OnEnd();
   void Finish(core::Result<HttpReply> result, bool keep_connection);
+  core::TimePoint GiveUpAt() const;
   void ArmTimeout();
 
   boost::asio::io_context& m_io;
@@ -68,6 +73,8 @@
   std::unique_ptr<http1::ResponseReader> m_reader;
   std::string m_unread;
   std::deque<Pending> m_queue;
+  entry::CallProgress m_progress;  ///< of the call that is made
+  size_t m_received = 0;           ///< bytes of its answer
   bool m_busy = false;
   uint64_t m_call_number = 0;
 };
--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -1,6 +1,7 @@
 #ifndef COPPERVALVE_GATEWAY_KEYED_STORE_H_
 #define COPPERVALVE_GATEWAY_KEYED_STORE_H_
 
+#include <cstddef>     // size_t
 #include <cstdint>     // uint64_t
 #include <functional>  // function
 #include <string>      // string
@@ -29,7 +30,14 @@
 /// @brief Records in the order of their offsets.
 struct RecordBatch {
   std::vector<KeyedRecord> records;
-  uint64_t next = 0;
+  uint64_t next = 0;  ///< offset behind them
+  uint64_t end = 0;   ///< of the log, when the batch was made
+};
+
+/// @brief Bounds of one read.
+struct ReadBounds {
+  core::Duration wait{};  ///< for the first record
+  size_t most_bytes = 0;
 };
 
 /// @brief Lets the store do a repeat only once, and nothing of an old writer.
@@ -59,10 +67,9 @@
                      const std::string& after,
                      Handler<NewestPage>)>
       newest;
-  /// Waits up to `wait` for the first record.
   std::function<void(const std::string& topic,
                      uint64_t from,
-                     core::Duration wait,
+                     const ReadBounds& bounds,
                      Handler<RecordBatch>)>
       read;
   /// Appends one record; an empty key only announces the epoch.
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -3,12 +3,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cstdint>     // uint32_t, uint64_t
+#include <cstdint>     // uint64_t
 #include <functional>  // function
 #include <memory>      // enable_shared_from_this
 #include <string>      // string
 #include <vector>      // vector
 
+#include "coppervalve/entry/read_plan.h"
 #include "coppervalve/gateway/keyed_store.h"
 #include "coppervalve/routing/random_hook.h"
 
@@ -17,16 +18,13 @@
 /// @brief How one topic is followed.
 struct FollowerOptions {
   std::string topic;
-  /// Pause after a read that brought records: many writers would otherwise
-  /// wake every reader with each record.
-  core::Duration pause{0};
+  entry::ReadPlanOptions plan;
   core::Duration wait{1'000'000};
-  core::Duration first_backoff{100'000};
-  core::Duration longest_backoff{800'000};
 };
 
 /// @brief Reads a topic for good: first the newest of each key, then what
-/// comes. Starts over from the newest when the store kept too little.
+/// comes. Starts over from the newest when the store kept too little, or when
+/// that costs less than what was missed.
 class TopicFollower : public std::enable_shared_from_this<TopicFollower> {
  public:
   struct Hooks {
@@ -56,7 +54,9 @@
   void OnPage(const core::Result<NewestPage>& result);
   void ReadOn();
   void OnBatch(const core::Result<RecordBatch>& result);
+  void HandOn(const std::vector<KeyedRecord>& records);
   void Fail(const core::Error& error);
+  void Take(const entry::ReadStep& step);
   void After(core::Duration delay, void (TopicFollower::*step)());
 
   FollowerOptions m_options;
@@ -64,12 +64,11 @@
   routing::RandomHook m_random;
   Hooks m_hooks;
   boost::asio::steady_timer m_timer;
-  uint64_t m_next = 0;
+  entry::ReadPlan m_plan;
   std::vector<KeyedRecord> m_newest;  ///< of the pages read so far
+  uint64_t m_end = 0;                 ///< of the log, at the first of them
   std::string m_after;
   core::TimePoint m_began;
-  uint32_t m_failures = 0;
-  bool m_has_newest = false;
   bool m_pausing = false;
 };
 
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -1,6 +1,7 @@
 #include "coppervalve/entry/member_list.h"
 
-#include <algorithm>  // max
+#include <algorithm>  // max, min
+#include <cstddef>    // size_t
 
 namespace coppervalve::entry {
 
@@ -14,6 +15,10 @@
 // What the active ones must take grows at once and shrinks by this part with
 // each step: callers that come and go must not make routers come and go.
 constexpr double kShrink = 0.99;
+// Silence of all others counts after so many times the silence of one.
+constexpr int kCommonSilences = 3;
+// Of one other router, its own silence and that of all others are the same.
+constexpr size_t kTooFewToTell = 2;
 
 }  // namespace
 
@@ -51,16 +56,41 @@
     return;
   }
   for (auto& [router, member] : m_members) {
-    if (router == m_self) {
-      continue;
+    if (router != m_self) {
+      member.silent_for += step;
     }
-    member.silent_for += step;
-    member.live = member.live && member.silent_for < m_silence;
   }
+  DropSilent();
   m_need = std::max(m_need * kShrink, Load() * kHeadroom);
   ChooseActiveAgain(now);
 }
 
+core::Duration MemberList::LeastSilence() const {
+  core::Duration least = core::Duration::max();
+  for (const auto& [router, member] : m_members) {
+    if (router != m_self) {
+      least = std::min(least, member.silent_for);
+    }
+  }
+  return least;
+}
+
+// Hundreds of routers that can't write, or whose beats this one can't read in
+// time, look dead all at once. Taken for dead, each router thinks that it is
+// the only one, and a weak VM is given all callers of the fleet. One beat of
+// another tells the two apart; where none comes for long, all are gone.
+void MemberList::DropSilent() {
+  const core::Duration least = LeastSilence();
+  const bool common = m_members.size() > kTooFewToTell && least >= m_silence;
+  if (common && least < m_silence * kCommonSilences) {
+    return;
+  }
+  for (auto& [router, member] : m_members) {
+    const bool silent = router != m_self && member.silent_for >= m_silence;
+    member.live = member.live && !silent;
+  }
+}
+
 double MemberList::Load() const {
   double load = 0;
   for (const auto& [router, member] : m_members) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -122,11 +122,12 @@
 
 void Gateway::Tick() {
   const core::TimePoint now = net::BootNow();
-  for (const core::UpstreamId& id : m_directory.DropLapsed(m_contact, now)) {
+  for (const core::UpstreamId& id :
+       m_directory.DropLapsed(m_upstream_contact, now)) {
     m_pool.Forget(id);
     Lifecycle(LogLine("upstream_gone").Text("upstream", id.value()));
   }
-  m_members.Advance(m_contact, now);
+  m_members.Advance(m_beat_contact, now);
   TellActive();
   m_peer_loads.Advance(now);
   m_pool.CloseOld(now);
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -9,13 +9,9 @@
 
 namespace {
 
-constexpr core::Duration kConfigurationWait{1'000'000};
-constexpr core::Duration kUpstreamPause{300'000};
-constexpr core::Duration kBeatPause{250'000};
 // A router that stands by has little to tell and nothing to decide soon: its
 // reads and writes leave the store's rates to those that serve.
 constexpr core::Duration kStandbyPause{800'000};
-
 }  // namespace
 
 void Gateway::MakeFollowers() {
@@ -34,6 +30,8 @@
   const StoreLayout& layout = m_settings.layout;
 
   TopicFollower::Hooks of_configuration = hooks(layout.configuration_topic);
+  // In force everywhere within seconds: who stands by reads as often.
+  of_configuration.pause = {};
   of_configuration.on_record = [this](const KeyedRecord& record) {
     if (record.key == m_settings.layout.configuration_key &&
         !record.value.empty()) {
@@ -47,7 +45,8 @@
         }
       };
   m_configuration = std::make_shared<TopicFollower>(
-      m_io, FollowerOptions{layout.configuration_topic, {}, kConfigurationWait},
+      m_io,
+      FollowerOptions{layout.configuration_topic, entry::ConfigurationPlan()},
       m_store, m_random, std::move(of_configuration));
 
   TopicFollower::Hooks of_upstreams = hooks(layout.upstream_topic);
@@ -58,8 +57,8 @@
     OnNewestUpstreams(records);
   };
   m_upstreams = std::make_shared<TopicFollower>(
-      m_io, FollowerOptions{layout.upstream_topic, kUpstreamPause}, m_store,
-      m_random, std::move(of_upstreams));
+      m_io, FollowerOptions{layout.upstream_topic, entry::UpstreamPlan()},
+      m_store, m_random, std::move(of_upstreams));
 
   TopicFollower::Hooks of_beats = hooks(layout.beat_topic);
   of_beats.on_record = [this](const KeyedRecord& record) {
@@ -74,8 +73,8 @@
     BeginBeatsIfAllRead();
   };
   m_beats = std::make_shared<TopicFollower>(
-      m_io, FollowerOptions{layout.beat_topic, kBeatPause}, m_store, m_random,
-      std::move(of_beats));
+      m_io, FollowerOptions{layout.beat_topic, entry::BeatPlan()}, m_store,
+      m_random, std::move(of_beats));
 }
 
 void Gateway::Configure(const std::string& document) {
@@ -107,7 +106,7 @@
   const core::UpstreamId id(record.key);
   const core::TimePoint now = net::BootNow();
   if (record.value.empty()) {
-    const bool gone = m_directory.Remove(id, m_contact, now);
+    const bool gone = m_directory.Remove(id, m_upstream_contact, now);
     if (gone) {
       m_pool.Forget(id);
     }
@@ -160,7 +159,7 @@
     }
   }
   for (const core::UpstreamId& id :
-       m_directory.ReplaceAll(read, m_contact, net::BootNow())) {
+       m_directory.ReplaceAll(read, m_upstream_contact, net::BootNow())) {
     m_pool.Forget(id);
   }
   m_upstreams_known = true;
@@ -169,13 +168,19 @@
                 .Number("kept", static_cast<int64_t>(m_directory.size())));
 }
 
+entry::StoreContact& Gateway::ContactOf(const std::string& topic) {
+  if (topic == m_settings.layout.configuration_topic) {
+    return m_config_contact;
+  }
+  return topic == m_settings.layout.upstream_topic ? m_upstream_contact
+                                                   : m_beat_contact;
+}
+
 void Gateway::OnStoreAnswer(const std::string& topic) {
   const core::TimePoint now = net::BootNow();
   const bool was_up = m_contact.up();
   m_contact.OnAnswer(now);
-  if (topic == m_settings.layout.configuration_topic) {
-    m_config_contact.OnAnswer(now);
-  }
+  ContactOf(topic).OnAnswer(now);
   m_metrics.OnStoreCall(topic, true);
   if (!was_up) {
     Lifecycle(LogLine("store_regained").Text("topic", topic));
@@ -188,9 +193,7 @@
                              core::TimePoint began) {
   const bool was_up = m_contact.up();
   m_contact.OnFailure(began);
-  if (topic == m_settings.layout.configuration_topic) {
-    m_config_contact.OnFailure(began);
-  }
+  ContactOf(topic).OnFailure(began);
   m_metrics.OnStoreCall(topic, false);
   if (was_up && !m_contact.up()) {
     Lifecycle(
--- a/src/gateway/http_caller.cc
+++ b/src/gateway/http_caller.cc
@@ -1,9 +1,11 @@
 #include "coppervalve/gateway/http_caller.h"
 
+#include <algorithm>                  // max
 #include <boost/asio/ip/address.hpp>  // make_address
 #include <boost/asio/post.hpp>        // post
 #include <utility>                    // move
 
+#include "coppervalve/net/clock.h"
 #include "coppervalve/net/endpoint.h"
 
 namespace coppervalve::gateway {
@@ -47,24 +49,42 @@
   ++m_call_number;
   m_reader = std::make_unique<http1::ResponseReader>(false);
   m_unread.clear();
+  m_received = 0;
+  m_progress = {net::BootNow(), m_stream && m_stream->open(), std::nullopt};
   ArmTimeout();
-  if (m_stream && m_stream->open()) {
+  if (m_progress.connected) {
     SendCurrent();
     return;
   }
   Connect();
 }
 
+// An answer that is coming is waited for longer than one that is not: how soon
+// it shows that the other end can't be reached, and how long a large answer
+// takes through a small link, are two things. Thrown away half read, it is
+// asked for again, by all readers at once, and none of them ever gets it.
 void HttpCaller::ArmTimeout() {
-  m_timeout.expires_after(m_queue.front().call.timeout);
-  m_timeout.async_wait([self = shared_from_this(),
-                        number = m_call_number](const ErrorCode& code) {
-    if (!code && number == self->m_call_number && self->m_busy) {
-      self->Finish(NoAnswer("no answer in time"), false);
+  const core::TimePoint give_up = GiveUpAt();
+  m_timeout.expires_after(
+      std::max(give_up - net::BootNow(), core::Duration::zero()));
+  m_timeout.async_wait([self = shared_from_this(), number = m_call_number,
+                        give_up](const ErrorCode& code) {
+    if (code || number != self->m_call_number || !self->m_busy) {
+      return;
     }
+    // What came meanwhile doesn't set the timer anew each time.
+    if (self->GiveUpAt() > give_up) {
+      self->ArmTimeout();
+      return;
+    }
+    self->Finish(NoAnswer("no answer in time"), false);
   });
 }
 
+core::TimePoint HttpCaller::GiveUpAt() const {
+  return m_queue.front().call.patience.GiveUpAt(m_progress);
+}
+
 void HttpCaller::Connect() {
   const auto endpoint = net::ReadEndpoint(m_address);
   ErrorCode bad_address;
@@ -86,6 +106,7 @@
           self->Finish(NoAnswer("no connection: " + code.message()), false);
           return;
         }
+        self->m_progress.connected = true;
         self->m_stream = std::make_shared<Stream>(std::move(*socket));
         std::weak_ptr<HttpCaller> weak = self;
         self->m_stream->Start({[weak](std::string_view bytes) {
@@ -114,6 +135,12 @@
     m_stream.reset();
     return;
   }
+  m_progress.last_part = net::BootNow();
+  m_received += bytes.size();
+  if (m_received > m_queue.front().call.most_bytes) {
+    Finish(NoAnswer("the answer is too long"), false);
+    return;
+  }
   m_unread.append(bytes);
   const core::Result<size_t> used = m_reader->Feed(m_unread);
   if (!core::IsOk(used)) {
--- a/tests/entry/unit-member-list.cc
+++ b/tests/entry/unit-member-list.cc
@@ -106,3 +106,22 @@
   members.Advance(contact, At(0.4));
   CHECK(members.Active() >= 12);
 }
+
+TEST(MemberList, a_fleet_that_can_not_write_is_not_taken_for_dead) {
+  // The store refuses all writes for some seconds, or this router reads too
+  // slowly to see any. Each router takes all others for dead and itself for the
+  // only one, and a weak VM that stood by is given all callers.
+  members.OnBeat(core::RouterId("router-3"), Beat("10.0.0.3:80", 1), At(0));
+  Pass(0, 6);
+  CHECK_EQUAL(3, members.Addresses().size());
+  // One that is heard again tells that it is the other that is gone.
+  members.OnBeat(core::RouterId("router-3"), Beat("10.0.0.3:80", 2), At(6));
+  Pass(6.2, 6.4);
+  CHECK_EQUAL(2, members.Addresses().size());
+}
+
+TEST(MemberList, routers_that_stay_silent_are_gone_in_the_end) {
+  members.OnBeat(core::RouterId("router-3"), Beat("10.0.0.3:80", 1), At(0));
+  Pass(0, 11);
+  CHECK_EQUAL(1, members.Addresses().size());
+}
--- a/tests/gateway/fake_store.cc
+++ b/tests/gateway/fake_store.cc
@@ -48,6 +48,7 @@
 
 void FakeStore::Read(const std::string& topic,
                      uint64_t from,
+                     size_t most_bytes,
                      KeyedStore::Handler<RecordBatch> handler) {
   const Topic& kept = m_topics[topic];
   if (from < kept.first) {
@@ -56,13 +57,21 @@
     return;
   }
   if (from >= EndOf(kept)) {
-    m_waiting.push_back({topic, from, std::move(handler)});
+    m_waiting.push_back({topic, from, most_bytes, std::move(handler)});
     return;
   }
   RecordBatch batch;
-  batch.next = EndOf(kept);
-  for (uint64_t offset = from; offset < batch.next; ++offset) {
-    batch.records.push_back(kept.records[offset - kept.first]);
+  batch.end = EndOf(kept);
+  batch.next = from;
+  size_t bytes = 0;
+  for (uint64_t offset = from; offset < batch.end; ++offset) {
+    const KeyedRecord& record = kept.records[offset - kept.first];
+    bytes += record.key.size() + record.value.size();
+    if (bytes > most_bytes) {
+      break;
+    }
+    batch.records.push_back(record);
+    batch.next = offset + 1;
   }
   Later<RecordBatch>(std::move(handler), batch);
 }
@@ -70,7 +79,8 @@
 void FakeStore::WakeReaders() {
   std::list<Waiting> waiting = std::exchange(m_waiting, {});
   for (Waiting& reader : waiting) {
-    Read(reader.topic, reader.from, std::move(reader.handler));
+    Read(reader.topic, reader.from, reader.most_bytes,
+         std::move(reader.handler));
   }
 }
 
@@ -79,8 +89,9 @@
   calls.newest = [this](const std::string& topic, const std::string& after,
                         auto handler) {
     ++reads_of_newest;
-    if (away || refuse_newest > 0) {
-      refuse_newest -= away ? 0 : 1;
+    const bool unanswered = away || topic == unreadable;
+    if (unanswered || refuse_newest > 0) {
+      refuse_newest -= unanswered ? 0 : 1;
       Later<NewestPage>(handler, Away());
       return;
     }
@@ -98,12 +109,12 @@
     Later<NewestPage>(handler, page);
   };
   calls.read = [this](const std::string& topic, uint64_t from,
-                      core::Duration /*wait*/, auto handler) {
-    if (away) {
+                      const ReadBounds& bounds, auto handler) {
+    if (away || topic == unreadable) {
       Later<RecordBatch>(handler, Away());
       return;
     }
-    Read(topic, from, handler);
+    Read(topic, from, bounds.most_bytes, handler);
   };
   calls.append = [this](const std::string& topic, const KeyedRecord& record,
                         const WriterPosition& position, auto handler) {
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -26,9 +26,10 @@
   /// as a gap.
   void Compact(const std::string& topic);
 
-  bool away = false;      ///< no call is answered in time
-  int lose_answers = 0;   ///< of the next appends, which are done
-  int refuse_newest = 0;  ///< of the next pages
+  bool away = false;       ///< no call is answered in time
+  std::string unreadable;  ///< topic whose reads are not answered in time
+  int lose_answers = 0;    ///< of the next appends, which are done
+  int refuse_newest = 0;   ///< of the next pages
   size_t page_size = 500;
   int appends = 0;          ///< calls
   int reads_of_newest = 0;  ///< calls
@@ -47,6 +48,7 @@
   struct Waiting {
     std::string topic;
     uint64_t from;
+    size_t most_bytes;
     KeyedStore::Handler<RecordBatch> handler;
   };
   uint64_t EndOf(const Topic& topic) const {
@@ -54,6 +56,7 @@
   }
   void Read(const std::string& topic,
             uint64_t from,
+            size_t most_bytes,
             KeyedStore::Handler<RecordBatch> handler);
   void WakeReaders();
   template <typename T>
--- a/tests/gateway/unit-lifecycle.cc
+++ b/tests/gateway/unit-lifecycle.cc
@@ -252,3 +252,22 @@
   CHECK_EQUAL(9'000, NewestBeat(router).claims(0).retired());
   CHECK_EQUAL(0, NewestBeat(router).claims(0).reserve());
 }
+
+TEST(Lifecycle, entries_that_were_not_read_again_are_not_taken_for_gone) {
+  // The store comes back from an outage in which entries ran out; the small
+  // topic of the configuration is answered, the table of upstreams is not yet.
+  // Counted from the first, the time to return ends before any entry is read,
+  // and callers are refused with the upstream idle.
+  ScriptedUpstream& one = router.AddUpstream("one", "hold");
+  one.Answer([](const StreamRef& stream, const std::string& request) {
+    stream->Send(Signed(request, "held"));
+  });
+  router.Start();
+  router.store.away = true;
+  router.SetUpstream("one", "");
+  router.io.run_for(std::chrono::milliseconds(1'500));
+  router.store.unreadable = "upstreams";
+  router.store.away = false;
+  router.io.run_for(std::chrono::milliseconds(3'000));
+  CHECK(Has(router.Ask("/hold/x"), "held"));
+}
--- /dev/null
+++ b/tests/gateway/unit-topic-follower.cc
@@ -0,0 +1,93 @@
+#include "coppervalve/gateway/topic_follower.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <functional>  // function
+#include <memory>      // make_shared
+#include <string>      // string, to_string
+#include <vector>      // vector
+
+#include "fake_store.h"
+
+using namespace coppervalve;
+using namespace coppervalve::gateway;
+using namespace coppervalve::gateway::testing;
+
+// clang-format off
+TEST_GROUP(TopicFollower) {
+  boost::asio::io_context io;
+  FakeStore store{io};
+  KeyedStore calls = store.Calls();
+  std::vector<std::string> read;
+  uint64_t next = 0;
+  std::shared_ptr<TopicFollower> follower;
+
+  void Follow(const entry::ReadPlanOptions& plan) {
+    TopicFollower::Hooks hooks;
+    hooks.on_newest = [this](const std::vector<KeyedRecord>& records) {
+      for (const KeyedRecord& record : records) {
+        read.push_back(record.value);
+      }
+    };
+    hooks.on_record = [this](const KeyedRecord& record) {
+      read.push_back(record.value);
+    };
+    hooks.on_read = [this](uint64_t offset) { next = offset; };
+    hooks.on_failure = [](const core::Error&, core::TimePoint) {};
+    follower = std::make_shared<TopicFollower>(
+        io, FollowerOptions{"config", plan}, calls, [] { return uint64_t{7}; },
+        hooks);
+    follower->Start();
+    Until([this] { return store.waiting_readers() == 1; });
+  }
+  void Until(const std::function<bool()>& condition) {
+    constexpr int kMostSteps = 10'000;
+    for (int i = 0; i < kMostSteps && !condition(); ++i) {
+      // It stops whenever the follower waits in the store.
+      io.restart();
+      io.run_one();
+    }
+    CHECK(condition());
+  }
+  void PutVersions(int first, int last) {
+    for (int i = first; i <= last; ++i) {
+      store.Put("config", "config", std::to_string(i));
+    }
+  }
+};
+// clang-format on
+
+TEST(TopicFollower, of_versions_that_come_together_only_the_newest_is_read) {
+  // A small VM reads eighteen large configurations one after the other, and
+  // answers by the oldest meanwhile.
+  store.Put("config", "config", "1");
+  Follow(entry::ConfigurationPlan());
+  store.Put("config", "config", "2");
+  Until([this] { return next == 2; });
+  PutVersions(3, 18);
+  Until([this] { return next == 18; });
+  CHECK((std::vector<std::string>{"1", "2", "18"}) == read);
+}
+
+TEST(TopicFollower, more_than_a_read_holds_is_skipped_to_the_newest) {
+  store.Put("config", "config", "1");
+  entry::ReadPlanOptions plan = entry::ConfigurationPlan();
+  plan.most_bytes = 10;
+  Follow(plan);
+  store.Put("config", "config", "2");
+  Until([this] { return next == 2; });
+  PutVersions(3, 18);
+  Until([this] { return next == 18; });
+  STRCMP_EQUAL("18", read.back().c_str());
+  CHECK(read.size() <= 4);
+}
+
+TEST(TopicFollower, all_beats_are_handed_on_in_order) {
+  Follow(entry::BeatPlan());
+  store.Put("config", "a", "1");
+  Until([this] { return next == 1; });
+  store.Put("config", "a", "2");
+  store.Put("config", "a", "3");
+  Until([this] { return next == 3; });
+  CHECK((std::vector<std::string>{"1", "2", "3"}) == read);
+}
