Serve sooner and more after a loss of all power: who claims, who reads, who goes first

(1) Each claims its first part as if callers were led to it, and gives it back 2.4 s later: "others hold the rest" 2,100 times in four seconds with 16 M tokens free. (2) Each that stands by claims a little of all 40 accounts: beats of 1.5 KB, read by all, 100 MB at 80 MB/s before anybody is ready. (3) Reads of a start pause 0.25 to 0.8 s between records: ready 1.5 s after the start. (5) What is left goes to whoever comes first: urgent small requests are served a quarter as all others. (6) In a cut of 193 of 195 routers 2,400 callers were told that others reach the store, came back at once and were refused again. Change: the first claims go by what the records say the router was; a router that stands by claims nothing of an account that nobody asked it for; pauses of 30 ms until the first own beat is back; the rest after a loss is rationed by what all starts of a router served; there, the last tokens are left to more urgent requests of nine seconds as long as those are a quarter of the demand at most; callers are sent to others only where most active routers say that they reach the store.

--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -14,14 +14,16 @@
 #include "coppervalve/entry/configuration.h"
 #include "coppervalve/entry/demand.h"
 #include "coppervalve/entry/hold_ahead.h"
+#include "coppervalve/entry/ranked_demand.h"
 
 namespace coppervalve::entry {
 
 /// @brief What became of an attempt to set tokens aside.
 enum class Reservation : uint8_t {
   kHeld,
-  kUnlimited,  ///< the account has no prepaid total
-  kShort,      ///< not within this router's ceiling at present
+  kUnlimited,     ///< the account has no prepaid total
+  kShort,         ///< not within this router's ceiling at present
+  kLeftToUrgent,  ///< within it, but more urgent requests need it
   /// What may not have been spent yet cannot cover it, whoever holds the rest.
   kExhausted,
 };
@@ -67,6 +69,11 @@
   /// Together those guess at this part; each with a part of an even share,
   /// hundreds of them held as much as those that serve.
   double standbys_share = 0.1;
+  /// The last tokens that a router can spend on an account are left to the more
+  /// urgent requests of so long. 0 = first come, first served.
+  core::Duration urgent_ahead{9'000'000};
+  /// As long as those ask for no more than this part of the account's tokens.
+  double urgent_part = 0.25;
   /// Ask for more below this share of the aim, give back above that one.
   double raise_below = 0.97;
   double lower_above = 1.1;
@@ -114,11 +121,14 @@
   /// @brief A request was asked for: counts towards the demand, once.
   void OnDemand(const core::AccountId& account,
                 core::Tokens tokens,
-                core::TimePoint now);
+                core::TimePoint now,
+                uint8_t rank = 0);
   /// @brief Sets tokens aside for a request at its most.
+  /// @param rank of the request; 0 is the most urgent
   Reservation Reserve(const core::AccountId& account,
                       core::Tokens tokens,
-                      core::TimePoint now);
+                      core::TimePoint now,
+                      uint8_t rank = 0);
   /// @brief Replaces a reservation by what was really used.
   /// @pre the tokens were reserved and `used` is at most `reserved`
   void Settle(const core::AccountId& account,
@@ -233,6 +243,7 @@
     bool stated = false;     ///< has been in a record
     std::unordered_map<core::RouterId, OtherClaim> others;
     Demand own_demand;    ///< asked for here, served or not
+    RankedDemand ranked;  ///< the same, by rank
     Demand fleet_demand;  ///< spent by all routers
   };
   static core::Tokens InUse(const Entry& entry);
@@ -248,9 +259,19 @@
                     v1::AccountClaim& claim,
                     core::TimePoint now) const;
   static core::Tokens Unavailable(const Entry& entry);
+  bool ClaimsGetThrough(core::TimePoint now) const;
+  core::Tokens OwnRest(const Entry& entry, core::TimePoint now) const;
+  bool LeavesEnough(const Entry& entry,
+                    core::Tokens tokens,
+                    uint8_t rank,
+                    core::TimePoint now) const;
   static core::Tokens Spendable(const Entry& entry);
   double GuessedShare() const;
   double OwnShare(const Entry& entry) const;
+  double ShareOverAllStarts(const Entry& entry) const;
+  double ShareOf(const Entry& entry,
+                 core::Tokens own_use,
+                 core::Tokens others_use) const;
   bool Learning(core::TimePoint now) const;
   double ExpectedIn(const Entry& entry,
                     double seconds,
@@ -259,6 +280,7 @@
   static core::Tokens Lost(const Entry& entry);
   bool MustLast(const Entry& entry, core::TimePoint now) const;
   void Pace(Entry& entry, core::Duration passed) const;
+  bool StandsByWithoutCallers(const Entry& entry) const;
   core::Tokens NextCeiling(const Entry& entry, core::TimePoint now) const;
   void CountLoss();
   double LeastHold() const;
--- a/include/coppervalve/entry/peer_contact.h
+++ b/include/coppervalve/entry/peer_contact.h
@@ -30,6 +30,9 @@
   bool Lost(const core::RouterId& router, core::TimePoint now) const;
   /// @return routers that reach the store, by a word of a moment ago
   uint32_t WithStore(core::TimePoint now) const;
+  /// @return whether a caller who is sent to another of `active` routers most
+  /// likely finds one that reaches the store, by their word of a moment ago
+  bool OthersReachStore(uint32_t active, core::TimePoint now) const;
 
  private:
   struct Peer {
--- /dev/null
+++ b/include/coppervalve/entry/ranked_demand.h
@@ -0,0 +1,33 @@
+#ifndef COPPERVALVE_ENTRY_RANKED_DEMAND_H_
+#define COPPERVALVE_ENTRY_RANKED_DEMAND_H_
+
+#include <cstdint>  // uint8_t
+#include <map>      // map
+
+#include "coppervalve/core/units.h"
+#include "coppervalve/entry/demand.h"
+
+namespace coppervalve::entry {
+
+/// @brief Tokens a second that requests of each rank ask for.
+class RankedDemand {
+ public:
+  /// @param rank 0 is the most urgent
+  /// @complexity logarithmic in the ranks
+  void Add(uint8_t rank, core::Tokens tokens, core::TimePoint now) {
+    m_by_rank[rank].Add(tokens, now);
+  }
+  /// @return of the ranks that are more urgent, as long as they are together a
+  /// small part of all
+  /// @complexity linear in the ranks
+  double SmallAndMoreUrgent(uint8_t rank,
+                            double small_part,
+                            core::TimePoint now) const;
+
+ private:
+  std::map<uint8_t, Demand> m_by_rank;
+};
+
+}  // namespace coppervalve::entry
+
+#endif  // COPPERVALVE_ENTRY_RANKED_DEMAND_H_
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -145,22 +145,29 @@
 
 void AllotmentBook::OnDemand(const core::AccountId& account,
                              core::Tokens tokens,
-                             core::TimePoint now) {
+                             core::TimePoint now,
+                             uint8_t rank) {
   Entry& entry = m_entries[account];
   if (!m_first_demand) {
     m_first_demand = now;
   }
   entry.own_demand.Add(tokens, now);
+  entry.ranked.Add(rank, tokens, now);
   entry.largest = std::max(entry.largest, tokens);
 }
 
 Reservation AllotmentBook::Reserve(const core::AccountId& account,
                                    core::Tokens tokens,
-                                   core::TimePoint now) {
+                                   core::TimePoint now,
+                                   uint8_t rank) {
   Entry& entry = m_entries[account];
   if (!entry.total) {
     return Reservation::kUnlimited;
   }
+  if (!LeavesEnough(entry, tokens, rank, now) &&
+      Unavailable(entry) + tokens <= *entry.total) {
+    return Reservation::kLeftToUrgent;
+  }
   if (InUse(entry) + tokens <= Limit(entry, now)) {
     entry.reserved += tokens;
     return Reservation::kHeld;
@@ -205,8 +212,23 @@
 // only. What came so far tells, once it is more than a few requests: until
 // then an even part is the better guess.
 double AllotmentBook::OwnShare(const Entry& entry) const {
-  const auto own = static_cast<double>(InUse(entry).value());
-  const auto all = own + static_cast<double>(entry.others_committed.value());
+  return ShareOf(entry, InUse(entry), entry.others_committed);
+}
+
+// What earlier starts served counts as well where the rest is rationed. After a
+// loss of all power an even part at each router, to most of which the account's
+// callers never come, left them refused with tokens free.
+double AllotmentBook::ShareOverAllStarts(const Entry& entry) const {
+  return ShareOf(
+      entry, InUse(entry) + entry.retired_spent,
+      entry.others_committed + entry.others_retired - entry.others_lost);
+}
+
+double AllotmentBook::ShareOf(const Entry& entry,
+                              core::Tokens own_use,
+                              core::Tokens others_use) const {
+  const auto own = static_cast<double>(own_use.value());
+  const auto all = own + static_cast<double>(others_use.value());
   const double prior =
       kPriorRequests * static_cast<double>(entry.largest.value());
   const double guess = GuessedShare();
@@ -265,13 +287,13 @@
   const auto needed = core::Tokens(
       static_cast<int64_t>(entry.own_demand.PerSecond(now) * seconds));
   return Lost(entry) > Times(rest, m_options.loss_counts) &&
-         Times(rest, OwnShare(entry)) < needed;
+         Times(rest, ShareOverAllStarts(entry)) < needed;
 }
 
 void AllotmentBook::Pace(Entry& entry, core::Duration passed) const {
   const double part = std::chrono::duration<double>(passed) /
                       std::chrono::duration<double>(m_options.spread_rest);
-  const double share = OwnShare(entry);
+  const double share = ShareOverAllStarts(entry);
   entry.paced += Times(Spendable(entry), share * std::min(part, 1.0));
   // Saved up for one large request, and no more.
   const core::Tokens most = std::max(
@@ -279,9 +301,19 @@
   entry.paced = std::min(entry.paced, most);
 }
 
+// Hundreds of routers stand by in a large fleet. A little of every account at
+// each of them covers no request, is lost with them, and makes their beats so
+// large that a fleet that starts waits for a second to read them.
+bool AllotmentBook::StandsByWithoutCallers(const Entry& entry) const {
+  return !m_context.active && entry.largest == core::Tokens(0);
+}
+
 core::Tokens AllotmentBook::NextCeiling(const Entry& entry,
                                         core::TimePoint now) const {
   const core::Tokens in_use = InUse(entry);
+  if (StandsByWithoutCallers(entry)) {
+    return in_use;
+  }
   const core::Tokens aim = Aim(entry, now);
   const core::Tokens have = entry.ceiling - in_use;
   if (have > Times(aim, m_options.lower_above)) {
--- a/src/entry/peer_contact.cc
+++ b/src/entry/peer_contact.cc
@@ -6,6 +6,8 @@
 
 // Reports are repeated every 0.3 s: one of two may be lost.
 constexpr core::Duration kWordHolds{650'000};
+// One of so many is less than half.
+constexpr uint32_t kMostLikely = 2;
 
 }  // namespace
 
@@ -50,4 +52,11 @@
   return count;
 }
 
+// A caller picks one of the active routers by chance. Where only a few of them
+// say that they reach the store, all others are cut off as this one is, and
+// each refuses the caller anew.
+bool PeerContact::OthersReachStore(uint32_t active, core::TimePoint now) const {
+  return WithStore(now) * kMostLikely > active;
+}
+
 }  // namespace coppervalve::entry
--- /dev/null
+++ b/src/entry/ranked_demand.cc
@@ -0,0 +1,25 @@
+#include "coppervalve/entry/ranked_demand.h"
+
+namespace coppervalve::entry {
+
+// Urgent work that is most of all work can't be saved by what little else there
+// is: kept for it, the tokens of all others serve few of its callers.
+double RankedDemand::SmallAndMoreUrgent(uint8_t rank,
+                                        double small_part,
+                                        core::TimePoint now) const {
+  double all = 0;
+  for (const auto& [other, demand] : m_by_rank) {
+    all += demand.PerSecond(now);
+  }
+  double urgent = 0;
+  for (const auto& [other, demand] : m_by_rank) {
+    const double with_it = urgent + demand.PerSecond(now);
+    if (other >= rank || with_it > small_part * all) {
+      break;
+    }
+    urgent = with_it;
+  }
+  return urgent;
+}
+
+}  // namespace coppervalve::entry
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -130,13 +130,15 @@
     Place();
     return;
   }
-  m_context.book.OnDemand(m_admitted.account->name, Most(), m_request.arrived);
+  m_context.book.OnDemand(m_admitted.account->name, Most(), m_request.arrived,
+                          m_admitted.route->priority);
   Reserve();
 }
 
 void Exchange::Reserve() {
   const core::AccountId& account = m_admitted.account->name;
-  switch (m_context.book.Reserve(account, Most(), net::BootNow())) {
+  switch (m_context.book.Reserve(account, Most(), net::BootNow(),
+                                 m_admitted.route->priority)) {
     case entry::Reservation::kHeld:
       m_reserved = Most();
       Place();
@@ -162,6 +164,13 @@
     case entry::Reservation::kShort:
       WaitForGrant();
       return;
+    case entry::Reservation::kLeftToUrgent:
+      if (!TryGiven()) {
+        Refuse({core::ErrorId::kBudgetBusy, account.value(),
+                "left to more urgent requests"},
+               kAfterACut);
+      }
+      return;
   }
 }
 
@@ -242,7 +251,8 @@
     Refuse(error, kAfterReading);
     return;
   }
-  if (m_context.peers.WithStore(now) != 0) {
+  const uint32_t active = m_context.members.Active();
+  if (m_context.peers.OthersReachStore(active, now)) {
     error.detail = "the store turned this router away, others reach it";
     Refuse(error, kElsewhere);
     return;
--- a/src/gateway/gateway_beats.cc
+++ b/src/gateway/gateway_beats.cc
@@ -178,8 +178,12 @@
   context.routers = m_members.Active();
   context.standbys =
       m_members.Live() - std::min(m_members.Live(), context.routers);
-  // Whether it will be among them isn't known before the others know of it.
-  context.active = m_members.SelfActive() || !m_first_beat_back;
+  // After a loss of all power every router starts, and what it was before is
+  // in the records. Claiming as if it served, each that stands by would take a
+  // part from those that do, until its second claim. The first router of a
+  // fleet finds nobody.
+  const bool alone = !m_first_beat_back && m_members.Live() <= 1;
+  context.active = m_members.SelfActive() || alone;
   context.leaving = beat.leaving();
   context.closing = beat.closing();
   context.period = entry::BeatPeriod(Limits());
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -12,6 +12,10 @@
 // A router that stands by has little to tell and nothing to decide soon: its
 // reads and writes leave the store's rates to those that serve.
 constexpr core::Duration kStandbyPause{800'000};
+// Until its own first beat is back a router serves nobody, and that takes a few
+// reads in a row: with the usual pauses between them a fleet that lost its
+// power was not ready for another second.
+constexpr core::Duration kStartingPause{30'000};
 }  // namespace
 
 void Gateway::MakeFollowers() {
@@ -67,6 +71,9 @@
   of_beats.on_newest = [this](const std::vector<KeyedRecord>& records) {
     OnNewestBeats(records);
   };
+  of_beats.pause = [this, usual = of_beats.pause](core::Duration pause) {
+    return m_first_beat_back ? usual(pause) : kStartingPause;
+  };
   of_beats.on_read = [this, topic = layout.beat_topic](uint64_t next) {
     OnStoreAnswer(topic);
     m_beats_read = next;
--- a/tests/entry/unit-allotment-book.cc
+++ b/tests/entry/unit-allotment-book.cc
@@ -222,12 +222,28 @@
   context.routers = 2;
   context.active = false;
   context.standbys = 20;
+  standby.OnDemand(kGate, core::Tokens(1), At(0));
   v1::RouterBeat beat;
   standby.WriteClaims(beat, context, At(0));
+  CHECK_EQUAL(1, beat.claims_size());
   // All twenty together hold less than one that serves.
   CHECK(beat.claims(0).ceiling() * 20 < active);
 }
 
+TEST(AllotmentBook, a_router_that_stands_by_claims_nothing_unasked) {
+  // All power is lost, and callers are refused for more than a second after it
+  // is back: each of two hundred routers reads the claims of all others on
+  // every account, and those of the routers that stand by serve nobody.
+  AllotmentBook standby{BookOptions{}};
+  standby.OnConfiguration(Prepaid(100'000));
+  ClaimContext context;
+  context.active = false;
+  context.standbys = 187;
+  v1::RouterBeat beat;
+  standby.WriteClaims(beat, context, At(0));
+  CHECK_EQUAL(0, beat.claims_size());
+}
+
 TEST(AllotmentBook, what_is_given_away_counts_as_spent_by_the_giver) {
   // Were it not taken out first, the giver's next request and the taker's would
   // be paid with the same tokens.
--- a/tests/entry/unit-peer-contact.cc
+++ b/tests/entry/unit-peer-contact.cc
@@ -58,3 +58,13 @@
   peers.OnReport(kThree, true, At(0));
   CHECK_EQUAL(0, peers.WithStore(At(0.9)));
 }
+
+TEST(PeerContact, a_caller_is_sent_to_others_only_where_most_reach_the_store) {
+  // All but one of eight active routers are cut off from the store. Callers are
+  // told that others reach it, come back at once, and are refused seven times
+  // in eight.
+  peers.OnReport(kTwo, true, At(0));
+  CHECK_FALSE(peers.OthersReachStore(8, At(0.1)));
+  peers.OnReport(kThree, true, At(0));
+  CHECK(peers.OthersReachStore(3, At(0.1)));
+}
--- /dev/null
+++ b/tests/entry/unit-urgent-first.cc
@@ -0,0 +1,129 @@
+#include <CppUTest/TestHarness.h>
+
+#include "coppervalve/entry/allotment_book.h"
+#include "entry_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::entry;
+using namespace coppervalve::entry::testing;
+
+namespace {
+
+const core::AccountId kGate("gate");
+constexpr uint8_t kChat = 0;
+constexpr uint8_t kDraft = 1;
+constexpr core::Tokens kChatTokens(1'000);
+constexpr core::Tokens kDraftTokens(12'000);
+
+/// @brief What callers of one kind got.
+struct Served {
+  int asked = 0;
+  int served = 0;
+  double Part() const { return asked == 0 ? 0 : 1.0 * served / asked; }
+};
+
+/// @brief One router with an account's tokens and two kinds of callers, in
+/// virtual time: eight chats and eight drafts a second.
+class Desk {
+ public:
+  explicit Desk(core::Duration urgent_ahead) : m_book(Options(urgent_ahead)) {
+    m_book.OnConfiguration(Prepaid(3'000'000));
+  }
+
+  /// @brief All power was lost: of what is not spent more than half went with
+  /// the claims of the dead, and the rest would last four seconds.
+  void LoseMost() {
+    v1::RouterBeat last;
+    v1::AccountClaim* claim = last.add_claims();
+    claim->set_account(kGate.value());
+    claim->set_ceiling(2'600'000);
+    claim->set_spent(2'100'000);
+    m_book.OnPredecessor(last);
+  }
+
+  /// @brief The store answers; a claim that callers lack is written at once.
+  void Serve(double seconds) {
+    for (int step = 0; step * kStep < seconds; ++step) {
+      const core::TimePoint now = At(step * kStep);
+      if (step % 4 == 0) {
+        Claim(now);
+      }
+      Ask(kChat, kChatTokens, now, m_chats);
+      Ask(kDraft, kDraftTokens, now, m_drafts);
+    }
+  }
+  const Served& chats() const { return m_chats; }
+  const Served& drafts() const { return m_drafts; }
+
+ private:
+  static constexpr double kStep = 0.125;
+  static BookOptions Options(core::Duration urgent_ahead) {
+    BookOptions options;
+    options.held_back = core::Duration::zero();
+    options.urgent_ahead = urgent_ahead;
+    return options;
+  }
+  void Claim(core::TimePoint now) {
+    v1::RouterBeat beat;
+    beat.set_epoch(1);
+    beat.set_sequence(++m_sequence);
+    m_book.WriteClaims(beat, {}, now);
+    m_book.OnWritten(m_sequence, now);
+    m_book.OnOwnBeat(beat);
+  }
+  void Ask(uint8_t rank,
+           core::Tokens tokens,
+           core::TimePoint now,
+           Served& served) {
+    ++served.asked;
+    m_book.OnDemand(kGate, tokens, now, rank);
+    Reservation got = m_book.Reserve(kGate, tokens, now, rank);
+    if (got == Reservation::kShort) {
+      Claim(now);
+      got = m_book.Reserve(kGate, tokens, now, rank);
+    }
+    if (got == Reservation::kHeld) {
+      ++served.served;
+      m_book.Settle(kGate, tokens, tokens, now);
+    }
+  }
+
+  AllotmentBook m_book;
+  uint64_t m_sequence = 0;
+  Served m_chats;
+  Served m_drafts;
+};
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(UrgentFirst) {
+  void PlayLoss(Desk& desk) {
+    desk.LoseMost();
+    desk.Serve(15);
+  }
+};
+// clang-format on
+
+// After a loss of all power callers at a gate are refused until an operator
+// tops the account up: the tokens that they need, one in thirteen, went to
+// drafts that may wait.
+TEST(UrgentFirst, after_a_loss_urgent_callers_are_served_while_tokens_last) {
+  Desk desk(BookOptions{}.urgent_ahead);
+  PlayLoss(desk);
+  CHECK(desk.chats().Part() >= 0.9);
+  Desk first_come{core::Duration::zero()};
+  PlayLoss(first_come);
+  CHECK(first_come.chats().Part() <= 0.6);
+  // It costs the drafts no more than the chats use.
+  const int fewer = first_come.drafts().served - desk.drafts().served;
+  CHECK(fewer * kDraftTokens.value() <=
+        (desk.chats().asked + 12) * kChatTokens.value());
+}
+
+TEST(UrgentFirst, while_tokens_are_plenty_nobody_is_refused) {
+  Desk desk(BookOptions{}.urgent_ahead);
+  desk.Serve(10);
+  DOUBLES_EQUAL(1, desk.chats().Part(), 0.001);
+  DOUBLES_EQUAL(1, desk.drafts().Part(), 0.001);
+}
--- a/tests/gateway/unit-lifecycle.cc
+++ b/tests/gateway/unit-lifecycle.cc
@@ -271,3 +271,24 @@
   router.io.run_for(std::chrono::milliseconds(3'000));
   CHECK(Has(router.Ask("/hold/x"), "held"));
 }
+
+TEST(Lifecycle, a_start_after_a_loss_claims_by_what_the_router_was) {
+  // All power was lost; hundreds of routers start at once, and each takes a
+  // part of every account as if callers were led to it. Those that callers do
+  // come to find nothing left until the others give it back seconds later.
+  for (const char* other : {"router-2", "router-3", "router-4"}) {
+    v1::RouterBeat beat;
+    beat.set_epoch(4);
+    beat.set_ready(true);
+    beat.set_capacity(1'000);
+    router.store.Put("routers", other, beat.SerializeAsString());
+  }
+  v1::RouterBeat own;
+  own.set_epoch(4);
+  own.set_ready(true);
+  own.set_capacity(10);
+  router.store.Put("routers", "router-1", own.SerializeAsString());
+  router.Start(1'000'000);
+  CHECK_EQUAL(5, NewestBeat(router).epoch());
+  CHECK_EQUAL(0, NewestBeat(router).claims_size());
+}
