--- a/tests/entry/unit-allotment-book.cc
+++ b/tests/entry/unit-allotment-book.cc
@@ -337,3 +337,30 @@
   Write(0);
   CHECK(book.FiguresOf(kGate).paced);
 }
+
+TEST(AllotmentBook, after_a_loss_the_rest_goes_to_where_callers_came_before) {
+  // An account's callers come to two routers of eight. All lose power, and what
+  // is left is rationed by even parts: six parts lie free, and the callers are
+  // refused to the end of the day.
+  constexpr core::Tokens kRequest(10'000);
+  constexpr int kRequests = 5;
+  book.OnConfiguration(Prepaid(1'000'000));
+  book.OnPredecessor(Claim(600'000, 500'000));
+  v1::RouterBeat other = Claim(0, 0, 200'000);
+  other.mutable_claims(0)->set_retired_spent(10'000);
+  book.OnOtherBeat(kOther, other, At(0));
+  for (int i = 0; i < kRequests; ++i) {
+    book.OnDemand(kGate, kRequest, At(0));
+    CHECK(book.Reserve(kGate, kRequest, At(0)) == Reservation::kShort);
+  }
+  ClaimContext context;
+  context.routers = 8;
+  written.set_epoch(2);
+  written.set_sequence(1);
+  book.WriteClaims(written, context, At(0.1));
+  book.OnOwnBeat(written);
+  CHECK(book.FiguresOf(kGate).paced);
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(book.Reserve(kGate, kRequest, At(0.2)) == Reservation::kHeld);
+  }
+}
