--- a/include/coppervalve/entry/allotment_book.h
+++ b/include/coppervalve/entry/allotment_book.h
@@ -69,8 +69,8 @@
   /// Together those guess at this part; each with a part of an even share,
   /// hundreds of them held as much as those that serve.
   double standbys_share = 0.1;
-  /// The last tokens that a router can spend on an account are left to the more
-  /// urgent requests of so long. 0 = first come, first served.
+  /// After a loss the last tokens that a router can spend on an account are
+  /// left to the more urgent requests of so long. 0 = first come, first served.
   core::Duration urgent_ahead{9'000'000};
   /// As long as those ask for no more than this part of the account's tokens.
   double urgent_part = 0.25;
--- a/src/entry/allotment_urgency.cc
+++ b/src/entry/allotment_urgency.cc
@@ -1,5 +1,5 @@
 // The last tokens of an account are left to its more urgent requests.
-#include <algorithm>  // max, min
+#include <algorithm>  // max
 
 #include "coppervalve/entry/allotment_book.h"
 
@@ -32,22 +32,25 @@
   return rest;
 }
 
-// Through a cut, and after a loss of all power, tokens run out while requests
+// After a loss of all power what is left of an account runs out while requests
 // of all ranks go on coming. Admitted as they come, large requests that may
 // wait take what many small urgent ones need: callers at a gate are refused for
 // the sake of drafts. So a request passes only if the more urgent ones of some
-// seconds still find their tokens after it. While tokens are plenty that is
-// always so.
+// seconds still find their tokens after it. Not so in a cut: there more can be
+// claimed when it ends, and what was kept would be left over.
 bool AllotmentBook::LeavesEnough(const Entry& entry,
                                  core::Tokens tokens,
                                  uint8_t rank,
                                  core::TimePoint now) const {
+  if (!entry.must_last) {
+    return true;
+  }
   const double seconds =
       std::chrono::duration<double>(m_options.urgent_ahead).count();
   const double urgent =
       entry.ranked.SmallAndMoreUrgent(rank, m_options.urgent_part, now) *
       seconds;
-  if (!entry.must_last || urgent <= 0) {
+  if (urgent <= 0) {
     return true;
   }
   const core::Tokens left = OwnRest(entry, now) - tokens;
