Name requests by content and tell ended upstreams from broken connections

Cause to look for: upstream after upstream ends under one request, and no line says that two requests are the same, nor that an upstream ended. Change: request lines of broken attempts carry content (hash of method, path, account, body), and upstream_ended says that nobody listens any more (one connection is tried after an answer broke off). No decision rests on either.

--- a/include/coppervalve/core/hash.h
+++ b/include/coppervalve/core/hash.h
@@ -29,6 +29,12 @@
 /// @brief 128-bit non-cryptographic hash (XXH3).
 Hash128 HashOf(std::string_view text);
 
+/// @return lower-case hex of bytes
+std::string HexOf(std::string_view bytes);
+
+/// @return the 32 bytes of SHA-256
+std::string Sha256(std::string_view text);
+
 /// @brief Lower-case hex SHA-256, used for API keys and operator tokens.
 std::string Sha256Hex(std::string_view text);
 
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -18,9 +18,11 @@
 #include "coppervalve/entry/placement.h"
 #include "coppervalve/entry/policy.h"
 #include "coppervalve/entry/reading_pace.h"
+#include "coppervalve/entry/request_print.h"
 #include "coppervalve/entry/retry_allowance.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/gateway/caller_connection.h"
+#include "coppervalve/gateway/crash_watch.h"
 #include "coppervalve/gateway/dialect.h"
 #include "coppervalve/gateway/event_log.h"
 #include "coppervalve/gateway/gateway_metrics.h"
@@ -43,6 +45,7 @@
   const entry::PeerContact& peers;
   const entry::StoreContact& contact;
   UpstreamPool& pool;
+  CrashWatch& crashes;
   EventLog& log;
   GatewayMetrics& metrics;
   routing::RandomHook random;
@@ -113,6 +116,8 @@
   void CutAttempt(entry::AttemptOutcome outcome);
   void LeaveUpstream(entry::AttemptOutcome outcome);
 
+  entry::RequestContent Content() const;
+  const entry::RequestPrint& Print();
   bool IsStream() const;
   bool Repeatable() const;
   bool AfterAnEvent() const { return m_cutter.events() != 0; }
@@ -158,6 +163,7 @@
   bool m_answer_begun = false;
   bool m_done = false;
   std::string m_last_failure;
+  std::optional<entry::RequestPrint> m_print;  ///< once it was needed
   entry::Placement m_placed;  ///< the last one
   /// Chosen before tokens were set aside, and good until anything was waited
   /// for.
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/gateway/beat_writer.h"
 #include "coppervalve/gateway/borrower.h"
+#include "coppervalve/gateway/crash_watch.h"
 #include "coppervalve/gateway/dialect.h"
 #include "coppervalve/gateway/event_log.h"
 #include "coppervalve/gateway/exchange.h"
@@ -156,6 +157,7 @@
   entry::AllotmentBook m_book;
   entry::MemberList m_members;
   UpstreamPool m_pool;
+  CrashWatch m_crashes;
   std::optional<ExchangeContext> m_context;
 
   std::shared_ptr<TopicFollower> m_configuration;
--- a/src/core/hash.cc
+++ b/src/core/hash.cc
@@ -41,21 +41,30 @@
   return {hash.high64, hash.low64};
 }
 
-std::string Sha256Hex(std::string_view text) {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int size = 0;
-  EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(),
-             nullptr);
+std::string HexOf(std::string_view bytes) {
   constexpr std::string_view kDigits = "0123456789abcdef";
   std::string hex;
-  hex.reserve(size * 2U);
-  for (unsigned int i = 0; i < size; ++i) {
-    hex.push_back(kDigits[digest[i] >> 4U]);
-    hex.push_back(kDigits[digest[i] & 0xFU]);
+  hex.reserve(bytes.size() * 2);
+  for (const char byte : bytes) {
+    const auto value = static_cast<unsigned char>(byte);
+    hex.push_back(kDigits[value >> 4U]);
+    hex.push_back(kDigits[value & 0xFU]);
   }
   return hex;
 }
 
+std::string Sha256(std::string_view text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int size = 0;
+  EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(),
+             nullptr);
+  return std::string(reinterpret_cast<const char*>(digest.data()), size);
+}
+
+std::string Sha256Hex(std::string_view text) {
+  return HexOf(Sha256(text));
+}
+
 bool EqualSecrets(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -63,6 +63,24 @@
   return m_limit_at - net::BootNow();
 }
 
+entry::RequestContent Exchange::Content() const {
+  entry::RequestContent content;
+  content.method = m_request.head.method;
+  content.target = m_request.head.target;
+  if (m_admitted.account != nullptr) {
+    content.account = m_admitted.account->name;
+  }
+  content.body = m_request.body;
+  return content;
+}
+
+const entry::RequestPrint& Exchange::Print() {
+  if (!m_print) {
+    m_print = entry::PrintOf(Content());
+  }
+  return *m_print;
+}
+
 void Exchange::Admit() {
   const core::Result<entry::RequestFacts> facts =
       m_context.dialect.read_request(m_request.head);
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -238,6 +238,8 @@
   ++m_sends;
   if (end == AttemptEnd::kBroken) {
     m_may_have_run = true;
+    Print();  // named in the log line
+    m_context.crashes.OnBroken(m_attempt->upstream);
     LeaveUpstream(AttemptOutcome::kBroken);
     m_attempt.reset();
     OnBroken(why);
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -122,6 +122,9 @@
         .Number("reporting", m_placed.reporting)
         .Number("sends", m_sends);
   }
+  if (m_print) {
+    line.Text("content", m_print->Short());
+  }
   if (!m_last_failure.empty()) {
     line.Text("why", m_last_failure);
   }
