--- /dev/null
+++ b/tests/soak/platform.py
@@ -0,0 +1,160 @@
+"""A fleet of real router processes before stand-ins of store and upstreams."""
+
+import asyncio
+import os
+import signal
+import socket
+
+from tests.soak.callers import HOST
+from tests.soak.servers import TOKENS_PER_EVENT, Ledger, Server
+from tests.soak.store import Store
+
+PREPAID = 150_000
+# An entry goes when its upstream was silent for a while; another start follows.
+LAPSES_AFTER = 0.6
+STARTS_AFTER = 1.0
+SETTINGS = """nodeName = "{name}"
+zone = "a"
+ip = "127.0.0.1"
+internalPorts = [{metrics}, {loads}]
+[listen]
+frontend = "127.0.0.1:{front}"
+readiness = "127.0.0.1:{ready}"
+directory = "127.0.0.1:{directory}"
+[bounds]
+graceS = 6
+retryBudgetRatio = 0.2
+retrySlack = 50
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Router:
+    def __init__(self, name: str, folder: str, program: str) -> None:
+        self.name = name
+        self.front, self.ready, self.directory, self.metrics, self.loads = free_ports(5)
+        self.store_port = 0
+        self._path = os.path.join(folder, name + ".toml")
+        self._log_path = os.path.join(folder, name + ".log")
+        self._log = open(self._log_path, "ab")
+        self._program = program
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        with open(self._path, "w", encoding="ascii") as file:
+            file.write(SETTINGS.format(name=self.name, front=self.front, ready=self.ready,
+                                       directory=self.directory, metrics=self.metrics,
+                                       loads=self.loads, store=self.store_port))
+        environment = dict(os.environ, COPPERVALVE_NODE_FILE=self._path)
+        self.process = await asyncio.create_subprocess_exec(
+            self._program, "platform", env=environment, stdout=self._log, stderr=self._log)
+
+    def send(self, number: int) -> None:
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def restart(self, number: int) -> None:
+        self.send(number)
+        await self.process.wait()
+        await self.start()
+
+    def log(self) -> str:
+        with open(self._log_path, encoding="utf-8") as file:
+            return file.read()
+
+
+def configuration(version: int, prepaid: int) -> dict:
+    def route(kind: str, service: str, type_: str, **more) -> dict:
+        return {"name": kind, "hostname": HOST, "pathPrefix": f"/{kind}/", "type": type_,
+                "timeoutMs": 6000, "targetLatencyMs": 300, "priority": 1, "service": service,
+                "maxAttempts": 2, "public": False, "sessionAffinity": service == "engines",
+                "targetGapMs": 250, **more}
+
+    return {
+        "version": version,
+        "routes": [route("chat", "engines", "streaming", resumable=True),
+                   route("draft", "engines", "streaming", resumable=False),
+                   route("hold", "desk", "unsafe"), route("lookup", "desk", "safe")],
+        "services": [{"name": "engines", "healthPath": "/healthz", "maxConnections": 300,
+                      "engine": {"slots": 64, "stride": TOKENS_PER_EVENT}},
+                     {"name": "desk", "healthPath": "/healthz", "maxConnections": 300}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536,
+                   "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "tenants": [{"name": "gate", "apiKeys": ["key"], "prepaid": prepaid}],
+    }
+
+
+class Platform:
+    def __init__(self, folder: str, program: str, seed: int) -> None:
+        self._folder = folder
+        self._program = program
+        self._seed = seed
+        self._version = 1
+        self._starts = 0
+        self._births: list[asyncio.Task] = []
+        self.prepaid = PREPAID
+        self.store = Store(seed)
+        self.ledger = Ledger()
+        self.servers: list[Server] = []
+        self.routers: list[Router] = []
+
+    @property
+    def engines(self) -> list[Server]:
+        return [server for server in self.servers if server.service == "engines"]
+
+    async def start(self, routers: int, engines: int, desks: int = 2) -> None:
+        for service in ["engines"] * engines + ["desk"] * desks:
+            await self._begin_server(service, {})
+        self.publish()
+        for i in range(routers):
+            router = Router(f"edge-{i}", self._folder, self._program)
+            router.store_port = await self.store.listen()
+            self.routers.append(router)
+            await router.start()
+        await asyncio.sleep(2)
+
+    async def _begin_server(self, service: str, like: dict, port: int = 0) -> None:
+        server = Server(f"i-{self._starts}", service, self.ledger, self._seed + self._starts)
+        self._starts += 1
+        vars(server).update(like)
+        await server.listen(port)
+        self.servers.append(server)
+        self.announce(server)
+        self._births.append(asyncio.create_task(self._begin_again(server)))
+
+    def announce(self, server: Server) -> None:
+        self.store.put("keyed.servers", server.name, server.entry())
+
+    async def _begin_again(self, server: Server) -> None:
+        """An upstream that ended starts again: a new id at the old address."""
+        await server.gone.wait()
+        self.servers.remove(server)
+        await asyncio.sleep(LAPSES_AFTER)
+        self.store.put("keyed.servers", server.name, None)
+        await asyncio.sleep(STARTS_AFTER - LAPSES_AFTER)
+        await self._begin_server(server.service, {"dies_on": server.dies_on}, server.port)
+
+    def publish(self, versions: int = 1, more_tokens: int = 0) -> None:
+        self._version += versions
+        self.prepaid += more_tokens
+        self.store.put("keyed.op", "config", configuration(self._version, self.prepaid))
+
+    async def stop(self) -> None:
+        for birth in self._births:
+            birth.cancel()
+        for router in self.routers:
+            router.send(signal.SIGKILL)
+            await router.process.wait()
+        self.store.wake_readers()
+        await asyncio.sleep(0.1)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -18,6 +18,7 @@
         self.streamed: Counter[str] = Counter()  # events made, of all runs
         self.kind: dict[str, str] = {}
         self.prompt: dict[str, int] = {}
+        self.ended: list[str] = []  # starts that a request ended, in order
 
 
 class Server:
@@ -27,19 +28,36 @@
         self.address = ""
         self.cut = 0.0  # share of answers that break off
         self.decline = 0.0  # share that are not run
+        self.dies_on = b""  # a request with this in its body ends the process
+        self.gone = asyncio.Event()
         self._ledger = ledger
         self._random = random.Random(seed)
+        self._writers: set[asyncio.StreamWriter] = set()
 
-    async def listen(self) -> None:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def listen(self, port: int = 0) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self._server = server
         self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
 
+    @property
+    def port(self) -> int:
+        return int(self.address.split(":")[1])
+
+    def die(self) -> None:
+        """Ends as a process does: nobody listens, and all connections break."""
+        if self.gone.is_set():
+            return
+        self.gone.set()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def entry(self, state: str = "ready") -> dict:
         return {"service": self.service, "address": self.address, "zone": "a",
                 "slots": 64, "state": state, "sequence": 1}
 
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 request, whole = await read_message(reader)
@@ -47,6 +65,7 @@
                     break
         except ConnectionError:
             pass
+        self._writers.discard(writer)
         writer.close()
 
     async def _run(self, request: Message, writer) -> bool:
@@ -60,6 +79,12 @@
             return True
         self._ledger.runs[request_id] += 1
         self._ledger.kind[request_id] = request.first.split()[1].split("/")[1]
+        if self.dies_on and self.dies_on in request.body:
+            await asyncio.sleep(0.05)
+            if not self.gone.is_set():
+                self._ledger.ended.append(self.name)
+            self.die()
+            return False
         signed = {"Server_Signature": f"{self.name}.{request_id}", "Request_Id": request_id}
         breaks = self._random.random() < self.cut
         if "token-usage" not in headers:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,91 +8,14 @@
 import os
 import random
 import signal
-import socket
 import sys
 import tempfile
 
-from tests.soak.callers import HOST, Callers
-from tests.soak.servers import TOKENS_PER_EVENT, Ledger, Server
-from tests.soak.store import Store
+from tests.soak.callers import Callers
+from tests.soak.platform import PREPAID, Platform
+from tests.soak.servers import TOKENS_PER_EVENT
 
 ROUTERS = 5
-PREPAID = 150_000
-SETTINGS = """nodeName = "{name}"
-zone = "a"
-ip = "127.0.0.1"
-internalPorts = [{metrics}, {loads}]
-[listen]
-frontend = "127.0.0.1:{front}"
-readiness = "127.0.0.1:{ready}"
-directory = "127.0.0.1:{directory}"
-[bounds]
-graceS = 6
-retryBudgetRatio = 0.2
-retrySlack = 50
-[platform]
-address = "127.0.0.1:{store}"
-"""
-
-
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
-class Router:
-    def __init__(self, name: str, folder: str, program: str) -> None:
-        self.name = name
-        self.front, self.ready, self.directory, self.metrics, self.loads = free_ports(5)
-        self.store_port = 0
-        self._path = os.path.join(folder, name + ".toml")
-        self._log = open(os.path.join(folder, name + ".log"), "ab")
-        self._program = program
-        self.process: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> None:
-        with open(self._path, "w", encoding="ascii") as file:
-            file.write(SETTINGS.format(name=self.name, front=self.front, ready=self.ready,
-                                       directory=self.directory, metrics=self.metrics,
-                                       loads=self.loads, store=self.store_port))
-        environment = dict(os.environ, COPPERVALVE_NODE_FILE=self._path)
-        self.process = await asyncio.create_subprocess_exec(
-            self._program, "platform", env=environment, stdout=self._log, stderr=self._log)
-
-    def send(self, number: int) -> None:
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def restart(self, number: int) -> None:
-        self.send(number)
-        await self.process.wait()
-        await self.start()
-
-
-def configuration(version: int, prepaid: int) -> dict:
-    def route(kind: str, service: str, type_: str, **more) -> dict:
-        return {"name": kind, "hostname": HOST, "pathPrefix": f"/{kind}/", "type": type_,
-                "timeoutMs": 6000, "targetLatencyMs": 300, "priority": 1, "service": service,
-                "maxAttempts": 2, "public": False, "sessionAffinity": service == "engines",
-                "targetGapMs": 250, **more}
-
-    return {
-        "version": version,
-        "routes": [route("chat", "engines", "streaming", resumable=True),
-                   route("draft", "engines", "streaming", resumable=False),
-                   route("hold", "desk", "unsafe"), route("lookup", "desk", "safe")],
-        "services": [{"name": "engines", "healthPath": "/healthz", "maxConnections": 300,
-                      "engine": {"slots": 64, "stride": TOKENS_PER_EVENT}},
-                     {"name": "desk", "healthPath": "/healthz", "maxConnections": 300}],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536,
-                   "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-        "tenants": [{"name": "gate", "apiKeys": ["key"], "prepaid": prepaid}],
-    }
 
 
 class Soak:
@@ -101,46 +24,24 @@
         self._random = random.Random(seed)
         self._seed = seed
         self._program = program
-        self._store = Store(seed)
-        self._ledger = Ledger()
-        self._servers: list[Server] = []
-        self._routers: list[Router] = []
-        self._version = 1
-        self._prepaid = PREPAID
         self.faults: list[str] = []
 
     async def run(self) -> int:
         with tempfile.TemporaryDirectory() as folder:
-            await self._start(folder)
+            self._platform = Platform(folder, self._program, self._seed)
+            await self._platform.start(ROUTERS, engines=4)
+            self._routers = self._platform.routers
+            self._servers = self._platform.servers
+            self._store = self._platform.store
             callers = Callers([f"127.0.0.1:{router.directory}" for router in self._routers],
                               self._seed)
             until = asyncio.get_running_loop().time() + self._seconds
             faults = asyncio.create_task(self._make_faults(until - 4))
             await callers.run(60, until)
             await faults
-            for router in self._routers:
-                router.send(signal.SIGKILL)
-                await router.process.wait()
+            await self._platform.stop()
             return self._verdict(callers.seen)
 
-    async def _start(self, folder: str) -> None:
-        for i in range(6):
-            service = "engines" if i < 4 else "desk"
-            server = Server(f"i-{i}", service, self._ledger, self._seed + i)
-            await server.listen()
-            self._servers.append(server)
-            self._store.put("keyed.servers", server.name, server.entry())
-        self._publish()
-        for i in range(ROUTERS):
-            router = Router(f"edge-{i}", folder, self._program)
-            router.store_port = await self._store.listen()
-            self._routers.append(router)
-            await router.start()
-        await asyncio.sleep(2)
-
-    def _publish(self) -> None:
-        self._store.put("keyed.op", "config", configuration(self._version, self._prepaid))
-
     async def _make_faults(self, until: float) -> None:
         kinds = [self._kill, self._kill_all, self._pause, self._terminate, self._turn_away,
                  self._store_down, self._lose_answers, self._forget, self._top_up,
@@ -189,9 +90,7 @@
         self._store.forget()
 
     async def _top_up(self) -> None:
-        self._version += self._random.randint(1, 5)
-        self._prepaid += PREPAID // 6
-        self._publish()
+        self._platform.publish(self._random.randint(1, 5), PREPAID // 6)
 
     async def _cut_answers(self) -> None:
         for server in self._servers:
@@ -213,14 +112,15 @@
         await self._store_down()
         self._store.put("keyed.servers", server.name, None)
         await asyncio.sleep(1)
-        self._store.put("keyed.servers", server.name, server.entry())
+        self._platform.announce(server)
 
     def _verdict(self, seen) -> int:
-        runs, ledger = self._ledger.runs, self._ledger
+        ledger = self._platform.ledger
+        runs, prepaid = ledger.runs, self._platform.prepaid
         # Ids that began at an engine; resumed runs count their prompt once.
         spent = sum(ledger.prompt.values()) + TOKENS_PER_EVENT * sum(seen.delivered.values())
         broken = {
-            "overspend": max(0, spent - self._prepaid),
+            "overspend": max(0, spent - prepaid),
             "wrong answers": len(seen.wrong),
             "not run, but ran": len([i for i in seen.not_run if runs[i]]),
             "ran twice": len([i for i, n in runs.items()
@@ -230,7 +130,7 @@
         }
         print("faults:", " ".join(self.faults))
         print("outcomes:", dict(seen.outcomes), "store calls:", self._store.calls)
-        print(f"tokens: {spent} of {self._prepaid}")
+        print(f"tokens: {spent} of {prepaid}")
         for wrong in seen.wrong[:5]:
             print("wrong:", wrong)
         print("soak:", ", ".join(f"{name} {count}" for name, count in broken.items()))
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -50,6 +50,11 @@
     def put(self, topic: str, key: str, value: dict | None) -> None:
         self.topic(topic).append(key, json.dumps(value).encode() if value else b"")
 
+    def wake_readers(self) -> None:
+        """Lets go of the reads that wait for a record."""
+        for topic in self.topics.values():
+            topic.grew.set()
+
     def forget(self) -> None:
         """Drops all records but the newest of each key."""
         for topic in self.topics.values():
