Refuse a request under which three upstreams ended, by its content, everywhere

What callers saw: drafts and streams of many were cut again and again, as one upstream after another ended under the same request, sent anew under new ids. Cause: no router knew a request by its content; each end was held against the upstream alone, so the next upstream got the request. Class: the fault travels with the request while isolation is by upstream. Ruled out: the routers' own repeats (sends 1 at each end). Change: entry::CrashRecord counts the ends of upstream starts under one content. An end is a refused address, a lapsed entry or a new start, never a broken connection alone. Ends stand in each router's beat (repeats change nothing, the newest stays in the store, all read it; no call more). Refused at once: 503 not run, Retry-After, no tokens. Why it holds: the evidence names the request, is the union over all routers, and outlives their restarts.

--- a/include/coppervalve/core/error.h
+++ b/include/coppervalve/core/error.h
@@ -54,6 +54,7 @@
   kClaimUnavailable = 413,
   kRetryBudgetSpent = 414,
   kBacklogFull = 415,
+  kEndsUpstreams = 416,
   // 5xx: after dispatch.
   kOutcomeUnknown = 501,
   kAnswerCut = 502,
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -1,11 +1,12 @@
 #ifndef COPPERVALVE_ENTRY_MEMBER_LIST_H_
 #define COPPERVALVE_ENTRY_MEMBER_LIST_H_
 
-#include <cstdint>  // uint32_t
-#include <map>      // map
-#include <set>      // set
-#include <string>   // string
-#include <vector>   // vector
+#include <cstdint>      // uint32_t
+#include <map>          // map
+#include <set>          // set
+#include <string>       // string
+#include <string_view>  // string_view
+#include <vector>       // vector
 
 #include "coppervalve/beat.pb.h"
 #include "coppervalve/core/ids.h"
@@ -48,6 +49,9 @@
   uint32_t Active() const;
   /// @return whether this router is one of them
   bool SelfActive() const { return m_active.contains(m_self); }
+  /// @return whether this router is the one active router that all choose for
+  /// a key without talking, as far as their lists agree
+  bool SelfOwns(std::string_view key) const;
   /// @return where a live router takes datagrams; empty when it doesn't
   std::string LoadAddressOf(const core::RouterId& router) const;
   /// @return routers that may be serving, this one included; at least 1
--- a/include/coppervalve/entry/upstream_directory.h
+++ b/include/coppervalve/entry/upstream_directory.h
@@ -2,10 +2,12 @@
 #define COPPERVALVE_ENTRY_UPSTREAM_DIRECTORY_H_
 
 #include <cstdint>        // uint8_t, uint32_t, int64_t
+#include <functional>     // function
 #include <memory>         // shared_ptr
 #include <optional>       // optional
 #include <string>         // string
 #include <unordered_map>  // unordered_map
+#include <utility>        // move
 #include <vector>         // vector
 
 #include "coppervalve/core/ids.h"
@@ -75,7 +77,12 @@
 /// @brief The upstreams that may get new work.
 class UpstreamDirectory {
  public:
-  explicit UpstreamDirectory(DirectoryOptions options) : m_options(options) {}
+  using OnGone = std::function<void(const UpstreamEntry&)>;
+
+  /// @param on_gone told of each start that ended, by the store's word; none:
+  /// nobody is told
+  explicit UpstreamDirectory(DirectoryOptions options, OnGone on_gone = {})
+      : m_options(options), m_on_gone(std::move(on_gone)) {}
 
   /// @brief A record was read; what it is worth is decided here, whether it
   /// came alone or in a list. What is known of a start ends with it: requests
@@ -112,9 +119,11 @@
   DirectoryChange Put(const UpstreamEntry& entry);
   DirectoryChange Drop(const core::UpstreamId& id);
   void Forget(const core::UpstreamId& id);
+  void TellGone(const UpstreamEntry& entry) const;
   void Rebuild();
 
   DirectoryOptions m_options;
+  OnGone m_on_gone;
   std::unordered_map<core::UpstreamId, UpstreamRef> m_by_id;
   std::unordered_map<core::ServiceId, std::vector<UpstreamRef>> m_by_service;
   /// Latest start seen under each id, also of those that went.
--- a/include/coppervalve/gateway/crash_watch.h
+++ b/include/coppervalve/gateway/crash_watch.h
@@ -2,30 +2,47 @@
 #define COPPERVALVE_GATEWAY_CRASH_WATCH_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>   // function
 #include <string_view>  // string_view
 
+#include "coppervalve/entry/crash_record.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/gateway/event_log.h"
 #include "coppervalve/gateway/upstream_check.h"
 
 namespace coppervalve::gateway {
 
-/// @brief Finds out which upstreams ended, and not only a connection to them:
-/// upstreams that are well break connections too.
+/// @brief Feeds the record of crashes with what really ended: upstreams that
+/// are well break connections too.
 class CrashWatch {
  public:
-  CrashWatch(boost::asio::io_context& io, EventLog& log)
-      : m_log(log), m_check(io) {}
+  struct Hooks {
+    /// Other routers should hear soon of what changed.
+    std::function<void()> tell;
+  };
 
-  /// @brief An answer of an upstream broke off.
-  void OnBroken(const entry::UpstreamRef& upstream);
+  CrashWatch(boost::asio::io_context& io, EventLog& log, Hooks hooks);
+
+  /// @brief An answer broke off, or nothing came in time.
+  void OnBroken(const entry::UpstreamRef& upstream,
+                const entry::RequestPrint& request);
   /// @brief A start of an upstream is known to have ended.
   /// @param by what showed it
   void OnEnded(const entry::UpstreamEntry& entry, std::string_view by);
+  /// @brief An upstream ran a request to its end.
+  void OnSurvived(const entry::RequestPrint& request);
+  /// @brief Another router's beat was read.
+  void OnBeat(const v1::RouterBeat& beat);
+
+  entry::CrashRecord& record() { return m_record; }
 
  private:
+  void TellCondemned(const entry::RequestPrint& request, std::string_view by);
+
   EventLog& m_log;
+  Hooks m_hooks;
   UpstreamCheck m_check;
+  entry::CrashRecord m_record;
 };
 
 }  // namespace coppervalve::gateway
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -118,6 +118,10 @@
 
   entry::RequestContent Content() const;
   const entry::RequestPrint& Print();
+  entry::Standing StandingNow();
+  /// @brief Refuses what upstreams ended under. @return whether
+  bool RefuseIfItEndsUpstreams();
+  void TellSurvived();
   bool IsStream() const;
   bool Repeatable() const;
   bool AfterAnEvent() const { return m_cutter.events() != 0; }
@@ -161,10 +165,11 @@
   uint32_t m_tries = 0;         ///< placements, sent or not
   bool m_may_have_run = false;  ///< at some upstream
   bool m_answer_begun = false;
+  bool m_on_trial = false;  ///< holds the place of the one that is tried
   bool m_done = false;
   std::string m_last_failure;
   std::optional<entry::RequestPrint> m_print;  ///< once it was needed
-  entry::Placement m_placed;  ///< the last one
+  entry::Placement m_placed;                   ///< the last one
   /// Chosen before tokens were set aside, and good until anything was waited
   /// for.
   std::optional<entry::Placement> m_planned;
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -50,6 +50,7 @@
     {ErrorId::kClaimUnavailable, "claim_unavailable", 503, kNot},
     {ErrorId::kRetryBudgetSpent, "retry_budget_spent", 503, kNot},
     {ErrorId::kBacklogFull, "backlog_full", 503, kNot},
+    {ErrorId::kEndsUpstreams, "ends_upstreams", 503, kNot},
     {ErrorId::kOutcomeUnknown, "outcome_unknown", 502, kMaybe},
     {ErrorId::kAnswerCut, "answer_cut", 502, kMaybe},
     {ErrorId::kUpstreamFailed, "upstream_failed", 502, kMaybe},
--- /dev/null
+++ b/src/entry/crash_record.cc
@@ -0,0 +1,316 @@
+#include "coppervalve/entry/crash_record.h"
+
+#include <algorithm>  // count_if, max, min, min_element
+#include <string>     // to_string
+#include <tuple>      // tie
+#include <utility>    // move
+
+#include "coppervalve/core/hash.h"
+
+namespace coppervalve::entry {
+
+namespace {
+
+// More than any honest router tells of one request.
+constexpr int kMostEndsRead = 16;
+constexpr size_t kMostEndsKept = 32;
+constexpr size_t kMostBroken = 1'024;
+// Refused for ever would outlast the release that mends it.
+constexpr uint32_t kMostDoublings = 6;
+
+}  // namespace
+
+UpstreamStart StartOf(const UpstreamEntry& entry) {
+  const std::string born = entry.born ? std::to_string(*entry.born) : "";
+  return UpstreamStart(core::Hash64(entry.id.value() + "#" + born));
+}
+
+size_t CrashRecord::Counting(const Case& one) {
+  return static_cast<size_t>(std::count_if(
+      one.ends.begin(), one.ends.end(),
+      [](const auto& end) { return end.second.state == EndState::kCounts; }));
+}
+
+bool CrashRecord::MayKnow(uint64_t sketch) const {
+  const auto first = m_cases.lower_bound(RequestPrint{sketch, {}});
+  return first != m_cases.end() && first->first.sketch == sketch;
+}
+
+Standing CrashRecord::StandingOf(const RequestPrint& request) const {
+  const auto found = m_cases.find(request);
+  if (found == m_cases.end()) {
+    return Standing::kClear;
+  }
+  const Case& one = found->second;
+  if (one.condemned) {
+    return Standing::kCondemned;
+  }
+  return one.on_trial || Counting(one) >= m_options.ends_to_suspect
+             ? Standing::kSuspect
+             : Standing::kClear;
+}
+
+core::Duration CrashRecord::Sentence(const Case& one) const {
+  const uint32_t doublings =
+      std::min(std::max(one.times, 1U) - 1, kMostDoublings);
+  return m_options.refused_for * (1U << doublings);
+}
+
+core::Duration CrashRecord::RefusedFor(const RequestPrint& request,
+                                       core::TimePoint now) const {
+  const auto found = m_cases.find(request);
+  if (found == m_cases.end() || !found->second.condemned) {
+    return core::Duration::zero();
+  }
+  const core::TimePoint until =
+      found->second.condemned_at + Sentence(found->second);
+  return std::max(until - now, core::Duration::zero());
+}
+
+// Copies that come at once would end an upstream each before the first end is
+// known; one at a time they end one.
+bool CrashRecord::BeginTrial(const RequestPrint& request) {
+  return m_trials.insert(request).second;
+}
+
+CrashRecord::Case& CrashRecord::CaseOf(const RequestPrint& request,
+                                       core::TimePoint now) {
+  if (m_cases.size() >= m_options.most_requests && !m_cases.contains(request)) {
+    // A caller with many such requests must not fill the memory: what changed
+    // longest ago goes, condemned ones last.
+    const auto goes = std::min_element(
+        m_cases.begin(), m_cases.end(), [](const auto& a, const auto& b) {
+          return std::tie(a.second.condemned, a.second.changed) <
+                 std::tie(b.second.condemned, b.second.changed);
+        });
+    m_cases.erase(goes);
+  }
+  Case& one = m_cases[request];
+  one.changed = now;
+  return one;
+}
+
+void CrashRecord::Add(const RequestPrint& request,
+                      UpstreamStart start,
+                      bool own,
+                      core::TimePoint now) {
+  Case& one = CaseOf(request, now);
+  if (one.ends.size() >= kMostEndsKept && !one.ends.contains(start)) {
+    return;
+  }
+  const auto [end, added] =
+      one.ends.try_emplace(start, End{now, EndState::kCounts, own});
+  if (added) {
+    Judge(one, now);
+  }
+}
+
+void CrashRecord::Judge(Case& one, core::TimePoint now) const {
+  if (one.condemned) {
+    return;
+  }
+  core::TimePoint first = now;
+  size_t counting = 0;
+  for (const auto& [start, end] : one.ends) {
+    if (end.state == EndState::kCounts) {
+      first = std::min(first, end.since);
+      ++counting;
+    }
+  }
+  one.apart = one.apart || now - first > m_options.one_event;
+  const size_t needed = one.on_trial ? 1 : m_options.ends_to_condemn;
+  if (counting < needed || (!one.apart && !one.on_trial)) {
+    return;
+  }
+  one.condemned = true;
+  one.condemned_at = now;
+  ++one.times;
+}
+
+void CrashRecord::OnBroken(const RequestPrint& request,
+                           UpstreamStart start,
+                           core::TimePoint now) {
+  if (m_broken.size() >= kMostBroken) {
+    m_broken.pop_front();
+  }
+  m_broken.push_back({now, start, request});
+}
+
+std::vector<RequestPrint> CrashRecord::OnEnded(UpstreamStart start,
+                                               core::TimePoint now) {
+  std::vector<RequestPrint> held_against;
+  for (const Broken& broken : m_broken) {
+    const bool in_time = now - broken.at <= m_options.known_within;
+    if (broken.start == start && in_time) {
+      held_against.push_back(broken.request);
+    }
+  }
+  std::erase_if(m_broken,
+                [&](const Broken& broken) { return broken.start == start; });
+  for (const RequestPrint& request : held_against) {
+    Add(request, start, true, now);
+  }
+  return held_against;
+}
+
+// What ends each upstream that begins it can't have been run by one that
+// lives. Without this, callers of one popular subject would be refused after a
+// spell of crashes.
+bool CrashRecord::OnSurvived(const RequestPrint& request, core::TimePoint now) {
+  std::erase_if(m_broken, [&](const Broken& broken) {
+    return broken.request == request;
+  });
+  const auto found = m_cases.find(request);
+  if (found == m_cases.end()) {
+    return false;
+  }
+  const bool counted = Counting(found->second) != 0 || found->second.condemned;
+  Put(found->second, EndState::kSurvived, true, now);
+  return counted;
+}
+
+void CrashRecord::Put(Case& one,
+                      EndState state,
+                      bool own,
+                      core::TimePoint now) {
+  for (auto& [start, end] : one.ends) {
+    if (end.state != state) {
+      end = {now, state, own};
+    }
+  }
+  one.condemned = false;
+  one.on_trial = state == EndState::kAtoned;
+  one.apart = false;
+  one.changed = now;
+}
+
+bool CrashRecord::Told(const Case& one,
+                       const End& end,
+                       core::TimePoint now) const {
+  const bool lately = now - end.since <= m_options.told_for;
+  switch (end.state) {
+    case EndState::kCounts:
+      return end.own && (one.condemned || lately);
+    case EndState::kSurvived:
+      return end.own && lately;
+    case EndState::kAtoned:
+      break;
+  }
+  return false;
+}
+
+void CrashRecord::WriteTo(v1::RouterBeat& beat, core::TimePoint now) const {
+  for (const auto& [request, one] : m_cases) {
+    if (beat.crashes_size() >= static_cast<int>(m_options.most_told)) {
+      return;
+    }
+    v1::CrashCase told;
+    for (const auto& [start, end] : one.ends) {
+      if (!Told(one, end, now)) {
+        continue;
+      }
+      if (end.state == EndState::kSurvived) {
+        told.add_survived(start.value());
+      } else {
+        told.add_ended(start.value());
+      }
+    }
+    if (told.ended_size() == 0 && told.survived_size() == 0) {
+      continue;
+    }
+    told.set_request(request.ToBytes());
+    told.set_apart(one.apart);
+    *beat.add_crashes() = std::move(told);
+  }
+}
+
+void CrashRecord::Take(const v1::CrashCase& told,
+                       bool own,
+                       core::TimePoint now) {
+  const RequestPrint request = RequestPrint::FromBytes(told.request());
+  if (request.digest.empty()) {
+    return;
+  }
+  const int ends = std::min(told.ended_size(), kMostEndsRead);
+  for (int i = 0; i < ends; ++i) {
+    Add(request, UpstreamStart(told.ended(i)), own, now);
+  }
+  const auto found = m_cases.find(request);
+  if (found == m_cases.end()) {
+    return;
+  }
+  TakeSurvived(found->second, told, own, now);
+  if (ends != 0 && Counting(found->second) != 0) {
+    found->second.apart = found->second.apart || told.apart();
+    Judge(found->second, now);
+  }
+}
+
+void CrashRecord::TakeSurvived(Case& one,
+                               const v1::CrashCase& told,
+                               bool own,
+                               core::TimePoint now) {
+  const int survived = std::min(told.survived_size(), kMostEndsRead);
+  for (int i = 0; i < survived; ++i) {
+    const auto end = one.ends.find(UpstreamStart(told.survived(i)));
+    if (end != one.ends.end() && end->second.state != EndState::kSurvived) {
+      end->second = {now, EndState::kSurvived, own};
+    }
+  }
+  if (survived != 0 && Counting(one) == 0) {
+    one.condemned = false;
+    one.on_trial = false;
+    one.apart = false;
+  }
+}
+
+std::vector<RequestPrint> CrashRecord::OnBeat(const v1::RouterBeat& beat,
+                                              core::TimePoint now) {
+  std::vector<RequestPrint> condemned;
+  const int most =
+      std::min(beat.crashes_size(), static_cast<int>(m_options.most_told));
+  for (int i = 0; i < most; ++i) {
+    const RequestPrint request =
+        RequestPrint::FromBytes(beat.crashes(i).request());
+    const bool before = StandingOf(request) == Standing::kCondemned;
+    Take(beat.crashes(i), false, now);
+    if (!before && StandingOf(request) == Standing::kCondemned) {
+      condemned.push_back(request);
+    }
+  }
+  return condemned;
+}
+
+void CrashRecord::OnOwnPast(const v1::RouterBeat& beat, core::TimePoint now) {
+  const int most =
+      std::min(beat.crashes_size(), static_cast<int>(m_options.most_told));
+  for (int i = 0; i < most; ++i) {
+    Take(beat.crashes(i), true, now);
+  }
+}
+
+void CrashRecord::Advance(core::TimePoint now) {
+  while (!m_broken.empty() &&
+         now - m_broken.front().at > m_options.known_within) {
+    m_broken.pop_front();
+  }
+  for (auto& [request, one] : m_cases) {
+    if (one.condemned && now - one.condemned_at >= Sentence(one)) {
+      // The ends are not forgotten: one more is enough.
+      Put(one, EndState::kAtoned, true, now);
+    }
+  }
+  std::erase_if(m_cases, [&](const auto& entry) {
+    const Case& one = entry.second;
+    const core::Duration kept = one.on_trial ? Sentence(one) : m_options.doubt;
+    return !one.condemned && now - one.changed > kept;
+  });
+}
+
+size_t CrashRecord::condemned() const {
+  return static_cast<size_t>(
+      std::count_if(m_cases.begin(), m_cases.end(),
+                    [](const auto& one) { return one.second.condemned; }));
+}
+
+}  // namespace coppervalve::entry
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -1,8 +1,10 @@
 #include "coppervalve/entry/member_list.h"
 
-#include <algorithm>  // max, min
+#include <algorithm>  // all_of, max, min
 #include <cstddef>    // size_t
 
+#include "coppervalve/core/hash.h"
+
 namespace coppervalve::entry {
 
 namespace {
@@ -135,6 +137,15 @@
   return addresses;
 }
 
+bool MemberList::SelfOwns(std::string_view key) const {
+  const uint64_t own = core::RendezvousRank(key, m_self.value());
+  return std::all_of(m_active.begin(), m_active.end(),
+                     [&](const core::RouterId& router) {
+                       return router == m_self ||
+                              core::RendezvousRank(key, router.value()) < own;
+                     });
+}
+
 std::string MemberList::LoadAddressOf(const core::RouterId& router) const {
   const auto found = m_members.find(router);
   return found != m_members.end() && found->second.live
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -95,6 +95,7 @@
   }
   if (restarted) {
     known->entry.leaving = true;
+    TellGone(known->entry);
   }
   if (!known || restarted) {
     known = std::make_shared<Upstream>();
@@ -133,6 +134,7 @@
   const UpstreamRef& upstream = found->second;
   const bool known_to_leave = upstream->entry.leaving;
   if (known_to_leave || ReturnsAreOver(contact, now)) {
+    TellGone(upstream->entry);
     Forget(id);
     Rebuild();
     return true;
@@ -184,6 +186,7 @@
     }
   }
   for (const core::UpstreamId& id : gone) {
+    TellGone(m_by_id.at(id)->entry);
     Forget(id);
   }
   if (!gone.empty()) {
@@ -214,6 +217,12 @@
   m_by_id.erase(found);
 }
 
+void UpstreamDirectory::TellGone(const UpstreamEntry& entry) const {
+  if (m_on_gone) {
+    m_on_gone(entry);
+  }
+}
+
 void UpstreamDirectory::Rebuild() {
   m_by_service.clear();
   for (const auto& [id, upstream] : m_by_id) {
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -1,18 +1,66 @@
 #include "coppervalve/gateway/crash_watch.h"
 
+#include <utility>  // move
+#include <vector>   // vector
+
+#include "coppervalve/net/clock.h"
+
 namespace coppervalve::gateway {
 
-void CrashWatch::OnBroken(const entry::UpstreamRef& upstream) {
+CrashWatch::CrashWatch(boost::asio::io_context& io, EventLog& log, Hooks hooks)
+    : m_log(log), m_hooks(std::move(hooks)), m_check(io), m_record({}) {}
+
+// Entries lapse seconds after an end, and callers repeat at once: asking the
+// address tells at once.
+void CrashWatch::OnBroken(const entry::UpstreamRef& upstream,
+                          const entry::RequestPrint& request) {
+  m_record.OnBroken(request, entry::StartOf(upstream->entry), net::BootNow());
   m_check.Ask(upstream->entry.address,
               [this, upstream] { OnEnded(upstream->entry, "refused"); });
 }
 
 void CrashWatch::OnEnded(const entry::UpstreamEntry& entry,
                          std::string_view by) {
-  m_log.Write(LineKind::kLifecycle, LogLine("upstream_ended")
-                                        .Text("upstream", entry.id.value())
-                                        .Text("address", entry.address)
-                                        .Text("by", by));
+  const std::vector<entry::RequestPrint> under =
+      m_record.OnEnded(entry::StartOf(entry), net::BootNow());
+  if (under.empty()) {
+    return;
+  }
+  m_log.Write(LineKind::kLifecycle,
+              LogLine("upstream_ended")
+                  .Text("upstream", entry.id.value())
+                  .Text("address", entry.address)
+                  .Text("by", by)
+                  .Number("requests", static_cast<int64_t>(under.size())));
+  for (const entry::RequestPrint& request : under) {
+    if (m_record.StandingOf(request) == entry::Standing::kCondemned) {
+      TellCondemned(request, "this_router");
+    }
+  }
+  m_hooks.tell();
+}
+
+void CrashWatch::OnSurvived(const entry::RequestPrint& request) {
+  if (m_record.OnSurvived(request, net::BootNow())) {
+    m_hooks.tell();
+  }
+}
+
+void CrashWatch::OnBeat(const v1::RouterBeat& beat) {
+  for (const entry::RequestPrint& request :
+       m_record.OnBeat(beat, net::BootNow())) {
+    TellCondemned(request, "another_router");
+  }
+}
+
+void CrashWatch::TellCondemned(const entry::RequestPrint& request,
+                               std::string_view by) {
+  m_log.Write(
+      LineKind::kLifecycle,
+      LogLine("request_condemned")
+          .Text("content", request.Short())
+          .Text("by", by)
+          .Millis("refused_ms", m_record.RefusedFor(request, net::BootNow())));
 }
 
 }  // namespace coppervalve::gateway
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -81,6 +81,51 @@
   return *m_print;
 }
 
+entry::Standing Exchange::StandingNow() {
+  // Hardly any request is known: most are told apart by the sketch alone, and
+  // their bodies are not hashed.
+  const entry::CrashRecord& record = m_context.crashes.record();
+  return record.MayKnow(entry::SketchOf(Content())) ? record.StandingOf(Print())
+                                                    : entry::Standing::kClear;
+}
+
+// Isolating upstreams alone gives a request that ends its upstreams one after
+// another, with all that they were running; so it is judged by its content,
+// before every send.
+bool Exchange::RefuseIfItEndsUpstreams() {
+  const entry::Standing standing = StandingNow();
+  if (standing == entry::Standing::kClear) {
+    return false;
+  }
+  core::Error error{core::ErrorId::kEndsUpstreams, Print().Short(),
+                    "upstreams ended under it"};
+  core::Duration come_back =
+      m_context.crashes.record().RefusedFor(Print(), net::BootNow());
+  if (standing == entry::Standing::kSuspect) {
+    // Copies that come at once, to many routers, would end an upstream each.
+    m_on_trial = m_on_trial || (m_context.members.SelfOwns(Print().digest) &&
+                                m_context.crashes.record().BeginTrial(Print()));
+    if (m_on_trial) {
+      return false;
+    }
+    error.detail = "tried by one router, one at a time";
+    come_back = kAfterATrial;
+  }
+  if (m_may_have_run) {
+    error.id = core::ErrorId::kUpstreamFailed;
+    Fail(error);
+  } else {
+    Refuse(error, come_back);
+  }
+  return true;
+}
+
+void Exchange::TellSurvived() {
+  if (m_context.crashes.record().MayKnow(entry::SketchOf(Content()))) {
+    m_context.crashes.OnSurvived(Print());
+  }
+}
+
 void Exchange::Admit() {
   const core::Result<entry::RequestFacts> facts =
       m_context.dialect.read_request(m_request.head);
@@ -110,6 +155,9 @@
     return;
   }
   m_limit_at = m_request.arrived + m_admitted.limit;
+  if (RefuseIfItEndsUpstreams()) {
+    return;
+  }
   m_context.retries.OnRequest(m_admitted.service, m_request.arrived);
   if (ShedIfOverloaded()) {
     return;
@@ -299,6 +347,9 @@
     m_waiting_since.reset();
     m_wait_until.reset();
   }
+  if (RefuseIfItEndsUpstreams()) {
+    return;
+  }
   const entry::Placement placement =
       m_planned ? *std::exchange(m_planned, std::nullopt) : ChoosePlacement();
   m_placed = placement;
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -219,6 +219,9 @@
   const bool sent = m_attempt->connection->sent_any();
   m_sends += sent ? 1 : 0;
   m_may_have_run = m_may_have_run || sent;
+  if (sent && outcome == AttemptOutcome::kSilent) {
+    m_context.crashes.OnBroken(m_attempt->upstream, Print());
+  }
   m_attempt->connection->Cancel();
   LeaveUpstream(outcome);
   m_attempt.reset();
@@ -238,8 +241,7 @@
   ++m_sends;
   if (end == AttemptEnd::kBroken) {
     m_may_have_run = true;
-    Print();  // named in the log line
-    m_context.crashes.OnBroken(m_attempt->upstream);
+    m_context.crashes.OnBroken(m_attempt->upstream, Print());
     LeaveUpstream(AttemptOutcome::kBroken);
     m_attempt.reset();
     OnBroken(why);
@@ -268,6 +270,9 @@
 // An upstream's own word is the only proof that a request it was sent did not
 // run.
 void Exchange::OnDeclined() {
+  if (m_attempt->answer.other_upstream) {
+    m_context.crashes.OnEnded(m_attempt->upstream->entry, "address_taken");
+  }
   LeaveUpstream(m_attempt->answer.other_upstream ? AttemptOutcome::kMisaddressed
                                                  : AttemptOutcome::kDeclined);
   m_attempt.reset();
@@ -294,6 +299,7 @@
                        : AttemptOutcome::kAnswered);
   const bool streamed = m_attempt->passing_on;
   m_attempt.reset();
+  TellSurvived();
   if (failed && resumed) {
     OnBroken("the stream could not be resumed");
     return;
@@ -348,6 +354,10 @@
       Left() <= core::Duration::zero()) {
     return false;
   }
+  // One arrival of what ends its upstreams costs one of them, not two.
+  if (StandingNow() != entry::Standing::kClear) {
+    return false;
+  }
   return m_context.retries.Take(m_admitted.service, m_context.members.Live(),
                                 net::BootNow());
 }
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -87,6 +87,9 @@
   }
   m_done = true;
   m_timer.cancel();
+  if (m_on_trial) {
+    m_context.crashes.record().EndTrial(Print());
+  }
   Settle();
   const bool admitted = m_admitted.route != nullptr;
   const RouteKind kind =
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -51,7 +51,10 @@
       m_store(std::move(store)),
       m_random(SeededRandom()),
       m_log(io, STDOUT_FILENO, {}),
-      m_directory({}),
+      m_directory({},
+                  [this](const entry::UpstreamEntry& entry) {
+                    m_crashes.OnEnded(entry, "entry");
+                  }),
       m_peer_loads(kLoadLifetime),
       m_peers(kPeerSilence, kPeerMemory),
       m_placer(policy.placement,
@@ -65,7 +68,7 @@
                 m_peers,
                 static_cast<size_t>(policy.least_active)),
       m_pool(io),
-      m_crashes(io, m_log),
+      m_crashes(io, m_log, {[this] { m_writer->Hurry(); }}),
       m_tick(io) {
   m_context.emplace(ExchangeContext{
       m_io,
@@ -145,6 +148,7 @@
   m_members.Advance(m_beat_contact, now);
   TellActive();
   m_peer_loads.Advance(now);
+  m_crashes.record().Advance(now);
   m_pool.CloseOld(now);
   if (Ready() != m_was_ready) {
     m_was_ready = Ready();
--- a/src/gateway/gateway_beats.cc
+++ b/src/gateway/gateway_beats.cc
@@ -95,6 +95,7 @@
     m_members.OnBeat(router, beat, net::BootNow());
     if (router != m_settings.router) {
       m_book.OnOtherBeat(router, beat, net::BootNow());
+      m_crashes.OnBeat(beat);
       continue;
     }
     // No grant is taken from here: the list is not a snapshot, and a record
@@ -117,6 +118,7 @@
   m_members.OnBeat(router, beat, net::BootNow());
   if (router != m_settings.router) {
     m_book.OnOtherBeat(router, beat, net::BootNow());
+    m_crashes.OnBeat(beat);
     return;
   }
   if (beat.epoch() != m_writer->epoch()) {
@@ -141,6 +143,7 @@
   const bool held_back = entry::HeldBack(m_own_record, succession);
   TellPredecessor(held_back);
   m_book.OnPredecessor(m_own_record, held_back);
+  m_crashes.record().OnOwnPast(m_own_record, net::BootNow());
   m_writer->BeginBeats();
 }
 
@@ -188,6 +191,7 @@
   context.closing = beat.closing();
   context.period = entry::BeatPeriod(Limits());
   VouchForReserves(beat, now);
+  m_crashes.record().WriteTo(beat, now);
   m_book.WriteClaims(beat, context, now);
   TellHold();
 }
--- a/tests/process/test_crashing_request.py
+++ b/tests/process/test_crashing_request.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import os
+import signal
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
 
 from tests.soak.http import read_message
-from tests.soak.platform import Platform
+from tests.soak.platform import Platform, Router
 
 # What three upstreams ended under is given to no other.
 _MOST_ENDED = 3
@@ -51,15 +52,62 @@
     # ends under one and the same request, which its caller sends anew under a new
     # id, to any router. Nothing remembered a request by its content, so that each
     # router held its end against the engine alone and gave the next one away.
+    # Evidence: the same content in the log lines of every end, at all routers, and
+    # none of them refused.
     def test_one_request_ends_few_upstreams_however_often_it_comes(self) -> None:
         async def scenario(platform: Platform) -> None:
-            for engine in platform.engines:
-                engine.dies_on = b"poison"
             for number in range(_REPEATS):
                 router = platform.routers[number % len(platform.routers)]
-                await _ask(router.front, _request(number, "poison"))
-                # What a router found out reaches the others.
-                await asyncio.sleep(1)
+                await self.send_crashing(platform, router, number)
+
+        ended = self.play(scenario).ledger.ended
+        self.assertLessEqual(len(ended), _MOST_ENDED, ended)
+
+    async def send_crashing(self, platform: Platform, router: Router, number: int) -> int:
+        """Sends it once; what came of it reaches the other routers."""
+        for engine in platform.engines:
+            engine.dies_on = b"poison"
+        status, _ = await _ask(router.front, _request(number, "poison"))
+        await asyncio.sleep(1)
+        if len(platform.ledger.ended) >= _MOST_ENDED:
+            await platform.until_all_tell("condemned_requests", 1)
+        return status
+
+    async def condemn(self, platform: Platform) -> None:
+        """Sends it to any router until all refuse it."""
+        for number in range(_REPEATS):
+            if await platform.until_all_tell("condemned_requests", 1, within=0):
+                return
+            router = platform.routers[number % len(platform.routers)]
+            await self.send_crashing(platform, router, number)
+
+    # A loss of all power is no way out: routers that start read what the fleet had
+    # found. Other callers of the same path and account are served all the while.
+    def test_what_is_refused_stays_refused_when_all_routers_start_again(self) -> None:
+        statuses = []
+
+        async def scenario(platform: Platform) -> None:
+            await self.condemn(platform)
+            for router in platform.routers:
+                await router.restart(signal.SIGKILL)
+            await platform.until_all_tell("ready", 1)
+            for number, router in enumerate(platform.routers):
+                poison = await _ask(router.front, _request(100 + number, "poison"))
+                other = await _ask(router.front, _request(200 + number, "a draft"))
+                statuses.append((poison[0], other[0]))
+                self.assertGreater(float(poison[1].get("retry-after", 0)), 60)
+
+        ended = self.play(scenario).ledger.ended
+        self.assertLessEqual(len(ended), _MOST_ENDED, ended)
+        self.assertEqual([(503, 200)] * 3, statuses)
+
+    # The store is away, so that no router hears of another: each acts on what it
+    # saw itself.
+    def test_a_router_alone_refuses_what_ended_three_upstreams_there(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            platform.store.down = {router.store_port for router in platform.routers}
+            for number in range(_REPEATS):
+                await self.send_crashing(platform, platform.routers[0], number)
 
         ended = self.play(scenario).ledger.ended
         self.assertLessEqual(len(ended), _MOST_ENDED, ended)
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -6,6 +6,7 @@
 import socket
 
 from tests.soak.callers import HOST
+from tests.soak.http import read_message
 from tests.soak.servers import TOKENS_PER_EVENT, Ledger, Server
 from tests.soak.store import Store
 
@@ -69,6 +70,20 @@
         await self.process.wait()
         await self.start()
 
+    async def figure(self, name: str) -> float:
+        """A figure of the router's state, as its metrics tell; 0 when they don't."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.metrics)
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n")
+            reply, _ = await asyncio.wait_for(read_message(reader), 2)
+            writer.close()
+        except (OSError, TimeoutError):
+            return 0
+        for line in (reply.body.decode() if reply else "").splitlines():
+            if line.startswith("coppervalve_entry_state") and f'figure="{name}"' in line:
+                return float(line.split()[-1])
+        return 0
+
     def log(self) -> str:
         with open(self._log_path, encoding="utf-8") as file:
             return file.read()
@@ -150,6 +165,15 @@
         self.prepaid += more_tokens
         self.store.put("keyed.op", "config", configuration(self._version, self.prepaid))
 
+    async def until_all_tell(self, figure: str, value: float, within: float = 10) -> bool:
+        """Waits until all routers tell a figure. Returns whether they did."""
+        for _ in range(int(within * 20)):
+            told = [await router.figure(figure) for router in self.routers]
+            if all(one == value for one in told):
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
     async def stop(self) -> None:
         for birth in self._births:
             birth.cancel()
