Log what upstreams say of themselves: that they leave, that they want a pause

Cause to look for: requests reach upstreams that had said in answers that they leave. No line told that an answer said so, nor what was known then. No decision rests on them.

--- a/include/coppervalve/gateway/dialect.h
+++ b/include/coppervalve/gateway/dialect.h
@@ -35,6 +35,9 @@
   bool not_run = false;
   bool other_upstream = false;  ///< the address belongs to another one now
   bool genuine = true;          ///< may be passed on as a success
+  bool leaving = false;         ///< the upstream takes no new work
+  /// The upstream, too busy for this request, wants no other for so long.
+  std::optional<core::Duration> wait;
 };
 
 /// @brief How requests, answers and documents are put where the router runs.
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -103,6 +103,7 @@
   void Send(const entry::Placement& placement);
   std::string RequestText(const SendFacts& facts) const;
 
+  void TellWhatItSays();
   void OnHead(const http1::ResponseHead& head);
   void OnBody(const std::string& body);
   void OnEnd(AttemptEnd end, std::string_view why);
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -128,6 +128,7 @@
   Attempt& attempt = *m_attempt;
   attempt.answer = m_context.dialect.read_answer(head);
   m_watch_from = net::BootNow();
+  TellWhatItSays();
   EndReading();
   attempt.upstream->health.OnFirstByte(m_watch_from - attempt.began,
                                        attempt.cost + kCostOfAny);
@@ -153,6 +154,21 @@
   attempt.passing_on = IsStream() && IsSuccess(head.status);
 }
 
+void Exchange::TellWhatItSays() {
+  const AnswerFacts& answer = m_attempt->answer;
+  if (!answer.leaving && !answer.wait) {
+    return;
+  }
+  const entry::UpstreamEntry& entry = m_attempt->upstream->entry;
+  m_context.log.Write(
+      LineKind::kLifecycle,
+      LogLine("upstream_says")
+          .Text("upstream", entry.id.value())
+          .Flag("leaving", answer.leaving)
+          .Flag("known_to_leave", entry.leaving)
+          .Millis("wait_ms", answer.wait.value_or(core::Duration::zero())));
+}
+
 void Exchange::OnBody(const std::string& body) {
   Attempt& attempt = *m_attempt;
   m_watch_from = net::BootNow();
