--- a/tests/process/test_crashing_request.py
+++ b/tests/process/test_crashing_request.py
@@ -16,14 +16,14 @@
 _PROGRAM = os.path.join(os.environ.get("COPPERVALVE_BUILD", "build"), "coppervalved")
 
 
-def _request(number: int, body: str, path: str = "/draft/x") -> str:
+def request(number: int, body: str, path: str = "/draft/x", prefix: str = "a") -> str:
     return (f"POST {path} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r{number}\r\n"
             "Deadline-Ms: 4000\r\nAuthorization: Token key\r\n"
             f"Content-Length: {len(body)}\r\n"
-            f"Model: m\r\nToken-Usage: 100,70\r\nPrefix-Hash: a:50,b:50\r\n\r\n{body}")
+            f"Model: m\r\nToken-Usage: 100,70\r\nPrefix-Hash: {prefix}:50,b:50\r\n\r\n{body}")
 
 
-async def _ask(port: int, text: str) -> tuple[int, dict[str, str]]:
+async def ask(port: int, text: str) -> tuple[int, dict[str, str]]:
     """Returns the status, or 0 for an answer that broke off, and the headers."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(text.encode())
@@ -67,7 +67,7 @@
         """Sends it once; what came of it reaches the other routers."""
         for engine in platform.engines:
             engine.dies_on = b"poison"
-        status, _ = await _ask(router.front, _request(number, "poison"))
+        status, _ = await ask(router.front, request(number, "poison"))
         await asyncio.sleep(1)
         if len(platform.ledger.ended) >= _MOST_ENDED:
             await platform.until_all_tell("condemned_requests", 1)
@@ -92,8 +92,8 @@
                 await router.restart(signal.SIGKILL)
             await platform.until_all_tell("ready", 1)
             for number, router in enumerate(platform.routers):
-                poison = await _ask(router.front, _request(100 + number, "poison"))
-                other = await _ask(router.front, _request(200 + number, "a draft"))
+                poison = await ask(router.front, request(100 + number, "poison"))
+                other = await ask(router.front, request(200 + number, "a draft"))
                 statuses.append((poison[0], other[0]))
                 self.assertGreater(float(poison[1].get("retry-after", 0)), 60)
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -15,6 +15,7 @@
 
     def __init__(self) -> None:
         self.runs: Counter[str] = Counter()
+        self.arrived: Counter[str] = Counter()  # by upstream, 421 left out
         self.streamed: Counter[str] = Counter()  # events made, of all runs
         self.kind: dict[str, str] = {}
         self.prompt: dict[str, int] = {}
@@ -29,6 +30,8 @@
         self.cut = 0.0  # share of answers that break off
         self.decline = 0.0  # share that are not run
         self.dies_on = b""  # a request with this in its body ends the process
+        self.leaving = False  # said in all answers
+        self.wait = 0.0  # seconds; all requests are declined with it
         self.gone = asyncio.Event()
         self._ledger = ledger
         self._random = random.Random(seed)
@@ -71,11 +74,17 @@
     async def _run(self, request: Message, writer) -> bool:
         headers = request.headers
         request_id = headers["request-id"]
+        says = {"Server_Leaving": "1"} if self.leaving else {}
         if headers.get("expected-instance") != self.name:
-            writer.write(answer(421))
+            writer.write(answer(421, **says))
+            return True
+        self._ledger.arrived[self.name] += 1
+        if self.wait:
+            writer.write(answer(503, Not_Executed="1", Request_Id=request_id,
+                                Retry_After=str(self.wait), **says))
             return True
         if self._random.random() < self.decline:
-            writer.write(answer(503, Not_Executed="1", Request_Id=request_id))
+            writer.write(answer(503, Not_Executed="1", Request_Id=request_id, **says))
             return True
         self._ledger.runs[request_id] += 1
         self._ledger.kind[request_id] = request.first.split()[1].split("/")[1]
@@ -85,7 +94,8 @@
                 self._ledger.ended.append(self.name)
             self.die()
             return False
-        signed = {"Server_Signature": f"{self.name}.{request_id}", "Request_Id": request_id}
+        signed = {"Server_Signature": f"{self.name}.{request_id}", "Request_Id": request_id,
+                  **says}
         breaks = self._random.random() < self.cut
         if "token-usage" not in headers:
             await asyncio.sleep(0.01)
