Believe what an upstream says of itself in answers: it leaves, it wants a pause

What callers saw: requests went to an upstream that had said for seconds that it leaves, and would have been cut when it ended; upstreams that asked to be left alone were asked on. Cause: only the record in the store made a router leave an upstream alone, and the store was away; a 503's Retry-After was not read, every refusal gave the upstream 60 ms. Class: what the upstream says itself is believed later than what is said of it elsewhere. Ruled out: known and not acted on, known and forgotten (no line with leaving 1). Change: from an answer's head on, whatever its status, the word that the upstream leaves holds for that start, over every later record of it, until another start is known; kept connections go. A 421's word belongs to who has the address now. A pause keeps the upstream out of every choice, the last resort too; it is no ill health and ends with the start. Where all upstreams of a service asked for a pause, callers are refused at once and told when the first ends. Why it holds: all sends choose from one list, and the word is kept with the start, not with the record.

--- a/include/coppervalve/entry/upstream_directory.h
+++ b/include/coppervalve/entry/upstream_directory.h
@@ -63,6 +63,7 @@
   PrefixMemory prefixes;
   /// The entry went while the store was not well; it may be back soon.
   std::optional<core::TimePoint> lapsed;
+  core::TimePoint hold_until{};  ///< it asked for no work from us before
 };
 
 using UpstreamRef = std::shared_ptr<Upstream>;
@@ -103,6 +104,18 @@
   std::vector<core::UpstreamId> DropLapsed(const StoreContact& contact,
                                            core::TimePoint now);
 
+  /// @brief An upstream said in an answer that it leaves. Holds for this start
+  /// whatever its record says later.
+  /// @return whether that is new
+  bool OnLeavingWord(const UpstreamRef& upstream);
+  /// @brief An answer came from another upstream than it was asked of.
+  /// @return the one that has the same address; null unless it is just one
+  UpstreamRef OtherAtAddress(const Upstream& asked) const;
+  /// @return when the first of a service's upstreams takes work again; none
+  /// when one takes it now, or there is none
+  std::optional<core::TimePoint> AllHoldUntil(const core::ServiceId& service,
+                                              core::TimePoint now) const;
+
   /// @return those of a service that are not leaving; the address is stable
   /// until the next change
   const std::vector<UpstreamRef>& Of(const core::ServiceId& service) const;
@@ -116,6 +129,8 @@
   bool ReturnsAreOver(const StoreContact& contact, core::TimePoint now) const;
   bool OfEarlierStart(const UpstreamEntry& entry) const;
   void RememberBorn(const UpstreamEntry& entry);
+  void RememberWord(const UpstreamEntry& entry);
+  bool SaidItLeaves(const UpstreamEntry& entry);
   DirectoryChange Put(const UpstreamEntry& entry);
   DirectoryChange Drop(const core::UpstreamId& id);
   void Forget(const core::UpstreamId& id);
@@ -128,6 +143,8 @@
   std::unordered_map<core::ServiceId, std::vector<UpstreamRef>> m_by_service;
   /// Latest start seen under each id, also of those that went.
   std::unordered_map<core::UpstreamId, int64_t> m_born;
+  /// Starts that said in an answer that they leave, also those that went.
+  std::unordered_map<core::UpstreamId, std::optional<int64_t>> m_said_leaving;
 };
 
 }  // namespace coppervalve::entry
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -100,10 +100,11 @@
   void OnGrant();
   void Place();
   entry::Placement ChoosePlacement();
+  void RefuseForWantOfUpstreams(const std::string& why);
   void Send(const entry::Placement& placement);
   std::string RequestText(const SendFacts& facts) const;
 
-  void TellWhatItSays();
+  void HeedUpstream();
   void OnHead(const http1::ResponseHead& head);
   void OnBody(const std::string& body);
   void OnEnd(AttemptEnd end, std::string_view why);
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -131,6 +131,11 @@
     if (trust > least || Excluded(query, upstream->entry.id)) {
       continue;
     }
+    // It would refuse what comes, and spend its time on that: not even as the
+    // last resort.
+    if (now < upstream->hold_until) {
+      continue;
+    }
     if (query.connection_bound != 0 &&
         upstream->in_flight >= query.connection_bound) {
       continue;
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/entry/upstream_directory.h"
 
-#include <algorithm>      // sort
+#include <algorithm>      // min, sort
 #include <string>         // to_string
 #include <unordered_set>  // unordered_set
 
@@ -28,6 +28,14 @@
 // Ids that went are not used again for long; this many are many days of them.
 constexpr size_t kMostBornKept = 20'000;
 
+template <typename Map, typename Known>
+void MakeRoom(Map& kept, const Known& known) {
+  if (kept.size() >= kMostBornKept) {
+    std::erase_if(kept,
+                  [&](const auto& one) { return !known.contains(one.first); });
+  }
+}
+
 }  // namespace
 
 RecordWorth WorthOf(const UpstreamRecord& record) {
@@ -65,14 +73,73 @@
   if (!entry.born) {
     return;
   }
-  if (m_born.size() >= kMostBornKept) {
-    std::erase_if(m_born, [this](const auto& one) {
-      return !m_by_id.contains(one.first);
-    });
-  }
+  MakeRoom(m_born, m_by_id);
   m_born[entry.id] = *entry.born;
 }
 
+void UpstreamDirectory::RememberWord(const UpstreamEntry& entry) {
+  MakeRoom(m_said_leaving, m_by_id);
+  m_said_leaving[entry.id] = entry.born;
+}
+
+// While the store is away, the record goes on saying that the upstream is
+// ready, and after that records of before the word may still be read.
+bool UpstreamDirectory::SaidItLeaves(const UpstreamEntry& entry) {
+  const auto said = m_said_leaving.find(entry.id);
+  if (said == m_said_leaving.end()) {
+    return false;
+  }
+  const std::optional<int64_t>& born = said->second;
+  if (entry.born && born && *entry.born != *born) {
+    m_said_leaving.erase(said);
+    return false;
+  }
+  if (!born) {
+    said->second = entry.born;
+  }
+  return true;
+}
+
+bool UpstreamDirectory::OnLeavingWord(const UpstreamRef& upstream) {
+  const core::UpstreamId& id = upstream->entry.id;
+  if (upstream->entry.leaving || Find(id) != upstream) {
+    return false;
+  }
+  RememberWord(upstream->entry);
+  upstream->entry.leaving = true;
+  Rebuild();
+  return true;
+}
+
+UpstreamRef UpstreamDirectory::OtherAtAddress(const Upstream& asked) const {
+  UpstreamRef found;
+  for (const auto& [id, upstream] : m_by_id) {
+    const bool same_address = upstream->entry.address == asked.entry.address;
+    if (id == asked.entry.id || !same_address) {
+      continue;
+    }
+    if (found) {
+      return nullptr;
+    }
+    found = upstream;
+  }
+  return found;
+}
+
+std::optional<core::TimePoint> UpstreamDirectory::AllHoldUntil(
+    const core::ServiceId& service,
+    core::TimePoint now) const {
+  std::optional<core::TimePoint> first;
+  for (const UpstreamRef& upstream : Of(service)) {
+    if (upstream->hold_until <= now) {
+      return std::nullopt;
+    }
+    first =
+        std::min(first.value_or(upstream->hold_until), upstream->hold_until);
+  }
+  return first;
+}
+
 // Kept over a restart, what was seen of the earlier start misleads: prefixes
 // that the new one doesn't hold, suspicion that it didn't earn, work in
 // progress that ended with the earlier one. So each start is an object anew.
@@ -82,6 +149,7 @@
   }
   RememberBorn(entry);
   UpstreamEntry put = entry;
+  put.leaving = put.leaving || SaidItLeaves(entry);
   UpstreamRef& known = m_by_id[entry.id];
   const bool restarted = known && entry.born && known->entry.born &&
                          *entry.born != *known->entry.born;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -354,21 +354,28 @@
       m_planned ? *std::exchange(m_planned, std::nullopt) : ChoosePlacement();
   m_placed = placement;
   if (placement.upstream == nullptr || ++m_tries > kMostTries) {
-    core::Error error{core::ErrorId::kNoUpstream, m_admitted.service.value(),
-                      m_last_failure.empty()
-                          ? std::string(entry::ToString(placement.why))
-                          : m_last_failure};
+    const std::string why = m_last_failure.empty()
+                                ? std::string(entry::ToString(placement.why))
+                                : m_last_failure;
     if (m_may_have_run) {
-      error.id = core::ErrorId::kUpstreamFailed;
-      Fail(error);
+      Fail({core::ErrorId::kUpstreamFailed, m_admitted.service.value(), why});
     } else {
-      Refuse(error, kSoon);
+      RefuseForWantOfUpstreams(why);
     }
     return;
   }
   Send(placement);
 }
 
+// Where all upstreams asked for a pause, the first to end says when to come.
+void Exchange::RefuseForWantOfUpstreams(const std::string& why) {
+  const core::TimePoint now = net::BootNow();
+  const auto hold = m_context.directory.AllHoldUntil(m_admitted.service, now);
+  Refuse({core::ErrorId::kNoUpstream, m_admitted.service.value(),
+          hold ? "all upstreams asked for a pause" : why},
+         hold ? std::max(*hold - now, kSoon) : kSoon);
+}
+
 entry::Placement Exchange::ChoosePlacement() {
   const entry::Service* service =
       m_admitted.in_force->FindService(m_admitted.service);
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -128,7 +128,7 @@
   Attempt& attempt = *m_attempt;
   attempt.answer = m_context.dialect.read_answer(head);
   m_watch_from = net::BootNow();
-  TellWhatItSays();
+  HeedUpstream();
   EndReading();
   attempt.upstream->health.OnFirstByte(m_watch_from - attempt.began,
                                        attempt.cost + kCostOfAny);
@@ -154,18 +154,37 @@
   attempt.passing_on = IsStream() && IsSuccess(head.status);
 }
 
-void Exchange::TellWhatItSays() {
+// The record in the store tells the same later, and not at all while the store
+// is away; the upstream itself knows first.
+void Exchange::HeedUpstream() {
   const AnswerFacts& answer = m_attempt->answer;
   if (!answer.leaving && !answer.wait) {
     return;
   }
-  const entry::UpstreamEntry& entry = m_attempt->upstream->entry;
+  const entry::UpstreamRef speaker =
+      answer.other_upstream
+          ? m_context.directory.OtherAtAddress(*m_attempt->upstream)
+          : m_attempt->upstream;
+  if (!speaker) {
+    return;
+  }
+  const bool known_to_leave = speaker->entry.leaving;
+  if (answer.leaving && m_context.directory.OnLeavingWord(speaker)) {
+    m_context.pool.Forget(speaker->entry.id);
+  }
+  if (answer.wait) {
+    speaker->hold_until =
+        std::max(speaker->hold_until, m_watch_from + *answer.wait);
+  }
+  if (known_to_leave && !answer.wait) {
+    return;  // told already
+  }
   m_context.log.Write(
       LineKind::kLifecycle,
       LogLine("upstream_says")
-          .Text("upstream", entry.id.value())
+          .Text("upstream", speaker->entry.id.value())
           .Flag("leaving", answer.leaving)
-          .Flag("known_to_leave", entry.leaving)
+          .Flag("known_to_leave", known_to_leave)
           .Millis("wait_ms", answer.wait.value_or(core::Duration::zero())));
 }
 
@@ -276,7 +295,9 @@
 // under its id then belongs to another start.
 void Exchange::KeepConnection() {
   const core::UpstreamId& id = m_attempt->upstream->entry.id;
-  if (m_context.directory.Find(id) == m_attempt->upstream) {
+  const bool of_use = !m_attempt->upstream->entry.leaving &&
+                      m_context.directory.Find(id) == m_attempt->upstream;
+  if (of_use) {
     m_context.pool.Give(id, m_attempt->connection, net::BootNow());
   } else {
     m_attempt->connection->Close();
@@ -302,9 +323,7 @@
           m_last_failure});
     return;
   }
-  Refuse(
-      {core::ErrorId::kNoUpstream, m_admitted.service.value(), m_last_failure},
-      kSoon);
+  RefuseForWantOfUpstreams(m_last_failure);
 }
 
 void Exchange::OnWhole() {
--- a/tests/entry/unit-placement.cc
+++ b/tests/entry/unit-placement.cc
@@ -165,3 +165,15 @@
   }
   CHECK_FALSE(Chosen().empty());
 }
+
+TEST(Placement, an_upstream_that_wants_a_pause_gets_nothing_not_even_at_last) {
+  // An engine that is too busy spends its time on refusing what comes all the
+  // same: the others were tried, so it was asked as the last resort.
+  Engine(0)->hold_until = At(5);
+  for (int i = 1; i < 4; ++i) {
+    query.exclude.push_back(core::UpstreamId("e" + std::to_string(i)));
+  }
+  CHECK_EQUAL("", Chosen());
+  Engine(0)->hold_until = At(0.5);
+  CHECK_EQUAL("e0", Chosen());
+}
--- a/tests/entry/unit-upstream-directory.cc
+++ b/tests/entry/unit-upstream-directory.cc
@@ -175,3 +175,56 @@
   directory.OnRecord(RecordOf(EntryOf("one", "nobody-knows")));
   CHECK(directory.Of(tickets).empty());
 }
+
+TEST(UpstreamDirectory, what_an_upstream_says_of_leaving_outlives_its_records) {
+  // Work is sent to an upstream that ends under it. It said in an answer that
+  // it leaves; the store, away until now, still hands out records of before.
+  CHECK(directory.OnLeavingWord(directory.Find(one)));
+  CHECK(directory.Of(tickets).empty());
+  UpstreamEntry ready = EntryOf("one");
+  ready.slots = 7;
+  directory.OnRecord(RecordOf(ready));
+  CHECK(directory.Of(tickets).empty());
+  directory.ReplaceAll({RecordOf(ready)}, contact, At(5));
+  CHECK(directory.Of(tickets).empty());
+  CHECK_FALSE(directory.OnLeavingWord(directory.Find(one)));
+}
+
+TEST(UpstreamDirectory, the_word_holds_when_the_entry_went_and_came_back) {
+  directory.OnLeavingWord(directory.Find(one));
+  directory.Remove(one, contact, At(10));
+  directory.OnRecord(RecordOf(EntryOf("one")));
+  CHECK(directory.Of(tickets).empty());
+}
+
+TEST(UpstreamDirectory, the_word_ends_with_the_start_that_gave_it) {
+  UpstreamEntry first = EntryOf("one");
+  first.born = 1;
+  directory.OnRecord(RecordOf(first));
+  const UpstreamRef speaker = directory.Find(one);
+  directory.OnLeavingWord(speaker);
+  UpstreamEntry second = first;
+  second.born = 2;
+  directory.OnRecord(RecordOf(second));
+  CHECK_EQUAL(1, directory.Of(tickets).size());
+  // An answer of the earlier start that comes late says nothing of this one.
+  CHECK_FALSE(directory.OnLeavingWord(speaker));
+  CHECK_EQUAL(1, directory.Of(tickets).size());
+}
+
+TEST(UpstreamDirectory, a_word_from_an_address_belongs_to_who_has_it_now) {
+  directory.OnRecord(RecordOf(EntryOf("two")));
+  const UpstreamRef asked = directory.Find(one);
+  CHECK(directory.OtherAtAddress(*asked)->entry.id == core::UpstreamId("two"));
+  directory.OnRecord(RecordOf(EntryOf("three")));
+  CHECK(directory.OtherAtAddress(*asked) == nullptr);
+}
+
+TEST(UpstreamDirectory, the_first_pause_to_end_says_when_to_come_back) {
+  directory.OnRecord(RecordOf(EntryOf("two")));
+  directory.Find(one)->hold_until = At(9);
+  CHECK_FALSE(directory.AllHoldUntil(tickets, At(5)).has_value());
+  directory.Find(core::UpstreamId("two"))->hold_until = At(7);
+  CHECK(directory.AllHoldUntil(tickets, At(5)) == At(7));
+  CHECK_FALSE(directory.AllHoldUntil(tickets, At(8)).has_value());
+}
