--- a/include/coppervalve/entry/crash_record.h
+++ b/include/coppervalve/entry/crash_record.h
@@ -22,20 +22,20 @@
 
 /// @brief What the ends of upstreams say about a request that they ran.
 enum class Standing : uint8_t {
-  kClear,      ///< nothing, or too little
-  kSuspect,    ///< one more end settles it: tried alone, and never repeated
-  kCondemned,  ///< sent to no upstream
+  kClear,        ///< nothing, or too little
+  kSuspect,      ///< one more end settles it: tried alone, and never repeated
+  kQuarantined,  ///< sent to no upstream
 };
 
 /// @brief Constants of the record.
 struct CrashOptions {
   /// One end proves nothing, and two in a row are met by accident.
-  size_t ends_to_condemn = 3;
+  size_t ends_to_quarantine = 3;
   size_t ends_to_suspect = 2;
   /// Ends within this time of each other may have one cause, such as a rack:
-  /// alone they condemn nobody.
+  /// alone they quarantine nothing.
   core::Duration one_event{1'000'000};
-  /// How long an end is remembered that condemned nobody.
+  /// How long an end is remembered that quarantined nothing.
   core::Duration doubt{60'000'000};
   /// How long a request is refused at first; twice as long each time that a
   /// trial afterwards ends an upstream again. A release may have mended it.
@@ -44,7 +44,7 @@
   /// within this time: entries lapse after some seconds of silence.
   core::Duration known_within{8'000'000};
   /// Other routers hear of an end for so long, longer than cuts from the store
-  /// last; of what condemned a request, for as long as it is refused.
+  /// last; of what quarantined a request, for as long as it is refused.
   core::Duration told_for{15'000'000};
   size_t most_requests = 512;
   size_t most_told = 64;
@@ -61,11 +61,13 @@
  public:
   explicit CrashRecord(CrashOptions options) : m_options(options) {}
 
+  /// @return whether nothing is held against any request
+  bool empty() const { return m_cases.empty(); }
   /// @return false when a request of this sketch is clear, without its print
   /// @complexity logarithmic, as all but the beats
   bool MayKnow(uint64_t sketch) const;
   Standing StandingOf(const RequestPrint& request) const;
-  /// @return time until a condemned request may be tried again
+  /// @return time until a quarantined request may be tried again
   core::Duration RefusedFor(const RequestPrint& request,
                             core::TimePoint now) const;
 
@@ -88,7 +90,7 @@
   /// @brief Adds what others should hear from this router.
   void WriteTo(v1::RouterBeat& beat, core::TimePoint now) const;
   /// @brief Another router's beat. Lists beyond the bounds are cut.
-  /// @return requests that are condemned since
+  /// @return requests that are quarantined since
   std::vector<RequestPrint> OnBeat(const v1::RouterBeat& beat,
                                    core::TimePoint now);
   /// @brief The last beat of this router's start before: its own word still.
@@ -96,13 +98,13 @@
   /// @brief Forgets what is old. Call it now and then.
   void Advance(core::TimePoint now);
 
-  size_t condemned() const;
+  size_t quarantined() const;
 
  private:
   enum class EndState : uint8_t {
     kCounts,
     kSurvived,  ///< an upstream lived through the request since
-    kAtoned,    ///< the request was refused for it long enough
+    kExpired,   ///< the request was refused for it long enough
   };
   struct End {
     core::TimePoint since;  ///< that it is in this state
@@ -113,10 +115,10 @@
     std::map<UpstreamStart, End> ends;
     core::TimePoint changed;
     bool apart = false;  ///< its ends are of more than one event
-    bool on_trial = false;
-    bool condemned = false;
-    uint32_t times = 0;  ///< that it was condemned
-    core::TimePoint condemned_at;
+    bool probation = false;
+    bool quarantined = false;
+    uint32_t times = 0;  ///< that it was quarantined
+    core::TimePoint quarantined_at;
   };
   struct Broken {
     core::TimePoint at;
@@ -131,8 +133,11 @@
            bool own,
            core::TimePoint now);
   void Judge(Case& one, core::TimePoint now) const;
-  core::Duration Sentence(const Case& one) const;
-  static void Put(Case& one, EndState state, bool own, core::TimePoint now);
+  core::Duration QuarantineTime(const Case& one) const;
+  static void MoveEnds(Case& one,
+                       EndState state,
+                       bool own,
+                       core::TimePoint now);
   bool Told(const Case& one, const End& end, core::TimePoint now) const;
   void Take(const v1::CrashCase& told, bool own, core::TimePoint now);
   void TakeSurvived(Case& one,
--- a/include/coppervalve/gateway/crash_watch.h
+++ b/include/coppervalve/gateway/crash_watch.h
@@ -37,7 +37,7 @@
   entry::CrashRecord& record() { return m_record; }
 
  private:
-  void TellCondemned(const entry::RequestPrint& request, std::string_view by);
+  void TellQuarantined(const entry::RequestPrint& request, std::string_view by);
 
   EventLog& m_log;
   Hooks m_hooks;
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -120,6 +120,7 @@
 
   entry::RequestContent Content() const;
   const entry::RequestPrint& Print();
+  bool MayHaveEndedUpstreams() const;
   entry::Standing StandingNow();
   /// @brief Refuses what upstreams ended under. @return whether
   bool RefuseIfItEndsUpstreams();
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -25,7 +25,7 @@
   uint64_t log_lines_left_out = 0;
   bool ready = false;
   bool store_up = false;
-  uint64_t condemned_requests = 0;  ///< by content
+  uint64_t quarantined_requests = 0;  ///< by content
   double held_ahead = 1;  ///< part of what a fleet without a past holds
 };
 
--- a/src/entry/crash_record.cc
+++ b/src/entry/crash_record.cc
@@ -15,7 +15,7 @@
 constexpr int kMostEndsRead = 16;
 constexpr size_t kMostEndsKept = 32;
 constexpr size_t kMostBroken = 1'024;
-// Refused for ever would outlast the release that mends it.
+// A release may mend it, and then nobody lifts the quarantine by hand.
 constexpr uint32_t kMostDoublings = 6;
 
 }  // namespace
@@ -42,15 +42,15 @@
     return Standing::kClear;
   }
   const Case& one = found->second;
-  if (one.condemned) {
-    return Standing::kCondemned;
+  if (one.quarantined) {
+    return Standing::kQuarantined;
   }
-  return one.on_trial || Counting(one) >= m_options.ends_to_suspect
+  return one.probation || Counting(one) >= m_options.ends_to_suspect
              ? Standing::kSuspect
              : Standing::kClear;
 }
 
-core::Duration CrashRecord::Sentence(const Case& one) const {
+core::Duration CrashRecord::QuarantineTime(const Case& one) const {
   const uint32_t doublings =
       std::min(std::max(one.times, 1U) - 1, kMostDoublings);
   return m_options.refused_for * (1U << doublings);
@@ -59,11 +59,11 @@
 core::Duration CrashRecord::RefusedFor(const RequestPrint& request,
                                        core::TimePoint now) const {
   const auto found = m_cases.find(request);
-  if (found == m_cases.end() || !found->second.condemned) {
+  if (found == m_cases.end() || !found->second.quarantined) {
     return core::Duration::zero();
   }
   const core::TimePoint until =
-      found->second.condemned_at + Sentence(found->second);
+      found->second.quarantined_at + QuarantineTime(found->second);
   return std::max(until - now, core::Duration::zero());
 }
 
@@ -77,11 +77,11 @@
                                        core::TimePoint now) {
   if (m_cases.size() >= m_options.most_requests && !m_cases.contains(request)) {
     // A caller with many such requests must not fill the memory: what changed
-    // longest ago goes, condemned ones last.
+    // longest ago goes, quarantined ones last.
     const auto goes = std::min_element(
         m_cases.begin(), m_cases.end(), [](const auto& a, const auto& b) {
-          return std::tie(a.second.condemned, a.second.changed) <
-                 std::tie(b.second.condemned, b.second.changed);
+          return std::tie(a.second.quarantined, a.second.changed) <
+                 std::tie(b.second.quarantined, b.second.changed);
         });
     m_cases.erase(goes);
   }
@@ -106,7 +106,7 @@
 }
 
 void CrashRecord::Judge(Case& one, core::TimePoint now) const {
-  if (one.condemned) {
+  if (one.quarantined) {
     return;
   }
   core::TimePoint first = now;
@@ -118,12 +118,12 @@
     }
   }
   one.apart = one.apart || now - first > m_options.one_event;
-  const size_t needed = one.on_trial ? 1 : m_options.ends_to_condemn;
-  if (counting < needed || (!one.apart && !one.on_trial)) {
+  const size_t needed = one.probation ? 1 : m_options.ends_to_quarantine;
+  if (counting < needed || (!one.apart && !one.probation)) {
     return;
   }
-  one.condemned = true;
-  one.condemned_at = now;
+  one.quarantined = true;
+  one.quarantined_at = now;
   ++one.times;
 }
 
@@ -164,22 +164,23 @@
   if (found == m_cases.end()) {
     return false;
   }
-  const bool counted = Counting(found->second) != 0 || found->second.condemned;
-  Put(found->second, EndState::kSurvived, true, now);
+  const bool counted =
+      Counting(found->second) != 0 || found->second.quarantined;
+  MoveEnds(found->second, EndState::kSurvived, true, now);
   return counted;
 }
 
-void CrashRecord::Put(Case& one,
-                      EndState state,
-                      bool own,
-                      core::TimePoint now) {
+void CrashRecord::MoveEnds(Case& one,
+                           EndState state,
+                           bool own,
+                           core::TimePoint now) {
   for (auto& [start, end] : one.ends) {
     if (end.state != state) {
       end = {now, state, own};
     }
   }
-  one.condemned = false;
-  one.on_trial = state == EndState::kAtoned;
+  one.quarantined = false;
+  one.probation = state == EndState::kExpired;
   one.apart = false;
   one.changed = now;
 }
@@ -190,10 +191,10 @@
   const bool lately = now - end.since <= m_options.told_for;
   switch (end.state) {
     case EndState::kCounts:
-      return end.own && (one.condemned || lately);
+      return end.own && (one.quarantined || lately);
     case EndState::kSurvived:
       return end.own && lately;
-    case EndState::kAtoned:
+    case EndState::kExpired:
       break;
   }
   return false;
@@ -258,27 +259,27 @@
     }
   }
   if (survived != 0 && Counting(one) == 0) {
-    one.condemned = false;
-    one.on_trial = false;
+    one.quarantined = false;
+    one.probation = false;
     one.apart = false;
   }
 }
 
 std::vector<RequestPrint> CrashRecord::OnBeat(const v1::RouterBeat& beat,
                                               core::TimePoint now) {
-  std::vector<RequestPrint> condemned;
+  std::vector<RequestPrint> quarantined;
   const int most =
       std::min(beat.crashes_size(), static_cast<int>(m_options.most_told));
   for (int i = 0; i < most; ++i) {
     const RequestPrint request =
         RequestPrint::FromBytes(beat.crashes(i).request());
-    const bool before = StandingOf(request) == Standing::kCondemned;
+    const bool before = StandingOf(request) == Standing::kQuarantined;
     Take(beat.crashes(i), false, now);
-    if (!before && StandingOf(request) == Standing::kCondemned) {
-      condemned.push_back(request);
+    if (!before && StandingOf(request) == Standing::kQuarantined) {
+      quarantined.push_back(request);
     }
   }
-  return condemned;
+  return quarantined;
 }
 
 void CrashRecord::OnOwnPast(const v1::RouterBeat& beat, core::TimePoint now) {
@@ -295,22 +296,23 @@
     m_broken.pop_front();
   }
   for (auto& [request, one] : m_cases) {
-    if (one.condemned && now - one.condemned_at >= Sentence(one)) {
+    if (one.quarantined && now - one.quarantined_at >= QuarantineTime(one)) {
       // The ends are not forgotten: one more is enough.
-      Put(one, EndState::kAtoned, true, now);
+      MoveEnds(one, EndState::kExpired, true, now);
     }
   }
   std::erase_if(m_cases, [&](const auto& entry) {
     const Case& one = entry.second;
-    const core::Duration kept = one.on_trial ? Sentence(one) : m_options.doubt;
-    return !one.condemned && now - one.changed > kept;
+    const core::Duration kept =
+        one.probation ? QuarantineTime(one) : m_options.doubt;
+    return !one.quarantined && now - one.changed > kept;
   });
 }
 
-size_t CrashRecord::condemned() const {
+size_t CrashRecord::quarantined() const {
   return static_cast<size_t>(
       std::count_if(m_cases.begin(), m_cases.end(),
-                    [](const auto& one) { return one.second.condemned; }));
+                    [](const auto& one) { return one.second.quarantined; }));
 }
 
 }  // namespace coppervalve::entry
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -33,8 +33,8 @@
                   .Text("by", by)
                   .Number("requests", static_cast<int64_t>(under.size())));
   for (const entry::RequestPrint& request : under) {
-    if (m_record.StandingOf(request) == entry::Standing::kCondemned) {
-      TellCondemned(request, "this_router");
+    if (m_record.StandingOf(request) == entry::Standing::kQuarantined) {
+      TellQuarantined(request, "this_router");
     }
   }
   m_hooks.tell();
@@ -49,15 +49,15 @@
 void CrashWatch::OnBeat(const v1::RouterBeat& beat) {
   for (const entry::RequestPrint& request :
        m_record.OnBeat(beat, net::BootNow())) {
-    TellCondemned(request, "another_router");
+    TellQuarantined(request, "another_router");
   }
 }
 
-void CrashWatch::TellCondemned(const entry::RequestPrint& request,
-                               std::string_view by) {
+void CrashWatch::TellQuarantined(const entry::RequestPrint& request,
+                                 std::string_view by) {
   m_log.Write(
       LineKind::kLifecycle,
-      LogLine("request_condemned")
+      LogLine("request_quarantined")
           .Text("content", request.Short())
           .Text("by", by)
           .Millis("refused_ms", m_record.RefusedFor(request, net::BootNow())));
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -63,69 +63,6 @@
   return m_limit_at - net::BootNow();
 }
 
-entry::RequestContent Exchange::Content() const {
-  entry::RequestContent content;
-  content.method = m_request.head.method;
-  content.target = m_request.head.target;
-  if (m_admitted.account != nullptr) {
-    content.account = m_admitted.account->name;
-  }
-  content.body = m_request.body;
-  return content;
-}
-
-const entry::RequestPrint& Exchange::Print() {
-  if (!m_print) {
-    m_print = entry::PrintOf(Content());
-  }
-  return *m_print;
-}
-
-entry::Standing Exchange::StandingNow() {
-  // Hardly any request is known: most are told apart by the sketch alone, and
-  // their bodies are not hashed.
-  const entry::CrashRecord& record = m_context.crashes.record();
-  return record.MayKnow(entry::SketchOf(Content())) ? record.StandingOf(Print())
-                                                    : entry::Standing::kClear;
-}
-
-// Isolating upstreams alone gives a request that ends its upstreams one after
-// another, with all that they were running; so it is judged by its content,
-// before every send.
-bool Exchange::RefuseIfItEndsUpstreams() {
-  const entry::Standing standing = StandingNow();
-  if (standing == entry::Standing::kClear) {
-    return false;
-  }
-  core::Error error{core::ErrorId::kEndsUpstreams, Print().Short(),
-                    "upstreams ended under it"};
-  core::Duration come_back =
-      m_context.crashes.record().RefusedFor(Print(), net::BootNow());
-  if (standing == entry::Standing::kSuspect) {
-    // Copies that come at once, to many routers, would end an upstream each.
-    m_on_trial = m_on_trial || (m_context.members.SelfOwns(Print().digest) &&
-                                m_context.crashes.record().BeginTrial(Print()));
-    if (m_on_trial) {
-      return false;
-    }
-    error.detail = "tried by one router, one at a time";
-    come_back = kAfterATrial;
-  }
-  if (m_may_have_run) {
-    error.id = core::ErrorId::kUpstreamFailed;
-    Fail(error);
-  } else {
-    Refuse(error, come_back);
-  }
-  return true;
-}
-
-void Exchange::TellSurvived() {
-  if (m_context.crashes.record().MayKnow(entry::SketchOf(Content()))) {
-    m_context.crashes.OnSurvived(Print());
-  }
-}
-
 void Exchange::Admit() {
   const core::Result<entry::RequestFacts> facts =
       m_context.dialect.read_request(m_request.head);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -151,7 +151,8 @@
   set("log_lines_left_out", static_cast<double>(figures.log_lines_left_out));
   set("ready", figures.ready ? 1 : 0);
   set("store_up", figures.store_up ? 1 : 0);
-  set("condemned_requests", static_cast<double>(figures.condemned_requests));
+  set("quarantined_requests",
+      static_cast<double>(figures.quarantined_requests));
   set("held_ahead", figures.held_ahead);
 }
 
--- a/src/gateway/gateway_serve.cc
+++ b/src/gateway/gateway_serve.cc
@@ -149,7 +149,7 @@
   figures.log_lines_left_out = m_log.left_out();
   figures.ready = Ready();
   figures.store_up = m_contact.up();
-  figures.condemned_requests = m_crashes.record().condemned();
+  figures.quarantined_requests = m_crashes.record().quarantined();
   figures.held_ahead = m_book.HoldFactor();
   m_metrics.OnProcess(figures);
   LocalAnswer answer;
--- a/tests/entry/crash_fleet.cc
+++ b/tests/entry/crash_fleet.cc
@@ -54,7 +54,7 @@
       PrintOf({"POST", "/x", core::AccountId("gate"), body});
   const Standing standing = record.StandingOf(print);
   const bool alone = standing == Standing::kSuspect;
-  if (standing == Standing::kCondemned ||
+  if (standing == Standing::kQuarantined ||
       (alone && !(Owns(router, print) && record.BeginTrial(print)))) {
     return false;
   }
--- a/tests/entry/unit-crash-record.cc
+++ b/tests/entry/unit-crash-record.cc
@@ -65,10 +65,10 @@
   Tell(3.5);
   CHECK(record.StandingOf(Print()) == Standing::kSuspect);
   EndUnder(record, Print(), 3, 5);
-  CHECK(record.StandingOf(Print()) == Standing::kCondemned);
+  CHECK(record.StandingOf(Print()) == Standing::kQuarantined);
   Tell(5.5);
-  CHECK(other.StandingOf(Print()) == Standing::kCondemned);
-  CHECK(third.StandingOf(Print()) == Standing::kCondemned);
+  CHECK(other.StandingOf(Print()) == Standing::kQuarantined);
+  CHECK(third.StandingOf(Print()) == Standing::kQuarantined);
   CHECK_EQUAL(599, third.RefusedFor(Print(), At(6.5)).count() / 1'000'000);
 }
 
@@ -96,7 +96,7 @@
   CHECK_EQUAL(0, record.OnEnded(Start(2), At(20)).size());
 }
 
-TEST(CrashRecord, ends_of_one_event_condemn_nobody) {
+TEST(CrashRecord, ends_of_one_event_quarantine_nothing) {
   // A rack goes with four upstreams, and a popular request ran at each of
   // them. The rack ended them, not the request.
   for (uint64_t start = 1; start <= 4; ++start) {
@@ -121,7 +121,7 @@
   CHECK(other.StandingOf(Print()) == Standing::kClear);
 }
 
-TEST(CrashRecord, a_run_in_progress_that_ends_well_clears_a_condemned_one) {
+TEST(CrashRecord, a_run_in_progress_that_ends_well_clears_a_quarantined_one) {
   for (uint64_t start = 1; start <= 3; ++start) {
     EndUnder(record, Print(), start, static_cast<double>(start) * 2);
   }
@@ -152,20 +152,21 @@
   CrashRecord started{{}};
   started.OnOwnPast(first, At(100));
   started.OnBeat(second, At(100));
-  CHECK(started.StandingOf(Print()) == Standing::kCondemned);
+  CHECK(started.StandingOf(Print()) == Standing::kQuarantined);
   CHECK_EQUAL(1, BeatOf(started, 200).crashes_size());
 }
 
-TEST(CrashRecord, after_its_time_one_more_end_condemns_it_for_twice_as_long) {
+TEST(CrashRecord,
+     after_its_time_one_more_end_quarantines_it_for_twice_as_long) {
   for (uint64_t start = 1; start <= 3; ++start) {
     EndUnder(record, Print(), start, static_cast<double>(start) * 2);
   }
   record.Advance(At(605));
-  CHECK(record.StandingOf(Print()) == Standing::kCondemned);
+  CHECK(record.StandingOf(Print()) == Standing::kQuarantined);
   record.Advance(At(607));
   CHECK(record.StandingOf(Print()) == Standing::kSuspect);
   EndUnder(record, Print(), 4, 610);
-  CHECK(record.StandingOf(Print()) == Standing::kCondemned);
+  CHECK(record.StandingOf(Print()) == Standing::kQuarantined);
   CHECK_EQUAL(1'200, record.RefusedFor(Print(), At(610)).count() / 1'000'000);
 }
 
@@ -195,14 +196,14 @@
 }
 
 TEST(CrashRecord, thousands_of_such_requests_take_bounded_memory) {
-  // The condemned one is kept; of the others the oldest go.
+  // The quarantined one is kept; of the others the oldest go.
   for (uint64_t start = 1; start <= 3; ++start) {
     EndUnder(record, Print(), start, static_cast<double>(start) * 2);
   }
   for (int i = 0; i < 5'000; ++i) {
     EndUnder(record, Print(std::string(100 + i, 'x')), 10 + i, 10 + i * 0.001);
   }
-  CHECK(record.StandingOf(Print()) == Standing::kCondemned);
+  CHECK(record.StandingOf(Print()) == Standing::kQuarantined);
   CHECK_FALSE(record.MayKnow(Print(std::string(101, 'x')).sketch));
   CHECK(record.MayKnow(Print(std::string(5'099, 'x')).sketch));
   CHECK(BeatOf(record, 15).crashes_size() <= 64);
@@ -238,5 +239,5 @@
       other.OnBeat(beat, At(8));
     }
   }
-  CHECK(other.condemned() <= 512);
+  CHECK(other.quarantined() <= 512);
 }
--- a/tests/process/test_crashing_request.py
+++ b/tests/process/test_crashing_request.py
@@ -70,13 +70,13 @@
         status, _ = await ask(router.front, request(number, "poison"))
         await asyncio.sleep(1)
         if len(platform.ledger.ended) >= _MOST_ENDED:
-            await platform.until_all_tell("condemned_requests", 1)
+            await platform.until_all_tell("quarantined_requests", 1)
         return status
 
-    async def condemn(self, platform: Platform) -> None:
+    async def quarantine(self, platform: Platform) -> None:
         """Sends it to any router until all refuse it."""
         for number in range(_REPEATS):
-            if await platform.until_all_tell("condemned_requests", 1, within=0):
+            if await platform.until_all_tell("quarantined_requests", 1, within=0):
                 return
             router = platform.routers[number % len(platform.routers)]
             await self.send_crashing(platform, router, number)
@@ -87,7 +87,7 @@
         statuses = []
 
         async def scenario(platform: Platform) -> None:
-            await self.condemn(platform)
+            await self.quarantine(platform)
             for router in platform.routers:
                 await router.restart(signal.SIGKILL)
             await platform.until_all_tell("ready", 1)
