Soak: requests that end upstreams, upstreams that leave unheard or want a pause

Beside what it played: one request ends its upstreams again and again, with all routers started again, the store away or the configuration changed in between; an engine leaves while the store is away and ends after it; an engine wants a pause under load. Judged by what upstreams saw.

--- a/tests/cli/metrics_documented.sh
+++ b/tests/cli/metrics_documented.sh
@@ -27,6 +27,6 @@
   "$(grep -oE '`[a-z_]+`' <<<"$row" | tr -d '`')"
 table=$(sed -n '/^## Log lines/,/^## Metrics on/p' "$page" | grep '^| `' | cut -d'|' -f2)
 compare events \
-  "$(grep -ohE 'LogLine\("[a-z_]+"\)' src/gateway/gateway*.cc src/gateway/exchange*.cc | cut -d'"' -f2)" \
+  "$(grep -ohE 'LogLine\("[a-z_]+"\)' src/gateway/*.cc | cut -d'"' -f2)" \
   "$(grep -oE '`[a-z_]+`' <<<"$table" | tr -d '`')"
 exit "$status"
--- a/tests/process/test_crashing_request.py
+++ b/tests/process/test_crashing_request.py
@@ -65,8 +65,6 @@
 
     async def send_crashing(self, platform: Platform, router: Router, number: int) -> int:
         """Sends it once; what came of it reaches the other routers."""
-        for engine in platform.engines:
-            engine.dies_on = b"poison"
         status, _ = await ask(router.front, request(number, "poison"))
         await asyncio.sleep(1)
         if len(platform.ledger.ended) >= _MOST_ENDED:
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -106,7 +106,9 @@
                      {"name": "desk", "healthPath": "/healthz", "maxConnections": 300}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536,
                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-        "tenants": [{"name": "gate", "apiKeys": ["key"], "prepaid": prepaid}],
+        # The second has tokens for whatever the faults send.
+        "tenants": [{"name": "gate", "apiKeys": ["key"], "prepaid": prepaid},
+                    {"name": "office", "apiKeys": ["office-key"], "prepaid": 100 * PREPAID}],
     }
 
 
@@ -130,7 +132,7 @@
 
     async def start(self, routers: int, engines: int, desks: int = 2) -> None:
         for service in ["engines"] * engines + ["desk"] * desks:
-            await self._begin_server(service, {})
+            await self._begin_server(service)
         self.publish()
         for i in range(routers):
             router = Router(f"edge-{i}", self._folder, self._program)
@@ -139,10 +141,10 @@
             await router.start()
         await asyncio.sleep(2)
 
-    async def _begin_server(self, service: str, like: dict, port: int = 0) -> None:
+    async def _begin_server(self, service: str, port: int = 0) -> None:
         server = Server(f"i-{self._starts}", service, self.ledger, self._seed + self._starts)
+        server.dies_on = b"poison"
         self._starts += 1
-        vars(server).update(like)
         await server.listen(port)
         self.servers.append(server)
         self.announce(server)
@@ -158,7 +160,7 @@
         await asyncio.sleep(LAPSES_AFTER)
         self.store.put("keyed.servers", server.name, None)
         await asyncio.sleep(STARTS_AFTER - LAPSES_AFTER)
-        await self._begin_server(server.service, {"dies_on": server.dies_on}, server.port)
+        await self._begin_server(server.service, server.port)
 
     def publish(self, versions: int = 1, more_tokens: int = 0) -> None:
         self._version += versions
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,11 +11,18 @@
 import sys
 import tempfile
 
-from tests.soak.callers import Callers
+from tests.soak.callers import HOST, Callers
+from tests.soak.http import read_message
 from tests.soak.platform import PREPAID, Platform
 from tests.soak.servers import TOKENS_PER_EVENT
 
 ROUTERS = 5
+# Seconds from an event until all routers act on it, by the platform's bounds.
+CONTACT = 3.0
+DRAIN = 2.0
+# Of the faults that need many requests; they spend an account of their own.
+PER_SECOND = 60
+OFFICE_IDS = "rx"
 
 
 class Soak:
@@ -23,8 +30,12 @@
         self._seconds = seconds
         self._random = random.Random(seed)
         self._seed = seed
+        self._number = 0
         self._program = program
         self.faults: list[str] = []
+        self._crashing = 0  # requests that end upstreams, so far
+        self._ended_after = 0  # upstreams that one ended after it was known
+        self._sent_unwanted = 0  # requests beyond what an upstream's word allows
 
     async def run(self) -> int:
         with tempfile.TemporaryDirectory() as folder:
@@ -45,7 +56,8 @@
     async def _make_faults(self, until: float) -> None:
         kinds = [self._kill, self._kill_all, self._pause, self._terminate, self._turn_away,
                  self._store_down, self._lose_answers, self._forget, self._top_up,
-                 self._cut_answers, self._decline, self._lapse]
+                 self._cut_answers, self._decline, self._lapse, self._crash_under_a_request,
+                 self._leave_unheard, self._ask_for_a_pause]
         turn: list = []
         while asyncio.get_running_loop().time() < until:
             # All kinds come before one comes again.
@@ -114,11 +126,93 @@
         await asyncio.sleep(1)
         self._platform.announce(server)
 
+    async def _crash_under_a_request(self) -> None:
+        """One request ends its upstreams; all routers start again in between, or
+        the configuration changes."""
+        self._crashing += 1
+        body = f"poison {self._crashing}"
+        ended = self._platform.ledger.ended
+        before = len(ended)
+        for _ in range(12):
+            await self._send(body)
+            await asyncio.sleep(0.4)
+            if len(ended) - before > 3:
+                break
+        await asyncio.sleep(CONTACT)
+        overlap = self._random.choice([None, self._kill_all, self._top_up, self._store_down])
+        if overlap:
+            self.faults.append("+" + overlap.__name__.strip("_"))
+            await overlap()
+            await self._platform.until_all_tell("ready", 1)
+        known = len(ended)
+        if known - before < 3:
+            return
+        for _ in range(8):
+            await self._send(body)
+            await asyncio.sleep(0.1)
+        self._ended_after = max(self._ended_after, len(ended) - known)
+
+    async def _send_many(self, seconds: float) -> None:
+        """Sends drafts about many things, so that all engines would get some."""
+        sends = []
+        for number in range(int(seconds * PER_SECOND)):
+            sends.append(asyncio.create_task(self._send(f"draft {number}", f"{number + 1:x}")))
+            await asyncio.sleep(1 / PER_SECOND)
+        await asyncio.gather(*sends)
+
+    async def _send(self, body: str, prefix: str = "a") -> None:
+        """Sends a draft to some router; what comes of it is no matter."""
+        router = self._random.choice(self._routers)
+        self._number += 1
+        text = (f"POST /draft/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {OFFICE_IDS}{self._number}\r\n"
+                "Deadline-Ms: 3000\r\nAuthorization: Token office-key\r\nModel: m\r\n"
+                f"Token-Usage: 100,70\r\nPrefix-Hash: {prefix}:50,b:50\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}")
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", router.front)
+            writer.write(text.encode())
+            await asyncio.wait_for(read_message(reader), 4)
+            writer.close()
+        except (OSError, TimeoutError):
+            pass
+
+    async def _leave_unheard(self) -> None:
+        """An upstream leaves while the store is away, then ends in good order."""
+        server = self._random.choice(self._platform.engines)
+        ports = {router.store_port for router in self._routers}
+        self._store.down = ports
+        server.leaving = True
+        await asyncio.sleep(DRAIN)
+        arrived = self._platform.ledger.arrived
+        before = arrived[server.name]
+        await self._send_many(3)
+        self._count_unwanted(arrived[server.name] - before)
+        self._store.down = set()
+        self._store.put("keyed.servers", server.name, server.entry("draining"))
+        await asyncio.sleep(1.5)
+        server.die()
+
+    async def _ask_for_a_pause(self) -> None:
+        server = self._random.choice(self._platform.engines)
+        server.wait = 5.0
+        await asyncio.sleep(0.5)
+        arrived = self._platform.ledger.arrived
+        before = arrived[server.name]
+        await self._send_many(3)
+        self._count_unwanted(arrived[server.name] - before)
+        server.wait = 0
+
+    def _count_unwanted(self, arrivals: int) -> None:
+        # A router that was sent no answer of it yet learns by one request, and may
+        # have two on their way then.
+        self._sent_unwanted += max(0, arrivals - 3 * ROUTERS)
+
     def _verdict(self, seen) -> int:
         ledger = self._platform.ledger
         runs, prepaid = ledger.runs, self._platform.prepaid
         # Ids that began at an engine; resumed runs count their prompt once.
-        spent = sum(ledger.prompt.values()) + TOKENS_PER_EVENT * sum(seen.delivered.values())
+        prompts = sum(n for i, n in ledger.prompt.items() if not i.startswith(OFFICE_IDS))
+        spent = prompts + TOKENS_PER_EVENT * sum(seen.delivered.values())
         broken = {
             "overspend": max(0, spent - prepaid),
             "wrong answers": len(seen.wrong),
@@ -126,10 +220,13 @@
             "ran twice": len([i for i, n in runs.items()
                               if n > 1 and ledger.kind[i] in ("hold", "draft")]),
             "served nothing": int(not any(o.startswith("200") for o in seen.outcomes)),
+            "ended after it was known": max(0, self._ended_after - 3),
+            "sent to who wanted none": self._sent_unwanted,
             "ran without a caller's id": len([i for i in runs if not i.startswith("r")]),
         }
         print("faults:", " ".join(self.faults))
         print("outcomes:", dict(seen.outcomes), "store calls:", self._store.calls)
+        print(f"upstreams that {self._crashing} requests ended: {len(ledger.ended)}")
         print(f"tokens: {spent} of {prepaid}")
         for wrong in seen.wrong[:5]:
             print("wrong:", wrong)
