--- a/tests/entry/unit-crash-record.cc
+++ b/tests/entry/unit-crash-record.cc
@@ -200,8 +200,9 @@
   for (uint64_t start = 1; start <= 3; ++start) {
     EndUnder(record, Print(), start, static_cast<double>(start) * 2);
   }
-  for (int i = 0; i < 5'000; ++i) {
-    EndUnder(record, Print(std::string(100 + i, 'x')), 10 + i, 10 + i * 0.001);
+  for (uint64_t i = 0; i < 5'000; ++i) {
+    EndUnder(record, Print(std::string(100 + i, 'x')), 10 + i,
+             10 + static_cast<double>(i) * 0.001);
   }
   CHECK(record.StandingOf(Print()) == Standing::kQuarantined);
   CHECK_FALSE(record.MayKnow(Print(std::string(101, 'x')).sketch));
--- a/tests/entry/unit-placement.cc
+++ b/tests/entry/unit-placement.cc
@@ -173,7 +173,7 @@
   for (int i = 1; i < 4; ++i) {
     query.exclude.push_back(core::UpstreamId("e" + std::to_string(i)));
   }
-  CHECK_EQUAL("", Chosen());
+  CHECK(Chosen().empty());
   Engine(0)->hold_until = At(0.5);
-  CHECK_EQUAL("e0", Chosen());
+  CHECK(Chosen() == "e0");
 }
