Keep an upstream's word that it leaves also where its record said so before, or went

Cause: the word was remembered only when it was news. Where the record in the store had said the same, or the entry was gone by then, a record of before, read later, would have brought the start back. Found by reading the change again. Two tests of the directory fail before.

--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -101,11 +101,16 @@
 }
 
 bool UpstreamDirectory::OnLeavingWord(const UpstreamRef& upstream) {
-  const core::UpstreamId& id = upstream->entry.id;
-  if (upstream->entry.leaving || Find(id) != upstream) {
-    return false;
+  const UpstreamRef known = Find(upstream->entry.id);
+  if (known && known != upstream) {
+    return false;  // another start has the id now
   }
+  // Remembered also where the record said so already, or went: another record
+  // of this start may follow that says it is ready.
   RememberWord(upstream->entry);
+  if (!known || upstream->entry.leaving) {
+    return false;
+  }
   upstream->entry.leaving = true;
   Rebuild();
   return true;
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -174,7 +174,7 @@
   }
   if (answer.wait) {
     speaker->hold_until =
-        std::max(speaker->hold_until, m_watch_from + *answer.wait);
+        std::max(speaker->hold_until, net::BootNow() + *answer.wait);
   }
   if (known_to_leave && !answer.wait) {
     return;  // told already
--- a/tests/entry/unit-upstream-directory.cc
+++ b/tests/entry/unit-upstream-directory.cc
@@ -197,6 +197,25 @@
   CHECK(directory.Of(tickets).empty());
 }
 
+TEST(UpstreamDirectory, the_word_is_kept_where_the_record_said_so_before) {
+  // The record says that it leaves; the store is away, and what is read first
+  // afterwards is an earlier record, in which it is ready.
+  UpstreamEntry leaving = EntryOf("one");
+  leaving.leaving = true;
+  directory.OnRecord(RecordOf(leaving));
+  CHECK_FALSE(directory.OnLeavingWord(directory.Find(one)));
+  directory.OnRecord(RecordOf(EntryOf("one")));
+  CHECK(directory.Of(tickets).empty());
+}
+
+TEST(UpstreamDirectory, the_word_of_one_whose_entry_went_is_kept) {
+  const UpstreamRef speaker = directory.Find(one);
+  directory.Remove(one, contact, At(10));
+  CHECK_FALSE(directory.OnLeavingWord(speaker));
+  directory.OnRecord(RecordOf(EntryOf("one")));
+  CHECK(directory.Of(tickets).empty());
+}
+
 TEST(UpstreamDirectory, the_word_ends_with_the_start_that_gave_it) {
   UpstreamEntry first = EntryOf("one");
   first.born = 1;
