Tell first of requests with more ends

Cause: each end is held against all that ran there, up to dozens of requests a router, and a beat has room for 64; they were told in the order of their hashes, so that the guilty one could be left out in a spell of ends, beat after beat. Change: quarantined ones first, then those with more ends, then the latest; the same order decides who is forgotten for want of room (2,048 kept, 512 before).

--- a/include/coppervalve/entry/crash_record.h
+++ b/include/coppervalve/entry/crash_record.h
@@ -6,6 +6,7 @@
 #include <deque>    // deque
 #include <map>      // map
 #include <set>      // set
+#include <tuple>    // tuple
 #include <vector>   // vector
 
 #include "coppervalve/beat.pb.h"
@@ -46,7 +47,7 @@
   /// Other routers hear of an end for so long, longer than cuts from the store
   /// last; of what quarantined a request, for as long as it is refused.
   core::Duration told_for{15'000'000};
-  size_t most_requests = 512;
+  size_t most_requests = 2'048;
   size_t most_told = 64;
 };
 
@@ -126,6 +127,9 @@
     RequestPrint request;
   };
 
+  /// What is kept and told first: quarantined, with more ends, changed last.
+  using Weight = std::tuple<bool, size_t, core::TimePoint>;
+  static Weight WeightOf(const Case& one);
   static size_t Counting(const Case& one);
   Case& CaseOf(const RequestPrint& request, core::TimePoint now);
   void Add(const RequestPrint& request,
@@ -139,6 +143,9 @@
                        bool own,
                        core::TimePoint now);
   bool Told(const Case& one, const End& end, core::TimePoint now) const;
+  v1::CrashCase ToldOf(const RequestPrint& request,
+                       const Case& one,
+                       core::TimePoint now) const;
   void Take(const v1::CrashCase& told, bool own, core::TimePoint now);
   void TakeSurvived(Case& one,
                     const v1::CrashCase& told,
--- a/src/entry/crash_record.cc
+++ b/src/entry/crash_record.cc
@@ -1,8 +1,7 @@
 #include "coppervalve/entry/crash_record.h"
 
-#include <algorithm>  // count_if, max, min, min_element
+#include <algorithm>  // count_if, max, min, min_element, sort
 #include <string>     // to_string
-#include <tuple>      // tie
 #include <utility>    // move
 
 #include "coppervalve/core/hash.h"
@@ -31,6 +30,12 @@
       [](const auto& end) { return end.second.state == EndState::kCounts; }));
 }
 
+// Where there is room for some only: most of those that ran when an upstream
+// ended are never heard of again, the one that ended it is.
+CrashRecord::Weight CrashRecord::WeightOf(const Case& one) {
+  return {one.quarantined, Counting(one), one.changed};
+}
+
 bool CrashRecord::MayKnow(uint64_t sketch) const {
   const auto first = m_cases.lower_bound(RequestPrint{sketch, {}});
   return first != m_cases.end() && first->first.sketch == sketch;
@@ -76,12 +81,10 @@
 CrashRecord::Case& CrashRecord::CaseOf(const RequestPrint& request,
                                        core::TimePoint now) {
   if (m_cases.size() >= m_options.most_requests && !m_cases.contains(request)) {
-    // A caller with many such requests must not fill the memory: what changed
-    // longest ago goes, quarantined ones last.
+    // A caller with many such requests must not fill the memory.
     const auto goes = std::min_element(
         m_cases.begin(), m_cases.end(), [](const auto& a, const auto& b) {
-          return std::tie(a.second.quarantined, a.second.changed) <
-                 std::tie(b.second.quarantined, b.second.changed);
+          return WeightOf(a.second) < WeightOf(b.second);
         });
     m_cases.erase(goes);
   }
@@ -200,27 +203,37 @@
   return false;
 }
 
-void CrashRecord::WriteTo(v1::RouterBeat& beat, core::TimePoint now) const {
-  for (const auto& [request, one] : m_cases) {
-    if (beat.crashes_size() >= static_cast<int>(m_options.most_told)) {
-      return;
+v1::CrashCase CrashRecord::ToldOf(const RequestPrint& request,
+                                  const Case& one,
+                                  core::TimePoint now) const {
+  v1::CrashCase told;
+  for (const auto& [start, end] : one.ends) {
+    if (!Told(one, end, now)) {
+      continue;
     }
-    v1::CrashCase told;
-    for (const auto& [start, end] : one.ends) {
-      if (!Told(one, end, now)) {
-        continue;
-      }
-      if (end.state == EndState::kSurvived) {
-        told.add_survived(start.value());
-      } else {
-        told.add_ended(start.value());
-      }
+    if (end.state == EndState::kSurvived) {
+      told.add_survived(start.value());
+    } else {
+      told.add_ended(start.value());
     }
-    if (told.ended_size() == 0 && told.survived_size() == 0) {
-      continue;
+  }
+  told.set_request(request.ToBytes());
+  told.set_apart(one.apart);
+  return told;
+}
+
+void CrashRecord::WriteTo(v1::RouterBeat& beat, core::TimePoint now) const {
+  std::vector<std::pair<Weight, v1::CrashCase>> all;
+  for (const auto& [request, one] : m_cases) {
+    v1::CrashCase told = ToldOf(request, one, now);
+    if (told.ended_size() != 0 || told.survived_size() != 0) {
+      all.emplace_back(WeightOf(one), std::move(told));
     }
-    told.set_request(request.ToBytes());
-    told.set_apart(one.apart);
+  }
+  std::sort(all.begin(), all.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  all.resize(std::min(all.size(), m_options.most_told));
+  for (auto& [weight, told] : all) {
     *beat.add_crashes() = std::move(told);
   }
 }
