--- a/tests/entry/unit-crash-fleet.cc
+++ b/tests/entry/unit-crash-fleet.cc
@@ -78,6 +78,48 @@
   return seen;
 }
 
+struct Attack {
+  Cost cost;
+  Refused others;
+};
+
+/// @brief One request that ends upstreams among those of other callers, who
+/// come back at once when they are cut with it.
+Attack PlayAttack(uint64_t seed) {
+  CrashFleet fleet(seed, 3, kUpstreams);
+  Attack seen;
+  double third_at = -1;
+  double next_poison = 2;
+  size_t number = 0;
+  const auto ask = [&](const std::string& body) {
+    ++seen.others.asked;
+    const bool sent = fleet.Ask(fleet.RandomRouter(), body, false);
+    seen.others.refused += sent ? 0 : 1;
+  };
+  while (fleet.now() < 45) {
+    ++number;
+    ask(number % 11 == 0 ? "a hot subject" : "own " + std::to_string(number));
+    if (fleet.now() >= next_poison) {
+      const bool sent = fleet.Ask(fleet.RandomRouter(), "poison", true);
+      const bool late = third_at >= 0 && fleet.now() > third_at + kHeardBy;
+      seen.cost.sends_after += sent && late ? 1 : 0;
+      next_poison += 1.1;
+    }
+    for (const std::string& body : fleet.TakeCut()) {
+      if (body == "poison") {
+        ++seen.cost.ended;
+      } else {
+        ask(body);
+      }
+    }
+    if (third_at < 0 && seen.cost.ended >= 3) {
+      third_at = fleet.now();
+    }
+    fleet.Pass(0.02);
+  }
+  return seen;
+}
+
 }  // namespace
 
 // clang-format off
@@ -105,6 +147,18 @@
   }
 }
 
+TEST(CrashFleet, those_that_ran_beside_it_are_served_and_it_is_not) {
+  Refused others;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const Attack seen = PlayAttack(seed);
+    CHECK(seen.cost.sends_after <= kMostSendsAfter);
+    CHECK(seen.cost.ended <= 3 + kMostSendsAfter);
+    others.asked += seen.others.asked;
+    others.refused += seen.others.refused;
+  }
+  CHECK(others.refused * 500 <= others.asked);
+}
+
 TEST(CrashFleet, innocent_requests_are_served_through_spells_of_crashes) {
   Refused all;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
