--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -4,6 +4,8 @@
 import os
 import signal
 import socket
+import tempfile
+from collections.abc import Awaitable, Callable
 
 from tests.soak.callers import HOST
 from tests.soak.http import read_message
@@ -184,3 +186,20 @@
             await router.process.wait()
         self.store.wake_readers()
         await asyncio.sleep(0.1)
+
+
+def play(scenario: Callable[[Platform], Awaitable[None]], routers: int, engines: int) -> Platform:
+    """Plays a scenario of a test on a platform of its own, and ends that."""
+
+    async def run() -> Platform:
+        program = os.path.join(os.environ.get("COPPERVALVE_BUILD", "build"), "coppervalved")
+        with tempfile.TemporaryDirectory() as folder:
+            platform = Platform(folder, program, seed=1)
+            await platform.start(routers, engines)
+            try:
+                await scenario(platform)
+            finally:
+                await platform.stop()
+            return platform
+
+    return asyncio.run(run())
