Send nothing to upstreams of evacuated failure domains

Ruled out: treating an evacuation as leaving; entries, prefixes and connections are wanted again afterwards. Change: the topic of the configuration has a second kind of record, kept by entry::Evacuations; entry::UpstreamGate is asked when a request is placed and again when a new connection is there, before the first byte. All domains evacuated: refused at once.

--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -10,6 +10,7 @@
 #include "coppervalve/core/units.h"
 #include "coppervalve/entry/peer_loads.h"
 #include "coppervalve/entry/upstream_directory.h"
+#include "coppervalve/entry/upstream_gate.h"
 #include "coppervalve/routing/random_hook.h"
 
 namespace coppervalve::entry {
@@ -21,6 +22,7 @@
   kPrefixSent,   ///< as above, and this router sent the prefix there lately
   kLastResort,   ///< none that is trusted is left
   kNoneLeft,     ///< none chosen: all were tried or are at their bound
+  kEvacuated,    ///< none chosen: all are in evacuated failure domains
   kNoneKnown,    ///< none chosen: the service has no upstream
 };
 
@@ -93,6 +95,7 @@
   Placer(PlacementOptions options,
          core::FailureDomainId own_domain,
          const PeerLoads& peers,
+         const UpstreamGate& gate,
          routing::RandomHook random);
 
   /// @complexity linear in the upstreams of the service
@@ -116,6 +119,7 @@
                                   const PlacementQuery& query,
                                   Trust least,
                                   core::TimePoint now) const;
+  PlacedBy WhyNone(const std::vector<UpstreamRef>& upstreams) const;
   Load LoadOf(const Upstream& upstream, const PlacementQuery& query) const;
   Candidate CostAtEngine(const UpstreamRef& upstream,
                          const PlacementQuery& query,
@@ -134,6 +138,7 @@
   PlacementOptions m_options;
   core::FailureDomainId m_own_domain;
   const PeerLoads& m_peers;
+  const UpstreamGate& m_gate;
   routing::RandomHook m_random;
 };
 
--- a/include/coppervalve/entry/upstream_health.h
+++ b/include/coppervalve/entry/upstream_health.h
@@ -16,6 +16,7 @@
   kBroken,        ///< the connection ended or made no sense
   kSilent,        ///< nothing came in time
   kMisaddressed,  ///< another upstream has the address now
+  kWithheld,      ///< this router sent nothing, for a reason of its own
 };
 
 /// @brief How much an upstream is trusted with the next request.
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -21,6 +21,7 @@
 #include "coppervalve/entry/request_print.h"
 #include "coppervalve/entry/retry_allowance.h"
 #include "coppervalve/entry/upstream_directory.h"
+#include "coppervalve/entry/upstream_gate.h"
 #include "coppervalve/gateway/caller_connection.h"
 #include "coppervalve/gateway/crash_watch.h"
 #include "coppervalve/gateway/dialect.h"
@@ -37,6 +38,7 @@
   const Dialect& dialect;
   entry::UpstreamDirectory& directory;
   const entry::Policy& policy;
+  const entry::UpstreamGate& gate;
   const entry::Placer& placer;
   entry::ReadingPace& pace;
   entry::RetryAllowance& retries;
@@ -102,6 +104,7 @@
   entry::Placement ChoosePlacement();
   void RefuseForWantOfUpstreams(const std::string& why);
   void Send(const entry::Placement& placement);
+  bool MaySend(const entry::Upstream& upstream) const;
   std::string RequestText(const SendFacts& facts) const;
 
   void HeedUpstream();
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -39,6 +39,9 @@
 struct StoreLayout {
   std::string configuration_topic;
   std::string configuration_key;
+  /// Before the failure domain in the keys of evacuations; of the topic of the
+  /// configuration. Empty = none are read.
+  std::string evacuation_prefix;
   std::string upstream_topic;
   std::string beat_topic;
 };
@@ -92,7 +95,12 @@
   void OnReload(const GatewaySettings& settings);
 
  private:
+  void OnOperatorRecord(const KeyedRecord& record);
+  void OnNewestOperatorRecords(const std::vector<KeyedRecord>& records);
   void Configure(const std::string& document);
+  std::optional<core::FailureDomainId> ReadEvacuation(
+      const KeyedRecord& record);
+  void TellEvacuation(const entry::EvacuationChange& change);
   void OnUpstreamRecord(const KeyedRecord& record);
   entry::UpstreamRecord ReadUpstreamRecord(const KeyedRecord& record);
   void OnNewestUpstreams(const std::vector<KeyedRecord>& records);
@@ -151,6 +159,7 @@
   entry::UpstreamDirectory m_directory;
   entry::PeerLoads m_peer_loads;
   entry::PeerContact m_peers;
+  entry::UpstreamGate m_gate;
   entry::Placer m_placer;
   entry::ReadingPace m_pace;
   entry::RetryAllowance m_retries;
@@ -179,7 +188,9 @@
 
   v1::RouterBeat m_own_record;          ///< newest of an earlier start
   std::optional<uint64_t> m_fenced_at;  ///< earlier starts write below it
-  uint64_t m_beats_read = 0;            ///< all records below it are known
+  /// Longest time for which an evacuation can have been unknown here.
+  core::Duration m_evacuation_known_within{};
+  uint64_t m_beats_read = 0;  ///< all records below it are known
   bool m_upstreams_known = false;
   bool m_first_beat_back = false;
   bool m_was_ready = false;
--- a/include/coppervalve/gateway/upstream_connection.h
+++ b/include/coppervalve/gateway/upstream_connection.h
@@ -18,9 +18,10 @@
 
 /// @brief How an attempt on a connection ended.
 enum class AttemptEnd : uint8_t {
-  kWhole,    ///< the answer is whole
-  kNotSent,  ///< the kernel took no byte of the request
-  kBroken,   ///< some of it was sent and no whole answer came
+  kWhole,     ///< the answer is whole
+  kNotSent,   ///< the kernel took no byte of the request
+  kBroken,    ///< some of it was sent and no whole answer came
+  kWithheld,  ///< may_send said no; no byte was sent
 };
 
 /// @brief One connection to an upstream; carries one request at a time.
@@ -32,6 +33,8 @@
     std::function<void(const std::string& body)> on_body;
     /// Last call of an attempt. @param why for logs, when it isn't whole
     std::function<void(AttemptEnd end, std::string_view why)> on_end;
+    /// Asked when a new connection is there, before the first byte; none: yes.
+    std::function<bool()> may_send = {};
   };
 
   UpstreamConnection(boost::asio::io_context& io, std::string address);
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/entry/placement.h"
 
-#include <algorithm>  // find, nth_element, clamp, max, min
+#include <algorithm>  // all_of, find, nth_element, clamp, max, min
 #include <limits>     // numeric_limits
 #include <utility>    // move
 
@@ -72,6 +72,8 @@
       return "last_resort";
     case PlacedBy::kNoneLeft:
       return "none_left";
+    case PlacedBy::kEvacuated:
+      return "evacuated";
     case PlacedBy::kNoneKnown:
       break;
   }
@@ -81,10 +83,12 @@
 Placer::Placer(PlacementOptions options,
                core::FailureDomainId own_domain,
                const PeerLoads& peers,
+               const UpstreamGate& gate,
                routing::RandomHook random)
     : m_options(options),
       m_own_domain(std::move(own_domain)),
       m_peers(peers),
+      m_gate(gate),
       m_random(std::move(random)) {}
 
 double Placer::ReadingCost(core::Tokens prompt) const {
@@ -113,10 +117,18 @@
     return placement;
   }
   Placement none;
-  none.why = PlacedBy::kNoneLeft;
+  none.why = WhyNone(upstreams);
   return none;
 }
 
+PlacedBy Placer::WhyNone(const std::vector<UpstreamRef>& upstreams) const {
+  const bool evacuated = std::all_of(
+      upstreams.begin(), upstreams.end(), [this](const UpstreamRef& upstream) {
+        return m_gate.Of(*upstream) == Passage::kEvacuated;
+      });
+  return evacuated ? PlacedBy::kEvacuated : PlacedBy::kNoneLeft;
+}
+
 std::vector<UpstreamRef> Placer::Usable(
     const std::vector<UpstreamRef>& upstreams,
     const PlacementQuery& query,
@@ -136,6 +148,9 @@
     if (now < upstream->hold_until) {
       continue;
     }
+    if (m_gate.Of(*upstream) != Passage::kOpen) {
+      continue;
+    }
     if (query.connection_bound != 0 &&
         upstream->in_flight >= query.connection_bound) {
       continue;
--- a/src/entry/upstream_health.cc
+++ b/src/entry/upstream_health.cc
@@ -23,6 +23,9 @@
 }  // namespace
 
 void UpstreamHealth::On(AttemptOutcome outcome, core::TimePoint now) {
+  if (outcome == AttemptOutcome::kWithheld) {
+    return;
+  }
   const double failures = FailuresAt(now);
   m_failures_at = now;
   switch (outcome) {
@@ -48,6 +51,8 @@
                         kLongestAvoidance),
                now);
       return;
+    case AttemptOutcome::kWithheld:
+      return;
   }
 }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -307,6 +307,12 @@
 // Where all upstreams asked for a pause, the first to end says when to come.
 void Exchange::RefuseForWantOfUpstreams(const std::string& why) {
   const core::TimePoint now = net::BootNow();
+  if (m_placed.why == entry::PlacedBy::kEvacuated) {
+    Refuse({core::ErrorId::kNoUpstream, m_admitted.service.value(),
+            "all its failure domains are evacuated"},
+           kAfterACut);
+    return;
+  }
   const auto hold = m_context.directory.AllHoldUntil(m_admitted.service, now);
   Refuse({core::ErrorId::kNoUpstream, m_admitted.service.value(),
           hold ? "all upstreams asked for a pause" : why},
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -39,6 +39,8 @@
       return "broken";
     case AttemptOutcome::kSilent:
       return "silent";
+    case AttemptOutcome::kWithheld:
+      return "withheld";
     case AttemptOutcome::kMisaddressed:
       break;
   }
@@ -120,10 +122,18 @@
        // Holds the exchange for as long as the attempt goes on.
        [self = shared_from_this()](AttemptEnd end, std::string_view why) {
          self->OnEnd(end, why);
-       }});
+       },
+       [this, upstream] { return MaySend(*upstream); }});
   ArmTimer();
 }
 
+// While the connection was opened the upstream may have left, or its failure
+// domain may have been evacuated.
+bool Exchange::MaySend(const entry::Upstream& upstream) const {
+  return !upstream.entry.leaving &&
+         m_context.gate.Of(upstream) == entry::Passage::kOpen;
+}
+
 void Exchange::OnHead(const http1::ResponseHead& head) {
   Attempt& attempt = *m_attempt;
   attempt.answer = m_context.dialect.read_answer(head);
@@ -266,8 +276,9 @@
   if (m_done || !m_attempt) {
     return;
   }
-  if (end == AttemptEnd::kNotSent) {
-    LeaveUpstream(AttemptOutcome::kUnreachable);
+  if (end == AttemptEnd::kNotSent || end == AttemptEnd::kWithheld) {
+    LeaveUpstream(end == AttemptEnd::kNotSent ? AttemptOutcome::kUnreachable
+                                              : AttemptOutcome::kWithheld);
     m_attempt.reset();
     // Nothing left this router: any other upstream may have it.
     Place();
--- /dev/null
+++ b/src/gateway/gateway_operator.cc
@@ -0,0 +1,107 @@
+// What operators publish: the configuration, and evacuations of failure
+// domains.
+#include <algorithm>  // max
+#include <set>        // set
+#include <utility>    // move
+
+#include "coppervalve/gateway/gateway.h"
+#include "coppervalve/net/clock.h"
+
+namespace coppervalve::gateway {
+
+void Gateway::OnOperatorRecord(const KeyedRecord& record) {
+  if (record.key == m_settings.layout.configuration_key) {
+    if (!record.value.empty()) {
+      Configure(record.value);
+    }
+    return;
+  }
+  const std::optional<core::FailureDomainId> domain = ReadEvacuation(record);
+  if (!domain) {
+    return;
+  }
+  const auto change =
+      m_gate.evacuations().OnRecord(*domain, !record.value.empty());
+  if (change) {
+    TellEvacuation(*change);
+  }
+}
+
+void Gateway::OnNewestOperatorRecords(const std::vector<KeyedRecord>& records) {
+  std::set<core::FailureDomainId> evacuated;
+  for (const KeyedRecord& record : records) {
+    if (record.value.empty()) {
+      continue;
+    }
+    if (record.key == m_settings.layout.configuration_key) {
+      Configure(record.value);
+      continue;
+    }
+    if (const auto domain = ReadEvacuation(record)) {
+      evacuated.insert(*domain);
+    }
+  }
+  for (const auto& change : m_gate.evacuations().ReplaceAll(evacuated)) {
+    TellEvacuation(change);
+  }
+}
+
+void Gateway::Configure(const std::string& document) {
+  core::Result<entry::Configuration> read =
+      m_dialect.read_configuration(document);
+  if (!core::IsOk(read)) {
+    Lifecycle(LogLine("configuration_unreadable")
+                  .Text("why", core::ToString(core::Failure(read))));
+    return;
+  }
+  const core::ConfigVersion version = core::Value(read).version;
+  // A late or repeated record must not bring an older one back.
+  if (m_in_force && version <= m_in_force->version()) {
+    return;
+  }
+  m_in_force =
+      std::make_shared<const entry::InForce>(core::TakeValue(std::move(read)));
+  m_book.OnConfiguration(m_in_force->configuration());
+  Lifecycle(
+      LogLine("configuration_in_force")
+          .Number("version", static_cast<int64_t>(version.value()))
+          .Number("routes", static_cast<int64_t>(
+                                m_in_force->configuration().routes.size())));
+  // Totals may have grown, and the first ones bring the first ceilings.
+  m_writer->Hurry();
+}
+
+// Only the key says something: what stands in the record may change.
+std::optional<core::FailureDomainId> Gateway::ReadEvacuation(
+    const KeyedRecord& record) {
+  const auto read =
+      entry::EvacuatedDomain(m_settings.layout.evacuation_prefix, record.key);
+  if (!read) {
+    return std::nullopt;
+  }
+  if (!core::IsOk(*read)) {
+    Lifecycle(LogLine("evacuation_unreadable")
+                  .Text("key", record.key)
+                  .Text("why", core::ToString(core::Failure(*read))));
+    return std::nullopt;
+  }
+  return core::Value(*read);
+}
+
+// Records bear no time: it was written after the last answer before this one.
+void Gateway::TellEvacuation(const entry::EvacuationChange& change) {
+  const core::Duration within = m_config_contact.SilentFor(net::BootNow());
+  const bool began_before_start = within == core::Duration::max();
+  if (change.evacuated && !began_before_start) {
+    m_evacuation_known_within = std::max(m_evacuation_known_within, within);
+  }
+  LogLine line(change.evacuated ? "failure_domain_evacuated"
+                                : "failure_domain_taken_back");
+  line.Text("failure_domain", change.domain.value());
+  if (!began_before_start) {
+    line.Millis("known_within_ms", within);
+  }
+  Lifecycle(std::move(line));
+}
+
+}  // namespace coppervalve::gateway
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -37,17 +37,11 @@
   // In force everywhere within seconds: who stands by reads as often.
   of_configuration.pause = {};
   of_configuration.on_record = [this](const KeyedRecord& record) {
-    if (record.key == m_settings.layout.configuration_key &&
-        !record.value.empty()) {
-      Configure(record.value);
-    }
+    OnOperatorRecord(record);
+  };
+  of_configuration.on_newest = [this](const std::vector<KeyedRecord>& records) {
+    OnNewestOperatorRecords(records);
   };
-  of_configuration.on_newest =
-      [of_configuration](const std::vector<KeyedRecord>& records) {
-        for (const KeyedRecord& record : records) {
-          of_configuration.on_record(record);
-        }
-      };
   m_configuration = std::make_shared<TopicFollower>(
       m_io,
       FollowerOptions{layout.configuration_topic, entry::ConfigurationPlan()},
@@ -84,31 +78,6 @@
       m_random, std::move(of_beats));
 }
 
-void Gateway::Configure(const std::string& document) {
-  core::Result<entry::Configuration> read =
-      m_dialect.read_configuration(document);
-  if (!core::IsOk(read)) {
-    Lifecycle(LogLine("configuration_unreadable")
-                  .Text("why", core::ToString(core::Failure(read))));
-    return;
-  }
-  const core::ConfigVersion version = core::Value(read).version;
-  // A late or repeated record must not bring an older one back.
-  if (m_in_force && version <= m_in_force->version()) {
-    return;
-  }
-  m_in_force =
-      std::make_shared<const entry::InForce>(core::TakeValue(std::move(read)));
-  m_book.OnConfiguration(m_in_force->configuration());
-  Lifecycle(
-      LogLine("configuration_in_force")
-          .Number("version", static_cast<int64_t>(version.value()))
-          .Number("routes", static_cast<int64_t>(
-                                m_in_force->configuration().routes.size())));
-  // Totals may have grown, and the first ones bring the first ceilings.
-  m_writer->Hurry();
-}
-
 void Gateway::OnUpstreamRecord(const KeyedRecord& record) {
   const core::UpstreamId id(record.key);
   const core::TimePoint now = net::BootNow();
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -114,6 +114,10 @@
                    },
                    {}});
   m_sent_before = 0;
+  if (m_handlers->may_send && !m_handlers->may_send()) {
+    Finish(AttemptEnd::kWithheld, "no longer to be sent to");
+    return;
+  }
   m_stream->Send(m_request);
 }
 
--- a/tests/entry/unit-placement.cc
+++ b/tests/entry/unit-placement.cc
@@ -14,8 +14,9 @@
 TEST_GROUP(Placement) {
   UpstreamDirectory directory{DirectoryOptions{}};
   PeerLoads peers{core::Duration(800'000)};
+  UpstreamGate gate;
   uint64_t draw = 0;
-  Placer placer{{}, core::FailureDomainId("fd-a"), peers,
+  Placer placer{{}, core::FailureDomainId("fd-a"), peers, gate,
                 [this] { return draw += 0x9e3779b97f4a7c15; }};
   PlacementQuery query;
 
@@ -59,7 +60,7 @@
   const std::string owner = Chosen();
   PeerLoads other_peers{core::Duration(800'000)};
   uint64_t other_draw = 77;
-  const Placer other({}, core::FailureDomainId("fd-b"), other_peers,
+  const Placer other({}, core::FailureDomainId("fd-b"), other_peers, gate,
                      [&] { return other_draw += 13; });
   const Placement placement = other.Choose(directory, query, At(1));
   CHECK(placement.upstream->entry.id.value() == owner);
--- a/tests/entry/unit-shedding.cc
+++ b/tests/entry/unit-shedding.cc
@@ -207,8 +207,9 @@
   pcg64 m_random{7};
   double m_now = 0;
   UpstreamDirectory m_directory{DirectoryOptions{}};
+  UpstreamGate m_gate;
   PeerLoads m_peers{core::Duration(800'000)};
-  Placer m_placer{{}, core::FailureDomainId("fd-a"), m_peers, [this] {
+  Placer m_placer{{}, core::FailureDomainId("fd-a"), m_peers, m_gate, [this] {
                     return m_random();
                   }};
   ReadingPace m_pace;
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -127,9 +127,12 @@
       return core::Error{core::ErrorId::kConfigSyntax, key, document};
     }
     int64_t born = 0;
-    if (words >> born) {
+    if (words >> born && born != 0) {
       entry.born = born;
     }
+    std::string failure_domain;
+    words >> failure_domain;
+    entry.failure_domain = core::FailureDomainId(failure_domain);
     entry.service = core::ServiceId(service);
     entry.slots = 8;
     return entry;
@@ -266,7 +269,7 @@
   settings.router = core::RouterId("router-1");
   settings.failure_domain = core::FailureDomainId("fd-a");
   settings.caller_address = FreeAddress(io);
-  settings.layout = {"config", "config", "upstreams", "routers"};
+  settings.layout = {"config", "config", "evacuate/", "upstreams", "routers"};
 }
 
 Router::~Router() = default;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -88,7 +88,8 @@
   std::unique_ptr<Gateway> StartPeer(const std::string& name);
   ScriptedUpstream& AddUpstream(const std::string& id,
                                 const std::string& service);
-  /// @brief Writes "SERVICE ADDRESS [BORN]" under an upstream's id.
+  /// @brief Writes "SERVICE ADDRESS [BORN [FAILURE_DOMAIN]]", with a 0
+  /// for no BORN, under an upstream's id.
   void SetUpstream(const std::string& id, const std::string& document);
   std::unique_ptr<TestCaller> Caller();
   /// @brief Runs until a condition holds. @return false when it never did
--- /dev/null
+++ b/tests/gateway/unit-evacuation.cc
@@ -0,0 +1,159 @@
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>  // milliseconds
+#include <string>  // string
+
+#include "gateway_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::gateway;
+using namespace coppervalve::gateway::testing;
+
+namespace {
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(Evacuation) {
+  Router router;
+  ScriptedUpstream& one = Upstream("one", "fd-x");
+  ScriptedUpstream& two = Upstream("two", "fd-y");
+
+  ScriptedUpstream& Upstream(const std::string& id, const std::string& domain) {
+    ScriptedUpstream& upstream = router.AddUpstream(id, "lookup");
+    router.SetUpstream(id, "lookup " + upstream.address() + " 0 " + domain);
+    upstream.Answer([](const StreamRef& stream, const std::string& request) {
+      stream->Send(Signed(request, "done"));
+    });
+    return upstream;
+  }
+  void Evacuate(const std::string& domain) {
+    router.store.Put("config", "evacuate/" + domain, "{}");
+    Settle();
+  }
+  void TakeBack(const std::string& domain) {
+    router.store.Put("config", "evacuate/" + domain, "");
+    Settle();
+  }
+  void Settle() { router.io.run_for(std::chrono::milliseconds(300)); }
+  void AskOften() {
+    one.requests.clear();
+    two.requests.clear();
+    for (int i = 0; i < 12; ++i) {
+      last = router.Ask("/lookup/x", {}, "r-" + std::to_string(i));
+    }
+  }
+  std::string last;
+};
+// clang-format on
+
+TEST(Evacuation, upstreams_of_an_evacuated_domain_get_no_request) {
+  // Kept connections count too: both upstreams have one by then.
+  router.Start();
+  AskOften();
+  CHECK(!one.requests.empty() && !two.requests.empty());
+  Evacuate("fd-x");
+  AskOften();
+  CHECK(Has(last, "HTTP/1.1 200"));
+  CHECK(one.requests.empty());
+  CHECK_EQUAL(12, two.requests.size());
+  TakeBack("fd-x");
+  AskOften();
+  CHECK(!one.requests.empty());
+}
+
+TEST(Evacuation, with_all_domains_evacuated_requests_are_refused_at_once) {
+  router.Start();
+  Evacuate("fd-x");
+  Evacuate("fd-y");
+  AskOften();
+  CHECK(Has(last, "HTTP/1.1 503"));
+  CHECK(Has(last, "Retry-After"));
+  CHECK(Has(last, "evacuated"));
+  CHECK(one.requests.empty() && two.requests.empty());
+}
+
+TEST(Evacuation, a_router_that_starts_during_one_knows_it) {
+  router.store.Put("config", "evacuate/fd-x", "{}");
+  router.Start();
+  AskOften();
+  CHECK(one.requests.empty());
+}
+
+TEST(Evacuation, what_is_known_holds_while_the_store_is_away) {
+  router.Start();
+  Evacuate("fd-x");
+  router.store.away = true;
+  AskOften();
+  CHECK(one.requests.empty());
+}
+
+TEST(Evacuation, records_that_were_deleted_before_they_were_read_are_listed) {
+  // An upstream of an evacuated domain goes on getting work: the record was
+  // written and deleted while the router could not read.
+  router.Start();
+  router.store.unreadable = "config";
+  Settle();
+  router.store.Put("config", "evacuate/fd-x", "{}");
+  router.store.Put("config", "unrelated", "x");
+  router.store.Compact("config");
+  router.store.unreadable.clear();
+  CHECK(router.Until([&] {
+    AskOften();
+    return one.requests.empty();
+  }));
+  // Taken back in the same way.
+  router.store.unreadable = "config";
+  Settle();
+  router.store.Put("config", "evacuate/fd-x", "");
+  router.store.Put("config", "unrelated", "y");
+  router.store.Compact("config");
+  router.store.unreadable.clear();
+  CHECK(router.Until([&] {
+    AskOften();
+    return !one.requests.empty();
+  }));
+}
+
+TEST(Evacuation, a_deleted_record_is_not_taken_back) {
+  router.Start();
+  Evacuate("fd-x");
+  router.store.Put("config", "unrelated", "x");
+  router.store.Compact("config");
+  Settle();
+  AskOften();
+  CHECK(one.requests.empty());
+}
+
+TEST(Evacuation, records_that_name_no_domain_or_an_unknown_one_do_no_harm) {
+  router.Start();
+  Evacuate("");
+  Evacuate("fd-nowhere");
+  router.store.Put("config", "evacuate/fd-x", "[not an object");
+  Settle();
+  AskOften();
+  CHECK(Has(last, "HTTP/1.1 200"));
+  CHECK(one.requests.empty());
+}
+
+TEST(Evacuation, nothing_is_sent_on_a_connection_that_opened_too_late) {
+  // While a connection is opened its upstream's domain is evacuated; the
+  // request would reach the upstream after the operators' bound.
+  ScriptedUpstream upstream(router.io);
+  const auto connection =
+      std::make_shared<UpstreamConnection>(router.io, upstream.address());
+  std::optional<AttemptEnd> ended;
+  UpstreamConnection::Handlers handlers;
+  handlers.on_end = [&](AttemptEnd end, std::string_view) { ended = end; };
+  handlers.may_send = [] { return false; };
+  connection->Send("GET / HTTP/1.1\r\n\r\n", false, handlers);
+  CHECK(router.Until([&] { return ended.has_value(); }));
+  CHECK(*ended == AttemptEnd::kWithheld);
+  CHECK_FALSE(connection->sent_any());
+  Settle();
+  CHECK(upstream.requests.empty());
+}
