Bound what cold upstreams get, over all routers together

Change: cold after each start seen in traffic, after a domain is taken back, while its record says so, and after it could not be reached; a new sender waits 2 s, a shrinking fleet keeps its shares for 15 s. Asked at placement and before the first byte on a new connection. None left: refused at once.

--- a/include/coppervalve/entry/configuration.h
+++ b/include/coppervalve/entry/configuration.h
@@ -47,11 +47,18 @@
   uint32_t tokens_per_event = 1;
 };
 
+/// @brief How upstreams of a service become as fast as they can be.
+struct WarmUp {
+  core::Duration lasts{};  ///< after a start
+  double per_second = 0;   ///< requests that a cold one bears
+};
+
 /// @brief A group of upstreams.
 struct Service {
   core::ServiceId name;
   uint32_t max_connections = 0;  ///< from all routers together; 0 = no bound
   std::optional<EngineFacts> engine;
+  std::optional<WarmUp> warm_up;  ///< absent: warm from the start
 };
 
 /// @brief A client account.
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -49,6 +49,12 @@
   uint32_t Active() const;
   /// @return whether this router is one of them
   bool SelfActive() const { return m_active.contains(m_self); }
+  /// @return active routers that are chosen before this one for a key, without
+  /// talking; for an active router as many as all others count, as far as their
+  /// lists agree
+  uint32_t ActiveAbove(std::string_view key) const;
+  /// @return a number that changes with the set of active routers
+  uint64_t ActiveVersion() const { return m_active_version; }
   /// @return whether this router is the one active router that all choose for
   /// a key without talking, as far as their lists agree
   bool SelfOwns(std::string_view key) const;
@@ -82,6 +88,7 @@
   size_t m_least_active;
   std::map<core::RouterId, Member> m_members;
   std::set<core::RouterId> m_active;
+  uint64_t m_active_version = 1;
   double m_need = 0;  ///< requests a second that the active ones must take
   core::TimePoint m_advanced{};
 };
--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -22,6 +22,7 @@
   kPrefixSent,   ///< as above, and this router sent the prefix there lately
   kLastResort,   ///< none that is trusted is left
   kNoneLeft,     ///< none chosen: all were tried or are at their bound
+  kWarmingUp,    ///< none chosen: cold ones are left, and got what they bear
   kEvacuated,    ///< none chosen: all are in evacuated failure domains
   kNoneKnown,    ///< none chosen: the service has no upstream
 };
@@ -75,6 +76,10 @@
   double own_domain = 0.4;
   /// Requests of a plain service beyond its slots count this often.
   double beyond_plain_slots = 3;
+  /// A cold engine costs so much more, a cold upstream of a plain service so
+  /// many requests.
+  double cold = 6'000;
+  double cold_plain = 2;
   /// Send a shared prefix to the upstream that all routers agree on.
   bool prefix_owner = true;
   /// Send it where this router sent it lately.
@@ -119,7 +124,8 @@
                                   const PlacementQuery& query,
                                   Trust least,
                                   core::TimePoint now) const;
-  PlacedBy WhyNone(const std::vector<UpstreamRef>& upstreams) const;
+  PlacedBy WhyNone(const std::vector<UpstreamRef>& upstreams,
+                   core::TimePoint now) const;
   Load LoadOf(const Upstream& upstream, const PlacementQuery& query) const;
   Candidate CostAtEngine(const UpstreamRef& upstream,
                          const PlacementQuery& query,
@@ -128,7 +134,8 @@
                          core::TimePoint now) const;
   Candidate CostAtPlain(const UpstreamRef& upstream,
                         const PlacementQuery& query,
-                        double usual_pace) const;
+                        double usual_pace,
+                        core::TimePoint now) const;
   double WaitingAt(const Candidate& candidate,
                    const PlacementQuery& query) const;
   Placement Cheapest(const std::vector<UpstreamRef>& usable,
--- a/include/coppervalve/entry/policy.h
+++ b/include/coppervalve/entry/policy.h
@@ -8,6 +8,7 @@
 #include "coppervalve/entry/allotment_book.h"
 #include "coppervalve/entry/placement.h"
 #include "coppervalve/entry/shedding.h"
+#include "coppervalve/entry/warm_up_share.h"
 
 namespace coppervalve::entry {
 
@@ -18,6 +19,7 @@
   BookOptions book;
   PlacementOptions placement;
   SheddingOptions shedding;
+  WarmUpOptions warm_up;
   bool gifts = true;  ///< ask other routers for tokens
   /// Lead callers to so many routers at least, the most capable; more where
   /// the load needs it.
--- a/include/coppervalve/entry/upstream_directory.h
+++ b/include/coppervalve/entry/upstream_directory.h
@@ -15,6 +15,7 @@
 #include "coppervalve/entry/prefix_memory.h"
 #include "coppervalve/entry/store_contact.h"
 #include "coppervalve/entry/upstream_health.h"
+#include "coppervalve/entry/warm_up.h"
 
 namespace coppervalve::entry {
 
@@ -27,7 +28,8 @@
   core::FailureDomainId failure_domain;
   uint32_t slots = 1;
   bool leaving = false;
-  std::optional<int64_t> born;  ///< grows with each start under this id
+  std::optional<int64_t> born;    ///< grows with each start under this id
+  core::Duration warm_up_left{};  ///< when the entry was written
 };
 
 /// @brief What a record of the table is worth to a router.
@@ -41,6 +43,7 @@
 struct UpstreamRecord {
   core::UpstreamId id;
   std::optional<UpstreamEntry> entry;
+  core::TimePoint read_at{};
 };
 
 RecordWorth WorthOf(const UpstreamRecord& record);
@@ -61,6 +64,7 @@
   uint32_t in_flight = 0;  ///< requests of this router
   double in_prefill = 0;   ///< cost of reading what has not answered yet
   PrefixMemory prefixes;
+  WarmUpState warm_up;
   /// The entry went while the store was not well; it may be back soon.
   std::optional<core::TimePoint> lapsed;
   core::TimePoint hold_until{};  ///< it asked for no work from us before
@@ -104,6 +108,9 @@
   std::vector<core::UpstreamId> DropLapsed(const StoreContact& contact,
                                            core::TimePoint now);
 
+  /// @brief A failure domain was taken back: its upstreams may all be cold.
+  void OnTakenBack(const core::FailureDomainId& domain, core::TimePoint now);
+
   /// @brief An upstream said in an answer that it leaves. Holds for this start
   /// whatever its record says later.
   /// @return whether that is new
@@ -131,7 +138,7 @@
   void RememberBorn(const UpstreamEntry& entry);
   void RememberWord(const UpstreamEntry& entry);
   bool SaidItLeaves(const UpstreamEntry& entry);
-  DirectoryChange Put(const UpstreamEntry& entry);
+  DirectoryChange Put(const UpstreamEntry& entry, core::TimePoint read_at);
   DirectoryChange Drop(const core::UpstreamId& id);
   void Forget(const core::UpstreamId& id);
   void TellGone(const UpstreamEntry& entry) const;
@@ -139,6 +146,7 @@
 
   DirectoryOptions m_options;
   OnGone m_on_gone;
+  bool m_listed = false;  ///< what is new after that started in traffic
   std::unordered_map<core::UpstreamId, UpstreamRef> m_by_id;
   std::unordered_map<core::ServiceId, std::vector<UpstreamRef>> m_by_service;
   /// Latest start seen under each id, also of those that went.
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -104,7 +104,8 @@
   entry::Placement ChoosePlacement();
   void RefuseForWantOfUpstreams(const std::string& why);
   void Send(const entry::Placement& placement);
-  bool MaySend(const entry::Upstream& upstream) const;
+  /// @brief The last question before bytes go out on a new connection.
+  bool PassGate(entry::Upstream& upstream) const;
   std::string RequestText(const SendFacts& facts) const;
 
   void HeedUpstream();
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -59,6 +59,7 @@
   core::Duration grace{8'000'000};
   core::Duration address_lifetime{2'000'000};
   entry::RetryBounds retries;
+  entry::WarmUpBounds warm_up;
   /// Keys are not honoured past this age of the configuration; 0 = for ever.
   core::Duration keys_expire{};
   /// Writes a second that the store takes from the whole fleet.
@@ -159,12 +160,13 @@
   entry::UpstreamDirectory m_directory;
   entry::PeerLoads m_peer_loads;
   entry::PeerContact m_peers;
-  entry::UpstreamGate m_gate;
-  entry::Placer m_placer;
   entry::ReadingPace m_pace;
   entry::RetryAllowance m_retries;
   entry::AllotmentBook m_book;
   entry::MemberList m_members;
+  entry::WarmUpSenders m_senders;
+  entry::UpstreamGate m_gate;
+  entry::Placer m_placer;
   UpstreamPool m_pool;
   CrashWatch m_crashes;
   std::optional<ExchangeContext> m_context;
--- a/include/coppervalve/gateway/upstream_connection.h
+++ b/include/coppervalve/gateway/upstream_connection.h
@@ -51,6 +51,8 @@
 
   /// @return whether another request may be sent, while idle
   bool reusable() const { return m_reusable && m_stream && m_stream->open(); }
+  /// @return whether a request would go out at once
+  bool connected() const { return m_stream != nullptr; }
   bool sent_any() const;
   /// @return how long the upstream keeps an idle connection; zero: unknown
   core::Duration keep_alive() const { return m_keep_alive; }
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -1,7 +1,8 @@
 #include "coppervalve/entry/member_list.h"
 
-#include <algorithm>  // all_of, max, min
+#include <algorithm>  // count_if, max, min
 #include <cstddef>    // size_t
+#include <utility>    // move
 
 #include "coppervalve/core/hash.h"
 
@@ -115,7 +116,11 @@
   need.least = m_least_active;
   const std::vector<core::RouterId> chosen =
       ChooseActive(std::move(candidates), need);
-  m_active = {chosen.begin(), chosen.end()};
+  std::set<core::RouterId> active{chosen.begin(), chosen.end()};
+  if (active != m_active) {
+    m_active = std::move(active);
+    ++m_active_version;
+  }
 }
 
 std::vector<std::string> MemberList::Addresses() const {
@@ -138,12 +143,16 @@
 }
 
 bool MemberList::SelfOwns(std::string_view key) const {
+  return ActiveAbove(key) == 0;
+}
+
+uint32_t MemberList::ActiveAbove(std::string_view key) const {
   const uint64_t own = core::RendezvousRank(key, m_self.value());
-  return std::all_of(m_active.begin(), m_active.end(),
-                     [&](const core::RouterId& router) {
-                       return router == m_self ||
-                              core::RendezvousRank(key, router.value()) < own;
-                     });
+  return static_cast<uint32_t>(std::count_if(
+      m_active.begin(), m_active.end(), [&](const core::RouterId& router) {
+        return router != m_self &&
+               core::RendezvousRank(key, router.value()) >= own;
+      }));
 }
 
 std::string MemberList::LoadAddressOf(const core::RouterId& router) const {
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/entry/placement.h"
 
-#include <algorithm>  // all_of, find, nth_element, clamp, max, min
+#include <algorithm>  // clamp, find, max, min, nth_element
 #include <limits>     // numeric_limits
 #include <utility>    // move
 
@@ -72,6 +72,8 @@
       return "last_resort";
     case PlacedBy::kNoneLeft:
       return "none_left";
+    case PlacedBy::kWarmingUp:
+      return "warming_up";
     case PlacedBy::kEvacuated:
       return "evacuated";
     case PlacedBy::kNoneKnown:
@@ -117,15 +119,20 @@
     return placement;
   }
   Placement none;
-  none.why = WhyNone(upstreams);
+  none.why = WhyNone(upstreams, now);
   return none;
 }
 
-PlacedBy Placer::WhyNone(const std::vector<UpstreamRef>& upstreams) const {
-  const bool evacuated = std::all_of(
-      upstreams.begin(), upstreams.end(), [this](const UpstreamRef& upstream) {
-        return m_gate.Of(*upstream) == Passage::kEvacuated;
-      });
+PlacedBy Placer::WhyNone(const std::vector<UpstreamRef>& upstreams,
+                         core::TimePoint now) const {
+  bool evacuated = true;
+  for (const UpstreamRef& upstream : upstreams) {
+    const Passage passage = m_gate.Of(*upstream, now);
+    if (passage == Passage::kWarmingUp) {
+      return PlacedBy::kWarmingUp;
+    }
+    evacuated = evacuated && passage == Passage::kEvacuated;
+  }
   return evacuated ? PlacedBy::kEvacuated : PlacedBy::kNoneLeft;
 }
 
@@ -148,7 +155,7 @@
     if (now < upstream->hold_until) {
       continue;
     }
-    if (m_gate.Of(*upstream) != Passage::kOpen) {
+    if (m_gate.Of(*upstream, now) != Passage::kOpen) {
       continue;
     }
     if (query.connection_bound != 0 &&
@@ -194,6 +201,9 @@
                       m_options.beyond_slots * beyond + ReadingCost(own);
   candidate.slowness = Slowness(*upstream, usual_pace);
   candidate.cost = wait * candidate.slowness + missed;
+  if (m_gate.Cold(*upstream, now)) {
+    candidate.cost += m_options.cold;
+  }
   candidate.in_prefill = load.in_prefill;
   candidate.own_reading = ReadingCost(kept ? own : query.prompt);
   return candidate;
@@ -201,7 +211,8 @@
 
 Placer::Candidate Placer::CostAtPlain(const UpstreamRef& upstream,
                                       const PlacementQuery& query,
-                                      double usual_pace) const {
+                                      double usual_pace,
+                                      core::TimePoint now) const {
   const Load load = LoadOf(*upstream, query);
   const double beyond =
       std::max(0.0, load.in_flight + 1 - upstream->entry.slots);
@@ -210,6 +221,9 @@
   if (upstream->entry.failure_domain == m_own_domain) {
     cost -= m_options.own_domain;
   }
+  if (m_gate.Cold(*upstream, now)) {
+    cost += m_options.cold_plain;
+  }
   Candidate candidate{upstream};
   candidate.cost = cost;
   return candidate;
@@ -239,7 +253,7 @@
     const Candidate candidate =
         query.engine ? CostAtEngine(upstream, query, upstream.get() == owner,
                                     usual_pace, now)
-                     : CostAtPlain(upstream, query, usual_pace);
+                     : CostAtPlain(upstream, query, usual_pace, now);
     least_waiting = std::min(least_waiting, WaitingAt(candidate, query));
     if (best.upstream == nullptr || candidate.cost < best.cost) {
       best = candidate;
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/entry/upstream_directory.h"
 
-#include <algorithm>      // min, sort
+#include <algorithm>      // max, min, sort
 #include <string>         // to_string
 #include <unordered_set>  // unordered_set
 
@@ -28,6 +28,16 @@
 // Ids that went are not used again for long; this many are many days of them.
 constexpr size_t kMostBornKept = 20'000;
 
+// The record may be old when it is read, by as much as it is read late: its age
+// is added to what it says, not taken off.
+void NoteWarmUp(const UpstreamEntry& entry,
+                core::TimePoint read_at,
+                WarmUpState& state) {
+  if (entry.warm_up_left > core::Duration::zero()) {
+    state.said_until = std::max(state.said_until, read_at + entry.warm_up_left);
+  }
+}
+
 template <typename Map, typename Known>
 void MakeRoom(Map& kept, const Known& known) {
   if (kept.size() >= kMostBornKept) {
@@ -55,7 +65,7 @@
   switch (WorthOf(record)) {
     case RecordWorth::kUsable:
     case RecordWorth::kLeaving:
-      return Put(*record.entry);
+      return Put(*record.entry, record.read_at);
     case RecordWorth::kNone:
       break;
   }
@@ -100,6 +110,15 @@
   return true;
 }
 
+void UpstreamDirectory::OnTakenBack(const core::FailureDomainId& domain,
+                                    core::TimePoint now) {
+  for (const auto& [id, upstream] : m_by_id) {
+    if (upstream->entry.failure_domain == domain) {
+      upstream->warm_up.began = now;
+    }
+  }
+}
+
 bool UpstreamDirectory::OnLeavingWord(const UpstreamRef& upstream) {
   const UpstreamRef known = Find(upstream->entry.id);
   if (known && known != upstream) {
@@ -148,7 +167,8 @@
 // Kept over a restart, what was seen of the earlier start misleads: prefixes
 // that the new one doesn't hold, suspicion that it didn't earn, work in
 // progress that ended with the earlier one. So each start is an object anew.
-DirectoryChange UpstreamDirectory::Put(const UpstreamEntry& entry) {
+DirectoryChange UpstreamDirectory::Put(const UpstreamEntry& entry,
+                                       core::TimePoint read_at) {
   if (OfEarlierStart(entry)) {
     return DirectoryChange::kNothing;
   }
@@ -158,6 +178,9 @@
   UpstreamRef& known = m_by_id[entry.id];
   const bool restarted = known && entry.born && known->entry.born &&
                          *entry.born != *known->entry.born;
+  if (known) {
+    NoteWarmUp(entry, read_at, known->warm_up);
+  }
   if (known && !restarted) {
     put.born = entry.born ? entry.born : known->entry.born;
     const bool tells_nothing = !known->lapsed && SameForUs(known->entry, put);
@@ -173,6 +196,10 @@
   if (!known || restarted) {
     known = std::make_shared<Upstream>();
     known->load_key = LoadKeyOf(put);
+    if (m_listed || restarted) {
+      known->warm_up.began = read_at;
+    }
+    NoteWarmUp(entry, read_at, known->warm_up);
   }
   known->entry = put;
   known->lapsed.reset();
@@ -232,6 +259,7 @@
       ended.push_back(record.id);
     }
   }
+  m_listed = true;
   std::vector<core::UpstreamId> missing;
   for (const auto& [id, upstream] : m_by_id) {
     if (!listed.contains(id)) {
--- /dev/null
+++ b/src/entry/warm_up_share.cc
@@ -0,0 +1,67 @@
+#include "coppervalve/entry/warm_up_share.h"
+
+#include <algorithm>  // clamp, max, min
+#include <cmath>      // floor
+#include <utility>    // exchange
+
+namespace coppervalve::entry {
+
+WarmUpShare DivideWarmUp(double bound,
+                         uint32_t routers,
+                         const WarmUpOptions& options) {
+  WarmUpShare share;
+  if (bound < 1 || routers == 0) {
+    return share;
+  }
+  const double given = std::clamp(bound * options.given_out, 1.0, bound);
+  const auto most = static_cast<uint32_t>(
+      std::min(std::max(options.most_senders, 1.0), std::floor(given)));
+  share.senders = std::min(routers, most);
+  share.sends = static_cast<uint32_t>(given / share.senders);
+  return share;
+}
+
+uint32_t WarmUpSenders::Routers() const {
+  return m_options.all_live ? m_members.Live() : m_members.Active();
+}
+
+void WarmUpSenders::Advance(core::TimePoint now) {
+  if (now - m_half_began >= m_options.remember / 2) {
+    m_half_began = now;
+    m_most_before = std::exchange(m_most_now, 1);
+  }
+  m_most_now = std::max(m_most_now, Routers());
+  const bool sender = m_options.all_live || m_members.SelfActive();
+  if (!sender) {
+    m_sender_since.reset();
+  } else if (!m_sender_since) {
+    m_sender_since = now;
+  }
+}
+
+uint32_t WarmUpSenders::PartOf(const core::UpstreamId& upstream,
+                               const WarmUpState& state,
+                               double bound,
+                               core::TimePoint now) const {
+  // What an earlier start of this router sent in the last second is not known
+  // either: it is over by then.
+  if (!m_sender_since || now - *m_sender_since < m_options.settle) {
+    return 0;
+  }
+  const WarmUpShare share =
+      DivideWarmUp(bound, std::max(m_most_now, m_most_before), m_options);
+  return RankOf(upstream, state) < share.senders ? share.sends : 0;
+}
+
+// The rank is looked up for each upstream and request, and changes only with
+// the set of routers.
+uint32_t WarmUpSenders::RankOf(const core::UpstreamId& upstream,
+                               const WarmUpState& state) const {
+  if (state.ranked_in != m_members.ActiveVersion()) {
+    state.ranked_in = m_members.ActiveVersion();
+    state.ranked_above = m_members.ActiveAbove(upstream.value());
+  }
+  return state.ranked_above;
+}
+
+}  // namespace coppervalve::entry
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -313,6 +313,12 @@
            kAfterACut);
     return;
   }
+  if (m_placed.why == entry::PlacedBy::kWarmingUp) {
+    Refuse({core::ErrorId::kNoUpstream, m_admitted.service.value(),
+            "those that are left are warming up"},
+           kAfterReading);
+    return;
+  }
   const auto hold = m_context.directory.AllHoldUntil(m_admitted.service, now);
   Refuse({core::ErrorId::kNoUpstream, m_admitted.service.value(),
           hold ? "all upstreams asked for a pause" : why},
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -106,6 +106,9 @@
     upstream->prefixes.Remember(core::Hash64(m_facts.shared_prefix), now);
   }
   m_watch_from = now;
+  if (attempt.connection->connected()) {
+    m_context.gate.OnSend(*upstream, now);
+  }
   std::weak_ptr<Exchange> weak = weak_from_this();
   attempt.connection->Send(
       RequestText(facts), m_request.head.method == "HEAD",
@@ -123,15 +126,20 @@
        [self = shared_from_this()](AttemptEnd end, std::string_view why) {
          self->OnEnd(end, why);
        },
-       [this, upstream] { return MaySend(*upstream); }});
+       [this, upstream] { return PassGate(*upstream); }});
   ArmTimer();
 }
 
 // While the connection was opened the upstream may have left, or its failure
 // domain may have been evacuated.
-bool Exchange::MaySend(const entry::Upstream& upstream) const {
-  return !upstream.entry.leaving &&
-         m_context.gate.Of(upstream) == entry::Passage::kOpen;
+bool Exchange::PassGate(entry::Upstream& upstream) const {
+  const core::TimePoint now = net::BootNow();
+  if (upstream.entry.leaving ||
+      m_context.gate.Of(upstream, now) != entry::Passage::kOpen) {
+    return false;
+  }
+  m_context.gate.OnSend(upstream, now);
+  return true;
 }
 
 void Exchange::OnHead(const http1::ResponseHead& head) {
@@ -253,6 +261,7 @@
   --upstream.in_flight;
   EndReading();
   upstream.health.On(outcome, net::BootNow());
+  m_context.gate.OnOutcome(upstream, outcome, net::BootNow());
   m_context.metrics.OnAttempt(NameOf(outcome));
   if (outcome != AttemptOutcome::kAnswered) {
     m_last_failure =
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -57,17 +57,19 @@
                   }),
       m_peer_loads(kLoadLifetime),
       m_peers(kPeerSilence, kPeerMemory),
-      m_placer(policy.placement,
-               m_settings.failure_domain,
-               m_peer_loads,
-               m_gate,
-               m_random),
       m_retries(m_settings.retries),
       m_book(policy.book),
       m_members(m_settings.router,
                 kRouterSilence,
                 m_peers,
                 static_cast<size_t>(policy.least_active)),
+      m_senders(m_members, policy.warm_up),
+      m_gate(m_senders, m_settings.warm_up),
+      m_placer(policy.placement,
+               m_settings.failure_domain,
+               m_peer_loads,
+               m_gate,
+               m_random),
       m_pool(io),
       m_crashes(io, m_log, {[this] { m_writer->Hurry(); }}),
       m_tick(io) {
@@ -148,6 +150,7 @@
     Lifecycle(LogLine("upstream_gone").Text("upstream", id.value()));
   }
   m_members.Advance(m_beat_contact, now);
+  m_senders.Advance(now);
   TellActive();
   m_peer_loads.Advance(now);
   m_crashes.record().Advance(now);
--- a/src/gateway/gateway_operator.cc
+++ b/src/gateway/gateway_operator.cc
@@ -62,6 +62,7 @@
   m_in_force =
       std::make_shared<const entry::InForce>(core::TakeValue(std::move(read)));
   m_book.OnConfiguration(m_in_force->configuration());
+  m_gate.OnConfiguration(m_in_force->configuration());
   Lifecycle(
       LogLine("configuration_in_force")
           .Number("version", static_cast<int64_t>(version.value()))
@@ -90,6 +91,9 @@
 
 // Records bear no time: it was written after the last answer before this one.
 void Gateway::TellEvacuation(const entry::EvacuationChange& change) {
+  if (!change.evacuated) {
+    m_directory.OnTakenBack(change.domain, net::BootNow());
+  }
   const core::Duration within = m_config_contact.SilentFor(net::BootNow());
   const bool began_before_start = within == core::Duration::max();
   if (change.evacuated && !began_before_start) {
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -114,7 +114,8 @@
 }
 
 entry::UpstreamRecord Gateway::ReadUpstreamRecord(const KeyedRecord& record) {
-  entry::UpstreamRecord read{core::UpstreamId(record.key), std::nullopt};
+  entry::UpstreamRecord read{core::UpstreamId(record.key), std::nullopt,
+                             net::BootNow()};
   core::Result<entry::UpstreamEntry> entry =
       m_dialect.read_upstream(record.key, record.value);
   if (core::IsOk(entry)) {
--- /dev/null
+++ b/tests/entry/cold_fleet.h
@@ -0,0 +1,45 @@
+#ifndef COPPERVALVE_TESTS_ENTRY_COLD_FLEET_H_
+#define COPPERVALVE_TESTS_ENTRY_COLD_FLEET_H_
+
+#include <cstdint>   // uint32_t, uint64_t
+#include <deque>     // deque
+#include <map>       // map
+#include <memory>    // unique_ptr
+#include <optional>  // optional
+#include <queue>     // priority_queue
+#include <random>    // mt19937_64
+#include <string>    // string
+#include <vector>    // vector
+
+#include "coppervalve/entry/placement.h"
+
+namespace coppervalve::entry::testing {
+
+/// @brief One play: engines come back cold under load while routers disagree.
+struct ColdPlay {
+  uint64_t seed = 1;
+  WarmUpOptions warm_up;
+  PlacementOptions placement;
+  uint32_t back_cold = 48;  ///< of 60; they end at 3 s and are back at 6 s
+  /// They turn cold where they are, without a new start.
+  bool in_place = false;
+  double hot_part = 0.3;  ///< of the requests are about one prefix
+  double surge = 1;       ///< times the load from 5 s on
+  double cut_part = 0;    ///< of the routers, from the store and each other
+  double cut_at = 4;
+  double killed_part = 0;  ///< of the routers, at a random time, for 0.7 s
+};
+
+/// @brief What callers and upstreams saw from 3 s to 12 s.
+struct ColdOutcome {
+  uint32_t most_in_a_second = 0;  ///< at one cold upstream, all routers' sends
+  uint32_t fell_over = 0;         ///< upstreams that got too much while cold
+  uint32_t asked = 0;
+  uint32_t served = 0;
+};
+
+ColdOutcome PlayCold(const ColdPlay& play);
+
+}  // namespace coppervalve::entry::testing
+
+#endif  // COPPERVALVE_TESTS_ENTRY_COLD_FLEET_H_
--- /dev/null
+++ b/tests/entry/unit-upstream-gate.cc
@@ -0,0 +1,163 @@
+#include "coppervalve/entry/upstream_gate.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>  // string
+
+#include "entry_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::entry;
+using namespace coppervalve::entry::testing;
+
+// clang-format off
+TEST_GROUP(UpstreamGate) {
+  PeerContact contact{core::Duration(1'200'000), core::Duration(5'000'000)};
+  MemberList members{core::RouterId("router-0"), core::Duration(3'500'000),
+                     contact, 3};
+  StoreContact store;
+  WarmUpSenders senders{members, {}};
+  UpstreamGate gate{senders, {1.5, 5}};
+  UpstreamDirectory directory{DirectoryOptions{}};
+
+  void setup() override {
+    store.OnAnswer(At(0));
+    Configuration configuration;
+    Service tickets;
+    tickets.name = core::ServiceId("tickets");
+    tickets.warm_up = WarmUp{core::Duration(3'000'000), 14};
+    configuration.services = {tickets};
+    gate.OnConfiguration(configuration);
+    directory.ReplaceAll({RecordOf(EntryOf("old"))}, store, At(0));
+    for (int i = 0; i < 3; ++i) {
+      Hear(i, 1);
+    }
+    Settle(0, 4);
+  }
+  void Hear(int router, uint64_t sequence) {
+    v1::RouterBeat beat;
+    beat.set_epoch(1);
+    beat.set_sequence(sequence);
+    beat.set_ready(true);
+    beat.set_caller_address("10.0.0." + std::to_string(router) + ":80");
+    beat.set_failure_domain("fd-" + std::to_string(router));
+    beat.set_capacity(100);
+    members.OnBeat(core::RouterId("router-" + std::to_string(router)), beat,
+                   At(0));
+  }
+  void Settle(double from, double to) {
+    for (double t = from; t <= to; t += 0.2) {
+      members.Advance(store, At(t));
+      senders.Advance(At(t));
+    }
+  }
+  UpstreamRef Put(const std::string& id, double at, double warm_up_left = 0) {
+    UpstreamEntry entry = EntryOf(id);
+    entry.warm_up_left =
+        core::Duration(static_cast<int64_t>(warm_up_left * 1e6));
+    UpstreamRecord record = RecordOf(entry);
+    record.read_at = At(at);
+    directory.OnRecord(record);
+    return directory.Find(core::UpstreamId(id));
+  }
+  // Sends as many as the gate lets pass.
+  int SendAll(Upstream& upstream, double at) {
+    int sent = 0;
+    for (; sent < 100 && gate.Of(upstream, At(at)) == Passage::kOpen; ++sent) {
+      gate.OnSend(upstream, At(at));
+    }
+    return sent;
+  }
+};
+// clang-format on
+
+TEST(UpstreamGate, an_upstream_listed_at_the_start_is_warm) {
+  CHECK_FALSE(gate.Cold(*directory.Find(core::UpstreamId("old")), At(4)));
+}
+
+TEST(UpstreamGate, a_start_in_traffic_is_cold_whatever_its_record_says) {
+  const UpstreamRef fresh = Put("new", 4);
+  CHECK(gate.Cold(*fresh, At(6.9)));
+  CHECK_FALSE(gate.Cold(*fresh, At(7)));
+}
+
+TEST(UpstreamGate, the_age_of_a_record_is_added_to_what_it_says) {
+  // Read 0.8 s late, what was left when it was written is still counted whole.
+  Put("old", 4, 2.5);
+  const Upstream& upstream = *directory.Find(core::UpstreamId("old"));
+  CHECK(gate.Cold(upstream, At(6.4)));
+  CHECK_FALSE(gate.Cold(upstream, At(6.6)));
+}
+
+TEST(UpstreamGate, a_domain_that_is_taken_back_may_be_cold) {
+  const Upstream& upstream = *directory.Find(core::UpstreamId("old"));
+  directory.OnTakenBack(core::FailureDomainId("fd-other"), At(5));
+  CHECK_FALSE(gate.Cold(upstream, At(5)));
+  directory.OnTakenBack(upstream.entry.failure_domain, At(5));
+  CHECK(gate.Cold(upstream, At(7.9)));
+}
+
+TEST(UpstreamGate, one_that_could_not_be_reached_may_have_started_again) {
+  // It comes back under its old id, and its new record is not read yet.
+  Upstream& upstream = *directory.Find(core::UpstreamId("old"));
+  gate.OnOutcome(upstream, AttemptOutcome::kUnreachable, At(5));
+  CHECK(gate.Cold(upstream, At(20)));
+  gate.OnOutcome(upstream, AttemptOutcome::kAnswered, At(20));
+  CHECK(gate.Cold(upstream, At(22.9)));
+  CHECK_FALSE(gate.Cold(upstream, At(23)));
+}
+
+TEST(UpstreamGate, all_senders_together_stay_below_what_a_cold_one_bears) {
+  const UpstreamRef fresh = Put("new", 4);
+  const int sent = SendAll(*fresh, 5);
+  CHECK_EQUAL(4, sent);  // 13 of 26, between three
+  CHECK(gate.Of(*fresh, At(5.9)) == Passage::kWarmingUp);
+  CHECK_EQUAL(4, SendAll(*fresh, 6.1));
+}
+
+TEST(UpstreamGate, what_was_sent_before_it_turned_cold_counts) {
+  Upstream& upstream = *directory.Find(core::UpstreamId("old"));
+  for (int i = 0; i < 3; ++i) {
+    gate.OnSend(upstream, At(4.5));
+  }
+  Put("old", 5, 3);
+  CHECK_EQUAL(1, SendAll(upstream, 5));
+}
+
+TEST(UpstreamGate, a_router_that_just_became_a_sender_waits) {
+  // Its own start before may have sent, and the others don't know of it yet.
+  WarmUpSenders later(members, {});
+  later.Advance(At(4));
+  const UpstreamRef fresh = Put("new", 4);
+  CHECK_EQUAL(0, later.PartOf(fresh->entry.id, fresh->warm_up, 26, At(5.9)));
+  CHECK_EQUAL(4, later.PartOf(fresh->entry.id, fresh->warm_up, 26, At(6)));
+}
+
+TEST(UpstreamGate, a_fleet_that_shrinks_keeps_its_shares_for_a_while) {
+  // Cut off from all, a router must not take the others' parts at once.
+  const UpstreamRef fresh = Put("new", 4);
+  for (int router : {1, 2}) {
+    v1::RouterBeat beat;
+    beat.set_epoch(1);
+    beat.set_sequence(2);
+    beat.set_leaving(true);
+    members.OnBeat(core::RouterId("router-" + std::to_string(router)), beat,
+                   At(4));
+  }
+  Settle(4, 8);
+  CHECK_EQUAL(1, members.Active());
+  CHECK_EQUAL(4, senders.PartOf(fresh->entry.id, fresh->warm_up, 26, At(8)));
+  Settle(8, 24);
+  CHECK_EQUAL(13, senders.PartOf(fresh->entry.id, fresh->warm_up, 26, At(24)));
+}
+
+TEST(UpstreamGate, the_bound_is_divided_so_that_the_sum_keeps_below_it) {
+  for (double bound : {0.0, 0.5, 1.0, 2.0, 7.0, 26.0, 400.0}) {
+    for (uint32_t routers : {1U, 2U, 3U, 5U, 6U, 7U, 20U, 400U}) {
+      const WarmUpShare share = DivideWarmUp(bound, routers, {});
+      CHECK(share.senders * share.sends <= bound);
+      CHECK(share.senders <= routers);
+      CHECK((bound >= 1) == (share.sends > 0));
+    }
+  }
+}
--- a/tests/platform/unit-documents.cc
+++ b/tests/platform/unit-documents.cc
@@ -22,6 +22,7 @@
    "type": "unsafe", "timeoutMs": 600, "service": "s2", "public": true}],
  "services": [
   {"name": "s1", "healthPath": "/healthz", "maxConnections": 360,
+   "warmupS": 3.0, "warmupPerS": 14.0,
    "engine": {"slots": 64, "stride": 7}},
   {"name": "s2", "healthPath": "/healthz", "maxConnections": 96}],
  "limits": {"maxHeaderBytes": 1000, "maxBodyBytes": 2000,
@@ -136,3 +137,38 @@
                      document.c_str());
   }
 }
+
+TEST(Documents, how_upstreams_warm_up_is_translated) {
+  const auto read = ReadConfiguration(kDocument);
+  const auto& services = core::Value(read).services;
+  CHECK(services[0].warm_up->lasts == std::chrono::seconds(3));
+  DOUBLES_EQUAL(14, services[0].warm_up->per_second, 0);
+  CHECK_FALSE(services[1].warm_up.has_value());
+}
+
+TEST(Documents, a_warm_up_out_of_range_counts_as_the_nearest_in_it) {
+  const auto of = [](const std::string& fields) {
+    const auto read = ReadConfiguration(
+        R"({"version": 1, "services": [{"name": "s", )" + fields + "}]}");
+    return core::Value(read).services[0].warm_up;
+  };
+  CHECK_FALSE(of(R"("warmupS": -3, "warmupPerS": 14)").has_value());
+  CHECK_FALSE(of(R"("warmupS": null)").has_value());
+  DOUBLES_EQUAL(0, of(R"("warmupS": 3, "warmupPerS": -1)")->per_second, 0);
+  CHECK(of(R"("warmupS": 1e300)")->lasts == std::chrono::seconds(600));
+  CHECK(FailureOf(R"({"version": 1, "services": [
+      {"name": "s", "warmupS": "soon"}]})") == core::ErrorId::kConfigWrongType);
+}
+
+TEST(Documents, an_entry_says_how_long_it_stays_cold) {
+  const auto left = [](const std::string& value) {
+    const auto read = ReadUpstream(
+        "i-1", R"({"service": "s", "address": "10.0.0.1:1", "zone": "z",
+                   "slots": 4, "state": "ready", "warmupLeftMs": )" +
+                   value + "}");
+    return core::Value(read).warm_up_left;
+  };
+  CHECK(left("1500") == std::chrono::milliseconds(1'500));
+  CHECK(left("-5") == core::Duration::zero());
+  CHECK(left("1e200") == std::chrono::seconds(600));
+}
