Follow the table of upstreams only where it is needed in large fleets

Ruled out: reading the newest of each key at intervals costs no less than the log within the time in which a leaving upstream must be known; pauses save calls, not bytes. Change: where following by all would take more than a quarter of what the store can send, only the routers follow that callers are led to, or would be if as many more were needed, and those that were a moment ago; the others stop reading and say so at once to who asks. Beats tell how many upstreams there are, so a start knows before it reads. A record that only says that its upstream lives is told by its bytes; hashes of a prefix are taken once a request, not once an upstream. Nothing changes below that size.

--- a/include/coppervalve/core/hash.h
+++ b/include/coppervalve/core/hash.h
@@ -45,6 +45,9 @@
 /// @brief Rank of `candidate` for `key` in rendezvous hashing: the candidate
 /// with the highest rank owns the key.
 uint64_t RendezvousRank(std::string_view key, std::string_view candidate);
+/// @brief The same for many candidates of one key.
+/// @param key_hash Hash64() of the key
+uint64_t RendezvousRank(uint64_t key_hash, std::string_view candidate);
 
 }  // namespace coppervalve::core
 
--- a/include/coppervalve/entry/active_set.h
+++ b/include/coppervalve/entry/active_set.h
@@ -25,6 +25,10 @@
 /// failure domain in turn, until they can take the load. The rest stand by.
 /// The same input gives the same choice at every router.
 /// @complexity n log n in the candidates
+std::vector<Candidate> ChooseInOrder(std::vector<Candidate> candidates,
+                                     const ActiveNeed& need);
+
+/// @brief The names of those, in the same order.
 std::vector<core::RouterId> ChooseActive(std::vector<Candidate> candidates,
                                          const ActiveNeed& need);
 
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -49,6 +49,10 @@
   uint32_t Active() const;
   /// @return whether this router is one of them
   bool SelfActive() const { return m_active.contains(m_self); }
+  /// @return whether it is one, or would be if as many more were needed
+  bool SelfInTurn() const { return m_self_in_turn; }
+  /// @return the most upstreams that a live router knows
+  size_t Upstreams() const;
   /// @return active routers that are chosen before this one for a key, without
   /// talking; for an active router as many as all others count, as far as their
   /// lists agree
@@ -70,6 +74,7 @@
     core::FailureDomainId failure_domain;
     double capacity = 0;
     double load = 0;
+    uint32_t upstreams = 0;
     uint64_t epoch = 0;
     uint64_t sequence = 0;
     bool ready = false;
@@ -89,6 +94,7 @@
   std::map<core::RouterId, Member> m_members;
   std::set<core::RouterId> m_active;
   uint64_t m_active_version = 1;
+  bool m_self_in_turn = false;
   double m_need = 0;  ///< requests a second that the active ones must take
   core::TimePoint m_advanced{};
 };
--- a/include/coppervalve/gateway/dialect.h
+++ b/include/coppervalve/gateway/dialect.h
@@ -63,6 +63,10 @@
   std::function<core::Result<entry::UpstreamEntry>(const std::string& key,
                                                    const std::string& document)>
       read_upstream;
+  /// Whether the later document of an upstream says no more than the earlier
+  /// one but that it still lives; none: not to be told without reading both.
+  std::function<bool(const std::string& earlier, const std::string& later)>
+      same_upstream;
 };
 
 }  // namespace coppervalve::gateway
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -60,6 +60,8 @@
       borrow;
   /// Time in which a request that comes now must have ended; none = no bound.
   std::function<std::optional<core::Duration>()> time_to_stop;
+  /// Whether the table of upstreams is read here now.
+  std::function<bool()> knows_upstreams;
 };
 
 /// @brief One request of a caller from its last byte to its final answer.
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -3,12 +3,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cstdint>     // uint64_t
-#include <functional>  // function
-#include <memory>      // shared_ptr
-#include <optional>    // optional
-#include <string>      // string
-#include <vector>      // vector
+#include <cstdint>        // uint64_t
+#include <functional>     // function
+#include <memory>         // shared_ptr
+#include <optional>       // optional
+#include <string>         // string
+#include <unordered_map>  // unordered_map
+#include <vector>         // vector
 
 #include "coppervalve/entry/allotment_book.h"
 #include "coppervalve/entry/beat_rate.h"
@@ -19,6 +20,7 @@
 #include "coppervalve/entry/policy.h"
 #include "coppervalve/entry/retry_allowance.h"
 #include "coppervalve/entry/store_contact.h"
+#include "coppervalve/entry/table_readers.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/gateway/beat_writer.h"
 #include "coppervalve/gateway/borrower.h"
@@ -64,6 +66,10 @@
   core::Duration keys_expire{};
   /// Writes a second that the store takes from the whole fleet.
   double store_writes_per_second = 600;
+  /// Bytes a second that the store sends to the whole fleet; 0 = not said.
+  double store_read_bytes_per_second = 0;
+  /// Between records of one upstream; 0 = not said.
+  core::Duration upstream_heartbeat{};
   /// Of this VM; 0 = not said.
   double processor_cores = 0;
   double link_megabits_per_second = 0;
@@ -103,6 +109,7 @@
       const KeyedRecord& record);
   void TellEvacuation(const entry::EvacuationChange& change);
   void OnUpstreamRecord(const KeyedRecord& record);
+  bool OnlySaysItLives(const KeyedRecord& record);
   entry::UpstreamRecord ReadUpstreamRecord(const KeyedRecord& record);
   void OnNewestUpstreams(const std::vector<KeyedRecord>& records);
   std::optional<v1::RouterBeat> ReadBeatRecord(const KeyedRecord& record);
@@ -126,6 +133,9 @@
   void TellActive();
   std::optional<core::Duration> TimeToStop() const;
   bool Ready() const;
+  bool KnowsUpstreams() const;
+  void ChooseTableReaders();
+  void OnTableStopped();
   entry::ConfigurationView View() const;
 
   void MakeFollowers();
@@ -171,6 +181,8 @@
   CrashWatch m_crashes;
   std::optional<ExchangeContext> m_context;
 
+  entry::TableReaders m_table_readers;
+  std::unordered_map<std::string, std::string> m_upstream_documents;
   std::shared_ptr<TopicFollower> m_configuration;
   std::shared_ptr<TopicFollower> m_upstreams;
   std::shared_ptr<TopicFollower> m_beats;
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -36,6 +36,10 @@
     std::function<void(const core::Error&, core::TimePoint began)> on_failure;
     /// The pause to make, where it is not always the usual one.
     std::function<core::Duration(core::Duration usual)> pause;
+    /// Whether the topic is of use now; none: always. Asked after each call.
+    std::function<bool()> wanted;
+    /// It was not, and reading stopped: what was read grows old.
+    std::function<void()> on_stopped;
   };
 
   TopicFollower(boost::asio::io_context& io,
@@ -43,7 +47,10 @@
                 const KeyedStore& store,
                 routing::RandomHook random,
                 Hooks hooks);
-  void Start() { ReadNewest(); }
+  void Start() { Take(m_plan.OnGap()); }
+  /// @brief Reads again from the newest, if reading stopped and the topic is of
+  /// use now.
+  void Wake();
   /// @brief Cuts the pause after a read short: something that matters was
   /// just written.
   void Hurry();
@@ -70,6 +77,7 @@
   std::string m_after;
   core::TimePoint m_began;
   bool m_pausing = false;
+  bool m_stopped = false;
 };
 
 }  // namespace coppervalve::gateway
--- a/src/core/hash.cc
+++ b/src/core/hash.cc
@@ -71,7 +71,11 @@
 }
 
 uint64_t RendezvousRank(std::string_view key, std::string_view candidate) {
-  return Hash64(candidate, Hash64(key));
+  return RendezvousRank(Hash64(key), candidate);
+}
+
+uint64_t RendezvousRank(uint64_t key_hash, std::string_view candidate) {
+  return Hash64(candidate, key_hash);
 }
 
 }  // namespace coppervalve::core
--- a/src/entry/active_set.cc
+++ b/src/entry/active_set.cc
@@ -49,8 +49,8 @@
 // that are too small for a large request, and callers that stay with one
 // address may stay with a VM that is too weak for them. So callers are led to
 // as few and as capable routers as carry the load.
-std::vector<core::RouterId> ChooseActive(std::vector<Candidate> candidates,
-                                         const ActiveNeed& need) {
+std::vector<Candidate> ChooseInOrder(std::vector<Candidate> candidates,
+                                     const ActiveNeed& need) {
   std::map<core::FailureDomainId, Domain> domains;
   for (Candidate& candidate : candidates) {
     domains[candidate.failure_domain].ranked.push_back(std::move(candidate));
@@ -58,18 +58,27 @@
   for (auto& [name, domain] : domains) {
     std::sort(domain.ranked.begin(), domain.ranked.end(), Better);
   }
-  std::vector<core::RouterId> chosen;
+  std::vector<Candidate> chosen;
   double capacity = 0;
   while (chosen.size() < need.least || capacity < need.requests_per_second) {
     Domain* domain = NextDomain(domains);
     if (domain == nullptr) {
       break;
     }
-    const Candidate& candidate = domain->ranked[domain->chosen++];
+    Candidate& candidate = domain->ranked[domain->chosen++];
     capacity += candidate.capacity;
-    chosen.push_back(candidate.router);
+    chosen.push_back(std::move(candidate));
   }
   return chosen;
 }
 
+std::vector<core::RouterId> ChooseActive(std::vector<Candidate> candidates,
+                                         const ActiveNeed& need) {
+  std::vector<core::RouterId> names;
+  for (Candidate& chosen : ChooseInOrder(std::move(candidates), need)) {
+    names.push_back(std::move(chosen.router));
+  }
+  return names;
+}
+
 }  // namespace coppervalve::entry
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -18,6 +18,8 @@
 // What the active ones must take grows at once and shrinks by this part with
 // each step: callers that come and go must not make routers come and go.
 constexpr double kShrink = 0.99;
+// Those next in turn can take as much as the active ones.
+constexpr size_t kWithNext = 2;
 // Silence of all others counts after so many times the silence of one.
 constexpr int kCommonSilences = 3;
 // Of one other router, its own silence and that of all others are the same.
@@ -47,6 +49,7 @@
   member.failure_domain = core::FailureDomainId(beat.failure_domain());
   member.capacity = beat.capacity();
   member.load = beat.load();
+  member.upstreams = beat.upstreams();
   if (changed) {
     ChooseActiveAgain(now);
   }
@@ -114,9 +117,23 @@
   ActiveNeed need;
   need.requests_per_second = m_need;
   need.least = m_least_active;
-  const std::vector<core::RouterId> chosen =
-      ChooseActive(std::move(candidates), need);
-  std::set<core::RouterId> active{chosen.begin(), chosen.end()};
+  ActiveNeed with_next = need;
+  with_next.requests_per_second *= kWithNext;
+  with_next.least *= kWithNext;
+  std::set<core::RouterId> active;
+  m_self_in_turn = false;
+  double capacity = 0;
+  // The choice for less is the beginning of the choice for more.
+  for (const Candidate& chosen :
+       ChooseInOrder(std::move(candidates), with_next)) {
+    m_self_in_turn = m_self_in_turn || chosen.router == m_self;
+    const bool enough =
+        active.size() >= need.least && capacity >= need.requests_per_second;
+    if (!enough) {
+      capacity += chosen.capacity;
+      active.insert(chosen.router);
+    }
+  }
   if (active != m_active) {
     m_active = std::move(active);
     ++m_active_version;
@@ -166,6 +183,14 @@
   return std::max(static_cast<uint32_t>(m_active.size()), 1U);
 }
 
+size_t MemberList::Upstreams() const {
+  size_t most = 0;
+  for (const auto& [router, member] : m_members) {
+    most = std::max(most, member.live ? size_t{member.upstreams} : 0);
+  }
+  return most;
+}
+
 uint32_t MemberList::Live() const {
   uint32_t live = 0;
   for (const auto& [router, member] : m_members) {
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -44,7 +44,7 @@
 
 // All routers agree on the owner of a prefix without talking.
 const Upstream* OwnerOf(const std::vector<UpstreamRef>& upstreams,
-                        const std::string& prefix) {
+                        uint64_t prefix) {
   const Upstream* owner = nullptr;
   uint64_t highest = 0;
   for (const UpstreamRef& upstream : upstreams) {
@@ -99,8 +99,10 @@
 }
 
 Placement Placer::Choose(const UpstreamDirectory& directory,
-                         const PlacementQuery& query,
+                         const PlacementQuery& asked,
                          core::TimePoint now) const {
+  PlacementQuery query = asked;
+  query.prefix_hash = core::Hash64(query.shared_prefix);
   const std::vector<UpstreamRef>& upstreams = directory.Of(query.service);
   if (upstreams.empty()) {
     return {};
@@ -185,9 +187,8 @@
                                        double usual_pace,
                                        core::TimePoint now) const {
   Candidate candidate{upstream, 0, owner, false};
-  const uint64_t prefix = core::Hash64(query.shared_prefix);
   candidate.sent = m_options.prefix_sent && !query.shared_prefix.empty() &&
-                   upstream->prefixes.Holds(prefix, now);
+                   upstream->prefixes.Holds(query.prefix_hash, now);
   const bool kept = owner || candidate.sent;
   const core::Tokens own = query.prompt - query.shared_tokens;
   const double missed =
@@ -243,7 +244,7 @@
   const double usual_pace = m_options.slowness ? UsualPace(usable) : 0;
   const bool has_owner = m_options.prefix_owner && !query.shared_prefix.empty();
   const Upstream* owner =
-      has_owner ? OwnerOf(usable, query.shared_prefix) : nullptr;
+      has_owner ? OwnerOf(usable, query.prefix_hash) : nullptr;
   Candidate best;
   double least_waiting = std::numeric_limits<double>::max();
   // Starting at a random one spreads ties over all.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -91,6 +91,12 @@
     Refuse({core::ErrorId::kDraining, "router", "leaving"}, kSoon);
     return;
   }
+  if (!m_context.knows_upstreams()) {
+    Refuse({core::ErrorId::kNotReady, "router",
+            "the table of upstreams is not read here now"},
+           kElsewhere);
+    return;
+  }
   m_limit_at = m_request.arrived + m_admitted.limit;
   if (RefuseIfItEndsUpstreams()) {
     return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -101,7 +101,8 @@
         return m_policy.gifts &&
                m_borrower->Borrow(account, tokens, std::move(on_done));
       },
-      [this] { return TimeToStop(); }});
+      [this] { return TimeToStop(); },
+      [this] { return m_upstreams_known; }});
   MakeBorrower();
 }
 
@@ -121,7 +122,9 @@
   MakeBeatWriter();
   MakeFollowers();
   m_configuration->Start();
-  m_upstreams->Start();
+  if (m_settings.store_read_bytes_per_second <= 0) {
+    m_upstreams->Start();  // no need to know the size of the fleet first
+  }
   m_beats->Start();
   Tick();
   return core::Ok();
@@ -138,7 +141,7 @@
 }
 
 bool Gateway::Ready() const {
-  return m_in_force && m_upstreams_known && m_first_beat_back &&
+  return m_in_force && KnowsUpstreams() && m_first_beat_back &&
          !m_leaving_since;
 }
 
@@ -151,6 +154,7 @@
   }
   m_members.Advance(m_beat_contact, now);
   m_senders.Advance(now);
+  ChooseTableReaders();
   TellActive();
   m_peer_loads.Advance(now);
   m_crashes.record().Advance(now);
--- a/src/gateway/gateway_beats.cc
+++ b/src/gateway/gateway_beats.cc
@@ -105,6 +105,11 @@
   }
   if (m_writer->epoch() == 0) {
     m_writer->Start(last_epoch);
+    // What others know of the fleet's size is known from here on.
+    ChooseTableReaders();
+    if (m_settings.store_read_bytes_per_second > 0) {
+      m_upstreams->Start();
+    }
   }
 }
 
@@ -171,7 +176,9 @@
   beat.set_load_address(m_settings.load_address);
   beat.set_failure_domain(m_settings.failure_domain.value());
   // Ready as soon as this very beat is back: it brings the first ceilings.
-  beat.set_ready(m_in_force && m_upstreams_known && !m_leaving_since);
+  beat.set_ready(m_in_force && KnowsUpstreams() && !m_leaving_since);
+  beat.set_upstreams(
+      m_upstreams_known ? static_cast<uint32_t>(m_directory.size()) : 0);
   beat.set_leaving(m_leaving_since.has_value());
   beat.set_closing(m_closing_since.has_value());
   const core::TimePoint now = net::BootNow();
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -51,6 +51,8 @@
   of_upstreams.on_record = [this](const KeyedRecord& record) {
     OnUpstreamRecord(record);
   };
+  of_upstreams.wanted = [this] { return m_table_readers.follows(); };
+  of_upstreams.on_stopped = [this] { OnTableStopped(); };
   of_upstreams.on_newest = [this](const std::vector<KeyedRecord>& records) {
     OnNewestUpstreams(records);
   };
@@ -78,7 +80,53 @@
       m_random, std::move(of_beats));
 }
 
+bool Gateway::KnowsUpstreams() const {
+  return m_upstreams_known || !m_table_readers.follows();
+}
+
+void Gateway::ChooseTableReaders() {
+  entry::TableCost cost;
+  cost.upstreams = std::max(m_directory.size(), m_members.Upstreams());
+  cost.routers = m_members.Live();
+  cost.heartbeat = m_settings.upstream_heartbeat;
+  cost.store_bytes_per_second = m_settings.store_read_bytes_per_second;
+  const bool followed = m_table_readers.follows();
+  const bool follows =
+      m_table_readers.Advance(cost, m_members.SelfInTurn(), net::BootNow());
+  if (follows != followed) {
+    Lifecycle(LogLine("follows_upstreams")
+                  .Flag("follows", follows)
+                  .Number("upstreams", static_cast<int64_t>(cost.upstreams))
+                  .Number("routers", static_cast<int64_t>(cost.routers)));
+  }
+  if (follows) {
+    m_upstreams->Wake();
+  }
+}
+
+void Gateway::OnTableStopped() {
+  m_upstreams_known = false;
+  m_upstream_documents.clear();
+}
+
+// Of a large table nearly every record does, and reading it whole costs most of
+// what a router spends while nothing happens.
+bool Gateway::OnlySaysItLives(const KeyedRecord& record) {
+  std::string& last = m_upstream_documents[record.key];
+  const entry::UpstreamRef known =
+      m_directory.Find(core::UpstreamId(record.key));
+  const bool same = known && !known->lapsed && m_dialect.same_upstream &&
+                    m_dialect.same_upstream(last, record.value);
+  last = record.value;
+  return same;
+}
+
 void Gateway::OnUpstreamRecord(const KeyedRecord& record) {
+  if (record.value.empty()) {
+    m_upstream_documents.erase(record.key);
+  } else if (OnlySaysItLives(record)) {
+    return;
+  }
   const core::UpstreamId id(record.key);
   const core::TimePoint now = net::BootNow();
   if (record.value.empty()) {
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -125,7 +125,20 @@
   Take(m_plan.OnFailure(draw, m_began, net::BootNow()));
 }
 
+void TopicFollower::Wake() {
+  if (m_stopped) {
+    m_stopped = false;
+    Start();
+  }
+}
+
 void TopicFollower::Take(const entry::ReadStep& step) {
+  if (m_hooks.wanted && !m_hooks.wanted()) {
+    m_stopped = true;
+    m_pausing = false;
+    m_hooks.on_stopped();
+    return;
+  }
   m_pausing = step.pausing;
   switch (step.call) {
     case entry::ReadStep::Call::kFirstPage:
--- /dev/null
+++ b/tests/entry/unit-table-readers.cc
@@ -0,0 +1,84 @@
+#include "coppervalve/entry/table_readers.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>  // max, min
+#include <vector>     // vector
+
+#include "entry_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::entry;
+using namespace coppervalve::entry::testing;
+
+namespace {
+
+TableCost CostOf(size_t upstreams, size_t routers) {
+  TableCost cost;
+  cost.upstreams = upstreams;
+  cost.routers = routers;
+  cost.heartbeat = core::Duration(1'200'000);
+  cost.store_bytes_per_second = 80e6;
+  return cost;
+}
+
+// Followers of a table before a store that they share, each behind a link of
+// its own: how late the slowest of them is after some seconds of steady work.
+double LatenessAfter(double seconds, const TableCost& cost, size_t followers) {
+  constexpr double kStep = 0.1;
+  constexpr double kLinkBytesPerSecond = 1.25e6;
+  const double written = static_cast<double>(cost.upstreams) *
+                         TableReadersOptions().record_bytes / 1.2;
+  std::vector<double> behind(followers, 0);
+  for (double t = 0; t < seconds; t += kStep) {
+    const double share = cost.store_bytes_per_second /
+                         static_cast<double>(std::max<size_t>(followers, 1));
+    const double rate = std::min(share, kLinkBytesPerSecond);
+    for (double& bytes : behind) {
+      bytes = std::max(bytes + (written - rate) * kStep, 0.0);
+    }
+  }
+  const double most =
+      followers == 0 ? 0 : *std::max_element(behind.begin(), behind.end());
+  return most / written;
+}
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(TableReaders) {
+  TableReaders readers;
+};
+// clang-format on
+
+TEST(TableReaders, fleets_whose_table_is_cheap_all_follow_it) {
+  CHECK(AllMayFollow(CostOf(64, 86), {}));
+  CHECK(AllMayFollow(CostOf(129, 195), {}));
+  CHECK(readers.Advance(CostOf(64, 86), false, At(1)));
+}
+
+TEST(TableReaders, where_the_store_does_not_say_its_rate_all_follow) {
+  TableCost cost = CostOf(3'000, 300);
+  cost.store_bytes_per_second = 0;
+  CHECK(AllMayFollow(cost, {}));
+  cost = CostOf(3'000, 300);
+  cost.heartbeat = {};
+  CHECK(AllMayFollow(cost, {}));
+}
+
+TEST(TableReaders, of_a_large_fleet_those_in_turn_follow) {
+  const TableCost cost = CostOf(3'000, 300);
+  CHECK_FALSE(readers.Advance(cost, false, At(1)));
+  CHECK(readers.Advance(cost, true, At(2)));
+  // Callers that keep its address still come.
+  CHECK(readers.Advance(cost, false, At(9)));
+  CHECK_FALSE(readers.Advance(cost, false, At(11)));
+}
+
+TEST(TableReaders, all_following_a_large_table_are_seconds_late) {
+  // Work is sent to upstreams that left: 300 routers before 3,000 upstreams ask
+  // for more than twice what the store can send.
+  const TableCost cost = CostOf(3'000, 300);
+  CHECK(LatenessAfter(20, cost, cost.routers) > 3);
+  DOUBLES_EQUAL(0, LatenessAfter(20, cost, 40), 0.1);
+}
--- a/tests/gateway/unit-topic-follower.cc
+++ b/tests/gateway/unit-topic-follower.cc
@@ -91,3 +91,37 @@
   Until([this] { return next == 3; });
   CHECK((std::vector<std::string>{"1", "2", "3"}) == read);
 }
+
+TEST(TopicFollower, a_topic_that_is_of_no_use_now_is_not_read) {
+  // Hundreds of routers read a table that only a few of them need.
+  bool wanted = true;
+  int stops = 0;
+  TopicFollower::Hooks hooks;
+  hooks.on_newest = [this](const std::vector<KeyedRecord>& records) {
+    for (const KeyedRecord& record : records) {
+      read.push_back(record.value);
+    }
+  };
+  hooks.on_record = [this](const KeyedRecord& record) {
+    read.push_back(record.value);
+  };
+  hooks.on_read = [](uint64_t) {};
+  hooks.on_failure = [](const core::Error&, core::TimePoint) {};
+  hooks.wanted = [&] { return wanted; };
+  hooks.on_stopped = [&] { ++stops; };
+  follower = std::make_shared<TopicFollower>(
+      io, FollowerOptions{"config", entry::UpstreamPlan()}, calls,
+      [] { return uint64_t{7}; }, hooks);
+  store.Put("config", "config", "1");
+  follower->Start();
+  Until([this] { return store.waiting_readers() == 1; });
+  wanted = false;
+  store.Put("config", "config", "2");
+  Until([&] { return stops == 1; });
+  store.Put("config", "config", "3");
+  CHECK_EQUAL(0, store.waiting_readers());
+  wanted = true;
+  follower->Wake();
+  Until([this] { return store.waiting_readers() == 1; });
+  CHECK((std::vector<std::string>{"1", "2", "3"}) == read);
+}
