Take an own beat that came back as proof that the others are silent

Cause: where all other routers fall silent at once, the list stayed as it was for 10.5 s, as a store that takes no writes looks alike. The last router of a fleet gave out the dead for longer than contact time and three seconds allow. Change: its own beats, read back from the store, show that it takes writes and that this router reads them: silence then counts after 3.5 s. Test: the_last_router_of_a_fleet_does_not_give_out_the_dead (3 addresses before the change, 1 after); the two tests of a fleet that can't write are unchanged.

--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -62,9 +62,7 @@
     return;
   }
   for (auto& [router, member] : m_members) {
-    if (router != m_self) {
-      member.silent_for += step;
-    }
+    member.silent_for += step;
   }
   DropSilent();
   m_need = std::max(m_need * kShrink, Load() * kHeadroom);
@@ -74,9 +72,7 @@
 core::Duration MemberList::LeastSilence() const {
   core::Duration least = core::Duration::max();
   for (const auto& [router, member] : m_members) {
-    if (router != m_self) {
-      least = std::min(least, member.silent_for);
-    }
+    least = std::min(least, member.silent_for);
   }
   return least;
 }
@@ -84,7 +80,9 @@
 // Hundreds of routers that can't write, or whose beats this one can't read in
 // time, look dead all at once. Taken for dead, each router thinks that it is
 // the only one, and a weak VM is given all callers of the fleet. One beat of
-// another tells the two apart; where none comes for long, all are gone.
+// another tells the two apart, and so does an own one that came back: without
+// it the last router of a fleet would go on to give out the dead; where none
+// comes for long, all are gone.
 void MemberList::DropSilent() {
   const core::Duration least = LeastSilence();
   const bool common = m_members.size() > kTooFewToTell && least >= m_silence;
--- a/tests/entry/unit-member-list.cc
+++ b/tests/entry/unit-member-list.cc
@@ -125,3 +125,34 @@
   Pass(0, 11);
   CHECK_EQUAL(1, members.Addresses().size());
 }
+
+TEST(MemberList, the_last_router_of_a_fleet_does_not_give_out_the_dead) {
+  // Callers are sent to VMs that lost power seven seconds ago. All routers but
+  // one are gone at once, and its own beats go on coming back.
+  members.OnBeat(core::RouterId("router-3"), Beat("10.0.0.3:80", 1), At(0));
+  for (uint64_t i = 0; i < 8; ++i) {
+    const double now = 0.6 * static_cast<double>(i);
+    members.OnBeat(core::RouterId("router-1"), Beat("10.0.0.1:80", 2 + i),
+                   At(now));
+    Pass(now, now + 0.4);
+  }
+  CHECK_EQUAL(1, members.Addresses().size());
+}
+
+TEST(MemberList, routers_next_in_turn_know_it) {
+  // As many as the active ones again, so that those can be replaced at once.
+  MemberList last(core::RouterId("router-20"), core::Duration(3'500'000), peers,
+                  2);
+  for (int i = 1; i <= 20; ++i) {
+    const std::string number = std::to_string(i);
+    v1::RouterBeat beat = Beat("10.0.0." + number + ":80", 1);
+    beat.set_capacity(i == 20 ? 90 : i >= 18 ? 100 : 10);
+    beat.set_upstreams(i == 1 ? 700 : 0);
+    last.OnBeat(core::RouterId("router-" + number), beat, At(0));
+  }
+  last.Advance(contact, At(0.2));
+  CHECK_EQUAL(2, last.Active());
+  CHECK_FALSE(last.SelfActive());
+  CHECK(last.SelfInTurn());
+  CHECK_EQUAL(700, last.Upstreams());
+}
