Soak and process tests: evacuated zones, engines that come back cold

Stand-ins count what a cold engine gets in a second and fall over above it; zones are emptied beside restarts of all routers and outages of the store, and taken back cold. Verdicts are counts: routers tell by their metrics when they know of an evacuation.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -9,10 +9,11 @@
 
 from tests.soak.callers import HOST
 from tests.soak.http import read_message
-from tests.soak.servers import TOKENS_PER_EVENT, Ledger, Server
+from tests.soak.servers import TOKENS_PER_EVENT, WARM_UP, Ledger, Server
 from tests.soak.store import Store
 
 PREPAID = 150_000
+ZONES = ["a", "b"]
 # An entry goes when its upstream was silent for a while; another start follows.
 LAPSES_AFTER = 0.6
 STARTS_AFTER = 1.0
@@ -28,6 +29,8 @@
 graceS = 6
 retryBudgetRatio = 0.2
 retrySlack = 50
+warmupOverage = 1.5
+warmupSlack = 5
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -104,6 +107,7 @@
                    route("draft", "engines", "streaming", resumable=False),
                    route("hold", "desk", "unsafe"), route("lookup", "desk", "safe")],
         "services": [{"name": "engines", "healthPath": "/healthz", "maxConnections": 300,
+                      "warmupS": WARM_UP, "warmupPerS": 14,
                       "engine": {"slots": 64, "stride": TOKENS_PER_EVENT}},
                      {"name": "desk", "healthPath": "/healthz", "maxConnections": 300}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536,
@@ -144,7 +148,11 @@
         await asyncio.sleep(2)
 
     async def _begin_server(self, service: str, port: int = 0) -> None:
-        server = Server(f"i-{self._starts}", service, self.ledger, self._seed + self._starts)
+        zone = ZONES[self._starts % len(ZONES)]
+        server = Server(f"i-{self._starts}", service, zone, self.ledger,
+                        self._seed + self._starts)
+        if self.routers and service == "engines":
+            server.turn_cold()
         server.dies_on = b"poison"
         self._starts += 1
         await server.listen(port)
@@ -169,6 +177,21 @@
         self.prepaid += more_tokens
         self.store.put("keyed.op", "config", configuration(self._version, self.prepaid))
 
+    def evacuate(self, zone: str) -> None:
+        self.store.put("keyed.op", f"evacuate/{zone}", {})
+
+    def take_back(self, zone: str, cold: bool = True) -> None:
+        for server in self.engines:
+            if cold and server.zone == zone:
+                server.turn_cold()
+                self.announce(server)
+        self.store.put("keyed.op", f"evacuate/{zone}", None)
+
+    def arrived_in(self, zone: str) -> int:
+        """Requests that upstreams of a zone got so far, of those that live."""
+        return sum(self.ledger.arrived[server.name] for server in self.servers
+                   if server.zone == zone)
+
     async def until_all_tell(self, figure: str, value: float, within: float = 10) -> bool:
         """Waits until all routers tell a figure. Returns whether they did."""
         for _ in range(int(within * 20)):
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -3,11 +3,15 @@
 
 import asyncio
 import random
-from collections import Counter
+from collections import Counter, deque
 
 from tests.soak.http import Message, answer, chunk, read_message
 
 TOKENS_PER_EVENT = 7
+# Seconds for which an engine is cold after a start in traffic, and requests that
+# it bears in any second of them, from all routers.
+WARM_UP = 3.0
+MOST_WHILE_COLD = 26
 
 
 class Ledger:
@@ -20,10 +24,13 @@
         self.kind: dict[str, str] = {}
         self.prompt: dict[str, int] = {}
         self.ended: list[str] = []  # starts that a request ended, in order
+        self.fell_over: list[str] = []  # starts that got too much while cold
+        self.most_while_cold = 0  # requests at one engine in a second
 
 
 class Server:
-    def __init__(self, name: str, service: str, ledger: Ledger, seed: int) -> None:
+    def __init__(self, name: str, service: str, zone: str, ledger: Ledger, seed: int) -> None:
+        self.zone = zone
         self.name = name
         self.service = service
         self.address = ""
@@ -33,6 +40,8 @@
         self.leaving = False  # said in all answers
         self.wait = 0.0  # seconds; all requests are declined with it
         self.gone = asyncio.Event()
+        self._cold_until = 0.0
+        self._while_cold: deque[float] = deque()
         self._ledger = ledger
         self._random = random.Random(seed)
         self._writers: set[asyncio.StreamWriter] = set()
@@ -46,6 +55,20 @@
     def port(self) -> int:
         return int(self.address.split(":")[1])
 
+    def turn_cold(self) -> None:
+        self._cold_until = asyncio.get_running_loop().time() + WARM_UP
+
+    def _bears_one_more(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        if now >= self._cold_until:
+            return True
+        while self._while_cold and self._while_cold[0] <= now - 1:
+            self._while_cold.popleft()
+        self._while_cold.append(now)
+        count = len(self._while_cold)
+        self._ledger.most_while_cold = max(self._ledger.most_while_cold, count)
+        return count <= MOST_WHILE_COLD
+
     def die(self) -> None:
         """Ends as a process does: nobody listens, and all connections break."""
         if self.gone.is_set():
@@ -56,8 +79,10 @@
             writer.transport.abort()
 
     def entry(self, state: str = "ready") -> dict:
-        return {"service": self.service, "address": self.address, "zone": "a",
-                "slots": 64, "state": state, "sequence": 1}
+        left = max(self._cold_until - asyncio.get_running_loop().time(), 0)
+        return {"service": self.service, "address": self.address, "zone": self.zone,
+                "slots": 64, "state": state, "warmupLeftMs": int(left * 1000),
+                "sequence": 1}
 
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
@@ -79,6 +104,10 @@
             writer.write(answer(421, **says))
             return True
         self._ledger.arrived[self.name] += 1
+        if not self._bears_one_more():
+            self._ledger.fell_over.append(self.name)
+            self.die()
+            return False
         if self.wait:
             writer.write(answer(503, Not_Executed="1", Request_Id=request_id,
                                 Retry_After=str(self.wait), **says))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,7 +13,7 @@
 
 from tests.soak.callers import HOST, Callers
 from tests.soak.http import read_message
-from tests.soak.platform import PREPAID, Platform
+from tests.soak.platform import PREPAID, ZONES, Platform
 from tests.soak.servers import TOKENS_PER_EVENT
 
 ROUTERS = 5
@@ -35,6 +35,7 @@
         self.faults: list[str] = []
         self._crashing = 0  # requests that end upstreams, so far
         self._ended_after = 0  # upstreams that one ended after it was known
+        self._sent_evacuated = 0  # requests to an evacuated zone
         self._sent_unwanted = 0  # requests beyond what an upstream's word allows
 
     async def run(self) -> int:
@@ -57,7 +58,8 @@
         kinds = [self._kill, self._kill_all, self._pause, self._terminate, self._turn_away,
                  self._store_down, self._lose_answers, self._forget, self._top_up,
                  self._cut_answers, self._decline, self._lapse, self._crash_under_a_request,
-                 self._leave_unheard, self._ask_for_a_pause]
+                 self._leave_unheard, self._ask_for_a_pause, self._evacuate,
+                 self._return_cold]
         turn: list = []
         while asyncio.get_running_loop().time() < until:
             # All kinds come before one comes again.
@@ -192,6 +194,30 @@
         await asyncio.sleep(1.5)
         server.die()
 
+    async def _evacuate(self) -> None:
+        """A zone is emptied, and taken back cold; beside it routers start again,
+        or the store is away."""
+        zone = self._random.choice(ZONES)
+        self._platform.evacuate(zone)
+        if await self._platform.until_all_tell("evacuated_domains", 1):
+            before = self._platform.arrived_in(zone)
+            overlap = self._random.choice([None, self._kill_all, self._store_down,
+                                           self._forget, self._lose_answers])
+            if overlap:
+                self.faults.append("+" + overlap.__name__.strip("_"))
+                await overlap()
+            await self._send_many(1.5)
+            self._sent_evacuated += self._platform.arrived_in(zone) - before
+        self._platform.take_back(zone)
+        await self._send_many(1.5)
+
+    async def _return_cold(self) -> None:
+        """Half of the engines, or all, end together and come back cold under load."""
+        engines = self._platform.engines
+        for server in engines[: len(engines) // self._random.choice([1, 2])]:
+            server.die()
+        await self._send_many(3)
+
     async def _ask_for_a_pause(self) -> None:
         server = self._random.choice(self._platform.engines)
         # Longer than this can take on any machine; it ends with the start.
@@ -223,12 +249,15 @@
             "served nothing": int(not any(o.startswith("200") for o in seen.outcomes)),
             "ended after it was known": max(0, self._ended_after - 3),
             "sent to who wanted none": self._sent_unwanted,
+            "sent to an evacuated zone": self._sent_evacuated,
+            "fell over cold": len(ledger.fell_over),
             "ran without a caller's id": len([i for i in runs if not i.startswith("r")]),
         }
         print("faults:", " ".join(self.faults))
         print("outcomes:", dict(seen.outcomes), "store calls:", self._store.calls)
         print(f"upstreams that {self._crashing} requests ended: {len(ledger.ended)}")
-        print(f"tokens: {spent} of {prepaid}")
+        print(f"tokens: {spent} of {prepaid}; most at a cold engine in a second:"
+              f" {ledger.most_while_cold}")
         for wrong in seen.wrong[:5]:
             print("wrong:", wrong)
         print("soak:", ", ".join(f"{name} {count}" for name, count in broken.items()))
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -48,7 +48,7 @@
         return self.topics.setdefault(name, Topic())
 
     def put(self, topic: str, key: str, value: dict | None) -> None:
-        self.topic(topic).append(key, json.dumps(value).encode() if value else b"")
+        self.topic(topic).append(key, b"" if value is None else json.dumps(value).encode())
 
     def wake_readers(self) -> None:
         """Lets go of the reads that wait for a record."""
