Routers that stand by in a large fleet ask where a request goes

Ruled out: a list read at intervals (an upstream that leaves must be known within three seconds); a topic of changes written by a few readers (two thousand lines of state to keep in order for what one question answers). Change: a datagram asks an active router, which places the request by its own table, bounds on cold upstreams included, and names the upstream; asked again when lost, refused at once when nobody answers.

--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -20,6 +20,7 @@
   kLeastCost,    ///< least expected wait
   kPrefixOwner,  ///< as above, and first by hashing of the shared prefix
   kPrefixSent,   ///< as above, and this router sent the prefix there lately
+  kTold,         ///< a router that follows the table said so
   kLastResort,   ///< none that is trusted is left
   kNoneLeft,     ///< none chosen: all were tried or are at their bound
   kWarmingUp,    ///< none chosen: cold ones are left, and got what they bear
--- a/include/coppervalve/entry/table_readers.h
+++ b/include/coppervalve/entry/table_readers.h
@@ -21,7 +21,7 @@
 struct TableReadersOptions {
   double record_bytes = 260;
   /// Up to this part of what the store can send, everybody follows.
-  double most_of_store = 0.25;
+  double most_of_store = 0.5;
   /// A router that was led callers gets some of them for so long, as they keep
   /// addresses.
   core::Duration keep{8'000'000};
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -62,6 +62,10 @@
   std::function<std::optional<core::Duration>()> time_to_stop;
   /// Whether the table of upstreams is read here now.
   std::function<bool()> knows_upstreams;
+  /// Asks routers that read it where a request goes.
+  std::function<void(const entry::PlacementQuery&,
+                     std::function<void(const entry::Placement&)> on_told)>
+      ask_where;
 };
 
 /// @brief One request of a caller from its last byte to its final answer.
@@ -103,7 +107,10 @@
   void RefuseForWantOfTokens(core::TimePoint now);
   void OnGrant();
   void Place();
-  entry::Placement ChoosePlacement();
+  entry::PlacementQuery Query() const;
+  entry::Placement ChoosePlacement() const;
+  void AskWhere();
+  void OnTold(const entry::Placement& placement);
   void RefuseForWantOfUpstreams(const std::string& why);
   void Send(const entry::Placement& placement);
   /// @brief The last question before bytes go out on a new connection.
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -32,6 +32,7 @@
 #include "coppervalve/gateway/keyed_store.h"
 #include "coppervalve/gateway/listener.h"
 #include "coppervalve/gateway/load_exchange.h"
+#include "coppervalve/gateway/place_asker.h"
 #include "coppervalve/gateway/topic_follower.h"
 #include "coppervalve/gateway/upstream_pool.h"
 
@@ -145,6 +146,8 @@
   void ShareLoads(uint64_t epoch);
   void MakeBorrower();
   void OnTokenAsk(const v1::TokenAsk& ask);
+  void MakePlaceAsker();
+  void OnPlaceAsk(const v1::PlaceAsk& ask);
   core::Status MakeListeners();
   CallerConnection::Hooks CallerHooks(
       std::function<void(const CallerRef&, CallerRequest)> on_request);
@@ -193,6 +196,7 @@
   bool m_sharing = false;
   std::string m_boot;  ///< empty when it can't be told
   std::unique_ptr<Borrower> m_borrower;
+  std::unique_ptr<PlaceAsker> m_place_asker;
   entry::GiftMemory m_gifts;
   std::vector<std::shared_ptr<Listener>> m_listeners;
   std::shared_ptr<Listener> m_callers;
--- a/include/coppervalve/gateway/load_exchange.h
+++ b/include/coppervalve/gateway/load_exchange.h
@@ -29,6 +29,8 @@
     std::function<void(const v1::LoadReport&)> on_report;
     std::function<void(const v1::TokenAsk&)> on_ask;
     std::function<void(const v1::TokenGift&)> on_gift;
+    std::function<void(const v1::PlaceAsk&)> on_place_ask;
+    std::function<void(const v1::PlaceAnswer&)> on_place_answer;
   };
 
   LoadExchange(boost::asio::io_context& io, std::string router, Hooks hooks);
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -68,6 +68,8 @@
       return "prefix_owner";
     case PlacedBy::kPrefixSent:
       return "prefix_sent";
+    case PlacedBy::kTold:
+      return "told";
     case PlacedBy::kLastResort:
       return "last_resort";
     case PlacedBy::kNoneLeft:
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -91,12 +91,6 @@
     Refuse({core::ErrorId::kDraining, "router", "leaving"}, kSoon);
     return;
   }
-  if (!m_context.knows_upstreams()) {
-    Refuse({core::ErrorId::kNotReady, "router",
-            "the table of upstreams is not read here now"},
-           kElsewhere);
-    return;
-  }
   m_limit_at = m_request.arrived + m_admitted.limit;
   if (RefuseIfItEndsUpstreams()) {
     return;
@@ -112,7 +106,7 @@
 bool Exchange::ShedIfOverloaded() {
   const entry::Service* service =
       m_admitted.in_force->FindService(m_admitted.service);
-  if (service == nullptr || !service->engine) {
+  if (service == nullptr || !service->engine || !m_context.knows_upstreams()) {
     return false;
   }
   m_planned = ChoosePlacement();
@@ -293,6 +287,10 @@
   if (RefuseIfItEndsUpstreams()) {
     return;
   }
+  if (!m_planned && !m_context.knows_upstreams()) {
+    AskWhere();
+    return;
+  }
   const entry::Placement placement =
       m_planned ? *std::exchange(m_planned, std::nullopt) : ChoosePlacement();
   m_placed = placement;
@@ -331,7 +329,7 @@
          hold ? std::max(*hold - now, kSoon) : kSoon);
 }
 
-entry::Placement Exchange::ChoosePlacement() {
+entry::PlacementQuery Exchange::Query() const {
   const entry::Service* service =
       m_admitted.in_force->FindService(m_admitted.service);
   entry::PlacementQuery query;
@@ -351,7 +349,42 @@
         service->max_connections * 4 / 5 / m_context.members.Active();
     query.connection_bound = std::max(share, 2U);
   }
-  return m_context.placer.Choose(m_context.directory, query, net::BootNow());
+  return query;
+}
+
+entry::Placement Exchange::ChoosePlacement() const {
+  return m_context.placer.Choose(m_context.directory, Query(), net::BootNow());
+}
+
+// What this router once read of the table may name upstreams that left since.
+void Exchange::AskWhere() {
+  if (++m_tries > kMostTries) {
+    OnTold({});
+    return;
+  }
+  m_context.ask_where(Query(),
+                      [weak = weak_from_this()](const entry::Placement& told) {
+                        const auto self = weak.lock();
+                        if (self && !self->m_done) {
+                          self->OnTold(told);
+                        }
+                      });
+}
+
+void Exchange::OnTold(const entry::Placement& placement) {
+  m_placed = placement;
+  if (placement.upstream) {
+    Send(placement);
+    return;
+  }
+  const core::Error error{core::ErrorId::kNotReady, "router",
+                          "no router that knows the upstreams answered"};
+  if (m_may_have_run) {
+    Fail({core::ErrorId::kUpstreamFailed, m_admitted.service.value(),
+          m_last_failure});
+  } else {
+    Refuse(error, kElsewhere);
+  }
 }
 
 }  // namespace coppervalve::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -102,8 +102,13 @@
                m_borrower->Borrow(account, tokens, std::move(on_done));
       },
       [this] { return TimeToStop(); },
-      [this] { return m_upstreams_known; }});
+      [this] { return m_upstreams_known; },
+      [this](const entry::PlacementQuery& query,
+             std::function<void(const entry::Placement&)> on_told) {
+        m_place_asker->Ask(query, std::move(on_told));
+      }});
   MakeBorrower();
+  MakePlaceAsker();
 }
 
 Gateway::~Gateway() = default;
--- a/src/gateway/gateway_serve.cc
+++ b/src/gateway/gateway_serve.cc
@@ -33,6 +33,7 @@
   }
   m_sharing = true;
   m_borrower->SetEpoch(epoch);
+  m_place_asker->SetEpoch(epoch);
   m_loads->Start(epoch);
 }
 
@@ -60,6 +61,10 @@
     m_peers.OnReport(core::RouterId(report.router()), report.store_up(), now);
   };
   hooks.on_ask = [this](const v1::TokenAsk& ask) { OnTokenAsk(ask); };
+  hooks.on_place_ask = [this](const v1::PlaceAsk& ask) { OnPlaceAsk(ask); };
+  hooks.on_place_answer = [this](const v1::PlaceAnswer& answer) {
+    m_place_asker->OnAnswer(answer);
+  };
   hooks.on_gift = [this](const v1::TokenGift& gift) {
     m_borrower->OnGift(gift);
   };
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -80,35 +80,6 @@
       m_random, std::move(of_beats));
 }
 
-bool Gateway::KnowsUpstreams() const {
-  return m_upstreams_known || !m_table_readers.follows();
-}
-
-void Gateway::ChooseTableReaders() {
-  entry::TableCost cost;
-  cost.upstreams = std::max(m_directory.size(), m_members.Upstreams());
-  cost.routers = m_members.Live();
-  cost.heartbeat = m_settings.upstream_heartbeat;
-  cost.store_bytes_per_second = m_settings.store_read_bytes_per_second;
-  const bool followed = m_table_readers.follows();
-  const bool follows =
-      m_table_readers.Advance(cost, m_members.SelfInTurn(), net::BootNow());
-  if (follows != followed) {
-    Lifecycle(LogLine("follows_upstreams")
-                  .Flag("follows", follows)
-                  .Number("upstreams", static_cast<int64_t>(cost.upstreams))
-                  .Number("routers", static_cast<int64_t>(cost.routers)));
-  }
-  if (follows) {
-    m_upstreams->Wake();
-  }
-}
-
-void Gateway::OnTableStopped() {
-  m_upstreams_known = false;
-  m_upstream_documents.clear();
-}
-
 // Of a large table nearly every record does, and reading it whole costs most of
 // what a router spends while nothing happens.
 bool Gateway::OnlySaysItLives(const KeyedRecord& record) {
--- /dev/null
+++ b/src/gateway/gateway_table.cc
@@ -0,0 +1,70 @@
+// Who follows the table of upstreams, and how the others learn where to send.
+#include <algorithm>  // max
+#include <utility>    // move
+
+#include "coppervalve/gateway/gateway.h"
+#include "coppervalve/net/clock.h"
+
+namespace coppervalve::gateway {
+
+bool Gateway::KnowsUpstreams() const {
+  return m_upstreams_known || !m_table_readers.follows();
+}
+
+void Gateway::ChooseTableReaders() {
+  entry::TableCost cost;
+  cost.upstreams = std::max(m_directory.size(), m_members.Upstreams());
+  cost.routers = m_members.Live();
+  cost.heartbeat = m_settings.upstream_heartbeat;
+  cost.store_bytes_per_second = m_settings.store_read_bytes_per_second;
+  const bool followed = m_table_readers.follows();
+  const bool follows =
+      m_table_readers.Advance(cost, m_members.SelfInTurn(), net::BootNow());
+  if (follows != followed) {
+    Lifecycle(LogLine("follows_upstreams")
+                  .Flag("follows", follows)
+                  .Number("upstreams", static_cast<int64_t>(cost.upstreams))
+                  .Number("routers", static_cast<int64_t>(cost.routers)));
+  }
+  if (follows) {
+    m_upstreams->Wake();
+  }
+}
+
+void Gateway::OnTableStopped() {
+  m_upstreams_known = false;
+  m_upstream_documents.clear();
+}
+
+void Gateway::MakePlaceAsker() {
+  PlaceAsker::Hooks hooks;
+  hooks.peers = [this] { return m_members.LoadAddresses(); };
+  hooks.send = [this](const std::string& address, const v1::PlaceAsk& ask) {
+    if (m_loads) {
+      v1::PeerDatagram datagram;
+      *datagram.mutable_place_ask() = ask;
+      m_loads->Send(address, datagram);
+    }
+  };
+  m_place_asker = std::make_unique<PlaceAsker>(m_io, m_settings.load_address,
+                                               std::move(hooks), m_random);
+}
+
+// The send that follows counts as this router's where the upstream is cold.
+void Gateway::OnPlaceAsk(const v1::PlaceAsk& ask) {
+  const core::TimePoint now = net::BootNow();
+  entry::Placement placement;
+  if (m_upstreams_known) {
+    entry::PlacementQuery query = QueryOf(ask);
+    query.routers = m_members.Active();
+    placement = m_placer.Choose(m_directory, query, now);
+  }
+  if (placement.upstream) {
+    m_gate.OnSend(*placement.upstream, now);
+  }
+  v1::PeerDatagram datagram;
+  *datagram.mutable_place_answer() = AnswerTo(ask, placement);
+  m_loads->Send(ask.reply_address(), datagram);
+}
+
+}  // namespace coppervalve::gateway
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -86,6 +86,12 @@
   if (datagram.has_gift() && m_hooks.on_gift) {
     m_hooks.on_gift(datagram.gift());
   }
+  if (datagram.has_place_ask() && m_hooks.on_place_ask) {
+    m_hooks.on_place_ask(datagram.place_ask());
+  }
+  if (datagram.has_place_answer() && m_hooks.on_place_answer) {
+    m_hooks.on_place_answer(datagram.place_answer());
+  }
 }
 
 void LoadExchange::Send(const std::string& address,
