Process tests: routers that stand by before a large table of upstreams

Nine routers before a store that can't send the table to all: the three that don't follow it serve by asking, and send nothing to an upstream that left. New figure follows_upstreams.

--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -26,6 +26,7 @@
   bool ready = false;
   bool store_up = false;
   uint64_t quarantined_requests = 0;  ///< by content
+  bool follows_upstreams = true;      ///< reads their table
   uint64_t evacuated_domains = 0;
   /// Longest time for which an evacuation can have been unknown here.
   core::Duration evacuation_known_within{};
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -153,6 +153,7 @@
   set("store_up", figures.store_up ? 1 : 0);
   set("quarantined_requests",
       static_cast<double>(figures.quarantined_requests));
+  set("follows_upstreams", figures.follows_upstreams ? 1 : 0);
   set("evacuated_domains", static_cast<double>(figures.evacuated_domains));
   set("evacuation_known_within_seconds",
       Seconds(figures.evacuation_known_within));
--- a/src/gateway/gateway_serve.cc
+++ b/src/gateway/gateway_serve.cc
@@ -155,6 +155,7 @@
   figures.ready = Ready();
   figures.store_up = m_contact.up();
   figures.quarantined_requests = m_crashes.record().quarantined();
+  figures.follows_upstreams = m_upstreams_known;
   figures.evacuated_domains = m_gate.evacuations().size();
   figures.evacuation_known_within = m_evacuation_known_within;
   figures.held_ahead = m_book.HoldFactor();
--- /dev/null
+++ b/tests/process/test_large_table.py
@@ -0,0 +1,61 @@
+"""A fleet whose table of upstreams is more than the store can send to all."""
+
+import asyncio
+import unittest
+
+from tests.soak.callers import HOST
+from tests.soak.http import read_message
+from tests.soak.platform import Platform, Router, play
+
+ROUTERS = 9  # three are active, three are next in turn
+
+
+async def ask(router: Router, number: int) -> int:
+    """A lookup at one router. Returns the status of its answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", router.front)
+    writer.write((f"GET /lookup/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r{number}\r\n"
+                  "Deadline-Ms: 3000\r\nAuthorization: Token key\r\n\r\n").encode())
+    reply, _ = await asyncio.wait_for(read_message(reader), 4)
+    writer.close()
+    return reply.status if reply else 0
+
+
+async def standing_by(platform: Platform) -> list[Router]:
+    """Routers that don't follow the table, once all are ready."""
+    assert await platform.until_all_tell("ready", 1)
+    for _ in range(300):
+        told = [await router.figure("follows_upstreams") for router in platform.routers]
+        if told.count(0) == ROUTERS - 6:
+            return [r for r, follows in zip(platform.routers, told) if not follows]
+        await asyncio.sleep(0.1)
+    return []
+
+
+class LargeTable(unittest.TestCase):
+    def test_routers_that_do_not_follow_it_serve_all_the_same(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            others = await standing_by(platform)
+            self.assertEqual(len(others), ROUTERS - 6)
+            for number, router in enumerate(others * 5):
+                self.assertEqual(await ask(router, number), 200)
+
+        play(scenario, routers=ROUTERS, engines=2, read_mbs=0.0001)
+
+    def test_they_send_nothing_to_upstreams_that_left(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            others = await standing_by(platform)
+            self.assertTrue(others)
+            desks = [s for s in platform.servers if s.service == "desk"]
+            left = desks[0]
+            platform.store.put("keyed.servers", left.name, left.entry("draining"))
+            await asyncio.sleep(2)
+            before = platform.ledger.arrived[left.name]
+            for number, router in enumerate(others * 5):
+                self.assertEqual(await ask(router, number), 200)
+            self.assertEqual(platform.ledger.arrived[left.name], before)
+
+        play(scenario, routers=ROUTERS, engines=2, read_mbs=0.0001)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -17,7 +17,8 @@
 # An entry goes when its upstream was silent for a while; another start follows.
 LAPSES_AFTER = 0.6
 STARTS_AFTER = 1.0
-SETTINGS = """nodeName = "{name}"
+SETTINGS = """heartbeatMs = 1000
+nodeName = "{name}"
 zone = "a"
 ip = "127.0.0.1"
 internalPorts = [{metrics}, {loads}]
@@ -33,6 +34,7 @@
 warmupSlack = 5
 [platform]
 address = "127.0.0.1:{store}"
+readMbS = {read_mbs}
 """
 
 
@@ -51,6 +53,7 @@
         self.name = name
         self.front, self.ready, self.directory, self.metrics, self.loads = free_ports(5)
         self.store_port = 0
+        self.read_mbs = 80.0  # that the store says it can send
         self._path = os.path.join(folder, name + ".toml")
         self._log_path = os.path.join(folder, name + ".log")
         self._log = open(self._log_path, "ab")
@@ -61,7 +64,8 @@
         with open(self._path, "w", encoding="ascii") as file:
             file.write(SETTINGS.format(name=self.name, front=self.front, ready=self.ready,
                                        directory=self.directory, metrics=self.metrics,
-                                       loads=self.loads, store=self.store_port))
+                                       loads=self.loads, store=self.store_port,
+                                       read_mbs=self.read_mbs))
         environment = dict(os.environ, COPPERVALVE_NODE_FILE=self._path)
         self.process = await asyncio.create_subprocess_exec(
             self._program, "platform", env=environment, stdout=self._log, stderr=self._log)
@@ -136,13 +140,15 @@
     def engines(self) -> list[Server]:
         return [server for server in self.servers if server.service == "engines"]
 
-    async def start(self, routers: int, engines: int, desks: int = 2) -> None:
+    async def start(self, routers: int, engines: int, desks: int = 2,
+                    read_mbs: float = 80.0) -> None:
         for service in ["engines"] * engines + ["desk"] * desks:
             await self._begin_server(service)
         self.publish()
         for i in range(routers):
             router = Router(f"edge-{i}", self._folder, self._program)
             router.store_port = await self.store.listen()
+            router.read_mbs = read_mbs
             self.routers.append(router)
             await router.start()
         await asyncio.sleep(2)
@@ -211,14 +217,15 @@
         await asyncio.sleep(0.1)
 
 
-def play(scenario: Callable[[Platform], Awaitable[None]], routers: int, engines: int) -> Platform:
+def play(scenario: Callable[[Platform], Awaitable[None]], routers: int, engines: int,
+         read_mbs: float = 80.0) -> Platform:
     """Plays a scenario of a test on a platform of its own, and ends that."""
 
     async def run() -> Platform:
         program = os.path.join(os.environ.get("COPPERVALVE_BUILD", "build"), "coppervalved")
         with tempfile.TemporaryDirectory() as folder:
             platform = Platform(folder, program, seed=1)
-            await platform.start(routers, engines)
+            await platform.start(routers, engines, read_mbs=read_mbs)
             try:
                 await scenario(platform)
             finally:
