--- a/src/gateway/gateway_operator.cc
+++ b/src/gateway/gateway_operator.cc
@@ -99,8 +99,8 @@
   if (change.evacuated && !began_before_start) {
     m_evacuation_known_within = std::max(m_evacuation_known_within, within);
   }
-  LogLine line(change.evacuated ? "failure_domain_evacuated"
-                                : "failure_domain_taken_back");
+  LogLine line = change.evacuated ? LogLine("failure_domain_evacuated")
+                                  : LogLine("failure_domain_taken_back");
   line.Text("failure_domain", change.domain.value());
   if (!began_before_start) {
     line.Millis("known_within_ms", within);
