Try an upstream again that could not be reached, at routers that are no senders

Cause, found reading the change again: an upstream that could not be reached counted as cold until it answered; a router that is none of its senders sends nothing to a cold one, so it never heard an answer and never used it again. Change: it counts for as long as a start does, and again after its first answer.

--- a/include/coppervalve/entry/warm_up.h
+++ b/include/coppervalve/entry/warm_up.h
@@ -31,8 +31,8 @@
   /// It started, or its failure domain was taken back, while callers were
   /// served.
   std::optional<core::TimePoint> began;
-  /// It could not be reached, and has answered nothing since.
-  bool may_have_restarted = false;
+  /// When it could not be reached last, if it has answered nothing since.
+  std::optional<core::TimePoint> unreachable_at;
   RecentSends sends;
   /// Routers that come before this one as its senders, in the set of routers
   /// with this version.
--- a/src/entry/upstream_gate.cc
+++ b/src/entry/upstream_gate.cc
@@ -54,13 +54,13 @@
   WarmUpState& state = upstream.warm_up;
   switch (outcome) {
     case AttemptOutcome::kUnreachable:
-      state.may_have_restarted = true;
+      state.unreachable_at = now;
       return;
     case AttemptOutcome::kAnswered:
     case AttemptOutcome::kOwnFailure:
     case AttemptOutcome::kDeclined:
-      if (state.may_have_restarted) {
-        state.may_have_restarted = false;
+      if (state.unreachable_at) {
+        state.unreachable_at.reset();
         state.began = now;
       }
       return;
--- a/src/entry/warm_up.cc
+++ b/src/entry/warm_up.cc
@@ -26,11 +26,17 @@
 
 // A record of a start may come late, or not at all while the store is away. So
 // every start that this router sees itself counts, whatever the record says.
+// One that can't be reached counts for as long as a start: routers that are not
+// its senders would else never send to it again, and never learn that it is
+// well.
 bool IsCold(const WarmUpState& state,
             const WarmUp& warm_up,
             core::TimePoint now) {
-  return state.may_have_restarted || now < state.said_until ||
-         (state.began && now < *state.began + warm_up.lasts);
+  const auto lately = [&](const std::optional<core::TimePoint>& event) {
+    return event && now < *event + warm_up.lasts;
+  };
+  return now < state.said_until || lately(state.began) ||
+         lately(state.unreachable_at);
 }
 
 }  // namespace coppervalve::entry
