--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -40,7 +40,6 @@
   core::Tokens prompt{};         ///< all of it
   std::vector<core::UpstreamId> exclude;
   uint32_t connection_bound = 0;  ///< of this router per upstream; 0 = none
-  uint64_t prefix_hash = 0;       ///< of shared_prefix; set by Choose()
   uint32_t routers = 1;           ///< that send to the service, this included
 };
 
@@ -107,7 +106,7 @@
 
   /// @complexity linear in the upstreams of the service
   Placement Choose(const UpstreamDirectory& directory,
-                   const PlacementQuery& asked,
+                   const PlacementQuery& query,
                    core::TimePoint now) const;
   /// @return what reading a prompt costs, in tokens of a short one
   double ReadingCost(core::Tokens prompt) const;
@@ -131,6 +130,7 @@
   Load LoadOf(const Upstream& upstream, const PlacementQuery& query) const;
   Candidate CostAtEngine(const UpstreamRef& upstream,
                          const PlacementQuery& query,
+                         uint64_t prefix,
                          bool owner,
                          double usual_pace,
                          core::TimePoint now) const;
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -101,10 +101,8 @@
 }
 
 Placement Placer::Choose(const UpstreamDirectory& directory,
-                         const PlacementQuery& asked,
+                         const PlacementQuery& query,
                          core::TimePoint now) const {
-  PlacementQuery query = asked;
-  query.prefix_hash = core::Hash64(query.shared_prefix);
   const std::vector<UpstreamRef>& upstreams = directory.Of(query.service);
   if (upstreams.empty()) {
     return {};
@@ -185,12 +183,13 @@
 
 Placer::Candidate Placer::CostAtEngine(const UpstreamRef& upstream,
                                        const PlacementQuery& query,
+                                       uint64_t prefix,
                                        bool owner,
                                        double usual_pace,
                                        core::TimePoint now) const {
   Candidate candidate{upstream, 0, owner, false};
   candidate.sent = m_options.prefix_sent && !query.shared_prefix.empty() &&
-                   upstream->prefixes.Holds(query.prefix_hash, now);
+                   upstream->prefixes.Holds(prefix, now);
   const bool kept = owner || candidate.sent;
   const core::Tokens own = query.prompt - query.shared_tokens;
   const double missed =
@@ -245,8 +244,8 @@
                            core::TimePoint now) const {
   const double usual_pace = m_options.slowness ? UsualPace(usable) : 0;
   const bool has_owner = m_options.prefix_owner && !query.shared_prefix.empty();
-  const Upstream* owner =
-      has_owner ? OwnerOf(usable, query.prefix_hash) : nullptr;
+  const uint64_t prefix = core::Hash64(query.shared_prefix);
+  const Upstream* owner = has_owner ? OwnerOf(usable, prefix) : nullptr;
   Candidate best;
   double least_waiting = std::numeric_limits<double>::max();
   // Starting at a random one spreads ties over all.
@@ -254,8 +253,8 @@
   for (size_t i = 0; i < usable.size(); ++i) {
     const UpstreamRef& upstream = usable[(start + i) % usable.size()];
     const Candidate candidate =
-        query.engine ? CostAtEngine(upstream, query, upstream.get() == owner,
-                                    usual_pace, now)
+        query.engine ? CostAtEngine(upstream, query, prefix,
+                                    upstream.get() == owner, usual_pace, now)
                      : CostAtPlain(upstream, query, usual_pace, now);
     least_waiting = std::min(least_waiting, WaitingAt(candidate, query));
     if (best.upstream == nullptr || candidate.cost < best.cost) {
