--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -308,25 +308,28 @@
   Send(placement);
 }
 
-// Where all upstreams asked for a pause, the first to end says when to come.
 void Exchange::RefuseForWantOfUpstreams(const std::string& why) {
-  const core::TimePoint now = net::BootNow();
+  const auto refuse = [this](const std::string& reason,
+                             core::Duration come_back) {
+    Refuse({core::ErrorId::kNoUpstream, m_admitted.service.value(), reason},
+           come_back);
+  };
   if (m_placed.why == entry::PlacedBy::kEvacuated) {
-    Refuse({core::ErrorId::kNoUpstream, m_admitted.service.value(),
-            "all its failure domains are evacuated"},
-           kAfterACut);
+    refuse("all its failure domains are evacuated", kAfterACut);
     return;
   }
   if (m_placed.why == entry::PlacedBy::kWarmingUp) {
-    Refuse({core::ErrorId::kNoUpstream, m_admitted.service.value(),
-            "those that are left are warming up"},
-           kAfterReading);
+    refuse("those that are left are warming up", kAfterReading);
     return;
   }
+  const core::TimePoint now = net::BootNow();
   const auto hold = m_context.directory.AllHoldUntil(m_admitted.service, now);
-  Refuse({core::ErrorId::kNoUpstream, m_admitted.service.value(),
-          hold ? "all upstreams asked for a pause" : why},
-         hold ? std::max(*hold - now, kSoon) : kSoon);
+  if (hold) {
+    // The first pause to end says when to come.
+    refuse("all upstreams asked for a pause", std::max(*hold - now, kSoon));
+    return;
+  }
+  refuse(why, kSoon);
 }
 
 entry::PlacementQuery Exchange::Query() const {
