One decision when the table of upstreams is first read

Two conditions on the store's rate stood beside the decision who follows the table. Now that decision also says no while the size of the fleet is not known.

--- a/include/coppervalve/entry/table_readers.h
+++ b/include/coppervalve/entry/table_readers.h
@@ -10,6 +10,7 @@
 
 /// @brief What following the table of upstreams costs the durable store.
 struct TableCost {
+  bool known = true;  ///< how many upstreams and routers there are
   size_t upstreams = 0;
   size_t routers = 1;
   core::Duration heartbeat{};  ///< between records of one upstream
@@ -27,7 +28,7 @@
   core::Duration keep{8'000'000};
 };
 
-/// @return whether the store can send the table to every router
+/// @return whether the store can surely send the table to every router
 bool AllMayFollow(const TableCost& cost, const TableReadersOptions& options);
 
 /// @brief Whether this router follows the table of upstreams.
--- a/src/entry/table_readers.cc
+++ b/src/entry/table_readers.cc
@@ -7,6 +7,9 @@
       cost.store_bytes_per_second <= 0) {
     return true;
   }
+  if (!cost.known) {
+    return false;
+  }
   constexpr double kMicrosPerSecond = 1e6;
   const double seconds =
       static_cast<double>(cost.heartbeat.count()) / kMicrosPerSecond;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -127,9 +127,8 @@
   MakeBeatWriter();
   MakeFollowers();
   m_configuration->Start();
-  if (m_settings.store_read_bytes_per_second <= 0) {
-    m_upstreams->Start();  // no need to know the size of the fleet first
-  }
+  ChooseTableReaders();
+  m_upstreams->Start();
   m_beats->Start();
   Tick();
   return core::Ok();
--- a/src/gateway/gateway_beats.cc
+++ b/src/gateway/gateway_beats.cc
@@ -105,11 +105,7 @@
   }
   if (m_writer->epoch() == 0) {
     m_writer->Start(last_epoch);
-    // What others know of the fleet's size is known from here on.
     ChooseTableReaders();
-    if (m_settings.store_read_bytes_per_second > 0) {
-      m_upstreams->Start();
-    }
   }
 }
 
--- a/src/gateway/gateway_table.cc
+++ b/src/gateway/gateway_table.cc
@@ -13,6 +13,8 @@
 
 void Gateway::ChooseTableReaders() {
   entry::TableCost cost;
+  // The beats of others tell how large the fleet is.
+  cost.known = m_writer->epoch() != 0;
   cost.upstreams = std::max(m_directory.size(), m_members.Upstreams());
   cost.routers = m_members.Live();
   cost.heartbeat = m_settings.upstream_heartbeat;
@@ -20,7 +22,7 @@
   const bool followed = m_table_readers.follows();
   const bool follows =
       m_table_readers.Advance(cost, m_members.SelfInTurn(), net::BootNow());
-  if (follows != followed) {
+  if (follows != followed && cost.known) {
     Lifecycle(LogLine("follows_upstreams")
                   .Flag("follows", follows)
                   .Number("upstreams", static_cast<int64_t>(cost.upstreams))
