Tests: one piece for what stood twice

Has(), the hooks of a reading follower, a configuration that warms up, the plays of cold engines (bench-cold and unit-cold-fleet), sends of many requests. The assertions are the same; bench-cold gained two plays that only the test had.

--- a/bench/cold/main.cc
+++ b/bench/cold/main.cc
@@ -1,11 +1,10 @@
 // Ways to share what cold upstreams bear, on the same plays: how much the
 // hottest cold upstream gets in a second, how many fall over, who is served.
-#include <algorithm>  // max
-#include <cstdint>    // uint32_t, uint64_t
-#include <cstdio>     // printf
-#include <cstdlib>    // strtoull
-#include <cstring>    // strcmp
-#include <vector>     // vector
+#include <cstdint>  // uint32_t, uint64_t
+#include <cstdio>   // printf
+#include <cstdlib>  // strtoull
+#include <cstring>  // strcmp
+#include <vector>   // vector
 
 #include "tests/entry/cold_fleet.h"
 
@@ -14,7 +13,7 @@
 using namespace coppervalve;
 using entry::WarmUpOptions;
 using entry::testing::ColdOutcome;
-using entry::testing::ColdPlay;
+using entry::testing::NamedPlay;
 
 struct Way {
   const char* name;
@@ -52,43 +51,6 @@
           {"twelve senders", twelve}};
 }
 
-struct Play {
-  const char* name;
-  ColdPlay play;
-};
-
-std::vector<Play> Plays() {
-  const auto with = [](auto change) {
-    ColdPlay play;
-    change(play);
-    return play;
-  };
-  return {
-      {"20 of 60", with([](ColdPlay& p) { p.back_cold = 20; })},
-      {"48 of 60", with([](ColdPlay&) {})},
-      {"60 of 60", with([](ColdPlay& p) { p.back_cold = 60; })},
-      {"60, load x2", with([](ColdPlay& p) {
-         p.back_cold = 60;
-         p.surge = 2;
-       })},
-      {"48, cut of all", with([](ColdPlay& p) {
-         p.cut_part = 1;
-         p.cut_at = 6.6;
-       })},
-      {"48, 40 % cut, load x2", with([](ColdPlay& p) {
-         p.cut_part = 0.4;
-         p.surge = 2;
-       })},
-      {"48, 40 % killed", with([](ColdPlay& p) { p.killed_part = 0.4; })},
-      {"48, all killed", with([](ColdPlay& p) { p.killed_part = 1; })},
-      {"20 in place, hot", with([](ColdPlay& p) {
-         p.back_cold = 20;
-         p.in_place = true;
-         p.hot_part = 0.5;
-       })},
-  };
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -102,22 +64,14 @@
   bool kept = true;
   for (const Way& way : Ways()) {
     std::printf("%s\n", way.name);
-    for (Play one : Plays()) {
-      uint32_t most = 0;
-      uint32_t fell_over = 0;
-      double served = 0;
-      double asked = 0;
+    for (NamedPlay one : entry::testing::ColdPlays()) {
       one.play.warm_up = way.options;
       one.play.placement.cold = way.cold;
-      for (one.play.seed = 1; one.play.seed <= seeds; ++one.play.seed) {
-        const ColdOutcome outcome = entry::testing::PlayCold(one.play);
-        most = std::max(most, outcome.most_in_a_second);
-        fell_over += outcome.fell_over;
-        served += outcome.served;
-        asked += outcome.asked;
-      }
-      std::printf("  %-24s most %3u  fell over %4u  served %.3f\n", one.name,
-                  most, fell_over, served / asked);
+      const ColdOutcome outcome = entry::testing::PlayCold(one.play, seeds);
+      const uint32_t most = outcome.most_in_a_second;
+      std::printf("  %-26s most %3u  fell over %4u  served %.3f\n", one.name,
+                  most, outcome.fell_over,
+                  static_cast<double>(outcome.served) / outcome.asked);
       const bool ships = std::strcmp(way.name, "six senders") == 0;
       kept = kept && (!ships || most <= kBound);
     }
--- a/tests/entry/cold_fleet.cc
+++ b/tests/entry/cold_fleet.cc
@@ -15,7 +15,6 @@
 constexpr double kBegin = -6;  // routers start, callers come from -3 s on
 constexpr double kEnd = 12;
 constexpr double kWarmUpSeconds = 3;
-constexpr double kWarmUpPerSecond = 14;
 constexpr double kBound = 26;  // 14 x 1.5 + 5
 constexpr double kHeartbeat = 1.2;
 constexpr double kBeatPeriod = 0.6;
@@ -24,18 +23,6 @@
 constexpr double kFallOver = 3;
 constexpr int kMostTries = 6;
 
-Configuration WithWarmUp() {
-  Configuration configuration;
-  Service engines;
-  engines.name = core::ServiceId("engines");
-  engines.engine = EngineFacts{10};
-  engines.warm_up =
-      WarmUp{core::Duration(static_cast<int64_t>(kWarmUpSeconds * 1e6)),
-             kWarmUpPerSecond};
-  configuration.services = {engines};
-  return configuration;
-}
-
 /// @brief One engine as it is, whatever routers believe.
 struct Engine {
   std::string id;
@@ -73,7 +60,7 @@
                loads,
                gate,
                std::move(random)) {
-    gate.OnConfiguration(WithWarmUp());
+    gate.OnConfiguration(WarmingUp("engines"));
   }
   PeerContact contact;
   StoreContact store;
@@ -485,8 +472,52 @@
 
 }  // namespace
 
-ColdOutcome PlayCold(const ColdPlay& play) {
-  return Fleet(play).Play();
+ColdOutcome PlayCold(ColdPlay play, uint64_t seeds) {
+  ColdOutcome all;
+  for (play.seed = 1; play.seed <= seeds; ++play.seed) {
+    const ColdOutcome one = Fleet(play).Play();
+    all.most_in_a_second = std::max(all.most_in_a_second, one.most_in_a_second);
+    all.fell_over += one.fell_over;
+    all.asked += one.asked;
+    all.served += one.served;
+  }
+  return all;
+}
+
+std::vector<NamedPlay> ColdPlays() {
+  std::vector<NamedPlay> plays;
+  const auto add = [&plays](const char* name, auto change) {
+    plays.push_back({name, {}});
+    change(plays.back().play);
+  };
+  add("20 of 60", [](ColdPlay& p) { p.back_cold = 20; });
+  add("48 of 60", [](ColdPlay&) {});
+  add("60 of 60", [](ColdPlay& p) { p.back_cold = 60; });
+  add("60, load x2", [](ColdPlay& p) {
+    p.back_cold = 60;
+    p.surge = 2;
+  });
+  add("48, cut before the return", [](ColdPlay& p) { p.cut_part = 1; });
+  add("48, cut of all", [](ColdPlay& p) {
+    p.cut_part = 1;
+    p.cut_at = 6.6;
+  });
+  add("48, 40 % cut, load x2", [](ColdPlay& p) {
+    p.cut_part = 0.4;
+    p.surge = 2;
+  });
+  add("48, 40 % killed", [](ColdPlay& p) { p.killed_part = 0.4; });
+  add("48, all killed", [](ColdPlay& p) { p.killed_part = 1; });
+  add("20 in place", [](ColdPlay& p) {
+    p.back_cold = 20;
+    p.in_place = true;
+  });
+  add("20 in place, hot", [](ColdPlay& p) {
+    p.back_cold = 20;
+    p.in_place = true;
+    p.hot_part = 0.5;
+  });
+  return plays;
 }
 
 }  // namespace coppervalve::entry::testing
--- a/tests/entry/cold_fleet.h
+++ b/tests/entry/cold_fleet.h
@@ -38,7 +38,16 @@
   uint32_t served = 0;
 };
 
-ColdOutcome PlayCold(const ColdPlay& play);
+/// @brief Plays it with the seeds 1, 2, 3...: the worst second of all, the sums
+/// of the rest.
+ColdOutcome PlayCold(ColdPlay play, uint64_t seeds);
+
+/// @brief A play by what makes it hard.
+struct NamedPlay {
+  const char* name;
+  ColdPlay play;
+};
+std::vector<NamedPlay> ColdPlays();
 
 }  // namespace coppervalve::entry::testing
 
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -39,6 +39,17 @@
   return configuration;
 }
 
+/// @brief A configuration of one service whose upstreams warm up for 3 s and
+/// bear 14 requests a second meanwhile.
+inline Configuration WarmingUp(const std::string& name) {
+  Service service;
+  service.name = core::ServiceId(name);
+  service.warm_up = WarmUp{core::Duration(3'000'000), 14};
+  Configuration configuration;
+  configuration.services = {service};
+  return configuration;
+}
+
 /// @brief A record that names no upstream, whatever was written into it.
 inline UpstreamRecord Unreadable(const std::string& id) {
   return {core::UpstreamId(id), std::nullopt};
--- a/tests/entry/unit-upstream-gate.cc
+++ b/tests/entry/unit-upstream-gate.cc
@@ -22,12 +22,7 @@
 
   void setup() override {
     store.OnAnswer(At(0));
-    Configuration configuration;
-    Service tickets;
-    tickets.name = core::ServiceId("tickets");
-    tickets.warm_up = WarmUp{core::Duration(3'000'000), 14};
-    configuration.services = {tickets};
-    gate.OnConfiguration(configuration);
+    gate.OnConfiguration(WarmingUp("tickets"));
     directory.ReplaceAll({RecordOf(EntryOf("old"))}, store, At(0));
     for (int i = 0; i < 3; ++i) {
       Hear(i, 1);
@@ -114,12 +109,7 @@
                     contact);
   WarmUpSenders none(nobody, {});
   UpstreamGate other(none, {1.5, 5});
-  Configuration configuration;
-  Service tickets;
-  tickets.name = core::ServiceId("tickets");
-  tickets.warm_up = WarmUp{core::Duration(3'000'000), 14};
-  configuration.services = {tickets};
-  other.OnConfiguration(configuration);
+  other.OnConfiguration(WarmingUp("tickets"));
   Upstream& upstream = *directory.Find(core::UpstreamId("old"));
   other.OnOutcome(upstream, AttemptOutcome::kUnreachable, At(5));
   CHECK(other.Of(upstream, At(7.9)) == Passage::kWarmingUp);
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -168,6 +168,10 @@
 
 }  // namespace
 
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
 std::string FreeAddress(boost::asio::io_context& io) {
   tcp::acceptor acceptor(io, EndpointOf("127.0.0.1:0"));
   return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -14,6 +14,9 @@
 
 namespace coppervalve::gateway::testing {
 
+/// @return whether a text has a part
+bool Has(const std::string& text, const std::string& part);
+
 /// @brief "127.0.0.1:PORT" with a port that was free a moment ago.
 std::string FreeAddress(boost::asio::io_context& io);
 
--- a/tests/gateway/unit-evacuation.cc
+++ b/tests/gateway/unit-evacuation.cc
@@ -9,14 +9,6 @@
 using namespace coppervalve::gateway;
 using namespace coppervalve::gateway::testing;
 
-namespace {
-
-bool Has(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
-}  // namespace
-
 // clang-format off
 TEST_GROUP(Evacuation) {
   Router router;
@@ -39,6 +31,15 @@
     router.store.Put("config", "evacuate/" + domain, "");
     Settle();
   }
+  // The record is deleted before the router can read it.
+  void WriteUnread(const std::string& value) {
+    router.store.unreadable = "config";
+    Settle();
+    router.store.Put("config", "evacuate/fd-x", value);
+    router.store.Put("config", "unrelated", value + "x");
+    router.store.Compact("config");
+    router.store.unreadable.clear();
+  }
   void Settle() { router.io.run_for(std::chrono::milliseconds(300)); }
   void AskOften() {
     one.requests.clear();
@@ -96,23 +97,13 @@
   // An upstream of an evacuated domain goes on getting work: the record was
   // written and deleted while the router could not read.
   router.Start();
-  router.store.unreadable = "config";
-  Settle();
-  router.store.Put("config", "evacuate/fd-x", "{}");
-  router.store.Put("config", "unrelated", "x");
-  router.store.Compact("config");
-  router.store.unreadable.clear();
+  WriteUnread("{}");
   CHECK(router.Until([&] {
     AskOften();
     return one.requests.empty();
   }));
   // Taken back in the same way.
-  router.store.unreadable = "config";
-  Settle();
-  router.store.Put("config", "evacuate/fd-x", "");
-  router.store.Put("config", "unrelated", "y");
-  router.store.Compact("config");
-  router.store.unreadable.clear();
+  WriteUnread("");
   CHECK(router.Until([&] {
     AskOften();
     return !one.requests.empty();
--- a/tests/gateway/unit-exchange.cc
+++ b/tests/gateway/unit-exchange.cc
@@ -11,10 +11,6 @@
 
 namespace {
 
-bool Has(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
 int CountOf(const std::string& text, const std::string& part) {
   int count = 0;
   for (size_t at = text.find(part); at != std::string::npos;
--- a/tests/gateway/unit-lifecycle.cc
+++ b/tests/gateway/unit-lifecycle.cc
@@ -16,10 +16,6 @@
 
 namespace {
 
-bool Has(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
 v1::RouterBeat NewestBeat(const Router& router) {
   v1::RouterBeat beat;
   beat.ParseFromString(router.store.Newest("routers", "router-1"));
--- a/tests/gateway/unit-topic-follower.cc
+++ b/tests/gateway/unit-topic-follower.cc
@@ -5,6 +5,7 @@
 #include <functional>  // function
 #include <memory>      // make_shared
 #include <string>      // string, to_string
+#include <utility>     // move
 #include <vector>      // vector
 
 #include "fake_store.h"
@@ -22,7 +23,7 @@
   uint64_t next = 0;
   std::shared_ptr<TopicFollower> follower;
 
-  void Follow(const entry::ReadPlanOptions& plan) {
+  TopicFollower::Hooks ReadingHooks() {
     TopicFollower::Hooks hooks;
     hooks.on_newest = [this](const std::vector<KeyedRecord>& records) {
       for (const KeyedRecord& record : records) {
@@ -34,9 +35,15 @@
     };
     hooks.on_read = [this](uint64_t offset) { next = offset; };
     hooks.on_failure = [](const core::Error&, core::TimePoint) {};
+    return hooks;
+  }
+  void Follow(const entry::ReadPlanOptions& plan) {
+    Follow(plan, ReadingHooks());
+  }
+  void Follow(const entry::ReadPlanOptions& plan, TopicFollower::Hooks hooks) {
     follower = std::make_shared<TopicFollower>(
         io, FollowerOptions{"config", plan}, calls, [] { return uint64_t{7}; },
-        hooks);
+        std::move(hooks));
     follower->Start();
     Until([this] { return store.waiting_readers() == 1; });
   }
@@ -96,25 +103,11 @@
   // Hundreds of routers read a table that only a few of them need.
   bool wanted = true;
   int stops = 0;
-  TopicFollower::Hooks hooks;
-  hooks.on_newest = [this](const std::vector<KeyedRecord>& records) {
-    for (const KeyedRecord& record : records) {
-      read.push_back(record.value);
-    }
-  };
-  hooks.on_record = [this](const KeyedRecord& record) {
-    read.push_back(record.value);
-  };
-  hooks.on_read = [](uint64_t) {};
-  hooks.on_failure = [](const core::Error&, core::TimePoint) {};
+  TopicFollower::Hooks hooks = ReadingHooks();
   hooks.wanted = [&] { return wanted; };
   hooks.on_stopped = [&] { ++stops; };
-  follower = std::make_shared<TopicFollower>(
-      io, FollowerOptions{"config", entry::UpstreamPlan()}, calls,
-      [] { return uint64_t{7}; }, hooks);
   store.Put("config", "config", "1");
-  follower->Start();
-  Until([this] { return store.waiting_readers() == 1; });
+  Follow(entry::UpstreamPlan(), hooks);
   wanted = false;
   store.Put("config", "config", "2");
   Until([&] { return stops == 1; });
--- a/tests/process/test_evacuation.py
+++ b/tests/process/test_evacuation.py
@@ -5,20 +5,12 @@
 import unittest
 
 from tests.soak.platform import Platform, play
-from tests.soak.soak import Soak
-
-
-async def send_many(platform: Platform, seconds: float, seed: int = 1) -> None:
-    soak = Soak(0, seed, "")
-    soak._platform = platform
-    soak._routers = platform.routers
-    await soak._send_many(seconds)
 
 
 class Evacuation(unittest.TestCase):
     def test_a_zone_stays_empty_over_a_restart_of_all_routers_and_an_outage(self) -> None:
         async def scenario(platform: Platform) -> None:
-            await send_many(platform, 1)
+            await platform.send_many(1)
             self.assertGreater(platform.arrived_in("a"), 0)
             platform.evacuate("a")
             self.assertTrue(await platform.until_all_tell("evacuated_domains", 1))
@@ -26,9 +18,9 @@
             for router in platform.routers:
                 await router.restart(signal.SIGKILL)
             self.assertTrue(await platform.until_all_tell("ready", 1))
-            await send_many(platform, 1)
+            await platform.send_many(1)
             platform.store.down = {router.store_port for router in platform.routers}
-            await send_many(platform, 1.5)
+            await platform.send_many(1.5)
             self.assertEqual(platform.arrived_in("a"), before)
 
         play(scenario, routers=3, engines=4)
@@ -45,7 +37,7 @@
             platform.store.down = set()
             self.assertTrue(await platform.until_all_tell("evacuated_domains", 0))
             # The other zone takes all while these are cold.
-            await send_many(platform, 5)
+            await platform.send_many(5)
             self.assertGreater(platform.arrived_in("a"), before)
             self.assertEqual(platform.ledger.fell_over, [])
 
@@ -57,7 +49,7 @@
                 platform.evacuate(zone)
             self.assertTrue(await platform.until_all_tell("evacuated_domains", 2))
             before = platform.arrived_in("a") + platform.arrived_in("b")
-            await send_many(platform, 1)
+            await platform.send_many(1)
             self.assertEqual(platform.arrived_in("a") + platform.arrived_in("b"), before)
             logs = "".join(router.log() for router in platform.routers)
             self.assertIn("all its failure domains are evacuated", logs)
--- a/tests/process/test_large_table.py
+++ b/tests/process/test_large_table.py
@@ -3,21 +3,19 @@
 import asyncio
 import unittest
 
+from tests.process.test_crashing_request import ask
 from tests.soak.callers import HOST
-from tests.soak.http import read_message
 from tests.soak.platform import Platform, Router, play
 
 ROUTERS = 9  # three are active, three are next in turn
 
 
-async def ask(router: Router, number: int) -> int:
+async def lookup(router: Router, number: int) -> int:
     """A lookup at one router. Returns the status of its answer."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", router.front)
-    writer.write((f"GET /lookup/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r{number}\r\n"
-                  "Deadline-Ms: 3000\r\nAuthorization: Token key\r\n\r\n").encode())
-    reply, _ = await asyncio.wait_for(read_message(reader), 4)
-    writer.close()
-    return reply.status if reply else 0
+    status, _ = await ask(
+        router.front, f"GET /lookup/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r{number}\r\n"
+        "Deadline-Ms: 3000\r\nAuthorization: Token key\r\n\r\n")
+    return status
 
 
 async def standing_by(platform: Platform) -> list[Router]:
@@ -37,7 +35,7 @@
             others = await standing_by(platform)
             self.assertEqual(len(others), ROUTERS - 6)
             for number, router in enumerate(others * 5):
-                self.assertEqual(await ask(router, number), 200)
+                self.assertEqual(await lookup(router, number), 200)
 
         play(scenario, routers=ROUTERS, engines=2, read_mbs=0.0001)
 
@@ -51,7 +49,7 @@
             await asyncio.sleep(2)
             before = platform.ledger.arrived[left.name]
             for number, router in enumerate(others * 5):
-                self.assertEqual(await ask(router, number), 200)
+                self.assertEqual(await lookup(router, number), 200)
             self.assertEqual(platform.ledger.arrived[left.name], before)
 
         play(scenario, routers=ROUTERS, engines=2, read_mbs=0.0001)
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import tempfile
@@ -14,6 +15,9 @@
 
 PREPAID = 150_000
 ZONES = ["a", "b"]
+# Of the faults that need many requests; they spend an account of their own.
+PER_SECOND = 60
+OFFICE_IDS = "rx"
 # An entry goes when its upstream was silent for a while; another start follows.
 LAPSES_AFTER = 0.6
 STARTS_AFTER = 1.0
@@ -129,6 +133,8 @@
         self._seed = seed
         self._version = 1
         self._starts = 0
+        self._number = 0
+        self._random = random.Random(seed)
         self._births: list[asyncio.Task] = []
         self.prepaid = PREPAID
         self.store = Store(seed)
@@ -198,6 +204,30 @@
         return sum(self.ledger.arrived[server.name] for server in self.servers
                    if server.zone == zone)
 
+    async def send_many(self, seconds: float) -> None:
+        """Sends drafts about many things, so that all engines would get some."""
+        sends = []
+        for number in range(int(seconds * PER_SECOND)):
+            sends.append(asyncio.create_task(self.send(f"draft {number}", f"{number + 1:x}")))
+            await asyncio.sleep(1 / PER_SECOND)
+        await asyncio.gather(*sends)
+
+    async def send(self, body: str, prefix: str = "a") -> None:
+        """Sends a draft to some router; what comes of it is no matter."""
+        router = self._random.choice(self.routers)
+        self._number += 1
+        text = (f"POST /draft/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {OFFICE_IDS}{self._number}\r\n"
+                "Deadline-Ms: 3000\r\nAuthorization: Token office-key\r\nModel: m\r\n"
+                f"Token-Usage: 100,70\r\nPrefix-Hash: {prefix}:50,b:50\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}")
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", router.front)
+            writer.write(text.encode())
+            await asyncio.wait_for(read_message(reader), 4)
+            writer.close()
+        except (OSError, TimeoutError):
+            pass
+
     async def until_all_tell(self, figure: str, value: float, within: float = 10) -> bool:
         """Waits until all routers tell a figure. Returns whether they did."""
         for _ in range(int(within * 20)):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,18 +11,14 @@
 import sys
 import tempfile
 
-from tests.soak.callers import HOST, Callers
-from tests.soak.http import read_message
-from tests.soak.platform import PREPAID, ZONES, Platform
+from tests.soak.callers import Callers
+from tests.soak.platform import OFFICE_IDS, PREPAID, ZONES, Platform
 from tests.soak.servers import TOKENS_PER_EVENT
 
 ROUTERS = 5
 # Seconds from an event until all routers act on it, by the platform's bounds.
 CONTACT = 3.0
 DRAIN = 2.0
-# Of the faults that need many requests; they spend an account of their own.
-PER_SECOND = 60
-OFFICE_IDS = "rx"
 
 
 class Soak:
@@ -30,7 +26,6 @@
         self._seconds = seconds
         self._random = random.Random(seed)
         self._seed = seed
-        self._number = 0
         self._program = program
         self.faults: list[str] = []
         self._crashing = 0  # requests that end upstreams, so far
@@ -136,7 +131,7 @@
         ended = self._platform.ledger.ended
         before = len(ended)
         for _ in range(12):
-            await self._send(body)
+            await self._platform.send(body)
             await asyncio.sleep(0.4)
             if len(ended) - before > 3:
                 break
@@ -150,34 +145,10 @@
         if known - before < 3:
             return
         for _ in range(8):
-            await self._send(body)
+            await self._platform.send(body)
             await asyncio.sleep(0.1)
         self._ended_after = max(self._ended_after, len(ended) - known)
 
-    async def _send_many(self, seconds: float) -> None:
-        """Sends drafts about many things, so that all engines would get some."""
-        sends = []
-        for number in range(int(seconds * PER_SECOND)):
-            sends.append(asyncio.create_task(self._send(f"draft {number}", f"{number + 1:x}")))
-            await asyncio.sleep(1 / PER_SECOND)
-        await asyncio.gather(*sends)
-
-    async def _send(self, body: str, prefix: str = "a") -> None:
-        """Sends a draft to some router; what comes of it is no matter."""
-        router = self._random.choice(self._routers)
-        self._number += 1
-        text = (f"POST /draft/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {OFFICE_IDS}{self._number}\r\n"
-                "Deadline-Ms: 3000\r\nAuthorization: Token office-key\r\nModel: m\r\n"
-                f"Token-Usage: 100,70\r\nPrefix-Hash: {prefix}:50,b:50\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n{body}")
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", router.front)
-            writer.write(text.encode())
-            await asyncio.wait_for(read_message(reader), 4)
-            writer.close()
-        except (OSError, TimeoutError):
-            pass
-
     async def _leave_unheard(self) -> None:
         """An upstream leaves while the store is away, then ends in good order."""
         server = self._random.choice(self._platform.engines)
@@ -187,7 +158,7 @@
         await asyncio.sleep(DRAIN)
         arrived = self._platform.ledger.arrived
         before = arrived[server.name]
-        await self._send_many(3)
+        await self._platform.send_many(3)
         self._count_unwanted(arrived[server.name] - before)
         self._store.down = set()
         self._store.put("keyed.servers", server.name, server.entry("draining"))
@@ -206,17 +177,17 @@
             if overlap:
                 self.faults.append("+" + overlap.__name__.strip("_"))
                 await overlap()
-            await self._send_many(1.5)
+            await self._platform.send_many(1.5)
             self._sent_evacuated += self._platform.arrived_in(zone) - before
         self._platform.take_back(zone)
-        await self._send_many(1.5)
+        await self._platform.send_many(1.5)
 
     async def _return_cold(self) -> None:
         """Half of the engines, or all, end together and come back cold under load."""
         engines = self._platform.engines
         for server in engines[: len(engines) // self._random.choice([1, 2])]:
             server.die()
-        await self._send_many(3)
+        await self._platform.send_many(3)
 
     async def _ask_for_a_pause(self) -> None:
         server = self._random.choice(self._platform.engines)
@@ -225,7 +196,7 @@
         await asyncio.sleep(0.5)
         arrived = self._platform.ledger.arrived
         before = arrived[server.name]
-        await self._send_many(3)
+        await self._platform.send_many(3)
         self._count_unwanted(arrived[server.name] - before)
         server.die()
 
