--- a/tests/entry/unit-cold-fleet.cc
+++ b/tests/entry/unit-cold-fleet.cc
@@ -18,8 +18,7 @@
 // clang-format on
 
 TEST(ColdFleet, no_cold_upstream_gets_more_than_it_bears) {
-  // Engines fall over again as they come back: routers that see each other's
-  // work late all send to the same idle ones.
+  // Engines fall over again as they come back, as all routers send to them.
   for (const NamedPlay& one : ColdPlays()) {
     const ColdOutcome outcome = PlayCold(one.play, kSeeds);
     CHECK_TEXT(outcome.most_in_a_second <= kBound, one.name);
--- a/tests/entry/unit-member-list.cc
+++ b/tests/entry/unit-member-list.cc
@@ -127,8 +127,7 @@
 }
 
 TEST(MemberList, the_last_router_of_a_fleet_does_not_give_out_the_dead) {
-  // Callers are sent to VMs that lost power seven seconds ago. All routers but
-  // one are gone at once, and its own beats go on coming back.
+  // Callers are sent to VMs that lost power long ago.
   members.OnBeat(core::RouterId("router-3"), Beat("10.0.0.3:80", 1), At(0));
   for (uint64_t i = 0; i < 8; ++i) {
     const double now = 0.6 * static_cast<double>(i);
@@ -140,7 +139,6 @@
 }
 
 TEST(MemberList, routers_next_in_turn_know_it) {
-  // As many as the active ones again, so that those can be replaced at once.
   MemberList last(core::RouterId("router-20"), core::Duration(3'500'000), peers,
                   2);
   for (int i = 1; i <= 20; ++i) {
--- a/tests/entry/unit-table-readers.cc
+++ b/tests/entry/unit-table-readers.cc
@@ -76,8 +76,7 @@
 }
 
 TEST(TableReaders, all_following_a_large_table_are_seconds_late) {
-  // Work is sent to upstreams that left: 300 routers before 3,000 upstreams ask
-  // for more than twice what the store can send.
+  // Work goes to upstreams that left, as all routers learn of it too late.
   const TableCost cost = CostOf(3'000, 300);
   CHECK(LatenessAfter(20, cost, cost.routers) > 3);
   DOUBLES_EQUAL(0, LatenessAfter(20, cost, 40), 0.1);
--- a/tests/entry/unit-upstream-gate.cc
+++ b/tests/entry/unit-upstream-gate.cc
@@ -103,8 +103,7 @@
 }
 
 TEST(UpstreamGate, one_that_could_not_be_reached_is_tried_again_by_all) {
-  // A router that is none of its senders never sent to it again, so it never
-  // learned that the upstream is well.
+  // A router that is none of its senders never uses the upstream again.
   MemberList nobody(core::RouterId("router-9"), core::Duration(3'500'000),
                     contact);
   WarmUpSenders none(nobody, {});
--- a/tests/gateway/unit-evacuation.cc
+++ b/tests/gateway/unit-evacuation.cc
@@ -94,8 +94,7 @@
 }
 
 TEST(Evacuation, records_that_were_deleted_before_they_were_read_are_listed) {
-  // An upstream of an evacuated domain goes on getting work: the record was
-  // written and deleted while the router could not read.
+  // An evacuation is missed, as its record is gone before it is read.
   router.Start();
   WriteUnread("{}");
   CHECK(router.Until([&] {
@@ -132,8 +131,7 @@
 }
 
 TEST(Evacuation, nothing_is_sent_on_a_connection_that_opened_too_late) {
-  // While a connection is opened its upstream's domain is evacuated; the
-  // request would reach the upstream after the operators' bound.
+  // A domain is evacuated while a connection to its upstream is opened.
   ScriptedUpstream upstream(router.io);
   const auto connection =
       std::make_shared<UpstreamConnection>(router.io, upstream.address());
