Require all fields of an upstream's record, and keep output of failed process tests

process-kill and process-pause in KNOWN-RED.txt could not be traced because their logs were gone: the harness copies them now to build/failed-tests.

--- a/tests/platform/unit-documents.cc
+++ b/tests/platform/unit-documents.cc
@@ -85,7 +85,8 @@
   const auto read =
       ReadUpstream("i-1",
                    R"({"service": "s1", "address": "10.0.0.9:80", "zone": "a",
-          "slots": 64, "state": "draining", "sequence": 4, "born": 1700})");
+          "version": "v1", "slots": 64, "state": "draining", "sequence": 4,
+          "born": 1700})");
   CHECK(core::IsOk(read));
   CHECK_EQUAL(1700, *core::Value(read).start_number);
   CHECK(core::Value(read).leaving);
@@ -105,7 +106,7 @@
   // a field of its entry is missing, of another type or has an unknown value.
   const std::string good =
       R"({"service": "s", "address": "10.0.0.9:80", "zone": "a", "slots": 6,
-          "state": "ready"})";
+          "state": "ready", "version": "v1", "sequence": 4})";
   CHECK(core::IsOk(ReadUpstream("i-1", good)));
   const auto with = [&good](const std::string& from, const std::string& to) {
     std::string changed = good;
@@ -127,6 +128,11 @@
                              with("6", "0"),
                              with("6", "-3"),
                              with("6", "1e300"),
+                             with("\"version\"", "\"weights\""),
+                             with("\"v1\"", "1"),
+                             with("\"sequence\"", "\"count\""),
+                             with(": 4", ": \"4\""),
+                             with(": 4", ": null"),
                              with("{", "["),
                              "",
                              "null",
@@ -164,7 +170,8 @@
   const auto left = [](const std::string& value) {
     const auto read = ReadUpstream(
         "i-1", R"({"service": "s", "address": "10.0.0.1:1", "zone": "z",
-                   "slots": 4, "state": "ready", "warmupLeftMs": )" +
+                   "version": "v1", "sequence": 1, "slots": 4,
+                   "state": "ready", "warmupLeftMs": )" +
                    value + "}");
     return core::Value(read).warm_up_left;
   };
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -3,6 +3,8 @@
 import hashlib
 import itertools
 import os
+import shutil
+import sys
 import time
 import unittest
 from collections.abc import Callable, Iterable
@@ -41,6 +43,7 @@
     def setUp(self) -> None:
         self.fleet = Fleet(os.environ.get("COPPERVALVE_BUILD", "build"))
         self.addCleanup(self.fleet.close)
+        self.addCleanup(self._keep_output_of_failure)
         self.pool = ThreadPoolExecutor(max_workers=40)
         self.addCleanup(self.pool.shutdown)
         self.fleet.start_log()
@@ -50,6 +53,14 @@
         self.limits = dict(_LIMITS)
         self.max_queue_ms = 30_000
 
+    def _keep_output_of_failure(self) -> None:
+        """Copies the output of all processes to the build folder if the test failed."""
+        if self._outcome.success:
+            return
+        kept = self.fleet.build_folder / "failed-tests" / f"{self.id()}-{os.getpid()}"
+        shutil.copytree(self.fleet.folder, kept, dirs_exist_ok=True)
+        print(f"output of all processes: {kept}", file=sys.stderr)
+
     def start_upstreams(
         self,
         engines: int = 2,
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -84,7 +84,7 @@
         left = max(self._cold_until - asyncio.get_running_loop().time(), 0)
         return {"service": self.service, "address": self.address, "zone": self.zone,
                 "slots": 64, "state": state, "warmupLeftMs": int(left * 1000),
-                "sequence": 1}
+                "version": "v1", "sequence": 1}
 
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
