Keep the index of upstreams sorted, and use as many upstreams as the load needs

Cause: UpstreamDirectory sorted all upstreams of all services anew at each record that changed one, so a first list of 9,998 was 9,998 sorts, and a release thousands. Placer::Choose looked at each upstream of the service for each request, 9,808 where 420 requests are in progress, and spread them over all: a connection and a cold prefix cache nearly each time.

Change: ServiceIndex inserts and removes single upstreams, in an order by hash that all routers share. WorkingSets bounds the upstreams that are considered to a power of two that is at least the number of requests in progress of all routers, 128 at least, so services of up to 128 upstreams are placed as before. Unusable ones are replaced by the next in order; a set shrinks after 30 s.

Weighed: two random choices out of the whole (no look at each, but a connection and a cold cache each time); subsets by failure domain (the order by hash has all domains in each prefix already).

--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -11,6 +11,7 @@
 #include "coppervalve/entry/peer_loads.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/entry/upstream_gate.h"
+#include "coppervalve/entry/working_set.h"
 #include "coppervalve/routing/random_source.h"
 
 namespace coppervalve::entry {
@@ -109,10 +110,11 @@
          const UpstreamGate& gate,
          routing::RandomSource random);
 
-  /// @complexity linear in the upstreams of the service
+  /// @complexity linear in the working set of the service, and in the unusable
+  /// upstreams before its end
   Placement Choose(const UpstreamDirectory& directory,
                    const PlacementQuery& query,
-                   core::TimePoint now) const;
+                   core::TimePoint now);
   /// @return the prefill cost of a prompt, in tokens of a short one
   double PrefillCost(core::Tokens prompt) const;
 
@@ -133,6 +135,9 @@
   PlacementReason ReasonForNone(const std::vector<UpstreamRef>& upstreams,
                                 core::TimePoint now) const;
   Load LoadOf(const Upstream& upstream, const PlacementQuery& query) const;
+  /// @return requests of all routers in progress, including the next one
+  double LoadOf(const std::vector<UpstreamRef>& upstreams,
+                const PlacementQuery& query) const;
   Candidate CostAtEngine(const UpstreamRef& upstream,
                          const PlacementQuery& query,
                          uint64_t prefix,
@@ -153,6 +158,7 @@
   core::FailureDomainId m_own_domain;
   const PeerLoads& m_peers;
   const UpstreamGate& m_gate;
+  WorkingSets m_working_sets;
   routing::RandomSource m_random;
 };
 
--- a/include/coppervalve/entry/upstream_directory.h
+++ b/include/coppervalve/entry/upstream_directory.h
@@ -3,39 +3,22 @@
 
 #include <cstdint>        // uint8_t, uint32_t, int64_t
 #include <functional>     // function
-#include <memory>         // shared_ptr
 #include <optional>       // optional
 #include <string>         // string
 #include <unordered_map>  // unordered_map
+#include <unordered_set>  // unordered_set
 #include <utility>        // move
 #include <vector>         // vector
 
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
 #include "coppervalve/entry/advertised_limit.h"
-#include "coppervalve/entry/recent_prefixes.h"
+#include "coppervalve/entry/service_index.h"
 #include "coppervalve/entry/store_contact.h"
-#include "coppervalve/entry/upstream_health.h"
-#include "coppervalve/entry/upstream_senders.h"
-#include "coppervalve/entry/warm_up.h"
+#include "coppervalve/entry/upstream.h"
 
 namespace coppervalve::entry {
 
-/// @brief An upstream as it announces itself. Most starts have an id of their
-/// own; an upstream that restarts under its id announces a later
-/// `start_number`.
-struct UpstreamEntry {
-  core::UpstreamId id;
-  core::ServiceId service;
-  std::string address;  ///< "ip:port"; may be reused by another upstream
-  core::FailureDomainId failure_domain;
-  uint32_t slots = 1;
-  bool leaving = false;
-  std::optional<int64_t>
-      start_number;               ///< increases with each start under this id
-  core::Duration warm_up_left{};  ///< as of the time the entry was written
-};
-
 /// @brief How a router treats a record of the table.
 enum class RecordKind : uint8_t {
   kUsable,   ///< of an upstream that accepts work
@@ -60,25 +43,6 @@
   kDropped,   ///< it was known; the record no longer names an upstream
 };
 
-/// @brief One start of an upstream with the state that this router tracks for
-/// it.
-struct Upstream {
-  UpstreamEntry entry;
-  UpstreamHealth health;
-  uint32_t load_key = 0;   ///< its id in load reports
-  uint32_t in_flight = 0;  ///< requests of this router
-  double in_prefill = 0;   ///< prefill cost of requests without a response yet
-  RecentPrefixes prefixes;
-  WarmUpState warm_up;
-  AdvertisedLimit limit;
-  mutable SenderRank sender_rank;
-  /// When the entry expired while the store was disturbed; it may return soon.
-  std::optional<core::TimePoint> expired_at;
-  core::TimePoint paused_until{};  ///< end of the pause that it requested
-};
-
-using UpstreamRef = std::shared_ptr<Upstream>;
-
 /// @brief Constants of the directory.
 struct DirectoryOptions {
   /// Entries that expired while the store was unavailable return within this
@@ -145,13 +109,20 @@
 
   /// @return the upstreams of a service that are not leaving; the reference is
   /// valid until the next change
-  const std::vector<UpstreamRef>& Of(const core::ServiceId& service) const;
+  const std::vector<UpstreamRef>& Of(const core::ServiceId& service) const {
+    return m_by_service.Of(service);
+  }
   UpstreamRef Find(const core::UpstreamId& id) const;
   /// @return the upstream with this id in load reports; null if there is none
   UpstreamRef FindByLoadKey(uint32_t key) const;
   const std::unordered_map<core::UpstreamId, UpstreamRef>& all() const {
     return m_by_id;
   }
+  /// @brief A request is sent to an upstream.
+  void MarkBusy(const UpstreamRef& upstream);
+  /// @return the listed upstreams with requests of this router in progress
+  /// @complexity linear in these, not in all upstreams
+  const std::unordered_set<UpstreamRef>& Busy();
   size_t size() const { return m_by_id.size(); }
   /// @return number of upstreams with a known limit
   /// @complexity linear
@@ -169,13 +140,13 @@
   DirectoryChange Drop(const core::UpstreamId& id);
   void Forget(const core::UpstreamId& id);
   void NotifyGone(const UpstreamEntry& entry) const;
-  void Rebuild();
 
   DirectoryOptions m_options;
   OnGone m_on_gone;
   bool m_list_read = false;  ///< upstreams that appear later have just started
   std::unordered_map<core::UpstreamId, UpstreamRef> m_by_id;
-  std::unordered_map<core::ServiceId, std::vector<UpstreamRef>> m_by_service;
+  ServiceIndex m_by_service;  ///< those that are not leaving
+  std::unordered_set<UpstreamRef> m_busy;
   std::unordered_map<uint32_t, UpstreamRef> m_by_load_key;
   bool m_limits_received = false;
   /// Latest start seen under each id, including removed ones.
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -40,7 +40,7 @@
   entry::UpstreamDirectory& directory;
   const entry::Policy& policy;
   const entry::UpstreamGate& gate;
-  const entry::Placer& placer;
+  entry::Placer& placer;
   entry::PrefillTimeEstimator& pace;
   entry::RetryBudgetShare& retries;
   entry::AllocationLedger& book;
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -105,7 +105,7 @@
 
 Placement Placer::Choose(const UpstreamDirectory& directory,
                          const PlacementQuery& query,
-                         core::TimePoint now) const {
+                         core::TimePoint now) {
   const std::vector<UpstreamRef>& upstreams = directory.Of(query.service);
   if (upstreams.empty()) {
     return {};
@@ -118,6 +118,7 @@
       continue;
     }
     Placement placement = Cheapest(usable, query, now);
+    m_working_sets.OnLoad(query.service, LoadOf(usable, query), now);
     if (required_trust == Trust::kNone) {
       placement.why = PlacementReason::kLastResort;
     }
@@ -151,8 +152,12 @@
     const PlacementQuery& query,
     Trust required_trust,
     core::TimePoint now) const {
+  const size_t most = m_working_sets.SizeOf(query.service);
   std::vector<UpstreamRef> usable;
   for (const UpstreamRef& upstream : upstreams) {
+    if (usable.size() == most) {
+      break;
+    }
     // An upstream whose entry expired may be gone; it is used only if nothing
     // else is left.
     const Trust trust =
@@ -188,6 +193,15 @@
           upstream.in_prefill * (1 + silent) + peers.in_prefill};
 }
 
+double Placer::LoadOf(const std::vector<UpstreamRef>& upstreams,
+                      const PlacementQuery& query) const {
+  double in_flight = 1;
+  for (const UpstreamRef& upstream : upstreams) {
+    in_flight += LoadOf(*upstream, query).in_flight;
+  }
+  return in_flight;
+}
+
 Placer::Candidate Placer::CostAtEngine(const UpstreamRef& upstream,
                                        const PlacementQuery& query,
                                        uint64_t prefix,
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -1,9 +1,10 @@
 #include "coppervalve/entry/upstream_directory.h"
 
-#include <algorithm>      // count_if, max, min, sort
+#include <algorithm>      // count_if, max, min
 #include <string>         // to_string
 #include <unordered_set>  // unordered_set
 
+#include "coppervalve/core/hash.h"
 #include "coppervalve/entry/peer_loads.h"
 
 namespace coppervalve::entry {
@@ -134,8 +135,8 @@
   if (!known || upstream->entry.leaving) {
     return false;
   }
+  m_by_service.Erase(upstream);
   upstream->entry.leaving = true;
-  Rebuild();
   return true;
 }
 
@@ -236,6 +237,9 @@
       return DirectoryChange::kNothing;
     }
   }
+  if (known) {
+    m_by_service.Erase(known);
+  }
   if (restarted) {
     m_by_load_key.erase(known->load_key);
     known->entry.leaving = true;
@@ -243,6 +247,7 @@
   }
   if (!known || restarted) {
     known = std::make_shared<Upstream>();
+    known->order = core::Hash64(entry.id.value());
     known->load_key = LoadKeyOf(put);
     m_by_load_key[known->load_key] = known;
     if (m_list_read || restarted) {
@@ -253,7 +258,9 @@
   }
   known->entry = put;
   known->expired_at.reset();
-  Rebuild();
+  if (!known->entry.leaving) {
+    m_by_service.Insert(known);
+  }
   return restarted ? DirectoryChange::kNewStart : DirectoryChange::kChanged;
 }
 
@@ -264,7 +271,6 @@
     return DirectoryChange::kNothing;
   }
   Forget(id);
-  Rebuild();
   return DirectoryChange::kDropped;
 }
 
@@ -286,7 +292,6 @@
   if (known_to_leave || ReturnTimeIsOver(contact, now)) {
     NotifyGone(upstream->entry);
     Forget(id);
-    Rebuild();
     return true;
   }
   if (!upstream->expired_at) {
@@ -340,17 +345,22 @@
     NotifyGone(m_by_id.at(id)->entry);
     Forget(id);
   }
-  if (!gone.empty()) {
-    Rebuild();
-  }
   return gone;
 }
 
-const std::vector<UpstreamRef>& UpstreamDirectory::Of(
-    const core::ServiceId& service) const {
-  static const std::vector<UpstreamRef> none;
-  const auto found = m_by_service.find(service);
-  return found == m_by_service.end() ? none : found->second;
+// An upstream that a peer placed a request on is not listed here, and has no
+// key in load reports.
+void UpstreamDirectory::MarkBusy(const UpstreamRef& upstream) {
+  if (upstream->load_key != 0) {
+    m_busy.insert(upstream);
+  }
+}
+
+const std::unordered_set<UpstreamRef>& UpstreamDirectory::Busy() {
+  std::erase_if(m_busy, [this](const UpstreamRef& upstream) {
+    return upstream->in_flight == 0 || Find(upstream->entry.id) != upstream;
+  });
+  return m_busy;
 }
 
 UpstreamRef UpstreamDirectory::Find(const core::UpstreamId& id) const {
@@ -376,6 +386,7 @@
     return;
   }
   RememberLimit(*found->second);
+  m_by_service.Erase(found->second);
   // Requests in progress keep the object, which must not look usable to them.
   found->second->entry.leaving = true;
   m_by_load_key.erase(found->second->load_key);
@@ -388,20 +399,4 @@
   }
 }
 
-void UpstreamDirectory::Rebuild() {
-  m_by_service.clear();
-  for (const auto& [id, upstream] : m_by_id) {
-    if (!upstream->entry.leaving) {
-      m_by_service[upstream->entry.service].push_back(upstream);
-    }
-  }
-  // All routers use the same order, whatever order the records were read in.
-  for (auto& [service, upstreams] : m_by_service) {
-    std::sort(upstreams.begin(), upstreams.end(),
-              [](const UpstreamRef& a, const UpstreamRef& b) {
-                return a->entry.id < b->entry.id;
-              });
-  }
-}
-
 }  // namespace coppervalve::entry
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -101,6 +101,7 @@
   m_attempt->total_prefill = placement.total_prefill;
   m_attempt->cost = placement.cost;
   ++upstream->in_flight;
+  m_context.directory.MarkBusy(upstream);
   upstream->in_prefill += m_attempt->prefill_cost;
   if (!m_facts.shared_prefix.empty()) {
     upstream->prefixes.Insert(core::Hash64(m_facts.shared_prefix), now);
--- a/tests/entry/unit-placement.cc
+++ b/tests/entry/unit-placement.cc
@@ -60,8 +60,8 @@
   const std::string owner = Chosen();
   PeerLoads other_peers{core::Duration(800'000)};
   uint64_t other_draw = 77;
-  const Placer other({}, core::FailureDomainId("fd-b"), other_peers, gate,
-                     [&] { return other_draw += 13; });
+  Placer other({}, core::FailureDomainId("fd-b"), other_peers, gate,
+               [&] { return other_draw += 13; });
   const Placement placement = other.Choose(directory, query, At(1));
   CHECK(placement.upstream->entry.id.value() == owner);
   CHECK(placement.why == PlacementReason::kPrefixOwner);
