Let requests wait for a claim that is already in the log

Cause: MayBecomeSpendable added the granted ceiling to the tokens that nobody has claimed. The claim that the request itself had triggered reduces these as soon as it is written, so a second look before the claim was granted refused the request ("other routers hold the remaining tokens").

Change: the higher of the granted and the written ceiling counts.

--- a/src/entry/allocation_ledger.cc
+++ b/src/entry/allocation_ledger.cc
@@ -194,6 +194,9 @@
   state.fleet_demand.Add(used, now);
 }
 
+// A claim that is written and not granted yet has reduced the free tokens
+// already. If only the granted ceiling counted, a request that waits for that
+// claim would be refused although nobody else has the tokens.
 bool AllocationLedger::MayBecomeSpendable(const core::AccountId& account,
                                           core::Tokens tokens) const {
   const auto found = m_accounts.find(account);
@@ -203,7 +206,8 @@
   const AccountState& state = found->second;
   const core::Tokens more =
       state.rationed ? std::min(Free(state), state.ration) : Free(state);
-  return more + state.ceiling - InUse(state) >= tokens;
+  const core::Tokens claimed = std::max(state.ceiling, state.written_ceiling);
+  return more + claimed - InUse(state) >= tokens;
 }
 
 double AllocationLedger::PriorShare() const {
--- a/tests/entry/unit-allocation-ledger.cc
+++ b/tests/entry/unit-allocation-ledger.cc
@@ -135,6 +135,21 @@
   CHECK(book.Reserve(kGate, large, At(0)) == ReserveResult::kReserved);
 }
 
+TEST(AllocationLedger, a_request_that_a_claim_in_progress_covers_may_wait) {
+  // The claim for a large request of a small account is in the log and takes
+  // most of what is free. A second look must not refuse the request because the
+  // rest alone is too small.
+  WriteAndRead(0);
+  const core::Tokens large(60'000);
+  CHECK(book.Reserve(kGate, large, At(1)) == ReserveResult::kAboveCeiling);
+  CHECK(book.MayBecomeSpendable(kGate, large));
+  Write(1);
+  CHECK(book.MayBecomeSpendable(kGate, large));
+  book.OnOwnHeartbeat(written);
+  CHECK(book.Reserve(kGate, large, At(1)) == ReserveResult::kReserved);
+  CHECK_FALSE(book.MayBecomeSpendable(kGate, large));
+}
+
 TEST(AllocationLedger, an_account_that_uses_one_router_gets_its_ceiling_there) {
   // Guards against an account being refused during a partition at the only
   // router it uses, while other routers hold unused ceilings for it.
