--- a/include/coppervalve/entry/heartbeat_rate.h
+++ b/include/coppervalve/entry/heartbeat_rate.h
@@ -13,9 +13,10 @@
 
 /// @brief Limits how often a router may write to the store.
 struct HeartbeatLimits {
-  double store_writes_per_second = 0;  ///< of the whole fleet
-  uint32_t live = 1;                   ///< routers that write heartbeats
-  uint32_t active = 1;                 ///< active routers among them
+  /// Writes of the whole fleet that the store can process.
+  double store_writes_per_second = 0;
+  uint32_t live = 1;    ///< routers that write heartbeats
+  uint32_t active = 1;  ///< active routers among them
   bool self_active = true;
 };
 
@@ -26,6 +27,11 @@
 /// for a claim
 core::Duration ExpeditedDelay(const HeartbeatLimits& limits);
 
+/// @return upper end of the random delay before a write that all routers make
+/// for the same reason, such as the return of the store; 0 for active routers,
+/// for which callers wait
+core::Duration MaxSpreadDelay(const HeartbeatLimits& limits);
+
 }  // namespace coppervalve::entry
 
 #endif  // COPPERVALVE_ENTRY_HEARTBEAT_RATE_H_
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>      // uint32_t
 #include <map>          // map
+#include <optional>     // optional
 #include <set>          // set
 #include <string>       // string
 #include <string_view>  // string_view
@@ -12,6 +13,7 @@
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
 #include "coppervalve/entry/active_set.h"
+#include "coppervalve/entry/fleet_view.h"
 #include "coppervalve/entry/peer_contact.h"
 #include "coppervalve/entry/store_contact.h"
 
@@ -22,8 +24,8 @@
 /// divided.
 class MemberList {
  public:
-  /// @param silence time without a heartbeat after which a router counts as
-  /// failed, while the store is readable
+  /// @param silence minimum time without a heartbeat after which a router
+  /// counts as failed, while the store is readable
   /// @param least_active minimum number of active routers, if there are as many
   MemberList(core::RouterId self,
              core::Duration silence,
@@ -34,13 +36,23 @@
         m_peers(peers),
         m_least_active(least_active) {}
 
-  void OnHeartbeat(const core::RouterId& router,
-                   const v1::RouterBeat& beat,
-                   core::TimePoint now);
+  /// @brief Takes a heartbeat, which counts from the next Refresh() or
+  /// Advance() on.
+  void OnHeartbeat(const core::RouterId& router, const v1::RouterBeat& beat);
+  /// @brief Updates the active routers after heartbeats were read.
+  void Refresh(core::TimePoint now);
+  /// @brief Takes over the view of another router instead of heartbeats, until
+  /// the next Refresh().
+  void AdoptView(FleetView view);
+  /// @return what this router knows of the fleet
+  FleetView View() const;
   /// @param contact with the topic of the heartbeats. Time counts as silence
   /// only while the topic is readable. If no heartbeat of any router is read,
   /// the list stays unchanged for a while.
-  void Advance(const StoreContact& contact, core::TimePoint now);
+  /// @param longest_period longest regular time between heartbeats of a router
+  void Advance(const StoreContact& contact,
+               core::TimePoint now,
+               core::Duration longest_period = {});
 
   /// @return addresses of the active routers for callers
   std::vector<std::string> Addresses() const;
@@ -66,13 +78,17 @@
   bool SelfOwns(std::string_view key) const;
   /// @return address of a live router for datagrams; empty if it has none
   std::string LoadAddressOf(const core::RouterId& router) const;
+  /// @return time since a router was last seen for the first time; 0 if none
+  /// was seen yet
+  core::Duration SinceLastJoined(core::TimePoint now) const {
+    return m_counted == 0 ? core::Duration::zero() : now - m_last_joined;
+  }
   /// @return number of live routers, this one included; at least 1
   uint32_t LiveCount() const;
 
  private:
   struct Member {
-    std::string address;
-    std::string load_address;
+    RouterAddresses addresses;
     core::FailureDomainId failure_domain;
     double capacity = 0;
     double load = 0;
@@ -85,8 +101,9 @@
     core::Duration silent_for{};
   };
   core::Duration ShortestSilence() const;
-  void DropSilent();
+  void DropSilent(core::Duration silence);
   void UpdateActive(core::TimePoint now);
+  void SetActive(std::map<core::RouterId, RouterAddresses> active);
   double Load() const;
 
   core::RouterId m_self;
@@ -94,7 +111,12 @@
   const PeerContact& m_peers;
   size_t m_least_active;
   std::map<core::RouterId, Member> m_members;
-  std::set<core::RouterId> m_active;
+  std::map<core::RouterId, RouterAddresses> m_active;
+  std::set<core::RouterId> m_next;  ///< become active first
+  bool m_outdated = false;          ///< heartbeats changed the candidates
+  size_t m_counted = 0;             ///< members at the last refresh
+  core::TimePoint m_last_joined{};  ///< when a router was last seen first
+  std::optional<FleetView> m_view;  ///< of another router
   uint64_t m_active_version = 1;
   bool m_self_active_or_next = false;
   double m_required_capacity = 0;  ///< requests per second of active routers
--- a/include/coppervalve/entry/policy.h
+++ b/include/coppervalve/entry/policy.h
@@ -25,6 +25,9 @@
   /// Minimum number of routers that callers are directed to, by capacity; more
   /// are used if the load requires it.
   double least_active = 3;
+  /// The size of the fleet is known when no router was seen for the first time
+  /// within this time.
+  core::Duration settle{2'000'000};
   /// Take the load reports of other routers into account.
   bool load_reports = true;
 };
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -19,12 +19,13 @@
 #include "coppervalve/entry/policy.h"
 #include "coppervalve/entry/retry_budget_share.h"
 #include "coppervalve/entry/store_contact.h"
-#include "coppervalve/entry/table_subscription.h"
+#include "coppervalve/entry/topic_subscription.h"
 #include "coppervalve/entry/transfer_reply_cache.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/gateway/crash_monitor.h"
 #include "coppervalve/gateway/event_log.h"
 #include "coppervalve/gateway/exchange.h"
+#include "coppervalve/gateway/fleet_view_client.h"
 #include "coppervalve/gateway/gateway_metrics.h"
 #include "coppervalve/gateway/heartbeat_writer.h"
 #include "coppervalve/gateway/keyed_store.h"
@@ -71,6 +72,8 @@
   double store_writes_per_second = 600;
   /// Bytes per second that the store sends to the whole fleet; 0 = unknown.
   double store_read_bytes_per_second = 0;
+  /// Reads per second that the store accepts from the whole fleet; 0 = unknown.
+  double store_reads_per_second = 0;
   /// Interval between two records of the same upstream; 0 = unknown.
   core::Duration upstream_heartbeat{};
   /// Size of this VM; 0 = unknown.
@@ -129,6 +132,8 @@
                       const core::Error& error,
                       core::TimePoint began);
   entry::HeartbeatLimits Limits() const;
+  core::Duration LongestHeartbeatPeriod() const;
+  core::Duration FirstWriteDelay(bool size_unknown) const;
   void ComposeHeartbeat(v1::RouterBeat& beat);
   double Capacity() const;
   void NotifyGrantWaiters();
@@ -138,17 +143,25 @@
   std::optional<core::Duration> TimeUntilShutdown() const;
   bool Ready() const;
   bool KnowsUpstreams() const;
+  bool FleetSizeKnown() const;
+  bool ClaimsAsActive(core::TimePoint now) const;
   void UpdateTableReading();
   void OnTableReadingStopped();
   entry::ConfigurationView View() const;
 
   void MakeFollowers();
+  core::Duration StartingPause() const;
   void MakeHeartbeatWriter();
   void BindLoadPort();
   void MakePeerMessenger();
   void StartLoadReports(uint64_t epoch);
   void MakeTokenRequester();
   void OnTokenAsk(const v1::TokenAsk& ask);
+  void MakeFleetViewClient();
+  void OnFleetViewAsk(const v1::FleetViewAsk& ask);
+  entry::TopicCost HeartbeatCost() const;
+  void UpdateHeartbeatReading();
+  void OnHeartbeatReadingStopped();
   void MakePlacementClient();
   void OnPlaceAsk(const v1::PlaceAsk& ask);
   core::Status MakeListeners();
@@ -188,7 +201,12 @@
   CrashMonitor m_crashes;
   std::optional<ExchangeContext> m_context;
 
-  entry::TableSubscription m_table_readers;
+  entry::TopicSubscription m_table_readers;
+  /// Heartbeats are read by a small part of a large fleet: unlike the table of
+  /// upstreams they are written by the fleet itself, so their bytes grow with
+  /// its square.
+  entry::TopicSubscription m_heartbeat_readers{{.max_store_share = 0.1}};
+  bool m_follows_heartbeats = true;
   std::unordered_map<std::string, std::string> m_upstream_documents;
   std::shared_ptr<TopicFollower> m_configuration;
   std::shared_ptr<TopicFollower> m_upstreams;
@@ -202,6 +220,7 @@
   std::string m_boot;  ///< boot id of the VM; empty when unknown
   std::unique_ptr<TokenRequester> m_token_requester;
   std::unique_ptr<PlacementClient> m_placement_client;
+  std::unique_ptr<FleetViewClient> m_fleet_view_client;
   entry::TransferReplyCache m_transfer_replies;
   std::vector<std::shared_ptr<Listener>> m_listeners;
   std::shared_ptr<Listener> m_callers;
@@ -218,9 +237,13 @@
   /// All heartbeat records before this offset have been read.
   uint64_t m_heartbeats_read_to = 0;
   bool m_upstreams_known = false;
+  size_t m_upstreams_listed = 0;  ///< by the pages of the table read so far
   bool m_first_heartbeat_read = false;
   bool m_was_ready = false;
   bool m_was_active = false;
+  bool m_claimed_as_active = false;
+  uint64_t m_first_claim_sequence = 0;  ///< heartbeat with it; 0 = none yet
+  bool m_claims_read = false;           ///< that heartbeat was read back
   uint32_t m_active_logged = 0;
   double m_hold_logged = 1;
   std::optional<core::TimePoint> m_leaving_since;
--- a/include/coppervalve/gateway/heartbeat_writer.h
+++ b/include/coppervalve/gateway/heartbeat_writer.h
@@ -9,6 +9,7 @@
 #include <string>      // string
 
 #include "coppervalve/beat.pb.h"
+#include "coppervalve/entry/write_pacing.h"
 #include "coppervalve/gateway/keyed_store.h"
 #include "coppervalve/routing/random_source.h"
 
@@ -18,7 +19,7 @@
 struct HeartbeatOptions {
   std::string topic;
   std::string router;  ///< key of the record and id of the writer
-  core::Duration retry{150'000};
+  entry::WritePacingOptions pacing;
 };
 
 /// @brief Writes this router's heartbeats to the store, one at a time and in
@@ -38,6 +39,10 @@
     std::function<core::Duration()> period;
     /// Minimum delay before an expedited heartbeat.
     std::function<core::Duration()> expedited_delay;
+    /// Upper end of a random delay before writes that all routers make at once.
+    std::function<core::Duration()> max_spread_delay;
+    /// Whether callers depend on the heartbeats of this router.
+    std::function<bool()> urgent;
     /// The epoch is announced: earlier starts cannot write at or after `end`.
     std::function<void(uint64_t epoch, uint64_t end)> on_epoch_announced;
     std::function<void(const v1::RouterBeat& beat)> on_written;
@@ -53,17 +58,23 @@
                   Hooks hooks);
 
   /// @param last_epoch epoch of this router's newest record; 0 when it has none
-  void Start(uint64_t last_epoch);
+  /// @param expected_delay of the first write, if all routers write at once
+  void Start(uint64_t last_epoch, core::Duration expected_delay);
   /// @brief Starts writing heartbeats, once all earlier records have been read.
   void StartHeartbeats();
   /// @brief Writes the next heartbeat early.
   void Expedite();
+  /// @brief Writes the next heartbeat early, but not at the same moment as all
+  /// other routers. A failed write is repeated without further backoff.
+  void ExpediteSpread();
   uint64_t epoch() const { return m_epoch; }
 
  private:
   void AnnounceEpoch();
   void WriteNext();
   void Append();
+  void Retry(const core::Error& error, void (HeartbeatWriter::*step)());
+  core::Duration SpreadDelay();
   void OnAppended(const core::Result<WriteReceipt>& result);
   void Schedule(core::Duration delay, void (HeartbeatWriter::*step)());
 
@@ -73,10 +84,14 @@
   Hooks m_hooks;
   boost::asio::steady_timer m_timer;
   v1::RouterBeat m_beat;
+  entry::WritePacing m_pacing;
+  core::TimePoint m_call_started{};
   uint64_t m_epoch = 0;
   uint64_t m_sequence = 0;
   bool m_heartbeats_started = false;
   bool m_in_flight = false;
+  /// The failed step while it waits to be repeated; otherwise null.
+  void (HeartbeatWriter::*m_retry)() = nullptr;
   bool m_expedited = false;
   bool m_stopped = false;
 };
--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -76,9 +76,11 @@
                      Handler<RecordBatch>)>
       read;
   /// Appends one record; a record with an empty key only announces the epoch.
+  /// @param timeout time to wait for the reply
   std::function<void(const std::string& topic,
                      const KeyedRecord& record,
                      const WriterPosition& position,
+                     core::Duration timeout,
                      Handler<WriteReceipt>)>
       append;
 };
--- a/include/coppervalve/gateway/peer_messenger.h
+++ b/include/coppervalve/gateway/peer_messenger.h
@@ -31,6 +31,8 @@
     std::function<void(const v1::TokenGift&)> on_gift;
     std::function<void(const v1::PlaceAsk&)> on_placement_request;
     std::function<void(const v1::PlaceAnswer&)> on_place_answer;
+    std::function<void(const v1::FleetViewAsk&)> on_view_request;
+    std::function<void(const v1::FleetViewAnswer&)> on_view;
   };
 
   PeerMessenger(boost::asio::io_context& io, std::string router, Hooks hooks);
@@ -47,6 +49,7 @@
  private:
   void Receive();
   void HandleDatagram(size_t size);
+  void HandleView(const v1::PeerDatagram& datagram);
   void SendReport();
   void SendTo(const std::string& address, const std::string& bytes);
 
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -31,6 +31,9 @@
  public:
   struct Hooks {
     std::function<void(const std::vector<KeyedRecord>&)> on_newest;
+    /// A page of the newest records was read; `listed` counts those of all
+    /// pages so far. Optional.
+    std::function<void(size_t listed)> on_page;
     std::function<void(const KeyedRecord&)> on_record;
     /// A batch was delivered; all records before `next` have been read.
     std::function<void(uint64_t next)> on_read;
@@ -67,6 +70,7 @@
   void OnBatch(const core::Result<RecordBatch>& result);
   void Deliver(const std::vector<KeyedRecord>& records);
   void HandleFailure(const core::Error& error);
+  bool StopIfNotNeeded();
   void ScheduleStep(const entry::ReadStep& step);
   void RunAfter(core::Duration delay, void (TopicFollower::*step)());
 
--- a/src/entry/heartbeat_rate.cc
+++ b/src/entry/heartbeat_rate.cc
@@ -11,7 +11,8 @@
 // Requests that arrive within this time share one claim. The delay is short
 // compared with the latency objective of 250 ms.
 constexpr core::Duration kMinExpeditedDelay{30'000};
-// Share of the fleet's store writes that heartbeats may use.
+// Share of the store's writes that the heartbeats of active routers may use,
+// and as much again those of standbys.
 constexpr double kHeartbeatShareOfWrites = 0.4;
 
 // Time between writes of each router such that `routers` together stay within
@@ -26,12 +27,15 @@
 }  // namespace
 
 // The write rate of the store is shared by the fleet, so the period grows with
-// the number of routers.
+// the number of routers. Active routers have a share of their own: there are
+// few of them, and their claims must not become rarer as the fleet grows.
 core::Duration HeartbeatPeriod(const HeartbeatLimits& limits) {
-  const core::Duration regular =
-      limits.self_active ? kDefaultHeartbeatPeriod
-                         : kDefaultHeartbeatPeriod * kStandbyPeriodFactor;
-  return std::max(regular, IntervalPerRouter(limits.live, limits));
+  if (limits.self_active) {
+    return std::max(kDefaultHeartbeatPeriod,
+                    IntervalPerRouter(limits.active, limits));
+  }
+  return std::max(kDefaultHeartbeatPeriod * kStandbyPeriodFactor,
+                  IntervalPerRouter(limits.live, limits));
 }
 
 // After a loss routers have little headroom, so most requests trigger a claim
@@ -42,4 +46,9 @@
   return std::max(kMinExpeditedDelay, IntervalPerRouter(limits.active, limits));
 }
 
+core::Duration MaxSpreadDelay(const HeartbeatLimits& limits) {
+  return limits.self_active ? core::Duration::zero()
+                            : IntervalPerRouter(limits.live, limits);
+}
+
 }  // namespace coppervalve::entry
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -26,6 +26,8 @@
 // If all other routers are silent, they count as failed only after this many
 // times the silence time of one.
 constexpr int kAllSilentFactor = 3;
+// A router has failed if it misses this many halves of its period.
+constexpr int kSilentPeriods = 3;
 // With only one other router, its silence cannot be distinguished from the
 // silence of all others.
 constexpr size_t kMaxAmbiguousMembers = 2;
@@ -33,8 +35,7 @@
 }  // namespace
 
 void MemberList::OnHeartbeat(const core::RouterId& router,
-                             const v1::RouterBeat& beat,
-                             core::TimePoint now) {
+                             const v1::RouterBeat& beat) {
   Member& member = m_members[router];
   const bool newer =
       beat.epoch() > member.epoch ||
@@ -45,8 +46,7 @@
   const bool changed =
       member.ready != beat.ready() || member.leaving != beat.leaving();
   member = Member();
-  member.address = beat.caller_address();
-  member.load_address = beat.load_address();
+  member.addresses = {beat.caller_address(), beat.load_address()};
   member.epoch = beat.epoch();
   member.sequence = beat.sequence();
   member.ready = beat.ready();
@@ -55,21 +55,50 @@
   member.capacity = beat.capacity();
   member.load = beat.load();
   member.upstreams = beat.upstreams();
-  if (changed) {
+  m_outdated = m_outdated || changed;
+}
+
+// Selecting the active routers takes longer than reading a heartbeat, and a
+// large fleet that starts changes with every heartbeat.
+void MemberList::Refresh(core::TimePoint now) {
+  m_view.reset();
+  if (m_members.size() != m_counted) {
+    m_counted = m_members.size();
+    m_last_joined = now;
+  }
+  if (m_outdated) {
     UpdateActive(now);
   }
 }
 
-void MemberList::Advance(const StoreContact& contact, core::TimePoint now) {
+void MemberList::AdoptView(FleetView view) {
+  m_self_active_or_next =
+      view.active.contains(m_self) || view.next.contains(m_self);
+  SetActive(view.active);
+  m_view = std::move(view);
+}
+
+FleetView MemberList::View() const {
+  FleetView view;
+  view.active = m_active;
+  view.next = m_next;
+  view.live = LiveCount();
+  view.upstreams = MaxUpstreamCount();
+  return view;
+}
+
+void MemberList::Advance(const StoreContact& contact,
+                         core::TimePoint now,
+                         core::Duration longest_period) {
   const core::Duration step = now - m_advanced;
   m_advanced = now;
-  if (!contact.up() || step > kMaxStep) {
+  if (m_view || !contact.up() || step > kMaxStep) {
     return;
   }
   for (auto& [router, member] : m_members) {
     member.silent_for += step;
   }
-  DropSilent();
+  DropSilent(std::max(m_silence, longest_period * kSilentPeriods / 2));
   m_required_capacity =
       std::max(m_required_capacity * kCapacityDecay, Load() * kLoadHeadroom);
   UpdateActive(now);
@@ -90,7 +119,7 @@
 // shows that the log works, so the silent routers have failed. (If its own did
 // not count, the last router of a fleet would keep announcing failed ones.) If
 // no heartbeat is read for long, all others are considered failed.
-void MemberList::DropSilent() {
+void MemberList::DropSilent(core::Duration silence) {
   const core::Duration shortest = ShortestSilence();
   const bool all_silent =
       m_members.size() > kMaxAmbiguousMembers && shortest >= m_silence;
@@ -98,7 +127,7 @@
     return;
   }
   for (auto& [router, member] : m_members) {
-    const bool silent = router != m_self && member.silent_for >= m_silence;
+    const bool silent = router != m_self && member.silent_for >= silence;
     member.live = member.live && !silent;
   }
 }
@@ -114,6 +143,7 @@
 // A router whose direct reports stopped is left out sooner than its missing
 // heartbeats would show.
 void MemberList::UpdateActive(core::TimePoint now) {
+  m_outdated = false;
   std::vector<Candidate> candidates;
   for (const auto& [router, member] : m_members) {
     const bool lost = router != m_self && m_peers.IsLost(router, now);
@@ -127,21 +157,27 @@
   ActiveSetRequirements with_next = requirements;
   with_next.requests_per_second *= kNextStandbysFactor;
   with_next.min_routers *= kNextStandbysFactor;
-  std::set<core::RouterId> active;
-  m_self_active_or_next = false;
+  std::map<core::RouterId, RouterAddresses> active;
+  m_next.clear();
   double capacity = 0;
   // The selection for lower requirements is a prefix of the one for higher
   // ones.
   for (const Candidate& chosen :
        SelectActive(std::move(candidates), with_next)) {
-    m_self_active_or_next = m_self_active_or_next || chosen.router == m_self;
     const bool enough = active.size() >= requirements.min_routers &&
                         capacity >= requirements.requests_per_second;
-    if (!enough) {
-      capacity += chosen.capacity;
-      active.insert(chosen.router);
+    if (enough) {
+      m_next.insert(chosen.router);
+      continue;
     }
+    capacity += chosen.capacity;
+    active.emplace(chosen.router, m_members.at(chosen.router).addresses);
   }
+  m_self_active_or_next = active.contains(m_self) || m_next.contains(m_self);
+  SetActive(std::move(active));
+}
+
+void MemberList::SetActive(std::map<core::RouterId, RouterAddresses> active) {
   if (active != m_active) {
     m_active = std::move(active);
     ++m_active_version;
@@ -150,18 +186,17 @@
 
 std::vector<std::string> MemberList::Addresses() const {
   std::vector<std::string> addresses;
-  for (const core::RouterId& router : m_active) {
-    addresses.push_back(m_members.at(router).address);
+  for (const auto& [router, reached_at] : m_active) {
+    addresses.push_back(reached_at.callers);
   }
   return addresses;
 }
 
 std::vector<std::string> MemberList::LoadAddresses() const {
   std::vector<std::string> addresses;
-  for (const core::RouterId& router : m_active) {
-    const std::string& address = m_members.at(router).load_address;
-    if (router != m_self && !address.empty()) {
-      addresses.push_back(address);
+  for (const auto& [router, reached_at] : m_active) {
+    if (router != m_self && !reached_at.loads.empty()) {
+      addresses.push_back(reached_at.loads);
     }
   }
   return addresses;
@@ -173,17 +208,21 @@
 
 uint32_t MemberList::ActiveRankedAbove(std::string_view key) const {
   const uint64_t own = core::RendezvousRank(key, m_self.value());
-  return static_cast<uint32_t>(std::count_if(
-      m_active.begin(), m_active.end(), [&](const core::RouterId& router) {
-        return router != m_self &&
-               core::RendezvousRank(key, router.value()) >= own;
+  return static_cast<uint32_t>(
+      std::count_if(m_active.begin(), m_active.end(), [&](const auto& active) {
+        return active.first != m_self &&
+               core::RendezvousRank(key, active.first.value()) >= own;
       }));
 }
 
 std::string MemberList::LoadAddressOf(const core::RouterId& router) const {
+  const auto active = m_active.find(router);
+  if (active != m_active.end()) {
+    return active->second.loads;
+  }
   const auto found = m_members.find(router);
   return found != m_members.end() && found->second.live
-             ? found->second.load_address
+             ? found->second.addresses.loads
              : std::string();
 }
 
@@ -192,6 +231,9 @@
 }
 
 size_t MemberList::MaxUpstreamCount() const {
+  if (m_view) {
+    return m_view->upstreams;
+  }
   size_t max_count = 0;
   for (const auto& [router, member] : m_members) {
     max_count = std::max(max_count, member.live ? size_t{member.upstreams} : 0);
@@ -200,6 +242,9 @@
 }
 
 uint32_t MemberList::LiveCount() const {
+  if (m_view) {
+    return std::max(m_view->live, 1U);
+  }
   uint32_t live = 0;
   for (const auto& [router, member] : m_members) {
     live += member.live ? 1 : 0;
--- a/src/entry/policy.cc
+++ b/src/entry/policy.cc
@@ -95,6 +95,7 @@
      [](Policy& p) -> Field { return &p.warm_up.max_senders; }},
     {"gifts", [](Policy& p) -> Field { return &p.gifts; }},
     {"least_active", [](Policy& p) -> Field { return &p.least_active; }},
+    {"settle", [](Policy& p) -> Field { return &p.settle; }},
     {"load_reports", [](Policy& p) -> Field { return &p.load_reports; }},
 });
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -112,6 +112,7 @@
       }});
   MakeTokenRequester();
   MakePlacementClient();
+  MakeFleetViewClient();
 }
 
 Gateway::~Gateway() = default;
@@ -149,8 +150,12 @@
 }
 
 bool Gateway::Ready() const {
+  // An active router that starts would refuse its first callers until its
+  // claims are granted.
+  const bool can_spend =
+      m_was_ready || m_claims_read || !m_members.SelfActive();
   return m_in_force && KnowsUpstreams() && m_first_heartbeat_read &&
-         !m_leaving_since;
+         can_spend && !m_leaving_since;
 }
 
 void Gateway::Tick() {
@@ -160,10 +165,14 @@
     m_pool.CloseAll(id);
     LogLifecycle(LogLine("upstream_gone").Text("upstream", id.value()));
   }
-  m_members.Advance(m_beat_contact, now);
+  m_members.Advance(m_beat_contact, now, LongestHeartbeatPeriod());
   m_senders.Advance(now);
+  UpdateHeartbeatReading();
   UpdateTableReading();
   LogActiveRouters();
+  if (ClaimsAsActive(now) && !m_claimed_as_active) {
+    m_heartbeat_writer->Expedite();
+  }
   m_peer_loads.Advance(now);
   m_crashes.record().Advance(now);
   m_pool.CloseExpired(now);
@@ -189,7 +198,7 @@
   }
   if (m_members.SelfActive() != m_was_active) {
     // Claims depend on whether the router is active.
-    m_heartbeat_writer->Expedite();
+    m_heartbeat_writer->ExpediteSpread();
   }
   m_active_logged = active;
   m_was_active = m_members.SelfActive();
--- a/src/gateway/gateway_configuration.cc
+++ b/src/gateway/gateway_configuration.cc
@@ -59,6 +59,7 @@
   if (m_in_force && version <= m_in_force->version()) {
     return;
   }
+  const bool first = m_in_force == nullptr;
   m_in_force = std::make_shared<const entry::ConfigurationIndex>(
       core::TakeValue(std::move(read)));
   m_book.OnConfiguration(m_in_force->configuration());
@@ -69,8 +70,11 @@
           .Number("routes", static_cast<int64_t>(
                                 m_in_force->configuration().routes.size())));
   // Account totals may have grown; after the first configuration, the heartbeat
-  // makes the first claims.
-  m_heartbeat_writer->Expedite();
+  // makes the first claims. Standbys claim when a request needs it: one more
+  // write of each of them would keep the store busy for seconds.
+  if (first || m_members.SelfActive()) {
+    m_heartbeat_writer->ExpediteSpread();
+  }
 }
 
 // Only the key matters; the content of the record may change.
--- /dev/null
+++ b/src/gateway/gateway_fleet_view.cc
@@ -0,0 +1,83 @@
+// Decides whether this router reads the heartbeats of the others, and asks
+// active routers for their view of the fleet while it does not.
+#include "coppervalve/gateway/gateway.h"
+#include "coppervalve/net/clock.h"
+
+namespace coppervalve::gateway {
+
+namespace {
+
+// An older view may name routers that have failed. This router then reads the
+// heartbeats itself.
+constexpr core::Duration kMaxViewAge{3'500'000};
+
+}  // namespace
+
+void Gateway::MakeFleetViewClient() {
+  FleetViewClient::Hooks hooks;
+  hooks.peers = [this] { return m_members.LoadAddresses(); };
+  hooks.send = [this](const std::string& address, const v1::FleetViewAsk& ask) {
+    if (m_peer_messenger) {
+      v1::PeerDatagram datagram;
+      *datagram.mutable_view_ask() = ask;
+      m_peer_messenger->Send(address, datagram);
+    }
+  };
+  hooks.on_view = [this](const entry::FleetView& view) {
+    if (!m_follows_heartbeats) {
+      m_members.AdoptView(view);
+    }
+  };
+  m_fleet_view_client = std::make_unique<FleetViewClient>(
+      m_io, m_settings.load_address, std::move(hooks), m_random);
+}
+
+// Only a router that reads the heartbeats answers; another one would pass on
+// views that become older with each router.
+void Gateway::OnFleetViewAsk(const v1::FleetViewAsk& ask) {
+  if (!m_follows_heartbeats || !m_beat_contact.up()) {
+    return;
+  }
+  v1::PeerDatagram datagram;
+  *datagram.mutable_view_answer() = ToFleetViewAnswer(ask, m_members.View());
+  m_peer_messenger->Send(ask.reply_address(), datagram);
+}
+
+entry::TopicCost Gateway::HeartbeatCost() const {
+  const size_t accounts =
+      m_in_force ? m_in_force->configuration().accounts.size() : 0;
+  entry::TopicCost cost;
+  cost.bytes_per_second = entry::HeartbeatBytes(Limits(), accounts);
+  cost.routers = m_members.LiveCount();
+  cost.store_bytes_per_second = m_settings.store_read_bytes_per_second;
+  return cost;
+}
+
+// The own heartbeat must be read back before this router is ready, and a claim
+// before it is granted.
+void Gateway::UpdateHeartbeatReading() {
+  const core::TimePoint now = net::BootNow();
+  const bool needed = m_members.SelfActiveOrNext() || !m_grant_waiters.empty();
+  const bool subscribed =
+      m_heartbeat_readers.Advance(HeartbeatCost(), needed, now);
+  m_fleet_view_client->SetActive(!subscribed);
+  const bool follows = subscribed || !m_first_heartbeat_read ||
+                       m_fleet_view_client->Age(now) > kMaxViewAge;
+  if (follows != m_follows_heartbeats) {
+    LogLifecycle(LogLine("follows_heartbeats")
+                     .Flag("follows", follows)
+                     .Number("routers", m_members.LiveCount()));
+  }
+  m_follows_heartbeats = follows;
+  if (follows) {
+    m_heartbeats->Resume();
+  }
+}
+
+void Gateway::OnHeartbeatReadingStopped() {
+  if (m_fleet_view_client->view()) {
+    m_members.AdoptView(*m_fleet_view_client->view());
+  }
+}
+
+}  // namespace coppervalve::gateway
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -32,6 +32,8 @@
   hooks.compose = [this](v1::RouterBeat& beat) { ComposeHeartbeat(beat); };
   hooks.period = [this] { return entry::HeartbeatPeriod(Limits()); };
   hooks.expedited_delay = [this] { return entry::ExpeditedDelay(Limits()); };
+  hooks.max_spread_delay = [this] { return entry::MaxSpreadDelay(Limits()); };
+  hooks.urgent = [this] { return m_members.SelfActive(); };
   hooks.on_epoch_announced = [this](uint64_t epoch, uint64_t end) {
     m_epoch_log_end = end;
     StartLoadReports(epoch);
@@ -59,8 +61,8 @@
   };
   m_heartbeat_writer = std::make_shared<HeartbeatWriter>(
       m_io,
-      HeartbeatOptions{m_settings.layout.heartbeat_topic,
-                       m_settings.router.value()},
+      HeartbeatOptions{
+          m_settings.layout.heartbeat_topic, m_settings.router.value(), {}},
       m_store, m_random, std::move(hooks));
 }
 
@@ -73,6 +75,23 @@
   return limits;
 }
 
+// Without records of earlier starts the size of the fleet is unknown, and all
+// of it may be starting.
+core::Duration Gateway::FirstWriteDelay(bool size_unknown) const {
+  if (size_unknown) {
+    return entry::WritePacingOptions().longest_timeout;
+  }
+  const double seconds =
+      m_members.LiveCount() / std::max(m_settings.store_writes_per_second, 1.0);
+  return core::Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+core::Duration Gateway::LongestHeartbeatPeriod() const {
+  entry::HeartbeatLimits standby = Limits();
+  standby.self_active = false;
+  return entry::HeartbeatPeriod(standby);
+}
+
 std::optional<v1::RouterBeat> Gateway::ParseHeartbeatRecord(
     const KeyedRecord& record) {
   core::Result<v1::RouterBeat> read = entry::ParseHeartbeat(record.value);
@@ -94,7 +113,7 @@
     }
     const v1::RouterBeat& beat = *read;
     const core::RouterId router(record.key);
-    m_members.OnHeartbeat(router, beat, net::BootNow());
+    m_members.OnHeartbeat(router, beat);
     if (router != m_settings.router) {
       m_book.OnPeerHeartbeat(router, beat, net::BootNow());
       m_crashes.OnHeartbeat(beat);
@@ -105,8 +124,9 @@
     last_epoch = beat.epoch();
     m_own_record = beat;
   }
+  m_members.Refresh(net::BootNow());
   if (m_heartbeat_writer->epoch() == 0) {
-    m_heartbeat_writer->Start(last_epoch);
+    m_heartbeat_writer->Start(last_epoch, FirstWriteDelay(records.empty()));
     UpdateTableReading();
   }
 }
@@ -118,7 +138,7 @@
   }
   const v1::RouterBeat& beat = *read;
   const core::RouterId router(record.key);
-  m_members.OnHeartbeat(router, beat, net::BootNow());
+  m_members.OnHeartbeat(router, beat);
   if (router != m_settings.router) {
     m_book.OnPeerHeartbeat(router, beat, net::BootNow());
     m_crashes.OnHeartbeat(beat);
@@ -130,6 +150,8 @@
   }
   m_book.OnOwnHeartbeat(beat);
   m_first_heartbeat_read = true;
+  m_claims_read =
+      m_first_claim_sequence != 0 && beat.sequence() >= m_first_claim_sequence;
   NotifyGrantWaiters();
 }
 
@@ -188,13 +210,11 @@
   context.routers = m_members.ActiveCount();
   context.standbys =
       m_members.LiveCount() - std::min(m_members.LiveCount(), context.routers);
-  // After a power loss of the whole fleet all routers start at once, and the
-  // records show which of them were active. If each claimed as an active
-  // router, standbys would take a share from the active ones until their second
-  // claim. The first router of a new fleet finds no records of other routers
-  // and counts as active.
-  const bool alone = !m_first_heartbeat_read && m_members.LiveCount() <= 1;
-  context.active = m_members.SelfActive() || alone;
+  context.active = ClaimsAsActive(now);
+  m_claimed_as_active = context.active;
+  if (m_claimed_as_active && m_first_claim_sequence == 0) {
+    m_first_claim_sequence = beat.sequence();
+  }
   context.leaving = beat.leaving();
   context.closing = beat.closing();
   context.period = entry::HeartbeatPeriod(Limits());
@@ -204,6 +224,22 @@
   LogHoldFactor();
 }
 
+// After a power loss of the whole fleet all routers start at once, and the
+// records show which of them were active. If each claimed as an active router,
+// standbys would take a share from the active ones until their second claim. In
+// a new fleet without records, each of hundreds of routers is active until it
+// has read the first heartbeats of the others; if each claimed all accounts,
+// the claims would take the store longer to send than the fleet has to start.
+bool Gateway::ClaimsAsActive(core::TimePoint now) const {
+  const bool settled = m_members.SinceLastJoined(now) >= m_policy.settle;
+  const bool certain = settled || m_claimed_as_active ||
+                       !m_grant_waiters.empty() ||
+                       !m_own_record.claims().empty();
+  // The first router of a new fleet finds no records of others.
+  const bool alone = !m_first_heartbeat_read && m_members.LiveCount() <= 1;
+  return (m_members.SelfActive() || alone) && certain;
+}
+
 void Gateway::LogHoldFactor() {
   if (std::abs(m_book.HoldFactor() - m_hold_logged) < kMinLoggedHoldChange) {
     return;
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -35,18 +35,20 @@
   m_load_reports_started = true;
   m_token_requester->SetEpoch(epoch);
   m_placement_client->SetEpoch(epoch);
+  m_fleet_view_client->SetEpoch(epoch);
   m_peer_messenger->Start(epoch);
 }
 
 void Gateway::MakePeerMessenger() {
   PeerMessenger::Hooks hooks;
-  hooks.peers = [this] { return m_members.LoadAddresses(); };
+  // Hundreds of standbys without requests have nothing to report.
+  hooks.peers = [this] {
+    return m_follows_heartbeats ? m_members.LoadAddresses()
+                                : std::vector<std::string>();
+  };
   hooks.compose = [this](v1::LoadReport& report) {
     report.set_store_up(m_contact.up());
-    for (const auto& [id, upstream] : m_directory.all()) {
-      if (upstream->in_flight == 0) {
-        continue;
-      }
+    for (const entry::UpstreamRef& upstream : m_directory.Busy()) {
       v1::UpstreamLoad* load = report.add_loads();
       load->set_upstream(upstream->load_key);
       load->set_in_flight(upstream->in_flight);
@@ -70,6 +72,12 @@
   hooks.on_place_answer = [this](const v1::PlaceAnswer& answer) {
     m_placement_client->OnAnswer(answer);
   };
+  hooks.on_view_request = [this](const v1::FleetViewAsk& ask) {
+    OnFleetViewAsk(ask);
+  };
+  hooks.on_view = [this](const v1::FleetViewAnswer& answer) {
+    m_fleet_view_client->OnAnswer(answer);
+  };
   hooks.on_gift = [this](const v1::TokenGift& gift) {
     m_token_requester->OnTransfer(gift);
   };
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -15,9 +15,23 @@
 // A router serves no requests until its own first heartbeat has been read back,
 // which takes several reads in sequence. With the usual pauses, a fleet that
 // had lost power needed another second to become ready.
-constexpr core::Duration kStartingPause{30'000};
+constexpr core::Duration kMinStartingPause{30'000};
+// Share of the store's reads that routers use while all of them start.
+constexpr double kStartingShareOfReads = 0.25;
+
 }  // namespace
 
+core::Duration Gateway::StartingPause() const {
+  if (m_settings.store_reads_per_second <= 0) {
+    return kMinStartingPause;
+  }
+  const double seconds =
+      m_members.LiveCount() /
+      (m_settings.store_reads_per_second * kStartingShareOfReads);
+  return std::max(kMinStartingPause,
+                  core::Duration(static_cast<int64_t>(seconds * 1e6)));
+}
+
 void Gateway::MakeFollowers() {
   const auto hooks = [this](const std::string& topic) {
     TopicFollower::Hooks made;
@@ -52,6 +66,10 @@
   of_upstreams.on_record = [this](const KeyedRecord& record) {
     OnUpstreamRecord(record);
   };
+  of_upstreams.on_page = [this](size_t listed) {
+    m_upstreams_listed = std::max(m_upstreams_listed, listed);
+    UpdateTableReading();
+  };
   of_upstreams.needed = [this] { return m_table_readers.follows(); };
   of_upstreams.on_stopped = [this] { OnTableReadingStopped(); };
   of_upstreams.on_newest = [this](const std::vector<KeyedRecord>& records) {
@@ -70,12 +88,15 @@
   };
   of_heartbeats.pause = [this,
                          usual = of_heartbeats.pause](core::Duration pause) {
-    return m_first_heartbeat_read ? usual(pause) : kStartingPause;
+    return m_first_heartbeat_read ? usual(pause) : StartingPause();
   };
+  of_heartbeats.needed = [this] { return m_follows_heartbeats; };
+  of_heartbeats.on_stopped = [this] { OnHeartbeatReadingStopped(); };
   of_heartbeats.on_read = [this,
                            topic = layout.heartbeat_topic](uint64_t next) {
     OnStoreAnswer(topic);
     m_heartbeats_read_to = next;
+    m_members.Refresh(net::BootNow());
     StartHeartbeatsIfCaughtUp();
   };
   m_heartbeats = std::make_shared<TopicFollower>(
@@ -166,7 +187,7 @@
     m_upstreams_known = true;
     // The first heartbeat may have said that this router is not ready; without
     // a correction it would stay a standby until the next one.
-    m_heartbeat_writer->Expedite();
+    m_heartbeat_writer->ExpediteSpread();
   }
   LogLifecycle(LogLine("upstreams_read")
                    .Number("listed", static_cast<int64_t>(read.size()))
@@ -189,7 +210,7 @@
   m_metrics.OnStoreCall(topic, true);
   if (!was_up) {
     LogLifecycle(LogLine("store_regained").Text("topic", topic));
-    m_heartbeat_writer->Expedite();
+    m_heartbeat_writer->ExpediteSpread();
   }
 }
 
--- a/src/gateway/gateway_transfers.cc
+++ b/src/gateway/gateway_transfers.cc
@@ -16,6 +16,10 @@
         addresses.push_back(std::move(address));
       }
     }
+    if (addresses.empty() && !m_follows_heartbeats) {
+      // The claims of the others are unknown; active routers have the most.
+      return m_members.LoadAddresses();
+    }
     return addresses;
   };
   hooks.wanted = [this](const core::AccountId& account, core::Tokens tokens) {
--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -12,14 +12,22 @@
   return m_upstreams_known || !m_table_readers.follows();
 }
 
+// In a new fleet the records of routers and upstreams appear one by one. If all
+// routers followed the table until they had seen how large the fleet is, they
+// would read most of it.
+bool Gateway::FleetSizeKnown() const {
+  return m_heartbeat_writer->epoch() != 0 &&
+         m_members.SinceLastJoined(net::BootNow()) >= m_policy.settle;
+}
+
 void Gateway::UpdateTableReading() {
-  entry::TableCost cost;
-  // The fleet size is taken from the heartbeats of other routers, which are
-  // listed before the epoch is set.
-  cost.known = m_heartbeat_writer->epoch() != 0;
-  cost.upstreams = std::max(m_directory.size(), m_members.MaxUpstreamCount());
+  const size_t upstreams = std::max(
+      {m_directory.size(), m_members.MaxUpstreamCount(), m_upstreams_listed});
+  entry::TopicCost cost;
+  cost.known = FleetSizeKnown();
+  cost.bytes_per_second =
+      entry::UpstreamTableBytes(upstreams, m_settings.upstream_heartbeat);
   cost.routers = m_members.LiveCount();
-  cost.heartbeat = m_settings.upstream_heartbeat;
   cost.store_bytes_per_second = m_settings.store_read_bytes_per_second;
   const bool followed = m_table_readers.follows();
   const bool follows = m_table_readers.Advance(
@@ -27,7 +35,7 @@
   if (follows != followed && cost.known) {
     LogLifecycle(LogLine("follows_upstreams")
                      .Flag("follows", follows)
-                     .Number("upstreams", static_cast<int64_t>(cost.upstreams))
+                     .Number("upstreams", static_cast<int64_t>(upstreams))
                      .Number("routers", static_cast<int64_t>(cost.routers)));
   }
   if (follows) {
--- a/src/gateway/heartbeat_writer.cc
+++ b/src/gateway/heartbeat_writer.cc
@@ -1,6 +1,9 @@
 #include "coppervalve/gateway/heartbeat_writer.h"
 
-#include <utility>  // move
+#include <algorithm>  // max
+#include <utility>    // move
+
+#include "coppervalve/net/clock.h"
 
 namespace coppervalve::gateway {
 
@@ -13,21 +16,33 @@
       m_store(store),
       m_random(std::move(random)),
       m_hooks(std::move(hooks)),
-      m_timer(io) {}
+      m_timer(io),
+      m_pacing(m_options.pacing) {}
 
-void HeartbeatWriter::Start(uint64_t last_epoch) {
+// After a power loss all routers start at once.
+void HeartbeatWriter::Start(uint64_t last_epoch,
+                            core::Duration expected_delay) {
   m_epoch = last_epoch + 1;
-  AnnounceEpoch();
+  m_pacing.Expect(expected_delay);
+  Schedule(SpreadDelay(), &HeartbeatWriter::AnnounceEpoch);
+}
+
+core::Duration HeartbeatWriter::SpreadDelay() {
+  return routing::UniformDuration(m_random, m_hooks.max_spread_delay());
 }
 
 void HeartbeatWriter::AnnounceEpoch() {
+  m_retry = nullptr;
+  m_call_started = net::BootNow();
   m_store.append(
       m_options.topic, KeyedRecord{}, {m_options.router, m_epoch, 0},
+      m_pacing.Timeout(),
       [self = shared_from_this()](const core::Result<WriteReceipt>& result) {
         if (self->m_stopped) {
           return;
         }
         if (core::IsOk(result)) {
+          self->m_pacing.OnWritten(net::BootNow() - self->m_call_started);
           self->m_hooks.on_epoch_announced(self->m_epoch,
                                            core::Value(result).end);
           return;
@@ -37,11 +52,21 @@
           // An earlier start announced a newer epoch but wrote no heartbeat.
           ++self->m_epoch;
         }
-        self->m_hooks.on_failure(error);
-        self->Schedule(self->m_options.retry, &HeartbeatWriter::AnnounceEpoch);
+        self->Retry(error, &HeartbeatWriter::AnnounceEpoch);
       });
 }
 
+void HeartbeatWriter::Retry(const core::Error& error,
+                            void (HeartbeatWriter::*step)()) {
+  m_hooks.on_failure(error);
+  m_pacing.OnFailure(net::BootNow() - m_call_started);
+  constexpr uint64_t kSteps = 1'000'000;
+  const double jitter =
+      static_cast<double>(routing::UniformBelow(m_random, kSteps)) / kSteps;
+  m_retry = step;
+  Schedule(m_pacing.RetryDelay(jitter), step);
+}
+
 void HeartbeatWriter::StartHeartbeats() {
   if (m_heartbeats_started) {
     return;
@@ -60,6 +85,24 @@
   }
 }
 
+void HeartbeatWriter::ExpediteSpread() {
+  if (m_stopped) {
+    return;
+  }
+  if (m_retry != nullptr) {
+    Schedule(SpreadDelay(), m_retry);
+    return;
+  }
+  if (!m_heartbeats_started) {
+    return;
+  }
+  if (!m_expedited && !m_in_flight) {
+    Schedule(m_hooks.expedited_delay() + SpreadDelay(),
+             &HeartbeatWriter::WriteNext);
+  }
+  m_expedited = true;
+}
+
 void HeartbeatWriter::WriteNext() {
   m_expedited = false;
   m_in_flight = true;
@@ -72,9 +115,11 @@
 }
 
 void HeartbeatWriter::Append() {
+  m_retry = nullptr;
+  m_call_started = net::BootNow();
   m_store.append(
       m_options.topic, {m_options.router, m_beat.SerializeAsString(), 0},
-      {m_options.router, m_epoch, m_sequence},
+      {m_options.router, m_epoch, m_sequence}, m_pacing.Timeout(),
       [self = shared_from_this()](const core::Result<WriteReceipt>& result) {
         self->OnAppended(result);
       });
@@ -86,11 +131,14 @@
   }
   if (core::IsOk(result)) {
     m_in_flight = false;
+    m_pacing.OnWritten(net::BootNow() - m_call_started);
     m_hooks.on_written(m_beat);
     const core::Duration period = m_hooks.period();
     const core::Duration spread =
         routing::UniformDuration(m_random, period / 8);
-    Schedule(m_expedited ? m_hooks.expedited_delay() : period + spread,
+    const core::Duration delay =
+        m_expedited ? m_hooks.expedited_delay() : period + spread;
+    Schedule(std::max(delay, m_pacing.PauseAfterWrite(m_hooks.urgent())),
              &HeartbeatWriter::WriteNext);
     return;
   }
@@ -100,13 +148,10 @@
     m_hooks.on_superseded();
     return;
   }
-  m_hooks.on_failure(error);
   // The heartbeat is outdated by the time it is written, so the next one
   // follows immediately.
   m_expedited = true;
-  Schedule(
-      m_options.retry + routing::UniformDuration(m_random, m_options.retry * 2),
-      &HeartbeatWriter::Append);
+  Retry(error, &HeartbeatWriter::Append);
 }
 
 void HeartbeatWriter::Schedule(core::Duration delay,
--- a/src/gateway/peer_messenger.cc
+++ b/src/gateway/peer_messenger.cc
@@ -94,6 +94,16 @@
   if (datagram.has_place_answer() && m_hooks.on_place_answer) {
     m_hooks.on_place_answer(datagram.place_answer());
   }
+  HandleView(datagram);
+}
+
+void PeerMessenger::HandleView(const v1::PeerDatagram& datagram) {
+  if (datagram.has_view_ask() && m_hooks.on_view_request) {
+    m_hooks.on_view_request(datagram.view_ask());
+  }
+  if (datagram.has_view_answer() && m_hooks.on_view) {
+    m_hooks.on_view(datagram.view_answer());
+  }
 }
 
 void PeerMessenger::Send(const std::string& address,
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -50,8 +50,14 @@
   }
   m_newest.insert(m_newest.end(), page.records.begin(), page.records.end());
   m_after = page.after;
+  if (m_hooks.on_page) {
+    m_hooks.on_page(m_newest.size());
+  }
   if (!m_after.empty()) {
     m_plan.OnPage(net::BootNow());
+    if (StopIfNotNeeded()) {
+      return;
+    }
     ReadPage();
     return;
   }
@@ -135,11 +141,18 @@
   }
 }
 
+bool TopicFollower::StopIfNotNeeded() {
+  if (!m_hooks.needed || m_hooks.needed()) {
+    return false;
+  }
+  m_stopped = true;
+  m_pausing_between_reads = false;
+  m_hooks.on_stopped();
+  return true;
+}
+
 void TopicFollower::ScheduleStep(const entry::ReadStep& step) {
-  if (m_hooks.needed && !m_hooks.needed()) {
-    m_stopped = true;
-    m_pausing_between_reads = false;
-    m_hooks.on_stopped();
+  if (StopIfNotNeeded()) {
     return;
   }
   m_pausing_between_reads = step.interruptible;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -58,6 +58,8 @@
   ~TestCaller();
   void Send(const std::string& text);
   void Disconnect();
+  /// Leaves what the router sends unread.
+  void PauseReading();
   /// Closes the connection after the sent bytes, as a caller that timed out
   /// does.
   void CloseAfterSend();
--- a/tests/gateway/unit-exchange.cc
+++ b/tests/gateway/unit-exchange.cc
@@ -305,3 +305,42 @@
   CHECK(served * kEach > ceiling + ceiling / 4);
   CHECK(served * kEach <= kTotal);
 }
+
+TEST(Exchange, a_caller_that_reads_slowly_does_not_fill_the_memory) {
+  // Failure: a router on a small VM keeps what its callers have not read yet
+  // and is killed for its memory. It must stop reading from the upstream.
+  constexpr size_t kWhole = 64 * 1024 * 1024;
+  constexpr size_t kPart = 64 * 1024;
+  StreamRef upstream;
+  size_t sent = 0;
+  router.AddUpstream("one", "lookup")
+      .Answer([&](const StreamRef& stream, const std::string& request) {
+        upstream = stream;
+        stream->Send(SignedStreamHead(request));
+      });
+  router.Start();
+  const auto caller = router.Caller();
+  caller->Send(Router::RequestText("/lookup/x", {}, "r-1"));
+  CHECK(router.Until([&] { return upstream != nullptr; }));
+  caller->PauseReading();
+  const std::string part = Chunk(std::string(kPart, 'x'));
+  while (sent < kWhole && upstream->unsent() == 0) {
+    upstream->Send(part);
+    sent += kPart;
+    router.io.restart();
+    router.io.run_for(std::chrono::milliseconds(2));
+  }
+  CHECK(sent < kWhole / 2);
+}
+
+TEST(Exchange, a_request_that_arrives_too_slowly_never_runs) {
+  // Status 408 promises that the request has not run and never will.
+  ScriptedUpstream& one = router.AddUpstream("one", "hold");
+  router.Start();
+  const auto caller = router.Caller();
+  const std::string text = Router::RequestText("/hold/x", {}, "r-1");
+  caller->Send(text.substr(0, text.size() - 3));
+  CHECK(router.Until([&] { return caller->ended; }));
+  CHECK(Has(caller->received, "HTTP/1.1 408"));
+  CHECK(one.requests.empty());
+}
--- /dev/null
+++ b/tests/gateway/unit-fleet-view.cc
@@ -0,0 +1,151 @@
+// A standby of a large fleet, between a store and an active router.
+#include <CppUTest/TestHarness.h>
+
+#include <array>                      // array
+#include <boost/asio/ip/address.hpp>  // make_address
+#include <boost/asio/ip/udp.hpp>      // udp
+#include <optional>                   // optional
+#include <string>                     // string
+
+#include "coppervalve/gateway/fleet_view_client.h"
+#include "coppervalve/net/endpoint.h"
+#include "gateway_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::gateway;
+using namespace coppervalve::gateway::testing;
+
+namespace {
+
+using boost::asio::ip::udp;
+
+/// The datagram port of an active router. It answers questions for its view
+/// while it has one.
+class ActivePeer {
+ public:
+  explicit ActivePeer(boost::asio::io_context& io)
+      : m_address(FreeAddress(io)), m_socket(io, udp::v4()) {
+    const auto endpoint = net::ReadEndpoint(m_address);
+    m_socket.bind(
+        {boost::asio::ip::make_address(endpoint->ip), endpoint->port});
+    Receive();
+  }
+  const std::string& address() const { return m_address; }
+
+  std::optional<entry::FleetView> view;
+  int questions = 0;
+
+ private:
+  void Receive() {
+    m_socket.async_receive_from(
+        boost::asio::buffer(m_buffer), m_sender,
+        [this](const boost::system::error_code& code, size_t size) {
+          if (code) {
+            return;
+          }
+          v1::PeerDatagram received;
+          received.ParseFromArray(m_buffer.data(), static_cast<int>(size));
+          if (received.has_view_ask()) {
+            ++questions;
+            Answer(received.view_ask());
+          }
+          Receive();
+        });
+  }
+  void Answer(const v1::FleetViewAsk& ask) {
+    if (view) {
+      v1::PeerDatagram datagram;
+      *datagram.mutable_view_answer() = ToFleetViewAnswer(ask, *view);
+      m_socket.send_to(boost::asio::buffer(datagram.SerializeAsString()),
+                       m_sender);
+    }
+  }
+
+  std::string m_address;
+  udp::socket m_socket;
+  udp::endpoint m_sender;
+  std::array<char, 65'536> m_buffer{};
+};
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(FleetView) {
+  Router router;
+  ActivePeer peer{router.io};
+
+  // Three large routers are active, three are next, and the store cannot send
+  // the heartbeats of all to all.
+  void StartStandby() {
+    router.settings.load_address = FreeAddress(router.io);
+    router.settings.directory_address = FreeAddress(router.io);
+    router.settings.store_read_bytes_per_second = 1;
+    router.settings.processor_cores = 0.01;
+    for (int i = 2; i <= 7; ++i) {
+      const std::string number = std::to_string(i);
+      v1::RouterBeat beat;
+      beat.set_epoch(1);
+      beat.set_sequence(1);
+      beat.set_ready(true);
+      beat.set_capacity(500);
+      beat.set_failure_domain(router.settings.failure_domain.value());
+      beat.set_caller_address("10.0.0." + number + ":80");
+      beat.set_load_address(peer.address());
+      router.store.Put("routers", "router-" + number, beat.SerializeAsString());
+    }
+    router.Start();
+  }
+  void WriteHeartbeat() {
+    router.store.Put("routers", "router-2", "unreadable");
+    router.io.restart();
+    router.io.run_for(std::chrono::milliseconds(1'000));
+  }
+  std::string Directory() {
+    TestCaller caller(router.io, router.settings.directory_address);
+    caller.Send(Router::RequestText("/directory", {}, "r-1"));
+    router.Until([&] { return Has(caller.received, "10.0.0."); });
+    return caller.received;
+  }
+  bool DirectoryLists(const std::string& address) {
+    constexpr int kMaxTries = 60;
+    for (int i = 0; i < kMaxTries; ++i) {
+      if (Has(Directory(), address)) {
+        return true;
+      }
+      router.io.restart();
+      router.io.run_for(std::chrono::milliseconds(100));
+    }
+    return false;
+  }
+  static entry::FleetView View() {
+    entry::FleetView view;
+    view.active[core::RouterId("router-9")] = {"10.0.0.9:80", ""};
+    view.live = 985;
+    return view;
+  }
+};
+// clang-format on
+
+TEST(FleetView, a_standby_reads_no_heartbeats_while_an_active_router_answers) {
+  // Failure: each of a thousand routers reads the heartbeats and claims of all
+  // others. The store can't send them, and no router becomes ready.
+  peer.view = View();
+  StartStandby();
+  CHECK(DirectoryLists("10.0.0.9:80"));
+  // The read in progress ends with the next record.
+  WriteHeartbeat();
+  const size_t readers = router.store.waiting_readers();
+  WriteHeartbeat();
+  CHECK_EQUAL(readers, router.store.waiting_readers());
+  CHECK_FALSE(Has(Directory(), "10.0.0.2:80"));
+}
+
+TEST(FleetView, a_standby_without_answers_reads_the_heartbeats_again) {
+  // Failure: the active routers lose power, and standbys direct callers to them
+  // for good.
+  peer.view = View();
+  StartStandby();
+  CHECK(DirectoryLists("10.0.0.9:80"));
+  peer.view.reset();
+  CHECK(DirectoryLists("10.0.0.2:80"));
+}
