Do not take a table of unknown size for an empty one

Cause: while no router had read the table of upstreams, all saw 0 of them, so the table seemed cheap, and all followed it. The store then sent 0.88 GB, no router completed its list, none could report how large it is, and so it stayed.

Change: until a router reports a size, only active and next routers read the table.

standbys_do_not_read_a_table_whose_size_is_unknown fails without the change (3 lists in place of 2).

--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -24,7 +24,9 @@
   const size_t upstreams = std::max(
       {m_directory.size(), m_members.MaxUpstreamCount(), m_upstreams_listed});
   entry::TopicCost cost;
-  cost.known = FleetSizeKnown();
+  // While no router has read the table, its size is unknown. If that counted as
+  // an empty table, all routers would read it at once, and none would complete.
+  cost.known = FleetSizeKnown() && upstreams != 0;
   cost.bytes_per_second =
       entry::UpstreamTableBytes(upstreams, m_settings.upstream_heartbeat);
   cost.routers = m_members.LiveCount();
--- a/tests/gateway/unit-fleet-view.cc
+++ b/tests/gateway/unit-fleet-view.cc
@@ -149,3 +149,13 @@
   peer.view.reset();
   CHECK(DirectoryLists("10.0.0.2:80"));
 }
+
+TEST(FleetView, standbys_do_not_read_a_table_whose_size_is_unknown) {
+  // Failure: a new fleet takes the table that nobody has read yet for an empty
+  // one. All routers read it, and the store is too busy for any to complete.
+  peer.view = View();
+  StartStandby();
+  CHECK(DirectoryLists("10.0.0.9:80"));
+  // The configuration and the heartbeats are listed once.
+  CHECK_EQUAL(2, router.store.newest_calls);
+}
