Count silent routers towards the size of the fleet

Cause: the time without a heartbeat that counts as silence, and the choice of who follows which topic, were worked out from the live routers. When heartbeats of 985 routers were late, some counted as failed; with fewer live ones the limit shrank, so more counted as failed. Ten seconds before traffic standbys saw 27 to 33 live routers of 985 and all followed all topics, as in a small fleet; the store then refused their reads and those of the active routers.

Change: MemberList::KnownCount() counts routers for a minute after they fell silent; rates, silence and costs of topics use it.

--- a/include/coppervalve/entry/fleet_view.h
+++ b/include/coppervalve/entry/fleet_view.h
@@ -28,6 +28,8 @@
   /// Standbys that become active first.
   std::set<core::RouterId> next;
   uint32_t live = 0;
+  /// Routers that were live recently.
+  uint32_t known = 0;
   /// Number of upstreams in the table.
   size_t upstreams = 0;
 };
--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -85,6 +85,8 @@
   }
   /// @return number of live routers, this one included; at least 1
   uint32_t LiveCount() const;
+  /// @return number of routers that are or recently were live
+  uint32_t KnownCount() const;
 
  private:
   struct Member {
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -26,6 +26,9 @@
 // If all other routers are silent, they count as failed only after this many
 // times the silence time of one.
 constexpr int kAllSilentFactor = 3;
+// A failed router counts towards the size of the fleet for this long, as it may
+// be restarting.
+constexpr core::Duration kKnownFor{60'000'000};
 // A router has failed if it misses this many halves of its period.
 constexpr int kSilentPeriods = 3;
 // With only one other router, its silence cannot be distinguished from the
@@ -83,6 +86,7 @@
   view.active = m_active;
   view.next = m_next;
   view.live = LiveCount();
+  view.known = KnownCount();
   view.upstreams = MaxUpstreamCount();
   return view;
 }
@@ -241,6 +245,17 @@
   return max_count;
 }
 
+// If rates and silence followed the live routers alone, a fleet whose
+// heartbeats are late would seem small, its rare heartbeats would count as
+// silence, and more and more routers would seem to have failed.
+uint32_t MemberList::KnownCount() const {
+  uint32_t known = m_view ? m_view->known : 0;
+  for (const auto& [router, member] : m_members) {
+    known += !m_view && member.silent_for < kKnownFor ? 1 : 0;
+  }
+  return std::max(known, LiveCount());
+}
+
 uint32_t MemberList::LiveCount() const {
   if (m_view) {
     return std::max(m_view->live, 1U);
--- a/src/gateway/fleet_view_client.cc
+++ b/src/gateway/fleet_view_client.cc
@@ -46,6 +46,7 @@
     answer.add_next(router.value());
   }
   answer.set_live(view.live);
+  answer.set_known(view.known);
   answer.set_upstreams(static_cast<uint32_t>(view.upstreams));
   return answer;
 }
@@ -60,6 +61,7 @@
     view.next.emplace(router);
   }
   view.live = answer.live();
+  view.known = answer.known();
   view.upstreams = answer.upstreams();
   return view;
 }
--- a/src/gateway/gateway_fleet_view.cc
+++ b/src/gateway/gateway_fleet_view.cc
@@ -48,7 +48,7 @@
       m_in_force ? m_in_force->configuration().accounts.size() : 0;
   entry::TopicCost cost;
   cost.bytes_per_second = entry::HeartbeatBytes(Limits(), accounts);
-  cost.routers = m_members.LiveCount();
+  cost.routers = m_members.KnownCount();
   cost.store_bytes_per_second = m_settings.store_read_bytes_per_second;
   return cost;
 }
@@ -66,7 +66,7 @@
   if (follows != m_follows_heartbeats) {
     LogLifecycle(LogLine("follows_heartbeats")
                      .Flag("follows", follows)
-                     .Number("routers", m_members.LiveCount()));
+                     .Number("routers", m_members.KnownCount()));
   }
   m_follows_heartbeats = follows;
   if (follows) {
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -69,7 +69,7 @@
 entry::HeartbeatLimits Gateway::Limits() const {
   entry::HeartbeatLimits limits;
   limits.store_writes_per_second = m_settings.store_writes_per_second;
-  limits.live = m_members.LiveCount();
+  limits.live = m_members.KnownCount();
   limits.active = m_members.ActiveCount();
   limits.self_active = m_members.SelfActive();
   return limits;
@@ -81,8 +81,8 @@
   if (size_unknown) {
     return entry::WritePacingOptions().longest_timeout;
   }
-  const double seconds =
-      m_members.LiveCount() / std::max(m_settings.store_writes_per_second, 1.0);
+  const double seconds = m_members.KnownCount() /
+                         std::max(m_settings.store_writes_per_second, 1.0);
   return core::Duration(static_cast<int64_t>(seconds * 1e6));
 }
 
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -26,7 +26,7 @@
     return kMinStartingPause;
   }
   const double seconds =
-      m_members.LiveCount() /
+      m_members.KnownCount() /
       (m_settings.store_reads_per_second * kStartingShareOfReads);
   return std::max(kMinStartingPause,
                   core::Duration(static_cast<int64_t>(seconds * 1e6)));
--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -29,7 +29,7 @@
   cost.known = FleetSizeKnown() && upstreams != 0;
   cost.bytes_per_second =
       entry::UpstreamTableBytes(upstreams, m_settings.upstream_heartbeat);
-  cost.routers = m_members.LiveCount();
+  cost.routers = m_members.KnownCount();
   cost.store_bytes_per_second = m_settings.store_read_bytes_per_second;
   const bool followed = m_table_readers.follows();
   const bool follows = m_table_readers.Advance(
--- a/tests/entry/unit-member-list.cc
+++ b/tests/entry/unit-member-list.cc
@@ -215,3 +215,25 @@
   }
   CHECK_EQUAL(2, members.LiveCount());
 }
+
+TEST(MemberList, silent_routers_count_towards_the_size_of_the_fleet) {
+  // Failure: heartbeats of a thousand routers are late, so the fleet seems
+  // small. The time without a heartbeat that counts as silence shrinks with it,
+  // until nearly all routers seem to have failed, and each reads all topics as
+  // in a small fleet.
+  constexpr int kRouters = 1'000;
+  for (int i = 3; i <= kRouters; ++i) {
+    Read(core::RouterId("router-" + std::to_string(i)), Beat("10.0.0.3:80", 1),
+         0);
+  }
+  for (double now = 0; now <= 30; now += 0.2) {
+    members.OnHeartbeat(core::RouterId("router-1"),
+                        Beat("10.0.0.1:80", static_cast<uint64_t>(now * 10)));
+    members.Advance(contact, At(now));
+  }
+  CHECK_EQUAL(1, members.LiveCount());
+  CHECK_EQUAL(kRouters, members.KnownCount());
+  CHECK_EQUAL(kRouters, members.View().known);
+  Pass(30, 100);
+  CHECK_EQUAL(1, members.KnownCount());
+}
--- a/tests/gateway/unit-fleet-view-client.cc
+++ b/tests/gateway/unit-fleet-view-client.cc
@@ -44,6 +44,7 @@
     }
     view.next = {core::RouterId("next-1"), core::RouterId("next-2")};
     view.live = 985;
+    view.known = 1'000;
     view.upstreams = 9'998;
     return view;
   }
@@ -57,6 +58,7 @@
   CHECK(received[0].active == view.active);
   CHECK(received[0].next == view.next);
   CHECK_EQUAL(985, received[0].live);
+  CHECK_EQUAL(1'000, received[0].known);
   CHECK_EQUAL(9'998, received[0].upstreams);
   CHECK(client.Age(net::BootNow()) < std::chrono::seconds(1));
 }
