Write claims no faster than readers can receive them

What callers saw: from the eighth second on a quarter of the generation was refused after 400 ms ("other routers hold the remaining tokens"), with tokens free: total 225,951, elsewhere 142,214, free 71,187, wanted 8,828.

Five to seven active routers each wrote 13 to 15 KB of claims twenty times a second: 2 MB/s and more, what one connection to the store carries. Bytes grow with accounts times active routers times claims.

Change: ExpeditedDelay() also spaces the claims of all active routers so that they stay within 1 MB/s, by the size of the last heartbeat. With 24 accounts and 20 active routers, and in all smaller fleets, nothing changes.

Worked out: 985 routers, 7 active: a claim each 105 ms; 2,000 with 666 accounts and 14 active: each 420 ms, which is the time that a request waits. So this holds to about that size; then claims must be parted by account.

claims_of_many_accounts_are_not_written_faster_than_read.

--- a/include/coppervalve/entry/heartbeat_rate.h
+++ b/include/coppervalve/entry/heartbeat_rate.h
@@ -1,6 +1,7 @@
 #ifndef COPPERVALVE_ENTRY_HEARTBEAT_RATE_H_
 #define COPPERVALVE_ENTRY_HEARTBEAT_RATE_H_
 
+#include <cstddef>  // size_t
 #include <cstdint>  // uint32_t
 
 #include "coppervalve/core/units.h"
@@ -18,6 +19,7 @@
   uint32_t live = 1;    ///< routers that write heartbeats
   uint32_t active = 1;  ///< active routers among them
   bool self_active = true;
+  size_t record_bytes = 0;  ///< size of an active router's heartbeat
 };
 
 /// @return the regular time between heartbeats
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -239,6 +239,7 @@
   bool m_upstreams_known = false;
   size_t m_upstreams_listed = 0;  ///< by the pages of the table read so far
   bool m_first_heartbeat_read = false;
+  size_t m_heartbeat_bytes = 0;  ///< size of the last one written
   bool m_was_ready = false;
   bool m_was_active = false;
   bool m_claimed_as_active = false;
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -44,6 +44,7 @@
   };
   hooks.on_written = [this](const v1::RouterBeat& beat) {
     m_metrics.OnStoreCall("beat_write", true);
+    m_heartbeat_bytes = beat.ByteSizeLong();
     m_book.OnAcknowledged(beat.sequence(), net::BootNow());
     if (!m_grant_waiters.empty() || !m_first_heartbeat_read) {
       m_heartbeats->Expedite();
@@ -72,6 +73,7 @@
   limits.live = m_members.KnownCount();
   limits.active = m_members.ActiveCount();
   limits.self_active = m_members.SelfActive();
+  limits.record_bytes = m_heartbeat_bytes;
   return limits;
 }
 
--- a/tests/entry/unit-heartbeat-rate.cc
+++ b/tests/entry/unit-heartbeat-rate.cc
@@ -54,3 +54,20 @@
   }
   CHECK(ExpeditedDelay({600, 6, 3, true}) < core::Duration(50'000));
 }
+
+TEST(HeartbeatRate, claims_of_many_accounts_are_not_written_faster_than_read) {
+  // Failure: seven active routers write the claims of 333 accounts twenty times
+  // a second. Readers fall behind, and requests are refused while they wait for
+  // claims that are in the log.
+  for (const uint32_t active : {3U, 7U, 20U}) {
+    for (const size_t accounts : {10U, 333U, 1'000U}) {
+      HeartbeatLimits limits{500, 1'000, active, true};
+      limits.record_bytes = 150 + 45 * accounts;
+      const double bytes = active * static_cast<double>(limits.record_bytes);
+      CHECK(bytes / Seconds(ExpeditedDelay(limits)) <= 1.01e6);
+    }
+  }
+  HeartbeatLimits small{500, 9, 3, true};
+  small.record_bytes = 600;
+  CHECK(ExpeditedDelay(small) <= core::Duration(30'000));
+}
