--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -136,8 +136,8 @@
                                 core::TimePoint now) const;
   Load LoadOf(const Upstream& upstream, const PlacementQuery& query) const;
   /// @return requests of all routers in progress, including the next one
-  double LoadOf(const std::vector<UpstreamRef>& upstreams,
-                const PlacementQuery& query) const;
+  double RequestsInProgress(const std::vector<UpstreamRef>& upstreams,
+                            const PlacementQuery& query) const;
   Candidate CostAtEngine(const UpstreamRef& upstream,
                          const PlacementQuery& query,
                          uint64_t prefix,
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -118,7 +118,8 @@
       continue;
     }
     Placement placement = Cheapest(usable, query, now);
-    m_working_sets.OnLoad(query.service, LoadOf(usable, query), now);
+    m_working_sets.OnLoad(query.service, RequestsInProgress(usable, query),
+                          now);
     if (required_trust == Trust::kNone) {
       placement.why = PlacementReason::kLastResort;
     }
@@ -193,8 +194,8 @@
           upstream.in_prefill * (1 + silent) + peers.in_prefill};
 }
 
-double Placer::LoadOf(const std::vector<UpstreamRef>& upstreams,
-                      const PlacementQuery& query) const {
+double Placer::RequestsInProgress(const std::vector<UpstreamRef>& upstreams,
+                                  const PlacementQuery& query) const {
   double in_flight = 1;
   for (const UpstreamRef& upstream : upstreams) {
     in_flight += LoadOf(*upstream, query).in_flight;
