A start that waits for its turn reads no claims meanwhile

Cause: routers that start together announce themselves at spread times, up to 5 s in a fleet of 985, and read the heartbeats in order until then: 1 MB/s of claims each, 2.5 MB/s over a small link. Dozens of them took most of what the store sends, and the active routers read their own claims too late.

Change: the spread lies between two lists of the newest heartbeats; nothing is read between. Short spreads (fleets below a hundred) are left out.

a_router_that_waits_for_its_turn_to_start_reads_nothing.

--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -162,6 +162,7 @@
   entry::TopicCost HeartbeatCost() const;
   void UpdateHeartbeatReading();
   void OnHeartbeatReadingStopped();
+  bool PostponeStart();
   void MakePlacementClient();
   void OnPlaceAsk(const v1::PlaceAsk& ask);
   core::Status MakeListeners();
@@ -207,6 +208,8 @@
   /// its square.
   entry::TopicSubscription m_heartbeat_readers{{.max_store_share = 0.1}};
   bool m_follows_heartbeats = true;
+  /// Time of the second list of heartbeats, if this start was postponed.
+  std::optional<core::TimePoint> m_postponed_until;
   std::unordered_map<std::string, std::string> m_upstream_documents;
   std::shared_ptr<TopicFollower> m_configuration;
   std::shared_ptr<TopicFollower> m_upstreams;
--- a/src/gateway/gateway_fleet_view.cc
+++ b/src/gateway/gateway_fleet_view.cc
@@ -10,6 +10,8 @@
 // An older view may name routers that have failed. This router then reads the
 // heartbeats itself.
 constexpr core::Duration kMaxViewAge{3'500'000};
+// Within a shorter time little is written, and listing again costs more.
+constexpr core::Duration kMinPostponement{500'000};
 
 }  // namespace
 
@@ -61,8 +63,10 @@
   const bool subscribed =
       m_heartbeat_readers.Advance(HeartbeatCost(), needed, now);
   m_fleet_view_client->SetActive(!subscribed);
-  const bool follows = subscribed || !m_first_heartbeat_read ||
-                       m_fleet_view_client->Age(now) > kMaxViewAge;
+  const bool postponed = m_postponed_until && now < *m_postponed_until;
+  const bool follows =
+      !postponed && (subscribed || !m_first_heartbeat_read ||
+                     m_fleet_view_client->Age(now) > kMaxViewAge);
   if (follows != m_follows_heartbeats) {
     LogLifecycle(LogLine("follows_heartbeats")
                      .Flag("follows", follows)
@@ -74,6 +78,24 @@
   }
 }
 
+// Routers that start together announce themselves at spread times. One that
+// went on reading until its turn would receive the claims of all active routers
+// for seconds; dozens of them would delay those claims for the active routers.
+// So it stops reading, and lists the heartbeats once more when it is due.
+bool Gateway::PostponeStart() {
+  if (m_postponed_until) {
+    return false;
+  }
+  const core::Duration delay =
+      routing::UniformDuration(m_random, entry::MaxSpreadDelay(Limits()));
+  if (delay < kMinPostponement) {
+    return false;
+  }
+  m_postponed_until = net::BootNow() + delay;
+  m_follows_heartbeats = false;
+  return true;
+}
+
 void Gateway::OnHeartbeatReadingStopped() {
   if (m_fleet_view_client->view()) {
     m_members.AdoptView(*m_fleet_view_client->view());
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -127,7 +127,7 @@
     m_own_record = beat;
   }
   m_members.Refresh(net::BootNow());
-  if (m_heartbeat_writer->epoch() == 0) {
+  if (m_heartbeat_writer->epoch() == 0 && !PostponeStart()) {
     m_heartbeat_writer->Start(last_epoch, FirstWriteDelay(records.empty()));
     UpdateTableReading();
   }
--- a/src/gateway/heartbeat_writer.cc
+++ b/src/gateway/heartbeat_writer.cc
@@ -19,12 +19,11 @@
       m_timer(io),
       m_pacing(m_options.pacing) {}
 
-// After a power loss all routers start at once.
 void HeartbeatWriter::Start(uint64_t last_epoch,
                             core::Duration expected_delay) {
   m_epoch = last_epoch + 1;
   m_pacing.Expect(expected_delay);
-  Schedule(SpreadDelay(), &HeartbeatWriter::AnnounceEpoch);
+  AnnounceEpoch();
 }
 
 core::Duration HeartbeatWriter::SpreadDelay() {
--- a/tests/gateway/unit-fleet-view.cc
+++ b/tests/gateway/unit-fleet-view.cc
@@ -159,3 +159,30 @@
   // The configuration and the heartbeats are listed once.
   CHECK_EQUAL(2, router.store.newest_calls);
 }
+
+TEST(FleetView, a_router_that_waits_for_its_turn_to_start_reads_nothing) {
+  // Failure: dozens of routers restart together. Each reads the claims of all
+  // active routers until its turn to announce itself, and the claims reach the
+  // active routers too late for the requests that wait for them.
+  constexpr int kRouters = 4'000;
+  router.settings.store_writes_per_second = 1;
+  v1::RouterBeat beat;
+  beat.set_epoch(1);
+  beat.set_sequence(1);
+  beat.set_ready(true);
+  beat.set_failure_domain(router.settings.failure_domain.value());
+  beat.set_capacity(2'000);
+  const std::string record = beat.SerializeAsString();
+  for (int i = 0; i < kRouters; ++i) {
+    router.store.Put("routers", "other-" + std::to_string(i), record);
+  }
+  router.Start();
+  router.io.restart();
+  router.io.run_for(std::chrono::milliseconds(1'200));
+  CHECK_EQUAL(0, router.store.appends);
+  WriteHeartbeat();
+  const size_t readers = router.store.waiting_readers();
+  WriteHeartbeat();
+  CHECK_EQUAL(readers, router.store.waiting_readers());
+  CHECK_EQUAL(0, router.store.appends);
+}
