Claim sooner after a start, and let only unrationed accounts wait for written claims

With 1 s a new fleet of 985 may count as settled while small routers still start; by then the large ones are known, which become active.

--- a/include/coppervalve/entry/policy.h
+++ b/include/coppervalve/entry/policy.h
@@ -27,7 +27,7 @@
   double least_active = 3;
   /// The size of the fleet is known when no router was seen for the first time
   /// within this time.
-  core::Duration settle{2'000'000};
+  core::Duration settle{1'000'000};
   /// Take the load reports of other routers into account.
   bool load_reports = true;
 };
--- a/src/entry/allocation_ledger.cc
+++ b/src/entry/allocation_ledger.cc
@@ -196,7 +196,8 @@
 
 // A claim that is written and not granted yet has reduced the free tokens
 // already. If only the granted ceiling counted, a request that waits for that
-// claim would be refused although nobody else has the tokens.
+// claim would be refused although nobody else has the tokens. While the rest of
+// an account is rationed, waiting would only write more claims.
 bool AllocationLedger::MayBecomeSpendable(const core::AccountId& account,
                                           core::Tokens tokens) const {
   const auto found = m_accounts.find(account);
@@ -206,7 +207,9 @@
   const AccountState& state = found->second;
   const core::Tokens more =
       state.rationed ? std::min(Free(state), state.ration) : Free(state);
-  const core::Tokens claimed = std::max(state.ceiling, state.written_ceiling);
+  const core::Tokens claimed =
+      state.rationed ? state.ceiling
+                     : std::max(state.ceiling, state.written_ceiling);
   return more + claimed - InUse(state) >= tokens;
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -150,10 +150,11 @@
 }
 
 bool Gateway::Ready() const {
-  // An active router that starts would refuse its first callers until its
-  // claims are granted.
-  const bool can_spend =
-      m_was_ready || m_claims_read || !m_members.SelfActive();
+  // A router that is active, or will be as there is no other, would refuse its
+  // first callers until its claims are granted.
+  const bool others_serve =
+      !m_members.SelfActive() && !m_members.Addresses().empty();
+  const bool can_spend = m_was_ready || m_claims_read || others_serve;
   return m_in_force && KnowsUpstreams() && m_first_heartbeat_read &&
          can_spend && !m_leaving_since;
 }
