process-kill: sample the ceiling once all requests hold their tokens

The honest bound was 4,271.

Cause: the test takes the ceiling that is acknowledged when six streams run, and kills the router a moment later. A request that is admitted in between, or whose raise is not acknowledged yet, raises the ceiling; what stays in quarantine is the ceiling at the kill less the reported spend.

One request's bound is 335 and 4,479 - 335 = 4,144, so the failed run sampled one request too early.

Ruled out as what the test saw: a dropped report, a retired or lost witness. Each leaves the whole holding (some 21,000) in quarantine, not 4,271.

Change: the status shows ceiling_requested, which the witness may already have recorded. The test waits until all requests have arrived and both ceilings are equal, and samples then. Its check is unchanged.

--- a/include/coppervalve/budget/witness_set.h
+++ b/include/coppervalve/budget/witness_set.h
@@ -42,6 +42,10 @@
   /// unlimited
   std::optional<core::Tokens> RequestedCeiling(
       const core::BudgetId& budget) const;
+  /// @return the largest ceiling requested from a witness that may be in force,
+  /// whether or not it has acknowledged it; nullopt when unlimited
+  std::optional<core::Tokens> LargestRequestedCeiling(
+      const core::BudgetId& budget) const;
   /// @return the candidate to record, once it has acknowledged the full list
   /// and no other change is pending; null when there is none
   const WitnessCeilings* ReadyCandidate() const;
--- a/src/budget/holding_manager_outputs.cc
+++ b/src/budget/holding_manager_outputs.cc
@@ -234,6 +234,8 @@
   status.set_reserved(holding.reserved.value());
   status.set_spent(holding.spent.value());
   status.set_ceiling(limit ? limit->value() : kNoCeiling);
+  const auto requested = m_witnesses.LargestRequestedCeiling(account.id);
+  status.set_ceiling_requested(requested ? requested->value() : kNoCeiling);
   status.set_free(balance ? balance->free.value() : 0);
   return status;
 }
--- a/src/budget/witness_set.cc
+++ b/src/budget/witness_set.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/budget/witness_set.h"
 
-#include <algorithm>  // min
+#include <algorithm>  // max, min
 #include <utility>    // move
 
 namespace coppervalve::budget {
@@ -63,6 +63,19 @@
                      : requested;
 }
 
+std::optional<core::Tokens> WitnessSet::LargestRequestedCeiling(
+    const core::BudgetId& budget) const {
+  core::Tokens largest;
+  for (const WitnessCeilings& witness : m_binding) {
+    const Ceiling requested = witness.RequestedCeiling(budget);
+    if (!requested) {
+      return std::nullopt;
+    }
+    largest = std::max(largest, *requested);
+  }
+  return largest;
+}
+
 const WitnessCeilings* WitnessSet::ReadyCandidate() const {
   // Only one record is pending at a time, so that the ledger's answer can only
   // refer to that one.
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -34,6 +34,14 @@
     "inter_token_timeout_ms": 3000,
 }
 
+_NO_BUDGET_STATUS = {
+    "held": 0,
+    "reserved": 0,
+    "spent": 0,
+    "ceiling": 0,
+    "ceiling_requested": 0,
+}
+
 _Result = TypeVar("_Result")
 
 
@@ -322,8 +330,8 @@
     for budget in router.status().get("budgets", []):
         if budget["id"] == BUDGET:
             numbers = {k: int(v) for k, v in budget.items() if k != "id"}
-            return {"held": 0, "reserved": 0, "spent": 0, "ceiling": 0, **numbers}
-    return {"held": 0, "reserved": 0, "spent": 0, "ceiling": 0}
+            return {**_NO_BUDGET_STATUS, **numbers}
+    return dict(_NO_BUDGET_STATUS)
 
 
 def _account(account_id: str, api_key: str) -> dict[str, Any]:
--- a/tests/process/test_kill.py
+++ b/tests/process/test_kill.py
@@ -1,8 +1,9 @@
 """A router is killed (SIGKILL), as when its VM is lost."""
 
 import unittest
+from concurrent.futures import Future
 
-from tests.process.support import FleetTest, budget_status
+from tests.process.support import Answer, FleetTest, Router, budget_status
 
 _STREAMS = 16
 # A new router sends at most 4 concurrent requests to each engine.
@@ -31,7 +32,7 @@
             for key in keys
         ]
         self.wait(lambda: self.running_streams() >= _RUNNING, "streams run")
-        before = budget_status(dead)
+        before = self._status_when_admitted(dead, answers)
         dead.process.kill()
 
         for key, answer in zip(keys, answers, strict=True):
@@ -48,6 +49,23 @@
             f"at most {before['ceiling']} tokens stay in quarantine",
         )
 
+    def _status_when_admitted(
+        self, router: Router, answers: list[Future[Answer]]
+    ) -> dict[str, int]:
+        """Returns the budget's status once all requests hold their tokens. Until then
+        the ceiling still rises, also above the one that is acknowledged."""
+        admitted: dict[str, int] = {}
+
+        def all_admitted() -> bool:
+            finished = sum(answer.done() for answer in answers)
+            arrived = int(router.status().get("in_progress", 0)) + finished
+            admitted.update(budget_status(router))
+            settled = admitted["ceiling"] == admitted["ceiling_requested"]
+            return arrived >= len(answers) and settled
+
+        self.wait(all_admitted, "all requests hold their tokens")
+        return admitted
+
     # Two of three routers are killed at once, possibly a router and its witness.
     # The remaining one is less than half of the fleet; it must still serve all
     # callers, bill each answer once, and overspend nothing.
