Do not drop a witness's report when the log's backlog is full

What callers saw: requests on a budget refused for lack of tokens after the loss of a router, until an operator released its whole holding.

Cause: the witness of a retired router reports its ceilings once, when it reads the retirement. If claims of callers have filled the backlog by then, as after an outage of the log, the record was dropped and never tried again. The same fault elsewhere: a drain, a retirement or a confirmation of a configuration that found the backlog full was dropped too.

The events ceilings_reported, ceilings_not_reported and quarantine_changed tell in a log why tokens stay.

Open: a witness that is retired itself before it reads the retirement (BUDGETS, "What strands").

--- a/include/coppervalve/router/detail/budget_manager.h
+++ b/include/coppervalve/router/detail/budget_manager.h
@@ -12,6 +12,7 @@
 #include "coppervalve/peer.pb.h"
 #include "coppervalve/records.pb.h"
 #include "coppervalve/router/detail/log_access.h"
+#include "coppervalve/router/detail/outbox.h"
 #include "coppervalve/router/detail/peer_manager.h"
 #include "coppervalve/router/settings.h"
 
@@ -24,7 +25,8 @@
   BudgetManager(const RouterSettings& settings,
                 core::Incarnation incarnation,
                 LogAccess& log,
-                PeerManager& peers);
+                PeerManager& peers,
+                Outbox& outbox);
 
   /// @brief Handles the effects of one folded entry.
   void OnFolded(core::TimePoint now,
@@ -52,9 +54,12 @@
   bool IsSelf(const core::RouterId& router,
               core::Incarnation incarnation) const;
   void OnEffect(core::TimePoint now, const ledger::Effect& effect);
-  void OnOwnEntry(const v1::Entry& entry);
+  void OnOwnEntry(const v1::Entry& entry,
+                  const std::vector<ledger::Effect>& effects);
+  void LogQuarantineChanges(const std::vector<ledger::Effect>& effects);
   void OnRetired(core::TimePoint now, const ledger::Retired& retired);
-  void ReportCeilings(const budget::PeerRef& retired);
+  bool IsWitnessOf(const budget::PeerRef& retired) const;
+  void ReportCeilings();
   void SendRecords(core::TimePoint now);
   void SendMessages(core::TimePoint now);
   std::optional<budget::BalanceView> BalanceOf(
@@ -63,8 +68,11 @@
   budget::PeerRef m_self;
   LogAccess& m_log;
   PeerManager& m_peers;
+  Outbox& m_outbox;
   budget::HoldingManager m_holding_manager;
   budget::CeilingStore m_ceiling_store;
+  /// Retired peers whose ceilings are not in the backlog of the log yet.
+  std::vector<budget::PeerRef> m_unreported;
   std::optional<core::TimePoint> m_witness_reviewed;
 };
 
--- a/include/coppervalve/trial/fleet.h
+++ b/include/coppervalve/trial/fleet.h
@@ -34,6 +34,7 @@
   uint64_t seed = 1;
   uint64_t log_retain = 0;  ///< entries; 0 keeps all
   budget::SizingPolicy sizing = budget::DefaultSizing();
+  logclient::WriterOptions writer;
   core::Duration tick = std::chrono::milliseconds(50);
   core::Duration peer_delay = std::chrono::milliseconds(1);
   core::Duration log_delay = std::chrono::milliseconds(4);
--- a/src/router/budget_manager.cc
+++ b/src/router/budget_manager.cc
@@ -36,6 +36,14 @@
                                           : Urgency::kRoutine;
 }
 
+Tokens SumOf(const v1::QuarantineNarrowed& narrowed) {
+  Tokens sum;
+  for (const v1::Ceiling& ceiling : narrowed.ceilings()) {
+    sum += Tokens(ceiling.tokens());
+  }
+  return sum;
+}
+
 bool WasIgnored(const std::vector<ledger::Effect>& effects) {
   return effects.size() == 1 &&
          std::holds_alternative<ledger::EntryIgnored>(effects.front());
@@ -46,10 +54,12 @@
 BudgetManager::BudgetManager(const RouterSettings& settings,
                              core::Incarnation incarnation,
                              LogAccess& log,
-                             PeerManager& peers)
+                             PeerManager& peers,
+                             Outbox& outbox)
     : m_self{settings.router, incarnation},
       m_log(log),
       m_peers(peers),
+      m_outbox(outbox),
       m_holding_manager(
           m_self,
           settings.sizing,
@@ -86,7 +96,7 @@
   const bool own = IsSelf(core::RouterId(entry.writer()),
                           core::Incarnation(entry.incarnation()));
   if (own && !WasIgnored(effects)) {
-    OnOwnEntry(entry);
+    OnOwnEntry(entry, effects);
   }
 }
 
@@ -148,7 +158,35 @@
   std::visit(cases, effect);
 }
 
-void BudgetManager::OnOwnEntry(const v1::Entry& entry) {
+// One line for all budgets: a router may hold tokens of very many.
+void BudgetManager::LogQuarantineChanges(
+    const std::vector<ledger::Effect>& effects) {
+  Tokens released;
+  Tokens remaining;
+  size_t budgets = 0;
+  std::string router;
+  for (const ledger::Effect& effect : effects) {
+    const auto* changed = std::get_if<ledger::QuarantineChanged>(&effect);
+    if (changed == nullptr) {
+      continue;
+    }
+    router = changed->router.value();
+    released += changed->released;
+    remaining += changed->remaining;
+    ++budgets;
+  }
+  if (budgets > 0) {
+    m_outbox.Info("quarantine_changed",
+                  {{"router", router},
+                   {"budgets", std::to_string(budgets)},
+                   {"released", std::to_string(released.value())},
+                   {"remaining", std::to_string(remaining.value())}});
+  }
+}
+
+void BudgetManager::OnOwnEntry(const v1::Entry& entry,
+                               const std::vector<ledger::Effect>& effects) {
+  LogQuarantineChanges(effects);
   for (const v1::Record& record : entry.records()) {
     if (!record.has_spend_reported()) {
       continue;
@@ -169,26 +207,46 @@
   // retired router commit tokens that the report has just returned to the
   // balance.
   m_ceiling_store.Close(peer);
-  ReportCeilings(peer);
-}
-
-void BudgetManager::ReportCeilings(const PeerRef& retired) {
-  const ledger::Member* member =
-      m_log.fold().FindMember(retired.router, retired.incarnation);
-  const bool is_witness = member != nullptr &&
-                          member->witness == m_self.router &&
-                          member->witness_incarnation == m_self.incarnation;
-  if (!is_witness || m_holding_manager.Retired()) {
+  if (!IsWitnessOf(peer)) {
     return;
   }
-  const auto narrowed = m_ceiling_store.QuarantineNarrowedFor(retired);
-  if (!narrowed.has_value()) {
+  const bool known = m_ceiling_store.QuarantineNarrowedFor(peer).has_value();
+  if (m_holding_manager.Retired() || !known) {
+    m_outbox.Warn("ceilings_not_reported",
+                  {{"router", peer.router.value()},
+                   {"why", known ? "the witness is retired itself"
+                                 : "the full list never arrived"}});
     return;
   }
-  v1::Record record;
-  *record.mutable_quarantine_narrowed() = *narrowed;
-  if (core::IsOk(m_log.Add(std::move(record), Urgency::kUrgent))) {
+  m_unreported.push_back(peer);
+  ReportCeilings();
+}
+
+bool BudgetManager::IsWitnessOf(const PeerRef& retired) const {
+  const ledger::Member* member =
+      m_log.fold().FindMember(retired.router, retired.incarnation);
+  return member != nullptr && member->witness == m_self.router &&
+         member->witness_incarnation == m_self.incarnation;
+}
+
+// A report that found the backlog full is tried again. Without it, the tokens
+// above the ceilings would stay out of use until an operator releases them.
+void BudgetManager::ReportCeilings() {
+  while (!m_unreported.empty()) {
+    const PeerRef retired = m_unreported.back();
+    const v1::QuarantineNarrowed narrowed =
+        *m_ceiling_store.QuarantineNarrowedFor(retired);
+    v1::Record record;
+    *record.mutable_quarantine_narrowed() = narrowed;
+    if (!core::IsOk(m_log.Add(std::move(record), Urgency::kUrgent))) {
+      return;
+    }
     m_ceiling_store.ForgetCeilings(retired);
+    m_unreported.pop_back();
+    m_outbox.Info("ceilings_reported",
+                  {{"router", retired.router.value()},
+                   {"budgets", std::to_string(narrowed.ceilings_size())},
+                   {"tokens", std::to_string(SumOf(narrowed).value())}});
   }
 }
 
@@ -251,6 +309,7 @@
 }
 
 void BudgetManager::Send(TimePoint now) {
+  ReportCeilings();
   SendRecords(now);
   SendMessages(now);
 }
--- a/src/router/flow_arrival.cc
+++ b/src/router/flow_arrival.cc
@@ -25,6 +25,12 @@
 constexpr core::Duration kMaxFoldAge = std::chrono::seconds(3);
 
 constexpr core::Duration kRetryElsewhere = std::chrono::milliseconds(100);
+constexpr core::Duration kRetryAfterBacklog = std::chrono::seconds(2);
+
+/// Claims of callers leave this much of the log's backlog to the router's own
+/// records: those of its budgets, which need kMaxRecordsPerTake, and its
+/// retirement, drain and reports about peers, which would otherwise be dropped.
+constexpr size_t kRoomForOwnRecords = 2 * budget::kMaxRecordsPerTake;
 
 }  // namespace
 
@@ -260,6 +266,13 @@
 }
 
 void RequestFlow::Claim(TimePoint now, Work& work, const core::Hash128& key) {
+  if (!m_dependencies.log.HasRoomFor(kRoomForOwnRecords)) {
+    GiveUp(now, work,
+           {ErrorId::kBacklogFull, work.account.value(),
+            "too many records wait for the log"},
+           kRetryAfterBacklog);
+    return;
+  }
   v1::Record record;
   record.mutable_key_claimed()->set_key_hash(key.ToBytes());
   const core::Status added =
--- a/src/trial/node.cc
+++ b/src/trial/node.cc
@@ -33,6 +33,7 @@
       core::FailureDomainId("d" + std::to_string(index % kDomains));
   settings.region = "region";
   settings.sizing = fleet.options().sizing;
+  settings.writer = fleet.options().writer;
   return settings;
 }
 
