Keep what a retired incarnation knew of its requests, and say why it refuses

Cause: RouterCore starts the next incarnation from nothing. It reads the log from offset 0 in the phase of a router that never served, and the table of requests with its kept answers went with the old incarnation. The answers in the traffic threads stayed, since nothing told them to forget; each retirement took their room for good.

Ruled out: a slow machine as the cause; it only makes the first read longer.

Change: the next incarnation starts from the fold and the request table of the one before, and reads on from there. An incarnation also waits for its status look-ups at peers before it ends; their callers got no answer otherwise.

--- a/include/coppervalve/request/request_table.h
+++ b/include/coppervalve/request/request_table.h
@@ -87,13 +87,19 @@
   std::optional<ForwardTo> forward_to;
 };
 
-/// @brief All requests known to this incarnation. Every keyed non-idempotent
+/// @brief All requests known to this incarnation, and to earlier ones of the
+/// same process whose table it has adopted. Every keyed non-idempotent
 /// request sent from here is in the table or in the filter of expired keys, so
 /// it never runs twice.
 class RequestTable {
  public:
   RequestTable(Origin self, TableHooks hooks, TableLimits limits = {});
 
+  /// @brief Takes over the records of the previous incarnation of this process,
+  /// so that the keys that it ran or refused stay known.
+  /// @pre `previous` has no open request, and this table is empty
+  void Adopt(RequestTable previous);
+
   /// @brief Sets how long answers are kept; also applies to existing entries.
   void SetAnswerKeep(core::Duration answer_keep);
 
@@ -208,6 +214,8 @@
   Decision DecideOwnedElsewhere(const RequestRecord& request,
                                 const Origin& place) const;
   Location Locate(const Origin& place) const;
+  /// @return whether all that `place` knew of its keys is in this table
+  bool IsOwn(const Origin& place) const;
   std::optional<Refuse> RefuseIfFull(const RequestRecord& request,
                                      const Decision& decision) const;
   std::optional<Refuse> RefuseIfClosed(const Arrival& arrival,
@@ -247,6 +255,7 @@
       const core::Hash128& identity) const;
 
   Origin m_self;
+  std::vector<Origin> m_adopted;  ///< earlier incarnations of this process
   TableHooks m_hooks;
   TableLimits m_limits;
   std::unordered_map<core::RequestId, Slot> m_records;
--- a/include/coppervalve/router/core.h
+++ b/include/coppervalve/router/core.h
@@ -1,9 +1,10 @@
 #ifndef COPPERVALVE_ROUTER_CORE_H_
 #define COPPERVALVE_ROUTER_CORE_H_
 
-#include <cstdint>  // uint64_t
-#include <memory>   // unique_ptr
-#include <vector>   // vector
+#include <cstdint>   // uint64_t
+#include <memory>    // unique_ptr
+#include <optional>  // optional
+#include <vector>    // vector
 
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/result.h"
@@ -20,6 +21,10 @@
 class HoldingManager;
 }  // namespace coppervalve::budget
 
+namespace coppervalve::router::detail {
+struct Predecessor;
+}  // namespace coppervalve::router::detail
+
 namespace coppervalve::router {
 
 /// @brief Decision logic of one router: `(now, event) -> actions`.
@@ -53,7 +58,7 @@
  private:
   struct Session;
 
-  void Restart();
+  void Start(std::optional<detail::Predecessor> predecessor);
   void RestartIfEnded();
   void CountReply(const Event& event);
 
--- a/include/coppervalve/router/detail/log_access.h
+++ b/include/coppervalve/router/detail/log_access.h
@@ -4,6 +4,7 @@
 #include <functional>  // function
 #include <optional>    // optional
 #include <string>      // string
+#include <utility>     // move
 
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/result.h"
@@ -28,10 +29,13 @@
   using OnFolded = std::function<void(const v1::Entry& entry,
                                       const std::vector<ledger::Effect>&)>;
 
+  /// @param fold where reading starts: empty, or that of the previous
+  /// incarnation of this process
   LogAccess(const RouterSettings& settings,
             core::Incarnation incarnation,
             const RouterHooks& hooks,
-            Outbox& outbox);
+            Outbox& outbox,
+            ledger::Fold fold);
 
   void SetOnFolded(OnFolded on_folded) { m_on_folded = std::move(on_folded); }
 
@@ -51,6 +55,8 @@
   bool HasRoomFor(size_t records) const;
 
   const ledger::Fold& fold() const { return m_fold; }
+  /// @brief Hands over the fold when this incarnation has ended.
+  ledger::Fold TakeFold() { return std::move(m_fold); }
   const logclient::Writer& writer() const { return m_writer; }
   /// @return the first error of the fold; admission must stop
   const std::optional<core::Error>& failure() const { return m_failure; }
--- a/include/coppervalve/router/detail/request_flow.h
+++ b/include/coppervalve/router/detail/request_flow.h
@@ -47,6 +47,13 @@
  public:
   explicit RequestFlow(FlowDependencies dependencies);
 
+  /// @brief Takes over what the previous incarnation knew of its keys.
+  void AdoptRequests(request::RequestTable previous) {
+    m_table.Adopt(std::move(previous));
+  }
+  /// @brief Hands over the records of requests when this incarnation has ended.
+  request::RequestTable TakeRequests() { return std::move(m_table); }
+
   /// @brief Applies a new configuration.
   void OnConfigured();
   /// @param closed why no new work is accepted, if so
@@ -84,6 +91,8 @@
       const std::optional<core::AccountId>& forwarded) const;
 
   size_t in_progress() const { return m_work.size(); }
+  /// @return whether no request or status lookup waits for an answer
+  bool IsIdle() const { return m_work.empty() && m_status_relays.empty(); }
   size_t queued() const { return m_queue.size(); }
   routing::UpstreamTable& upstreams() { return m_upstreams; }
   const routing::UpstreamTable& upstreams() const { return m_upstreams; }
--- a/include/coppervalve/router/detail/session.h
+++ b/include/coppervalve/router/detail/session.h
@@ -32,12 +32,21 @@
   kStopped,  ///< its fold failed: serves nothing until restarted
 };
 
+/// @brief What an incarnation that has ended leaves to the next one of the same
+/// process.
+struct Predecessor {
+  ledger::Fold fold;
+  request::RequestTable requests;
+};
+
 /// @brief One incarnation of this router.
 class Session {
  public:
+  /// @param predecessor nullopt for the first incarnation of the process
   Session(const RouterSettings& settings,
           const RouterHooks& hooks,
-          core::Incarnation incarnation);
+          core::Incarnation incarnation,
+          std::optional<Predecessor> predecessor = std::nullopt);
 
   std::vector<Action> Handle(core::TimePoint now, const Event& event);
 
@@ -46,6 +55,8 @@
   bool Ready() const;
   core::Incarnation incarnation() const { return m_incarnation; }
   v1::RouterStatus Status(core::TimePoint now) const;
+  /// @pre phase() is kEnded; afterwards only destruction is allowed
+  Predecessor TakePredecessor();
   const LogAccess& log() const { return m_log; }
   const BudgetManager& budgets() const { return m_budgets; }
 
@@ -99,6 +110,7 @@
 
   const RouterSettings& m_settings;
   core::Incarnation m_incarnation;
+  bool m_rejoins;  ///< an earlier incarnation of this process was a member
   Phase m_phase = Phase::kReading;
   Outbox m_outbox;
   LogAccess m_log;
--- a/src/request/key_decision.cc
+++ b/src/request/key_decision.cc
@@ -1,6 +1,7 @@
 #include "coppervalve/request/request_table.h"
 
-#include <utility>  // move
+#include <algorithm>  // find
+#include <utility>    // move
 
 namespace coppervalve::request {
 
@@ -105,7 +106,7 @@
 
 RequestTable::Decision RequestTable::DecideOriginBound(
     const DecisionInput& input) const {
-  if (*input.origin == m_self) {
+  if (IsOwn(*input.origin)) {
     return {RunHere{}};
   }
   return DecideOwnedElsewhere(input.request, *input.origin);
@@ -115,9 +116,9 @@
     const DecisionInput& input) const {
   const RequestRecord& request = input.request;
   const std::optional<Origin> claimed = m_hooks.claim_of(*request.key);
-  // A claim of this incarnation without a record of a run: the request was
-  // refused before it was sent, so it may run without a second claim.
-  if (claimed && *claimed == m_self) {
+  // A claim of this process without a record of a run: the request was refused
+  // before it was sent, so it may run without a second claim.
+  if (claimed && IsOwn(*claimed)) {
     return {RunHere{}};
   }
   if (claimed) {
@@ -149,6 +150,11 @@
                      kShortRetryAfter)};
 }
 
+bool RequestTable::IsOwn(const Origin& place) const {
+  return place == m_self || std::find(m_adopted.begin(), m_adopted.end(),
+                                      place) != m_adopted.end();
+}
+
 Location RequestTable::Locate(const Origin& place) const {
   // Another incarnation of this router has ended: this one replaced it.
   if (place.router == m_self.router) {
@@ -282,7 +288,7 @@
   if (const RequestRecord* known = FindKey(identity)) {
     return RunStateOf(*known);
   }
-  const bool bound_elsewhere = key.origin() && *key.origin() != m_self;
+  const bool bound_elsewhere = key.origin() && !IsOwn(*key.origin());
   const bool uncertain = bound_elsewhere ||
                          m_expired_keys.MayContain(identity) ||
                          m_hooks.claim_of(identity).has_value();
--- a/src/request/request_table.cc
+++ b/src/request/request_table.cc
@@ -13,6 +13,14 @@
   m_limits.max_kept = std::max<size_t>(m_limits.max_kept, 1);
 }
 
+void RequestTable::Adopt(RequestTable previous) {
+  Origin self = std::move(m_self);
+  TableHooks hooks = std::move(m_hooks);
+  *this = std::move(previous);
+  m_adopted.push_back(std::exchange(m_self, std::move(self)));
+  m_hooks = std::move(hooks);
+}
+
 void RequestTable::SetAnswerKeep(core::Duration answer_keep) {
   m_limits.answer_keep = answer_keep;
 }
--- a/src/router/core.cc
+++ b/src/router/core.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/router/core.h"
 
-#include <iterator>  // make_move_iterator
+#include <optional>  // nullopt, optional
 #include <utility>   // move
 #include <variant>   // holds_alternative
 
@@ -14,18 +14,19 @@
 
 RouterCore::RouterCore(RouterSettings settings, RouterHooks hooks)
     : m_settings(std::move(settings)), m_hooks(std::move(hooks)) {
-  Restart();
+  Start(std::nullopt);
 }
 
 RouterCore::~RouterCore() = default;
 
-void RouterCore::Restart() {
+void RouterCore::Start(std::optional<detail::Predecessor> predecessor) {
   // 0 means "none" in the records.
   core::Incarnation incarnation;
   while (incarnation == core::Incarnation()) {
     incarnation = core::Incarnation(m_hooks.random());
   }
-  m_session = std::make_unique<Session>(m_settings, m_hooks, incarnation);
+  m_session = std::make_unique<Session>(m_settings, m_hooks, incarnation,
+                                        std::move(predecessor));
 }
 
 std::vector<Action> RouterCore::Handle(core::TimePoint now,
@@ -57,7 +58,7 @@
 void RouterCore::RestartIfEnded() {
   if (m_session->phase() == detail::Phase::kEnded && !m_session->draining() &&
       m_open_log_calls == 0) {
-    Restart();
+    Start(m_session->TakePredecessor());
   }
 }
 
--- a/src/router/log_access.cc
+++ b/src/router/log_access.cc
@@ -26,12 +26,13 @@
 LogAccess::LogAccess(const RouterSettings& settings,
                      core::Incarnation incarnation,
                      const RouterHooks& hooks,
-                     Outbox& outbox)
+                     Outbox& outbox,
+                     ledger::Fold fold)
     : m_settings(settings),
       m_incarnation(incarnation),
       m_outbox(outbox),
-      m_fold(settings.fold),
-      m_reader(LogOffset(0), settings.reader, JitterFrom(hooks)),
+      m_fold(std::move(fold)),
+      m_reader(m_fold.next_offset(), settings.reader, JitterFrom(hooks)),
       m_writer(settings.router.value(),
                incarnation,
                settings.writer,
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -39,10 +39,17 @@
 
 Session::Session(const RouterSettings& settings,
                  const RouterHooks& hooks,
-                 core::Incarnation incarnation)
+                 core::Incarnation incarnation,
+                 std::optional<Predecessor> predecessor)
     : m_settings(settings),
       m_incarnation(incarnation),
-      m_log(settings, incarnation, hooks, m_outbox),
+      m_rejoins(predecessor.has_value()),
+      m_log(settings,
+            incarnation,
+            hooks,
+            m_outbox,
+            predecessor ? std::move(predecessor->fold)
+                        : ledger::Fold(settings.fold)),
       m_peers(settings, incarnation, m_outbox),
       m_budgets(settings, incarnation, m_log, m_peers, m_outbox),
       m_flow({settings, hooks, incarnation, m_log, m_peers,
@@ -53,6 +60,15 @@
                            const std::vector<ledger::Effect>& effects) {
     OnFolded(m_now, entry, effects);
   });
+  if (predecessor) {
+    m_flow.AdoptRequests(std::move(predecessor->requests));
+    m_peers.SetMembers(m_log.fold());
+    ApplyConfiguration();
+  }
+}
+
+Predecessor Session::TakePredecessor() {
+  return {m_log.TakeFold(), m_flow.TakeRequests()};
 }
 
 std::vector<Action> Session::Handle(TimePoint now, const Event& event) {
@@ -85,20 +101,17 @@
   if (m_log.failure().has_value()) {
     return *m_log.failure();
   }
-  switch (m_phase) {
-    case Phase::kReading:
-    case Phase::kJoining:
-      return Error{ErrorId::kNotReady, m_settings.router.value(),
-                   "still reading the log"};
-    case Phase::kRetired:
-    case Phase::kEnded:
-    case Phase::kStopped:
-      return Error{ErrorId::kRetiredInLog, m_settings.router.value(),
-                   "retired in the log; will join again soon"};
-    case Phase::kMember:
-      return std::nullopt;
+  if (m_phase == Phase::kMember) {
+    return std::nullopt;
+  }
+  const bool starting =
+      m_phase == Phase::kReading || m_phase == Phase::kJoining;
+  if (starting && !m_rejoins) {
+    return Error{ErrorId::kNotReady, m_settings.router.value(),
+                 "still reading the log"};
   }
-  return std::nullopt;
+  return Error{ErrorId::kRetiredInLog, m_settings.router.value(),
+               "retired in the log; will join again soon"};
 }
 
 std::optional<Error> Session::ClosedReason() const {
@@ -122,7 +135,7 @@
 
 void Session::On(TimePoint now, const RequestArrived& event) {
   const std::optional<Error> closed = ClosedReason();
-  if (closed.has_value() && m_phase == Phase::kReading) {
+  if (closed.has_value() && m_phase == Phase::kReading && !m_rejoins) {
     m_flow.RefuseBeforeFirstRead(event, *closed);
     return;
   }
--- a/src/router/session_end.cc
+++ b/src/router/session_end.cc
@@ -35,7 +35,7 @@
 
 void Session::EndIfFinished(TimePoint now) {
   (void)now;
-  if (m_phase != Phase::kRetired || m_flow.in_progress() > 0 ||
+  if (m_phase != Phase::kRetired || !m_flow.IsIdle() ||
       !m_budgets.holding_manager().Finalized() ||
       m_log.writer().backlog_records() > 0) {
     return;
