Do not deny callers while the configuration may be missing or stale

What callers saw: a router that has just started answered a request for the address list, or for the status of a request, with 401 until its first read of the log; one cut off from the log answered 401 or 403 to callers of an account or a rule that had been added meanwhile. Callers do not repeat a denied request.

Change: denials pass through RequestFlow::Deny(), which gives the reason for which the router is closed, unless that is a drain.

--- a/include/coppervalve/router/detail/request_flow.h
+++ b/include/coppervalve/router/detail/request_flow.h
@@ -63,7 +63,17 @@
   /// @brief Refuses a request that arrives before the first read of the log.
   void RefuseBeforeFirstRead(const RequestArrived& event,
                              const core::Error& closed);
-  void OnStatusRequested(core::TimePoint now, const StatusRequested& event);
+  void OnStatusRequested(core::TimePoint now,
+                         const StatusRequested& event,
+                         const std::optional<core::Error>& closed);
+  /// @brief Refuses a request for which the configuration in force has no
+  /// account or no rule.
+  /// @param closed why no new work is accepted, if so
+  void Deny(core::RequestId id,
+            core::Error denial,
+            std::optional<core::Duration> retry_after,
+            core::RunState run_state,
+            const std::optional<core::Error>& closed);
   void OnCallerDisconnected(core::TimePoint now, core::RequestId id);
   void OnForwardEnded(core::TimePoint now, const ForwardEnded& event);
 
@@ -104,7 +114,8 @@
   // Arrival.
   std::optional<Work> Classify(core::TimePoint now,
                                const RequestArrived& event,
-                               const std::optional<request::KeyName>& key);
+                               const std::optional<request::KeyName>& key,
+                               const std::optional<core::Error>& closed);
   void ApplyVerdict(core::TimePoint now,
                     core::RequestId id,
                     const request::KeyVerdict& verdict);
--- a/src/router/flow_arrival.cc
+++ b/src/router/flow_arrival.cc
@@ -115,7 +115,7 @@
     }
     key = core::Value(parsed);
   }
-  std::optional<Work> work = Classify(now, event, key);
+  std::optional<Work> work = Classify(now, event, key, closed);
   if (!work.has_value()) {
     return;
   }
@@ -150,13 +150,32 @@
       Refuse{event.request, closed, run_state, kRetryElsewhere});
 }
 
+void RequestFlow::Deny(RequestId id,
+                       Error denial,
+                       std::optional<core::Duration> retry_after,
+                       core::RunState run_state,
+                       const std::optional<Error>& closed) {
+  // A router that may lack the newest configuration cannot know that a caller
+  // is not allowed, and callers do not repeat a denied request.
+  const bool certain = !closed || closed->id == ErrorId::kDraining;
+  if (certain) {
+    RefuseImmediately(id, std::move(denial), retry_after, run_state);
+  } else {
+    RefuseImmediately(id, *closed, kRetryElsewhere, run_state);
+  }
+}
+
 std::optional<Work> RequestFlow::Classify(
     TimePoint now,
     const RequestArrived& event,
-    const std::optional<request::KeyName>& key) {
+    const std::optional<request::KeyName>& key,
+    const std::optional<Error>& closed) {
   const auto account = Authenticate(event.api_key, event.forwarded_account);
   if (!core::IsOk(account)) {
-    RefuseImmediately(event.request, core::Failure(account), std::nullopt);
+    const bool may_have_run = closed.has_value() && key.has_value();
+    Deny(event.request, core::Failure(account), std::nullopt,
+         may_have_run ? core::RunState::kUnknown : core::RunState::kNotRun,
+         closed);
     return std::nullopt;
   }
   const config::EffectiveLimits& limits =
@@ -178,18 +197,16 @@
   const rules::Decision decision =
       m_dependencies.configured.rules().Match(facts);
   if (const auto* refused = std::get_if<rules::Refused>(&decision)) {
-    RefuseImmediately(
-        event.request,
-        {ErrorId::kRefusedByRule, refused->rule.value(), refused->reason},
-        refused->retry_after);
+    Deny(event.request,
+         {ErrorId::kRefusedByRule, refused->rule.value(), refused->reason},
+         refused->retry_after, core::RunState::kNotRun, closed);
     return std::nullopt;
   }
   const auto* route = std::get_if<rules::Route>(&decision);
   if (route == nullptr) {
-    RefuseImmediately(
-        event.request,
-        {ErrorId::kNoRuleMatches, facts.account.value(), event.path},
-        std::nullopt, run_state);
+    Deny(event.request,
+         {ErrorId::kNoRuleMatches, facts.account.value(), event.path},
+         std::nullopt, run_state, closed);
     return std::nullopt;
   }
   if (route->candidates->empty()) {
@@ -347,11 +364,13 @@
 }
 
 void RequestFlow::OnStatusRequested(TimePoint now,
-                                    const StatusRequested& event) {
+                                    const StatusRequested& event,
+                                    const std::optional<Error>& closed) {
   m_now = now;
   const auto account = Authenticate(event.api_key, event.forwarded_account);
   if (!core::IsOk(account)) {
-    RefuseImmediately(event.request, core::Failure(account), std::nullopt);
+    Deny(event.request, core::Failure(account), std::nullopt,
+         core::RunState::kNotRun, closed);
     return;
   }
   const auto key = request::KeyName::Parse(event.idempotency_key);
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -145,8 +145,8 @@
 void Session::On(TimePoint now, const AddressesRequested& event) {
   const auto account = m_flow.Authenticate(event.api_key, std::nullopt);
   if (!core::IsOk(account)) {
-    m_outbox.Add(Refuse{event.request, core::Failure(account),
-                        core::RunState::kNotRun, std::nullopt});
+    m_flow.Deny(event.request, core::Failure(account), std::nullopt,
+                core::RunState::kNotRun, ClosedReason());
     return;
   }
   membership::OwnState own;
@@ -159,7 +159,7 @@
 }
 
 void Session::On(TimePoint now, const StatusRequested& event) {
-  m_flow.OnStatusRequested(now, event);
+  m_flow.OnStatusRequested(now, event, ClosedReason());
 }
 
 void Session::On(TimePoint now, const OperatorStatusRequested& event) {
