--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,6 +10,17 @@
 
 PROMPT, MAX_OUTPUT = 200, 70
 HOST = "desk.example"
+KEPT_CONNECTIONS = 6
+_PAUSE_BETWEEN_REQUESTS_S = 0.3
+
+
+@dataclass
+class Cut:
+    """A request whose connection ended before the whole answer."""
+
+    address: str
+    request_id: str
+    end: float
 
 
 @dataclass
@@ -20,6 +31,7 @@
     wrong: list[str] = field(default_factory=list)  # descriptions of invalid answers
     not_run: set[str] = field(default_factory=set)  # ids of requests answered with "not run"
     delivered: Counter[str] = field(default_factory=Counter)  # number of events by request id
+    cuts: list[Cut] = field(default_factory=list)
 
 
 class Callers:
@@ -31,7 +43,8 @@
 
     async def run(self, per_second: float, until: float) -> None:
         loop = asyncio.get_running_loop()
-        tasks = []
+        tasks = [asyncio.create_task(self._use_kept_connections(until))
+                 for _ in range(KEPT_CONNECTIONS)]
         while loop.time() < until:
             tasks.append(asyncio.create_task(self._request()))
             await asyncio.sleep(self._random.expovariate(per_second))
@@ -56,35 +69,67 @@
             return None
         return reply if whole else None
 
+    async def _use_kept_connections(self, until: float) -> None:
+        """Sends one request after the other on a connection until it ends, then on a
+        new one."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            address = await self._address()
+            try:
+                host, port = (address or "").split(":")
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+            except (OSError, TimeoutError, ValueError):
+                await asyncio.sleep(_PAUSE_BETWEEN_REQUESTS_S)
+                continue
+            while loop.time() < until and await self._send(reader, writer, address,
+                                                           *self._make_request()):
+                await asyncio.sleep(self._random.uniform(0, 2 * _PAUSE_BETWEEN_REQUESTS_S))
+            writer.close()
+
     async def _request(self) -> None:
-        self._number += 1
-        request_id = f"r{self._number}"
-        kind = self._random.choice(["chat", "chat", "draft", "hold", "lookup"])
         address = await self._address()
         if address is None:
             self.seen.outcomes["no address"] += 1
             return
+        host, port = address.split(":")
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+        except (OSError, TimeoutError):
+            self.seen.outcomes["unreachable"] += 1
+            return
+        await self._send(reader, writer, address, *self._make_request())
+        writer.close()
+
+    def _make_request(self) -> tuple[str, str, str]:
+        """Returns the text, the kind and the id of a new request."""
+        self._number += 1
+        request_id = f"r{self._number}"
+        kind = self._random.choice(["chat", "chat", "draft", "hold", "lookup"])
         text = (f"POST /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
                 "Deadline-Ms: 6000\r\nAuthorization: Token key\r\nContent-Length: 0\r\n")
         if kind in ("chat", "draft"):
             text += f"Model: m\r\nToken-Usage: {PROMPT},{MAX_OUTPUT}\r\nPrefix-Hash: a:100,b:100\r\n"
-        await self._exchange(address, text + "\r\n", kind, request_id)
+        return text + "\r\n", kind, request_id
 
-    async def _exchange(self, address: str, text: str, kind: str, request_id: str) -> None:
-        host, port = address.split(":")
+    async def _send(self, reader, writer, address: str, text: str, kind: str,
+                    request_id: str) -> bool:
+        """Sends a request and checks its answer. Returns whether the connection may be
+        used again."""
+        head, whole = None, False
         try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
             writer.write(text.encode())
             head = await asyncio.wait_for(read_head(reader), 8)
             if head is None:
                 self.seen.outcomes["closed"] += 1
-                return
-            body, whole = await asyncio.wait_for(self._body(reader, head), 8)
-            writer.close()
+            else:
+                body, whole = await asyncio.wait_for(self._body(reader, head), 8)
+                self._check_answer(kind, request_id, head, body, whole)
         except (OSError, TimeoutError):
             self.seen.outcomes["unreachable"] += 1
-            return
-        self._check_answer(kind, request_id, head, body, whole)
+        if not whole:
+            end = asyncio.get_running_loop().time()
+            self.seen.cuts.append(Cut(address, request_id, end))
+        return whole and head.headers.get("connection") != "close"
 
     async def _body(self, reader, head):
         if head.headers.get("transfer-encoding") == "chunked":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,8 @@
         self._sent_unwanted = 0  # requests beyond what a leaving or pausing upstream allows
         self._beyond_limits = 0  # requests beyond upstreams' rate limits
         self._limits_kept_after_end = 0  # limits that routers kept after their withdrawal
+        # (address, begin, end) of each orderly shutdown of a router
+        self._shutdowns: list[tuple[str, float, float]] = []
 
     async def run(self) -> int:
         with tempfile.TemporaryDirectory() as folder:
@@ -56,7 +58,7 @@
                  self._store_down, self._lose_answers, self._forget, self._top_up,
                  self._cut_answers, self._decline, self._lapse, self._crash_under_a_request,
                  self._leave_unheard, self._ask_for_a_pause, self._evacuate,
-                 self._return_cold, self._name_limits]
+                 self._return_cold, self._name_limits, self._terminate_during_changes]
         remaining: list = []
         while asyncio.get_running_loop().time() < until:
             # Every kind is used once before any is repeated.
@@ -79,7 +81,41 @@
         router.send(signal.SIGCONT)
 
     async def _terminate(self) -> None:
-        await self._random.choice(self._routers).restart(signal.SIGTERM)
+        await self._shut_down((await self._active_first())[0])
+
+    async def _active_first(self) -> list:
+        """Returns the routers in random order, those to which callers are led first."""
+        routers = self._random.sample(self._routers, len(self._routers))
+        active = {router.name: await router.figure("active") for router in routers}
+        return sorted(routers, key=lambda router: -active[router.name])
+
+    async def _shut_down(self, router) -> None:
+        clock = asyncio.get_running_loop().time
+        begin = clock()
+        router.send(signal.SIGTERM)
+        await router.process.wait()
+        self._shutdowns.append((f"127.0.0.1:{router.front}", begin, clock()))
+        await router.start()
+
+    async def _terminate_during_changes(self) -> None:
+        """Shuts down two routers, the second one during the drain of the first, while
+        configurations change."""
+        first, second = (await self._active_first())[:2]
+        drains = [asyncio.create_task(self._shut_down(first))]
+        await asyncio.sleep(self._random.uniform(0.2, 2))
+        drains.append(asyncio.create_task(self._shut_down(second)))
+        while not all(drain.done() for drain in drains):
+            await self._top_up()
+            await asyncio.sleep(self._random.uniform(0.2, 0.8))
+
+    def _cut_by_shutdowns(self, seen) -> int:
+        """Counts requests that ran and whose connection an orderly shutdown ended
+        before the whole answer. A request that crosses the close does not run."""
+        margin_s = 0.2  # until the caller notices the end of the process
+        runs = self._platform.ledger.runs
+        return sum(runs[cut.request_id] > 0 and any(
+            cut.address == address and begin <= cut.end <= end + margin_s
+            for address, begin, end in self._shutdowns) for cut in seen.cuts)
 
     async def _turn_away(self) -> None:
         ports = {router.store_port for router in self._random.sample(self._routers, 2)}
@@ -263,6 +299,7 @@
             "sent beyond a limit": self._beyond_limits,
             "limits kept after their end": self._limits_kept_after_end,
             "overloaded while cold": len(ledger.overloaded_while_cold),
+            "cut by an orderly shutdown": self._cut_by_shutdowns(seen),
             "ran without a caller's id": len([i for i in runs if not i.startswith("r")]),
         }
         print("faults:", " ".join(self.faults))
