Start from an empty fold if the last one failed, and log reports that are refused

Read as a newcomer: an incarnation that ends with a failed fold handed it to the next one, where it would stay failed; the next one reads anew instead, as before. A witness that is retired between a retirement and its report logged ceilings_reported for a record that the ledger ignores; it logs ceilings_not_reported now. A refusal by rule gives the run state of the key, as one for lack of a rule does.

--- a/include/coppervalve/router/detail/budget_manager.h
+++ b/include/coppervalve/router/detail/budget_manager.h
@@ -2,6 +2,7 @@
 #define COPPERVALVE_ROUTER_DETAIL_BUDGET_MANAGER_H_
 
 #include <optional>  // optional
+#include <string>    // string
 #include <vector>    // vector
 
 #include "coppervalve/budget/ceiling_store.h"
@@ -60,6 +61,7 @@
   void OnRetired(core::TimePoint now, const ledger::Retired& retired);
   bool IsWitnessOf(const budget::PeerRef& retired) const;
   void ReportCeilings();
+  void LogNotReported(const budget::PeerRef& retired, const std::string& why);
   void SendRecords(core::TimePoint now);
   void SendMessages(core::TimePoint now);
   std::optional<budget::BalanceView> BalanceOf(
--- a/src/router/budget_manager.cc
+++ b/src/router/budget_manager.cc
@@ -211,17 +211,20 @@
     return;
   }
   const bool known = m_ceiling_store.QuarantineNarrowedFor(peer).has_value();
-  if (m_holding_manager.Retired() || !known) {
-    m_outbox.Warn("ceilings_not_reported",
-                  {{"router", peer.router.value()},
-                   {"why", known ? "the witness is retired itself"
-                                 : "the full list never arrived"}});
+  if (!known) {
+    LogNotReported(peer, "the full list never arrived");
     return;
   }
   m_unreported.push_back(peer);
   ReportCeilings();
 }
 
+void BudgetManager::LogNotReported(const PeerRef& retired,
+                                   const std::string& why) {
+  m_outbox.Warn("ceilings_not_reported",
+                {{"router", retired.router.value()}, {"why", why}});
+}
+
 bool BudgetManager::IsWitnessOf(const PeerRef& retired) const {
   const ledger::Member* member =
       m_log.fold().FindMember(retired.router, retired.incarnation);
@@ -234,6 +237,12 @@
 void BudgetManager::ReportCeilings() {
   while (!m_unreported.empty()) {
     const PeerRef retired = m_unreported.back();
+    if (m_holding_manager.Retired()) {
+      // The ledger accepts no report from a retired witness.
+      LogNotReported(retired, "the witness is retired itself");
+      m_unreported.pop_back();
+      continue;
+    }
     const v1::QuarantineNarrowed narrowed =
         *m_ceiling_store.QuarantineNarrowedFor(retired);
     v1::Record record;
--- a/src/router/flow_arrival.cc
+++ b/src/router/flow_arrival.cc
@@ -199,7 +199,7 @@
   if (const auto* refused = std::get_if<rules::Refused>(&decision)) {
     Deny(event.request,
          {ErrorId::kRefusedByRule, refused->rule.value(), refused->reason},
-         refused->retry_after, core::RunState::kNotRun, closed);
+         refused->retry_after, run_state, closed);
     return std::nullopt;
   }
   const auto* route = std::get_if<rules::Route>(&decision);
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -68,7 +68,11 @@
 }
 
 Predecessor Session::TakePredecessor() {
-  return {m_log.TakeFold(), m_flow.TakeRequests()};
+  // A fold that has failed stays failed; only a new one may get past the entry.
+  ledger::Fold fold = m_log.failure().has_value()
+                          ? ledger::Fold(m_settings.fold)
+                          : m_log.TakeFold();
+  return {std::move(fold), m_flow.TakeRequests()};
 }
 
 std::vector<Action> Session::Handle(TimePoint now, const Event& event) {
