--- a/tests/router/unit-denial.cc
+++ b/tests/router/unit-denial.cc
@@ -38,8 +38,7 @@
 TEST_GROUP(Denial){};
 // clang-format on
 
-// Guards against a router that has just started and denies the callers of a
-// configuration that it has not read: they do not come back after a 401.
+// Guards against a 401 from a router that has not read the log yet.
 TEST(Denial, is_not_given_before_the_first_read_of_the_log) {
   RunningFleet run;
   Node& node = run.fleet.node(2);
@@ -55,8 +54,7 @@
         core::ErrorId::kNotReady);
 }
 
-// Guards against a router that is cut off from the log and denies the callers
-// of an account that was added meanwhile.
+// Guards against a 401 for an account that was added during a partition.
 TEST(Denial, is_not_given_under_a_stale_configuration) {
   RunningFleet run;
   CHECK(RefusalOfUnknownAccount(run, 2) == core::ErrorId::kUnauthorized);
--- a/tests/router/unit-lost-router.cc
+++ b/tests/router/unit-lost-router.cc
@@ -162,8 +162,7 @@
 TEST_GROUP(LostRouter){};
 // clang-format on
 
-// Guards against tokens that stay in quarantine above the ceiling: whatever
-// disturbs the witness meanwhile, it reports the ceilings while it is live.
+// Guards against tokens above the ceiling that stay in quarantine.
 TEST(LostRouter, strands_only_its_ceiling_while_its_witness_is_live) {
   constexpr uint64_t kSeeds = 100;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -171,8 +170,7 @@
   }
 }
 
-// Guards against a report of ceilings that is dropped: the retirement is read
-// while claims of callers have filled the backlog of the witness.
+// Guards against a report of ceilings that a full backlog drops.
 TEST(LostRouter, is_reported_by_a_witness_whose_log_backlog_is_full) {
   FleetOptions options;
   options.writer.max_backlog_records = 600;
--- a/tests/router/unit-rejoin.cc
+++ b/tests/router/unit-rejoin.cc
@@ -1,5 +1,6 @@
 #include <set>     // set
-#include <string>  // to_string
+#include <string>  // string, to_string
+#include <vector>  // vector
 
 #include "fleet_fixture.h"
 
@@ -46,8 +47,7 @@
 TEST_GROUP(Rejoin){};
 // clang-format on
 
-// Guards against a router that answers as if it had never served while it joins
-// again: CV-410 and "unknown" for requests that it knows it has not run.
+// Guards against CV-410 and "unknown" from a router that has served before.
 TEST(Rejoin, gives_one_reason_and_the_true_run_state_until_it_is_active) {
   RetiredRouter retired;
   const std::string old_prefix = retired.run().Prefix(kPaused);
@@ -79,8 +79,7 @@
   LONGS_EQUAL(1, retry_delays.size());
 }
 
-// Guards against a run that is forgotten with the incarnation that made it: its
-// retry gets the kept answer, whichever incarnation it reaches.
+// Guards against a second run of a request that this process has answered.
 TEST(Rejoin, keeps_the_answers_of_the_incarnation_before) {
   RetiredRouter retired;
   const size_t draft = retired.fleet().AddRequest(
@@ -97,8 +96,7 @@
   LONGS_EQUAL(1, retired.run().RunsOf(draft));
 }
 
-// Guards against both a second run and a refusal without end: only this process
-// may run a hold with its old prefix, and its table tells whether it has.
+// Guards against a permanent refusal of a hold that only this process may run.
 TEST(Rejoin, runs_a_hold_bound_to_the_incarnation_before_exactly_once) {
   RetiredRouter retired;
   const std::string old_prefix = retired.run().Prefix(kPaused);
