--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>      // size_t
 #include <cstdint>      // uint32_t
 #include <functional>   // function
 #include <memory>       // shared_ptr, enable_shared_from_this
@@ -187,6 +188,8 @@
   std::optional<http1::ResponseHead> m_head;
   std::string m_body;
   http1::SseSplitter m_sse_splitter;
+  /// Bytes after the last whole event when the latest attempt ended.
+  size_t m_unfinished_event = 0;
   core::TimePoint m_last_activity;  ///< start of the upstream's timeout
   core::Duration m_first_byte{};
   uint32_t m_sent_attempts = 0;  ///< attempts of which bytes were sent
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -253,6 +253,7 @@
   if (m_done || !m_attempt) {
     return;
   }
+  m_unfinished_event = m_sse_splitter.buffered_bytes();
   if (end == AttemptEnd::kNotSent || end == AttemptEnd::kWithheld) {
     RecordOutcome(end == AttemptEnd::kNotSent ? AttemptOutcome::kUnreachable
                                               : AttemptOutcome::kWithheld);
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -17,6 +17,13 @@
 constexpr core::Duration kMinGapTimeout{700'000};
 constexpr int kTimeoutFactor = 4;
 
+std::string_view FramingOf(const http1::ResponseHead& head) {
+  if (head.ends_with_connection) {
+    return "connection";
+  }
+  return head.length ? "length" : "chunked";
+}
+
 }  // namespace
 
 void Exchange::Refuse(const core::Error& error,
@@ -132,6 +139,10 @@
   if (!m_last_failure.empty()) {
     line.Text("why", m_last_failure);
   }
+  if (m_head) {
+    line.Text("framing", FramingOf(*m_head))
+        .Number("unfinished_event", static_cast<int64_t>(m_unfinished_event));
+  }
   line.Number("events", static_cast<int64_t>(m_sse_splitter.events()))
       .Millis("first_ms", m_first_byte)
       .Millis("whole_ms", net::BootNow() - m_request.arrived)
