Recognise events whose lines end with CR

What callers saw: nothing of a stream whose lines end with a lone CR until it ended; none of its events counted, so that it could not be resumed and only its prompt was billed. Cause: the splitter looked for LF LF and CRLF CRLF only, while an event stream may end its lines with LF, CRLF or CR, mixed. The splitter reads lines now, and InsideEvent() tells whether an event has begun; comments are none.

--- a/src/http1/sse_splitter.cc
+++ b/src/http1/sse_splitter.cc
@@ -1,27 +1,13 @@
 #include "coppervalve/http1/sse_splitter.h"
 
-#include <algorithm>  // max
-#include <utility>    // exchange
+#include <utility>  // exchange, move
 
 namespace coppervalve::http1 {
 
 namespace {
 
 constexpr std::string_view kIdField = "id:";
-
-// @return the position after the last blank line; 0 if there is none
-size_t EndOfLastEvent(std::string_view text) {
-  size_t end = 0;
-  const size_t plain = text.rfind("\n\n");
-  if (plain != std::string_view::npos) {
-    end = plain + 2;
-  }
-  const size_t with_returns = text.rfind("\r\n\r\n");
-  if (with_returns != std::string_view::npos) {
-    end = std::max(end, with_returns + 4);
-  }
-  return end;
-}
+constexpr char kComment = ':';
 
 std::string_view FieldValue(std::string_view line) {
   line.remove_prefix(kIdField.size());
@@ -31,42 +17,73 @@
   return line;
 }
 
+bool IsField(std::string_view line) {
+  return !line.empty() && line.front() != kComment;
+}
+
 }  // namespace
 
 std::string SseSplitter::Feed(std::string_view bytes) {
   m_partial.append(bytes);
-  const size_t end = EndOfLastEvent(m_partial);
+  size_t end = 0;  // of the last complete event
+  for (;;) {
+    const size_t at = m_partial.find_first_of("\r\n", m_scanned);
+    if (at == std::string::npos) {
+      m_after_cr = m_after_cr && m_scanned == m_partial.size();
+      m_scanned = m_partial.size();
+      break;
+    }
+    const bool second_half =
+        m_after_cr && at == m_line_start && m_partial[at] == '\n';
+    const std::string_view line =
+        std::string_view(m_partial).substr(m_line_start, at - m_line_start);
+    m_scanned = at + 1;
+    m_line_start = at + 1;
+    m_after_cr = m_partial[at] == '\r';
+    if (second_half) {
+      end = end == at ? at + 1 : end;
+      continue;
+    }
+    EndLine(line);
+    end = line.empty() ? at + 1 : end;
+  }
   if (end == 0) {
     return {};
   }
   std::string whole = m_partial.substr(0, end);
   m_partial.erase(0, end);
-  CountEvents(whole);
+  m_scanned -= end;
+  m_line_start -= end;
   return whole;
 }
 
+bool SseSplitter::InsideEvent() const {
+  return m_has_field ||
+         IsField(std::string_view(m_partial).substr(m_line_start));
+}
+
 std::string SseSplitter::TakePartialEvent() {
+  m_scanned = 0;
+  m_line_start = 0;
+  m_after_cr = false;
+  m_has_field = false;
+  m_id.clear();
   return std::exchange(m_partial, {});
 }
 
-void SseSplitter::CountEvents(std::string_view events) {
-  bool in_event = false;
-  while (!events.empty()) {
-    const size_t newline = events.find('\n');
-    std::string_view line = events.substr(0, newline);
-    events.remove_prefix(newline + 1);
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
-    }
-    if (line.empty()) {
-      m_events += in_event ? 1 : 0;
-      in_event = false;
-      continue;
-    }
-    in_event = true;
+void SseSplitter::EndLine(std::string_view line) {
+  if (!line.empty()) {
+    m_has_field = m_has_field || IsField(line);
     if (line.starts_with(kIdField)) {
-      m_last_id = FieldValue(line);
+      m_id = FieldValue(line);
     }
+    return;
+  }
+  m_events += m_has_field ? 1 : 0;
+  m_has_field = false;
+  if (!m_id.empty()) {
+    m_last_id = std::move(m_id);
+    m_id.clear();
   }
 }
 
