Treat a stream that ends inside an event as broken off

Cause: the orderly end of a connection was taken for the end of the stream. That holds for a program that has finished; the kernel of one that crashed closes in the same way. The router then even sent the bytes of the unfinished event, which it held back for a resumption, and the last chunk. Why this works: a stream whose bytes end inside an event is broken off, whatever framed it, as is one that only its connection ends and of which no event came. It takes the path of any broken stream: resumed where it may be, reset otherwise, the events that came billed, the upstream checked. On a stream route, a body of another type is no stream of events; it is forwarded as any body is.

--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -96,6 +96,7 @@
     double prefill_cost = 0;   ///< its part of the upstream's in_prefill
     double total_prefill = 0;  ///< that and the work queued before it
     double cost = 0;           ///< expected cost at placement
+    bool events = false;       ///< the body is a stream of events
     bool forwarding = false;   ///< the response is sent to the caller
     bool resumed = false;
   };
@@ -132,6 +133,8 @@
   void OnHead(const http1::ResponseHead& head);
   void OnBody(const std::string& body);
   void OnEnd(AttemptEnd end, std::string_view why);
+  /// @brief Whether a response that seems complete is a stream that was cut.
+  bool IsCutStream() const;
   void ReturnConnection();
   void OnComplete();
   void OnBroken(std::string_view why);
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -47,6 +47,12 @@
   return "misaddressed";
 }
 
+// Upstreams may leave the type out.
+bool IsEventStream(const http1::ResponseHead& head) {
+  const std::string* type = head.headers.Find("content-type");
+  return type == nullptr || type->starts_with("text/event-stream");
+}
+
 http1::HeaderList CallerHeaders(const http1::ResponseHead& head) {
   http1::HeaderList headers;
   for (const http1::Header& header : head.headers) {
@@ -170,13 +176,14 @@
   if (!attempt.resumed) {
     m_head = head;
   }
-  attempt.forwarding = IsStream() && IsSuccess(head.status);
+  attempt.events = IsStream() && IsSuccess(head.status) && IsEventStream(head);
+  attempt.forwarding = attempt.events;
 }
 
 void Exchange::OnBody(const std::string& body) {
   Attempt& attempt = *m_attempt;
   m_last_activity = net::BootNow();
-  if (attempt.forwarding && !IsStream()) {
+  if (attempt.forwarding && !attempt.events) {
     ForwardToCaller(body);
     return;
   }
@@ -254,6 +261,11 @@
     return;
   }
   m_unfinished_event = m_sse_splitter.buffered_bytes();
+  if (end == AttemptEnd::kComplete && IsCutStream()) {
+    m_attempt->connection->Close();
+    end = AttemptEnd::kBroken;
+    why = "the stream ended inside an event";
+  }
   if (end == AttemptEnd::kNotSent || end == AttemptEnd::kWithheld) {
     RecordOutcome(end == AttemptEnd::kNotSent ? AttemptOutcome::kUnreachable
                                               : AttemptOutcome::kWithheld);
@@ -280,6 +292,17 @@
   OnComplete();
 }
 
+// A crashed upstream's kernel closes its connections in the same way as one
+// that has finished. Where only this ends a stream, the last event has to be
+// whole, and there has to be one.
+bool Exchange::IsCutStream() const {
+  if (!m_attempt->events) {
+    return false;
+  }
+  return m_sse_splitter.InsideEvent() ||
+         (m_head->ends_with_connection && !HasEvents());
+}
+
 // The upstream may have restarted or left while it responded. Then the pooled
 // connections under its id belong to another instance.
 void Exchange::ReturnConnection() {
@@ -336,8 +359,7 @@
   }
   const int status = m_head->status;
   if (streamed) {
-    // Bytes after the last event: the stream ended properly, so they belong to
-    // it.
+    // Comments and blank lines after the last event.
     ForwardToCaller(m_sse_splitter.TakePartialEvent());
     m_caller->EndResponse();
   } else {
--- a/tests/gateway/unit-response-end.cc
+++ b/tests/gateway/unit-response-end.cc
@@ -93,8 +93,8 @@
       stream->Send(resumed ? text : text.substr(0, cut));
       End(stream, resumed ? Ending::kOrderly : ending);
     };
-    router.AddUpstream("one", service).Answer(answer);
-    router.AddUpstream("two", service).Answer(answer);
+    router.AddUpstream(service + "-1", service).Answer(answer);
+    router.AddUpstream(service + "-2", service).Answer(answer);
   }
 
   // @return what is left of the body after the event that a request names
@@ -162,6 +162,21 @@
   CHECK_FALSE(IsWholeSuccess(Ask("/talk/x")));
 }
 
+// Guards against events that are looked for in a body that is no event stream.
+TEST(ResponseEnd, a_body_of_another_type_on_a_stream_route_is_forwarded) {
+  router.AddUpstream("one", "chat")
+      .Answer([](const StreamRef& stream, const std::string& request) {
+        std::string text = Signed(request, "{\"done\": true}");
+        text.insert(text.find("X-Signed"),
+                    "Content-Type: application/json\r\n");
+        stream->Send(text);
+      });
+  router.Start();
+  const Received received = Ask("/chat/x");
+  CHECK(IsWholeSuccess(received));
+  STRCMP_EQUAL("{\"done\": true}", received.body.c_str());
+}
+
 // Guards against any short response that looks whole, wherever it is cut.
 TEST(ResponseEnd, a_response_cut_at_any_byte_is_whole_or_visibly_broken) {
   body = Event(1) + Event(2);
