One place that opens connections to upstreams; log how it failed

Three copies of opening a connection within a time limit (pool, check, and the pool's cancelling) are one class now, ConnectAttempt, opened by a Dialer, which also maps addresses, so that a test can partition one router of a process. A failure that is neither a refusal nor a timeout still proves no crash.

--- a/include/coppervalve/gateway/crash_monitor.h
+++ b/include/coppervalve/gateway/crash_monitor.h
@@ -1,7 +1,6 @@
 #ifndef COPPERVALVE_GATEWAY_CRASH_MONITOR_H_
 #define COPPERVALVE_GATEWAY_CRASH_MONITOR_H_
 
-#include <boost/asio/io_context.hpp>
 #include <functional>   // function
 #include <string_view>  // string_view
 
@@ -21,7 +20,8 @@
     std::function<void()> on_change;
   };
 
-  CrashMonitor(boost::asio::io_context& io, EventLog& log, Hooks hooks);
+  /// @param dialer outlives the monitor
+  CrashMonitor(const Dialer& dialer, EventLog& log, Hooks hooks);
 
   /// @brief A response was cut off, or did not come in time.
   void OnBroken(const entry::UpstreamRef& upstream,
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -80,6 +80,8 @@
   double processor_cores = 0;
   double link_megabits_per_second = 0;
   StoreLayout layout;
+  /// Where connections to an upstream's address are opened; null: there.
+  Dialer::AddressMap upstream_address;
 };
 
 /// @brief One router of the entry fleet.
@@ -197,6 +199,7 @@
   entry::UpstreamSenders m_senders;
   entry::UpstreamGate m_gate;
   entry::Placer m_placer;
+  Dialer m_dialer;
   UpstreamPool m_pool;
   UnknownHeaders m_unknown_words;
   CrashMonitor m_crashes;
--- a/include/coppervalve/gateway/upstream_check.h
+++ b/include/coppervalve/gateway/upstream_check.h
@@ -1,17 +1,19 @@
 #ifndef COPPERVALVE_GATEWAY_UPSTREAM_CHECK_H_
 #define COPPERVALVE_GATEWAY_UPSTREAM_CHECK_H_
 
-#include <boost/asio/io_context.hpp>
 #include <functional>     // function
 #include <string>         // string
 #include <unordered_set>  // unordered_set
 
+#include "coppervalve/gateway/connect_attempt.h"
+
 namespace coppervalve::gateway {
 
 /// @brief Checks whether a process listens on an upstream's address.
 class UpstreamCheck {
  public:
-  explicit UpstreamCheck(boost::asio::io_context& io) : m_io(io) {}
+  /// @param dialer outlives the object
+  explicit UpstreamCheck(const Dialer& dialer) : m_dialer(dialer) {}
 
   /// @brief Opens a connection and closes it. Does nothing while a check of the
   /// same address is running.
@@ -20,7 +22,7 @@
   void Start(const std::string& address, std::function<void()> on_refused);
 
  private:
-  boost::asio::io_context& m_io;
+  const Dialer& m_dialer;
   std::unordered_set<std::string> m_pending;
 };
 
--- a/include/coppervalve/gateway/upstream_connection.h
+++ b/include/coppervalve/gateway/upstream_connection.h
@@ -1,9 +1,6 @@
 #ifndef COPPERVALVE_GATEWAY_UPSTREAM_CONNECTION_H_
 #define COPPERVALVE_GATEWAY_UPSTREAM_CONNECTION_H_
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>      // uint8_t, uint64_t
 #include <functional>   // function
 #include <memory>       // shared_ptr, enable_shared_from_this
@@ -11,6 +8,7 @@
 #include <string_view>  // string_view
 
 #include "coppervalve/core/units.h"
+#include "coppervalve/gateway/connect_attempt.h"
 #include "coppervalve/gateway/stream.h"
 #include "coppervalve/http1/response_reader.h"
 
@@ -39,7 +37,8 @@
     std::function<bool()> may_send = {};
   };
 
-  UpstreamConnection(boost::asio::io_context& io, std::string address);
+  /// @param dialer outlives the connection
+  UpstreamConnection(const Dialer& dialer, std::string address);
 
   /// @brief Sends a request, after opening the connection if necessary.
   /// @param without_body the response has no body (HEAD request)
@@ -64,16 +63,15 @@
 
  private:
   void Connect();
-  void OnConnected();
+  void OnConnected(boost::asio::ip::tcp::socket socket);
   void OnBytes(std::string_view bytes);
   void OnEnd(StreamEnd end);
   void Deliver();
   void Finish(AttemptEnd end, std::string_view why);
 
-  boost::asio::io_context& m_io;
+  const Dialer& m_dialer;
   std::string m_address;
-  boost::asio::steady_timer m_connect_timer;
-  std::shared_ptr<boost::asio::ip::tcp::socket> m_connecting;
+  std::shared_ptr<ConnectAttempt> m_connecting;
   StreamRef m_stream;
   std::string m_request;
   std::string m_unread;
--- a/include/coppervalve/gateway/upstream_pool.h
+++ b/include/coppervalve/gateway/upstream_pool.h
@@ -1,7 +1,6 @@
 #ifndef COPPERVALVE_GATEWAY_UPSTREAM_POOL_H_
 #define COPPERVALVE_GATEWAY_UPSTREAM_POOL_H_
 
-#include <boost/asio/io_context.hpp>
 #include <cstdint>        // uint64_t
 #include <unordered_map>  // unordered_map
 #include <vector>         // vector
@@ -17,7 +16,8 @@
 /// expensive, but the upstream may close an idle one while a request is sent.
 class UpstreamPool {
  public:
-  explicit UpstreamPool(boost::asio::io_context& io) : m_io(io) {}
+  /// @param dialer outlives the pool
+  explicit UpstreamPool(const Dialer& dialer) : m_dialer(dialer) {}
 
   /// @param needs_fresh the request must not be lost to a closing connection:
   /// reuse only a connection that was used recently
@@ -45,7 +45,7 @@
     core::TimePoint usable_until;
     core::Duration keep_time{};  ///< idle timeout of the upstream
   };
-  boost::asio::io_context& m_io;
+  const Dialer& m_dialer;
   std::unordered_map<core::UpstreamId, std::vector<Idle>> m_idle;
   uint64_t m_opened = 0;
 };
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -7,10 +7,8 @@
 
 namespace coppervalve::gateway {
 
-CrashMonitor::CrashMonitor(boost::asio::io_context& io,
-                           EventLog& log,
-                           Hooks hooks)
-    : m_log(log), m_hooks(std::move(hooks)), m_check(io), m_record({}) {}
+CrashMonitor::CrashMonitor(const Dialer& dialer, EventLog& log, Hooks hooks)
+    : m_log(log), m_hooks(std::move(hooks)), m_check(dialer), m_record({}) {}
 
 // An upstream's entry expires only seconds after a crash, while callers retry
 // immediately. A connection attempt to its address shows the crash at once.
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -269,6 +269,7 @@
   if (end == AttemptEnd::kNotSent || end == AttemptEnd::kWithheld) {
     RecordOutcome(end == AttemptEnd::kNotSent ? AttemptOutcome::kUnreachable
                                               : AttemptOutcome::kWithheld);
+    m_last_failure += ": " + std::string(why);
     m_attempt.reset();
     // No byte was sent, so any other upstream may get the request.
     Place();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -72,8 +72,9 @@
                m_peer_loads,
                m_gate,
                m_random),
-      m_pool(io),
-      m_crashes(io, m_log, {[this] { m_heartbeat_writer->Expedite(); }}),
+      m_dialer(io, m_settings.upstream_address),
+      m_pool(m_dialer),
+      m_crashes(m_dialer, m_log, {[this] { m_heartbeat_writer->Expedite(); }}),
       m_tick(io) {
   m_context.emplace(ExchangeContext{
       m_io,
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -1,19 +1,14 @@
 #include "coppervalve/gateway/upstream_connection.h"
 
-#include <boost/asio/ip/address.hpp>  // make_address
-#include <boost/asio/post.hpp>        // post
-#include <charconv>                   // from_chars
-#include <chrono>                     // milliseconds
-#include <utility>                    // move, exchange
-
-#include "coppervalve/net/endpoint.h"
+#include <charconv>  // from_chars
+#include <chrono>    // milliseconds
+#include <utility>   // move, exchange
 
 namespace coppervalve::gateway {
 
 namespace {
 
 using boost::asio::ip::tcp;
-using ErrorCode = boost::system::error_code;
 
 // TCP retransmits a lost SYN only after a second; trying another upstream is
 // faster.
@@ -37,9 +32,9 @@
 
 }  // namespace
 
-UpstreamConnection::UpstreamConnection(boost::asio::io_context& io,
+UpstreamConnection::UpstreamConnection(const Dialer& dialer,
                                        std::string address)
-    : m_io(io), m_address(std::move(address)), m_connect_timer(io) {}
+    : m_dialer(dialer), m_address(std::move(address)) {}
 
 void UpstreamConnection::Send(std::string request,
                               bool without_body,
@@ -60,47 +55,20 @@
 }
 
 void UpstreamConnection::Connect() {
-  const auto endpoint = net::ReadEndpoint(m_address);
-  ErrorCode bad_address;
-  const auto ip = boost::asio::ip::make_address(
-      endpoint ? endpoint->ip : std::string(), bad_address);
-  if (!endpoint || bad_address) {
-    boost::asio::post(m_io, [self = shared_from_this()] {
-      self->Finish(AttemptEnd::kNotSent, "invalid address");
-    });
-    return;
-  }
-  m_connecting = std::make_shared<tcp::socket>(m_io);
-  m_connect_timer.expires_after(kConnectTimeout);
-  m_connect_timer.async_wait(
-      [self = shared_from_this()](const ErrorCode& code) {
-        if (!code && self->m_connecting) {
-          ErrorCode ignored;
-          self->m_connecting->close(ignored);
-          self->m_connecting.reset();
-          self->Finish(AttemptEnd::kNotSent, "connect timed out");
+  m_connecting = m_dialer.Dial(
+      m_address, kConnectTimeout,
+      [self = shared_from_this()](ConnectResult result, tcp::socket socket) {
+        self->m_connecting.reset();
+        if (result != ConnectResult::kOpen) {
+          self->Finish(AttemptEnd::kNotSent, ToString(result));
+          return;
         }
+        self->OnConnected(std::move(socket));
       });
-  m_connecting->async_connect(tcp::endpoint(ip, endpoint->port),
-                              [self = shared_from_this(),
-                               socket = m_connecting](const ErrorCode& code) {
-                                if (self->m_connecting != socket) {
-                                  return;
-                                }
-                                self->m_connect_timer.cancel();
-                                if (code) {
-                                  self->m_connecting.reset();
-                                  self->Finish(AttemptEnd::kNotSent,
-                                               "connection refused");
-                                  return;
-                                }
-                                self->OnConnected();
-                              });
 }
 
-void UpstreamConnection::OnConnected() {
-  m_stream = std::make_shared<Stream>(std::move(*m_connecting));
-  m_connecting.reset();
+void UpstreamConnection::OnConnected(tcp::socket socket) {
+  m_stream = std::make_shared<Stream>(std::move(socket));
   std::weak_ptr<UpstreamConnection> weak = weak_from_this();
   m_stream->Start({[weak](std::string_view bytes) {
                      if (const auto self = weak.lock()) {
@@ -199,10 +167,8 @@
   m_active = false;
   m_reusable = false;
   m_handlers.reset();
-  m_connect_timer.cancel();
   if (m_connecting) {
-    ErrorCode ignored;
-    m_connecting->close(ignored);
+    m_connecting->Cancel();
     m_connecting.reset();
   }
   Close();
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -36,7 +36,7 @@
     last.connection->Close();
   }
   ++m_opened;
-  return std::make_shared<UpstreamConnection>(m_io, upstream.entry.address);
+  return std::make_shared<UpstreamConnection>(m_dialer, upstream.entry.address);
 }
 
 void UpstreamPool::Release(const core::UpstreamId& upstream,
--- a/tests/gateway/unit-evacuation.cc
+++ b/tests/gateway/unit-evacuation.cc
@@ -136,8 +136,9 @@
   // Failure: a request reaches an upstream whose failure domain was evacuated
   // while the connection was being opened.
   ScriptedUpstream upstream(router.io);
+  const Dialer dialer(router.io);
   const auto connection =
-      std::make_shared<UpstreamConnection>(router.io, upstream.address());
+      std::make_shared<UpstreamConnection>(dialer, upstream.address());
   std::optional<AttemptEnd> ended;
   UpstreamConnection::Handlers handlers;
   handlers.on_end = [&](AttemptEnd end, std::string_view) { ended = end; };
