Reach upstreams through other routers while partitioned from them

Cause: a router had no way to an upstream but its own link. Change: if two upstreams of a service can't be connected to within a second, and none in between could, new connections to the service are opened through another router, an active one if possible (UpstreamReach, RelayChoice). The other router relays bytes only, to upstreams of its own table, and declines while it leaves or is partitioned itself; it never relays onward. Twice a second one connection to an upstream that others reach shows whether the partition is over. If nobody reaches the service, one attempt is made per request, and the request refused. Why this works: placement, limits, retry budget, billing, deadlines and the promise "not run" stay with the router that took the request; only the way of the bytes differs. A request is sent once its bytes are given to an open tunnel. The upstream's bytes come in chunks, so that the end of the relay is never an orderly end of the answer (each cut of a tunnel is played). Ruled out: forwarding whole requests (two routers would decide, bill and retry one request), leaving the address list (callers keep addresses for longer than the rule allows, and a list may become empty). Elsewhere: a service of which no router reaches an upstream, of a partition or not, is tried once per request instead of up to six times.

--- a/include/coppervalve/entry/member_list.h
+++ b/include/coppervalve/entry/member_list.h
@@ -58,6 +58,8 @@
   std::vector<std::string> Addresses() const;
   /// @return addresses of the other active routers for load reports
   std::vector<std::string> LoadAddresses() const;
+  /// @return such addresses of the standbys that become active first
+  std::vector<std::string> NextLoadAddresses() const;
   /// @return number of active routers; at least 1
   uint32_t ActiveCount() const;
   /// @return whether this router is active
--- a/include/coppervalve/entry/upstream_health.h
+++ b/include/coppervalve/entry/upstream_health.h
@@ -32,6 +32,9 @@
   /// all upstreams of the service
   void OnFirstByte(core::Duration time, double cost);
 
+  /// @brief Drops all failures: they were not the upstream's.
+  void Forgive();
+
   Trust trust(core::TimePoint now) const;
   /// @return smoothed microseconds per unit of cost; 0 before any response
   double latency_per_cost() const { return m_latency_per_cost; }
--- a/include/coppervalve/gateway/connect_attempt.h
+++ b/include/coppervalve/gateway/connect_attempt.h
@@ -49,7 +49,7 @@
   OnDone m_on_done;
 };
 
-/// @brief Opens connections to upstreams.
+/// @brief Opens connections to upstreams, and to routers that relay to them.
 class Dialer {
  public:
   using AddressMap = std::function<std::string(const std::string& address)>;
@@ -63,6 +63,12 @@
   std::shared_ptr<ConnectAttempt> Dial(const std::string& address,
                                        std::chrono::milliseconds timeout,
                                        ConnectAttempt::OnDone on_done) const;
+  /// @param address "ip:port" of another router
+  std::shared_ptr<ConnectAttempt> DialRouter(
+      const std::string& address,
+      std::chrono::milliseconds timeout,
+      ConnectAttempt::OnDone on_done) const;
+  boost::asio::io_context& io() const { return m_io; }
 
  private:
   boost::asio::io_context& m_io;
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -28,6 +28,7 @@
 #include "coppervalve/gateway/event_log.h"
 #include "coppervalve/gateway/gateway_metrics.h"
 #include "coppervalve/gateway/platform_adapter.h"
+#include "coppervalve/gateway/reach_monitor.h"
 #include "coppervalve/gateway/unknown_headers.h"
 #include "coppervalve/gateway/upstream_pool.h"
 #include "coppervalve/http1/sse_splitter.h"
@@ -51,6 +52,7 @@
   UpstreamPool& pool;
   UnknownHeaders& unknown_headers;
   CrashMonitor& crash_monitor;
+  ReachMonitor& reach;
   EventLog& log;
   GatewayMetrics& metrics;
   routing::RandomSource random;
@@ -91,6 +93,8 @@
   struct Attempt {
     entry::UpstreamRef upstream;
     UpstreamConnectionRef connection;
+    std::string relay;  ///< router through which it is opened; empty: directly
+    bool opening = false;
     core::TimePoint started_at;
     UpstreamResponseInfo answer;
     double prefill_cost = 0;   ///< its part of the upstream's in_prefill
@@ -119,12 +123,14 @@
   entry::Placement ChoosePlacement() const;
   void RequestPlacement();
   void OnPlacementReply(const entry::Placement& placement);
+  void EndWithoutUpstream(const std::string& why);
   void RefuseForLackOfUpstreams(const std::string& why);
   core::Duration RateLimitRetryDelay(core::TimePoint now) const;
   void Send(const entry::Placement& placement);
+  void Connect(const entry::UpstreamRef& upstream, core::TimePoint now);
   /// @brief Checks again, before bytes are sent on a new connection, whether
   /// the upstream may get the request. Records the send if so.
-  bool MaySendNow(entry::Upstream& upstream) const;
+  bool MaySendNow(entry::Upstream& upstream);
   std::string RequestText(const UpstreamRequestContext& facts) const;
 
   void HandleUpstreamSignals();
@@ -133,6 +139,9 @@
   void OnHead(const http1::ResponseHead& head);
   void OnBody(const std::string& body);
   void OnEnd(AttemptEnd end, std::string_view why);
+  void OnNotSent(AttemptEnd end, std::string_view why);
+  entry::AttemptOutcome OnDirectConnectFailed();
+  entry::AttemptOutcome OnRelayedConnectFailed();
   /// @brief Whether a response that seems complete is a stream that was cut.
   bool IsCutStream() const;
   void ReturnConnection();
@@ -188,6 +197,8 @@
   std::optional<core::TimePoint> m_wait_until;
   std::optional<Attempt> m_attempt;
   std::vector<core::UpstreamId> m_tried;
+  std::vector<core::UpstreamId> m_sent_to;  ///< those that got bytes
+  std::string m_last_relay;  ///< of the latest attempt; empty: none
   std::optional<http1::ResponseHead> m_head;
   std::string m_body;
   http1::SseSplitter m_sse_splitter;
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -33,6 +33,8 @@
 #include "coppervalve/gateway/peer_messenger.h"
 #include "coppervalve/gateway/placement_client.h"
 #include "coppervalve/gateway/platform_adapter.h"
+#include "coppervalve/gateway/reach_monitor.h"
+#include "coppervalve/gateway/relay_server.h"
 #include "coppervalve/gateway/token_requester.h"
 #include "coppervalve/gateway/topic_follower.h"
 #include "coppervalve/gateway/unknown_headers.h"
@@ -157,6 +159,9 @@
   void BindLoadPort();
   void MakePeerMessenger();
   void StartLoadReports(uint64_t epoch);
+  void ListenForRelays();
+  std::optional<std::string> RelayedAddressOf(const core::UpstreamId& id) const;
+  void OnRelayConnect(const core::UpstreamId& id, ConnectResult result);
   void MakeTokenRequester();
   void OnTokenAsk(const v1::TokenAsk& ask);
   void MakeFleetViewClient();
@@ -203,6 +208,7 @@
   UpstreamPool m_pool;
   UnknownHeaders m_unknown_words;
   CrashMonitor m_crashes;
+  ReachMonitor m_reach;
   std::optional<ExchangeContext> m_context;
 
   entry::TopicSubscription m_table_readers;
@@ -219,6 +225,7 @@
   std::shared_ptr<TopicFollower> m_heartbeats;
   std::shared_ptr<HeartbeatWriter> m_heartbeat_writer;
   std::unique_ptr<PeerMessenger> m_peer_messenger;
+  std::unique_ptr<RelayServer> m_relay_server;
   /// Since then no earlier process of this VM can be running, because it would
   /// hold the load port; none: the port could not be bound.
   std::optional<core::TimePoint> m_load_port_bound_since;
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -32,7 +32,10 @@
   /// Longest possible delay between the start of an evacuation and its receipt
   /// by this router.
   core::Duration evacuation_known_within{};
-  double held_ahead = 1;  ///< AllocationLedger::HoldFactor()
+  double held_ahead = 1;             ///< AllocationLedger::HoldFactor()
+  uint64_t relayed_connections = 0;  ///< opened through other routers
+  uint64_t services_out_of_reach = 0;
+  uint64_t relayed_for_others = 0;  ///< connections at present
 };
 
 /// @brief Metrics of a router, documented in docs/OPERATIONS.md.
@@ -49,6 +52,8 @@
   void OnAttempt(std::string_view outcome);
   /// @param way "taken", "given" or "none_to_spare"
   void OnTransfer(std::string_view way);
+  /// @brief Another router asked for a connection to an upstream.
+  void OnRelay(bool accepted);
   void OnGrantWait(core::Duration waited);
   void OnStoreCall(std::string_view topic, bool answered);
   void OnAccount(const core::AccountId& account,
--- /dev/null
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -0,0 +1,78 @@
+#ifndef COPPERVALVE_GATEWAY_REACH_MONITOR_H_
+#define COPPERVALVE_GATEWAY_REACH_MONITOR_H_
+
+#include <cstddef>     // size_t
+#include <functional>  // function
+#include <optional>    // optional
+#include <string>      // string
+#include <vector>      // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/units.h"
+#include "coppervalve/entry/relay_choice.h"
+#include "coppervalve/entry/upstream_directory.h"
+#include "coppervalve/entry/upstream_reach.h"
+#include "coppervalve/gateway/connect_attempt.h"
+#include "coppervalve/gateway/event_log.h"
+#include "coppervalve/gateway/relay_tunnel.h"
+#include "coppervalve/gateway/upstream_pool.h"
+
+namespace coppervalve::gateway {
+
+/// @brief Directs new connections to upstreams through other routers while this
+/// router's own network is partitioned from them.
+class ReachMonitor {
+ public:
+  /// Objects that outlive the monitor.
+  struct Context {
+    const Dialer& dialer;
+    entry::UpstreamDirectory& directory;
+    UpstreamPool& pool;
+    EventLog& log;
+    /// "ip:port" of the other routers that may relay.
+    std::function<std::vector<std::string>()> active_peers;
+    /// Those that may if no active one does.
+    std::function<std::vector<std::string>()> standby_peers;
+    routing::RandomSource random;
+  };
+
+  explicit ReachMonitor(Context context);
+
+  /// @return the router through which a connection to the upstream should be
+  /// opened; none: it should be opened directly
+  std::optional<std::string> RelayFor(const entry::UpstreamEntry& upstream,
+                                      core::TimePoint now) const;
+  /// @return whether neither this router nor any that could relay has reached
+  /// the service recently; false if there is no other router
+  bool NobodyReaches(const core::ServiceId& service, core::TimePoint now) const;
+  /// @brief A connection was opened.
+  /// @param relay empty if it was opened directly
+  void OnOpened(const entry::UpstreamEntry& upstream,
+                const std::string& relay,
+                core::TimePoint now);
+  /// @brief A connection could not be opened directly.
+  void OnFailed(const entry::UpstreamEntry& upstream, core::TimePoint now);
+  /// @brief A router could not or would not relay.
+  void OnRelayFailed(const std::string& relay, core::TimePoint now);
+  bool IsPartitioned(const core::ServiceId& service) const {
+    return m_reach.IsPartitioned(service);
+  }
+  /// @return number of services
+  size_t partitioned() const { return m_reach.partitioned(); }
+  /// @brief Checks whether partitions are over. To be called periodically.
+  void Advance(core::TimePoint now);
+
+ private:
+  std::optional<std::string> ChooseRelay(core::TimePoint now) const;
+  void OnPartitioned(const core::ServiceId& service);
+  void Log(const char* event, const core::ServiceId& service);
+  size_t RelayCount() const;
+
+  Context m_context;
+  entry::UpstreamReach m_reach;
+  entry::RelayChoice m_relays;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_REACH_MONITOR_H_
--- /dev/null
+++ b/include/coppervalve/gateway/relay_server.h
@@ -0,0 +1,62 @@
+#ifndef COPPERVALVE_GATEWAY_RELAY_SERVER_H_
+#define COPPERVALVE_GATEWAY_RELAY_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>     // size_t
+#include <functional>  // function
+#include <memory>      // shared_ptr, weak_ptr
+#include <optional>    // optional
+#include <string>      // string
+#include <vector>      // vector
+
+#include "coppervalve/core/ids.h"
+#include "coppervalve/core/result.h"
+#include "coppervalve/gateway/connect_attempt.h"
+
+namespace coppervalve::gateway {
+
+class RelaySession;
+
+/// @brief Connects other routers to upstreams that they can't reach. Only bytes
+/// are relayed: the other router decides what it sends and to whom, and its
+/// limits apply. See RelayTunnel for the protocol.
+class RelayServer {
+ public:
+  struct Hooks {
+    /// @return the address of an upstream to which this router connects others
+    /// now; none: it does not
+    std::function<std::optional<std::string>(const core::UpstreamId&)>
+        address_of;
+    /// Called for each request of another router.
+    std::function<void(bool accepted)> on_request;
+    /// Called when a connection to an upstream was opened or not.
+    std::function<void(const core::UpstreamId&, ConnectResult)> on_connect;
+  };
+
+  /// @param dialer outlives the server
+  RelayServer(boost::asio::io_context& io, const Dialer& dialer, Hooks hooks);
+  ~RelayServer();
+
+  /// @param address "ip:port"
+  /// @return kSettingBadValue if the address is invalid or can't be bound
+  core::Status Listen(const std::string& address);
+  /// @return connections of other routers that are relayed
+  /// @complexity linear
+  size_t Busy() const;
+
+ private:
+  void Accept();
+
+  boost::asio::io_context& m_io;
+  const Dialer& m_dialer;
+  const Hooks m_hooks;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::steady_timer m_accept_pause;
+  std::vector<std::weak_ptr<RelaySession>> m_sessions;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_RELAY_SERVER_H_
--- a/include/coppervalve/gateway/upstream_pool.h
+++ b/include/coppervalve/gateway/upstream_pool.h
@@ -25,6 +25,9 @@
   UpstreamConnectionRef Acquire(const entry::Upstream& upstream,
                                 bool needs_fresh,
                                 core::TimePoint now);
+  /// @return a new connection through another router, which is not open yet
+  UpstreamConnectionRef OpenThrough(const std::string& relay,
+                                    const core::UpstreamId& upstream);
   /// @brief Returns a connection after a complete response; it is kept if it
   /// can be reused.
   void Release(const core::UpstreamId& upstream,
@@ -37,6 +40,8 @@
   void CloseAll(const core::UpstreamId& upstream);
 
   uint64_t opened() const { return m_opened; }
+  /// @return connections through other routers, among those opened
+  uint64_t relayed() const { return m_relayed; }
 
  private:
   struct Idle {
@@ -48,6 +53,7 @@
   const Dialer& m_dialer;
   std::unordered_map<core::UpstreamId, std::vector<Idle>> m_idle;
   uint64_t m_opened = 0;
+  uint64_t m_relayed = 0;
 };
 
 }  // namespace coppervalve::gateway
--- a/src/entry/member_list.cc
+++ b/src/entry/member_list.cc
@@ -206,6 +206,18 @@
   return addresses;
 }
 
+std::vector<std::string> MemberList::NextLoadAddresses() const {
+  std::vector<std::string> addresses;
+  for (const core::RouterId& router : m_next) {
+    const std::string address =
+        router == m_self ? std::string() : LoadAddressOf(router);
+    if (!address.empty()) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
 bool MemberList::SelfOwns(std::string_view key) const {
   return ActiveRankedAbove(key) == 0;
 }
--- a/src/entry/upstream_health.cc
+++ b/src/entry/upstream_health.cc
@@ -68,6 +68,12 @@
                 (latency_per_cost - m_latency_per_cost) * kLatencyWeight;
 }
 
+void UpstreamHealth::Forgive() {
+  m_failures = 0;
+  m_consecutive_failures = 0;
+  m_avoid_until = {};
+}
+
 Trust UpstreamHealth::trust(core::TimePoint now) const {
   if (now < m_avoid_until) {
     return Trust::kNone;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -1,9 +1,8 @@
 #include "coppervalve/gateway/caller_connection.h"
 
-#include <array>    // array
-#include <cstdio>   // snprintf
 #include <utility>  // move, exchange
 
+#include "chunk.h"
 #include "coppervalve/net/clock.h"
 
 namespace coppervalve::gateway {
@@ -20,12 +19,6 @@
   return status == kNoContent || status == kNotModified;
 }
 
-std::string ChunkHead(size_t size) {
-  std::array<char, 24> text{};
-  std::snprintf(text.data(), text.size(), "%zx\r\n", size);
-  return text.data();
-}
-
 std::string_view ReasonOf(int status) {
   switch (status) {
     case 400:
@@ -182,9 +175,7 @@
   std::string text = std::exchange(m_head_text, {});
   if (!bytes.empty() && !m_head_request) {
     if (m_chunked) {
-      text += ChunkHead(bytes.size());
-      text += bytes;
-      text += "\r\n";
+      text += Chunk(bytes);
     } else {
       text += bytes;
     }
@@ -200,7 +191,7 @@
   }
   std::string text = std::exchange(m_head_text, {});
   if (m_chunked) {
-    text += "0\r\n\r\n";
+    text += kLastChunk;
   }
   if (!text.empty()) {
     m_stream->Send(text);
--- a/src/gateway/connect_attempt.cc
+++ b/src/gateway/connect_attempt.cc
@@ -92,8 +92,16 @@
     const std::string& address,
     std::chrono::milliseconds timeout,
     ConnectAttempt::OnDone on_done) const {
+  return DialRouter(m_map ? m_map(address) : address, timeout,
+                    std::move(on_done));
+}
+
+std::shared_ptr<ConnectAttempt> Dialer::DialRouter(
+    const std::string& address,
+    std::chrono::milliseconds timeout,
+    ConnectAttempt::OnDone on_done) const {
   auto attempt = std::make_shared<ConnectAttempt>(m_io, std::move(on_done));
-  attempt->Start(m_map ? m_map(address) : address, timeout);
+  attempt->Start(address, timeout);
   return attempt;
 }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -311,16 +311,20 @@
     const std::string why = m_last_failure.empty()
                                 ? std::string(entry::ToString(placement.why))
                                 : m_last_failure;
-    if (m_may_have_run) {
-      Fail({core::ErrorId::kUpstreamFailed, m_admitted.service.value(), why});
-    } else {
-      RefuseForLackOfUpstreams(why);
-    }
+    EndWithoutUpstream(why);
     return;
   }
   Send(placement);
 }
 
+void Exchange::EndWithoutUpstream(const std::string& why) {
+  if (m_may_have_run) {
+    Fail({core::ErrorId::kUpstreamFailed, m_admitted.service.value(), why});
+  } else {
+    RefuseForLackOfUpstreams(why);
+  }
+}
+
 void Exchange::RefuseForLackOfUpstreams(const std::string& why) {
   const auto refuse = [this](const std::string& reason,
                              core::Duration retry_delay) {
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -101,8 +101,8 @@
   attempt.upstream = upstream;
   attempt.started_at = now;
   attempt.resumed = HasEvents();
-  attempt.connection = m_context.pool.Acquire(*upstream, !Retryable(), now);
   m_attempt = attempt;
+  Connect(upstream, now);
   m_attempt->prefill_cost = placement.own_prefill;
   m_attempt->total_prefill = placement.total_prefill;
   m_attempt->cost = placement.cost;
@@ -113,11 +113,11 @@
     upstream->prefixes.Insert(core::Hash64(m_facts.shared_prefix), now);
   }
   m_last_activity = now;
-  if (attempt.connection->connected()) {
+  if (!m_attempt->opening) {
     m_context.gate.OnSend(*upstream, now);
   }
   std::weak_ptr<Exchange> weak = weak_from_this();
-  attempt.connection->Send(
+  m_attempt->connection->Send(
       RequestText(facts), m_request.head.method == "HEAD",
       {[weak](const http1::ResponseHead& head) {
          if (const auto self = weak.lock()) {
@@ -137,10 +137,25 @@
   ArmTimer();
 }
 
+void Exchange::Connect(const entry::UpstreamRef& upstream,
+                       core::TimePoint now) {
+  Attempt& attempt = *m_attempt;
+  const std::optional<std::string> relay =
+      m_context.reach.RelayFor(upstream->entry, now);
+  attempt.relay = relay.value_or(std::string());
+  m_last_relay = attempt.relay;
+  attempt.connection =
+      relay ? m_context.pool.OpenThrough(*relay, upstream->entry.id)
+            : m_context.pool.Acquire(*upstream, !Retryable(), now);
+  attempt.opening = !attempt.connection->connected();
+}
+
 // The upstream may have left, or its failure domain may have been evacuated,
 // while the connection was being opened.
-bool Exchange::MaySendNow(entry::Upstream& upstream) const {
+bool Exchange::MaySendNow(entry::Upstream& upstream) {
   const core::TimePoint now = net::BootNow();
+  m_attempt->opening = false;
+  m_context.reach.OnOpened(upstream.entry, m_attempt->relay, now);
   if (upstream.entry.leaving ||
       m_context.gate.StateOf(upstream, now) != entry::GateState::kOpen) {
     return false;
@@ -246,8 +261,11 @@
 
 void Exchange::AbortAttempt(AttemptOutcome outcome) {
   const bool sent = m_attempt->connection->sent_any();
-  m_sent_attempts += sent ? 1 : 0;
-  m_may_have_run = m_may_have_run || sent;
+  if (sent) {
+    ++m_sent_attempts;
+    m_sent_to.push_back(m_attempt->upstream->entry.id);
+    m_may_have_run = true;
+  }
   if (sent && outcome == AttemptOutcome::kSilent) {
     m_context.crash_monitor.OnBroken(m_attempt->upstream, Fingerprint());
   }
@@ -267,15 +285,11 @@
     why = "the stream ended inside an event";
   }
   if (end == AttemptEnd::kNotSent || end == AttemptEnd::kWithheld) {
-    RecordOutcome(end == AttemptEnd::kNotSent ? AttemptOutcome::kUnreachable
-                                              : AttemptOutcome::kWithheld);
-    m_last_failure += ": " + std::string(why);
-    m_attempt.reset();
-    // No byte was sent, so any other upstream may get the request.
-    Place();
+    OnNotSent(end, why);
     return;
   }
   ++m_sent_attempts;
+  m_sent_to.push_back(m_attempt->upstream->entry.id);
   if (end == AttemptEnd::kBroken) {
     m_may_have_run = true;
     m_context.crash_monitor.OnBroken(m_attempt->upstream, Fingerprint());
@@ -293,6 +307,50 @@
   OnComplete();
 }
 
+// No byte was sent, so any other upstream may get the request.
+void Exchange::OnNotSent(AttemptEnd end, std::string_view why) {
+  AttemptOutcome outcome = AttemptOutcome::kUnreachable;
+  if (end == AttemptEnd::kWithheld) {
+    outcome = AttemptOutcome::kWithheld;
+  } else if (m_attempt->opening) {
+    outcome = m_attempt->relay.empty() ? OnDirectConnectFailed()
+                                       : OnRelayedConnectFailed();
+  }
+  RecordOutcome(outcome);
+  m_last_failure += ": " + std::string(why);
+  const bool give_up =
+      m_attempt->opening && m_attempt->relay.empty() &&
+      m_context.reach.NobodyReaches(m_admitted.service, net::BootNow());
+  m_attempt.reset();
+  if (give_up) {
+    EndWithoutUpstream(m_last_failure);
+    return;
+  }
+  Place();
+}
+
+// If other routers reach the upstream, the fault is not its own, and it may be
+// tried again.
+AttemptOutcome Exchange::OnDirectConnectFailed() {
+  const entry::UpstreamEntry& upstream = m_attempt->upstream->entry;
+  const core::TimePoint now = net::BootNow();
+  m_context.reach.OnFailed(upstream, now);
+  if (!m_context.reach.RelayFor(upstream, now)) {
+    return AttemptOutcome::kUnreachable;
+  }
+  m_tried = m_sent_to;
+  return AttemptOutcome::kWithheld;
+}
+
+AttemptOutcome Exchange::OnRelayedConnectFailed() {
+  if (m_attempt->connection->relay_result() == RelayResult::kUnreachable) {
+    return AttemptOutcome::kUnreachable;
+  }
+  m_context.reach.OnRelayFailed(m_attempt->relay, net::BootNow());
+  m_tried.pop_back();
+  return AttemptOutcome::kWithheld;
+}
+
 // A crashed upstream's kernel closes its connections in the same way as one
 // that has finished. Where only this ends a stream, the last event has to be
 // whole, and there has to be one.
@@ -332,12 +390,7 @@
     Place();
     return;
   }
-  if (m_may_have_run) {
-    Fail({core::ErrorId::kUpstreamFailed, m_admitted.service.value(),
-          m_last_failure});
-    return;
-  }
-  RefuseForLackOfUpstreams(m_last_failure);
+  EndWithoutUpstream(m_last_failure);
 }
 
 void Exchange::OnComplete() {
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -131,7 +131,8 @@
         .Number("cost", static_cast<int64_t>(m_last_placement.cost))
         .Number("candidates", m_last_placement.candidates)
         .Number("reporting", m_last_placement.reporting)
-        .Number("sends", m_sent_attempts);
+        .Number("sends", m_sent_attempts)
+        .Text("relay", m_last_relay);
   }
   if (m_fingerprint) {
     line.Text("content", m_fingerprint->ShortHex());
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -75,6 +75,9 @@
       m_dialer(io, m_settings.upstream_address),
       m_pool(m_dialer),
       m_crashes(m_dialer, m_log, {[this] { m_heartbeat_writer->Expedite(); }}),
+      m_reach({m_dialer, m_directory, m_pool, m_log,
+               [this] { return m_members.LoadAddresses(); },
+               [this] { return m_members.NextLoadAddresses(); }, m_random}),
       m_tick(io) {
   m_context.emplace(ExchangeContext{
       m_io,
@@ -92,6 +95,7 @@
       m_pool,
       m_unknown_words,
       m_crashes,
+      m_reach,
       m_log,
       m_metrics,
       m_random,
@@ -129,6 +133,7 @@
   }
   m_boot = net::BootId();
   BindLoadPort();
+  ListenForRelays();
   MakeHeartbeatWriter();
   MakeFollowers();
   m_configuration->Start();
@@ -177,6 +182,7 @@
   }
   m_peer_loads.Advance(now);
   m_crashes.record().Advance(now);
+  m_reach.Advance(now);
   m_pool.CloseExpired(now);
   if (Ready() != m_was_ready) {
     m_was_ready = Ready();
@@ -242,7 +248,8 @@
   const core::TimePoint now = net::BootNow();
   const core::Duration since = now - *m_leaving_since;
   const core::Duration last = m_settings.grace - kGraceMargin;
-  const bool busy = m_callers->Busy() != 0;
+  const bool relays = m_relay_server && m_relay_server->Busy() != 0;
+  const bool busy = m_callers->Busy() != 0 || relays;
   const bool quiet = !busy && since >= kMinDrainTime &&
                      now - m_last_request >= kDrainQuietTime;
   if (!m_closing_since && (quiet || since >= last)) {
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -85,6 +85,50 @@
       m_io, m_settings.router.value(), std::move(hooks));
 }
 
+// Datagrams and relayed connections use the same port.
+void Gateway::ListenForRelays() {
+  if (m_settings.load_address.empty()) {
+    return;
+  }
+  m_relay_server = std::make_unique<RelayServer>(
+      m_io, m_dialer,
+      RelayServer::Hooks{
+          [this](const core::UpstreamId& id) { return RelayedAddressOf(id); },
+          [this](bool accepted) { m_metrics.OnRelay(accepted); },
+          [this](const core::UpstreamId& id, ConnectResult result) {
+            OnRelayConnect(id, result);
+          }});
+  const core::Status listening =
+      m_relay_server->Listen(m_settings.load_address);
+  if (!core::IsOk(listening)) {
+    LogLifecycle(LogLine("relays_not_accepted")
+                     .Text("why", core::ToString(core::Failure(listening))));
+  }
+}
+
+// A router that is partitioned itself would only delay the request.
+std::optional<std::string> Gateway::RelayedAddressOf(
+    const core::UpstreamId& id) const {
+  const entry::UpstreamRef upstream = m_directory.Find(id);
+  if (!upstream || upstream->entry.leaving || m_leaving_since ||
+      m_reach.IsPartitioned(upstream->entry.service)) {
+    return std::nullopt;
+  }
+  return upstream->entry.address;
+}
+
+void Gateway::OnRelayConnect(const core::UpstreamId& id, ConnectResult result) {
+  const entry::UpstreamRef upstream = m_directory.Find(id);
+  if (!upstream) {
+    return;
+  }
+  if (result == ConnectResult::kOpen) {
+    m_reach.OnOpened(upstream->entry, {}, net::BootNow());
+  } else {
+    m_reach.OnFailed(upstream->entry, net::BootNow());
+  }
+}
+
 CallerConnection::Hooks Gateway::CallerHooks(
     std::function<void(const CallerRef&, CallerRequest)> on_request) {
   CallerConnection::Hooks hooks;
@@ -173,6 +217,9 @@
   stats.evacuated_domains = m_gate.evacuations().size();
   stats.evacuation_known_within = m_evacuation_known_within;
   stats.held_ahead = m_book.HoldFactor();
+  stats.relayed_connections = m_pool.relayed();
+  stats.services_out_of_reach = m_reach.partitioned();
+  stats.relayed_for_others = m_relay_server ? m_relay_server->Busy() : 0;
   m_metrics.OnProcess(stats);
   LocalResponse answer;
   answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -60,6 +60,10 @@
       RegisterCounter(registry,
                       "coppervalve_entry_gifts_total",
                       "Token transfers with other routers, by way");
+  Family<Counter>& relays =
+      RegisterCounter(registry,
+                      "coppervalve_entry_relays_total",
+                      "Connections that other routers asked for, by result");
   Family<Counter>& store_calls =
       RegisterCounter(registry,
                       "coppervalve_entry_store_calls_total",
@@ -116,6 +120,11 @@
   m_impl->gifts.Add({{"way", std::string(way)}}).Increment();
 }
 
+void GatewayMetrics::OnRelay(bool accepted) {
+  m_impl->relays.Add({{"result", accepted ? "accepted" : "declined"}})
+      .Increment();
+}
+
 void GatewayMetrics::OnGrantWait(core::Duration waited) {
   m_impl->grant_wait.Add({}, kSecondsBuckets).Observe(Seconds(waited));
 }
@@ -163,6 +172,11 @@
   set("evacuation_known_within_seconds",
       Seconds(stats.evacuation_known_within));
   set("held_ahead", stats.held_ahead);
+  set("relayed_connections_opened",
+      static_cast<double>(stats.relayed_connections));
+  set("services_out_of_reach",
+      static_cast<double>(stats.services_out_of_reach));
+  set("relayed_for_others", static_cast<double>(stats.relayed_for_others));
 }
 
 std::string GatewayMetrics::Text() const {
--- /dev/null
+++ b/src/gateway/reach_monitor.cc
@@ -0,0 +1,103 @@
+#include "coppervalve/gateway/reach_monitor.h"
+
+#include <utility>  // move
+
+#include "relay_protocol.h"
+
+namespace coppervalve::gateway {
+
+namespace {
+
+constexpr core::Duration kFailedRelayPause{1'000'000};
+
+}  // namespace
+
+ReachMonitor::ReachMonitor(Context context)
+    : m_context(std::move(context)),
+      m_relays(kFailedRelayPause, m_context.random) {}
+
+std::optional<std::string> ReachMonitor::RelayFor(
+    const entry::UpstreamEntry& upstream,
+    core::TimePoint now) const {
+  if (!IsPartitioned(upstream.service) || !IsRelayable(upstream.id)) {
+    return std::nullopt;
+  }
+  return ChooseRelay(now);
+}
+
+std::optional<std::string> ReachMonitor::ChooseRelay(
+    core::TimePoint now) const {
+  const auto relay = m_relays.Choose(m_context.active_peers(), now);
+  return relay ? relay : m_relays.Choose(m_context.standby_peers(), now);
+}
+
+bool ReachMonitor::NobodyReaches(const core::ServiceId& service,
+                                 core::TimePoint now) const {
+  return IsPartitioned(service) && RelayCount() != 0 && !ChooseRelay(now);
+}
+
+void ReachMonitor::OnOpened(const entry::UpstreamEntry& upstream,
+                            const std::string& relay,
+                            core::TimePoint now) {
+  if (!relay.empty()) {
+    m_reach.OnReachedByPeer(upstream.service, upstream.address, now);
+    return;
+  }
+  if (m_reach.OnOpened(upstream.service)) {
+    Log("upstreams_reached_again", upstream.service);
+  }
+}
+
+void ReachMonitor::OnFailed(const entry::UpstreamEntry& upstream,
+                            core::TimePoint now) {
+  const size_t upstreams = m_context.directory.Of(upstream.service).size();
+  if (m_reach.OnFailed(upstream.service, upstream.id, upstreams, now)) {
+    OnPartitioned(upstream.service);
+  }
+}
+
+void ReachMonitor::OnRelayFailed(const std::string& relay,
+                                 core::TimePoint now) {
+  m_relays.OnFailed(relay, now);
+}
+
+// The failures are not the upstreams': other routers may reach them, and after
+// the partition they must not count as restarted. Idle connections may hang.
+void ReachMonitor::OnPartitioned(const core::ServiceId& service) {
+  Log("upstreams_out_of_reach", service);
+  if (RelayCount() == 0) {
+    return;
+  }
+  for (const entry::UpstreamRef& upstream : m_context.directory.Of(service)) {
+    upstream->health.Forgive();
+    upstream->warm_up.unreachable_at.reset();
+    m_context.pool.CloseAll(upstream->entry.id);
+  }
+}
+
+void ReachMonitor::Advance(core::TimePoint now) {
+  for (const entry::UpstreamReach::Check& check : m_reach.TakeDueChecks(now)) {
+    m_context.dialer.Dial(
+        check.address, kUpstreamConnectTimeout,
+        [this, service = check.service](
+            ConnectResult result, boost::asio::ip::tcp::socket /*socket*/) {
+          if (result == ConnectResult::kOpen && m_reach.OnOpened(service)) {
+            Log("upstreams_reached_again", service);
+          }
+        });
+  }
+}
+
+void ReachMonitor::Log(const char* event, const core::ServiceId& service) {
+  m_context.log.Write(
+      LogCategory::kLifecycle,
+      LogLine(event)
+          .Text("service", service.value())
+          .Number("relays", static_cast<int64_t>(RelayCount())));
+}
+
+size_t ReachMonitor::RelayCount() const {
+  return m_context.active_peers().size() + m_context.standby_peers().size();
+}
+
+}  // namespace coppervalve::gateway
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -1,19 +1,17 @@
 #include "coppervalve/gateway/upstream_connection.h"
 
 #include <charconv>  // from_chars
-#include <chrono>    // milliseconds
+#include <chrono>    // seconds
 #include <utility>   // move, exchange
 
+#include "relay_protocol.h"
+
 namespace coppervalve::gateway {
 
 namespace {
 
 using boost::asio::ip::tcp;
 
-// TCP retransmits a lost SYN only after a second; trying another upstream is
-// faster.
-constexpr std::chrono::milliseconds kConnectTimeout{350};
-
 core::Duration KeepAliveOf(const http1::ResponseHead& head) {
   constexpr std::string_view kTimeout = "timeout=";
   const std::string* value = head.headers.Find("keep-alive");
@@ -34,7 +32,17 @@
 
 UpstreamConnection::UpstreamConnection(const Dialer& dialer,
                                        std::string address)
-    : m_dialer(dialer), m_address(std::move(address)) {}
+    : m_dialer(dialer),
+      m_address(std::move(address)),
+      m_open_timer(dialer.io()) {}
+
+UpstreamConnection::UpstreamConnection(const Dialer& dialer,
+                                       std::string relay,
+                                       core::UpstreamId upstream)
+    : m_dialer(dialer),
+      m_address(std::move(relay)),
+      m_relayed_to(std::move(upstream)),
+      m_open_timer(dialer.io()) {}
 
 void UpstreamConnection::Send(std::string request,
                               bool without_body,
@@ -55,20 +63,29 @@
 }
 
 void UpstreamConnection::Connect() {
-  m_connecting = m_dialer.Dial(
-      m_address, kConnectTimeout,
-      [self = shared_from_this()](ConnectResult result, tcp::socket socket) {
-        self->m_connecting.reset();
-        if (result != ConnectResult::kOpen) {
-          self->Finish(AttemptEnd::kNotSent, ToString(result));
-          return;
-        }
-        self->OnConnected(std::move(socket));
-      });
+  const auto on_done = [self = shared_from_this()](ConnectResult result,
+                                                   tcp::socket socket) {
+    self->m_connecting.reset();
+    if (result == ConnectResult::kOpen) {
+      self->OnConnected(std::move(socket));
+    } else if (self->IsRelayed()) {
+      self->OnRelayResult(RelayResult::kFailed);
+    } else {
+      self->Finish(AttemptEnd::kNotSent, ToString(result));
+    }
+  };
+  m_connecting =
+      IsRelayed()
+          ? m_dialer.DialRouter(m_address, kUpstreamConnectTimeout, on_done)
+          : m_dialer.Dial(m_address, kUpstreamConnectTimeout, on_done);
 }
 
 void UpstreamConnection::OnConnected(tcp::socket socket) {
   m_stream = std::make_shared<Stream>(std::move(socket));
+  if (IsRelayed()) {
+    OpenTunnel();
+    return;
+  }
   std::weak_ptr<UpstreamConnection> weak = weak_from_this();
   m_stream->Start({[weak](std::string_view bytes) {
                      if (const auto self = weak.lock()) {
@@ -81,7 +98,53 @@
                      }
                    },
                    {}});
-  m_sent_before = 0;
+  OnOpen();
+}
+
+void UpstreamConnection::OpenTunnel() {
+  const std::weak_ptr<UpstreamConnection> weak = weak_from_this();
+  m_tunnel = std::make_shared<RelayTunnel>(
+      m_stream, RelayTunnel::Handlers{[weak](RelayResult result) {
+                                        if (const auto self = weak.lock()) {
+                                          self->OnRelayResult(result);
+                                        }
+                                      },
+                                      [weak](std::string_view bytes) {
+                                        if (const auto self = weak.lock()) {
+                                          self->OnBytes(bytes);
+                                        }
+                                      },
+                                      [weak](StreamEnd end) {
+                                        if (const auto self = weak.lock()) {
+                                          self->OnEnd(end);
+                                        }
+                                      }});
+  m_tunnel->Open(*m_relayed_to);
+  m_open_timer.expires_after(kRelayOpenTimeout);
+  m_open_timer.async_wait([weak](const boost::system::error_code& code) {
+    const auto self = weak.lock();
+    if (!code && self && !self->m_open) {
+      self->OnRelayResult(RelayResult::kFailed);
+    }
+  });
+}
+
+void UpstreamConnection::OnRelayResult(RelayResult result) {
+  if (!m_active) {
+    return;
+  }
+  m_open_timer.cancel();
+  m_relay_result = result;
+  if (result != RelayResult::kOpen) {
+    Finish(AttemptEnd::kNotSent, ToString(result));
+    return;
+  }
+  OnOpen();
+}
+
+void UpstreamConnection::OnOpen() {
+  m_open = true;
+  m_sent_before = m_stream->sent();
   if (m_handlers->may_send && !m_handlers->may_send()) {
     Finish(AttemptEnd::kWithheld, "upstream no longer accepts requests");
     return;
@@ -90,7 +153,7 @@
 }
 
 bool UpstreamConnection::sent_any() const {
-  return m_stream && m_stream->sent() > m_sent_before;
+  return m_open && m_stream->sent() > m_sent_before;
 }
 
 void UpstreamConnection::OnBytes(std::string_view bytes) {
@@ -130,7 +193,7 @@
     // request was not sent completely, the upstream would read the rest of it
     // as the next request.
     m_reusable = m_reader->head().keep_alive && m_unread.empty() &&
-                 m_stream->unsent() == 0;
+                 m_stream->unsent() == 0 && !IsRelayed();
     Finish(AttemptEnd::kComplete, {});
   }
 }
@@ -167,6 +230,7 @@
   m_active = false;
   m_reusable = false;
   m_handlers.reset();
+  m_open_timer.cancel();
   if (m_connecting) {
     m_connecting->Cancel();
     m_connecting.reset();
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -39,6 +39,14 @@
   return std::make_shared<UpstreamConnection>(m_dialer, upstream.entry.address);
 }
 
+UpstreamConnectionRef UpstreamPool::OpenThrough(
+    const std::string& relay,
+    const core::UpstreamId& upstream) {
+  ++m_opened;
+  ++m_relayed;
+  return std::make_shared<UpstreamConnection>(m_dialer, relay, upstream);
+}
+
 void UpstreamPool::Release(const core::UpstreamId& upstream,
                            const UpstreamConnectionRef& connection,
                            core::TimePoint now) {
--- /dev/null
+++ b/tests/entry/unit-upstream-reach.cc
@@ -0,0 +1,118 @@
+#include "coppervalve/entry/upstream_reach.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>  // milliseconds
+#include <string>  // string
+
+#include "coppervalve/entry/relay_choice.h"
+
+using namespace coppervalve;
+using namespace coppervalve::entry;
+using std::chrono::milliseconds;
+
+// clang-format off
+TEST_GROUP(UpstreamReach) {
+  UpstreamReach reach;
+  core::ServiceId service{"chat"};
+  core::TimePoint now{std::chrono::seconds(100)};
+
+  bool Fail(const std::string& upstream, size_t upstreams = 3) {
+    return reach.OnFailed(service, core::UpstreamId(upstream), upstreams, now);
+  }
+};
+// clang-format on
+
+// Guards against one crashed upstream that is taken for a partition.
+TEST(UpstreamReach, one_upstream_that_fails_again_and_again_is_no_partition) {
+  for (int i = 0; i < 10; ++i) {
+    CHECK_FALSE(Fail("one"));
+  }
+  CHECK_FALSE(reach.IsPartitioned(service));
+}
+
+TEST(UpstreamReach, two_upstreams_that_fail_at_once_are_a_partition) {
+  CHECK_FALSE(Fail("one"));
+  CHECK(Fail("two"));
+  CHECK_FALSE(Fail("three"));
+  CHECK(reach.IsPartitioned(service));
+  CHECK_FALSE(reach.IsPartitioned(core::ServiceId("hold")));
+  CHECK_EQUAL(1, reach.partitioned());
+}
+
+TEST(UpstreamReach, a_connection_that_opens_in_between_rules_a_partition_out) {
+  Fail("one");
+  CHECK_FALSE(reach.OnOpened(service));
+  CHECK_FALSE(Fail("two"));
+}
+
+TEST(UpstreamReach, failures_far_apart_are_no_partition) {
+  Fail("one");
+  now += milliseconds(1'500);
+  CHECK_FALSE(Fail("two"));
+}
+
+TEST(UpstreamReach, the_only_upstream_of_a_service_is_evidence_enough) {
+  CHECK(Fail("one", 1));
+}
+
+// Guards against a router without the table of upstreams that takes one crash
+// for a partition.
+TEST(UpstreamReach, an_unknown_number_of_upstreams_needs_two_failures) {
+  CHECK_FALSE(Fail("one", 0));
+  CHECK(Fail("two", 0));
+}
+
+TEST(UpstreamReach, checks_only_upstreams_that_others_reach_twice_a_second) {
+  Fail("one");
+  Fail("two");
+  now += milliseconds(600);
+  CHECK(reach.TakeDueChecks(now).empty());
+  reach.OnReachedByPeer(service, "10.0.0.3:80", now);
+  CHECK_EQUAL(1, reach.TakeDueChecks(now).size());
+  CHECK(reach.TakeDueChecks(now).empty());
+  now += milliseconds(500);
+  STRCMP_EQUAL("10.0.0.3:80", reach.TakeDueChecks(now).front().address.c_str());
+}
+
+TEST(UpstreamReach, a_service_without_requests_is_not_checked) {
+  Fail("one");
+  Fail("two");
+  reach.OnReachedByPeer(service, "10.0.0.3:80", now);
+  now += std::chrono::seconds(6);
+  CHECK(reach.TakeDueChecks(now).empty());
+}
+
+TEST(UpstreamReach, an_opened_connection_ends_the_partition) {
+  Fail("one");
+  Fail("two");
+  CHECK(reach.OnOpened(service));
+  CHECK_FALSE(reach.IsPartitioned(service));
+  CHECK_FALSE(reach.OnOpened(service));
+}
+
+// clang-format off
+TEST_GROUP(RelayChoice) {
+  uint64_t next = 0;
+  RelayChoice choice{milliseconds(1'000), [this] { return next++; }};
+  core::TimePoint now{std::chrono::seconds(100)};
+};
+// clang-format on
+
+TEST(RelayChoice, spreads_over_all_routers) {
+  CHECK(choice.Choose({"a", "b"}, now) != choice.Choose({"a", "b"}, now));
+}
+
+TEST(RelayChoice, leaves_out_a_router_that_failed_for_a_while) {
+  choice.OnFailed("a", now);
+  for (int i = 0; i < 5; ++i) {
+    STRCMP_EQUAL("b", choice.Choose({"a", "b"}, now)->c_str());
+  }
+  CHECK_FALSE(choice.Choose({"a"}, now).has_value());
+  now += milliseconds(1'000);
+  CHECK(choice.Choose({"a"}, now).has_value());
+}
+
+TEST(RelayChoice, chooses_none_if_there_is_none) {
+  CHECK_FALSE(choice.Choose({}, now).has_value());
+}
--- a/tests/gateway/unit-response-end.cc
+++ b/tests/gateway/unit-response-end.cc
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include <memory>  // unique_ptr
 #include <string>  // string
 #include <vector>  // vector
 
@@ -107,6 +108,18 @@
     return body.substr(body.find(last) + last.size());
   }
 
+  // Lets the router reach the upstreams only through another one.
+  std::unique_ptr<Gateway> StartPartitioned() {
+    router.settings.load_address = FreeAddress(router.io);
+    const std::string nowhere = FreeAddress(router.io);
+    router.settings.upstream_address = [nowhere](const std::string&) {
+      return nowhere;
+    };
+    router.Start();
+    router.settings.upstream_address = nullptr;
+    return router.StartPeer("router-2");
+  }
+
   size_t HeadSize() const {
     return Framed("\r\nX-Id: r-1\r\n", {}, framing).size() -
            (framing == Framing::kChunks ? Chunk({}).size() * 2 + 5 : 0);
@@ -121,6 +134,36 @@
     whole += IsWholeSuccess(received) ? 1 : 0;
     return received;
   }
+
+  void CutAtEachByte() {
+    body = Event(1) + Event(2);
+    for (const char* path : {"/hold/x", "/talk/x", "/chat/x"}) {
+      const bool events = std::string(path) != "/hold/x";
+      for (const Framing each_framing : kFramings) {
+        for (const Ending each_ending : kEndings) {
+          framing = each_framing;
+          ending = each_ending;
+          const size_t size = Framed("\r\nX-Id: r-1\r\n", body, framing).size();
+          for (cut = 0; cut <= size; ++cut) {
+            const Received received = Ask(path);
+            if (!IsWholeSuccess(received) || received.body == body) {
+              continue;
+            }
+            // Nothing but the orderly end of the connection ends such a body.
+            const bool may_end_here = framing == Framing::kConnection &&
+                                      ending == Ending::kOrderly &&
+                                      (!events || received.body == Event(1));
+            CHECK(may_end_here);
+            CHECK(body.starts_with(received.body));
+          }
+        }
+      }
+    }
+    // The cases above say something only if the upstreams got the requests, and
+    // some callers a whole response.
+    CHECK(reached >= asked);
+    CHECK(whole > 0);
+  }
 };
 // clang-format on
 
@@ -179,35 +222,18 @@
 
 // Guards against any short response that looks whole, wherever it is cut.
 TEST(ResponseEnd, a_response_cut_at_any_byte_is_whole_or_visibly_broken) {
-  body = Event(1) + Event(2);
   AddUpstreams("hold");
   AddUpstreams("talk");
   AddUpstreams("chat");
   router.Start();
-  for (const char* path : {"/hold/x", "/talk/x", "/chat/x"}) {
-    const bool events = std::string(path) != "/hold/x";
-    for (const Framing each_framing : kFramings) {
-      for (const Ending each_ending : kEndings) {
-        framing = each_framing;
-        ending = each_ending;
-        const size_t size = Framed("\r\nX-Id: r-1\r\n", body, framing).size();
-        for (cut = 0; cut <= size; ++cut) {
-          const Received received = Ask(path);
-          if (!IsWholeSuccess(received) || received.body == body) {
-            continue;
-          }
-          // Nothing but the orderly end of the connection ends such a body.
-          const bool may_end_here = framing == Framing::kConnection &&
-                                    ending == Ending::kOrderly &&
-                                    (!events || received.body == Event(1));
-          CHECK(may_end_here);
-          CHECK(body.starts_with(received.body));
-        }
-      }
-    }
-  }
-  // The cases above say something only if the upstreams got the requests, and
-  // some callers a whole response.
-  CHECK(reached >= asked);
-  CHECK(whole > 0);
+  CutAtEachByte();
+}
+
+// Guards against the same with a response that another router relays.
+TEST(ResponseEnd, a_relayed_response_cut_at_any_byte_is_whole_or_broken) {
+  AddUpstreams("hold");
+  AddUpstreams("talk");
+  AddUpstreams("chat");
+  const auto peer = StartPartitioned();
+  CutAtEachByte();
 }
