Ask another router before a request is blamed for a crash

Cause: a broken connection and a refused check were taken for a crash; a partition that resets connections gives both. Evidence: a_broken_off_request_is_not_blamed_for_the_partition fails on the code before (run: 1 crash reported, 0 expected). Now a refusal counts once another router is refused too; it connects through the relay and closes. A router alone decides as before; one that reaches no other blames nobody.

--- a/include/coppervalve/gateway/crash_monitor.h
+++ b/include/coppervalve/gateway/crash_monitor.h
@@ -18,6 +18,11 @@
   struct Hooks {
     /// Called when the record changes, so that the change is published soon.
     std::function<void()> on_change;
+    /// Finds out whether other routers are refused by an upstream too; calls
+    /// the handler if so.
+    std::function<void(const entry::UpstreamEntry&,
+                       std::function<void()> on_refused)>
+        ask_others;
   };
 
   /// @param dialer outlives the monitor
--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -54,6 +54,11 @@
   void OnFailed(const entry::UpstreamEntry& upstream, core::TimePoint now);
   /// @brief A router could not or would not relay.
   void OnRelayFailed(const std::string& relay, core::TimePoint now);
+  /// @brief Finds out whether an upstream that refused a connection of this
+  /// router refuses those of others.
+  /// @param on_refused called if it does, or if there is no other router
+  void AskOthers(const entry::UpstreamEntry& upstream,
+                 std::function<void()> on_refused);
   bool IsPartitioned(const core::ServiceId& service) const {
     return m_reach.IsPartitioned(service);
   }
@@ -64,6 +69,9 @@
 
  private:
   std::optional<std::string> ChooseRelay(core::TimePoint now) const;
+  void AskNext(const entry::UpstreamEntry& upstream,
+               std::function<void()> on_refused,
+               int tries_left);
   void OnPartitioned(const core::ServiceId& service);
   void Log(const char* event, const core::ServiceId& service);
   size_t RelayCount() const;
--- a/include/coppervalve/gateway/relay_tunnel.h
+++ b/include/coppervalve/gateway/relay_tunnel.h
@@ -16,7 +16,8 @@
 /// @brief Whether another router connected this one to an upstream.
 enum class RelayResult : uint8_t {
   kOpen,
-  kUnreachable,  ///< the other router can't reach the upstream
+  kRefused,      ///< nothing listens on the upstream's address
+  kUnreachable,  ///< the other router can't reach the upstream either
   kDeclined,     ///< the other router does not relay at present
   kFailed,       ///< the other router can't be reached or did not answer
 };
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -11,12 +11,16 @@
     : m_log(log), m_hooks(std::move(hooks)), m_check(dialer), m_record({}) {}
 
 // An upstream's entry expires only seconds after a crash, while callers retry
-// immediately. A connection attempt to its address shows the crash at once.
+// immediately. A connection attempt to its address shows the crash at once. A
+// partition that resets connections looks the same from one router.
 void CrashMonitor::OnBroken(const entry::UpstreamRef& upstream,
                             const entry::RequestFingerprint& request) {
   m_record.OnBroken(request, entry::StartOf(upstream->entry), net::BootNow());
-  m_check.Start(upstream->entry.address,
-                [this, upstream] { OnTerminated(upstream->entry, "refused"); });
+  m_check.Start(upstream->entry.address, [this, upstream] {
+    m_hooks.ask_others(upstream->entry, [this, upstream] {
+      OnTerminated(upstream->entry, "refused");
+    });
+  });
 }
 
 void CrashMonitor::OnTerminated(const entry::UpstreamEntry& entry,
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -343,7 +343,8 @@
 }
 
 AttemptOutcome Exchange::OnRelayedConnectFailed() {
-  if (m_attempt->connection->relay_result() == RelayResult::kUnreachable) {
+  const auto result = m_attempt->connection->relay_result();
+  if (result == RelayResult::kRefused || result == RelayResult::kUnreachable) {
     return AttemptOutcome::kUnreachable;
   }
   m_context.reach.OnRelayFailed(m_attempt->relay, net::BootNow());
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -2,6 +2,7 @@
 
 #include <utility>  // move
 
+#include "coppervalve/net/clock.h"
 #include "relay_protocol.h"
 
 namespace coppervalve::gateway {
@@ -9,6 +10,8 @@
 namespace {
 
 constexpr core::Duration kFailedRelayPause{1'000'000};
+// Routers asked for a second opinion until one has one.
+constexpr int kMaxOpinions = 3;
 
 }  // namespace
 
@@ -61,6 +64,45 @@
   m_relays.OnFailed(relay, now);
 }
 
+void ReachMonitor::AskOthers(const entry::UpstreamEntry& upstream,
+                             std::function<void()> on_refused) {
+  if (RelayCount() == 0) {
+    on_refused();
+    return;
+  }
+  AskNext(upstream, std::move(on_refused), kMaxOpinions);
+}
+
+// A connection through another router that is closed when it opens.
+void ReachMonitor::AskNext(const entry::UpstreamEntry& upstream,
+                           std::function<void()> on_refused,
+                           int tries_left) {
+  const std::optional<std::string> relay = ChooseRelay(net::BootNow());
+  if (!relay || tries_left == 0 || !IsRelayable(upstream.id)) {
+    return;
+  }
+  const UpstreamConnectionRef connection =
+      m_context.pool.OpenThrough(*relay, upstream.id);
+  UpstreamConnection::Handlers handlers;
+  handlers.may_send = [] { return false; };
+  handlers.on_end = [this, upstream, connection, relay = *relay,
+                     on_refused = std::move(on_refused),
+                     tries_left](AttemptEnd end, std::string_view /*why*/) {
+    if (end == AttemptEnd::kWithheld) {
+      return;  // it opened
+    }
+    if (connection->relay_result() == RelayResult::kRefused) {
+      on_refused();
+      return;
+    }
+    if (connection->relay_result() != RelayResult::kUnreachable) {
+      m_relays.OnFailed(relay, net::BootNow());
+    }
+    AskNext(upstream, on_refused, tries_left - 1);
+  };
+  connection->Send({}, false, std::move(handlers));
+}
+
 // The failures are not the upstreams': other routers may reach them, and after
 // the partition they must not count as restarted. Idle connections may hang.
 void ReachMonitor::OnPartitioned(const core::ServiceId& service) {
--- a/src/gateway/relay_protocol.h
+++ b/src/gateway/relay_protocol.h
@@ -9,8 +9,9 @@
 inline constexpr std::string_view kRelayMethod = "RELAY";
 inline constexpr std::string_view kUpstreamHeader = "Upstream-Id";
 inline constexpr int kRelayOpen = 200;
-inline constexpr int kRelayUnreachable = 502;
+inline constexpr int kRelayRefused = 502;
 inline constexpr int kRelayDeclined = 503;
+inline constexpr int kRelayUnreachable = 504;
 
 // TCP retransmits a lost SYN only after a second; trying another upstream is
 // faster.
--- a/src/gateway/relay_session.cc
+++ b/src/gateway/relay_session.cc
@@ -99,7 +99,8 @@
         self->m_connecting.reset();
         self->m_on_connect(self->m_upstream_id, result);
         if (result != ConnectResult::kOpen) {
-          self->Refuse(kRelayUnreachable);
+          self->Refuse(result == ConnectResult::kRefused ? kRelayRefused
+                                                         : kRelayUnreachable);
           return;
         }
         self->OnConnected(std::move(socket));
--- a/src/gateway/relay_tunnel.cc
+++ b/src/gateway/relay_tunnel.cc
@@ -11,6 +11,8 @@
   switch (result) {
     case RelayResult::kOpen:
       return "open";
+    case RelayResult::kRefused:
+      return "refused to the relay too";
     case RelayResult::kUnreachable:
       return "unreachable from the relay too";
     case RelayResult::kDeclined:
@@ -21,6 +23,21 @@
   return "no answer of the relay";
 }
 
+namespace {
+
+RelayResult ResultOf(int status) {
+  switch (status) {
+    case kRelayRefused:
+      return RelayResult::kRefused;
+    case kRelayUnreachable:
+      return RelayResult::kUnreachable;
+    default:
+      return RelayResult::kDeclined;
+  }
+}
+
+}  // namespace
+
 std::string RelayRequest(const core::UpstreamId& upstream) {
   return std::string(kRelayMethod) + " / HTTP/1.1\r\nHost: relay\r\n" +
          std::string(kUpstreamHeader) + ": " + upstream.value() + "\r\n\r\n";
@@ -60,8 +77,7 @@
     const int status = m_reader.head().status;
     if (status != kRelayOpen) {
       m_ended = true;
-      Report(status == kRelayUnreachable ? RelayResult::kUnreachable
-                                         : RelayResult::kDeclined);
+      Report(ResultOf(status));
       return;
     }
     Report(RelayResult::kOpen);
--- a/tests/gateway/unit-partition.cc
+++ b/tests/gateway/unit-partition.cc
@@ -95,6 +95,14 @@
     return count;
   }
 
+  // @return crashes that the router's heartbeat blames on requests
+  int ReportedCrashes() {
+    router.io.run_for(std::chrono::milliseconds(1'500));
+    v1::RouterBeat beat;
+    beat.ParseFromString(router.store.Newest("routers", "router-1"));
+    return beat.crashes_size();
+  }
+
   int Served(const std::string& path, int count) {
     int served = 0;
     for (int i = 0; i < count; ++i) {
@@ -217,6 +225,36 @@
   CHECK(router.Until([&] { return left; }));
 }
 
+// Guards against a request that is refused by all routers as one that crashes
+// upstreams, because a partition broke it off.
+TEST(Partition, a_broken_off_request_is_not_blamed_for_the_partition) {
+  AddUpstreams("hold", 3);
+  for (ScriptedUpstream* upstream : upstreams) {
+    upstream->Answer([this](const StreamRef& stream, const std::string&) {
+      Partition();
+      stream->Abort();
+    });
+  }
+  Start();
+  CHECK(Has(router.SendRequest("/hold/x"), "HTTP/1.1 502"));
+  CHECK_EQUAL(0, ReportedCrashes());
+}
+
+// Guards against a second opinion that hides crashes.
+TEST(Partition, a_crash_that_another_router_sees_too_is_reported) {
+  AddUpstreams("hold", 3);
+  for (ScriptedUpstream* upstream : upstreams) {
+    upstream->Answer([this](const StreamRef& stream, const std::string&) {
+      Partition();
+      peer_partitioned_to = partitioned_to;
+      stream->Abort();
+    });
+  }
+  Start();
+  CHECK(Has(router.SendRequest("/hold/x"), "HTTP/1.1 502"));
+  CHECK_EQUAL(1, ReportedCrashes());
+}
+
 // Guards against a relay that is open to addresses other than the upstreams'.
 TEST(Partition, a_router_relays_only_to_upstreams_that_it_knows) {
   AddUpstreams("hold", 1);
