Keep the queue of a brittle upstream empty, and pause after a rejection

Nothing read the header: requests were queued, and a rejection paused a router for 60 ms, so that seven routers could cause over a hundred rejections a second. Change: an upstream that states it gets no request beyond its slots, counting what other routers report, and a router that was rejected there pauses until its share of half of N has passed, each router for another time, so that they do not return together.

--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -134,6 +134,9 @@
                                   core::TimePoint now) const;
   PlacementReason ReasonForNone(const std::vector<UpstreamRef>& upstreams,
                                 core::TimePoint now) const;
+  bool IsFullAndBrittle(const Upstream& upstream,
+                        const PlacementQuery& query,
+                        core::TimePoint now) const;
   Load LoadOf(const Upstream& upstream, const PlacementQuery& query) const;
   /// @return requests of all routers in progress, including the next one
   double RequestsInProgress(const std::vector<UpstreamRef>& upstreams,
--- a/include/coppervalve/entry/upstream.h
+++ b/include/coppervalve/entry/upstream.h
@@ -9,6 +9,7 @@
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
 #include "coppervalve/entry/advertised_limit.h"
+#include "coppervalve/entry/brittleness.h"
 #include "coppervalve/entry/recent_prefixes.h"
 #include "coppervalve/entry/upstream_health.h"
 #include "coppervalve/entry/upstream_senders.h"
@@ -43,6 +44,7 @@
   RecentPrefixes prefixes;
   WarmUpState warm_up;
   AdvertisedLimit limit;
+  Brittleness brittleness;
   mutable SenderRank sender_rank;
   /// When the entry expired while the store was disturbed; it may return soon.
   std::optional<core::TimePoint> expired_at;
--- a/include/coppervalve/entry/upstream_gate.h
+++ b/include/coppervalve/entry/upstream_gate.h
@@ -19,6 +19,7 @@
   kPaused,     ///< it requested a pause from this router
   kWarmingUp,  ///< it is cold, and this router's share is used up
   kLimited,    ///< it sent a limit, and this router's share is used up
+  kBrittle,    ///< it rejected a request, and more could make it fail
 };
 
 /// @brief Decides whether a healthy upstream that is not leaving may be sent a
@@ -57,6 +58,8 @@
   const Evacuations& evacuations() const { return m_evacuations; }
 
  private:
+  SenderPosition PositionOf(const Upstream& upstream,
+                            core::TimePoint now) const;
   const WarmUp* WarmUpOf(const Upstream& upstream) const;
   bool AllowsOneMore(const Upstream& upstream, core::TimePoint now) const;
 
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -135,6 +135,7 @@
 
   void HandleUpstreamSignals();
   void HandleRateLimit(const entry::UpstreamRef& sender);
+  void HandleBrittleness(const entry::UpstreamRef& sender);
   void LogUnknownHeaders(const core::UpstreamId& upstream);
   void OnHead(const http1::ResponseHead& head);
   void OnBody(const std::string& body);
--- a/include/coppervalve/gateway/platform_adapter.h
+++ b/include/coppervalve/gateway/platform_adapter.h
@@ -43,6 +43,9 @@
   std::optional<core::Duration> retry_after;
   /// Requests per second that the upstream accepts from all routers together.
   std::optional<double> limit;
+  /// Rejections per second, of requests of all routers together, above which
+  /// the upstream fails.
+  std::optional<double> max_rejections;
   /// The response declares a limit that cannot be parsed.
   bool limit_malformed = false;
   /// Names of headers that the adapter does not interpret.
--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -73,7 +73,7 @@
                std::function<void()> on_refused,
                int tries_left);
   void OnPartitioned(const core::ServiceId& service);
-  void Log(const char* event, const core::ServiceId& service);
+  void Log(LogLine line, const core::ServiceId& service);
   size_t RelayCount() const;
 
   Context m_context;
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -139,7 +139,9 @@
     if (state == GateState::kWarmingUp) {
       return PlacementReason::kWarmingUp;
     }
-    limited = limited || state == GateState::kLimited;
+    limited = limited || state == GateState::kLimited ||
+              state == GateState::kBrittle ||
+              upstream->brittleness.IsBrittle(now);
     evacuated = evacuated && state == GateState::kEvacuated;
   }
   if (limited) {
@@ -173,6 +175,9 @@
     if (m_gate.StateOf(*upstream, now) != GateState::kOpen) {
       continue;
     }
+    if (IsFullAndBrittle(*upstream, query, now)) {
+      continue;
+    }
     if (query.connection_bound != 0 &&
         upstream->in_flight >= query.connection_bound) {
       continue;
@@ -182,6 +187,14 @@
   return usable;
 }
 
+// What waits in the queue of a brittle upstream may be rejected.
+bool Placer::IsFullAndBrittle(const Upstream& upstream,
+                              const PlacementQuery& query,
+                              core::TimePoint now) const {
+  return upstream.brittleness.IsBrittle(now) &&
+         LoadOf(upstream, query).in_flight >= upstream.entry.slots;
+}
+
 // A router without a report is disconnected or lost its datagrams. It serves
 // the same callers as this one, so its load is assumed to be the same.
 Load Placer::LoadOf(const Upstream& upstream,
--- a/src/entry/upstream_gate.cc
+++ b/src/entry/upstream_gate.cc
@@ -40,6 +40,9 @@
   if (upstream.limit.per_second() && now < NextWithinLimit(upstream, now)) {
     return GateState::kLimited;
   }
+  if (now < upstream.brittleness.NextSend(PositionOf(upstream, now), now)) {
+    return GateState::kBrittle;
+  }
   return AllowsOneMore(upstream, now) ? GateState::kOpen
                                       : GateState::kWarmingUp;
 }
@@ -58,12 +61,15 @@
 
 core::TimePoint UpstreamGate::NextWithinLimit(const Upstream& upstream,
                                               core::TimePoint now) const {
-  SenderPosition position;
-  if (m_senders != nullptr) {
-    position =
-        m_senders->PositionOf(upstream.entry.id, upstream.sender_rank, now);
-  }
-  return upstream.limit.NextSend(position, m_limits);
+  return upstream.limit.NextSend(PositionOf(upstream, now), m_limits);
+}
+
+SenderPosition UpstreamGate::PositionOf(const Upstream& upstream,
+                                        core::TimePoint now) const {
+  return m_senders == nullptr
+             ? SenderPosition()
+             : m_senders->PositionOf(upstream.entry.id, upstream.sender_rank,
+                                     now);
 }
 
 core::TimePoint UpstreamGate::NextOfService(
@@ -97,9 +103,11 @@
     case AttemptOutcome::kUnreachable:
       state.unreachable_at = now;
       return;
+    case AttemptOutcome::kDeclined:
+      upstream.brittleness.OnRejected(now);
+      [[fallthrough]];
     case AttemptOutcome::kAnswered:
     case AttemptOutcome::kOwnFailure:
-    case AttemptOutcome::kDeclined:
       if (state.unreachable_at) {
         state.unreachable_at.reset();
         state.cold_since = now;
--- a/src/gateway/exchange_signals.cc
+++ b/src/gateway/exchange_signals.cc
@@ -19,6 +19,7 @@
     return;
   }
   HandleRateLimit(sender);
+  HandleBrittleness(sender);
   LogUnknownHeaders(sender->entry.id);
   if (!answer.leaving && !answer.retry_after) {
     return;
@@ -43,6 +44,23 @@
                                                  core::Duration::zero())));
 }
 
+// An upstream that is brittle says so in all its responses.
+void Exchange::HandleBrittleness(const entry::UpstreamRef& sender) {
+  const UpstreamResponseInfo& answer = m_attempt->answer;
+  const bool own_answer = answer.request_id == m_facts.id;
+  if (!own_answer && !answer.max_rejections) {
+    return;
+  }
+  if (sender->brittleness.OnAnswer(answer.max_rejections, net::BootNow())) {
+    m_context.log.Write(
+        LogCategory::kLifecycle,
+        LogLine("upstream_brittle")
+            .Text("upstream", sender->entry.id.value())
+            .Flag("brittle", answer.max_rejections.has_value())
+            .Decimal("rejections_per_s", answer.max_rejections.value_or(0)));
+  }
+}
+
 void Exchange::LogUnknownHeaders(const core::UpstreamId& upstream) {
   for (const std::string& name : m_attempt->answer.unknown_headers) {
     if (m_context.unknown_headers.IsNew(name)) {
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -47,7 +47,7 @@
     return;
   }
   if (m_reach.OnOpened(upstream.service)) {
-    Log("upstreams_reached_again", upstream.service);
+    Log(LogLine("upstreams_reached_again"), upstream.service);
   }
 }
 
@@ -106,7 +106,7 @@
 // The failures are not the upstreams': other routers may reach them, and after
 // the partition they must not count as restarted. Idle connections may hang.
 void ReachMonitor::OnPartitioned(const core::ServiceId& service) {
-  Log("upstreams_out_of_reach", service);
+  Log(LogLine("upstreams_out_of_reach"), service);
   if (RelayCount() == 0) {
     return;
   }
@@ -124,17 +124,16 @@
         [this, service = check.service](
             ConnectResult result, boost::asio::ip::tcp::socket /*socket*/) {
           if (result == ConnectResult::kOpen && m_reach.OnOpened(service)) {
-            Log("upstreams_reached_again", service);
+            Log(LogLine("upstreams_reached_again"), service);
           }
         });
   }
 }
 
-void ReachMonitor::Log(const char* event, const core::ServiceId& service) {
+void ReachMonitor::Log(LogLine line, const core::ServiceId& service) {
   m_context.log.Write(
       LogCategory::kLifecycle,
-      LogLine(event)
-          .Text("service", service.value())
+      line.Text("service", service.value())
           .Number("relays", static_cast<int64_t>(RelayCount())));
 }
 
--- a/tests/entry/unit-placement.cc
+++ b/tests/entry/unit-placement.cc
@@ -179,3 +179,25 @@
   Engine(0)->paused_until = At(0.5);
   CHECK(Chosen() == "e0");
 }
+
+// Guards against requests that wait at an upstream which fails if it has to
+// reject them.
+TEST(Placement, nothing_waits_at_an_upstream_that_is_brittle) {
+  for (int i = 0; i < 4; ++i) {
+    Engine(i)->brittleness.OnAnswer(3, At(1));
+    Engine(i)->in_flight = 64;
+  }
+  STRCMP_EQUAL("", Chosen().c_str());
+  CHECK(placer.Choose(directory, query, At(1)).why ==
+        PlacementReason::kLimited);
+  Engine(2)->in_flight = 63;
+  STRCMP_EQUAL("e2", Chosen().c_str());
+}
+
+TEST(Placement, a_brittle_upstream_that_rejected_a_request_gets_a_pause) {
+  for (int i = 0; i < 4; ++i) {
+    Engine(i)->brittleness.OnAnswer(1, At(1));
+    gate.OnOutcome(*Engine(i), AttemptOutcome::kDeclined, At(1));
+  }
+  STRCMP_EQUAL("", Chosen().c_str());
+}
--- a/tests/platform/unit-adapter.cc
+++ b/tests/platform/unit-adapter.cc
@@ -138,6 +138,20 @@
   CHECK_FALSE(adapter.read_answer({}).limit_malformed);
 }
 
+TEST(PlatformAdapter, a_brittle_server_states_a_plain_decimal) {
+  const auto read = [this](const char* text) {
+    http1::ResponseHead answer;
+    answer.headers.Add("Server-Brittle", text);
+    return adapter.read_answer(answer).max_rejections;
+  };
+  DOUBLES_EQUAL(4, *read("4"), 1e-9);
+  DOUBLES_EQUAL(2.5, *read("2.5"), 1e-9);
+  for (const char* text : {"", "-1", "nan", "1e9", "4 a"}) {
+    CHECK_FALSE(read(text).has_value());
+  }
+  CHECK_FALSE(adapter.read_answer({}).max_rejections.has_value());
+}
+
 TEST(PlatformAdapter, two_limits_in_one_response_are_rejected) {
   http1::ResponseHead answer;
   answer.headers.Add("Server-Limit", "2");
