--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -36,6 +36,7 @@
         self.service = service
         self.address = ""
         self.cut_ratio = 0.0  # share of answers that are truncated
+        self.unframed_ratio = 0.3  # share of streams that end with their connection
         self.decline_ratio = 0.0  # share of requests that are not run
         self.crash_marker = b""  # a request whose body contains this ends the process
         self.leaving = False  # reported in all answers
@@ -143,7 +144,10 @@
         request_id = request.headers["request-id"]
         prompt, most = request.headers["token-usage"].split(",")
         self._ledger.prompt[request_id] = int(prompt)
-        lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+        framed = self._random.random() >= self.unframed_ratio
+        frame = chunk if framed else bytes
+        lines = ["HTTP/1.1 200 OK"]
+        lines.append("Transfer-Encoding: chunked" if framed else "Connection: close")
         lines += [f"{name.replace('_', '-')}: {value}" for name, value in signed.items()]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         count = int(most) // TOKENS_PER_EVENT
@@ -151,10 +155,11 @@
             await asyncio.sleep(0.01)
             event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
             if breaks and number > count // 2:
-                writer.write(chunk(event[: len(event) // 2]))
+                writer.write(frame(event[: len(event) // 2]))
                 return False
-            writer.write(chunk(event))
+            writer.write(frame(event))
             await writer.drain()
             self._ledger.streamed[request_id] += 1
-        writer.write(b"0\r\n\r\n")
-        return True
+        if framed:
+            writer.write(b"0\r\n\r\n")
+        return framed
