Take four lost upstreams, or all of fewer, for a partition

Now as many as usually do not crash together have to fail, within three seconds, since a router with few callers tries an upstream each 350 ms where connections hang.

--- a/include/coppervalve/entry/upstream_reach.h
+++ b/include/coppervalve/entry/upstream_reach.h
@@ -14,9 +14,10 @@
 /// @brief Constants of UpstreamReach.
 struct ReachOptions {
   /// Failures this far apart are not of the same partition.
-  core::Duration evidence_time{1'000'000};
-  /// Upstreams of a service that have to fail, if it has as many.
-  size_t evidence_count = 2;
+  core::Duration evidence_time{3'000'000};
+  /// Upstreams of a service that have to fail, if it has as many. More than
+  /// usually crash together.
+  size_t evidence_count = 4;
   /// Time between two checks whether a partition is over.
   core::Duration check_interval{500'000};
   /// A service without requests for this long is not checked.
--- a/src/gateway/relay_server.cc
+++ b/src/gateway/relay_server.cc
@@ -87,9 +87,9 @@
     const auto session = std::make_shared<RelaySession>(
         m_io, m_dialer, std::move(socket),
         [this](const core::UpstreamId& id) -> std::optional<std::string> {
-          const auto address = m_sessions.size() > kMaxSessions
-                                   ? std::nullopt
-                                   : m_hooks.address_of(id);
+          auto address = m_sessions.size() > kMaxSessions
+                             ? std::nullopt
+                             : m_hooks.address_of(id);
           m_hooks.on_request(address.has_value());
           return address;
         },
