Check that an upstream still listens if only its connection ended the answer

Why this works: the process that crashed listens no more when the end of its connection arrives, so one connection shows it; through the relay, if the answer came through one. Not checked: an upstream that leaves, which may end its process after the answer.

--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -102,6 +102,8 @@
     double cost = 0;           ///< expected cost at placement
     bool events = false;       ///< the body is a stream of events
     bool forwarding = false;   ///< the response is sent to the caller
+    bool end_checked = false;  ///< the upstream did not crash at its end
+    bool ends_with_connection = false;  ///< the response
     bool resumed = false;
   };
 
@@ -145,6 +147,10 @@
   entry::AttemptOutcome OnRelayedConnectFailed();
   /// @brief Whether a response that seems complete is a stream that was cut.
   bool IsCutStream() const;
+  /// @brief Whether only the end of the connection shows that the response is
+  /// complete, and the upstream may have crashed.
+  bool IsEndInDoubt() const;
+  void CheckEnd();
   void ReturnConnection();
   void OnComplete();
   void OnBroken(std::string_view why);
--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -59,6 +59,13 @@
   /// @param on_refused called if it does, or if there is no other router
   void AskOthers(const entry::UpstreamEntry& upstream,
                  std::function<void()> on_refused);
+  /// @brief Finds out whether an upstream still accepts connections.
+  /// @param relay the router through which it was reached; empty: none
+  /// @param on_done called once, with true if a connection was refused; never
+  /// from within the call
+  void CheckRefuses(const entry::UpstreamEntry& upstream,
+                    const std::string& relay,
+                    std::function<void(bool refused)> on_done);
   bool IsPartitioned(const core::ServiceId& service) const {
     return m_reach.IsPartitioned(service);
   }
@@ -69,6 +76,10 @@
 
  private:
   std::optional<std::string> ChooseRelay(core::TimePoint now) const;
+  using OnChecked = std::function<void(AttemptEnd, std::optional<RelayResult>)>;
+  void OpenToCheck(const std::string& relay,
+                   const core::UpstreamId& upstream,
+                   OnChecked on_checked);
   void AskNext(const entry::UpstreamEntry& upstream,
                std::function<void()> on_refused,
                int tries_left);
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -191,6 +191,7 @@
   if (!attempt.resumed) {
     m_head = head;
   }
+  attempt.ends_with_connection = head.ends_with_connection;
   attempt.events = IsStream() && IsSuccess(head.status) && IsEventStream(head);
   attempt.forwarding = attempt.events;
 }
@@ -284,6 +285,10 @@
     end = AttemptEnd::kBroken;
     why = "the stream ended inside an event";
   }
+  if (end == AttemptEnd::kComplete && IsEndInDoubt()) {
+    CheckEnd();
+    return;
+  }
   if (end == AttemptEnd::kNotSent || end == AttemptEnd::kWithheld) {
     OnNotSent(end, why);
     return;
@@ -360,7 +365,31 @@
     return false;
   }
   return m_sse_splitter.InsideEvent() ||
-         (m_head->ends_with_connection && !HasEvents());
+         (m_attempt->ends_with_connection && !HasEvents());
+}
+
+// An upstream that is leaving may end its process after the response.
+bool Exchange::IsEndInDoubt() const {
+  return m_attempt->ends_with_connection && !m_attempt->end_checked &&
+         !m_attempt->upstream->entry.leaving;
+}
+
+// A crash between two events, or within a plain body, leaves no other trace
+// than an upstream that refuses connections.
+void Exchange::CheckEnd() {
+  m_attempt->end_checked = true;
+  m_context.reach.CheckRefuses(
+      m_attempt->upstream->entry, m_attempt->relay,
+      [weak = weak_from_this(),
+       connection = m_attempt->connection](bool refused) {
+        const auto self = weak.lock();
+        if (!self || !self->m_attempt ||
+            self->m_attempt->connection != connection) {
+          return;
+        }
+        self->OnEnd(refused ? AttemptEnd::kBroken : AttemptEnd::kComplete,
+                    "the upstream crashed");
+      });
 }
 
 // The upstream may have restarted or left while it responded. Then the pooled
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -74,6 +74,21 @@
 }
 
 // A connection through another router that is closed when it opens.
+void ReachMonitor::OpenToCheck(const std::string& relay,
+                               const core::UpstreamId& upstream,
+                               OnChecked on_checked) {
+  const UpstreamConnectionRef connection =
+      m_context.pool.OpenThrough(relay, upstream);
+  UpstreamConnection::Handlers handlers;
+  handlers.may_send = [] { return false; };
+  // Keeps the connection until it ends.
+  handlers.on_end = [connection, on_checked = std::move(on_checked)](
+                        AttemptEnd end, std::string_view /*why*/) {
+    on_checked(end, connection->relay_result());
+  };
+  connection->Send({}, false, std::move(handlers));
+}
+
 void ReachMonitor::AskNext(const entry::UpstreamEntry& upstream,
                            std::function<void()> on_refused,
                            int tries_left) {
@@ -81,26 +96,41 @@
   if (!relay || tries_left == 0 || !IsRelayable(upstream.id)) {
     return;
   }
-  const UpstreamConnectionRef connection =
-      m_context.pool.OpenThrough(*relay, upstream.id);
-  UpstreamConnection::Handlers handlers;
-  handlers.may_send = [] { return false; };
-  handlers.on_end = [this, upstream, connection, relay = *relay,
-                     on_refused = std::move(on_refused),
-                     tries_left](AttemptEnd end, std::string_view /*why*/) {
-    if (end == AttemptEnd::kWithheld) {
-      return;  // it opened
-    }
-    if (connection->relay_result() == RelayResult::kRefused) {
-      on_refused();
-      return;
-    }
-    if (connection->relay_result() != RelayResult::kUnreachable) {
-      m_relays.OnFailed(relay, net::BootNow());
-    }
-    AskNext(upstream, on_refused, tries_left - 1);
-  };
-  connection->Send({}, false, std::move(handlers));
+  OpenToCheck(
+      *relay, upstream.id,
+      [this, upstream, relay = *relay, on_refused = std::move(on_refused),
+       tries_left](AttemptEnd end, std::optional<RelayResult> result) {
+        if (end == AttemptEnd::kWithheld) {
+          return;  // it opened
+        }
+        if (result == RelayResult::kRefused) {
+          on_refused();
+          return;
+        }
+        if (result != RelayResult::kUnreachable) {
+          m_relays.OnFailed(relay, net::BootNow());
+        }
+        AskNext(upstream, on_refused, tries_left - 1);
+      });
+}
+
+void ReachMonitor::CheckRefuses(const entry::UpstreamEntry& upstream,
+                                const std::string& relay,
+                                std::function<void(bool refused)> on_done) {
+  if (!relay.empty()) {
+    OpenToCheck(relay, upstream.id,
+                [on_done = std::move(on_done)](
+                    AttemptEnd /*end*/, std::optional<RelayResult> result) {
+                  on_done(result == RelayResult::kRefused);
+                });
+    return;
+  }
+  m_context.dialer.Dial(
+      upstream.address, kUpstreamConnectTimeout,
+      [on_done = std::move(on_done)](ConnectResult result,
+                                     boost::asio::ip::tcp::socket /*socket*/) {
+        on_done(result == ConnectResult::kRefused);
+      });
 }
 
 // The failures are not the upstreams': other routers may reach them, and after
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -196,6 +196,10 @@
   Accept();
 }
 
+void ScriptedUpstream::StopListening() {
+  m_acceptor.close();
+}
+
 void ScriptedUpstream::Accept() {
   m_acceptor.async_accept(
       [this](const boost::system::error_code& code, tcp::socket socket) {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -36,6 +36,8 @@
 
   explicit ScriptedUpstream(boost::asio::io_context& io);
   void Answer(OnRequest on_request) { m_on_request = std::move(on_request); }
+  /// Accepts no more connections, as after a crash.
+  void StopListening();
 
   const std::string& address() const { return m_address; }
   std::vector<std::string> requests;  ///< as received
--- a/tests/gateway/unit-response-end.cc
+++ b/tests/gateway/unit-response-end.cc
@@ -220,6 +220,25 @@
   STRCMP_EQUAL("{\"done\": true}", received.body.c_str());
 }
 
+// Guards against an upstream that crashes between two events, or in a plain
+// body, and whose connection then ends as if the response were complete.
+TEST(ResponseEnd, a_response_whose_upstream_crashed_does_not_look_complete) {
+  body = Event(1) + Event(2);
+  framing = Framing::kConnection;
+  for (const char* service : {"hold", "talk"}) {
+    ScriptedUpstream& upstream = router.AddUpstream(service, service);
+    upstream.Answer(
+        [this, &upstream](const StreamRef& stream, const std::string& request) {
+          stream->Send(Framed(request, Event(1), framing));
+          upstream.StopListening();
+          stream->CloseWhenSent();
+        });
+  }
+  router.Start();
+  CHECK_FALSE(IsWholeSuccess(Ask("/hold/x")));
+  CHECK_FALSE(IsWholeSuccess(Ask("/talk/x")));
+}
+
 // Guards against any short response that looks whole, wherever it is cut.
 TEST(ResponseEnd, a_response_cut_at_any_byte_is_whole_or_visibly_broken) {
   AddUpstreams("hold");
