Harness: hold the ports of child processes, print the routers' state on a failure

Its output did not say which router lacked the figure, or why.

Hypotheses: (a) a router did not start, because its port was taken; (b) a router missed the evacuation's record; (c) load. run_scenario now prints each router's exit status, figures and last log lines when a scenario fails, and keeps the logs in build/failed-tests.

So (a). free_ports() closed its sockets before the routers bound the ports, and another test's process took one in between. (b) and (c) are ruled out for this run.

Change: tools/harness/ports.py keeps a bound socket per port until the test ends. It is bound exclusively and set to SO_REUSEADDR afterwards, so that the router can listen on the port and no other process gets it. The soak's platform, the harness and both scripts of the operators' tool had the same window, and use it.

--- a/tests/cli/operators_tool.sh
+++ b/tests/cli/operators_tool.sh
@@ -14,13 +14,17 @@
 
 finish() {
   [ -n "$log_pid" ] && kill "$log_pid" 2>/dev/null
+  kill "$ports_pid"
   rm -rf "$work"
 }
 trap finish EXIT
 
-# A port assigned by the kernel, so that parallel runs use different ports.
+exec {ports}< <(exec python3 tools/harness/ports.py 10)
+ports_pid=$!
 free_port() {
-  python3 -c 'import socket; s=socket.socket(); s.bind(("127.0.0.1",0)); print(s.getsockname()[1])'
+  local port
+  read -r port <&"$ports"
+  echo "$port"
 }
 
 start_log() {
--- a/tests/cli/operators_tool_fleet.sh
+++ b/tests/cli/operators_tool_fleet.sh
@@ -12,6 +12,7 @@
 pids=()
 
 finish() {
+  kill "$ports_pid"
   for pid in "${pids[@]}"; do
     kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
@@ -21,8 +22,12 @@
 }
 trap finish EXIT
 
+exec {ports}< <(exec python3 tools/harness/ports.py 10)
+ports_pid=$!
 free_port() {
-  python3 -c 'import socket; s=socket.socket(); s.bind(("127.0.0.1",0)); print(s.getsockname()[1])'
+  local port
+  read -r port <&"$ports"
+  echo "$port"
 }
 
 # expect <what> <exit code> <text in the output> <command...>
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -3,8 +3,9 @@
 import asyncio
 import os
 import random
+import shutil
 import signal
-import socket
+import sys
 import tempfile
 from collections.abc import Awaitable, Callable
 
@@ -12,6 +13,7 @@
 from tests.soak.http import read_message
 from tests.soak.servers import TOKENS_PER_EVENT, WARM_UP_S, Ledger, Server
 from tests.soak.store import Store
+from tools.harness.ports import free_port
 
 PREPAID = 150_000
 ZONES = ["a", "b"]
@@ -21,6 +23,9 @@
 # Seconds after an upstream ends until its entry is removed and until it restarts.
 ENTRY_REMOVED_AFTER_S = 0.6
 RESTART_AFTER_S = 1.0
+# What is printed of each router when a scenario fails.
+DESCRIBED_FIGURES = ["ready", "routers", "store_up", "upstreams", "evacuated_domains"]
+DESCRIBED_LOG_LINES = 25
 SETTINGS = """heartbeatMs = 1000
 nodeName = "{name}"
 zone = "a"
@@ -42,20 +47,11 @@
 """
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 class Router:
     def __init__(self, name: str, folder: str, program: str) -> None:
         self.name = name
-        self.front, self.ready, self.directory, self.metrics, self.loads = free_ports(5)
+        self.front, self.ready, self.directory, self.metrics, self.loads = (
+            free_port() for _ in range(5))
         self.store_port = 0
         self.read_mbs = 80.0  # read bandwidth that the store announces
         self._path = os.path.join(folder, name + ".toml")
@@ -102,6 +98,14 @@
         with open(self._log_path, encoding="utf-8") as file:
             return file.read()
 
+    async def describe(self) -> str:
+        """Returns the process's state, its state figures and the end of its log."""
+        figures = {name: await self.figure(name) for name in DESCRIBED_FIGURES}
+        lines = self.log().splitlines()[-DESCRIBED_LOG_LINES:]
+        status = self.process.returncode if self.process else "not started"
+        return "\n  ".join([f"{self.name}: exit status {status}, {figures}, "
+                            f"ports {self.front} to {self.loads}", *lines])
+
 
 def configuration(version: int, prepaid: int) -> dict:
     def route(kind: str, service: str, type_: str, **more) -> dict:
@@ -241,6 +245,17 @@
             await asyncio.sleep(0.05)
         return False
 
+    async def report_failure(self) -> None:
+        """Prints the state of all routers and keeps their logs in the build folder."""
+        for router in self.routers:
+            print(await router.describe(), file=sys.stderr)
+        print(f"store: {self.store.calls} calls, ends "
+              f"{ {name: topic.end for name, topic in self.store.topics.items()} }",
+              file=sys.stderr)
+        kept = os.path.join(build_folder(), "failed-tests", f"scenario-{os.getpid()}")
+        shutil.copytree(self._folder, kept, dirs_exist_ok=True)
+        print(f"logs of all routers: {kept}", file=sys.stderr)
+
     async def stop(self) -> None:
         for task in self._restart_tasks:
             task.cancel()
@@ -251,17 +266,24 @@
         await asyncio.sleep(0.1)
 
 
+def build_folder() -> str:
+    return os.environ.get("COPPERVALVE_BUILD", "build")
+
+
 def run_scenario(scenario: Callable[[Platform], Awaitable[None]], routers: int, engines: int,
          read_mbs: float = 80.0) -> Platform:
     """Runs a test scenario on a new platform and stops the platform."""
 
     async def run() -> Platform:
-        program = os.path.join(os.environ.get("COPPERVALVE_BUILD", "build"), "coppervalved")
+        program = os.path.join(build_folder(), "coppervalved")
         with tempfile.TemporaryDirectory() as folder:
             platform = Platform(folder, program, seed=1)
             await platform.start(routers, engines, read_mbs=read_mbs)
             try:
                 await scenario(platform)
+            except BaseException:
+                await platform.report_failure()
+                raise
             finally:
                 await platform.stop()
             return platform
--- a/tools/harness/ports.py
+++ b/tools/harness/ports.py
@@ -1,26 +1,36 @@
 """Ports for child processes."""
 
 import random
+import signal
 import socket
+import sys
 
 HOST = "127.0.0.1"
 
 # Below the kernel's range for outgoing connections, so that no outgoing connection
-# takes a port that was just found free.
+# takes the port of a child process that restarts.
 _FIRST_PORT = 20000
 _LAST_PORT = 31999
 _ATTEMPTS = 200
 
-_allocated_ports: set[int] = set()
+_reservations: list[socket.socket] = []
 
 
 def free_port() -> int:
-    """Returns a port that is not in use and was not returned before."""
+    """Reserves a port until this process ends. Child processes can listen on it if they
+    set SO_REUSEADDR; no other process gets it in the meantime."""
     for _ in range(_ATTEMPTS):
         port = random.randint(_FIRST_PORT, _LAST_PORT)
-        if port not in _allocated_ports and is_free(port):
-            _allocated_ports.add(port)
-            return port
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            reservation.bind((HOST, port))
+        except OSError:
+            reservation.close()
+            continue
+        # Only after the bind, which would share the port with other reservations.
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _reservations.append(reservation)
+        return port
     raise OSError("no free port found")
 
 
@@ -38,3 +48,14 @@
 def free_address() -> str:
     """Returns "ip:port" of a free port."""
     return f"{HOST}:{free_port()}"
+
+
+def main() -> None:
+    """Prints a number of ports and reserves them until it is terminated."""
+    for _ in range(int(sys.argv[1])):
+        print(free_port(), flush=True)
+    signal.pause()
+
+
+if __name__ == "__main__":
+    main()
