Gateway: one TcpAcceptor for the callers' listener and the relay server

A connection accepted before the owner's end is dropped now; RelayServer's handler would have used the destroyed server.

--- a/include/coppervalve/gateway/listener.h
+++ b/include/coppervalve/gateway/listener.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstddef>  // size_t
 #include <memory>   // shared_ptr, weak_ptr
 #include <string>   // string
@@ -11,11 +10,12 @@
 
 #include "coppervalve/core/result.h"
 #include "coppervalve/gateway/caller_connection.h"
+#include "coppervalve/gateway/tcp_acceptor.h"
 
 namespace coppervalve::gateway {
 
 /// @brief Accepts connections of callers on one address.
-class Listener : public std::enable_shared_from_this<Listener> {
+class Listener {
  public:
   Listener(boost::asio::io_context& io, CallerConnection::Hooks hooks);
 
@@ -28,12 +28,11 @@
   void CloseIdle();
 
  private:
-  void Accept();
+  void OnConnection(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& m_io;
   std::shared_ptr<const CallerConnection::Hooks> m_hooks;
-  boost::asio::ip::tcp::acceptor m_acceptor;
-  boost::asio::steady_timer m_accept_pause;
+  std::shared_ptr<TcpAcceptor> m_acceptor;
   std::vector<std::weak_ptr<CallerConnection>> m_connections;
   size_t m_accepted = 0;
 };
--- a/include/coppervalve/gateway/relay_server.h
+++ b/include/coppervalve/gateway/relay_server.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstddef>     // size_t
 #include <functional>  // function
 #include <memory>      // shared_ptr, weak_ptr
@@ -14,6 +13,7 @@
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/result.h"
 #include "coppervalve/gateway/connect_attempt.h"
+#include "coppervalve/gateway/tcp_acceptor.h"
 
 namespace coppervalve::gateway {
 
@@ -47,13 +47,12 @@
   size_t Busy() const;
 
  private:
-  void Accept();
+  void OnConnection(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& m_io;
   const Dialer& m_dialer;
   const Hooks m_hooks;
-  boost::asio::ip::tcp::acceptor m_acceptor;
-  boost::asio::steady_timer m_accept_pause;
+  std::shared_ptr<TcpAcceptor> m_acceptor;
   std::vector<std::weak_ptr<RelaySession>> m_sessions;
 };
 
