--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -155,6 +155,9 @@
   void OnComplete();
   void OnBroken(std::string_view why);
   void OnDeclined();
+  // Sends the upstream's head to the caller. `length` is that of the body;
+  // none: chunked transfer encoding.
+  void BeginResponse(std::optional<uint64_t> length);
   void ForwardToCaller(std::string_view bytes);
   void EndPrefill();
   void DiscardResponse();
