Relay: ask another router where one can't connect to an upstream

What callers saw: 503, "refused to the relay too", from a router that was partitioned from a service together with another one, while a third reached it. Cause: the failure of one relay counted as that of the upstream. A relay that is partitioned too, and does not know it yet, used up the upstreams of the request: relays are chosen at random for each attempt, and a request makes a few only. Ruled out: the tests' peers; the third router was live and active in each run.

Change: a request remembers the relays that failed (entry::RelayRefusals) and asks others first. Three of them, or all there are, have to fail before the upstream is to blame. Placements per request stay bounded as before.

--- a/include/coppervalve/entry/relay_choice.h
+++ b/include/coppervalve/entry/relay_choice.h
@@ -21,8 +21,10 @@
       : m_pause(pause), m_random(std::move(random)) {}
 
   /// @param peers "ip:port" of the routers that may be chosen
-  /// @return one of them at random; none if all have failed recently
+  /// @param excluded those that may not
+  /// @return one of them at random; none if all others have failed recently
   std::optional<std::string> Choose(const std::vector<std::string>& peers,
+                                    const std::vector<std::string>& excluded,
                                     core::TimePoint now) const;
   /// @brief A router could not be reached or does not relay at present.
   void OnFailed(const std::string& peer, core::TimePoint now);
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -19,6 +19,7 @@
 #include "coppervalve/entry/placement.h"
 #include "coppervalve/entry/policy.h"
 #include "coppervalve/entry/prefill_time_estimator.h"
+#include "coppervalve/entry/relay_refusals.h"
 #include "coppervalve/entry/request_fingerprint.h"
 #include "coppervalve/entry/retry_budget_share.h"
 #include "coppervalve/entry/upstream_directory.h"
@@ -209,6 +210,7 @@
   std::vector<core::UpstreamId> m_tried;
   std::vector<core::UpstreamId> m_sent_to;  ///< those that got bytes
   std::string m_last_relay;  ///< of the latest attempt; empty: none
+  entry::RelayRefusals m_relay_refusals;
   std::optional<http1::ResponseHead> m_head;
   std::string m_body;
   http1::SseSplitter m_sse_splitter;
--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -38,10 +38,17 @@
 
   explicit ReachMonitor(Context context);
 
+  /// @param avoided routers that are chosen only if there is no other
   /// @return the router through which a connection to the upstream should be
   /// opened; none: it should be opened directly
   std::optional<std::string> RelayFor(const entry::UpstreamEntry& upstream,
+                                      const std::vector<std::string>& avoided,
                                       core::TimePoint now) const;
+  /// @return whether any router but the avoided ones could relay
+  bool HasRelayBut(const std::vector<std::string>& avoided,
+                   core::TimePoint now) const {
+    return ChooseRelay(avoided, now).has_value();
+  }
   /// @return whether neither this router nor any that could relay has reached
   /// the service recently; false if there is no other router
   bool NobodyReaches(const core::ServiceId& service, core::TimePoint now) const;
@@ -75,7 +82,9 @@
   void Advance(core::TimePoint now);
 
  private:
-  std::optional<std::string> ChooseRelay(core::TimePoint now) const;
+  std::optional<std::string> ChooseRelay(
+      const std::vector<std::string>& excluded,
+      core::TimePoint now) const;
   using OnChecked = std::function<void(AttemptEnd, std::optional<RelayResult>)>;
   void OpenToCheck(const std::string& relay,
                    const core::UpstreamId& upstream,
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -118,7 +118,7 @@
                        core::TimePoint now) {
   Attempt& attempt = *m_attempt;
   const std::optional<std::string> relay =
-      m_context.reach.RelayFor(upstream->entry, now);
+      m_context.reach.RelayFor(upstream->entry, m_relay_refusals.relays(), now);
   attempt.relay = relay.value_or(std::string());
   m_last_relay = attempt.relay;
   attempt.connection =
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -133,19 +133,29 @@
   const entry::UpstreamEntry& upstream = m_attempt->upstream->entry;
   const core::TimePoint now = net::BootNow();
   m_context.reach.OnFailed(upstream, now);
-  if (!m_context.reach.RelayFor(upstream, now)) {
+  if (!m_context.reach.RelayFor(upstream, {}, now)) {
     return AttemptOutcome::kUnreachable;
   }
   m_tried = m_sent_to;
   return AttemptOutcome::kWithheld;
 }
 
+// The relay may be partitioned itself, so another one is asked before the
+// upstream is to blame.
 AttemptOutcome Exchange::OnRelayedConnectFailed() {
   const auto result = m_attempt->connection->relay_result();
-  if (result == RelayResult::kRefused || result == RelayResult::kUnreachable) {
+  const core::TimePoint now = net::BootNow();
+  if (result != RelayResult::kRefused && result != RelayResult::kUnreachable) {
+    m_context.reach.OnRelayFailed(m_attempt->relay, now);
+    m_tried.pop_back();
+    return AttemptOutcome::kWithheld;
+  }
+  const core::UpstreamId& upstream = m_attempt->upstream->entry.id;
+  m_relay_refusals.OnRefused(m_attempt->relay, upstream);
+  if (m_relay_refusals.IsConfirmed(upstream) ||
+      !m_context.reach.HasRelayBut(m_relay_refusals.relays(), now)) {
     return AttemptOutcome::kUnreachable;
   }
-  m_context.reach.OnRelayFailed(m_attempt->relay, net::BootNow());
   m_tried.pop_back();
   return AttemptOutcome::kWithheld;
 }
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -21,22 +21,26 @@
 
 std::optional<std::string> ReachMonitor::RelayFor(
     const entry::UpstreamEntry& upstream,
+    const std::vector<std::string>& avoided,
     core::TimePoint now) const {
   if (!IsPartitioned(upstream.service) || !IsRelayable(upstream.id)) {
     return std::nullopt;
   }
-  return ChooseRelay(now);
+  const auto relay = ChooseRelay(avoided, now);
+  return relay ? relay : ChooseRelay({}, now);
 }
 
 std::optional<std::string> ReachMonitor::ChooseRelay(
+    const std::vector<std::string>& excluded,
     core::TimePoint now) const {
-  const auto relay = m_relays.Choose(m_context.active_peers(), now);
-  return relay ? relay : m_relays.Choose(m_context.standby_peers(), now);
+  const auto relay = m_relays.Choose(m_context.active_peers(), excluded, now);
+  return relay ? relay
+               : m_relays.Choose(m_context.standby_peers(), excluded, now);
 }
 
 bool ReachMonitor::NobodyReaches(const core::ServiceId& service,
                                  core::TimePoint now) const {
-  return IsPartitioned(service) && RelayCount() != 0 && !ChooseRelay(now);
+  return IsPartitioned(service) && RelayCount() != 0 && !ChooseRelay({}, now);
 }
 
 void ReachMonitor::OnOpened(const entry::UpstreamEntry& upstream,
@@ -92,7 +96,7 @@
 void ReachMonitor::AskNext(const entry::UpstreamEntry& upstream,
                            std::function<void()> on_refused,
                            int tries_left) {
-  const std::optional<std::string> relay = ChooseRelay(net::BootNow());
+  const std::optional<std::string> relay = ChooseRelay({}, net::BootNow());
   if (!relay || tries_left == 0 || !IsRelayable(upstream.id)) {
     return;
   }
--- a/tests/entry/unit-upstream-reach.cc
+++ b/tests/entry/unit-upstream-reach.cc
@@ -6,6 +6,7 @@
 #include <string>  // string
 
 #include "coppervalve/entry/relay_choice.h"
+#include "coppervalve/entry/relay_refusals.h"
 
 using namespace coppervalve;
 using namespace coppervalve::entry;
@@ -114,19 +115,52 @@
 // clang-format on
 
 TEST(RelayChoice, spreads_over_all_routers) {
-  CHECK(choice.Choose({"a", "b"}, now) != choice.Choose({"a", "b"}, now));
+  CHECK(choice.Choose({"a", "b"}, {}, now) !=
+        choice.Choose({"a", "b"}, {}, now));
 }
 
 TEST(RelayChoice, leaves_out_a_router_that_failed_for_a_while) {
   choice.OnFailed("a", now);
   for (int i = 0; i < 5; ++i) {
-    STRCMP_EQUAL("b", choice.Choose({"a", "b"}, now)->c_str());
+    STRCMP_EQUAL("b", choice.Choose({"a", "b"}, {}, now)->c_str());
   }
-  CHECK_FALSE(choice.Choose({"a"}, now).has_value());
+  CHECK_FALSE(choice.Choose({"a"}, {}, now).has_value());
   now += milliseconds(1'000);
-  CHECK(choice.Choose({"a"}, now).has_value());
+  CHECK(choice.Choose({"a"}, {}, now).has_value());
+}
+
+TEST(RelayChoice, leaves_out_an_excluded_router) {
+  for (int i = 0; i < 5; ++i) {
+    STRCMP_EQUAL("b", choice.Choose({"a", "b"}, {"a"}, now)->c_str());
+  }
+  CHECK_FALSE(choice.Choose({"a"}, {"a"}, now).has_value());
 }
 
 TEST(RelayChoice, chooses_none_if_there_is_none) {
-  CHECK_FALSE(choice.Choose({}, now).has_value());
+  CHECK_FALSE(choice.Choose({}, {}, now).has_value());
+}
+
+// clang-format off
+TEST_GROUP(RelayRefusals) {
+  RelayRefusals refusals;
+  const core::UpstreamId one{"one"};
+  const core::UpstreamId two{"two"};
+};
+// clang-format on
+
+TEST(RelayRefusals, three_routers_that_fail_confirm_that_one_is_unreachable) {
+  refusals.OnRefused("a", one);
+  refusals.OnRefused("b", one);
+  CHECK_FALSE(refusals.IsConfirmed(one));
+  refusals.OnRefused("c", one);
+  CHECK(refusals.IsConfirmed(one));
+}
+
+TEST(RelayRefusals, failures_at_other_upstreams_do_not_count) {
+  refusals.OnRefused("a", one);
+  refusals.OnRefused("b", two);
+  refusals.OnRefused("c", two);
+  CHECK_FALSE(refusals.IsConfirmed(one));
+  CHECK_FALSE(refusals.IsConfirmed(two));
+  CHECK_EQUAL(3, refusals.relays().size());
 }
--- /dev/null
+++ b/tests/gateway/unit-partial-partition.cc
@@ -0,0 +1,79 @@
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>  // milliseconds
+#include <memory>  // unique_ptr
+#include <string>  // string
+
+#include "partition_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::gateway;
+using namespace coppervalve::gateway::testing;
+
+TEST_GROUP_BASE(PartialPartition, PartitionFixture){};
+
+// Guards against requests that fail because a router's open connections still
+// work, while it can't open the new ones that more requests need.
+TEST(PartialPartition, open_connections_live_on_while_new_ones_are_refused) {
+  AddUpstreams("hold", 4);
+  Start();
+  const int before = ServedAtOnce("/hold/a", 4);
+  CHECK_EQUAL(4, before);
+  Partition();
+  constexpr int kRequests = 20;
+  const int at_once = ServedAtOnce("/hold/b", kRequests);
+  CHECK_EQUAL(kRequests, at_once);
+  const int in_turn = Served("/hold/c", kRequests);
+  CHECK_EQUAL(kRequests, in_turn);
+}
+
+// Guards against a router that asks only other partitioned routers.
+TEST(PartialPartition, one_router_of_three_that_is_left_relays_for_the_others) {
+  AddUpstreams("hold", 4);
+  Start();
+  router.settings.upstream_address = nullptr;
+  const auto third = router.StartPeer("router-3");
+  Partition();
+  peer_partitioned_to = partitioned_to;
+  const int served = Served("/hold/b", 20);
+  CHECK_EQUAL(20, served);
+}
+
+// Guards against a router that relays everything because some upstreams can't
+// be reached.
+TEST(PartialPartition, upstreams_that_are_left_are_used_directly) {
+  AddUpstreams("hold", 6);
+  Start();
+  is_partitioned = [this](const std::string& address) {
+    return address != upstreams[0]->address() &&
+           address != upstreams[1]->address();
+  };
+  Partition();
+  const int first = Served("/hold/b", 20);
+  CHECK_EQUAL(20, first);
+  CHECK(upstreams[0]->connections + upstreams[1]->connections > 0);
+  const int relayed = peer_dialed;
+  const int later = Served("/hold/c", 20);
+  CHECK_EQUAL(20, later);
+  CHECK(peer_dialed - relayed <= 2);
+}
+
+// Guards against a partition from one service that slows the others.
+TEST(PartialPartition, services_that_are_reached_are_used_directly) {
+  AddUpstreams("hold", 4);
+  AddUpstreams("lookup", 4);
+  Start();
+  is_partitioned = [this](const std::string& address) {
+    return address == upstreams[0]->address() ||
+           address == upstreams[1]->address() ||
+           address == upstreams[2]->address() ||
+           address == upstreams[3]->address();
+  };
+  Partition();
+  const int holds = Served("/hold/b", 10);
+  CHECK_EQUAL(10, holds);
+  const int relayed = peer_dialed;
+  const int lookups = Served("/lookup/b", 10);
+  CHECK_EQUAL(10, lookups);
+  CHECK_EQUAL(relayed, peer_dialed);
+}
--- a/tests/gateway/unit-partition.cc
+++ b/tests/gateway/unit-partition.cc
@@ -9,7 +9,7 @@
 
 #include "coppervalve/gateway/relay_tunnel.h"
 #include "coppervalve/net/endpoint.h"
-#include "gateway_fixture.h"
+#include "partition_fixture.h"
 
 using namespace coppervalve;
 using namespace coppervalve::gateway;
@@ -48,71 +48,7 @@
 
 }  // namespace
 
-// clang-format off
-TEST_GROUP(Partition) {
-  Router router;
-  std::unique_ptr<Gateway> peer;
-  std::vector<ScriptedUpstream*> upstreams;
-  /// Where the router's new connections end instead of at the upstreams; empty:
-  /// nowhere else.
-  std::string partitioned_to;
-  std::string peer_partitioned_to;  ///< the same for the other router
-  int dialed = 0;  ///< connections that the router opened itself
-  int peer_dialed = 0;
-
-  void AddUpstreams(const std::string& service, int count) {
-    for (int i = 0; i < count; ++i) {
-      ScriptedUpstream& upstream =
-          router.AddUpstream(service + "-" + std::to_string(i), service);
-      upstream.Answer([](const StreamRef& stream, const std::string& request) {
-        stream->Send(Signed(request, "done"));
-      });
-      upstreams.push_back(&upstream);
-    }
-  }
-
-  void Start() {
-    router.settings.load_address = FreeAddress(router.io);
-    router.settings.upstream_address = [this](const std::string& address) {
-      ++dialed;
-      return partitioned_to.empty() ? address : partitioned_to;
-    };
-    router.Start();
-    router.settings.upstream_address = [this](const std::string& address) {
-      ++peer_dialed;
-      return peer_partitioned_to.empty() ? address : peer_partitioned_to;
-    };
-    peer = router.StartPeer("router-2");
-  }
-
-  void Partition() { partitioned_to = FreeAddress(router.io); }
-
-  size_t Requests() const {
-    size_t count = 0;
-    for (const ScriptedUpstream* upstream : upstreams) {
-      count += upstream->requests.size();
-    }
-    return count;
-  }
-
-  // @return crashes that the router's heartbeat blames on requests
-  int ReportedCrashes() {
-    router.io.run_for(std::chrono::milliseconds(1'500));
-    v1::RouterBeat beat;
-    beat.ParseFromString(router.store.Newest("routers", "router-1"));
-    return beat.crashes_size();
-  }
-
-  int Served(const std::string& path, int count) {
-    int served = 0;
-    for (int i = 0; i < count; ++i) {
-      const std::string answer = router.SendRequest(path + std::to_string(i));
-      served += Has(answer, "HTTP/1.1 200") && Has(answer, "done") ? 1 : 0;
-    }
-    return served;
-  }
-};
-// clang-format on
+TEST_GROUP_BASE(Partition, PartitionFixture){};
 
 // Guards against a router that refuses its callers because it has lost all
 // upstreams, while another router reaches them.
