Crash monitor: no crash is blamed on the word of one partitioned router

What callers saw: requests refused by all routers as ones that crash upstreams, though no upstream had crashed. Cause: a router whose connections broke off asks another whether the upstream refuses its connections too. One refusal was enough, also by a router that is partitioned as well and does not know it yet.

Change: two routers have to refuse, or one if no other can be asked; at most four are asked.

--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -63,7 +63,8 @@
   void OnRelayFailed(const std::string& relay, core::TimePoint now);
   /// @brief Finds out whether an upstream that refused a connection of this
   /// router refuses those of others.
-  /// @param on_refused called if it does, or if there is no other router
+  /// @param on_refused called if it refuses those of two others, or of one if
+  /// no more can be asked, or if there is no other router
   void AskOthers(const entry::UpstreamEntry& upstream,
                  std::function<void()> on_refused);
   /// @brief Finds out whether an upstream still accepts connections.
@@ -89,9 +90,13 @@
   void OpenToCheck(const std::string& relay,
                    const core::UpstreamId& upstream,
                    OnChecked on_checked);
+  struct Opinions {
+    std::vector<std::string> asked;
+    size_t refusals = 0;
+  };
   void AskNext(const entry::UpstreamEntry& upstream,
                std::function<void()> on_refused,
-               int tries_left);
+               Opinions opinions);
   void OnPartitioned(const core::ServiceId& service);
   void Log(LogLine line, const core::ServiceId& service);
   size_t RelayCount() const;
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -10,8 +10,10 @@
 namespace {
 
 constexpr core::Duration kFailedRelayPause{1'000'000};
-// Routers asked for a second opinion until one has one.
-constexpr int kMaxOpinions = 3;
+// Routers asked for a second opinion until enough have one.
+constexpr size_t kMaxAsked = 4;
+// One router alone may be partitioned as well.
+constexpr size_t kRequiredRefusals = 2;
 
 }  // namespace
 
@@ -74,7 +76,7 @@
     on_refused();
     return;
   }
-  AskNext(upstream, std::move(on_refused), kMaxOpinions);
+  AskNext(upstream, std::move(on_refused), {});
 }
 
 // A connection through another router that is closed when it opens.
@@ -95,26 +97,37 @@
 
 void ReachMonitor::AskNext(const entry::UpstreamEntry& upstream,
                            std::function<void()> on_refused,
-                           int tries_left) {
-  const std::optional<std::string> relay = ChooseRelay({}, net::BootNow());
-  if (!relay || tries_left == 0 || !IsRelayable(upstream.id)) {
+                           Opinions opinions) {
+  if (opinions.refusals == kRequiredRefusals) {
+    on_refused();
+    return;
+  }
+  if (opinions.asked.size() == kMaxAsked || !IsRelayable(upstream.id)) {
     return;
   }
+  const std::optional<std::string> relay =
+      ChooseRelay(opinions.asked, net::BootNow());
+  if (!relay) {
+    if (opinions.refusals != 0) {
+      on_refused();
+    }
+    return;
+  }
+  opinions.asked.push_back(*relay);
   OpenToCheck(
       *relay, upstream.id,
       [this, upstream, relay = *relay, on_refused = std::move(on_refused),
-       tries_left](AttemptEnd end, std::optional<RelayResult> result) {
+       opinions = std::move(opinions)](
+          AttemptEnd end, std::optional<RelayResult> result) mutable {
         if (end == AttemptEnd::kWithheld) {
           return;  // it opened
         }
         if (result == RelayResult::kRefused) {
-          on_refused();
-          return;
-        }
-        if (result != RelayResult::kUnreachable) {
+          ++opinions.refusals;
+        } else if (result != RelayResult::kUnreachable) {
           m_relays.OnFailed(relay, net::BootNow());
         }
-        AskNext(upstream, on_refused, tries_left - 1);
+        AskNext(upstream, std::move(on_refused), std::move(opinions));
       });
 }
 
--- a/tests/gateway/unit-partial-partition.cc
+++ b/tests/gateway/unit-partial-partition.cc
@@ -77,3 +77,24 @@
   CHECK_EQUAL(10, lookups);
   CHECK_EQUAL(relayed, peer_dialed);
 }
+
+// Guards against a request that is quarantined on the word of a router that is
+// partitioned as well.
+TEST(PartialPartition, two_partitioned_routers_of_three_blame_no_request) {
+  AddUpstreams("hold", 6);
+  for (ScriptedUpstream* upstream : upstreams) {
+    upstream->Answer([this](const StreamRef& stream, const std::string&) {
+      Partition();
+      peer_partitioned_to = partitioned_to;
+      stream->Abort();
+    });
+  }
+  Start();
+  router.settings.upstream_address = nullptr;
+  const auto third = router.StartPeer("router-3");
+  for (int i = 0; i < 6; ++i) {
+    router.SendRequest("/hold/x" + std::to_string(i));
+  }
+  const int crashes = ReportedCrashes();
+  CHECK_EQUAL(0, crashes);
+}
