--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -2,7 +2,7 @@
 
 #include <boost/asio/ip/address.hpp>  // make_address
 #include <boost/asio/ip/udp.hpp>
-#include <chrono>   // seconds
+#include <chrono>   // milliseconds, seconds
 #include <cstdio>   // snprintf
 #include <sstream>  // istringstream
 #include <utility>  // move
@@ -79,6 +79,10 @@
   facts.host = value("Host");
   facts.target = head.target;
   facts.key = value("X-Key");
+  const std::string timeout = value("X-Timeout-Ms");
+  if (!timeout.empty()) {
+    facts.caller_timeout = std::chrono::milliseconds(std::stoi(timeout));
+  }
   const std::string tokens = value("X-Tokens");
   if (!tokens.empty()) {
     facts.prompt = core::Tokens(std::stoll(tokens));
--- a/tests/gateway/unit-response-end.cc
+++ b/tests/gateway/unit-response-end.cc
@@ -1,8 +1,9 @@
 #include <CppUTest/TestHarness.h>
 
-#include <memory>  // unique_ptr
-#include <string>  // string
-#include <vector>  // vector
+#include <algorithm>  // all_of
+#include <memory>     // unique_ptr
+#include <string>     // string
+#include <vector>     // vector
 
 #include "coppervalve/http1/response_reader.h"
 #include "gateway_fixture.h"
@@ -120,6 +121,43 @@
     return router.StartPeer("router-2");
   }
 
+  // The number at the end of a request's path is that of the bytes after which
+  // the upstream stops.
+  void AddSilentUpstreams(const std::string& service, int count) {
+    for (int i = 0; i < count; ++i) {
+      router.AddUpstream(service + std::to_string(i), service)
+          .Answer([this](const StreamRef& stream, const std::string& request) {
+            ++reached;
+            const size_t at = request.find("/x") + 2;
+            stream->Send(Framed(request, body, framing)
+                             .substr(0, std::stoul(request.substr(at))));
+          });
+    }
+  }
+
+  // Sends a request for each byte of the response at which it may stop.
+  void StopAtEachByte(const std::string& path) {
+    const size_t size = Framed("\r\nX-Id: r-1\r\n", body, framing).size();
+    std::vector<std::unique_ptr<TestCaller>> callers;
+    for (cut = 0; cut <= size; ++cut) {
+      callers.push_back(router.Caller());
+      callers.back()->Send(Router::RequestText(path + std::to_string(cut),
+                                               "X-Timeout-Ms: 400\r\n", "r-1"));
+    }
+    CHECK(router.Until([&] {
+      return std::all_of(callers.begin(), callers.end(), [](const auto& each) {
+        return each->ended || Read(each->received).complete;
+      });
+    }));
+    asked += static_cast<int>(callers.size());
+    for (size_t sent = 0; sent <= size; ++sent) {
+      const Received received = Read(callers[sent]->received);
+      const bool has_end = framing != Framing::kConnection;
+      CHECK_EQUAL(has_end && sent == size, IsWholeSuccess(received));
+      whole += IsWholeSuccess(received) && received.body == body ? 1 : 0;
+    }
+  }
+
   size_t HeadSize() const {
     return Framed("\r\nX-Id: r-1\r\n", {}, framing).size() -
            (framing == Framing::kChunks ? Chunk({}).size() * 2 + 5 : 0);
@@ -256,3 +294,22 @@
   const auto peer = StartPartitioned();
   CutAtEachByte();
 }
+
+// Guards against a response whose upstream falls silent and that looks whole.
+TEST(ResponseEnd, a_response_that_stops_at_any_byte_does_not_look_complete) {
+  const std::vector<std::string> services = {"hold", "talk", "chat"};
+  constexpr int kUpstreams = 20;
+  for (const std::string& service : services) {
+    AddSilentUpstreams(service, kUpstreams);
+  }
+  router.Start();
+  body = Event(1) + Event(2);
+  for (const std::string& service : services) {
+    for (const Framing each : kFramings) {
+      framing = each;
+      StopAtEachByte("/" + service + "/x");
+    }
+  }
+  CHECK_EQUAL(asked, reached);
+  CHECK_EQUAL(6, whole);
+}
