--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -19,3 +19,11 @@
 
 def max_allowed_arrivals(limit: float) -> int:
     return int(limit * _OVERAGE * _WINDOW_S + _SLACK_REQUESTS)
+
+
+def excess_failures(partitioned: int, others: int, tries: int) -> int:
+    """Returns the failures at partitioned routers beyond what is allowed, of as many tries
+    there as at the other routers."""
+    allowed = 10 + tries // 50
+    served_as_often = 3 * (tries - partitioned) >= 2 * (tries - others)
+    return 0 if served_as_often else max(0, partitioned - allowed)
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -146,6 +146,8 @@
         self.ledger = Ledger()
         self.servers: list[Server] = []
         self.routers: list[Router] = []
+        self._router_count = 0
+        self._partitioned: set[int] = set()  # numbers of routers
 
     @property
     def engines(self) -> list[Server]:
@@ -153,6 +155,7 @@
 
     async def start(self, routers: int, engines: int, desks: int = 2,
                     read_mbs: float = 80.0) -> None:
+        self._router_count = routers
         for service in ["engines"] * engines + ["desk"] * desks:
             await self._start_server(service)
         self.publish()
@@ -164,7 +167,7 @@
             await router.start()
         await asyncio.sleep(2)
 
-    async def _start_server(self, service: str, port: int = 0) -> None:
+    async def _start_server(self, service: str, ports: list[int] | None = None) -> None:
         zone = ZONES[self._starts % len(ZONES)]
         server = Server(f"i-{self._starts}", service, zone, self.ledger,
                         self._seed + self._starts)
@@ -172,7 +175,8 @@
             server.turn_cold()
         server.crash_marker = b"poison"
         self._starts += 1
-        await server.listen(port)
+        ports = ports or [free_port() for _ in range(self._router_count)]
+        await server.listen(ports, self._partitioned)
         self.servers.append(server)
         self.announce(server)
         self._restart_tasks.append(asyncio.create_task(self._restart_after_stop(server)))
@@ -187,7 +191,21 @@
         await asyncio.sleep(ENTRY_REMOVED_AFTER_S)
         self.store.put("keyed.servers", server.name, None)
         await asyncio.sleep(RESTART_AFTER_S - ENTRY_REMOVED_AFTER_S)
-        await self._start_server(server.service, server.port)
+        ports = [int(address.split(":")[1]) for address in server.addresses]
+        await self._start_server(server.service, ports)
+
+    def partition(self, routers: set[int], reset: bool) -> None:
+        """Partitions routers from all upstreams; open connections are reset or live on."""
+        self._partitioned = routers
+        for server in self.servers:
+            for router in routers:
+                server.partition(router, reset)
+
+    async def end_partition(self) -> None:
+        ended, self._partitioned = self._partitioned, set()
+        for server in self.servers:
+            for router in ended:
+                await server.connect(router)
 
     def publish(self, versions: int = 1, more_tokens: int = 0) -> None:
         self._version += versions
@@ -218,9 +236,19 @@
             await asyncio.sleep(1 / FAULT_REQUESTS_PER_S)
         await asyncio.gather(*sends)
 
-    async def send(self, body: str, prefix: str = "a") -> None:
-        """Sends a draft to a random router and ignores the outcome."""
-        router = self._random.choice(self.routers)
+    async def count_failures(self, routers: list[Router], tries: int) -> int:
+        """Sends requests to routers in turn. Returns how many were not served."""
+        sends = []
+        for number in range(tries):
+            sends.append(asyncio.create_task(self.send(
+                f"draft {number}", f"{number + 1:x}", routers[number % len(routers)])))
+            await asyncio.sleep(1 / FAULT_REQUESTS_PER_S)
+        return (await asyncio.gather(*sends)).count(False)
+
+    async def send(self, body: str, prefix: str = "a", to: Router | None = None) -> bool:
+        """Sends a draft to a router, a random one by default. Returns whether it was
+        served."""
+        router = to or self._random.choice(self.routers)
         self._number += 1
         text = (f"POST /draft/x HTTP/1.1\r\nHost: {HOST}\r\n"
                 f"Request-Id: {OFFICE_ID_PREFIX}{self._number}\r\n"
@@ -230,10 +258,11 @@
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", router.front)
             writer.write(text.encode())
-            await asyncio.wait_for(read_message(reader), 4)
+            reply, whole = await asyncio.wait_for(read_message(reader), 4)
             writer.close()
         except (OSError, TimeoutError):
-            pass
+            return False
+        return whole and reply is not None and " 200 " in reply.start_line
 
     async def wait_for_figure(self, figure: str, value: float, within: float = 10) -> bool:
         """Waits until all routers report a value of a figure. Returns whether they
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -34,7 +34,7 @@
         self.zone = zone
         self.name = name
         self.service = service
-        self.address = ""
+        self.addresses: list[str] = []  # one for each router
         self.cut_ratio = 0.0  # share of answers that are truncated
         self.unframed_ratio = 0.3  # share of streams that end with their connection
         self.decline_ratio = 0.0  # share of requests that are not run
@@ -47,16 +47,33 @@
         self._while_cold: deque[float] = deque()
         self._ledger = ledger
         self._random = random.Random(seed)
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    async def listen(self, port: int = 0) -> None:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self._server = server
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
-
-    @property
-    def port(self) -> int:
-        return int(self.address.split(":")[1])
+        self._listeners: dict[int, asyncio.Server] = {}  # by the router's number
+        self._writers: dict[asyncio.StreamWriter, int] = {}
+
+    async def listen(self, ports: list[int], partitioned: set[int]) -> None:
+        """Listens on a port for each router, but for those that are partitioned."""
+        self.addresses = [f"127.0.0.1:{port}" for port in ports]
+        for router in range(len(ports)):
+            if router not in partitioned:
+                await self.connect(router)
+
+    async def connect(self, router: int) -> None:
+        """Accepts connections of a router."""
+        port = int(self.addresses[router].split(":")[1])
+        if router not in self._listeners and not self.stopped.is_set():
+            self._listeners[router] = await asyncio.start_server(
+                lambda reader, writer: self._serve(reader, writer, router), "127.0.0.1", port)
+
+    def partition(self, router: int, reset: bool) -> None:
+        """Refuses new connections of a router.
+
+        Open connections are reset or left as they are."""
+        listener = self._listeners.pop(router, None)
+        if listener:
+            listener.close()
+        for writer, owner in list(self._writers.items()):
+            if reset and owner == router:
+                writer.transport.abort()
 
     def turn_cold(self) -> None:
         self._cold_until = asyncio.get_running_loop().time() + WARM_UP_S
@@ -77,18 +94,19 @@
         if self.stopped.is_set():
             return
         self.stopped.set()
-        self._server.close()
+        for listener in self._listeners.values():
+            listener.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
     def entry(self, state: str = "ready") -> dict:
         left = max(self._cold_until - asyncio.get_running_loop().time(), 0)
-        return {"service": self.service, "address": self.address, "zone": self.zone,
+        return {"service": self.service, "addresses": self.addresses, "zone": self.zone,
                 "slots": 64, "state": state, "warmupLeftMs": int(left * 1000),
                 "version": "v1", "sequence": 1}
 
-    async def _serve(self, reader, writer) -> None:
-        self._writers.add(writer)
+    async def _serve(self, reader, writer, router: int) -> None:
+        self._writers[writer] = router
         try:
             while True:
                 request, whole = await read_message(reader)
@@ -96,7 +114,7 @@
                     break
         except ConnectionError:
             pass
-        self._writers.discard(writer)
+        self._writers.pop(writer, None)
         writer.close()
 
     async def _run(self, request: Message, writer) -> bool:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,11 +12,14 @@
 import tempfile
 
 from tests.soak.callers import Callers
-from tests.soak.limits import PROPAGATION_S, max_allowed_arrivals, max_arrivals_in_window
+from tests.soak.limits import (
+    PROPAGATION_S, excess_failures, max_allowed_arrivals, max_arrivals_in_window)
 from tests.soak.platform import OFFICE_ID_PREFIX, PREPAID, ZONES, Platform
 from tests.soak.servers import TOKENS_PER_EVENT
 
 ROUTERS = 5
+# Requests to each side of a partition.
+FIRST_TRIES = 90
 # Seconds from an event until all routers act on it, by the platform's time limits.
 DRAIN_S = 2.0
 
@@ -34,6 +37,9 @@
         self._sent_unwanted = 0  # requests beyond what a leaving or pausing upstream allows
         self._beyond_limits = 0  # requests beyond upstreams' rate limits
         self._limits_kept_after_end = 0  # limits that routers kept after their withdrawal
+        self._failed_while_partitioned = 0  # first tries beyond what the rule allows
+        # Failures of FIRST_TRIES each, at partitioned and other routers
+        self._partitions: list[tuple[int, int]] = []
         # (address, begin, end) of each orderly shutdown of a router
         self._shutdowns: list[tuple[str, float, float]] = []
 
@@ -58,7 +64,8 @@
                  self._store_down, self._lose_answers, self._forget, self._top_up,
                  self._cut_answers, self._decline, self._lapse, self._crash_under_a_request,
                  self._leave_unheard, self._ask_for_a_pause, self._evacuate,
-                 self._return_cold, self._name_limits, self._terminate_during_changes]
+                 self._return_cold, self._name_limits, self._terminate_during_changes,
+                 self._partition]
         remaining: list = []
         while asyncio.get_running_loop().time() < until:
             # Every kind is used once before any is repeated.
@@ -263,6 +270,25 @@
             await self._platform.send_many(1)
         self._limits_kept_after_end += not ended.result()
 
+    async def _partition(self) -> None:
+        """Partitions some routers from all upstreams, which the others reach; meanwhile
+        the store fails or another router shuts down."""
+        numbers = self._random.sample(range(ROUTERS), ROUTERS)
+        partitioned, others = numbers[: self._random.randint(1, 3)], numbers[3:]
+        self._platform.partition(set(partitioned), reset=self._random.random() < 0.5)
+        await asyncio.sleep(PROPAGATION_S)
+        overlap = self._random.choice([None, self._top_up, self._store_down, self._forget,
+                                       self._lose_answers])
+        ended = asyncio.create_task(overlap() if overlap else asyncio.sleep(0))
+        self.faults.extend(["+" + overlap.__name__.strip("_")] if overlap else [])
+        there, elsewhere = [
+            await self._platform.count_failures([self._routers[i] for i in side], FIRST_TRIES)
+            for side in (partitioned, others)]
+        await ended
+        await self._platform.end_partition()
+        self._partitions.append((there, elsewhere))
+        self._failed_while_partitioned += excess_failures(there, elsewhere, FIRST_TRIES)
+
     async def _ask_for_a_pause(self) -> None:
         server = self._random.choice(self._platform.engines)
         # Longer than this fault takes on any machine. The upstream shuts down below;
@@ -298,6 +324,7 @@
             "sent to an evacuated zone": self._sent_evacuated,
             "sent beyond a limit": self._beyond_limits,
             "limits kept after their end": self._limits_kept_after_end,
+            "failed while partitioned": self._failed_while_partitioned,
             "overloaded while cold": len(ledger.overloaded_while_cold),
             "cut by an orderly shutdown": self._cut_by_shutdowns(seen),
             "ran without a caller's id": len([i for i in runs if not i.startswith("r")]),
@@ -307,6 +334,7 @@
         print(f"upstreams crashed by {self._crash_requests} requests: {len(ledger.ended)}")
         print(f"tokens: {spent} of {prepaid}; most at a cold engine in a second:"
               f" {ledger.max_rate_while_cold}")
+        print(f"partitions: failures of {FIRST_TRIES} there and elsewhere: {self._partitions}")
         for wrong in seen.wrong[:5]:
             print("wrong:", wrong)
         print("soak:", ", ".join(f"{name} {count}" for name, count in broken.items()))
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -42,8 +42,18 @@
         self.lost_reply_ratio = 0.0  # share of appends that take effect but get no reply
         self.calls = 0
         self._random = random.Random(seed)
+        self._ports: list[int] = []  # in the routers' order
         self._servers: list[asyncio.Server] = []
 
+    def _value_for(self, topic: str, value: bytes, port: int) -> bytes:
+        """Returns a record as the router at this port reads it: with the address at which
+        it reaches an upstream."""
+        if topic != "keyed.servers" or not value:
+            return value
+        entry = json.loads(value)
+        entry["address"] = entry.pop("addresses")[self._ports.index(port)]
+        return json.dumps(entry).encode()
+
     def topic(self, name: str) -> Topic:
         return self.topics.setdefault(name, Topic())
 
@@ -65,6 +75,7 @@
         server = await asyncio.start_server(lambda r, w: self._serve(r, w, port), "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         self._servers.append(server)
+        self._ports.append(port)
         return port
 
     async def _serve(self, reader, writer, port: int) -> None:
@@ -78,29 +89,32 @@
                     break
                 writer.write(answer(503))
                 continue
-            reply = await self._answer(request)
+            reply = await self._answer(request, port)
             if reply is None or port in self.refused_ports:
                 break
             writer.write(reply)
         writer.close()
 
-    async def _answer(self, request: Message) -> bytes | None:
+    async def _answer(self, request: Message, port: int) -> bytes | None:
         method, target, _ = request.start_line.split()
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
-        topic = self.topic(query["topic"])
+        name = query["topic"]
+        topic = self.topic(name)
         if url.path == "/api/log-newest":
             entries = [
-                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                {"key": key, "offset": offset,
+                 "value": base64.b64encode(self._value_for(name, value, port)).decode()}
                 for key, (offset, value) in sorted(topic.newest.items())
             ]
             body = {"entries": entries, "hasMore": False, "endOffset": topic.end}
             return answer(200, json.dumps(body).encode())
         if url.path == "/api/log-read":
-            return await self._read(topic, int(query["from"]), int(query["waitMs"]))
+            return await self._read(name, int(query["from"]), int(query["waitMs"]), port)
         return self._append(topic, query, request.body)
 
-    async def _read(self, topic: Topic, start: int, wait_ms: int) -> bytes:
+    async def _read(self, name: str, start: int, wait_ms: int, port: int) -> bytes:
+        topic = self.topic(name)
         if start >= topic.end:
             try:
                 await asyncio.wait_for(topic.appended.wait(), wait_ms / 1000)
@@ -110,7 +124,7 @@
             return answer(410, json.dumps({"firstOffset": topic.first}).encode())
         body = struct.pack(">QQ", topic.end, topic.first)
         for key, value in topic.records[start - topic.first :]:
-            record = bytes([len(key)]) + key.encode() + value
+            record = bytes([len(key)]) + key.encode() + self._value_for(name, value, port)
             body += struct.pack(">I", len(record)) + record
         return answer(200, body)
 
