--- a/tests/gateway/partition_fixture.h
+++ b/tests/gateway/partition_fixture.h
@@ -58,6 +58,21 @@
 
   void Partition() { partitioned_to = FreeAddress(router.io); }
 
+  // Breaks off each request when it reaches an upstream, as a partition does
+  // that begins then.
+  void PartitionDuringRequests(bool peer_too) {
+    for (ScriptedUpstream* upstream : upstreams) {
+      upstream->Answer(
+          [this, peer_too](const StreamRef& stream, const std::string&) {
+            Partition();
+            if (peer_too) {
+              peer_partitioned_to = partitioned_to;
+            }
+            stream->Abort();
+          });
+    }
+  }
+
   size_t Requests() const {
     size_t count = 0;
     for (const ScriptedUpstream* upstream : upstreams) {
--- a/tests/gateway/unit-partial-partition.cc
+++ b/tests/gateway/unit-partial-partition.cc
@@ -82,13 +82,7 @@
 // partitioned as well.
 TEST(PartialPartition, two_partitioned_routers_of_three_blame_no_request) {
   AddUpstreams("hold", 6);
-  for (ScriptedUpstream* upstream : upstreams) {
-    upstream->Answer([this](const StreamRef& stream, const std::string&) {
-      Partition();
-      peer_partitioned_to = partitioned_to;
-      stream->Abort();
-    });
-  }
+  PartitionDuringRequests(/*peer_too=*/true);
   Start();
   router.settings.upstream_address = nullptr;
   const auto third = router.StartPeer("router-3");
--- a/tests/gateway/unit-partition.cc
+++ b/tests/gateway/unit-partition.cc
@@ -165,12 +165,7 @@
 // upstreams, because a partition broke it off.
 TEST(Partition, a_broken_off_request_is_not_blamed_for_the_partition) {
   AddUpstreams("hold", 3);
-  for (ScriptedUpstream* upstream : upstreams) {
-    upstream->Answer([this](const StreamRef& stream, const std::string&) {
-      Partition();
-      stream->Abort();
-    });
-  }
+  PartitionDuringRequests(/*peer_too=*/false);
   Start();
   CHECK(Has(router.SendRequest("/hold/x"), "HTTP/1.1 502"));
   CHECK_EQUAL(0, ReportedCrashes());
@@ -179,13 +174,7 @@
 // Guards against a second opinion that hides crashes.
 TEST(Partition, a_crash_that_another_router_sees_too_is_reported) {
   AddUpstreams("hold", 3);
-  for (ScriptedUpstream* upstream : upstreams) {
-    upstream->Answer([this](const StreamRef& stream, const std::string&) {
-      Partition();
-      peer_partitioned_to = partitioned_to;
-      stream->Abort();
-    });
-  }
+  PartitionDuringRequests(/*peer_too=*/true);
   Start();
   CHECK(Has(router.SendRequest("/hold/x"), "HTTP/1.1 502"));
   CHECK_EQUAL(1, ReportedCrashes());
