--- a/include/coppervalve/trial/fleet.h
+++ b/include/coppervalve/trial/fleet.h
@@ -90,9 +90,9 @@
   /// @brief Sets whether engines report the tokens they used.
   void SetReportsUsage(bool reports) { m_reports_usage = reports; }
   bool reports_usage() const { return m_reports_usage; }
-  AttemptOutcome NextAttemptOutcome() {
-    return m_attempt_outcome ? m_attempt_outcome() : AttemptOutcome::kAnswered;
-  }
+  /// @brief Sets whether a router can't connect to any upstream.
+  void SetPartitionedFromUpstreams(size_t node, bool partitioned);
+  AttemptOutcome NextAttemptOutcome(size_t node);
   /// @brief Called when a client attempt ends.
   void SetOnAttemptEnded(
       std::function<void(size_t client_attempt)> on_attempt_ended) {
@@ -136,6 +136,7 @@
   std::unique_ptr<RandomGenerator> m_random_generator;
   std::vector<LogLink> m_log_links;
   std::set<std::pair<size_t, size_t>> m_partitioned_links;
+  std::set<size_t> m_partitioned_from_upstreams;
   std::vector<ClientRequest> m_client_requests;
   std::vector<ClientAttempt> m_client_attempts;
   std::vector<Execution> m_executions;
--- a/src/trial/fleet.cc
+++ b/src/trial/fleet.cc
@@ -141,6 +141,21 @@
   }
 }
 
+void Fleet::SetPartitionedFromUpstreams(size_t node, bool partitioned) {
+  if (partitioned) {
+    m_partitioned_from_upstreams.insert(node);
+  } else {
+    m_partitioned_from_upstreams.erase(node);
+  }
+}
+
+AttemptOutcome Fleet::NextAttemptOutcome(size_t node) {
+  if (m_partitioned_from_upstreams.contains(node)) {
+    return AttemptOutcome::kNotSent;
+  }
+  return m_attempt_outcome ? m_attempt_outcome() : AttemptOutcome::kAnswered;
+}
+
 bool Fleet::IsPartitioned(size_t a, size_t b) const {
   return m_partitioned_links.contains(std::minmax(a, b));
 }
--- a/src/trial/node.cc
+++ b/src/trial/node.cc
@@ -295,7 +295,7 @@
       m_fleet.client_attempts()[client_attempt].client_request;
   const ClientRequest client_request =
       m_fleet.client_requests()[client_request_index];
-  const AttemptOutcome attempt_outcome = m_fleet.NextAttemptOutcome();
+  const AttemptOutcome attempt_outcome = m_fleet.NextAttemptOutcome(m_index);
   if (attempt_outcome == AttemptOutcome::kNotSent) {
     Deliver(router::AttemptNotSent{
         action.request,
@@ -364,7 +364,7 @@
 void Node::ExecuteAction(const router::ProbeUpstream& action) {
   Schedule(kProbeTime, [this, action] {
     const bool healthy =
-        m_fleet.NextAttemptOutcome() == AttemptOutcome::kAnswered;
+        m_fleet.NextAttemptOutcome(m_index) == AttemptOutcome::kAnswered;
     Deliver(router::ProbeEnded{action.upstream, healthy, std::nullopt});
   });
 }
@@ -381,7 +381,7 @@
     return;
   }
   router::OrderSent ended{action.upstream, action.fencing};
-  const AttemptOutcome attempt_outcome = m_fleet.NextAttemptOutcome();
+  const AttemptOutcome attempt_outcome = m_fleet.NextAttemptOutcome(m_index);
   if (attempt_outcome == AttemptOutcome::kNotSent ||
       attempt_outcome == AttemptOutcome::kDeclined) {
     ended.outcome = attempt_outcome == AttemptOutcome::kNotSent
