--- a/tests/gateway/unit-partial-partition.cc
+++ b/tests/gateway/unit-partial-partition.cc
@@ -14,8 +14,6 @@
 
 TEST_GROUP_BASE(SomeUpstreams, PartitionFixture){};
 
-TEST_GROUP_BASE(ClosedUpstreams, PartitionFixture){};
-
 // Guards against requests that fail because a router's open connections still
 // work, while it can't open the new ones that more requests need.
 TEST(PartialPartition, open_connections_live_on_while_new_ones_are_refused) {
@@ -99,7 +97,7 @@
 
 // Guards against a partition that is never noticed, because it takes more
 // upstreams to show it than may be tried.
-TEST(ClosedUpstreams, an_evacuation_does_not_hide_a_partition) {
+TEST(SomeUpstreams, an_evacuation_does_not_hide_a_partition) {
   AddUpstreams("hold", 4);
   for (const size_t evacuated : {size_t{2}, size_t{3}}) {
     router.SetUpstream("hold-" + std::to_string(evacuated),
