Request log: versions of upstreams, and what a caller takes up

Cause: the lines of a request could not tell whether a stream that holds events of two software versions got them within one answer, over two requests, or because a router was wrong about an upstream's version. Change: the version of an upstream's record is kept (it was checked for its type and dropped) and logged; a request logs the event after which its caller goes on, the request that began the stream, and the versions of the events sent. No decision uses them.

--- a/include/coppervalve/core/ids.h
+++ b/include/coppervalve/core/ids.h
@@ -43,6 +43,9 @@
 using AccountId = TextId<struct AccountTag>;
 using BudgetId = TextId<struct BudgetTag>;
 using UpstreamId = TextId<struct UpstreamTag>;
+/// @brief Version of an upstream's software: two are equal or not, without an
+/// order.
+using UpstreamVersion = TextId<struct UpstreamVersionTag>;
 using RouterId = TextId<struct RouterTag>;
 using ModelId = TextId<struct ModelTag>;
 using ServiceId = TextId<struct ServiceTag>;
--- a/include/coppervalve/entry/admission.h
+++ b/include/coppervalve/entry/admission.h
@@ -24,6 +24,9 @@
   std::string shared_prefix;  ///< prompt prefix shared with other requests
   core::Tokens shared_tokens{};
   std::string resume_after;  ///< id of the last event the caller received
+  /// Id of the request that brought the stream's first event; empty if the
+  /// caller names none.
+  std::string resumes;
 };
 
 /// @brief A request that passed admission and may be sent.
--- a/include/coppervalve/entry/upstream.h
+++ b/include/coppervalve/entry/upstream.h
@@ -25,6 +25,7 @@
   core::ServiceId service;
   std::string address;  ///< "ip:port"; may be reused by another upstream
   core::FailureDomainId failure_domain;
+  core::UpstreamVersion version;
   uint32_t slots = 1;
   bool leaving = false;
   std::optional<int64_t>
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -93,6 +93,7 @@
   /// One attempt to run the request at an upstream.
   struct Attempt {
     entry::UpstreamRef upstream;
+    core::UpstreamVersion version;  ///< of the upstream when it was chosen
     UpstreamConnectionRef connection;
     std::string relay;  ///< router through which it is opened; empty: directly
     bool opening = false;
@@ -142,6 +143,7 @@
   void LogUnknownHeaders(const core::UpstreamId& upstream);
   void OnHead(const http1::ResponseHead& head);
   void OnBody(const std::string& body);
+  void ForwardEvents(const std::string& events);
   void OnEnd(AttemptEnd end, std::string_view why);
   void OnNotSent(AttemptEnd end, std::string_view why);
   entry::AttemptOutcome OnDirectConnectFailed();
@@ -214,6 +216,8 @@
   std::optional<http1::ResponseHead> m_head;
   std::string m_body;
   http1::SseSplitter m_sse_splitter;
+  /// Software versions of the upstreams whose events were sent to the caller.
+  std::vector<core::UpstreamVersion> m_event_versions;
   /// Bytes after the last whole event when the latest attempt ended.
   size_t m_unfinished_event = 0;
   core::TimePoint m_last_activity;  ///< start of the upstream's timeout
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -76,6 +76,7 @@
 
   Attempt attempt;
   attempt.upstream = upstream;
+  attempt.version = upstream->entry.version;
   attempt.started_at = now;
   attempt.resumed = HasEvents();
   m_attempt = attempt;
@@ -183,7 +184,7 @@
   if (attempt.forwarding) {
     const std::string whole = m_sse_splitter.Feed(body);
     if (!whole.empty()) {
-      ForwardToCaller(whole);
+      ForwardEvents(whole);
     }
     return;
   }
@@ -197,6 +198,14 @@
   }
 }
 
+void Exchange::ForwardEvents(const std::string& events) {
+  const core::UpstreamVersion& version = m_attempt->version;
+  if (m_event_versions.empty() || m_event_versions.back() != version) {
+    m_event_versions.push_back(version);
+  }
+  ForwardToCaller(events);
+}
+
 void Exchange::BeginResponse(std::optional<uint64_t> length) {
   m_response_begun = true;
   m_first_byte = net::BootNow() - m_request.arrived;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -24,6 +24,15 @@
   return head.length ? "length" : "chunked";
 }
 
+std::string Join(const std::vector<core::UpstreamVersion>& versions) {
+  std::string text;
+  for (const core::UpstreamVersion& version : versions) {
+    text += text.empty() ? "" : " ";
+    text += version.value();
+  }
+  return text;
+}
+
 }  // namespace
 
 void Exchange::Refuse(const core::Error& error,
@@ -134,6 +143,13 @@
         .Number("sends", m_sent_attempts)
         .Text("relay", m_last_relay);
   }
+  if (!m_facts.resume_after.empty()) {
+    line.Text("resume_after", m_facts.resume_after)
+        .Text("resumes", m_facts.resumes);
+  }
+  if (!m_event_versions.empty()) {
+    line.Text("event_versions", Join(m_event_versions));
+  }
   if (m_fingerprint) {
     line.Text("content", m_fingerprint->ShortHex());
   }
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -153,6 +153,7 @@
                    .Text("upstream", record.key)
                    .Text("service", read.entry->service.value())
                    .Text("address", read.entry->address)
+                   .Text("version", read.entry->version.value())
                    .Flag("leaving", read.entry->leaving)
                    .Flag("new_start", new_start));
 }
