--- /dev/null
+++ b/tests/process/test_stream_versions.py
@@ -0,0 +1,70 @@
+"""Streams of engines with two software versions, whose routers are killed."""
+
+import asyncio
+import signal
+import unittest
+
+from tests.soak.platform import Platform, run_scenario
+from tests.soak.streams import ResumableStream
+
+ROUTERS = 3
+STREAMS = 16
+EVENTS = 80
+ROUNDS = 3
+
+
+class StreamVersions(unittest.TestCase):
+    def test_streams_go_on_at_their_version_after_their_router_was_killed(self) -> None:
+        """Guards against a stream that holds events from two software versions."""
+
+        async def scenario(platform: Platform) -> None:
+            streams: list[ResumableStream] = []
+            went_on = 0
+            for number in range(ROUNDS):
+                begun = [ResumableStream(f"{number}{i:02x}", EVENTS) for i in range(STREAMS)]
+                went_on += await self.break_off(platform, begun, number % ROUTERS)
+                streams += begun
+            self.assertEqual([s.versions for s in streams if s.mixed], [])
+            self.assertGreaterEqual(went_on, len(streams) // 2)
+
+        run_scenario(scenario, routers=ROUTERS, engines=4, versions=("v1", "v2"))
+
+    def test_a_stream_that_an_engine_breaks_off_goes_on_at_its_version(self) -> None:
+        """Guards against an answer that holds events from two software versions."""
+
+        async def scenario(platform: Platform) -> None:
+            for engine in platform.engines:
+                engine.cut_ratio = 0.5
+            streams = [ResumableStream(f"c{i:02x}", EVENTS) for i in range(4 * STREAMS)]
+            for i in range(0, len(streams), STREAMS):
+                await asyncio.gather(*(s.attempt(platform.routers[0].front)
+                                       for s in streams[i:i + STREAMS]))
+            self.assertEqual([s.versions for s in streams if s.mixed], [])
+            # Half of the streams break off, and half of those again.
+            complete = sum(s.complete for s in streams)
+            self.assertGreaterEqual(complete, len(streams) // 2)
+
+        run_scenario(scenario, routers=ROUTERS, engines=4, versions=("v1", "v2"))
+
+    async def break_off(self, platform: Platform, streams: list[ResumableStream],
+                        victim: int) -> int:
+        """Kills the router of all streams after their first events, and takes the streams
+        up at the others. Returns how many go on."""
+        killed = platform.routers[victim]
+        tries = [asyncio.create_task(s.attempt(killed.front)) for s in streams]
+        while not all(s.numbers for s in streams):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.15)
+        killed.send(signal.SIGKILL)
+        await asyncio.gather(*tries)
+        before = [len(s.numbers) for s in streams]
+        others = [r for r in platform.routers if r is not killed]
+        await asyncio.gather(*(s.attempt(others[i % len(others)].front)
+                               for i, s in enumerate(streams)))
+        await killed.restart(signal.SIGKILL)
+        await platform.wait_for_figure("ready", 1)
+        return sum(s.went_on(n) for s, n in zip(streams, before))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -154,10 +154,12 @@
         return [server for server in self.servers if server.service == "engines"]
 
     async def start(self, routers: int, engines: int, desks: int = 2,
-                    read_mbs: float = 80.0) -> None:
+                    read_mbs: float = 80.0, versions: tuple[str, ...] = ("v1",)) -> None:
         self._router_count = routers
-        for service in ["engines"] * engines + ["desk"] * desks:
-            await self._start_server(service)
+        for number in range(engines):
+            await self.start_server("engines", versions[number % len(versions)])
+        for _ in range(desks):
+            await self.start_server("desk")
         self.publish()
         for i in range(routers):
             router = Router(f"edge-{i}", self._folder, self._program)
@@ -167,10 +169,11 @@
             await router.start()
         await asyncio.sleep(2)
 
-    async def _start_server(self, service: str, ports: list[int] | None = None) -> None:
+    async def start_server(self, service: str, version: str = "v1",
+                           ports: list[int] | None = None) -> Server:
         zone = ZONES[self._starts % len(ZONES)]
         server = Server(f"i-{self._starts}", service, zone, self.ledger,
-                        self._seed + self._starts)
+                        self._seed + self._starts, version)
         if self.routers and service == "engines":
             server.turn_cold()
         server.crash_marker = b"poison"
@@ -180,6 +183,7 @@
         self.servers.append(server)
         self.announce(server)
         self._restart_tasks.append(asyncio.create_task(self._restart_after_stop(server)))
+        return server
 
     def announce(self, server: Server) -> None:
         self.store.put("keyed.servers", server.name, server.entry())
@@ -192,7 +196,7 @@
         self.store.put("keyed.servers", server.name, None)
         await asyncio.sleep(RESTART_AFTER_S - ENTRY_REMOVED_AFTER_S)
         ports = [int(address.split(":")[1]) for address in server.addresses]
-        await self._start_server(server.service, ports)
+        await self.start_server(server.service, server.version, ports)
 
     def partition(self, routers: set[int], reset: bool) -> None:
         """Partitions routers from all upstreams; open connections are reset or live on."""
@@ -304,14 +308,14 @@
 
 
 def run_scenario(scenario: Callable[[Platform], Awaitable[None]], routers: int, engines: int,
-         read_mbs: float = 80.0) -> Platform:
+         read_mbs: float = 80.0, versions: tuple[str, ...] = ("v1",)) -> Platform:
     """Runs a test scenario on a new platform and stops the platform."""
 
     async def run() -> Platform:
         program = os.path.join(build_folder(), "coppervalved")
         with tempfile.TemporaryDirectory() as folder:
             platform = Platform(folder, program, seed=1)
-            await platform.start(routers, engines, read_mbs=read_mbs)
+            await platform.start(routers, engines, read_mbs=read_mbs, versions=versions)
             try:
                 await scenario(platform)
             except BaseException:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -30,8 +30,10 @@
 
 
 class Server:
-    def __init__(self, name: str, service: str, zone: str, ledger: Ledger, seed: int) -> None:
+    def __init__(self, name: str, service: str, zone: str, ledger: Ledger, seed: int,
+                 version: str = "v1") -> None:
         self.zone = zone
+        self.version = version  # of the software
         self.name = name
         self.service = service
         self.addresses: list[str] = []  # one for each router
@@ -103,7 +105,7 @@
         left = max(self._cold_until - asyncio.get_running_loop().time(), 0)
         return {"service": self.service, "addresses": self.addresses, "zone": self.zone,
                 "slots": 64, "state": state, "warmupLeftMs": int(left * 1000),
-                "version": "v1", "sequence": 1}
+                "version": self.version, "sequence": 1}
 
     async def _serve(self, reader, writer, router: int) -> None:
         self._writers[writer] = router
@@ -171,7 +173,8 @@
         count = int(most) // TOKENS_PER_EVENT
         for number in range(int(request.headers.get("last-event-id", 0)) + 1, count + 1):
             await asyncio.sleep(0.01)
-            event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            event = (f"id: {number}\nversion: {self.version}\n"
+                     f"data: {request_id} {number}\n\n").encode()
             if breaks and number > count // 2:
                 writer.write(frame(event[: len(event) // 2]))
                 return False
