Streams go on only at the software version that began them

What callers saw: a stream that broke off went on with the words of another software version of its upstreams, in the same answer or, after its router was lost, when the caller took it up. Cause: the version of an upstream's record was checked and dropped, so no decision could tell two versions apart: neither the placement of the rest of a stream within one answer, nor that of a caller's next request. For the second, the router that knew the version is often the one that was killed, and 'Resumes' was not read. Ruled out: routers that are wrong about an upstream's version (nothing in the record); but a record that changes the version under an id now counts as another start, whose connections are closed. Change: the version of the first event sent binds the rest of a stream (PlacementQuery::version, also through routers that don't follow the table).

--- a/include/coppervalve/core/error.h
+++ b/include/coppervalve/core/error.h
@@ -55,6 +55,7 @@
   kRetryBudgetSpent = 414,
   kBacklogFull = 415,
   kEndsUpstreams = 416,
+  kStreamVersionUnknown = 417,
   // 5xx: failed after dispatch to an upstream.
   kOutcomeUnknown = 501,
   kAnswerCut = 502,
--- a/include/coppervalve/entry/peer_contact.h
+++ b/include/coppervalve/entry/peer_contact.h
@@ -2,6 +2,7 @@
 #define COPPERVALVE_ENTRY_PEER_CONTACT_H_
 
 #include <cstdint>        // uint32_t
+#include <optional>       // optional
 #include <unordered_map>  // unordered_map
 
 #include "coppervalve/core/ids.h"
@@ -32,6 +33,9 @@
   /// @return number of routers whose latest report is recent and states that
   /// they reach the store
   uint32_t CountReachingStore(core::TimePoint now) const;
+  /// @return whether another router's report was received recently, and since
+  /// `since` no report stated that its router reaches the store
+  bool NoneReachesStoreSince(core::TimePoint since, core::TimePoint now) const;
   /// @return whether a caller that is sent to another of `active` routers most
   /// likely finds one that reaches the store
   bool OthersReachStore(uint32_t active, core::TimePoint now) const;
@@ -40,6 +44,7 @@
   struct Peer {
     core::TimePoint last_received;
     bool store_up = false;
+    std::optional<core::TimePoint> last_up;
   };
   bool ReceivedRecently(const Peer& peer, core::TimePoint now) const;
   bool ReceivedRecentlyFromAny(core::TimePoint now) const;
--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -2,6 +2,7 @@
 #define COPPERVALVE_ENTRY_PLACEMENT_H_
 
 #include <cstdint>      // uint8_t, uint32_t
+#include <optional>     // optional
 #include <string>       // string
 #include <string_view>  // string_view
 #include <vector>       // vector
@@ -27,6 +28,7 @@
   kWarmingUp,     ///< none: those left are cold and at their rate limit
   kLimited,       ///< none: those left are at the rate limits they sent
   kEvacuated,     ///< none: all are in evacuated failure domains
+  kOtherVersion,  ///< none: no upstream has the required version
   kNoneKnown,     ///< none: the service has no upstream
 };
 
@@ -41,6 +43,11 @@
   core::Tokens shared_tokens{};  ///< length of the prefix
   core::Tokens prompt{};         ///< length of the whole prompt
   std::vector<core::UpstreamId> exclude;
+  /// Software version that the upstream must have; none: any.
+  std::optional<core::UpstreamVersion> version;
+  /// The version is required but unknown: the router that chooses has to know
+  /// that the service had a single one for as long as a stream may last.
+  bool sole_version_only = false;
   /// Maximum of this router's requests in progress per upstream; 0 = unlimited.
   uint32_t connection_bound = 0;
   /// Number of routers that send to the service, this one included.
@@ -133,6 +140,7 @@
                                   Trust required_trust,
                                   core::TimePoint now) const;
   PlacementReason ReasonForNone(const std::vector<UpstreamRef>& upstreams,
+                                const PlacementQuery& query,
                                 core::TimePoint now) const;
   bool IsFullAndBrittle(const Upstream& upstream,
                         const PlacementQuery& query,
--- a/include/coppervalve/entry/upstream_directory.h
+++ b/include/coppervalve/entry/upstream_directory.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>        // uint8_t, uint32_t, int64_t
 #include <functional>     // function
+#include <map>            // map
 #include <optional>       // optional
 #include <string>         // string
 #include <unordered_map>  // unordered_map
@@ -118,6 +119,12 @@
   const std::unordered_map<core::UpstreamId, UpstreamRef>& all() const {
     return m_by_id;
   }
+  /// @brief The number of upstreams of each software version, by service. Those
+  /// that are leaving count.
+  using VersionCounts =
+      std::unordered_map<core::ServiceId,
+                         std::map<core::UpstreamVersion, size_t>>;
+  const VersionCounts& versions() const { return m_versions; }
   /// @brief A request is sent to an upstream.
   void MarkBusy(const UpstreamRef& upstream);
   /// @return the listed upstreams with requests of this router in progress
@@ -139,6 +146,7 @@
   DirectoryChange Put(const UpstreamEntry& entry, core::TimePoint read_at);
   DirectoryChange Drop(const core::UpstreamId& id);
   void Forget(const core::UpstreamId& id);
+  void RemoveVersion(const UpstreamEntry& entry);
   void NotifyGone(const UpstreamEntry& entry) const;
 
   DirectoryOptions m_options;
@@ -146,6 +154,7 @@
   bool m_list_read = false;  ///< upstreams that appear later have just started
   std::unordered_map<core::UpstreamId, UpstreamRef> m_by_id;
   ServiceIndex m_by_service;  ///< those that are not leaving
+  VersionCounts m_versions;
   std::unordered_set<UpstreamRef> m_busy;
   std::unordered_map<uint32_t, UpstreamRef> m_by_load_key;
   bool m_limits_received = false;
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -22,6 +22,7 @@
 #include "coppervalve/entry/relay_refusals.h"
 #include "coppervalve/entry/request_fingerprint.h"
 #include "coppervalve/entry/retry_budget_share.h"
+#include "coppervalve/entry/stream_versions.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/entry/upstream_gate.h"
 #include "coppervalve/gateway/caller_connection.h"
@@ -36,6 +37,14 @@
 
 namespace coppervalve::gateway {
 
+/// @brief The version at which a stream may be resumed. Without one, the
+/// request is refused, unless other routers may know that there is only one.
+struct StreamResumption {
+  entry::ResumeVersion version;
+  bool ask_peers = false;
+  core::Duration retry_after{};
+};
+
 /// @brief Objects that all exchanges share; outlives them.
 struct ExchangeContext {
   boost::asio::io_context& io;
@@ -73,6 +82,14 @@
   std::function<void(const entry::PlacementQuery&,
                      std::function<void(const entry::Placement&)> on_placement)>
       request_placement;
+  /// The first event of a stream is sent to its caller.
+  std::function<void(const entry::StreamStart&)> on_stream_start;
+  /// Finds out at which version a stream may be resumed. The handler may be
+  /// called from within this call.
+  std::function<void(entry::StreamKey,
+                     const core::ServiceId&,
+                     std::function<void(const StreamResumption&)> on_resolved)>
+      resolve_stream;
 };
 
 /// @brief Processes one request of a caller, from the complete request to the
@@ -110,6 +127,9 @@
   };
 
   void Admit();
+  void ResolveStream();
+  void OnStreamResolved(const StreamResumption& resumption);
+  void StartPlacement();
   void StartReservation();
   /// @brief Refuses the request if the upstreams are overloaded.
   /// @return whether it was refused
@@ -126,6 +146,7 @@
   entry::PlacementQuery BuildQuery() const;
   entry::Placement ChoosePlacement() const;
   void RequestPlacement();
+  bool MayRun(const core::UpstreamVersion& version) const;
   void OnPlacementReply(const entry::Placement& placement);
   void EndWithoutUpstream(const std::string& why);
   void RefuseForLackOfUpstreams(const std::string& why);
@@ -176,6 +197,9 @@
   bool RefuseIfCrashesUpstreams();
   void ReportSurvived();
   bool IsStream() const;
+  /// @brief Whether the caller resumes a stream of an earlier request.
+  bool ResumesStream() const;
+  entry::StreamKey StreamId() const;
   bool Retryable() const;
   bool HasEvents() const { return m_sse_splitter.events() != 0; }
   /// @brief Consumes one retry of the retry allowance.
@@ -218,6 +242,9 @@
   http1::SseSplitter m_sse_splitter;
   /// Software versions of the upstreams whose events were sent to the caller.
   std::vector<core::UpstreamVersion> m_event_versions;
+  /// The version at which the stream started, once that is known.
+  std::optional<core::UpstreamVersion> m_stream_version;
+  bool m_sole_version_only = false;
   /// Bytes after the last whole event when the latest attempt ended.
   size_t m_unfinished_event = 0;
   core::TimePoint m_last_activity;  ///< start of the upstream's timeout
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "coppervalve/entry/policy.h"
 #include "coppervalve/entry/retry_budget_share.h"
 #include "coppervalve/entry/store_contact.h"
+#include "coppervalve/entry/stream_versions.h"
 #include "coppervalve/entry/topic_subscription.h"
 #include "coppervalve/entry/transfer_reply_cache.h"
 #include "coppervalve/entry/upstream_directory.h"
@@ -35,6 +36,8 @@
 #include "coppervalve/gateway/platform_adapter.h"
 #include "coppervalve/gateway/reach_monitor.h"
 #include "coppervalve/gateway/relay_server.h"
+#include "coppervalve/gateway/stream_record_reader.h"
+#include "coppervalve/gateway/stream_record_writer.h"
 #include "coppervalve/gateway/token_requester.h"
 #include "coppervalve/gateway/topic_follower.h"
 #include "coppervalve/gateway/unknown_headers.h"
@@ -51,6 +54,7 @@
   std::string evacuation_prefix;
   std::string upstream_topic;
   std::string heartbeat_topic;
+  std::string stream_topic;
 };
 
 /// @brief Startup settings of a router.
@@ -170,6 +174,16 @@
   void UpdateHeartbeatReading();
   void OnHeartbeatReadingStopped();
   bool PostponeStart();
+  void MakeStreamRecords();
+  void UpdateStreamVersions(core::TimePoint now);
+  void OnStreamStart(const entry::StreamStart& start);
+  void ResolveStream(entry::StreamKey stream,
+                     const core::ServiceId& service,
+                     std::function<void(const StreamResumption&)> on_resolved);
+  entry::RecordsRead UnreadRecords(core::TimePoint now) const;
+  StreamResumption Resumption(entry::StreamKey stream,
+                              const core::ServiceId& service,
+                              bool records_read) const;
   void MakePlacementClient();
   void OnPlaceAsk(const v1::PlaceAsk& ask);
   core::Status MakeListeners();
@@ -224,6 +238,9 @@
   std::shared_ptr<TopicFollower> m_upstreams;
   std::shared_ptr<TopicFollower> m_heartbeats;
   std::shared_ptr<HeartbeatWriter> m_heartbeat_writer;
+  entry::StreamVersions m_stream_versions;
+  std::shared_ptr<StreamRecordWriter> m_stream_writer;
+  std::shared_ptr<StreamRecordReader> m_stream_reader;
   std::unique_ptr<PeerMessenger> m_peer_messenger;
   std::unique_ptr<RelayServer> m_relay_server;
   /// Since then no earlier process of this VM can be running, because it would
--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -31,8 +31,9 @@
 /// @brief Consecutive records, ordered by offset.
 struct RecordBatch {
   std::vector<KeyedRecord> records;
-  uint64_t next = 0;  ///< offset after the last record
-  uint64_t end = 0;   ///< end of the log when the batch was created
+  uint64_t next = 0;   ///< offset after the last record
+  uint64_t end = 0;    ///< end of the log when the batch was created
+  uint64_t first = 0;  ///< first retained offset at that time
 };
 
 /// @brief Limits of one read.
--- a/src/entry/peer_contact.cc
+++ b/src/entry/peer_contact.cc
@@ -14,7 +14,12 @@
 void PeerContact::OnReport(const core::RouterId& router,
                            bool store_up,
                            core::TimePoint now) {
-  m_peers[router] = {now, store_up};
+  Peer& peer = m_peers[router];
+  peer.last_received = now;
+  peer.store_up = store_up;
+  if (store_up) {
+    peer.last_up = now;
+  }
 }
 
 bool PeerContact::ReceivedRecently(const Peer& peer,
@@ -54,6 +59,16 @@
   return count;
 }
 
+bool PeerContact::NoneReachesStoreSince(core::TimePoint since,
+                                        core::TimePoint now) const {
+  for (const auto& [router, peer] : m_peers) {
+    if (peer.last_up && *peer.last_up > since) {
+      return false;
+    }
+  }
+  return ReceivedRecentlyFromAny(now);
+}
+
 // A caller picks an active router at random. If only a few of them report that
 // they reach the store, the others are disconnected from it like this router
 // and would refuse the caller again.
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -17,6 +17,10 @@
          query.exclude.end();
 }
 
+bool HasRequiredVersion(const PlacementQuery& query, const Upstream& upstream) {
+  return !query.version || *query.version == upstream.entry.version;
+}
+
 // The median latency per cost is the typical value for the current workload.
 double MedianLatency(const std::vector<UpstreamRef>& upstreams) {
   std::vector<double> known;
@@ -81,6 +85,8 @@
       return "limited";
     case PlacementReason::kEvacuated:
       return "evacuated";
+    case PlacementReason::kOtherVersion:
+      return "other_version";
     case PlacementReason::kNoneKnown:
       break;
   }
@@ -110,6 +116,11 @@
   if (upstreams.empty()) {
     return {};
   }
+  if (query.sole_version_only && !query.version) {
+    Placement none;
+    none.why = PlacementReason::kOtherVersion;
+    return none;
+  }
   const Trust first = m_options.use_suspicion ? Trust::kFull : Trust::kSuspect;
   for (const Trust required_trust : {first, Trust::kSuspect, Trust::kNone}) {
     const std::vector<UpstreamRef> usable =
@@ -118,23 +129,32 @@
       continue;
     }
     Placement placement = Cheapest(usable, query, now);
-    m_working_sets.OnLoad(query.service, RequestsInProgress(usable, query),
-                          now);
+    // Upstreams of one version carry only a part of the load.
+    if (!query.version) {
+      m_working_sets.OnLoad(query.service, RequestsInProgress(usable, query),
+                            now);
+    }
     if (required_trust == Trust::kNone) {
       placement.why = PlacementReason::kLastResort;
     }
     return placement;
   }
   Placement none;
-  none.why = ReasonForNone(upstreams, now);
+  none.why = ReasonForNone(upstreams, query, now);
   return none;
 }
 
 PlacementReason Placer::ReasonForNone(const std::vector<UpstreamRef>& upstreams,
+                                      const PlacementQuery& query,
                                       core::TimePoint now) const {
   bool evacuated = true;
   bool limited = false;
+  bool other_version = true;
   for (const UpstreamRef& upstream : upstreams) {
+    if (!HasRequiredVersion(query, *upstream)) {
+      continue;
+    }
+    other_version = false;
     const GateState state = m_gate.StateOf(*upstream, now);
     if (state == GateState::kWarmingUp) {
       return PlacementReason::kWarmingUp;
@@ -144,6 +164,9 @@
               upstream->brittleness.IsBrittle(now);
     evacuated = evacuated && state == GateState::kEvacuated;
   }
+  if (other_version) {
+    return PlacementReason::kOtherVersion;
+  }
   if (limited) {
     return PlacementReason::kLimited;
   }
@@ -167,7 +190,8 @@
         upstream->expired_at
             ? std::max(upstream->health.trust(now), Trust::kSuspect)
             : upstream->health.trust(now);
-    if (trust > required_trust || Excluded(query, upstream->entry.id)) {
+    if (trust > required_trust || Excluded(query, upstream->entry.id) ||
+        !HasRequiredVersion(query, *upstream)) {
       continue;
     }
     // An upstream whose gate is closed is not used even as the last resort: it
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -13,8 +13,15 @@
 
 bool SameForRouting(const UpstreamEntry& a, const UpstreamEntry& b) {
   return a.service == b.service && a.address == b.address &&
-         a.failure_domain == b.failure_domain && a.slots == b.slots &&
-         a.leaving == b.leaving;
+         a.version == b.version && a.failure_domain == b.failure_domain &&
+         a.slots == b.slots && a.leaving == b.leaving;
+}
+
+// A process has one software version for as long as it runs.
+bool IsOtherStart(const UpstreamEntry& known, const UpstreamEntry& entry) {
+  const bool other_number = entry.start_number && known.start_number &&
+                            *entry.start_number != *known.start_number;
+  return other_number || entry.version != known.version;
 }
 
 // Load reports of one start must not count for the next one.
@@ -221,9 +228,7 @@
   UpstreamEntry put = entry;
   put.leaving = put.leaving || HasAnnouncedLeaving(entry);
   UpstreamRef& known = m_by_id[entry.id];
-  const bool restarted = known && entry.start_number &&
-                         known->entry.start_number &&
-                         *entry.start_number != *known->entry.start_number;
+  const bool restarted = known && IsOtherStart(known->entry, entry);
   if (known) {
     UpdateWarmUp(entry, read_at, known->warm_up);
   }
@@ -239,6 +244,7 @@
   }
   if (known) {
     m_by_service.Erase(known);
+    RemoveVersion(known->entry);
   }
   if (restarted) {
     m_by_load_key.erase(known->load_key);
@@ -257,6 +263,7 @@
     RestoreLimit(put, *known);
   }
   known->entry = put;
+  ++m_versions[put.service][put.version];
   known->expired_at.reset();
   if (!known->entry.leaving) {
     m_by_service.Insert(known);
@@ -387,12 +394,21 @@
   }
   RememberLimit(*found->second);
   m_by_service.Erase(found->second);
+  RemoveVersion(found->second->entry);
   // Requests in progress keep the object, which must not look usable to them.
   found->second->entry.leaving = true;
   m_by_load_key.erase(found->second->load_key);
   m_by_id.erase(found);
 }
 
+void UpstreamDirectory::RemoveVersion(const UpstreamEntry& entry) {
+  auto& versions = m_versions[entry.service];
+  const auto found = versions.find(entry.version);
+  if (found != versions.end() && --found->second == 0) {
+    versions.erase(found);
+  }
+}
+
 void UpstreamDirectory::NotifyGone(const UpstreamEntry& entry) const {
   if (m_on_gone) {
     m_on_gone(entry);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -58,6 +58,18 @@
   return m_admitted.route->kind == RouteKind::kStream;
 }
 
+bool Exchange::ResumesStream() const {
+  return IsStream() && !m_facts.resume_after.empty();
+}
+
+entry::StreamKey Exchange::StreamId() const {
+  const bool resumes = ResumesStream() && !m_facts.resumes.empty();
+  return entry::StreamKeyOf(m_admitted.account != nullptr
+                                ? m_admitted.account->name
+                                : core::AccountId(),
+                            resumes ? m_facts.resumes : m_facts.id);
+}
+
 bool Exchange::Retryable() const {
   const entry::Route& route = *m_admitted.route;
   return route.kind == RouteKind::kIdempotent ||
@@ -101,6 +113,14 @@
     return;
   }
   m_context.retries.OnRequest(m_admitted.service, m_request.arrived);
+  if (ResumesStream()) {
+    ResolveStream();
+    return;
+  }
+  StartPlacement();
+}
+
+void Exchange::StartPlacement() {
   if (RefuseIfOverloaded()) {
     return;
   }
@@ -108,6 +128,32 @@
   StartReservation();
 }
 
+// What two software versions write does not fit together, and upstreams do not
+// check that.
+void Exchange::ResolveStream() {
+  ArmTimer();
+  m_context.resolve_stream(
+      StreamId(), m_admitted.service,
+      [weak = weak_from_this()](const StreamResumption& resumption) {
+        const auto self = weak.lock();
+        if (self && !self->m_done) {
+          self->OnStreamResolved(resumption);
+        }
+      });
+}
+
+void Exchange::OnStreamResolved(const StreamResumption& resumption) {
+  m_stream_version = resumption.version.version;
+  m_sole_version_only = !m_stream_version && resumption.ask_peers;
+  if (!m_stream_version && !m_sole_version_only) {
+    Refuse({core::ErrorId::kStreamVersionUnknown, m_admitted.service.value(),
+            std::string(resumption.version.why)},
+           resumption.retry_after);
+    return;
+  }
+  StartPlacement();
+}
+
 bool Exchange::RefuseIfOverloaded() {
   const entry::Service* service =
       m_admitted.configuration_index->FindService(m_admitted.service);
@@ -339,6 +385,10 @@
     refuse("those that are left are warming up", kRetryAfterStoreUpdate);
     return;
   }
+  if (m_last_placement.why == entry::PlacementReason::kOtherVersion) {
+    refuse("none has the stream's version", kRetryAfterStoreUpdate);
+    return;
+  }
   const core::TimePoint now = net::BootNow();
   if (m_last_placement.why == entry::PlacementReason::kLimited) {
     refuse("those that are left take no more for now",
@@ -373,6 +423,8 @@
   entry::PlacementQuery query;
   query.service = m_admitted.service;
   query.exclude = m_tried;
+  query.version = m_stream_version;
+  query.sole_version_only = m_sole_version_only;
   query.engine = service != nullptr && service->engine.has_value();
   query.prompt = m_facts.prompt;
   query.routers = m_context.members.ActiveCount();
@@ -413,9 +465,18 @@
       });
 }
 
+// A router of an earlier release ignores the version in the query, and names
+// none in its reply.
+bool Exchange::MayRun(const core::UpstreamVersion& version) const {
+  if (m_stream_version) {
+    return version == *m_stream_version;
+  }
+  return !m_sole_version_only || !version.empty();
+}
+
 void Exchange::OnPlacementReply(const entry::Placement& placement) {
   m_last_placement = placement;
-  if (placement.upstream) {
+  if (placement.upstream && MayRun(placement.upstream->entry.version)) {
     Send(placement);
     return;
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -120,6 +120,11 @@
       [this](const entry::PlacementQuery& query,
              std::function<void(const entry::Placement&)> on_placement) {
         m_placement_client->RequestPlacement(query, std::move(on_placement));
+      },
+      [this](const entry::StreamStart& start) { OnStreamStart(start); },
+      [this](entry::StreamKey stream, const core::ServiceId& service,
+             std::function<void(const StreamResumption&)> on_resolved) {
+        ResolveStream(stream, service, std::move(on_resolved));
       }});
   MakeTokenRequester();
   MakePlacementClient();
@@ -142,6 +147,7 @@
   ListenForRelays();
   MakeHeartbeatWriter();
   MakeFollowers();
+  MakeStreamRecords();
   m_configuration->Start();
   UpdateTableReading();
   m_upstreams->Start();
@@ -187,6 +193,7 @@
     m_heartbeat_writer->Expedite();
   }
   m_peer_loads.Advance(now);
+  UpdateStreamVersions(now);
   m_crashes.record().Advance(now);
   m_reach.Advance(now);
   m_pool.CloseExpired(now);
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -37,6 +37,7 @@
   hooks.on_epoch_announced = [this](uint64_t epoch, uint64_t end) {
     m_epoch_log_end = end;
     StartLoadReports(epoch);
+    m_stream_writer->Start(epoch);
     StartHeartbeatsIfCaughtUp();
     LogLifecycle(LogLine("epoch_announced")
                      .Number("epoch", static_cast<int64_t>(epoch))
--- /dev/null
+++ b/src/gateway/gateway_stream_versions.cc
@@ -0,0 +1,132 @@
+// Records at which software version streams started, and finds out at which one
+// a stream may be resumed.
+#include <algorithm>  // max
+#include <memory>     // make_shared
+#include <utility>    // move
+
+#include "coppervalve/gateway/gateway.h"
+#include "coppervalve/net/clock.h"
+#include "retry_after.h"
+
+namespace coppervalve::gateway {
+
+namespace {
+
+// Routers notice an outage of the store at different times, up to this much
+// apart.
+constexpr core::Duration kOutageNoticeTime{3'000'000};
+// A stream that broke off at a running router may be resumed before its record
+// is written.
+constexpr core::Duration kRecordDelay{150'000};
+
+}  // namespace
+
+void Gateway::MakeStreamRecords() {
+  const std::string& topic = m_settings.layout.stream_topic;
+  m_stream_writer = std::make_shared<StreamRecordWriter>(
+      m_io, m_store, topic, m_settings.router.value(), m_stream_versions,
+      StreamRecordWriter::Hooks{
+          [this] { return entry::StreamRecordInterval(Limits()); },
+          [this](bool written) {
+            m_metrics.OnStoreCall("stream_write", written);
+          }});
+  m_stream_reader = std::make_shared<StreamRecordReader>(
+      m_store, topic,
+      StreamRecordReader::Hooks{
+          [this](const entry::StreamGroup& group) {
+            m_stream_versions.OnRecord(group, net::BootNow());
+          },
+          [this](bool answered) {
+            m_metrics.OnStoreCall("stream_read", answered);
+          }});
+}
+
+void Gateway::UpdateStreamVersions(core::TimePoint now) {
+  m_stream_versions.Advance(now);
+  if (!m_upstreams_known) {
+    return;
+  }
+  for (const auto& [service, counts] : m_directory.versions()) {
+    std::vector<core::UpstreamVersion> versions;
+    for (const auto& [version, count] : counts) {
+      versions.push_back(version);
+    }
+    m_stream_versions.OnVersions(service, versions, now);
+  }
+  m_stream_writer->Schedule();
+}
+
+void Gateway::OnStreamStart(const entry::StreamStart& start) {
+  const core::TimePoint now = net::BootNow();
+  UpdateStreamVersions(now);
+  m_stream_versions.OnStart(start, now);
+  m_stream_writer->Schedule();
+}
+
+// While no router reads the store, none has learned of a version since this one
+// read the table for the last time.
+entry::RecordsRead Gateway::UnreadRecords(core::TimePoint now) const {
+  const core::TimePoint last_read = now - m_upstream_contact.SilentFor(now);
+  const bool out_for_all =
+      m_peers.CountReachingStore(now) == 0 &&
+      m_peers.NoneReachesStoreSince(last_read + kOutageNoticeTime, now);
+  return out_for_all ? entry::RecordsRead::kUnavailable
+                     : entry::RecordsRead::kUnavailableHere;
+}
+
+StreamResumption Gateway::Resumption(entry::StreamKey stream,
+                                     const core::ServiceId& service,
+                                     bool records_read) const {
+  const core::TimePoint now = net::BootNow();
+  const auto read =
+      records_read ? entry::RecordsRead::kToTheEnd : UnreadRecords(now);
+  StreamResumption resumption;
+  resumption.version = m_stream_versions.Resolve(stream, service, read, now);
+  resumption.ask_peers = !m_upstreams_known && !m_stream_versions.Knows(stream);
+  switch (read) {
+    case entry::RecordsRead::kToTheEnd:
+      resumption.retry_after = kRetryAfterStoreUpdate;
+      break;
+    case entry::RecordsRead::kUnavailable:
+      resumption.retry_after = kRetryAfterOutage;
+      break;
+    case entry::RecordsRead::kUnavailableHere:
+      resumption.retry_after = kRetryElsewhere;
+      break;
+  }
+  return resumption;
+}
+
+void Gateway::ResolveStream(
+    entry::StreamKey stream,
+    const core::ServiceId& service,
+    std::function<void(const StreamResumption&)> on_resolved) {
+  UpdateStreamVersions(net::BootNow());
+  if (m_stream_versions.Knows(stream) || !m_contact.up()) {
+    on_resolved(Resumption(stream, service, /*records_read=*/false));
+    return;
+  }
+  m_stream_reader->Read([this, stream, service,
+                         on_resolved = std::move(on_resolved)](bool complete) {
+    const StreamResumption first = Resumption(stream, service, complete);
+    if (!complete || first.version.version || first.ask_peers) {
+      on_resolved(first);
+      return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_io);
+    timer->expires_after(
+        std::max(kRecordDelay, entry::StreamRecordInterval(Limits())));
+    timer->async_wait([this, alive = std::weak_ptr(m_stream_reader), timer,
+                       stream, service,
+                       on_resolved](const boost::system::error_code& code) {
+      if (code || alive.expired()) {
+        return;
+      }
+      m_stream_reader->Read([this, stream, service, on_resolved](bool again) {
+        on_resolved(Resumption(stream, service, again));
+      });
+    });
+  });
+}
+
+}  // namespace coppervalve::gateway
--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -48,6 +48,7 @@
 void Gateway::OnTableReadingStopped() {
   m_upstreams_known = false;
   m_upstream_documents.clear();
+  m_stream_versions.OnTableLost();
 }
 
 void Gateway::MakePlacementClient() {
@@ -72,7 +73,12 @@
   if (m_upstreams_known) {
     entry::PlacementQuery query = ToPlacementQuery(ask);
     query.routers = m_members.ActiveCount();
-    placement = m_placer.Choose(m_directory, query, now);
+    if (query.sole_version_only) {
+      query.version = m_stream_versions.SoleVersion(query.service, now);
+    }
+    if (!query.sole_version_only || query.version) {
+      placement = m_placer.Choose(m_directory, query, now);
+    }
   }
   if (placement.upstream) {
     m_gate.OnSend(*placement.upstream, now);
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -26,6 +26,10 @@
   for (const core::UpstreamId& id : query.exclude) {
     ask.add_exclude(id.value());
   }
+  if (query.version) {
+    ask.set_version(query.version->value());
+  }
+  ask.set_sole_version_only(query.sole_version_only);
   return ask;
 }
 
@@ -39,6 +43,10 @@
   for (const std::string& id : ask.exclude()) {
     query.exclude.emplace_back(id);
   }
+  if (ask.has_version()) {
+    query.version = core::UpstreamVersion(ask.version());
+  }
+  query.sole_version_only = ask.sole_version_only();
   return query;
 }
 
@@ -54,6 +62,7 @@
     answer.set_address(entry.address);
     answer.set_failure_domain(entry.failure_domain.value());
     answer.set_slots(entry.slots);
+    answer.set_version(entry.version.value());
   }
   return answer;
 }
@@ -121,6 +130,7 @@
   entry.address = answer.address();
   entry.failure_domain = core::FailureDomainId(answer.failure_domain());
   entry.slots = answer.slots();
+  entry.version = core::UpstreamVersion(answer.version());
   Finish(answer.ask_id(), placement);
 }
 
--- a/tests/entry/unit-placement.cc
+++ b/tests/entry/unit-placement.cc
@@ -201,3 +201,29 @@
   }
   STRCMP_EQUAL("", Chosen().c_str());
 }
+
+// Guards against a stream that goes on at another software version.
+TEST(Placement, a_required_version_goes_before_everything_else) {
+  UpstreamEntry entry = EntryOf("new", "engines");
+  entry.slots = 64;
+  entry.version = core::UpstreamVersion("v2");
+  directory.OnRecord(RecordOf(entry));
+  Engine(0)->in_flight = 0;
+  directory.Find(core::UpstreamId("new"))->in_flight = 60;
+  query.version = core::UpstreamVersion("v2");
+  for (int i = 0; i < 20; ++i) {
+    STRCMP_EQUAL("new", Chosen().c_str());
+  }
+}
+
+TEST(Placement, without_the_required_version_there_is_no_last_resort) {
+  query.version = core::UpstreamVersion("v2");
+  const Placement placement = placer.Choose(directory, query, At(1));
+  CHECK(placement.upstream == nullptr);
+  STRCMP_EQUAL("other_version", std::string(ToString(placement.why)).c_str());
+}
+
+TEST(Placement, an_unknown_version_that_must_be_known_places_nowhere) {
+  query.sole_version_only = true;
+  CHECK(placer.Choose(directory, query, At(1)).upstream == nullptr);
+}
--- a/tests/entry/unit-upstream-directory.cc
+++ b/tests/entry/unit-upstream-directory.cc
@@ -130,6 +130,20 @@
   CHECK(before->entry.leaving);
 }
 
+// Guards against a stream that goes on at an upstream that restarted with
+// another software version and without a start number.
+TEST(UpstreamDirectory, another_version_under_the_same_id_is_another_start) {
+  const UpstreamRef before = directory.Find(one);
+  UpstreamEntry entry = EntryOf("one");
+  entry.version = core::UpstreamVersion("v2");
+  CHECK(directory.OnRecord(RecordOf(entry)) == DirectoryChange::kNewStart);
+  CHECK(directory.Find(one) != before);
+  CHECK(before->entry.version.empty() && before->entry.leaving);
+  CHECK_EQUAL(1, directory.versions().at(tickets).size());
+  directory.Remove(one, contact, At(10));
+  CHECK(directory.versions().at(tickets).empty());
+}
+
 TEST(UpstreamDirectory, a_late_record_of_an_earlier_start_changes_nothing) {
   // Guards against sending to an unused address: the record of a start that
   // ended was read after that of its successor.
--- a/tests/gateway/fake_store.cc
+++ b/tests/gateway/fake_store.cc
@@ -62,6 +62,7 @@
   }
   RecordBatch batch;
   batch.end = EndOf(kept);
+  batch.first = kept.first;
   batch.next = from;
   size_t bytes = 0;
   for (uint64_t offset = from; offset < batch.end; ++offset) {
@@ -114,6 +115,12 @@
       Post<RecordBatch>(handler, Unavailable());
       return;
     }
+    const Topic& kept = m_topics[topic];
+    if (bounds.wait == core::Duration::zero() && from >= EndOf(kept)) {
+      Post<RecordBatch>(handler,
+                        RecordBatch{{}, from, EndOf(kept), kept.first});
+      return;
+    }
     Read(topic, from, bounds.most_bytes, handler);
   };
   calls.append = [this](const std::string& topic, const KeyedRecord& record,
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -83,6 +83,8 @@
   if (!timeout.empty()) {
     facts.caller_timeout = std::chrono::milliseconds(std::stoi(timeout));
   }
+  facts.resume_after = value("X-After");
+  facts.resumes = value("X-Resumes");
   const std::string tokens = value("X-Tokens");
   if (!tokens.empty()) {
     facts.prompt = core::Tokens(std::stoll(tokens));
@@ -95,7 +97,8 @@
                                   const UpstreamRequestContext& facts) {
   http1::HeaderList headers;
   for (const http1::Header& header : head.headers) {
-    if (!http1::IsHopByHop(head.headers, header.name)) {
+    if (!http1::IsHopByHop(head.headers, header.name) &&
+        header.name != "X-After") {
       headers.Add(header.name, header.value);
     }
   }
@@ -139,7 +142,9 @@
       entry.start_number = start_number;
     }
     std::string failure_domain;
-    words >> failure_domain;
+    std::string version;
+    words >> failure_domain >> version;
+    entry.version = core::UpstreamVersion(version);
     entry.failure_domain = core::FailureDomainId(failure_domain);
     entry.service = core::ServiceId(service);
     entry.slots = 8;
@@ -296,7 +301,8 @@
   settings.router = core::RouterId("router-1");
   settings.failure_domain = core::FailureDomainId("fd-a");
   settings.caller_address = FreeAddress(io);
-  settings.layout = {"config", "config", "evacuate/", "upstreams", "routers"};
+  settings.layout = {"config",    "config",  "evacuate/",
+                     "upstreams", "routers", "streams"};
 }
 
 Router::~Router() = default;
@@ -325,6 +331,7 @@
   GatewaySettings other = settings;
   other.router = core::RouterId(name);
   other.caller_address = FreeAddress(io);
+  peer_address = other.caller_address;
   other.load_address = FreeAddress(io);
   auto peer = std::make_unique<Gateway>(io, other, TestAdapter(), store.Calls(),
                                         ClaimAtOnce());
@@ -336,9 +343,11 @@
 }
 
 ScriptedUpstream& Router::AddUpstream(const std::string& id,
-                                      const std::string& service) {
+                                      const std::string& service,
+                                      const std::string& more) {
   m_upstreams.push_back(std::make_unique<ScriptedUpstream>(io));
-  store.Put("upstreams", id, service + " " + m_upstreams.back()->address());
+  store.Put("upstreams", id,
+            service + " " + m_upstreams.back()->address() + " " + more);
   return *m_upstreams.back();
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -96,10 +96,13 @@
   /// @brief Starts another router on the same store and upstreams.
   /// @pre `settings.load_address` is set and Start() was called
   std::unique_ptr<Gateway> StartPeer(const std::string& name);
+  /// @param more the rest of its record, see SetUpstream()
   ScriptedUpstream& AddUpstream(const std::string& id,
-                                const std::string& service);
-  /// @brief Writes the record "SERVICE ADDRESS [START_NUMBER [FAILURE_DOMAIN]]"
-  /// of an upstream; 0 stands for no START_NUMBER.
+                                const std::string& service,
+                                const std::string& more = {});
+  /// @brief Writes the record
+  /// "SERVICE ADDRESS [START_NUMBER [FAILURE_DOMAIN [VERSION]]]" of an
+  /// upstream; 0 stands for no START_NUMBER.
   void SetUpstream(const std::string& id, const std::string& document);
   std::unique_ptr<TestCaller> Caller();
   /// @brief Runs the event loop until a condition holds.
@@ -119,6 +122,7 @@
   FakeStore store;
   std::unique_ptr<Gateway> gateway;
   GatewaySettings settings;
+  std::string peer_address;  ///< for callers of the latest peer
 
  private:
   std::vector<std::unique_ptr<ScriptedUpstream>> m_upstreams;
--- a/tests/gateway/unit-placement-client.cc
+++ b/tests/gateway/unit-placement-client.cc
@@ -31,6 +31,8 @@
     query.shared_prefix = "castle";
     query.prompt = core::Tokens(600);
     query.exclude = {core::UpstreamId("tried")};
+    query.version = core::UpstreamVersion("v1");
+    query.sole_version_only = true;
   }
   void RequestPlacement() {
     client.RequestPlacement(query, [this](const entry::Placement& one) { result = one; });
@@ -46,6 +48,7 @@
     placement.upstream = std::make_shared<entry::Upstream>();
     placement.upstream->entry.id = core::UpstreamId("one");
     placement.upstream->entry.address = "10.0.1.1:80";
+    placement.upstream->entry.version = core::UpstreamVersion("v1");
     return placement;
   }
 };
@@ -58,10 +61,12 @@
   CHECK(read.service == query.service && read.engine);
   CHECK(read.shared_prefix == query.shared_prefix);
   CHECK(read.prompt == query.prompt && read.exclude == query.exclude);
+  CHECK(read.version == query.version && read.sole_version_only);
   client.OnAnswer(ToPlaceAnswer(sent[0], Chosen()));
   CHECK(result && result->upstream);
   STRCMP_EQUAL("one", result->upstream->entry.id.value().c_str());
   STRCMP_EQUAL("10.0.1.1:80", result->upstream->entry.address.c_str());
+  STRCMP_EQUAL("v1", result->upstream->entry.version.value().c_str());
 }
 
 TEST(PlacementClient, a_request_without_a_reply_is_sent_again) {
--- a/tests/platform/unit-adapter.cc
+++ b/tests/platform/unit-adapter.cc
@@ -169,3 +169,11 @@
   CHECK_EQUAL(1, read.unknown_headers.size());
   STRCMP_EQUAL("Server-Mood", read.unknown_headers.front().c_str());
 }
+
+TEST(PlatformAdapter, reads_what_a_caller_resumes) {
+  head.headers.Add("Last-Event-Id", "17");
+  head.headers.Add("Resumes", "r-0");
+  const auto read = adapter.read_request(head);
+  STRCMP_EQUAL("17", core::Value(read).resume_after.c_str());
+  STRCMP_EQUAL("r-0", core::Value(read).resumes.c_str());
+}
--- a/tests/platform/unit-documents.cc
+++ b/tests/platform/unit-documents.cc
@@ -91,6 +91,7 @@
   CHECK_EQUAL(1700, *core::Value(read).start_number);
   CHECK(core::Value(read).leaving);
   CHECK_EQUAL(64, core::Value(read).slots);
+  STRCMP_EQUAL("v1", core::Value(read).version.value().c_str());
   STRCMP_EQUAL("i-1", core::Value(read).id.value().c_str());
 }
 
