Soak: callers take up streams, engines of several versions, releases

Callers take up chats that broke off, up to three tries, and check versions and numbers of the events; engines of two versions serve in both zones, a fault releases new versions one by one, another one kills the routers that callers use.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,6 +12,7 @@
 HOST = "desk.example"
 KEPT_CONNECTIONS = 6
 _PAUSE_BETWEEN_REQUESTS_S = 0.3
+MAX_TRIES = 3
 
 
 @dataclass
@@ -32,6 +33,21 @@
     not_run: set[str] = field(default_factory=set)  # ids of requests answered with "not run"
     delivered: Counter[str] = field(default_factory=Counter)  # number of events by request id
     cuts: list[Cut] = field(default_factory=list)
+    chats: int = 0  # requests for new streams that may be resumed
+    chats_begun: int = 0  # those that got an event
+    resumed: int = 0  # requests that resume a stream
+    resumed_on: int = 0  # those that got an event
+    mixed: list[str] = field(default_factory=list)  # streams of two software versions
+
+
+@dataclass
+class Stream:
+    """What a caller has of a stream over all its requests."""
+
+    first_id: str = ""  # id of the request that brought the first event
+    last_event: int = 0
+    version: str = ""  # of the software that made its events
+    tries: int = 0
 
 
 class Callers:
@@ -40,6 +56,7 @@
         self._directories = directories
         self._random = random.Random(seed)
         self._number = 0
+        self._resumptions: list[asyncio.Task] = []
 
     async def run(self, per_second: float, until: float) -> None:
         loop = asyncio.get_running_loop()
@@ -49,6 +66,8 @@
             tasks.append(asyncio.create_task(self._request()))
             await asyncio.sleep(self._random.expovariate(per_second))
         await asyncio.gather(*tasks)
+        while self._resumptions:
+            await self._resumptions.pop()
 
     async def _address(self) -> str | None:
         for directory in self._random.sample(self._directories, 3):
@@ -86,7 +105,7 @@
                 await asyncio.sleep(self._random.uniform(0, 2 * _PAUSE_BETWEEN_REQUESTS_S))
             writer.close()
 
-    async def _request(self) -> None:
+    async def _request(self, stream: Stream | None = None) -> None:
         address = await self._address()
         if address is None:
             self.seen.outcomes["no address"] += 1
@@ -97,25 +116,35 @@
         except (OSError, TimeoutError):
             self.seen.outcomes["unreachable"] += 1
             return
-        await self._send(reader, writer, address, *self._make_request())
+        await self._send(reader, writer, address, *self._make_request(stream), stream)
         writer.close()
 
-    def _make_request(self) -> tuple[str, str, str]:
-        """Returns the text, the kind and the id of a new request."""
+    def _resume_later(self, stream: Stream) -> None:
+        if stream.last_event and stream.tries < MAX_TRIES:
+            self._resumptions.append(asyncio.create_task(self._request(stream)))
+
+    def _make_request(self, stream: Stream | None = None) -> tuple[str, str, str]:
+        """Returns the text, the kind and the id of a new request, which resumes a stream
+        if there is one."""
         self._number += 1
         request_id = f"r{self._number}"
-        kind = self._random.choice(["chat", "chat", "draft", "hold", "lookup"])
+        kind = "chat" if stream else self._random.choice(
+            ["chat", "chat", "draft", "hold", "lookup"])
         text = (f"POST /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
                 "Deadline-Ms: 6000\r\nAuthorization: Token key\r\nContent-Length: 0\r\n")
         if kind in ("chat", "draft"):
             text += f"Model: m\r\nToken-Usage: {PROMPT},{MAX_OUTPUT}\r\nPrefix-Hash: a:100,b:100\r\n"
+        if stream:
+            text += f"Last-Event-Id: {stream.last_event}\r\nResumes: {stream.first_id}\r\n"
         return text + "\r\n", kind, request_id
 
     async def _send(self, reader, writer, address: str, text: str, kind: str,
-                    request_id: str) -> bool:
+                    request_id: str, stream: Stream | None = None) -> bool:
         """Sends a request and checks its answer. Returns whether the connection may be
         used again."""
         head, whole = None, False
+        stream = stream or Stream()
+        stream.tries += 1
         try:
             writer.write(text.encode())
             head = await asyncio.wait_for(read_head(reader), 8)
@@ -123,12 +152,14 @@
                 self.seen.outcomes["closed"] += 1
             else:
                 body, whole = await asyncio.wait_for(self._body(reader, head), 8)
-                self._check_answer(kind, request_id, head, body, whole)
+                self._check_answer(kind, request_id, head, body, whole, stream)
         except (OSError, TimeoutError):
             self.seen.outcomes["unreachable"] += 1
         if not whole:
             end = asyncio.get_running_loop().time()
             self.seen.cuts.append(Cut(address, request_id, end))
+            if kind == "chat":
+                self._resume_later(stream)
         return whole and head.headers.get("connection") != "close"
 
     async def _body(self, reader, head):
@@ -139,9 +170,30 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return b"", False
 
-    def _check_answer(self, kind: str, request_id: str, head, body: bytes, whole: bool) -> None:
+    def _check_stream(self, request_id: str, lines: list[str], events: int,
+                      stream: Stream) -> None:
+        seen, resumes = self.seen, stream.last_event > 0
+        versions = {line for line in lines if line.startswith("version: ")}
+        if len(versions | ({stream.version} if resumes else set())) > 1:
+            seen.mixed.append(f"{request_id}: {stream.first_id} {stream.version} {versions}")
+        if resumes:
+            seen.resumed += 1
+            seen.resumed_on += events > 0
+        else:
+            seen.chats += 1
+            seen.chats_begun += events > 0
+        if events and not resumes:
+            stream.first_id, stream.version = request_id, next(iter(versions))
+        stream.last_event += events
+
+    def _check_answer(self, kind: str, request_id: str, head, body: bytes, whole: bool,
+                      stream: Stream) -> None:
         seen = self.seen
-        events = [line for line in body.decode().split("\n") if line.startswith("data: ")]
+        lines = body.decode().split("\n")
+        events = [line for line in lines if line.startswith("data: ")]
+        before = stream.last_event
+        if kind == "chat":
+            self._check_stream(request_id, lines, len(events), stream)
         seen.delivered[request_id] += len(events)
         seen.outcomes[f"{head.status}{'' if whole else ' cut'}"] += 1
         if head.status in (429, 503):
@@ -151,10 +203,11 @@
         if not head.headers.get("server-signature", "").endswith(f".{request_id}"):
             seen.wrong.append(f"{request_id}: signature")
         if kind in ("chat", "draft"):
-            wanted = [f"data: {request_id} {n}" for n in range(1, len(events) + 1)]
+            wanted = [f"data: {request_id} {n}"
+                      for n in range(before + 1, before + len(events) + 1)]
             if events != wanted:
                 seen.wrong.append(f"{request_id}: events {events}")
-            if whole and len(events) != MAX_OUTPUT // 7:
+            if whole and before + len(events) != MAX_OUTPUT // 7:
                 seen.wrong.append(f"{request_id}: complete with {len(events)} events")
         elif whole and body != f"plain {request_id}".encode():
             seen.wrong.append(f"{request_id}: body {body!r}")
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -141,6 +141,8 @@
         self._number = 0
         self._random = random.Random(seed)
         self._restart_tasks: list[asyncio.Task] = []
+        self._retired: set[str] = set()  # names of upstreams that do not start again
+        self.event_interval_s = 0.01  # of the engines' streams
         self.prepaid = PREPAID
         self.store = Store(seed)
         self.ledger = Ledger()
@@ -176,6 +178,7 @@
                         self._seed + self._starts, version)
         if self.routers and service == "engines":
             server.turn_cold()
+        server.event_interval_s = self.event_interval_s
         server.crash_marker = b"poison"
         self._starts += 1
         ports = ports or [free_port() for _ in range(self._router_count)]
@@ -188,12 +191,19 @@
     def announce(self, server: Server) -> None:
         self.store.put("keyed.servers", server.name, server.entry())
 
+    def retire(self, server: Server) -> None:
+        """Ends an upstream for good."""
+        self._retired.add(server.name)
+        server.shut_down()
+
     async def _restart_after_stop(self, server: Server) -> None:
         """Restarts an upstream that ended, with a new id at the old address."""
         await server.stopped.wait()
         self.servers.remove(server)
         await asyncio.sleep(ENTRY_REMOVED_AFTER_S)
         self.store.put("keyed.servers", server.name, None)
+        if server.name in self._retired:
+            return
         await asyncio.sleep(RESTART_AFTER_S - ENTRY_REMOVED_AFTER_S)
         ports = [int(address.split(":")[1]) for address in server.addresses]
         await self.start_server(server.service, server.version, ports)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -24,6 +24,7 @@
         self.streamed: Counter[str] = Counter()  # events sent, over all runs
         self.kind: dict[str, str] = {}
         self.prompt: dict[str, int] = {}
+        self.without_id: list[str] = []  # requests that arrived without an id
         self.ended: list[str] = []  # names of upstreams that a request crashed, in order
         self.overloaded_while_cold: list[str] = []  # names of upstreams overloaded while cold
         self.max_rate_while_cold = 0  # most requests at one cold engine in a second
@@ -37,6 +38,7 @@
         self.name = name
         self.service = service
         self.addresses: list[str] = []  # one for each router
+        self.event_interval_s = 0.01  # between two events of a stream
         self.cut_ratio = 0.0  # share of answers that are truncated
         self.unframed_ratio = 0.3  # share of streams that end with their connection
         self.decline_ratio = 0.0  # share of requests that are not run
@@ -121,6 +123,10 @@
 
     async def _run(self, request: Message, writer) -> bool:
         headers = request.headers
+        if "request-id" not in headers:
+            self._ledger.without_id.append(f"{self.name}: {request.start_line}")
+            writer.write(answer(400, Not_Executed="1"))
+            return True
         request_id = headers["request-id"]
         state = {"Server_Leaving": "1"} if self.leaving else {}
         if self.limit_per_s is not None:
@@ -172,7 +178,7 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         count = int(most) // TOKENS_PER_EVENT
         for number in range(int(request.headers.get("last-event-id", 0)) + 1, count + 1):
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.event_interval_s)
             event = (f"id: {number}\nversion: {self.version}\n"
                      f"data: {request_id} {number}\n\n").encode()
             if breaks and number > count // 2:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,8 @@
 from tests.soak.servers import TOKENS_PER_EVENT
 
 ROUTERS = 5
+# Long enough for faults to hit streams that have begun.
+EVENT_INTERVAL_S = 0.04
 # Requests to each side of a partition.
 FIRST_TRIES = 90
 # Seconds from an event until all routers act on it, by the platform's time limits.
@@ -25,13 +27,16 @@
 
 
 class Soak:
-    def __init__(self, seconds: float, seed: int, program: str, partitions: bool) -> None:
+    def __init__(self, seconds: float, seed: int, program: str, partitions: bool,
+                 keep_logs: bool) -> None:
         self._seconds = seconds
+        self._keep_logs = keep_logs
         self._partitions_wanted = partitions
         self._random = random.Random(seed)
         self._seed = seed
         self._program = program
         self.faults: list[str] = []
+        self._release_number = 0
         self._crash_requests = 0  # requests sent so far that crash upstreams
         self._crashed_after_quarantine = 0  # upstreams crashed by quarantined ones
         self._sent_evacuated = 0  # requests to an evacuated zone
@@ -47,7 +52,9 @@
     async def run(self) -> int:
         with tempfile.TemporaryDirectory() as folder:
             self._platform = Platform(folder, self._program, self._seed)
-            await self._platform.start(ROUTERS, engines=4)
+            self._platform.event_interval_s = EVENT_INTERVAL_S
+            await self._platform.start(ROUTERS, engines=6,
+                                       versions=("v1", "v1", "v2", "v2"))
             self._routers = self._platform.routers
             self._servers = self._platform.servers
             self._store = self._platform.store
@@ -59,7 +66,7 @@
             await faults
             await self._platform.stop()
             verdict = self._verdict(callers.seen)
-            if verdict:
+            if verdict or self._keep_logs:
                 self._platform.keep_logs(f"soak-{self._seed}")
             return verdict
 
@@ -68,7 +75,8 @@
                  self._store_down, self._lose_answers, self._forget, self._top_up,
                  self._cut_answers, self._decline, self._lapse, self._crash_under_a_request,
                  self._leave_unheard, self._ask_for_a_pause, self._evacuate,
-                 self._return_cold, self._name_limits, self._terminate_during_changes]
+                 self._return_cold, self._name_limits, self._terminate_during_changes,
+                 self._release, self._kill_under_streams]
         kinds += [self._partition] if self._partitions_wanted else []
         remaining: list = []
         while asyncio.get_running_loop().time() < until:
@@ -82,6 +90,15 @@
     async def _kill(self) -> None:
         await self._random.choice(self._routers).restart(signal.SIGKILL)
 
+    async def _kill_under_streams(self) -> None:
+        """Kills routers that callers use, one after the other, while engines of several
+        versions serve."""
+        for router in (await self._active_first())[:3]:
+            await self._top_up()
+            await asyncio.sleep(0.5)
+            await router.restart(signal.SIGKILL)
+            await self._platform.wait_for_figure("ready", 1)
+
     async def _kill_all(self) -> None:
         await asyncio.gather(*(router.restart(signal.SIGKILL) for router in self._routers))
 
@@ -128,6 +145,17 @@
             cut.address == address and begin <= cut.end <= end + margin_s
             for address, begin, end in self._shutdowns) for cut in seen.cuts)
 
+    async def _release(self) -> None:
+        """Replaces half of the engines one by one by those of a new version."""
+        self._release_number += 1
+        old = self._platform.engines
+        for server in old[: len(old) // 2]:
+            await self._platform.start_server("engines", f"v2.{self._release_number}")
+            await asyncio.sleep(self._random.uniform(0, 0.4))
+            self._store.put("keyed.servers", server.name, server.entry("draining"))
+            await asyncio.sleep(DRAIN_S)
+            self._platform.retire(server)
+
     async def _turn_away(self) -> None:
         ports = {router.store_port for router in self._random.sample(self._routers, 2)}
         self._store.refused_ports |= ports
@@ -319,6 +347,7 @@
         broken = {
             "overspend": max(0, spent - prepaid),
             "wrong answers": len(seen.wrong),
+            "streams of two versions": len(seen.mixed),
             "not run, but ran": len([i for i in seen.not_run if runs[i]]),
             "ran twice": len([i for i, n in runs.items()
                               if n > 1 and ledger.kind[i] in ("hold", "draft")]),
@@ -332,6 +361,7 @@
             "overloaded while cold": len(ledger.overloaded_while_cold),
             "cut by an orderly shutdown": self._cut_by_shutdowns(seen),
             "ran without a caller's id": len([i for i in runs if not i.startswith("r")]),
+            "arrived without an id": len(ledger.without_id),
         }
         print("faults:", " ".join(self.faults))
         print("outcomes:", dict(seen.outcomes), "store calls:", self._store.calls)
@@ -339,7 +369,9 @@
         print(f"tokens: {spent} of {prepaid}; most at a cold engine in a second:"
               f" {ledger.max_rate_while_cold}")
         print(f"partitions: failures of {FIRST_TRIES} there and elsewhere: {self._partitions}")
-        for wrong in seen.wrong[:5]:
+        print(f"streams: {seen.chats_begun} of {seen.chats} began,"
+              f" {seen.resumed_on} of {seen.resumed} were resumed")
+        for wrong in (seen.wrong + seen.mixed + ledger.without_id)[:5]:
             print("wrong:", wrong)
         print("soak:", ", ".join(f"{name} {count}" for name, count in broken.items()))
         return int(any(broken.values()))
@@ -351,10 +383,13 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--partitions", action="store_true",
                         help="also partition routers from the upstreams")
+    parser.add_argument("--keep-logs", action="store_true",
+                        help="keep the routers' logs even if no rule is broken")
     parser.add_argument("--build", default=os.environ.get("COPPERVALVE_BUILD", "build"))
     options = parser.parse_args()
     program = os.path.join(options.build, "coppervalved")
-    return asyncio.run(Soak(options.seconds, options.seed, program, options.partitions).run())
+    return asyncio.run(Soak(options.seconds, options.seed, program, options.partitions,
+                            options.keep_logs).run())
 
 
 if __name__ == "__main__":
