Records of streams: only of those that may be resumed

Cause: starts of streams on routes without resumption were recorded too; nobody can resume them. Change: they are left out. Conclusion: process-stream_versions and unit-gateway as before.

--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -202,7 +202,9 @@
   const core::UpstreamVersion version = m_attempt->version;
   if (m_event_versions.empty()) {
     m_stream_version = version;
-    m_context.on_stream_start({StreamId(), m_admitted.service, version});
+    if (Retryable()) {
+      m_context.on_stream_start({StreamId(), m_admitted.service, version});
+    }
   }
   if (m_event_versions.empty() || m_event_versions.back() != version) {
     m_event_versions.push_back(version);
