Partition: upstreams that get no request are no missing evidence

What callers saw: with two of four upstreams evacuated, a partitioned router refused all of its callers' requests. Cause: a partition took four upstreams as evidence, or all of fewer, also ones that may not be tried as they are evacuated, cold, paused or limited, and so never failed. Ruled out: relays (there was a sound one, nobody asked it). Change: only upstreams whose gate is open count, and at least one.

--- a/include/coppervalve/entry/upstream_reach.h
+++ b/include/coppervalve/entry/upstream_reach.h
@@ -38,7 +38,8 @@
   /// @return whether that ends a partition
   bool OnOpened(const core::ServiceId& service);
   /// @brief A connection could not be opened directly.
-  /// @param upstreams number of upstreams of the service; 0: unknown
+  /// @param upstreams number of upstreams of the service that may get
+  /// requests; 0: unknown
   /// @return whether that shows a partition that was not known
   bool OnFailed(const core::ServiceId& service,
                 const core::UpstreamId& upstream,
--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -11,6 +11,7 @@
 #include "coppervalve/core/units.h"
 #include "coppervalve/entry/relay_choice.h"
 #include "coppervalve/entry/upstream_directory.h"
+#include "coppervalve/entry/upstream_gate.h"
 #include "coppervalve/entry/upstream_reach.h"
 #include "coppervalve/gateway/connect_attempt.h"
 #include "coppervalve/gateway/event_log.h"
@@ -27,6 +28,7 @@
   struct Context {
     const Dialer& dialer;
     entry::UpstreamDirectory& directory;
+    const entry::UpstreamGate& gate;
     UpstreamPool& pool;
     EventLog& log;
     /// "ip:port" of the other routers that may relay.
@@ -83,6 +85,7 @@
   void Advance(core::TimePoint now);
 
  private:
+  size_t CountUsable(const core::ServiceId& service, core::TimePoint now) const;
   std::optional<std::string> ChooseRelay(
       const std::vector<std::string>& excluded,
       core::TimePoint now) const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -81,7 +81,7 @@
                         std::function<void()> on_refused) {
                    m_reach.AskOthers(upstream, std::move(on_refused));
                  }}),
-      m_reach({m_dialer, m_directory, m_pool, m_log,
+      m_reach({m_dialer, m_directory, m_gate, m_pool, m_log,
                [this] { return m_members.LoadAddresses(); },
                [this] { return m_members.NextLoadAddresses(); }, m_random}),
       m_tick(io) {
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -1,6 +1,7 @@
 #include "coppervalve/gateway/reach_monitor.h"
 
-#include <utility>  // move
+#include <algorithm>  // count_if, max
+#include <utility>    // move
 
 #include "coppervalve/net/clock.h"
 #include "relay_protocol.h"
@@ -59,12 +60,26 @@
 
 void ReachMonitor::OnFailed(const entry::UpstreamEntry& upstream,
                             core::TimePoint now) {
-  const size_t upstreams = m_context.directory.Of(upstream.service).size();
-  if (m_reach.OnFailed(upstream.service, upstream.id, upstreams, now)) {
+  if (m_reach.OnFailed(upstream.service, upstream.id,
+                       CountUsable(upstream.service, now), now)) {
     OnPartitioned(upstream.service);
   }
 }
 
+// Upstreams that get no request can't show a partition.
+size_t ReachMonitor::CountUsable(const core::ServiceId& service,
+                                 core::TimePoint now) const {
+  const auto& upstreams = m_context.directory.Of(service);
+  if (upstreams.empty()) {
+    return 0;
+  }
+  const auto usable = std::count_if(
+      upstreams.begin(), upstreams.end(), [&](const entry::UpstreamRef& one) {
+        return m_context.gate.StateOf(*one, now) == entry::GateState::kOpen;
+      });
+  return std::max(static_cast<size_t>(usable), size_t{1});
+}
+
 void ReachMonitor::OnRelayFailed(const std::string& relay,
                                  core::TimePoint now) {
   m_relays.OnFailed(relay, now);
