Harness: the port behind a router's metrics is reserved, too

Cause: a router uses the port behind its first internal port for datagrams and relays; the soak reserved another one instead. Change: two consecutive ports are reserved.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -13,7 +13,7 @@
 from tests.soak.http import read_message
 from tests.soak.servers import TOKENS_PER_EVENT, WARM_UP_S, Ledger, Server
 from tests.soak.store import Store
-from tools.harness.ports import free_port
+from tools.harness.ports import free_port, free_ports
 
 PREPAID = 150_000
 ZONES = ["a", "b"]
@@ -50,8 +50,9 @@
 class Router:
     def __init__(self, name: str, folder: str, program: str) -> None:
         self.name = name
-        self.front, self.ready, self.directory, self.metrics, self.loads = (
-            free_port() for _ in range(5))
+        self.front, self.ready, self.directory = (free_port() for _ in range(3))
+        # The router takes the port behind the first internal one for other routers.
+        self.metrics, self.loads = free_ports(2)
         self.store_port = 0
         self.read_mbs = 80.0  # read bandwidth that the store announces
         self._path = os.path.join(folder, name + ".toml")
--- a/tools/harness/ports.py
+++ b/tools/harness/ports.py
@@ -16,24 +16,38 @@
 _reservations: list[socket.socket] = []
 
 
-def free_port() -> int:
-    """Reserves a port until this process ends. Child processes can listen on it if they
-    set SO_REUSEADDR; no other process gets it in the meantime."""
+def _reserve(port: int) -> socket.socket | None:
+    reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        reservation.bind((HOST, port))
+    except OSError:
+        reservation.close()
+        return None
+    # Only after the bind, which would share the port with other reservations.
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return reservation
+
+
+def free_ports(count: int) -> list[int]:
+    """Reserves consecutive ports until this process ends. Child processes can listen on
+    them if they set SO_REUSEADDR; no other process gets them in the meantime."""
     for _ in range(_ATTEMPTS):
-        port = random.randint(_FIRST_PORT, _LAST_PORT)
-        reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            reservation.bind((HOST, port))
-        except OSError:
+        first = random.randint(_FIRST_PORT, _LAST_PORT - count + 1)
+        ports = list(range(first, first + count))
+        reserved = [_reserve(port) for port in ports]
+        if all(reserved):
+            _reservations.extend(reserved)
+            return ports
+        for reservation in filter(None, reserved):
             reservation.close()
-            continue
-        # Only after the bind, which would share the port with other reservations.
-        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        _reservations.append(reservation)
-        return port
     raise OSError("no free port found")
 
 
+def free_port() -> int:
+    """Reserves one port."""
+    return free_ports(1)[0]
+
+
 def is_free(port: int) -> bool:
     """Returns whether a process could listen on the port."""
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
