--- a/tests/entry/unit-stream-versions.cc
+++ b/tests/entry/unit-stream-versions.cc
@@ -33,6 +33,7 @@
 
   void List(const std::vector<std::string>& listed, double at) {
     std::vector<core::UpstreamVersion> all;
+    all.reserve(listed.size());
     for (const std::string& one : listed) {
       all.push_back(Version(one));
     }
--- a/tests/gateway/unit-stream-version.cc
+++ b/tests/gateway/unit-stream-version.cc
@@ -52,7 +52,7 @@
   // Breaks a stream off after its second event, also within the router.
   std::string Begin(const std::string& path, const std::string& id) {
     parts_before_break = 2;
-    const std::string answer = router.SendRequest(path, {}, id);
+    std::string answer = router.SendRequest(path, {}, id);
     parts_before_break = 0;
     return answer;
   }
@@ -99,22 +99,23 @@
   router.Start();
   const auto peer = router.StartPeer("router-2");
   std::vector<std::string> first;
-  for (int i = 0; i < 12; ++i) {
+  constexpr size_t kStreams = 12;
+  for (size_t i = 0; i < kStreams; ++i) {
     const std::string number = std::to_string(i);
     first.push_back(Begin("/chat/" + number, "r-" + number));
   }
   Settle();
   router.gateway.reset();
   router.settings.caller_address = router.peer_address;
-  int complete = 0;
-  for (int i = 0; i < 12; ++i) {
+  size_t complete = 0;
+  for (size_t i = 0; i < kStreams; ++i) {
     const std::string number = std::to_string(i);
     const std::string rest =
         Resume("/chat/" + number, "again-" + number, "r-" + number);
     CHECK(!Mixed(first[i] + rest));
     complete += Has(rest, "id: 6\n") ? 1 : 0;
   }
-  CHECK_EQUAL(12, complete);
+  CHECK_EQUAL(kStreams, complete);
 }
 
 // Guards against a guess when it isn't known at which version a stream started.
