--- a/tests/process/test_stream_versions.py
+++ b/tests/process/test_stream_versions.py
@@ -29,6 +29,24 @@
 
         run_scenario(scenario, routers=ROUTERS, engines=4, versions=("v1", "v2"))
 
+    def test_streams_find_room_at_the_last_two_engines_of_their_version(self) -> None:
+        """Guards against callers who can't resume their streams while new ones begin."""
+
+        async def scenario(platform: Platform) -> None:
+            begun = went_on = 0
+            streams: list[ResumableStream] = []
+            for number in range(ROUNDS):
+                load = asyncio.create_task(platform.send_many(3))
+                group = [ResumableStream(f"{number}{i:02x}", EVENTS) for i in range(2 * STREAMS)]
+                went_on += await self.break_off(platform, group, number % ROUTERS)
+                begun += sum(bool(s.numbers) for s in group)
+                streams += group
+                await load
+            self.assertEqual([s.versions for s in streams if s.mixed], [])
+            self.assertGreaterEqual(2 * went_on, begun)
+
+        run_scenario(scenario, routers=ROUTERS, engines=8, versions=("v1", "v2", "v2", "v2"))
+
     def test_a_stream_that_an_engine_breaks_off_goes_on_at_its_version(self) -> None:
         """Guards against an answer that holds events from two software versions."""
 
