--- a/tests/cli/operators_tool_fleet.sh
+++ b/tests/cli/operators_tool_fleet.sh
@@ -76,6 +76,7 @@
 if ! until_output 20 "router-1" "$tool" routers || ! until_output 20 "router-2" "$tool" routers ||
   ! until_output 20 "router-3" "$tool" routers; then
   echo "FAILED: the routers did not join"
+  tail -n 15 "$work"/*.out
   exit 1
 fi
 
