Request log lines name the shared parts of their prompts

Cause: the routers' lines could not tell a part of a prompt from an account or a bystander as what ends upstreams. Change: the adapter reads the ids of all parts but the last, each in one spelling; lines of requests carry up to eight of them as `prompt_parts`. Nothing decides by them yet.

--- a/include/coppervalve/entry/admission.h
+++ b/include/coppervalve/entry/admission.h
@@ -5,6 +5,7 @@
 #include <memory>    // shared_ptr
 #include <optional>  // optional
 #include <string>    // string
+#include <vector>    // vector
 
 #include "coppervalve/core/result.h"
 #include "coppervalve/core/units.h"
@@ -22,6 +23,8 @@
   core::Tokens prompt{};
   core::Tokens max_output{};
   std::string shared_prefix;  ///< prompt prefix shared with other requests
+  /// Ids of the parts of that prefix, in order, each in one spelling.
+  std::vector<std::string> shared_parts;
   core::Tokens shared_tokens{};
   std::string resume_after;  ///< id of the last event the caller received
   /// Id of the request that brought the stream's first event; empty if the
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -24,6 +24,9 @@
   return head.length ? "length" : "chunked";
 }
 
+// Bounds the length of log lines.
+constexpr size_t kMaxLoggedParts = 8;
+
 std::string Join(const std::vector<core::UpstreamVersion>& versions) {
   std::string text;
   for (const core::UpstreamVersion& version : versions) {
@@ -33,6 +36,14 @@
   return text;
 }
 
+std::string Join(const std::vector<std::string>& parts) {
+  std::string text;
+  for (size_t i = 0; i < parts.size() && i < kMaxLoggedParts; ++i) {
+    text += (i == 0 ? "" : " ") + parts[i];
+  }
+  return text;
+}
+
 }  // namespace
 
 void Exchange::Refuse(const core::Error& error,
@@ -150,6 +161,9 @@
   if (!m_event_versions.empty()) {
     line.Text("event_versions", Join(m_event_versions));
   }
+  if (!m_facts.shared_parts.empty()) {
+    line.Text("prompt_parts", Join(m_facts.shared_parts));
+  }
   if (m_fingerprint) {
     line.Text("content", m_fingerprint->ShortHex());
   }
--- a/tests/platform/unit-adapter.cc
+++ b/tests/platform/unit-adapter.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <string>  // string
+#include <vector>  // vector
 
 using namespace coppervalve;
 using namespace coppervalve::platform;
@@ -46,6 +47,20 @@
   CHECK_EQUAL(1'210, facts.shared_tokens.value());
 }
 
+TEST(PlatformAdapter, a_part_of_a_prompt_has_one_name_however_it_is_written) {
+  const auto parts = [&](const char* list) {
+    http1::RequestHead with_parts;
+    with_parts.headers.Add("Request-Id", "r-1");
+    with_parts.headers.Add("Prefix-Hash", list);
+    return core::Value(adapter.read_request(with_parts)).shared_parts;
+  };
+  const std::vector<std::string> same{"a0", "b"};
+  CHECK(parts("a0:800,b:410,c:1") == same);
+  CHECK(parts("00A0:9, 0B ,c:1") == same);
+  CHECK(parts("c:1").empty());
+  CHECK(parts("").empty());
+}
+
 TEST(PlatformAdapter, the_key_is_not_forwarded_to_the_server) {
   const http1::HeaderList headers = Upstream();
   CHECK(headers.Find("Authorization") == nullptr);
