--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -145,6 +145,7 @@
         self._retired: set[str] = set()  # names of upstreams that do not start again
         self.event_interval_s = 0.01  # of the engines' streams
         self.prepaid = PREPAID
+        self.crash_parts: set[str] = set()  # prompt parts that crash engines
         self.store = Store(seed)
         self.ledger = Ledger()
         self.servers: list[Server] = []
@@ -181,6 +182,7 @@
             server.turn_cold()
         server.event_interval_s = self.event_interval_s
         server.crash_marker = b"poison"
+        server.crash_parts = self.crash_parts
         self._starts += 1
         ports = ports or [free_port() for _ in range(self._router_count)]
         await server.listen(ports, self._partitioned)
@@ -260,15 +262,16 @@
             await asyncio.sleep(1 / FAULT_REQUESTS_PER_S)
         return (await asyncio.gather(*sends)).count(False)
 
-    async def send(self, body: str, prefix: str = "a", to: Router | None = None) -> bool:
-        """Sends a draft to a router, a random one by default. Returns whether it was
+    async def send(self, body: str, prefix: str = "a", to: Router | None = None,
+                   kind: str = "draft") -> bool:
+        """Sends a request to a router, a random one by default. Returns whether it was
         served."""
         router = to or self._random.choice(self.routers)
         self._number += 1
-        text = (f"POST /draft/x HTTP/1.1\r\nHost: {HOST}\r\n"
+        text = (f"POST /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\n"
                 f"Request-Id: {OFFICE_ID_PREFIX}{self._number}\r\n"
                 "Deadline-Ms: 3000\r\nAuthorization: Token office-key\r\nModel: m\r\n"
-                f"Token-Usage: 100,70\r\nPrefix-Hash: {prefix}:50,b:50\r\n"
+                f"Token-Usage: 100,70\r\nPrefix-Hash: {prefix}:50,b{self._number:x}:50\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n{body}")
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", router.front)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -14,6 +14,11 @@
 MAX_RATE_WHILE_COLD = 26
 
 
+def shared_parts(headers: dict[str, str]) -> set[str]:
+    """Returns the ids of the parts of a prompt, except the last one."""
+    return {part.split(":")[0] for part in headers.get("prefix-hash", "").split(",")[:-1]}
+
+
 class Ledger:
     """What ran where, by request id."""
 
@@ -26,6 +31,8 @@
         self.prompt: dict[str, int] = {}
         self.without_id: list[str] = []  # requests that arrived without an id
         self.ended: list[str] = []  # names of upstreams that a request crashed, in order
+        self.ended_by_part: list[float] = []  # when a part of a prompt crashed an upstream
+        self.arrived_with_part: list[float] = []  # when such requests reached an upstream
         self.overloaded_while_cold: list[str] = []  # names of upstreams overloaded while cold
         self.max_rate_while_cold = 0  # most requests at one cold engine in a second
 
@@ -43,6 +50,7 @@
         self.unframed_ratio = 0.3  # share of streams that end with their connection
         self.decline_ratio = 0.0  # share of requests that are not run
         self.crash_marker = b""  # a request whose body contains this ends the process
+        self.crash_parts: set[str] = set()  # prompt parts; answers to them end the process
         self.leaving = False  # reported in all answers
         self.retry_after_s = 0.0  # if set, all requests are declined with it as Retry-After
         self.limit_per_s: float | None = None  # reported in all answers
@@ -151,9 +159,7 @@
         self._ledger.kind[request_id] = request.start_line.split()[1].split("/")[1]
         if self.crash_marker and self.crash_marker in request.body:
             await asyncio.sleep(0.05)
-            if not self.stopped.is_set():
-                self._ledger.ended.append(self.name)
-            self.shut_down()
+            self._crash(self._ledger.ended, self.name)
             return False
         signed = {"Server_Signature": f"{self.name}.{request_id}", "Request_Id": request_id,
                   **state}
@@ -166,18 +172,33 @@
             return True
         return await self._stream(request, writer, signed, breaks)
 
+    def _crash(self, ended: list, entry: str | float) -> None:
+        if not self.stopped.is_set():
+            ended.append(entry)
+        self.shut_down()
+
     async def _stream(self, request: Message, writer, signed: dict, breaks: bool) -> bool:
-        request_id = request.headers["request-id"]
-        prompt, most = request.headers["token-usage"].split(",")
+        headers = request.headers
+        request_id = headers["request-id"]
+        prompt, most = headers["token-usage"].split(",")
         self._ledger.prompt[request_id] = int(prompt)
         framed = self._random.random() >= self.unframed_ratio
         frame = chunk if framed else bytes
         lines = ["HTTP/1.1 200 OK"]
         lines.append("Transfer-Encoding: chunked" if framed else "Connection: close")
         lines += [f"{name.replace('_', '-')}: {value}" for name, value in signed.items()]
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        crashes = not self.crash_parts.isdisjoint(shared_parts(headers))
+        if crashes:
+            self._ledger.arrived_with_part.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(0.02)
+        if not crashes or self._random.random() < 0.5:
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        if crashes:
+            await writer.drain()
+            self._crash(self._ledger.ended_by_part, asyncio.get_running_loop().time())
+            return False
         count = int(most) // TOKENS_PER_EVENT
-        for number in range(int(request.headers.get("last-event-id", 0)) + 1, count + 1):
+        for number in range(int(headers.get("last-event-id", 0)) + 1, count + 1):
             await asyncio.sleep(self.event_interval_s)
             event = (f"id: {number}\nversion: {self.version}\n"
                      f"data: {request_id} {number}\n\n").encode()
