--- a/include/coppervalve/entry/upstream.h
+++ b/include/coppervalve/entry/upstream.h
@@ -10,7 +10,7 @@
 #include "coppervalve/core/units.h"
 #include "coppervalve/entry/advertised_limit.h"
 #include "coppervalve/entry/brittleness.h"
-#include "coppervalve/entry/recent_prefixes.h"
+#include "coppervalve/entry/recent_hashes.h"
 #include "coppervalve/entry/upstream_health.h"
 #include "coppervalve/entry/upstream_senders.h"
 #include "coppervalve/entry/warm_up.h"
@@ -33,6 +33,10 @@
   core::Duration warm_up_left{};  ///< as of the time the entry was written
 };
 
+/// Engines evict the least recently used prefix; after this time caching can't
+/// be assumed.
+constexpr core::Duration kPrefixCachedFor{60'000'000};
+
 /// @brief One start of an upstream with the state that this router tracks for
 /// it.
 struct Upstream {
@@ -42,7 +46,9 @@
   uint32_t load_key = 0;   ///< its id in load reports
   uint32_t in_flight = 0;  ///< requests of this router
   double in_prefill = 0;   ///< prefill cost of requests without a response yet
-  RecentPrefixes prefixes;
+  /// Prompt prefixes that this router recently sent to it, so that they are
+  /// probably still in its cache.
+  RecentHashes prefixes{kPrefixCachedFor};
   WarmUpState warm_up;
   AdvertisedLimit limit;
   Brittleness brittleness;
