--- a/include/coppervalve/core/error.h
+++ b/include/coppervalve/core/error.h
@@ -56,6 +56,7 @@
   kBacklogFull = 415,
   kEndsUpstreams = 416,
   kStreamVersionUnknown = 417,
+  kPromptPartEndsUpstreams = 418,
   // 5xx: failed after dispatch to an upstream.
   kOutcomeUnknown = 501,
   kAnswerCut = 502,
--- a/include/coppervalve/entry/crash_record.h
+++ b/include/coppervalve/entry/crash_record.h
@@ -12,6 +12,8 @@
 #include "coppervalve/beat.pb.h"
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
+#include "coppervalve/entry/crash_rate.h"
+#include "coppervalve/entry/recent_hashes.h"
 #include "coppervalve/entry/request_fingerprint.h"
 #include "coppervalve/entry/upstream_directory.h"
 
@@ -22,14 +24,22 @@
 UpstreamStart StartOf(const UpstreamEntry& entry);
 
 /// @brief How a request is treated, given the upstreams that terminated while
-/// running it.
+/// running it or others with a part of its prompt. In order of severity.
 enum class QuarantineState : uint8_t {
   kClear,        ///< no terminations, or too few
+  kWatched,      ///< a part of its prompt is under suspicion: never repeated
   kSuspect,      ///< one more termination quarantines it: tried alone, never
                  ///< repeated
   kQuarantined,  ///< not sent to any upstream
 };
 
+/// @brief The trait of a request that decides how it is treated.
+struct Suspicion {
+  QuarantineState state = QuarantineState::kClear;
+  RequestFingerprint trait;
+  bool part = false;  ///< it is a part of the prompt
+};
+
 /// @brief Constants of the quarantine.
 struct CrashOptions {
   /// Terminations until a request is quarantined, and until it is suspect. A
@@ -39,6 +49,14 @@
   /// Terminations within this time of each other may have one cause, such as a
   /// rack failure, and do not quarantine a request on their own.
   core::Duration event_window{1'000'000};
+  /// Terminations under requests with a part of a prompt until the router no
+  /// longer repeats such requests. How many quarantine the part depends on how
+  /// frequent crashes are.
+  size_t watch_threshold = 2;
+  /// A part that an upstream completed within this time is no cause of a crash.
+  core::Duration innocence_time{2'000'000};
+  /// A part crashes an upstream when it begins to write, not after this time.
+  core::Duration max_writing_time{1'000'000};
   /// How long a termination is remembered that led to no quarantine.
   core::Duration suspicion_time{60'000'000};
   /// Duration of the first quarantine; doubled each time that a trial
@@ -59,13 +77,16 @@
 /// @brief Records the requests that were running when upstreams terminated, as
 /// seen by this router and as reported by all others. Requests are identified
 /// by content: one that crashes its upstreams is retried at any router under a
-/// new id, and each upstream on its own looks like a coincidental crash.
+/// new id, and each upstream on its own looks like a coincidental crash. The
+/// same is recorded of the parts of their prompts, as requests that crash
+/// upstreams by a common part need not be alike otherwise.
 ///
 /// The reports of a router are part of its heartbeat: writing one again changes
 /// nothing, the store keeps the newest, and every router reads it.
 class CrashRecord {
  public:
-  explicit CrashRecord(CrashOptions options) : m_options(options) {}
+  explicit CrashRecord(CrashOptions options)
+      : m_options(options), m_innocent_parts(options.innocence_time) {}
 
   /// @return whether no terminations are recorded
   bool empty() const { return m_cases.empty(); }
@@ -73,7 +94,9 @@
   /// the full fingerprint
   /// @complexity logarithmic, like all members but those for heartbeats
   bool MayContain(uint64_t quick_hash) const;
-  QuarantineState QuarantineStateOf(const RequestFingerprint& request) const;
+  QuarantineState QuarantineStateOf(const RequestFingerprint& trait) const;
+  /// @return the most severe state of all traits of a request
+  Suspicion Assess(const RequestTraits& request) const;
   /// @return time until a quarantined request may be tried again; 0 if it is
   /// not quarantined
   core::Duration RemainingQuarantine(const RequestFingerprint& request,
@@ -86,58 +109,68 @@
   void EndTrial(const RequestFingerprint& request) { m_trials.erase(request); }
 
   /// @brief A response broke off or timed out.
-  void OnBroken(const RequestFingerprint& request,
+  /// @param writing how long the upstream had been writing the response
+  void OnBroken(const RequestTraits& request,
                 UpstreamStart start,
-                core::TimePoint now);
+                core::TimePoint now,
+                core::Duration writing = core::Duration::zero());
   /// @brief A start of an upstream is known to have terminated.
-  /// @return the requests that the termination counts against
+  /// @return the contents of the requests that it interrupted
   std::vector<RequestFingerprint> OnTerminated(UpstreamStart start,
                                                core::TimePoint now);
-  /// @brief An upstream completed the request, so the terminations had other
-  /// causes.
+  /// @brief An upstream completed a request whose prompt has these parts.
+  /// @param parts quick hashes
+  void OnCompleted(const std::vector<uint64_t>& parts, core::TimePoint now);
+  /// @brief An upstream completed a request with these traits, so the
+  /// terminations had other causes.
   /// @return whether the change should be reported to other routers soon
-  bool OnSurvived(const RequestFingerprint& request, core::TimePoint now);
+  bool OnSurvived(const RequestTraits& request, core::TimePoint now);
 
   /// @brief Adds the reports for other routers to a heartbeat.
   void AddReportsTo(v1::RouterBeat& beat, core::TimePoint now) const;
   /// @brief Merges the heartbeat of another router. Lists beyond the maximum
   /// sizes are truncated.
-  /// @return requests that are quarantined as a result
-  std::vector<RequestFingerprint> OnHeartbeat(const v1::RouterBeat& beat,
-                                              core::TimePoint now);
+  void OnHeartbeat(const v1::RouterBeat& beat, core::TimePoint now);
   /// @brief Restores this router's own reports from the last heartbeat before
   /// its restart.
   void RestoreOwnReports(const v1::RouterBeat& beat, core::TimePoint now);
   /// @brief Drops expired records. To be called periodically.
   void Advance(core::TimePoint now);
 
-  size_t quarantined() const;
+  /// @return the traits that were quarantined since the last call
+  std::vector<Suspicion> TakeNewlyQuarantined();
+  size_t quarantined() const { return CountQuarantined(false); }
+  size_t quarantined_parts() const { return CountQuarantined(true); }
 
  private:
   enum class TerminationState : uint8_t {
     kCounts,
-    kSurvived,  ///< an upstream completed the request since
-    kExpired,   ///< the quarantine it led to is over
+    kSurvived,   ///< an upstream completed the request since
+    kExplained,  ///< a quarantined part of a prompt caused it
+    kExpired,    ///< the quarantine it led to is over
   };
   struct Termination {
     core::TimePoint since;  ///< when it entered this state
     TerminationState state = TerminationState::kCounts;
     bool own = false;  ///< this router observed the cause of the state
   };
+  /// The evidence against one trait.
   struct Case {
     std::map<UpstreamStart, Termination> terminations;
+    bool part = false;  ///< the trait is a part of a prompt
     core::TimePoint changed;
     /// The terminations belong to more than one event.
     bool separate_events = false;
     bool probation = false;
     bool quarantined = false;
+    bool refused_elsewhere = false;
     uint32_t quarantine_count = 0;  ///< number of quarantines so far
     core::TimePoint quarantined_at;
   };
   struct BrokenRun {
     core::TimePoint at;
     UpstreamStart start;
-    RequestFingerprint request;
+    RequestTraits request;
   };
 
   /// Order in which cases are kept and reported: quarantined first, then by
@@ -145,23 +178,45 @@
   using Priority = std::tuple<bool, size_t, core::TimePoint>;
   static Priority PriorityOf(const Case& crash_case);
   static size_t CountedTerminations(const Case& crash_case);
-  Case& CaseOf(const RequestFingerprint& request, core::TimePoint now);
-  void Add(const RequestFingerprint& request,
+  static size_t OwnTerminations(const Case& crash_case);
+  size_t CountQuarantined(bool part) const;
+  QuarantineState StateOf(const Case& crash_case) const;
+  Case& CaseOf(const RequestFingerprint& trait, bool part, core::TimePoint now);
+  std::vector<RequestTraits> TakeInterrupted(UpstreamStart start,
+                                             core::TimePoint now);
+  bool IsExplained(UpstreamStart start,
+                   const std::vector<RequestTraits>& interrupted) const;
+  void Charge(const RequestTraits& request,
+              UpstreamStart start,
+              core::TimePoint now);
+  void Add(const RequestFingerprint& trait,
+           bool part,
            UpstreamStart start,
            bool own,
            core::TimePoint now);
-  void Evaluate(Case& crash_case, core::TimePoint now) const;
+  size_t TerminationsNeeded(const Case& crash_case) const;
+  static size_t TerminationsToAgree(const Case& crash_case);
+  bool Qualifies(Case& crash_case, core::TimePoint now) const;
+  void EvaluateChanged(core::TimePoint now);
+  void Quarantine(const RequestFingerprint& trait,
+                  Case& crash_case,
+                  core::TimePoint now);
+  void ExplainTerminations(const Case& cause, core::TimePoint now);
+  void InsertCounted(const Case& cause);
+  void EndQuarantine(Case& crash_case);
   core::Duration QuarantineTime(const Case& crash_case) const;
-  static void SetTerminationState(Case& crash_case,
-                                  TerminationState state,
-                                  bool own,
-                                  core::TimePoint now);
+  bool ClearSurvived(const RequestFingerprint& trait, core::TimePoint now);
+  void SetTerminationState(Case& crash_case,
+                           TerminationState state,
+                           bool own,
+                           core::TimePoint now);
   bool IsReported(const Case& crash_case,
                   const Termination& termination,
                   core::TimePoint now) const;
-  v1::CrashCase ReportOf(const RequestFingerprint& request,
+  v1::CrashCase ReportOf(const RequestFingerprint& trait,
                          const Case& crash_case,
                          core::TimePoint now) const;
+  void MergeAll(const v1::RouterBeat& beat, bool own, core::TimePoint now);
   void Merge(const v1::CrashCase& report, bool own, core::TimePoint now);
   void MergeSurvived(Case& crash_case,
                      const v1::CrashCase& report,
@@ -169,9 +224,17 @@
                      core::TimePoint now);
 
   CrashOptions m_options;
+  CrashRate m_rate;
   std::map<RequestFingerprint, Case> m_cases;
   std::set<RequestFingerprint> m_trials;
   std::deque<BrokenRun> m_broken_runs;
+  /// Quick hashes of parts that upstreams completed lately.
+  RecentHashes m_innocent_parts;
+  /// Terminations that quarantined parts of prompts caused.
+  std::set<UpstreamStart> m_explained;
+  /// Traits with new evidence that was not evaluated yet.
+  std::set<RequestFingerprint> m_changed;
+  std::vector<Suspicion> m_newly_quarantined;
 };
 
 }  // namespace coppervalve::entry
--- a/include/coppervalve/entry/request_fingerprint.h
+++ b/include/coppervalve/entry/request_fingerprint.h
@@ -5,6 +5,8 @@
 #include <cstdint>      // uint64_t
 #include <string>       // string
 #include <string_view>  // string_view
+#include <utility>      // move
+#include <vector>       // vector
 
 #include "coppervalve/core/ids.h"
 
@@ -36,11 +38,29 @@
   std::string ShortHex() const;
 };
 
+/// @brief The properties of a request that may crash upstreams: all of its
+/// content, or one of the parts of its prompt that other requests have too.
+struct RequestTraits {
+  // Implicit: most requests have no such parts.
+  RequestTraits(RequestFingerprint content_in,
+                std::vector<RequestFingerprint> parts_in = {})
+      : content(std::move(content_in)), parts(std::move(parts_in)) {}
+
+  RequestFingerprint content;
+  std::vector<RequestFingerprint> parts;
+};
+
 /// @complexity linear in the target
 uint64_t QuickHashOf(const RequestContent& content);
 /// @complexity linear in the body
 RequestFingerprint FingerprintOf(const RequestContent& content);
 
+/// @brief The same for a part of a prompt. It is the same part for all
+/// accounts, as upstreams share its cache entries between them.
+uint64_t QuickHashOfPart(const core::ServiceId& service, std::string_view part);
+RequestFingerprint FingerprintOfPart(const core::ServiceId& service,
+                                     std::string_view part);
+
 }  // namespace coppervalve::entry
 
 #endif  // COPPERVALVE_ENTRY_REQUEST_FINGERPRINT_H_
--- a/include/coppervalve/gateway/crash_monitor.h
+++ b/include/coppervalve/gateway/crash_monitor.h
@@ -29,21 +29,22 @@
   CrashMonitor(const Dialer& dialer, EventLog& log, Hooks hooks);
 
   /// @brief A response was cut off, or did not come in time.
+  /// @param writing how long the upstream had been writing the response
   void OnBroken(const entry::UpstreamRef& upstream,
-                const entry::RequestFingerprint& request);
+                const entry::RequestTraits& request,
+                core::Duration writing);
   /// @brief An instance of an upstream is known to have ended.
   /// @param by how this was detected, for the log
   void OnTerminated(const entry::UpstreamEntry& entry, std::string_view by);
   /// @brief An upstream ran the request to completion.
-  void OnSurvived(const entry::RequestFingerprint& request);
+  void OnSurvived(const entry::RequestTraits& request);
   /// @brief Another router's heartbeat was read.
   void OnHeartbeat(const v1::RouterBeat& beat);
 
   entry::CrashRecord& record() { return m_record; }
 
  private:
-  void LogQuarantined(const entry::RequestFingerprint& request,
-                      std::string_view by);
+  void LogNewlyQuarantined(std::string_view by);
 
   EventLog& m_log;
   Hooks m_hooks;
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -4,7 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>      // size_t
-#include <cstdint>      // uint32_t
+#include <cstdint>      // uint32_t, uint64_t
 #include <functional>   // function
 #include <memory>       // shared_ptr, enable_shared_from_this
 #include <optional>     // optional
@@ -115,13 +115,15 @@
     std::string relay;  ///< router through which it is opened; empty: directly
     bool opening = false;
     core::TimePoint started_at;
+    std::optional<core::TimePoint> first_event_at;
     UpstreamResponseInfo answer;
-    double prefill_cost = 0;   ///< its part of the upstream's in_prefill
-    double total_prefill = 0;  ///< that and the work queued before it
-    double cost = 0;           ///< expected cost at placement
-    bool events = false;       ///< the body is a stream of events
-    bool forwarding = false;   ///< the response is sent to the caller
-    bool end_checked = false;  ///< the upstream did not crash at its end
+    double prefill_cost = 0;     ///< its part of the upstream's in_prefill
+    double total_prefill = 0;    ///< that and the work queued before it
+    double cost = 0;             ///< expected cost at placement
+    bool events = false;         ///< the body is a stream of events
+    bool forwarding = false;     ///< the response is sent to the caller
+    bool end_checked = false;    ///< the upstream did not crash at its end
+    bool end_confirmed = false;  ///< it accepted a connection afterwards
     bool ends_with_connection = false;  ///< the response
     bool resumed = false;
   };
@@ -190,12 +192,18 @@
 
   entry::RequestContent Content() const;
   const entry::RequestFingerprint& Fingerprint();
-  bool MayHaveCrashedUpstreams() const;
-  entry::QuarantineState CurrentQuarantineState();
+  const std::vector<uint64_t>& PartHashes();
+  entry::RequestTraits Traits();
+  bool MayHaveCrashedUpstreams();
+  entry::Suspicion CurrentSuspicion();
   /// @brief Refuses a request that crashed upstreams.
   /// @return whether it was refused
   bool RefuseIfCrashesUpstreams();
-  void ReportSurvived();
+  void ReportBroken();
+  /// @brief Whether the complete response shows that the request crashes no
+  /// upstream.
+  bool ProvesHarmless() const;
+  void ReportCompleted();
   bool IsStream() const;
   /// @brief Whether the caller resumes a stream of an earlier request.
   bool ResumesStream() const;
@@ -253,11 +261,13 @@
   uint32_t m_placements = 0;     ///< placements, sent or not
   bool m_may_have_run = false;   ///< at any upstream
   bool m_response_begun = false;
-  bool m_on_trial = false;  ///< occupies the trial slot of its fingerprint
   bool m_done = false;
   std::string m_last_failure;
   std::optional<entry::RequestFingerprint>
-      m_fingerprint;                  ///< computed on first use
+      m_fingerprint;                    ///< computed on first use
+  std::vector<uint64_t> m_part_hashes;  ///< likewise
+  /// The trait whose trial slot the request occupies.
+  std::optional<entry::RequestFingerprint> m_trial;
   entry::Placement m_last_placement;  ///< the latest one
   /// Chosen before tokens were reserved; valid until the request has to wait.
   std::optional<entry::Placement> m_prepared_placement;
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -26,6 +26,7 @@
   bool ready = false;
   bool store_up = false;
   uint64_t quarantined_requests = 0;  ///< identified by their content
+  uint64_t quarantined_parts = 0;     ///< of prompts
   bool follows_upstreams = true;      ///< whether this router reads their table
   uint64_t evacuated_domains = 0;
   uint64_t limited_upstreams = 0;  ///< with a declared rate limit
--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -24,6 +24,9 @@
 /// router's own network is partitioned from them.
 class ReachMonitor {
  public:
+  /// Whether an upstream accepts connections after a response ended.
+  enum class EndCheck : uint8_t { kAccepts, kRefuses, kUnknown };
+
   /// Objects that outlive the monitor.
   struct Context {
     const Dialer& dialer;
@@ -71,11 +74,10 @@
                  std::function<void()> on_refused);
   /// @brief Finds out whether an upstream still accepts connections.
   /// @param relay the router through which it was reached; empty: none
-  /// @param on_done called once, with true if a connection was refused; never
-  /// from within the call
+  /// @param on_done called once, never from within the call
   void CheckRefuses(const entry::UpstreamEntry& upstream,
                     const std::string& relay,
-                    std::function<void(bool refused)> on_done);
+                    std::function<void(EndCheck)> on_done);
   bool IsPartitioned(const core::ServiceId& service) const {
     return m_reach.IsPartitioned(service);
   }
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -54,6 +54,8 @@
     {ErrorId::kBacklogFull, "backlog_full", 503, kNotRun},
     {ErrorId::kEndsUpstreams, "ends_upstreams", 503, kNotRun},
     {ErrorId::kStreamVersionUnknown, "stream_version_unknown", 503, kNotRun},
+    {ErrorId::kPromptPartEndsUpstreams, "prompt_part_ends_upstreams", 503,
+     kNotRun},
     {ErrorId::kOutcomeUnknown, "outcome_unknown", 502, kUnknown},
     {ErrorId::kAnswerCut, "answer_cut", 502, kUnknown},
     {ErrorId::kUpstreamFailed, "upstream_failed", 502, kUnknown},
--- a/src/entry/crash_record.cc
+++ b/src/entry/crash_record.cc
@@ -1,8 +1,8 @@
 #include "coppervalve/entry/crash_record.h"
 
-#include <algorithm>  // count_if, max, min, min_element, sort
+#include <algorithm>  // any_of, count_if, max, max_element, min, min_element
 #include <string>     // to_string
-#include <utility>    // move
+#include <utility>    // exchange, pair
 
 #include "coppervalve/core/hash.h"
 
@@ -10,10 +10,10 @@
 
 namespace {
 
-// More than any well-behaved router reports for one request.
-constexpr int kMaxTerminationsRead = 16;
 constexpr size_t kMaxTerminationsKept = 32;
 constexpr size_t kMaxBrokenRuns = 1'024;
+// A caller may list as many parts as its headers have room for.
+constexpr size_t kMaxPartsCharged = 64;
 // Bounds the quarantine: a release may fix the fault, and nobody lifts
 // quarantines by hand.
 constexpr uint32_t kMaxDoublings = 6;
@@ -47,20 +47,38 @@
   return first != m_cases.end() && first->first.quick_hash == quick_hash;
 }
 
-QuarantineState CrashRecord::QuarantineStateOf(
-    const RequestFingerprint& request) const {
-  const auto found = m_cases.find(request);
-  if (found == m_cases.end()) {
-    return QuarantineState::kClear;
-  }
-  const Case& crash_case = found->second;
+QuarantineState CrashRecord::StateOf(const Case& crash_case) const {
   if (crash_case.quarantined) {
     return QuarantineState::kQuarantined;
   }
-  return crash_case.probation ||
-                 CountedTerminations(crash_case) >= m_options.suspect_threshold
-             ? QuarantineState::kSuspect
-             : QuarantineState::kClear;
+  if (crash_case.probation) {
+    return QuarantineState::kSuspect;
+  }
+  const size_t terminations = CountedTerminations(crash_case);
+  if (crash_case.part) {
+    return terminations >= m_options.watch_threshold ? QuarantineState::kWatched
+                                                     : QuarantineState::kClear;
+  }
+  return terminations >= m_options.suspect_threshold ? QuarantineState::kSuspect
+                                                     : QuarantineState::kClear;
+}
+
+QuarantineState CrashRecord::QuarantineStateOf(
+    const RequestFingerprint& trait) const {
+  const auto found = m_cases.find(trait);
+  return found == m_cases.end() ? QuarantineState::kClear
+                                : StateOf(found->second);
+}
+
+Suspicion CrashRecord::Assess(const RequestTraits& request) const {
+  Suspicion worst{QuarantineStateOf(request.content), request.content, false};
+  for (const RequestFingerprint& part : request.parts) {
+    const QuarantineState state = QuarantineStateOf(part);
+    if (state > worst.state) {
+      worst = {state, part, true};
+    }
+  }
+  return worst;
 }
 
 core::Duration CrashRecord::QuarantineTime(const Case& crash_case) const {
@@ -87,9 +105,10 @@
   return m_trials.insert(request).second;
 }
 
-CrashRecord::Case& CrashRecord::CaseOf(const RequestFingerprint& request,
+CrashRecord::Case& CrashRecord::CaseOf(const RequestFingerprint& trait,
+                                       bool part,
                                        core::TimePoint now) {
-  if (m_cases.size() >= m_options.max_requests && !m_cases.contains(request)) {
+  if (m_cases.size() >= m_options.max_requests && !m_cases.contains(trait)) {
     // A caller with many such requests must not exhaust the memory.
     const auto evicted = std::min_element(
         m_cases.begin(), m_cases.end(), [](const auto& a, const auto& b) {
@@ -97,31 +116,74 @@
         });
     m_cases.erase(evicted);
   }
-  Case& crash_case = m_cases[request];
+  Case& crash_case = m_cases[trait];
+  crash_case.part = part;
   crash_case.changed = now;
   return crash_case;
 }
 
-void CrashRecord::Add(const RequestFingerprint& request,
+void CrashRecord::Add(const RequestFingerprint& trait,
+                      bool part,
                       UpstreamStart start,
                       bool own,
                       core::TimePoint now) {
-  Case& crash_case = CaseOf(request, now);
+  if (m_explained.contains(start) &&
+      QuarantineStateOf(trait) != QuarantineState::kQuarantined) {
+    return;
+  }
+  Case& crash_case = CaseOf(trait, part, now);
   if (crash_case.terminations.size() >= kMaxTerminationsKept &&
       !crash_case.terminations.contains(start)) {
     return;
   }
   const auto [termination, added] = crash_case.terminations.try_emplace(
       start, Termination{now, TerminationState::kCounts, own});
-  if (added) {
-    Evaluate(crash_case, now);
+  if (!added) {
+    return;
+  }
+  m_changed.insert(trait);
+  if (part && crash_case.quarantined) {
+    ExplainTerminations(crash_case, now);
   }
 }
 
-void CrashRecord::Evaluate(Case& crash_case, core::TimePoint now) const {
-  if (crash_case.quarantined) {
+// If several parts qualify, those with the most terminations are the cause:
+// the others were present only because they share requests with them.
+void CrashRecord::EvaluateChanged(core::TimePoint now) {
+  const std::set<RequestFingerprint> changed =
+      std::exchange(m_changed, std::set<RequestFingerprint>());
+  std::vector<std::pair<size_t, RequestFingerprint>> parts;
+  for (const RequestFingerprint& trait : changed) {
+    const auto found = m_cases.find(trait);
+    if (found == m_cases.end() || !Qualifies(found->second, now)) {
+      continue;
+    }
+    if (found->second.part) {
+      parts.emplace_back(CountedTerminations(found->second), trait);
+    } else {
+      Quarantine(trait, found->second, now);
+    }
+  }
+  if (parts.empty()) {
     return;
   }
+  const size_t most = std::max_element(parts.begin(), parts.end())->first;
+  for (const auto& [terminations, trait] : parts) {
+    if (terminations == most) {
+      Quarantine(trait, m_cases.at(trait), now);
+    }
+  }
+  for (const auto& [terminations, trait] : parts) {
+    if (terminations == most) {
+      ExplainTerminations(m_cases.at(trait), now);
+    }
+  }
+}
+
+bool CrashRecord::Qualifies(Case& crash_case, core::TimePoint now) const {
+  if (crash_case.quarantined) {
+    return false;
+  }
   core::TimePoint first = now;
   size_t counted = 0;
   for (const auto& [start, termination] : crash_case.terminations) {
@@ -132,52 +194,195 @@
   }
   crash_case.separate_events =
       crash_case.separate_events || now - first > m_options.event_window;
-  const size_t needed =
-      crash_case.probation ? 1 : m_options.quarantine_threshold;
-  if (counted < needed ||
-      (!crash_case.separate_events && !crash_case.probation)) {
-    return;
+  return counted >= TerminationsNeeded(crash_case) &&
+         (crash_case.separate_events || crash_case.probation);
+}
+
+// Most requests that ran when an upstream terminated are alike in parts of
+// their prompts, so how many terminations are no coincidence depends on how
+// often any run ends that way. The same content is rarely sent twice.
+size_t CrashRecord::TerminationsNeeded(const Case& crash_case) const {
+  if (crash_case.probation) {
+    return 1;
   }
+  if (!crash_case.part) {
+    return m_options.quarantine_threshold;
+  }
+  return std::min(m_rate.CrashesThatProve(OwnTerminations(crash_case)),
+                  TerminationsToAgree(crash_case));
+}
+
+size_t CrashRecord::OwnTerminations(const Case& crash_case) {
+  return static_cast<size_t>(std::count_if(
+      crash_case.terminations.begin(), crash_case.terminations.end(),
+      [](const auto& termination) {
+        return termination.second.state == TerminationState::kCounts &&
+               termination.second.own;
+      }));
+}
+
+void CrashRecord::Quarantine(const RequestFingerprint& trait,
+                             Case& crash_case,
+                             core::TimePoint now) {
   crash_case.quarantined = true;
   crash_case.quarantined_at = now;
   ++crash_case.quarantine_count;
+  m_newly_quarantined.push_back(
+      {QuarantineState::kQuarantined, trait, crash_case.part});
+}
+
+std::vector<Suspicion> CrashRecord::TakeNewlyQuarantined() {
+  return std::exchange(m_newly_quarantined, {});
+}
+
+// Upstreams that a quarantined part crashed are no evidence against the other
+// requests that ran there. Without this, crashes at a high rate would soon be
+// held against much of the traffic.
+void CrashRecord::ExplainTerminations(const Case& cause, core::TimePoint now) {
+  InsertCounted(cause);
+  for (auto& [trait, crash_case] : m_cases) {
+    if (crash_case.quarantined || crash_case.probation) {
+      continue;
+    }
+    for (auto& [start, termination] : crash_case.terminations) {
+      if (termination.state == TerminationState::kCounts &&
+          m_explained.contains(start)) {
+        termination = {now, TerminationState::kExplained, false};
+      }
+    }
+  }
+}
+
+void CrashRecord::EndQuarantine(Case& crash_case) {
+  if (!std::exchange(crash_case.quarantined, false) || !crash_case.part) {
+    return;
+  }
+  m_explained.clear();
+  for (const auto& [trait, other] : m_cases) {
+    if (other.part && other.quarantined) {
+      InsertCounted(other);
+    }
+  }
+}
+
+void CrashRecord::InsertCounted(const Case& cause) {
+  for (const auto& [start, termination] : cause.terminations) {
+    if (termination.state == TerminationState::kCounts) {
+      m_explained.insert(start);
+    }
+  }
 }
 
-void CrashRecord::OnBroken(const RequestFingerprint& request,
+void CrashRecord::OnBroken(const RequestTraits& request,
                            UpstreamStart start,
-                           core::TimePoint now) {
+                           core::TimePoint now,
+                           core::Duration writing) {
   if (m_broken_runs.size() >= kMaxBrokenRuns) {
     m_broken_runs.pop_front();
   }
   m_broken_runs.push_back({now, start, request});
+  if (writing > m_options.max_writing_time) {
+    m_broken_runs.back().request.parts.clear();
+  }
 }
 
-std::vector<RequestFingerprint> CrashRecord::OnTerminated(UpstreamStart start,
-                                                          core::TimePoint now) {
-  std::vector<RequestFingerprint> affected;
+std::vector<RequestTraits> CrashRecord::TakeInterrupted(UpstreamStart start,
+                                                        core::TimePoint now) {
+  std::vector<RequestTraits> interrupted;
   for (const BrokenRun& broken : m_broken_runs) {
     const bool in_time = now - broken.at <= m_options.detection_time;
     if (broken.start == start && in_time) {
-      affected.push_back(broken.request);
+      interrupted.push_back(broken.request);
     }
   }
   std::erase_if(m_broken_runs,
                 [&](const BrokenRun& broken) { return broken.start == start; });
-  for (const RequestFingerprint& request : affected) {
-    Add(request, start, true, now);
+  return interrupted;
+}
+
+bool CrashRecord::IsExplained(
+    UpstreamStart start,
+    const std::vector<RequestTraits>& interrupted) const {
+  return m_explained.contains(start) ||
+         std::any_of(interrupted.begin(), interrupted.end(),
+                     [this](const RequestTraits& request) {
+                       const Suspicion worst = Assess(request);
+                       return worst.part &&
+                              worst.state == QuarantineState::kQuarantined;
+                     });
+}
+
+std::vector<RequestFingerprint> CrashRecord::OnTerminated(UpstreamStart start,
+                                                          core::TimePoint now) {
+  const std::vector<RequestTraits> interrupted = TakeInterrupted(start, now);
+  const bool explained = IsExplained(start, interrupted);
+  if (explained) {
+    m_explained.insert(start);
+  }
+  std::vector<RequestFingerprint> contents;
+  for (const RequestTraits& request : interrupted) {
+    contents.push_back(request.content);
+    if (!explained && !request.parts.empty()) {
+      m_rate.OnCrashed(now);
+    }
+    Charge(request, start, now);
+  }
+  EvaluateChanged(now);
+  return contents;
+}
+
+// A repeat of the same request tells nothing new about its parts.
+void CrashRecord::Charge(const RequestTraits& request,
+                         UpstreamStart start,
+                         core::TimePoint now) {
+  const auto known = m_cases.find(request.content);
+  const bool repeated =
+      known != m_cases.end() && CountedTerminations(known->second) != 0;
+  Add(request.content, false, start, true, now);
+  if (repeated) {
+    return;
+  }
+  const size_t parts = std::min(request.parts.size(), kMaxPartsCharged);
+  for (size_t i = 0; i < parts; ++i) {
+    const RequestFingerprint& part = request.parts[i];
+    if (!m_innocent_parts.Contains(part.quick_hash, now)) {
+      Add(part, true, start, true, now);
+    }
+  }
+}
+
+void CrashRecord::OnCompleted(const std::vector<uint64_t>& parts,
+                              core::TimePoint now) {
+  if (parts.empty()) {
+    return;
+  }
+  m_rate.OnCompleted(now);
+  for (const uint64_t part : parts) {
+    m_innocent_parts.Insert(part, now);
   }
-  return affected;
 }
 
 // A request that crashes every upstream can't have been completed by one.
 // Without this, requests with a popular content would be rejected after a
 // series of unrelated crashes.
-bool CrashRecord::OnSurvived(const RequestFingerprint& request,
+bool CrashRecord::OnSurvived(const RequestTraits& request,
                              core::TimePoint now) {
   std::erase_if(m_broken_runs, [&](const BrokenRun& broken) {
-    return broken.request == request;
+    return broken.request.content == request.content;
   });
-  const auto found = m_cases.find(request);
+  bool changed = ClearSurvived(request.content, now);
+  for (const RequestFingerprint& part : request.parts) {
+    for (BrokenRun& broken : m_broken_runs) {
+      std::erase(broken.request.parts, part);
+    }
+    changed = ClearSurvived(part, now) || changed;
+  }
+  return changed;
+}
+
+bool CrashRecord::ClearSurvived(const RequestFingerprint& trait,
+                                core::TimePoint now) {
+  const auto found = m_cases.find(trait);
   if (found == m_cases.end()) {
     return false;
   }
@@ -196,137 +401,15 @@
       termination = {now, state, own};
     }
   }
-  crash_case.quarantined = false;
   crash_case.probation = state == TerminationState::kExpired;
   crash_case.separate_events = false;
+  crash_case.refused_elsewhere = false;
   crash_case.changed = now;
-}
-
-bool CrashRecord::IsReported(const Case& crash_case,
-                             const Termination& termination,
-                             core::TimePoint now) const {
-  const bool recent = now - termination.since <= m_options.report_time;
-  switch (termination.state) {
-    case TerminationState::kCounts:
-      return termination.own && (crash_case.quarantined || recent);
-    case TerminationState::kSurvived:
-      return termination.own && recent;
-    case TerminationState::kExpired:
-      break;
-  }
-  return false;
-}
-
-v1::CrashCase CrashRecord::ReportOf(const RequestFingerprint& request,
-                                    const Case& crash_case,
-                                    core::TimePoint now) const {
-  v1::CrashCase report;
-  for (const auto& [start, termination] : crash_case.terminations) {
-    if (!IsReported(crash_case, termination, now)) {
-      continue;
-    }
-    if (termination.state == TerminationState::kSurvived) {
-      report.add_survived(start.value());
-    } else {
-      report.add_ended(start.value());
-    }
-  }
-  report.set_request(request.ToBytes());
-  report.set_apart(crash_case.separate_events);
-  return report;
-}
-
-void CrashRecord::AddReportsTo(v1::RouterBeat& beat,
-                               core::TimePoint now) const {
-  std::vector<std::pair<Priority, v1::CrashCase>> all;
-  for (const auto& [request, crash_case] : m_cases) {
-    v1::CrashCase report = ReportOf(request, crash_case, now);
-    if (report.ended_size() != 0 || report.survived_size() != 0) {
-      all.emplace_back(PriorityOf(crash_case), std::move(report));
-    }
-  }
-  std::sort(all.begin(), all.end(),
-            [](const auto& a, const auto& b) { return a.first > b.first; });
-  all.resize(std::min(all.size(), m_options.max_reported));
-  for (auto& [priority, report] : all) {
-    *beat.add_crashes() = std::move(report);
-  }
-}
-
-void CrashRecord::Merge(const v1::CrashCase& report,
-                        bool own,
-                        core::TimePoint now) {
-  const RequestFingerprint request =
-      RequestFingerprint::FromBytes(report.request());
-  if (request.digest.empty()) {
-    return;
-  }
-  const int terminations = std::min(report.ended_size(), kMaxTerminationsRead);
-  for (int i = 0; i < terminations; ++i) {
-    Add(request, UpstreamStart(report.ended(i)), own, now);
-  }
-  const auto found = m_cases.find(request);
-  if (found == m_cases.end()) {
-    return;
-  }
-  MergeSurvived(found->second, report, own, now);
-  if (terminations != 0 && CountedTerminations(found->second) != 0) {
-    found->second.separate_events =
-        found->second.separate_events || report.apart();
-    Evaluate(found->second, now);
-  }
-}
-
-void CrashRecord::MergeSurvived(Case& crash_case,
-                                const v1::CrashCase& report,
-                                bool own,
-                                core::TimePoint now) {
-  const int survived = std::min(report.survived_size(), kMaxTerminationsRead);
-  for (int i = 0; i < survived; ++i) {
-    const auto termination =
-        crash_case.terminations.find(UpstreamStart(report.survived(i)));
-    if (termination != crash_case.terminations.end() &&
-        termination->second.state != TerminationState::kSurvived) {
-      termination->second = {now, TerminationState::kSurvived, own};
-    }
-  }
-  if (survived != 0 && CountedTerminations(crash_case) == 0) {
-    crash_case.quarantined = false;
-    crash_case.probation = false;
-    crash_case.separate_events = false;
-  }
-}
-
-std::vector<RequestFingerprint> CrashRecord::OnHeartbeat(
-    const v1::RouterBeat& beat,
-    core::TimePoint now) {
-  std::vector<RequestFingerprint> quarantined;
-  const int count =
-      std::min(beat.crashes_size(), static_cast<int>(m_options.max_reported));
-  for (int i = 0; i < count; ++i) {
-    const RequestFingerprint request =
-        RequestFingerprint::FromBytes(beat.crashes(i).request());
-    const bool before =
-        QuarantineStateOf(request) == QuarantineState::kQuarantined;
-    Merge(beat.crashes(i), false, now);
-    if (!before &&
-        QuarantineStateOf(request) == QuarantineState::kQuarantined) {
-      quarantined.push_back(request);
-    }
-  }
-  return quarantined;
-}
-
-void CrashRecord::RestoreOwnReports(const v1::RouterBeat& beat,
-                                    core::TimePoint now) {
-  const int count =
-      std::min(beat.crashes_size(), static_cast<int>(m_options.max_reported));
-  for (int i = 0; i < count; ++i) {
-    Merge(beat.crashes(i), true, now);
-  }
+  EndQuarantine(crash_case);
 }
 
 void CrashRecord::Advance(core::TimePoint now) {
+  m_rate.Advance(now);
   while (!m_broken_runs.empty() &&
          now - m_broken_runs.front().at > m_options.detection_time) {
     m_broken_runs.pop_front();
@@ -348,10 +431,11 @@
   });
 }
 
-size_t CrashRecord::quarantined() const {
+size_t CrashRecord::CountQuarantined(bool part) const {
   return static_cast<size_t>(std::count_if(
-      m_cases.begin(), m_cases.end(),
-      [](const auto& crash_case) { return crash_case.second.quarantined; }));
+      m_cases.begin(), m_cases.end(), [part](const auto& crash_case) {
+        return crash_case.second.quarantined && crash_case.second.part == part;
+      }));
 }
 
 }  // namespace coppervalve::entry
--- a/src/entry/request_fingerprint.cc
+++ b/src/entry/request_fingerprint.cc
@@ -21,6 +21,11 @@
          LengthPrefixed(content.method) + LengthPrefixed(content.target);
 }
 
+std::string PartDigestInput(const core::ServiceId& service,
+                            std::string_view part) {
+  return LengthPrefixed(service.value()) + LengthPrefixed(part);
+}
+
 }  // namespace
 
 std::string RequestFingerprint::ToBytes() const {
@@ -62,4 +67,15 @@
   return fingerprint;
 }
 
+uint64_t QuickHashOfPart(const core::ServiceId& service,
+                         std::string_view part) {
+  return core::Hash64(PartDigestInput(service, part));
+}
+
+RequestFingerprint FingerprintOfPart(const core::ServiceId& service,
+                                     std::string_view part) {
+  const std::string input = PartDigestInput(service, part);
+  return {core::Hash64(input), core::Sha256(input).substr(0, kDigestBytes)};
+}
+
 }  // namespace coppervalve::entry
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -14,8 +14,10 @@
 // immediately. A connection attempt to its address shows the crash at once. A
 // partition that resets connections looks the same from one router.
 void CrashMonitor::OnBroken(const entry::UpstreamRef& upstream,
-                            const entry::RequestFingerprint& request) {
-  m_record.OnBroken(request, entry::StartOf(upstream->entry), net::BootNow());
+                            const entry::RequestTraits& request,
+                            core::Duration writing) {
+  m_record.OnBroken(request, entry::StartOf(upstream->entry), net::BootNow(),
+                    writing);
   m_check.Start(upstream->entry.address, [this, upstream] {
     m_hooks.ask_others(upstream->entry, [this, upstream] {
       OnTerminated(upstream->entry, "refused");
@@ -36,36 +38,32 @@
                   .Text("address", entry.address)
                   .Text("by", by)
                   .Number("requests", static_cast<int64_t>(under.size())));
-  for (const entry::RequestFingerprint& request : under) {
-    if (m_record.QuarantineStateOf(request) ==
-        entry::QuarantineState::kQuarantined) {
-      LogQuarantined(request, "this_router");
-    }
-  }
+  LogNewlyQuarantined("this_router");
   m_hooks.on_change();
 }
 
-void CrashMonitor::OnSurvived(const entry::RequestFingerprint& request) {
+void CrashMonitor::OnSurvived(const entry::RequestTraits& request) {
   if (m_record.OnSurvived(request, net::BootNow())) {
     m_hooks.on_change();
   }
 }
 
 void CrashMonitor::OnHeartbeat(const v1::RouterBeat& beat) {
-  for (const entry::RequestFingerprint& request :
-       m_record.OnHeartbeat(beat, net::BootNow())) {
-    LogQuarantined(request, "another_router");
-  }
+  m_record.OnHeartbeat(beat, net::BootNow());
+  LogNewlyQuarantined("another_router");
 }
 
-void CrashMonitor::LogQuarantined(const entry::RequestFingerprint& request,
-                                  std::string_view by) {
-  m_log.Write(LogCategory::kLifecycle,
-              LogLine("request_quarantined")
-                  .Text("content", request.ShortHex())
-                  .Text("by", by)
-                  .Millis("refused_ms", m_record.RemainingQuarantine(
-                                            request, net::BootNow())));
+void CrashMonitor::LogNewlyQuarantined(std::string_view by) {
+  for (const entry::Suspicion& quarantined : m_record.TakeNewlyQuarantined()) {
+    m_log.Write(
+        LogCategory::kLifecycle,
+        LogLine(quarantined.part ? "prompt_part_quarantined"
+                                 : "request_quarantined")
+            .Text("content", quarantined.trait.ShortHex())
+            .Text("by", by)
+            .Millis("refused_ms", m_record.RemainingQuarantine(
+                                      quarantined.trait, net::BootNow())));
+  }
 }
 
 }  // namespace coppervalve::gateway
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -128,14 +128,16 @@
   attempt.opening = !attempt.connection->connected();
 }
 
-// The upstream may have left, or its failure domain may have been evacuated,
-// while the connection was being opened.
+// While the connection was being opened, the upstream may have left, its
+// failure domain may have been evacuated, or the request may have been
+// quarantined.
 bool Exchange::MaySendNow(entry::Upstream& upstream) {
   const core::TimePoint now = net::BootNow();
   m_attempt->opening = false;
   m_context.reach.OnOpened(upstream.entry, m_attempt->relay, now);
   if (upstream.entry.leaving ||
-      m_context.gate.StateOf(upstream, now) != entry::GateState::kOpen) {
+      m_context.gate.StateOf(upstream, now) != entry::GateState::kOpen ||
+      CurrentSuspicion().state == entry::QuarantineState::kQuarantined) {
     return false;
   }
   m_context.gate.OnSend(upstream, now);
@@ -200,6 +202,9 @@
 
 void Exchange::ForwardEvents(const std::string& events) {
   const core::UpstreamVersion version = m_attempt->version;
+  if (!m_attempt->first_event_at) {
+    m_attempt->first_event_at = net::BootNow();
+  }
   if (m_event_versions.empty()) {
     m_stream_version = version;
     if (Retryable()) {
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -114,8 +114,8 @@
   }
   m_done = true;
   m_timer.cancel();
-  if (m_on_trial) {
-    m_context.crash_monitor.record().EndTrial(Fingerprint());
+  if (m_trial) {
+    m_context.crash_monitor.record().EndTrial(*m_trial);
   }
   Settle();
   const bool admitted = m_admitted.route != nullptr;
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -61,7 +61,7 @@
     m_may_have_run = true;
   }
   if (sent && outcome == AttemptOutcome::kSilent) {
-    m_context.crash_monitor.OnBroken(m_attempt->upstream, Fingerprint());
+    ReportBroken();
   }
   m_attempt->connection->Cancel();
   RecordOutcome(outcome);
@@ -90,7 +90,7 @@
   m_sent_to.push_back(m_attempt->upstream->entry.id);
   if (end == AttemptEnd::kBroken) {
     m_may_have_run = true;
-    m_context.crash_monitor.OnBroken(m_attempt->upstream, Fingerprint());
+    ReportBroken();
     RecordOutcome(AttemptOutcome::kBroken);
     m_attempt.reset();
     OnBroken(why);
@@ -184,13 +184,17 @@
   m_context.reach.CheckRefuses(
       m_attempt->upstream->entry, m_attempt->relay,
       [weak = weak_from_this(),
-       connection = m_attempt->connection](bool refused) {
+       connection = m_attempt->connection](ReachMonitor::EndCheck result) {
         const auto self = weak.lock();
         if (!self || !self->m_attempt ||
             self->m_attempt->connection != connection) {
           return;
         }
-        self->OnEnd(refused ? AttemptEnd::kBroken : AttemptEnd::kComplete,
+        self->m_attempt->end_confirmed =
+            result == ReachMonitor::EndCheck::kAccepts;
+        self->OnEnd(result == ReachMonitor::EndCheck::kRefuses
+                        ? AttemptEnd::kBroken
+                        : AttemptEnd::kComplete,
                     "the upstream crashed");
       });
 }
@@ -233,8 +237,10 @@
   RecordOutcome(failed ? AttemptOutcome::kOwnFailure
                        : AttemptOutcome::kAnswered);
   const bool streamed = m_attempt->forwarding;
+  if (ProvesHarmless()) {
+    ReportCompleted();
+  }
   m_attempt.reset();
-  ReportSurvived();
   if (failed && resumed) {
     OnBroken("stream could not be resumed");
     return;
@@ -289,7 +295,7 @@
   }
   // A request that crashes upstreams must not crash a second one before its
   // caller sends it again.
-  if (CurrentQuarantineState() != entry::QuarantineState::kClear) {
+  if (CurrentSuspicion().state != entry::QuarantineState::kClear) {
     return false;
   }
   return m_context.retries.Take(m_admitted.service,
--- a/src/gateway/exchange_quarantine.cc
+++ b/src/gateway/exchange_quarantine.cc
@@ -1,10 +1,20 @@
-// Recognizes requests that crash upstreams by their content, and refuses them.
+// Recognizes requests that crash upstreams by their content or by a part of
+// their prompt, and refuses them.
+#include <algorithm>  // any_of
+
 #include "coppervalve/gateway/exchange.h"
 #include "coppervalve/net/clock.h"
 #include "retry_after.h"
 
 namespace coppervalve::gateway {
 
+namespace {
+
+constexpr int kRedirection = 300;
+constexpr int kServerError = 500;
+
+}  // namespace
+
 entry::RequestContent Exchange::Content() const {
   entry::RequestContent content;
   content.method = m_request.head.method;
@@ -23,39 +33,66 @@
   return *m_fingerprint;
 }
 
-// Hardly any request is in the crash record. A cheap hash is enough to rule out
-// most requests, so that the strong hash of their bodies is not needed.
-bool Exchange::MayHaveCrashedUpstreams() const {
+const std::vector<uint64_t>& Exchange::PartHashes() {
+  if (m_part_hashes.empty()) {
+    for (const std::string& part : m_facts.shared_parts) {
+      m_part_hashes.push_back(entry::QuickHashOfPart(m_admitted.service, part));
+    }
+  }
+  return m_part_hashes;
+}
+
+entry::RequestTraits Exchange::Traits() {
+  entry::RequestTraits traits(Fingerprint());
+  for (const std::string& part : m_facts.shared_parts) {
+    traits.parts.push_back(entry::FingerprintOfPart(m_admitted.service, part));
+  }
+  return traits;
+}
+
+// Hardly any request is in the crash record. Cheap hashes are enough to rule
+// out most requests, so that strong hashes are not needed.
+bool Exchange::MayHaveCrashedUpstreams() {
   const entry::CrashRecord& record = m_context.crash_monitor.record();
-  return !record.empty() && record.MayContain(entry::QuickHashOf(Content()));
+  if (record.empty()) {
+    return false;
+  }
+  const std::vector<uint64_t>& parts = PartHashes();
+  return record.MayContain(entry::QuickHashOf(Content())) ||
+         std::any_of(parts.begin(), parts.end(), [&record](uint64_t part) {
+           return record.MayContain(part);
+         });
 }
 
-entry::QuarantineState Exchange::CurrentQuarantineState() {
+entry::Suspicion Exchange::CurrentSuspicion() {
   return MayHaveCrashedUpstreams()
-             ? m_context.crash_monitor.record().QuarantineStateOf(Fingerprint())
-             : entry::QuarantineState::kClear;
+             ? m_context.crash_monitor.record().Assess(Traits())
+             : entry::Suspicion();
 }
 
-// Ejecting failed upstreams is not enough: a request that crashes them would
+// Ejecting failed upstreams is not enough: requests that crash them would
 // crash one after another, along with the other requests they run. So the
-// request's content is checked before every send.
+// request's content and the parts of its prompt are checked before every send.
 bool Exchange::RefuseIfCrashesUpstreams() {
-  const entry::QuarantineState quarantine_state = CurrentQuarantineState();
-  if (quarantine_state == entry::QuarantineState::kClear) {
+  const entry::Suspicion suspicion = CurrentSuspicion();
+  if (suspicion.state < entry::QuarantineState::kSuspect) {
     return false;
   }
-  core::Error error{core::ErrorId::kEndsUpstreams, Fingerprint().ShortHex(),
-                    "upstreams crashed while running it"};
+  entry::CrashRecord& record = m_context.crash_monitor.record();
+  core::Error error{suspicion.part ? core::ErrorId::kPromptPartEndsUpstreams
+                                   : core::ErrorId::kEndsUpstreams,
+                    suspicion.trait.ShortHex(),
+                    "upstreams crashed while running such requests"};
   core::Duration retry_delay =
-      m_context.crash_monitor.record().RemainingQuarantine(Fingerprint(),
-                                                           net::BootNow());
-  if (quarantine_state == entry::QuarantineState::kSuspect) {
+      record.RemainingQuarantine(suspicion.trait, net::BootNow());
+  if (suspicion.state == entry::QuarantineState::kSuspect) {
     // Copies that arrive at many routers at once would each crash an upstream.
     // So only one router tries them, one at a time.
-    m_on_trial = m_on_trial ||
-                 (m_context.members.SelfOwns(Fingerprint().digest) &&
-                  m_context.crash_monitor.record().BeginTrial(Fingerprint()));
-    if (m_on_trial) {
+    if (!m_trial && m_context.members.SelfOwns(suspicion.trait.digest) &&
+        record.BeginTrial(suspicion.trait)) {
+      m_trial = suspicion.trait;
+    }
+    if (m_trial) {
       return false;
     }
     error.detail = "suspect request, tried by one router, one at a time";
@@ -70,9 +107,31 @@
   return true;
 }
 
-void Exchange::ReportSurvived() {
+void Exchange::ReportBroken() {
+  core::Duration writing{};
+  if (m_attempt->first_event_at) {
+    writing = net::BootNow() - *m_attempt->first_event_at;
+  }
+  m_context.crash_monitor.OnBroken(m_attempt->upstream, Traits(), writing);
+}
+
+// A failure, an empty stream, the rest of a stream that another upstream began,
+// or a response that may have been cut, does not show that an upstream can run
+// the request. A rejected prompt was not even read.
+bool Exchange::ProvesHarmless() const {
+  const int failures_from =
+      m_facts.shared_parts.empty() ? kServerError : kRedirection;
+  const bool resumed = m_attempt->resumed || !m_facts.resume_after.empty();
+  const bool whole =
+      !m_attempt->ends_with_connection || m_attempt->end_confirmed;
+  const bool written = !m_attempt->events || HasEvents();
+  return m_head->status < failures_from && !resumed && whole && written;
+}
+
+void Exchange::ReportCompleted() {
+  m_context.crash_monitor.record().OnCompleted(PartHashes(), net::BootNow());
   if (MayHaveCrashedUpstreams()) {
-    m_context.crash_monitor.OnSurvived(Fingerprint());
+    m_context.crash_monitor.OnSurvived(Traits());
   }
 }
 
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -212,6 +212,7 @@
   stats.ready = Ready();
   stats.store_up = m_contact.up();
   stats.quarantined_requests = m_crashes.record().quarantined();
+  stats.quarantined_parts = m_crashes.record().quarantined_parts();
   stats.follows_upstreams = m_upstreams_known;
   stats.limited_upstreams = m_directory.Limited();
   stats.evacuated_domains = m_gate.evacuations().size();
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -166,6 +166,7 @@
   set("ready", stats.ready ? 1 : 0);
   set("store_up", stats.store_up ? 1 : 0);
   set("quarantined_requests", static_cast<double>(stats.quarantined_requests));
+  set("quarantined_parts", static_cast<double>(stats.quarantined_parts));
   set("follows_upstreams", stats.follows_upstreams ? 1 : 0);
   set("limited_upstreams", static_cast<double>(stats.limited_upstreams));
   set("evacuated_domains", static_cast<double>(stats.evacuated_domains));
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -148,12 +148,17 @@
 
 void ReachMonitor::CheckRefuses(const entry::UpstreamEntry& upstream,
                                 const std::string& relay,
-                                std::function<void(bool refused)> on_done) {
+                                std::function<void(EndCheck)> on_done) {
   if (!relay.empty()) {
     OpenToCheck(relay, upstream.id,
                 [on_done = std::move(on_done)](
-                    AttemptEnd /*end*/, std::optional<RelayResult> result) {
-                  on_done(result == RelayResult::kRefused);
+                    AttemptEnd end, std::optional<RelayResult> result) {
+                  if (result == RelayResult::kRefused) {
+                    on_done(EndCheck::kRefuses);
+                  } else {
+                    on_done(end == AttemptEnd::kWithheld ? EndCheck::kAccepts
+                                                         : EndCheck::kUnknown);
+                  }
                 });
     return;
   }
@@ -161,7 +166,16 @@
       upstream.address, kUpstreamConnectTimeout,
       [on_done = std::move(on_done)](ConnectResult result,
                                      boost::asio::ip::tcp::socket /*socket*/) {
-        on_done(result == ConnectResult::kRefused);
+        switch (result) {
+          case ConnectResult::kOpen:
+            on_done(EndCheck::kAccepts);
+            return;
+          case ConnectResult::kRefused:
+            on_done(EndCheck::kRefuses);
+            return;
+          default:
+            on_done(EndCheck::kUnknown);
+        }
       });
 }
 
--- a/tests/entry/crash_fleet.cc
+++ b/tests/entry/crash_fleet.cc
@@ -1,6 +1,8 @@
 #include "crash_fleet.h"
 
-#include <utility>  // exchange, move
+#include <algorithm>  // count_if, max
+#include <set>        // set
+#include <utility>    // exchange, move
 
 #include "coppervalve/core/hash.h"
 #include "entry_fixture.h"
@@ -18,6 +20,7 @@
 constexpr double kRefusedShare = 0.9;
 constexpr double kExpiryDelay = 3.4;
 constexpr double kDownTime = 4.5;
+constexpr double kTimeToFirstEvent = 0.1;
 
 }  // namespace
 
@@ -34,10 +37,9 @@
   return std::uniform_real_distribution<double>(from, to)(m_random);
 }
 
-bool CrashFleet::Owns(size_t router,
-                      const RequestFingerprint& fingerprint) const {
+bool CrashFleet::Owns(size_t router, const RequestFingerprint& trait) const {
   const auto rank = [&](size_t one) {
-    return core::RendezvousRank(fingerprint.digest, std::to_string(one));
+    return core::RendezvousRank(trait.digest, std::to_string(one));
   };
   for (size_t one = 0; one < m_records.size(); ++one) {
     if (rank(one) > rank(router)) {
@@ -47,17 +49,33 @@
   return true;
 }
 
+bool CrashFleet::Admit(size_t router,
+                       const RequestTraits& traits,
+                       std::optional<RequestFingerprint>& trial) {
+  CrashRecord& record = m_records[router];
+  const Suspicion suspicion = record.Assess(traits);
+  if (suspicion.state < QuarantineState::kSuspect) {
+    return true;
+  }
+  if (suspicion.state == QuarantineState::kQuarantined ||
+      !Owns(router, suspicion.trait) || !record.BeginTrial(suspicion.trait)) {
+    return false;
+  }
+  trial = suspicion.trait;
+  return true;
+}
+
 bool CrashFleet::Send(size_t router,
                       const std::string& body,
-                      bool ends_upstreams) {
-  CrashRecord& record = m_records[router];
-  const RequestFingerprint fingerprint =
-      FingerprintOf({"POST", "/x", core::AccountId("gate"), body});
-  const QuarantineState standing = record.QuarantineStateOf(fingerprint);
-  const bool alone = standing == QuarantineState::kSuspect;
-  if (standing == QuarantineState::kQuarantined ||
-      (alone &&
-       !(Owns(router, fingerprint) && record.BeginTrial(fingerprint)))) {
+                      bool ends_upstreams,
+                      const std::vector<std::string>& parts) {
+  RequestTraits traits(
+      FingerprintOf({"POST", "/x", core::AccountId("gate"), body}));
+  for (const std::string& part : parts) {
+    traits.parts.push_back(FingerprintOfPart(core::ServiceId("engines"), part));
+  }
+  std::optional<RequestFingerprint> trial;
+  if (!Admit(router, traits, trial)) {
     return false;
   }
   const size_t first = m_random() % m_upstreams.size();
@@ -68,12 +86,22 @@
     }
     const double lasts = ends_upstreams ? 0.1 : Uniform(0.3, 3);
     m_runs.push_back({router, upstream, m_upstreams[upstream].start, body,
-                      fingerprint, m_now + lasts, ends_upstreams, alone});
+                      traits, m_now + kTimeToFirstEvent, m_now + lasts,
+                      ends_upstreams, trial});
     return true;
   }
   return false;
 }
 
+size_t CrashFleet::RoutersThatRefuse(const std::string& part) const {
+  const RequestFingerprint trait =
+      FingerprintOfPart(core::ServiceId("engines"), part);
+  return static_cast<size_t>(std::count_if(
+      m_records.begin(), m_records.end(), [&](const CrashRecord& record) {
+        return record.QuarantineStateOf(trait) == QuarantineState::kQuarantined;
+      }));
+}
+
 void CrashFleet::TerminateRandom(size_t count) {
   for (size_t i = 0; i < count; ++i) {
     Terminate(m_random() % m_upstreams.size());
@@ -87,12 +115,13 @@
     if (run.start != start) {
       return false;
     }
-    m_records[run.router].OnBroken(run.fingerprint, UpstreamStart(start),
-                                   At(m_now));
+    m_records[run.router].OnBroken(
+        run.traits, UpstreamStart(start), At(m_now),
+        At(std::max(m_now, run.writes_from)) - At(run.writes_from));
     m_end_notices.push_back(
         {m_now + (refuses ? kStep : kExpiryDelay), run.router, start});
-    if (run.tried_alone) {
-      m_records[run.router].EndTrial(run.fingerprint);
+    if (run.trial) {
+      m_records[run.router].EndTrial(*run.trial);
     }
     m_interrupted.push_back(run.body);
     return true;
@@ -109,22 +138,30 @@
 }
 
 void CrashFleet::FinishRuns() {
-  const std::vector<Run> runs = m_runs;
-  for (const Run& run : runs) {
-    if (run.ends_at <= m_now && run.ends_upstream &&
-        m_upstreams[run.upstream].start == run.start) {
-      Terminate(run.upstream);
+  std::set<size_t> terminated;
+  for (const Run& run : m_runs) {
+    if (run.ends_at <= m_now && run.ends_upstream) {
+      terminated.insert(run.upstream);
     }
   }
+  for (const size_t upstream : terminated) {
+    Terminate(upstream);
+    ++m_ended_by_requests;
+  }
   std::erase_if(m_runs, [&](const Run& run) {
     if (run.ends_at > m_now) {
       return false;
     }
     CrashRecord& record = m_records[run.router];
-    if (run.tried_alone) {
-      record.EndTrial(run.fingerprint);
+    if (run.trial) {
+      record.EndTrial(*run.trial);
+    }
+    std::vector<uint64_t> parts;
+    for (const RequestFingerprint& part : run.traits.parts) {
+      parts.push_back(part.quick_hash);
     }
-    if (record.OnSurvived(run.fingerprint, At(m_now))) {
+    record.OnCompleted(parts, At(m_now));
+    if (record.OnSurvived(run.traits, At(m_now))) {
       SendHeartbeat(run.router);
     }
     return true;
--- a/tests/entry/crash_fleet.h
+++ b/tests/entry/crash_fleet.h
@@ -18,7 +18,11 @@
 
   /// @brief Sends a caller's request to a router. @return whether the router
   /// forwarded it
-  bool Send(size_t router, const std::string& body, bool ends_upstreams);
+  /// @param parts shared parts of its prompt
+  bool Send(size_t router,
+            const std::string& body,
+            bool ends_upstreams,
+            const std::vector<std::string>& parts = {});
   /// @brief Terminates random upstreams, independent of any request.
   void TerminateRandom(size_t count);
   /// @brief Advances the virtual time.
@@ -28,6 +32,10 @@
   double now() const { return m_now; }
   /// Bodies of the requests that a termination interrupted since the last call.
   std::vector<std::string> TakeInterrupted();
+  /// Number of upstreams that requests terminated, not TerminateRandom().
+  size_t ended_by_requests() const { return m_ended_by_requests; }
+  /// Number of routers that refuse a part of prompts.
+  size_t RoutersThatRefuse(const std::string& part) const;
 
  private:
   struct Run {
@@ -35,10 +43,11 @@
     size_t upstream;
     uint64_t start;
     std::string body;
-    RequestFingerprint fingerprint;
+    RequestTraits traits;
+    double writes_from;
     double ends_at;
     bool ends_upstream;
-    bool tried_alone;
+    std::optional<RequestFingerprint> trial;
   };
   struct SentHeartbeat {
     double at;
@@ -54,7 +63,10 @@
     uint64_t start = 0;
     double down_until = 0;
   };
-  bool Owns(size_t router, const RequestFingerprint& fingerprint) const;
+  bool Owns(size_t router, const RequestFingerprint& trait) const;
+  bool Admit(size_t router,
+             const RequestTraits& traits,
+             std::optional<RequestFingerprint>& trial);
   void Terminate(size_t upstream);
   void SendHeartbeat(size_t router);
   void FinishRuns();
@@ -69,6 +81,7 @@
   std::vector<EndNotice> m_end_notices;
   std::vector<std::string> m_interrupted;
   uint64_t m_starts = 0;
+  size_t m_ended_by_requests = 0;
   double m_now = 0;
 };
 
--- a/tests/entry/unit-crash-record.cc
+++ b/tests/entry/unit-crash-record.cc
@@ -34,6 +34,34 @@
   record.OnTerminated(Start(start), At(seconds));
 }
 
+RequestFingerprint Part(const char* id) {
+  return FingerprintOfPart(core::ServiceId("engines"), id);
+}
+
+/// @brief A request like no other but for the parts of its prompt.
+RequestTraits WithParts(const std::string& body,
+                        const std::vector<const char*>& ids) {
+  RequestTraits request(Fingerprint(body));
+  for (const char* id : ids) {
+    request.parts.push_back(Part(id));
+  }
+  return request;
+}
+
+/// @brief Upstreams terminate two seconds apart, each under another request
+/// with these parts.
+void TerminateUnderParts(CrashRecord& record,
+                         const std::vector<const char*>& ids,
+                         uint64_t terminations,
+                         core::Duration writing = core::Duration::zero()) {
+  for (uint64_t start = 1; start <= terminations; ++start) {
+    const double seconds = static_cast<double>(start) * 2;
+    record.OnBroken(WithParts("own " + std::to_string(start), ids),
+                    Start(start), At(seconds), writing);
+    record.OnTerminated(Start(start), At(seconds));
+  }
+}
+
 v1::RouterBeat BeatOf(const CrashRecord& record, double seconds) {
   v1::RouterBeat beat;
   record.AddReportsTo(beat, At(seconds));
@@ -287,3 +315,133 @@
   }
   CHECK(other.quarantined() <= 2'048);
 }
+
+TEST(CrashRecord, a_part_that_crashed_upstreams_is_quarantined_everywhere) {
+  TerminateUnderParts(record, {"bad"}, 3);
+  other.OnHeartbeat(BeatOf(record, 7), At(7));
+  CHECK(other.QuarantineStateOf(Part("bad")) == QuarantineState::kWatched);
+  other.OnBroken(WithParts("one more", {"bad"}), Start(9), At(8));
+  other.OnTerminated(Start(9), At(8));
+  ExchangeBeats(8.5);
+  for (const CrashRecord* one : {&record, &other, &third}) {
+    const Suspicion worst = one->Assess(WithParts("new", {"good", "bad"}));
+    CHECK(worst.state == QuarantineState::kQuarantined);
+    CHECK(worst.part);
+    CHECK(worst.trait == Part("bad"));
+    CHECK_EQUAL(1, one->quarantined_parts());
+    CHECK_EQUAL(0, one->quarantined());
+  }
+}
+
+TEST(CrashRecord, a_part_is_only_suspected_while_crashes_are_common) {
+  // Six of ten runs end in a crash, so that most parts are at many of them.
+  for (uint64_t i = 0; i < 60; ++i) {
+    const std::string own = std::to_string(i);
+    record.OnBroken(WithParts(own, {own.c_str()}), Start(100 + i), At(1));
+    record.OnTerminated(Start(100 + i), At(1));
+  }
+  TerminateUnderParts(record, {"rare"}, 4);
+  CHECK(record.QuarantineStateOf(Part("rare")) == QuarantineState::kWatched);
+}
+
+TEST(CrashRecord, a_completed_run_clears_its_parts_everywhere) {
+  TerminateUnderParts(record, {"system", "bad"}, 4);
+  ExchangeBeats(8.5);
+  CHECK(other.QuarantineStateOf(Part("system")) ==
+        QuarantineState::kQuarantined);
+  CHECK(other.OnSurvived(WithParts("sound", {"system"}), At(9)));
+  ExchangeBeats(9.5);
+  for (const CrashRecord* one : {&record, &other, &third}) {
+    CHECK(one->QuarantineStateOf(Part("system")) == QuarantineState::kClear);
+    CHECK(one->QuarantineStateOf(Part("bad")) == QuarantineState::kQuarantined);
+  }
+}
+
+TEST(CrashRecord, a_part_that_was_completed_lately_is_not_suspected) {
+  record.OnCompleted({Part("system").quick_hash}, At(1));
+  record.OnBroken(WithParts("own", {"system", "bad"}), Start(1), At(2));
+  record.OnTerminated(Start(1), At(2));
+  CHECK_FALSE(record.MayContain(Part("system").quick_hash));
+  CHECK(record.MayContain(Part("bad").quick_hash));
+}
+
+TEST(CrashRecord, a_stream_that_was_written_for_long_is_no_evidence) {
+  TerminateUnderParts(record, {"long"}, 9, core::Duration(1'500'000));
+  CHECK_FALSE(record.MayContain(Part("long").quick_hash));
+}
+
+TEST(CrashRecord, one_request_sent_again_and_again_does_not_blame_its_parts) {
+  // The request holds something of its own that crashes upstreams. Others quote
+  // the same document.
+  for (uint64_t start = 1; start <= 9; ++start) {
+    const double seconds = static_cast<double>(start) * 2;
+    record.OnBroken(WithParts("the same", {"document"}), Start(start),
+                    At(seconds));
+    record.OnTerminated(Start(start), At(seconds));
+  }
+  CHECK(record.QuarantineStateOf(Fingerprint("the same")) ==
+        QuarantineState::kQuarantined);
+  CHECK(record.Assess(WithParts("another", {"document"})).state ==
+        QuarantineState::kClear);
+}
+
+TEST(CrashRecord, crashes_by_a_quarantined_part_are_held_against_nothing_else) {
+  TerminateUnderParts(record, {"bad"}, 4);
+  for (uint64_t start = 11; start <= 14; ++start) {
+    const double seconds = static_cast<double>(start);
+    record.OnBroken(WithParts("late " + std::to_string(start), {"bad"}),
+                    Start(start), At(seconds));
+    record.OnBroken(WithParts("bystander", {"document"}), Start(start),
+                    At(seconds));
+    record.OnTerminated(Start(start), At(seconds));
+  }
+  CHECK(record.Assess(WithParts("bystander", {"document"})).state ==
+        QuarantineState::kClear);
+}
+
+TEST(CrashRecord, earlier_crashes_are_explained_once_their_cause_is_known) {
+  for (uint64_t start = 1; start <= 6; ++start) {
+    const double seconds = static_cast<double>(start) * 2;
+    record.OnBroken(WithParts("own " + std::to_string(start), {"bad"}),
+                    Start(start), At(seconds));
+    if (start < 3) {
+      record.OnBroken(WithParts("bystander", {"document"}), Start(start),
+                      At(seconds));
+    }
+    record.OnTerminated(Start(start), At(seconds));
+  }
+  CHECK(record.QuarantineStateOf(Part("bad")) == QuarantineState::kQuarantined);
+  CHECK(record.Assess(WithParts("bystander", {"document"})).state ==
+        QuarantineState::kClear);
+}
+
+TEST(CrashRecord, a_quarantined_part_outlasts_a_restart_of_all_routers) {
+  // One router needed three terminations, as crashes were rare there. After the
+  // restart no router knows how rare they were.
+  for (int run = 0; run < 200; ++run) {
+    record.OnCompleted({1}, At(1));
+  }
+  TerminateUnderParts(record, {"bad"}, 3);
+  CHECK(record.QuarantineStateOf(Part("bad")) == QuarantineState::kQuarantined);
+  const v1::RouterBeat last = BeatOf(record, 60);
+  CrashRecord started{{}};
+  started.RestoreOwnReports(last, At(100));
+  other.OnHeartbeat(last, At(100));
+  CHECK(started.QuarantineStateOf(Part("bad")) ==
+        QuarantineState::kQuarantined);
+  CHECK(other.QuarantineStateOf(Part("bad")) == QuarantineState::kQuarantined);
+}
+
+TEST(CrashRecord, a_prompt_of_thousands_of_parts_uses_bounded_memory) {
+  for (uint64_t start = 1; start <= 9; ++start) {
+    RequestTraits request(Fingerprint("own " + std::to_string(start)));
+    for (int part = 0; part < 3'000; ++part) {
+      request.parts.push_back(Part(std::to_string(part).c_str()));
+    }
+    record.OnBroken(request, Start(start), At(static_cast<double>(start)));
+    record.OnTerminated(Start(start), At(static_cast<double>(start)));
+  }
+  CHECK(record.MayContain(Part("0").quick_hash));
+  CHECK_FALSE(record.MayContain(Part("2999").quick_hash));
+  CHECK(BeatOf(record, 10).ByteSizeLong() < 8'192);
+}
--- a/tests/platform/unit-adapter.cc
+++ b/tests/platform/unit-adapter.cc
@@ -57,6 +57,8 @@
   const std::vector<std::string> same{"a0", "b"};
   CHECK(parts("a0:800,b:410,c:1") == same);
   CHECK(parts("00A0:9, 0B ,c:1") == same);
+  CHECK(parts(":7,a0,,b:410,c:1") == same);
+  CHECK(parts("000:7,c:1") == std::vector<std::string>{"0"});
   CHECK(parts("c:1").empty());
   CHECK(parts("").empty());
 }
