Soak: parts of prompts that crash engines, among sound requests that share the rest

Checked: at most three requests with a part reach engines later than three seconds after the fifth crash; sound requests of the same account and first part are served at least half as often as before; no other part is refused. Killed routers, store outages, lost answers and changes of the configuration overlap.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,9 @@
 import tempfile
 
 from tests.soak.callers import Callers
+from tests.soak.crashing_parts import (
+    MAX_ARRIVALS_AFTER, MAX_CRASHES, MIN_SHARE_SERVED, REPORT_TIME_S, SoundRequests,
+    arrivals_after_report, send_crashing)
 from tests.soak.limits import (
     PROPAGATION_S, excess_failures, max_allowed_arrivals, max_arrivals_in_window)
 from tests.soak.platform import OFFICE_ID_PREFIX, PREPAID, ZONES, Platform
@@ -28,10 +31,15 @@
 
 class Soak:
     def __init__(self, seconds: float, seed: int, program: str, partitions: bool,
-                 keep_logs: bool) -> None:
+                 crashing_parts: bool, keep_logs: bool) -> None:
         self._seconds = seconds
         self._keep_logs = keep_logs
         self._partitions_wanted = partitions
+        self._crashing_parts_wanted = crashing_parts
+        self._crashing_parts = 0  # number of such parts so far
+        self._sent_with_part = 0  # requests that reached upstreams too late after crashes
+        self._sound_refused_beside = 0  # times that too few sound requests were served
+        self._parts_refused_wrongly = 0
         self._random = random.Random(seed)
         self._seed = seed
         self._program = program
@@ -78,6 +86,7 @@
                  self._return_cold, self._name_limits, self._terminate_during_changes,
                  self._release, self._kill_under_streams]
         kinds += [self._partition] if self._partitions_wanted else []
+        kinds += [self._crash_under_a_part] * 6 if self._crashing_parts_wanted else []
         remaining: list = []
         while asyncio.get_running_loop().time() < until:
             # Every kind is used once before any is repeated.
@@ -227,6 +236,48 @@
             await asyncio.sleep(0.1)
         self._crashed_after_quarantine = max(self._crashed_after_quarantine, len(ended) - known)
 
+    async def _crash_under_a_part(self) -> None:
+        """Sends requests with a part that crashes engines, among sound ones; meanwhile
+        routers restart, the configuration changes or the store fails."""
+        self._crashing_parts += 1
+        part = f"dead{self._crashing_parts:x}"
+        ledger, clock = self._platform.ledger, asyncio.get_running_loop().time
+        ledger.ended_by_part.clear()
+        ledger.arrived_with_part.clear()
+        self._platform.crash_parts.add(part)
+        begin = clock()
+        sound = SoundRequests(self._platform)
+        sends = asyncio.create_task(sound.run(begin + 16))
+        await asyncio.sleep(2)
+        crashing = asyncio.create_task(send_crashing(
+            self._platform, part, begin + 16, self._random.choice(["draft", "chat"])))
+        while len(ledger.ended_by_part) < MAX_CRASHES and clock() < begin + 6:
+            await asyncio.sleep(0.1)
+        overlap = self._random.choice([None, self._kill, self._kill_all, self._terminate,
+                                       self._top_up, self._store_down, self._turn_away,
+                                       self._lose_answers, self._forget])
+        if overlap:
+            self.faults.append("+" + overlap.__name__.strip("_"))
+            await asyncio.sleep(REPORT_TIME_S)
+            await overlap()
+        await asyncio.gather(sends, crashing)
+        self._check_crashing_part(sound, begin)
+        refused = max([await router.figure("quarantined_parts") for router in self._routers])
+        self._parts_refused_wrongly += max(0, int(refused) - self._crashing_parts)
+
+    def _check_crashing_part(self, sound: SoundRequests, begin: float) -> None:
+        ended = self._platform.ledger.ended_by_part
+        after = arrivals_after_report(ended, self._platform.ledger.arrived_with_part)
+        self._sent_with_part += max(0, after - MAX_ARRIVALS_AFTER)
+        if not ended:
+            return
+        known = ended[min(MAX_CRASHES, len(ended)) - 1] + 2 * REPORT_TIME_S
+        before, later = (sound.share_served(begin, begin + 2),
+                         sound.share_served(known, begin + 16))
+        self._sound_refused_beside += later < MIN_SHARE_SERVED * before
+        print(f"part: {len(ended)} upstreams crashed, {after} sent afterwards, sound requests"
+              f" served {before:.2f}, {later:.2f}")
+
     async def _leave_unheard(self) -> None:
         """An upstream announces its leave during a store outage, then ends in an
         orderly way."""
@@ -353,6 +404,9 @@
                               if n > 1 and ledger.kind[i] in ("hold", "draft")]),
             "served nothing": int(not any(o.startswith("200") for o in seen.outcomes)),
             "crashed after quarantine": max(0, self._crashed_after_quarantine - 3),
+            "sent with a crashing part": self._sent_with_part,
+            "sound requests refused beside it": self._sound_refused_beside,
+            "parts refused wrongly": self._parts_refused_wrongly,
             "sent to leaving or pausing upstreams": self._sent_unwanted,
             "sent to an evacuated zone": self._sent_evacuated,
             "sent beyond a limit": self._beyond_limits,
@@ -383,13 +437,15 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--partitions", action="store_true",
                         help="also partition routers from the upstreams")
+    parser.add_argument("--crashing-parts", action="store_true",
+                        help="also send prompts with parts that crash engines")
     parser.add_argument("--keep-logs", action="store_true",
                         help="keep the routers' logs even if no rule is broken")
     parser.add_argument("--build", default=os.environ.get("COPPERVALVE_BUILD", "build"))
     options = parser.parse_args()
     program = os.path.join(options.build, "coppervalved")
     return asyncio.run(Soak(options.seconds, options.seed, program, options.partitions,
-                            options.keep_logs).run())
+                            options.crashing_parts, options.keep_logs).run())
 
 
 if __name__ == "__main__":
