Test: what clears a part of a prompt that crashes upstreams

A failure, or a stream without events, must not; a completed stream must. Two of the four fail if every complete answer counts as one that shows a request to be harmless (tried in the work tree, reverted).

--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -85,6 +85,10 @@
   }
   facts.resume_after = value("X-After");
   facts.resumes = value("X-Resumes");
+  std::istringstream parts(value("X-Parts"));
+  for (std::string part; parts >> part;) {
+    facts.shared_parts.push_back(part);
+  }
   const std::string tokens = value("X-Tokens");
   if (!tokens.empty()) {
     facts.prompt = core::Tokens(std::stoll(tokens));
