Soak: engines rewrite their entries once they are warm

Cause, from the logs: all refused ones come within 2.5 s after all routers, or the one asked, started again, when new streams are refused alike (0 of 83 in those seconds began). A router that starts reads each engine's entry as new. The stand-in wrote an entry once, at the start, with three seconds of warm-up left, and never again, so that engines that had been warm for seconds counted as cold; upstreams of the platform write theirs about every heartbeat. Change: the stand-in writes the entry again when the engine is warm.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -141,7 +141,7 @@
         self._starts = 0
         self._number = 0
         self._random = random.Random(seed)
-        self._restart_tasks: list[asyncio.Task] = []
+        self._tasks: list[asyncio.Task] = []
         self._retired: set[str] = set()  # names of upstreams that do not start again
         self.event_interval_s = 0.01  # of the engines' streams
         self.prepaid = PREPAID
@@ -179,7 +179,7 @@
         server = Server(f"i-{self._starts}", service, zone, self.ledger,
                         self._seed + self._starts, version)
         if self.routers and service == "engines":
-            server.turn_cold()
+            self._turn_cold(server)
         server.event_interval_s = self.event_interval_s
         server.crash_marker = b"poison"
         server.crash_parts = self.crash_parts
@@ -188,12 +188,23 @@
         await server.listen(ports, self._partitioned)
         self.servers.append(server)
         self.announce(server)
-        self._restart_tasks.append(asyncio.create_task(self._restart_after_stop(server)))
+        self._tasks.append(asyncio.create_task(self._restart_after_stop(server)))
         return server
 
     def announce(self, server: Server) -> None:
         self.store.put("keyed.servers", server.name, server.entry())
 
+    def _turn_cold(self, server: Server) -> None:
+        server.turn_cold()
+        self._tasks.append(asyncio.create_task(self._announce_when_warm(server)))
+
+    async def _announce_when_warm(self, server: Server) -> None:
+        """Rewrites an engine's entry, as upstreams do all the time: a router that starts
+        later must not read that the engine is cold."""
+        await asyncio.sleep(WARM_UP_S)
+        if self.store.value("keyed.servers", server.name).get("state") == "ready":
+            self.announce(server)
+
     def retire(self, server: Server) -> None:
         """Ends an upstream for good."""
         self._retired.add(server.name)
@@ -235,7 +246,7 @@
     def return_zone(self, zone: str, cold: bool = True) -> None:
         for server in self.engines:
             if cold and server.zone == zone:
-                server.turn_cold()
+                self._turn_cold(server)
                 self.announce(server)
         self.store.put("keyed.op", f"evacuate/{zone}", None)
 
@@ -308,7 +319,7 @@
         print(f"logs of all routers: {kept}", file=sys.stderr)
 
     async def stop(self) -> None:
-        for task in self._restart_tasks:
+        for task in self._tasks:
             task.cancel()
         for router in self.routers:
             router.send(signal.SIGKILL)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -60,6 +60,11 @@
     def put(self, topic: str, key: str, value: dict | None) -> None:
         self.topic(topic).append(key, b"" if value is None else json.dumps(value).encode())
 
+    def value(self, topic: str, key: str) -> dict:
+        """Returns the newest value of a key; empty if there is none."""
+        _, value = self.topic(topic).newest.get(key, (0, b"{}"))
+        return json.loads(value)
+
     def wake_readers(self) -> None:
         """Releases the reads that wait for a record."""
         for topic in self.topics.values():
