Standbys that read no heartbeats learn what is refused for crashing upstreams

What callers would see: in a fleet of hundreds of routers, requests that crash upstreams, told by their content or a part of their prompts, are sent on by the standbys, which read no heartbeats of others (by reading; no run at that size). Cause: the quarantine travelled in heartbeats only; standbys of large fleets ask active routers for their view instead. Change: the view tells the verdicts, 16 at most: what is refused, and what an upstream completed since.

--- a/include/coppervalve/entry/crash_record.h
+++ b/include/coppervalve/entry/crash_record.h
@@ -72,6 +72,8 @@
   core::Duration report_time{15'000'000};
   size_t max_requests = 2'048;
   size_t max_reported = 64;
+  /// Verdicts must fit into a datagram.
+  size_t max_verdicts = 16;
 };
 
 /// @brief Records the requests that were running when upstreams terminated, as
@@ -134,6 +136,12 @@
   /// @brief Restores this router's own reports from the last heartbeat before
   /// its restart.
   void RestoreOwnReports(const v1::RouterBeat& beat, core::TimePoint now);
+  /// @return what routers that do not read heartbeats need to know: the traits
+  /// that are quarantined, and those that were cleared lately
+  std::vector<v1::CrashCase> Verdicts(core::TimePoint now) const;
+  /// @brief Merges the verdicts of another router.
+  void OnVerdicts(const std::vector<v1::CrashCase>& verdicts,
+                  core::TimePoint now);
   /// @brief Drops expired records. To be called periodically.
   void Advance(core::TimePoint now);
 
@@ -216,7 +224,8 @@
   v1::CrashCase ReportOf(const RequestFingerprint& trait,
                          const Case& crash_case,
                          core::TimePoint now) const;
-  void MergeAll(const v1::RouterBeat& beat, bool own, core::TimePoint now);
+  template <typename Reports>
+  void MergeAll(const Reports& reports, bool own, core::TimePoint now);
   void Merge(const v1::CrashCase& report, bool own, core::TimePoint now);
   void MergeSurvived(Case& crash_case,
                      const v1::CrashCase& report,
--- a/include/coppervalve/entry/fleet_view.h
+++ b/include/coppervalve/entry/fleet_view.h
@@ -6,7 +6,9 @@
 #include <map>      // map
 #include <set>      // set
 #include <string>   // string
+#include <vector>   // vector
 
+#include "coppervalve/beat.pb.h"
 #include "coppervalve/core/ids.h"
 
 namespace coppervalve::entry {
@@ -32,6 +34,8 @@
   uint32_t known = 0;
   /// Number of upstreams in the table.
   size_t upstreams = 0;
+  /// Requests that are refused because upstreams crashed under them.
+  std::vector<v1::CrashCase> crashes;
 };
 
 }  // namespace coppervalve::entry
--- a/include/coppervalve/gateway/crash_monitor.h
+++ b/include/coppervalve/gateway/crash_monitor.h
@@ -3,6 +3,7 @@
 
 #include <functional>   // function
 #include <string_view>  // string_view
+#include <vector>       // vector
 
 #include "coppervalve/entry/crash_record.h"
 #include "coppervalve/entry/upstream_directory.h"
@@ -40,6 +41,8 @@
   void OnSurvived(const entry::RequestTraits& request);
   /// @brief Another router's heartbeat was read.
   void OnHeartbeat(const v1::RouterBeat& beat);
+  /// @brief A router that reads all heartbeats told its verdicts.
+  void OnVerdicts(const std::vector<v1::CrashCase>& verdicts);
 
   entry::CrashRecord& record() { return m_record; }
 
--- a/src/entry/crash_reports.cc
+++ b/src/entry/crash_reports.cc
@@ -118,24 +118,61 @@
   }
 }
 
+template <typename Reports>
+void CrashRecord::MergeAll(const Reports& reports,
+                           bool own,
+                           core::TimePoint now) {
+  size_t read = 0;
+  for (const v1::CrashCase& report : reports) {
+    if (read == m_options.max_reported) {
+      break;
+    }
+    ++read;
+    Merge(report, own, now);
+  }
+  EvaluateChanged(now);
+}
+
 void CrashRecord::OnHeartbeat(const v1::RouterBeat& beat, core::TimePoint now) {
-  MergeAll(beat, false, now);
+  MergeAll(beat.crashes(), false, now);
 }
 
 void CrashRecord::RestoreOwnReports(const v1::RouterBeat& beat,
                                     core::TimePoint now) {
-  MergeAll(beat, true, now);
+  MergeAll(beat.crashes(), true, now);
 }
 
-void CrashRecord::MergeAll(const v1::RouterBeat& beat,
-                           bool own,
-                           core::TimePoint now) {
-  const int count =
-      std::min(beat.crashes_size(), static_cast<int>(m_options.max_reported));
-  for (int i = 0; i < count; ++i) {
-    Merge(beat.crashes(i), own, now);
+void CrashRecord::OnVerdicts(const std::vector<v1::CrashCase>& verdicts,
+                             core::TimePoint now) {
+  MergeAll(verdicts, false, now);
+}
+
+std::vector<v1::CrashCase> CrashRecord::Verdicts(core::TimePoint now) const {
+  std::vector<v1::CrashCase> verdicts;
+  for (const auto& [trait, crash_case] : m_cases) {
+    if (verdicts.size() == m_options.max_verdicts) {
+      break;
+    }
+    v1::CrashCase verdict;
+    verdict.set_request(trait.ToBytes());
+    verdict.set_apart(true);
+    verdict.set_part(crash_case.part);
+    verdict.set_refused(crash_case.part && crash_case.quarantined);
+    for (const auto& [start, termination] : crash_case.terminations) {
+      const bool cleared = termination.state == TerminationState::kSurvived &&
+                           now - termination.since <= m_options.report_time;
+      if (crash_case.quarantined &&
+          termination.state == TerminationState::kCounts) {
+        verdict.add_ended(start.value());
+      } else if (cleared) {
+        verdict.add_survived(start.value());
+      }
+    }
+    if (verdict.ended_size() != 0 || verdict.survived_size() != 0) {
+      verdicts.push_back(std::move(verdict));
+    }
   }
-  EvaluateChanged(now);
+  return verdicts;
 }
 
 size_t CrashRecord::TerminationsToAgree(const Case& crash_case) {
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -53,6 +53,11 @@
   LogNewlyQuarantined("another_router");
 }
 
+void CrashMonitor::OnVerdicts(const std::vector<v1::CrashCase>& verdicts) {
+  m_record.OnVerdicts(verdicts, net::BootNow());
+  LogNewlyQuarantined("another_router");
+}
+
 void CrashMonitor::LogNewlyQuarantined(std::string_view by) {
   for (const entry::Suspicion& quarantined : m_record.TakeNewlyQuarantined()) {
     m_log.Write(
--- a/src/gateway/fleet_view_client.cc
+++ b/src/gateway/fleet_view_client.cc
@@ -48,6 +48,7 @@
   answer.set_live(view.live);
   answer.set_known(view.known);
   answer.set_upstreams(static_cast<uint32_t>(view.upstreams));
+  answer.mutable_crashes()->Add(view.crashes.begin(), view.crashes.end());
   return answer;
 }
 
@@ -63,6 +64,7 @@
   view.live = answer.live();
   view.known = answer.known();
   view.upstreams = answer.upstreams();
+  view.crashes.assign(answer.crashes().begin(), answer.crashes().end());
   return view;
 }
 
--- a/src/gateway/gateway_fleet_view.cc
+++ b/src/gateway/gateway_fleet_view.cc
@@ -28,6 +28,7 @@
   hooks.on_view = [this](const entry::FleetView& view) {
     if (!m_follows_heartbeats) {
       m_members.AdoptView(view);
+      m_crashes.OnVerdicts(view.crashes);
     }
   };
   m_fleet_view_client = std::make_unique<FleetViewClient>(
@@ -40,8 +41,10 @@
   if (!m_follows_heartbeats || !m_beat_contact.up()) {
     return;
   }
+  entry::FleetView view = m_members.View();
+  view.crashes = m_crashes.record().Verdicts(net::BootNow());
   v1::PeerDatagram datagram;
-  *datagram.mutable_view_answer() = ToFleetViewAnswer(ask, m_members.View());
+  *datagram.mutable_view_answer() = ToFleetViewAnswer(ask, view);
   m_peer_messenger->Send(ask.reply_address(), datagram);
 }
 
--- a/tests/entry/unit-crash-record.cc
+++ b/tests/entry/unit-crash-record.cc
@@ -445,3 +445,21 @@
   CHECK_FALSE(record.MayContain(Part("2999").quick_hash));
   CHECK(BeatOf(record, 10).ByteSizeLong() < 8'192);
 }
+
+TEST(CrashRecord, verdicts_tell_what_is_refused_and_what_no_longer_is) {
+  // A standby of a large fleet reads no heartbeats.
+  for (uint64_t start = 1; start <= 3; ++start) {
+    TerminateUnder(record, Fingerprint(), start,
+                   static_cast<double>(start) * 2);
+  }
+  TerminateUnderParts(record, {"bad"}, 4);
+  other.OnVerdicts(record.Verdicts(At(9)), At(9));
+  CHECK(other.QuarantineStateOf(Fingerprint()) ==
+        QuarantineState::kQuarantined);
+  CHECK(other.QuarantineStateOf(Part("bad")) == QuarantineState::kQuarantined);
+  record.OnSurvived(WithParts("sound", {"bad"}), At(10));
+  other.OnVerdicts(record.Verdicts(At(11)), At(11));
+  CHECK(other.QuarantineStateOf(Part("bad")) == QuarantineState::kClear);
+  CHECK(other.QuarantineStateOf(Fingerprint()) ==
+        QuarantineState::kQuarantined);
+}
--- a/tests/gateway/unit-fleet-view.cc
+++ b/tests/gateway/unit-fleet-view.cc
@@ -186,3 +186,28 @@
   CHECK_EQUAL(readers, router.store.waiting_readers());
   CHECK_EQUAL(0, router.store.appends);
 }
+
+TEST(FleetView,
+     a_standby_refuses_what_the_routers_that_read_heartbeats_refuse) {
+  // Failure: requests with a part that crashes upstreams come to standbys, too,
+  // which read no heartbeats, and so are sent on.
+  peer.view = View();
+  v1::CrashCase verdict;
+  verdict.set_request(
+      entry::FingerprintOfPart(core::ServiceId("talk"), "bad").ToBytes());
+  verdict.set_part(true);
+  verdict.set_refused(true);
+  verdict.set_apart(true);
+  for (uint64_t start = 1; start <= 4; ++start) {
+    verdict.add_ended(start);
+  }
+  peer.view->crashes = {verdict};
+  router.AddUpstream("talk-1", "talk")
+      .Answer([](const StreamRef& stream, const std::string& request) {
+        stream->Send(SignedStreamHead(request) + Chunk(Event(1)) + "0\r\n\r\n");
+      });
+  StartStandby();
+  CHECK(DirectoryLists("10.0.0.9:80"));
+  CHECK(Has(router.SendRequest("/talk/x", "X-Parts: bad\r\n"),
+            "prompt_part_ends_upstreams"));
+}
