--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -60,14 +60,13 @@
 
 void CrashMonitor::LogNewlyQuarantined(std::string_view by) {
   for (const entry::Suspicion& quarantined : m_record.TakeNewlyQuarantined()) {
-    m_log.Write(
-        LogCategory::kLifecycle,
-        LogLine(quarantined.part ? "prompt_part_quarantined"
-                                 : "request_quarantined")
-            .Text("content", quarantined.trait.ShortHex())
-            .Text("by", by)
-            .Millis("refused_ms", m_record.RemainingQuarantine(
-                                      quarantined.trait, net::BootNow())));
+    LogLine line = quarantined.part ? LogLine("prompt_part_quarantined")
+                                    : LogLine("request_quarantined");
+    line.Text("content", quarantined.trait.ShortHex())
+        .Text("by", by)
+        .Millis("refused_ms", m_record.RemainingQuarantine(quarantined.trait,
+                                                           net::BootNow()));
+    m_log.Write(LogCategory::kLifecycle, line);
   }
 }
 
