--- a/tests/gateway/unit-partial-partition.cc
+++ b/tests/gateway/unit-partial-partition.cc
@@ -10,6 +10,17 @@
 using namespace coppervalve::gateway;
 using namespace coppervalve::gateway::testing;
 
+namespace {
+
+// Only the end of the connection shows that this response is complete.
+std::string UnframedStreamHead(const std::string& request) {
+  std::string head = SignedStreamHead(request);
+  head.erase(head.find("Transfer-Encoding"));
+  return head + "\r\n";
+}
+
+}  // namespace
+
 TEST_GROUP_BASE(PartialPartition, PartitionFixture){};
 
 TEST_GROUP_BASE(SomeUpstreams, PartitionFixture){};
@@ -109,3 +120,42 @@
   const int served = Served("/hold/x", 10);
   CHECK_EQUAL(10, served);
 }
+
+// Guards against a stream that its upstream's crash cut between two events, and
+// that looks complete as the relay, partitioned as well, declined to check it.
+TEST(SomeUpstreams, a_relayed_stream_whose_end_nobody_checks_is_not_complete) {
+  AddUpstreams("talk", 4);
+  StreamRef open;
+  ScriptedUpstream* writer = nullptr;
+  for (ScriptedUpstream* upstream : upstreams) {
+    upstream->Answer([&open, &writer, upstream](const StreamRef& stream,
+                                                const std::string& request) {
+      if (!Has(request, "/talk/stream")) {
+        stream->Send(SignedStreamHead(request) + Chunk(Event(1)) + "0\r\n\r\n");
+        return;
+      }
+      open = stream;
+      writer = upstream;
+      stream->Send(UnframedStreamHead(request) + Event(1));
+    });
+  }
+  Start();
+  Partition();
+  for (int i = 0; i < 8; ++i) {
+    router.SendRequest("/talk/x" + std::to_string(i));
+  }
+  const std::unique_ptr<TestCaller> caller = router.Caller();
+  caller->Send(Router::RequestText("/talk/stream", {}, "r-stream"));
+  CHECK(router.Until([&] { return open && Has(caller->received, "data"); }));
+  peer_partitioned_to = FreeAddress(router.io);
+  TestCaller of_peer(router.io, router.peer_address);
+  of_peer.Send(Router::RequestText("/talk/y", {}, "r-peer"));
+  CHECK(router.Until([&] { return Has(of_peer.received, "HTTP/1.1"); }));
+  writer->StopListening();
+  open->CloseWhenSent();
+  const auto looks_complete = [&] {
+    return Has(caller->received, "\r\n0\r\n\r\n");
+  };
+  CHECK(router.Until([&] { return caller->ended || looks_complete(); }));
+  CHECK_FALSE(looks_complete());
+}
