A relayed stream whose end no relay can check does not look complete

Cause: only the end of the connection showed the end; it was checked over the relay that had carried the stream, which had taken the crashes for a partition in that moment and declined. What could not be checked counted as complete. Directly, an upstream that does not answer the check still counts as before: a stream's end can't come from a dark VM.

--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -95,6 +95,10 @@
   void OpenToCheck(const std::string& relay,
                    const core::UpstreamId& upstream,
                    OnChecked on_checked);
+  void CheckThrough(const std::string& relay,
+                    const core::UpstreamId& upstream,
+                    std::vector<std::string> asked,
+                    std::function<void(EndCheck)> on_done);
   struct Opinions {
     std::vector<std::string> asked;
     size_t refusals = 0;
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -192,10 +192,13 @@
         }
         self->m_attempt->end_confirmed =
             result == ReachMonitor::EndCheck::kAccepts;
-        self->OnEnd(result == ReachMonitor::EndCheck::kRefuses
-                        ? AttemptEnd::kBroken
-                        : AttemptEnd::kComplete,
-                    "the upstream crashed");
+        // If no relay can tell, the response must not look complete.
+        const bool doubtful = result == ReachMonitor::EndCheck::kUnknown &&
+                              !self->m_attempt->relay.empty();
+        const bool crashed = result == ReachMonitor::EndCheck::kRefuses;
+        self->OnEnd(
+            crashed || doubtful ? AttemptEnd::kBroken : AttemptEnd::kComplete,
+            crashed ? "the upstream crashed" : "no relay confirms it");
       });
 }
 
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -150,16 +150,7 @@
                                 const std::string& relay,
                                 std::function<void(EndCheck)> on_done) {
   if (!relay.empty()) {
-    OpenToCheck(relay, upstream.id,
-                [on_done = std::move(on_done)](
-                    AttemptEnd end, std::optional<RelayResult> result) {
-                  if (result == RelayResult::kRefused) {
-                    on_done(EndCheck::kRefuses);
-                  } else {
-                    on_done(end == AttemptEnd::kWithheld ? EndCheck::kAccepts
-                                                         : EndCheck::kUnknown);
-                  }
-                });
+    CheckThrough(relay, upstream.id, {}, std::move(on_done));
     return;
   }
   m_context.dialer.Dial(
@@ -179,6 +170,35 @@
       });
 }
 
+// A relay declines if it is partitioned itself, so others are asked.
+void ReachMonitor::CheckThrough(const std::string& relay,
+                                const core::UpstreamId& upstream,
+                                std::vector<std::string> asked,
+                                std::function<void(EndCheck)> on_done) {
+  asked.push_back(relay);
+  OpenToCheck(
+      relay, upstream,
+      [this, upstream, asked = std::move(asked), on_done = std::move(on_done)](
+          AttemptEnd end, std::optional<RelayResult> result) mutable {
+        if (result == RelayResult::kRefused) {
+          on_done(EndCheck::kRefuses);
+          return;
+        }
+        if (end == AttemptEnd::kWithheld) {
+          on_done(EndCheck::kAccepts);
+          return;
+        }
+        const std::optional<std::string> next =
+            asked.size() < kMaxAsked ? ChooseRelay(asked, net::BootNow())
+                                     : std::nullopt;
+        if (next) {
+          CheckThrough(*next, upstream, std::move(asked), std::move(on_done));
+        } else {
+          on_done(EndCheck::kUnknown);
+        }
+      });
+}
+
 // The failures are not the upstreams': other routers may reach them, and after
 // the partition they must not count as restarted. Idle connections may hang.
 void ReachMonitor::OnPartitioned(const core::ServiceId& service) {
--- a/tests/gateway/unit-partial-partition.cc
+++ b/tests/gateway/unit-partial-partition.cc
@@ -123,7 +123,8 @@
 
 // Guards against a stream that its upstream's crash cut between two events, and
 // that looks complete as the relay, partitioned as well, declined to check it.
-TEST(SomeUpstreams, a_relayed_stream_whose_end_nobody_checks_is_not_complete) {
+TEST(PartialPartition,
+     a_relayed_stream_whose_end_nobody_checks_is_not_complete) {
   AddUpstreams("talk", 4);
   StreamRef open;
   ScriptedUpstream* writer = nullptr;
