Crashes in series are not taken for a partition

Cause: only failed new connections are evidence, and a router uses the upstreams that work over open connections. So four crashes within the evidence window looked like a partition with nothing against it. Change: when half of the evidence is there, a connection to another upstream is opened; if it opens, the evidence is void. One at a time; it goes on until twice the evidence is there, as the verdict may already be wrong. None if there are so few upstreams that all must fail anyway.

--- a/include/coppervalve/entry/upstream_reach.h
+++ b/include/coppervalve/entry/upstream_reach.h
@@ -45,6 +45,12 @@
                 const core::UpstreamId& upstream,
                 size_t upstreams,
                 core::TimePoint now);
+  /// @return whether so many upstreams failed that a connection to another one
+  /// should be opened, to find out whether they crashed or are out of reach
+  /// @param upstreams as for OnFailed()
+  bool ShouldProbe(const core::ServiceId& service, size_t upstreams) const;
+  bool HasFailed(const core::ServiceId& service,
+                 const core::UpstreamId& upstream) const;
   /// @brief Another router reached an upstream of the service.
   /// @param address of the upstream
   void OnReachedByPeer(const core::ServiceId& service,
--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -4,6 +4,7 @@
 #include <cstddef>     // size_t
 #include <functional>  // function
 #include <optional>    // optional
+#include <set>         // set
 #include <string>      // string
 #include <vector>      // vector
 
@@ -88,6 +89,8 @@
 
  private:
   size_t CountUsable(const core::ServiceId& service, core::TimePoint now) const;
+  void ProbeAnother(const core::ServiceId& service, core::TimePoint now);
+  void OnProbed(const entry::UpstreamEntry& upstream, bool opened);
   std::optional<std::string> ChooseRelay(
       const std::vector<std::string>& excluded,
       core::TimePoint now) const;
@@ -113,6 +116,7 @@
   Context m_context;
   entry::UpstreamReach m_reach;
   entry::RelayChoice m_relays;
+  std::set<core::ServiceId> m_probed;  ///< a probe is in progress
 };
 
 }  // namespace coppervalve::gateway
--- a/src/entry/upstream_reach.cc
+++ b/src/entry/upstream_reach.cc
@@ -35,6 +35,26 @@
   return true;
 }
 
+// Begins early, so that its result is known when the evidence is complete, and
+// goes on for a while, as the verdict may be wrong. If there are few upstreams,
+// all of them have to fail anyway.
+bool UpstreamReach::ShouldProbe(const core::ServiceId& service,
+                                size_t upstreams) const {
+  const auto found = m_services.find(service);
+  if (found == m_services.end() || upstreams <= m_options.evidence_count) {
+    return false;
+  }
+  const size_t failed = found->second.failed.size();
+  return failed * 2 >= m_options.evidence_count &&
+         failed < m_options.evidence_count * 2;
+}
+
+bool UpstreamReach::HasFailed(const core::ServiceId& service,
+                              const core::UpstreamId& upstream) const {
+  const auto found = m_services.find(service);
+  return found != m_services.end() && found->second.failed.contains(upstream);
+}
+
 void UpstreamReach::OnReachedByPeer(const core::ServiceId& service,
                                     const std::string& address,
                                     core::TimePoint now) {
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -60,9 +60,13 @@
 
 void ReachMonitor::OnFailed(const entry::UpstreamEntry& upstream,
                             core::TimePoint now) {
-  if (m_reach.OnFailed(upstream.service, upstream.id,
-                       CountUsable(upstream.service, now), now)) {
-    OnPartitioned(upstream.service);
+  const core::ServiceId& service = upstream.service;
+  const size_t usable = CountUsable(service, now);
+  if (m_reach.OnFailed(service, upstream.id, usable, now)) {
+    OnPartitioned(service);
+  }
+  if (m_reach.ShouldProbe(service, usable)) {
+    ProbeAnother(service, now);
   }
 }
 
@@ -80,6 +84,46 @@
   return std::max(static_cast<size_t>(usable), size_t{1});
 }
 
+// Requests use open connections to the upstreams that work, so after several
+// crashes the only connections that are opened may be those that fail.
+void ReachMonitor::ProbeAnother(const core::ServiceId& service,
+                                core::TimePoint now) {
+  if (m_probed.contains(service)) {
+    return;
+  }
+  entry::UpstreamRef chosen;
+  uint64_t candidates = 0;
+  for (const entry::UpstreamRef& one : m_context.directory.Of(service)) {
+    if (m_reach.HasFailed(service, one->entry.id) ||
+        m_context.gate.StateOf(*one, now) != entry::GateState::kOpen) {
+      continue;
+    }
+    ++candidates;
+    if (routing::UniformBelow(m_context.random, candidates) == 0) {
+      chosen = one;
+    }
+  }
+  if (!chosen) {
+    return;
+  }
+  m_probed.insert(service);
+  m_context.dialer.Dial(
+      chosen->entry.address, kUpstreamConnectTimeout,
+      [this, upstream = chosen->entry](
+          ConnectResult result, boost::asio::ip::tcp::socket /*socket*/) {
+        OnProbed(upstream, result == ConnectResult::kOpen);
+      });
+}
+
+void ReachMonitor::OnProbed(const entry::UpstreamEntry& upstream, bool opened) {
+  m_probed.erase(upstream.service);
+  if (opened) {
+    OnOpened(upstream, {}, net::BootNow());
+  } else {
+    OnFailed(upstream, net::BootNow());
+  }
+}
+
 void ReachMonitor::OnRelayFailed(const std::string& relay,
                                  core::TimePoint now) {
   m_relays.OnFailed(relay, now);
--- a/tests/entry/unit-upstream-reach.cc
+++ b/tests/entry/unit-upstream-reach.cc
@@ -164,3 +164,30 @@
   CHECK_FALSE(refusals.IsConfirmed(two));
   CHECK_EQUAL(3, refusals.relays().size());
 }
+
+// Guards against crashes in series that are taken for a partition, as no other
+// connection was opened meanwhile.
+TEST(UpstreamReach,
+     another_upstream_is_probed_before_the_evidence_is_complete) {
+  CHECK_FALSE(reach.ShouldProbe(service, 18));
+  Fail("one", 18);
+  CHECK_FALSE(reach.ShouldProbe(service, 18));
+  Fail("two", 18);
+  CHECK(reach.ShouldProbe(service, 18));
+  CHECK(reach.HasFailed(service, core::UpstreamId("two")));
+  CHECK_FALSE(reach.HasFailed(service, core::UpstreamId("three")));
+  CHECK_FALSE(reach.ShouldProbe(service, 4));
+  reach.OnOpened(service);
+  CHECK_FALSE(reach.ShouldProbe(service, 18));
+}
+
+// Guards against needless connections to upstreams that can't be reached.
+TEST(UpstreamReach, no_upstream_is_probed_once_many_have_failed) {
+  for (const char* upstream : {"1", "2", "3", "4", "5", "6", "7"}) {
+    Fail(upstream, 18);
+  }
+  CHECK(reach.IsPartitioned(service));
+  CHECK(reach.ShouldProbe(service, 18));
+  Fail("8", 18);
+  CHECK_FALSE(reach.ShouldProbe(service, 18));
+}
--- a/tests/gateway/unit-partial-partition.cc
+++ b/tests/gateway/unit-partial-partition.cc
@@ -3,6 +3,7 @@
 #include <chrono>  // milliseconds
 #include <memory>  // unique_ptr
 #include <string>  // string
+#include <vector>  // vector
 
 #include "partition_fixture.h"
 
@@ -160,3 +161,25 @@
   CHECK(router.Until([&] { return caller->ended || looks_complete(); }));
   CHECK_FALSE(looks_complete());
 }
+
+// Guards against crashes in series that a router takes for a partition, so that
+// it relays, or refuses, what it could send itself.
+TEST(PartialPartition,
+     upstreams_that_crash_one_after_the_other_are_no_partition) {
+  AddUpstreams("hold", 10);
+  Start();
+  Served("/hold/a", 30);
+  constexpr int kCrashed = 5;
+  const std::vector<ScriptedUpstream*> crashed(upstreams.begin(),
+                                               upstreams.begin() + kCrashed);
+  for (ScriptedUpstream* upstream : crashed) {
+    upstream->StopListening();
+    upstream->Answer(
+        [](const StreamRef& stream, const std::string&) { stream->Abort(); });
+  }
+  const int before = peer_dialed;
+  const int served = Served("/hold/b", 300);
+  CHECK(served >= 300 - kCrashed);
+  // The other router confirms each crash, and relays nothing.
+  CHECK(peer_dialed - before <= 2 * kCrashed);
+}
