Requests are placed while an upstream is left, though six have refused

What callers saw: a stream was cut, or a request refused as no_upstream, although upstreams of its service were left: each request was placed six times at most, connections that were refused at once included. Cause: the limit counted placements, whatever each had cost; with six of eight upstreams gone, one request in ten used them up. So it is no matter of load. Change: 16 placements at most, and as much time for connections that fail as six that hang took before.

--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -145,6 +145,8 @@
   void RefuseForLackOfTokens(core::TimePoint now);
   void OnGrant();
   void Place();
+  /// @return whether the request may be placed once more
+  bool TakePlacement();
   entry::PlacementQuery BuildQuery() const;
   entry::Placement ChoosePlacement() const;
   void RequestPlacement();
@@ -259,6 +261,7 @@
   core::Duration m_first_byte{};
   uint32_t m_sent_attempts = 0;  ///< attempts of which bytes were sent
   uint32_t m_placements = 0;     ///< placements, sent or not
+  core::Duration m_time_connecting{};  ///< connections that failed
   bool m_may_have_run = false;   ///< at any upstream
   bool m_response_begun = false;
   bool m_done = false;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -5,6 +5,7 @@
 #include <utility>    // move, exchange
 
 #include "coppervalve/net/clock.h"
+#include "relay_protocol.h"
 #include "retry_after.h"
 
 namespace coppervalve::gateway {
@@ -13,9 +14,11 @@
 
 using entry::RouteKind;
 
-// Limit of placements, including those without a byte sent: each upstream that
-// is gone costs a connection attempt.
-constexpr uint32_t kMaxPlacements = 6;
+// Limit of placements, including those without a byte sent: most upstreams of a
+// service may be gone at once.
+constexpr uint32_t kMaxPlacements = 16;
+// Limit of the time for connections that fail: they may hang.
+constexpr core::Duration kMaxTimeConnecting = 6 * kUpstreamConnectTimeout;
 constexpr core::Duration kMaxGrantWait{400'000};
 // Upper limit of the Retry-After of a rate-limited request, before jitter:
 // another router may have capacity sooner.
@@ -353,7 +356,7 @@
       m_prepared_placement ? *std::exchange(m_prepared_placement, std::nullopt)
                            : ChoosePlacement();
   m_last_placement = placement;
-  if (placement.upstream == nullptr || ++m_placements > kMaxPlacements) {
+  if (placement.upstream == nullptr || !TakePlacement()) {
     const std::string why = m_last_failure.empty()
                                 ? std::string(entry::ToString(placement.why))
                                 : m_last_failure;
@@ -443,6 +446,11 @@
   return query;
 }
 
+bool Exchange::TakePlacement() {
+  return ++m_placements <= kMaxPlacements &&
+         m_time_connecting < kMaxTimeConnecting;
+}
+
 entry::Placement Exchange::ChoosePlacement() const {
   return m_context.placer.Choose(m_context.directory, BuildQuery(),
                                  net::BootNow());
@@ -451,7 +459,7 @@
 // Used when this router does not follow the table: what it read of it earlier
 // may name upstreams that have left since.
 void Exchange::RequestPlacement() {
-  if (++m_placements > kMaxPlacements) {
+  if (!TakePlacement()) {
     OnPlacementReply({});
     return;
   }
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -114,6 +114,7 @@
     outcome = m_attempt->relay.empty() ? OnDirectConnectFailed()
                                        : OnRelayedConnectFailed();
   }
+  m_time_connecting += net::BootNow() - m_attempt->started_at;
   RecordOutcome(outcome);
   m_last_failure += ": " + std::string(why);
   const bool give_up =
--- a/tests/gateway/unit-partition.cc
+++ b/tests/gateway/unit-partition.cc
@@ -71,6 +71,22 @@
   CHECK_EQUAL(5, Served("/hold/x", 5));
 }
 
+// Guards against requests that are held while connections to one upstream after
+// the other hang, and no other router can be asked.
+TEST(Partition, a_router_alone_refuses_soon_if_all_connections_hang) {
+  constexpr int kUpstreams = 16;
+  AddUpstreams("hold", kUpstreams);
+  const BlackHole black_hole(router.io);
+  router.settings.upstream_address = [&](const std::string&) {
+    ++dialed;
+    return black_hole.address();
+  };
+  router.Start();
+  const std::string answer = router.SendRequest("/hold/x");
+  CHECK(Has(answer, "HTTP/1.1 503"));
+  CHECK(dialed < kUpstreams);
+}
+
 // Guards against requests that are held, or sent to and fro, when no router
 // reaches a service.
 TEST(Partition, requests_are_refused_soon_if_no_router_reaches_the_service) {
