Gateway tests keep the ports that they chose

What was seen: with 24 processes of unit-gateway at once, a router's port was taken between its choice and its start, once for connections ("connect: Connection refused", the program ended) and once for datagrams (a limit that another router reported never arrived); with four at once, Limit, a_limit_reported_by_another_router_applies, failed once, and not in 260 runs five at a time. Cause: a free port was chosen, closed, and bound later. Change: a socket that does not listen stays bound to the port. Checks and bounds are as they were.

--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -1,9 +1,14 @@
 #include "gateway_fixture.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <boost/asio/ip/address.hpp>  // make_address
 #include <boost/asio/ip/udp.hpp>
+#include <array>    // array
 #include <chrono>   // milliseconds, seconds
 #include <cstdio>   // snprintf
+#include <cstdlib>  // abort
 #include <sstream>  // istringstream
 #include <utility>  // move
 
@@ -189,9 +194,25 @@
   return text.find(part) != std::string::npos;
 }
 
-std::string FreeAddress(boost::asio::io_context& io) {
-  tcp::acceptor acceptor(io, EndpointOf("127.0.0.1:0"));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+std::string FreeAddress(boost::asio::io_context& /*io*/) {
+  constexpr size_t kReserved = 256;  // more than a test uses
+  static std::array<int, kReserved> reserved{};
+  static size_t next = 0;
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  tcp::endpoint local = EndpointOf("127.0.0.1:0");
+  auto size = static_cast<socklen_t>(local.size());
+  if (::bind(socket, local.data(), size) != 0 ||
+      ::getsockname(socket, local.data(), &size) != 0) {
+    std::abort();
+  }
+  if (reserved[next] != 0) {
+    ::close(reserved[next]);
+  }
+  reserved[next] = socket;
+  next = (next + 1) % kReserved;
+  return "127.0.0.1:" + std::to_string(local.port());
 }
 
 void SendDatagram(boost::asio::io_context& io,
--- a/tests/gateway/unit-partition.cc
+++ b/tests/gateway/unit-partition.cc
@@ -29,6 +29,7 @@
     const tcp::endpoint local(boost::asio::ip::make_address(endpoint->ip),
                               endpoint->port);
     m_acceptor.open(local.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
     m_acceptor.bind(local);
     m_acceptor.listen(0);
     constexpr int kMoreThanTheQueue = 4;
