Gateway: one reading of what a relay's check says; shorter functions

ReachMonitor read the outcome of a connection through a relay in two places, and wrote that upstreams are reached again in two; CrashRecord reset a verdict in two. The log line of a request is written by three functions instead of one of seventy lines. The lowest status of a server's failure is named once.

--- a/include/coppervalve/entry/crash_record.h
+++ b/include/coppervalve/entry/crash_record.h
@@ -225,6 +225,7 @@
   void ExplainTerminations(const Case& cause, core::TimePoint now);
   void InsertCounted(const Case& cause);
   void EndQuarantine(Case& crash_case);
+  void ResetVerdict(Case& crash_case);
   core::Duration QuarantineTime(const Case& crash_case) const;
   bool ClearSurvived(const RequestFingerprint& trait, core::TimePoint now);
   void SetTerminationState(Case& crash_case,
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -221,6 +221,9 @@
   void Fail(const core::Error& error);
   void OnCallerDisconnected();
   void Finish(std::string_view cause, int status);
+  void DescribeAdmission(LogLine& line) const;
+  void DescribeAttempts(LogLine& line) const;
+  void DescribeResponse(LogLine& line) const;
   void Settle();
 
   void ArmTimer();
@@ -228,6 +231,8 @@
   std::optional<core::TimePoint> UpstreamTimeoutAt() const;
   core::Duration TimeLeft() const;
 
+  static constexpr int kServerError = 500;  ///< lowest such status
+
   const ExchangeContext& m_context;
   CallerRef m_caller;
   CallerRequest m_request;
--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -88,13 +88,15 @@
   void Advance(core::TimePoint now);
 
  private:
+  void OnReached(const core::ServiceId& service);
+  bool IsUsable(const entry::Upstream& upstream, core::TimePoint now) const;
   size_t CountUsable(const core::ServiceId& service, core::TimePoint now) const;
   void ProbeAnother(const core::ServiceId& service, core::TimePoint now);
   void OnProbed(const entry::UpstreamEntry& upstream, bool opened);
   std::optional<std::string> ChooseRelay(
       const std::vector<std::string>& excluded,
       core::TimePoint now) const;
-  using OnChecked = std::function<void(AttemptEnd, std::optional<RelayResult>)>;
+  using OnChecked = std::function<void(EndCheck, std::optional<RelayResult>)>;
   void OpenToCheck(const std::string& relay,
                    const core::UpstreamId& upstream,
                    OnChecked on_checked);
--- a/src/entry/crash_record.cc
+++ b/src/entry/crash_record.cc
@@ -493,11 +493,16 @@
       termination = {now, state, own};
     }
   }
+  ResetVerdict(crash_case);
   crash_case.probation = state == TerminationState::kExpired;
+  crash_case.changed = now;
+}
+
+void CrashRecord::ResetVerdict(Case& crash_case) {
+  crash_case.probation = false;
   crash_case.separate_events = false;
   crash_case.refused_elsewhere = false;
   crash_case.tie = 0;
-  crash_case.changed = now;
   EndQuarantine(crash_case);
 }
 
--- a/src/entry/crash_reports.cc
+++ b/src/entry/crash_reports.cc
@@ -111,11 +111,7 @@
     }
   }
   if (survived != 0 && CountedTerminations(crash_case) == 0) {
-    crash_case.probation = false;
-    crash_case.separate_events = false;
-    crash_case.refused_elsewhere = false;
-    crash_case.tie = 0;
-    EndQuarantine(crash_case);
+    ResetVerdict(crash_case);
   }
 }
 
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -118,33 +118,45 @@
     m_context.crash_monitor.record().EndTrial(*m_trial);
   }
   Settle();
-  const bool admitted = m_admitted.route != nullptr;
-  const RouteKind kind =
-      admitted ? m_admitted.route->kind : RouteKind::kAtMostOnce;
+  const RouteKind kind = m_admitted.route != nullptr ? m_admitted.route->kind
+                                                     : RouteKind::kAtMostOnce;
   m_context.metrics.OnRequest(kind, cause);
   LogLine line("request");
   line.Text("id", m_facts.id).Text("outcome", cause).Number("status", status);
-  if (admitted) {
-    line.Text("rule", m_admitted.route->name.value())
-        .Text("service", m_admitted.service.value())
-        .Number("config",
-                static_cast<int64_t>(
-                    m_admitted.configuration_index->version().value()));
+  DescribeAdmission(line);
+  DescribeAttempts(line);
+  DescribeResponse(line);
+  m_context.log.Write(
+      cause == "served" ? LogCategory::kRoutine : LogCategory::kFailure, line);
+}
+
+void Exchange::DescribeAdmission(LogLine& line) const {
+  if (m_admitted.route == nullptr) {
+    return;
   }
-  if (admitted && m_admitted.account != nullptr) {
-    const core::AccountId& account = m_admitted.account->name;
-    const auto figures = m_context.book.FiguresOf(account);
-    line.Text("account", account.value())
-        .Number("tokens_most", (m_facts.prompt + m_facts.max_output).value())
-        .Number("total", figures.total.value_or(core::Tokens(0)).value())
-        .Number("elsewhere", figures.others.value())
-        .Number("lost", figures.lost.value())
-        .Number("free", figures.free.value())
-        .Number("ceiling", figures.ceiling.value())
-        .Number("spent", figures.spent.value())
-        .Number("reserved", figures.reserved.value())
-        .Flag("by_gift", m_from_transfer);
+  line.Text("rule", m_admitted.route->name.value())
+      .Text("service", m_admitted.service.value())
+      .Number("config",
+              static_cast<int64_t>(
+                  m_admitted.configuration_index->version().value()));
+  if (m_admitted.account == nullptr) {
+    return;
   }
+  const core::AccountId& account = m_admitted.account->name;
+  const auto figures = m_context.book.FiguresOf(account);
+  line.Text("account", account.value())
+      .Number("tokens_most", MaxTokens().value())
+      .Number("total", figures.total.value_or(core::Tokens(0)).value())
+      .Number("elsewhere", figures.others.value())
+      .Number("lost", figures.lost.value())
+      .Number("free", figures.free.value())
+      .Number("ceiling", figures.ceiling.value())
+      .Number("spent", figures.spent.value())
+      .Number("reserved", figures.reserved.value())
+      .Flag("by_gift", m_from_transfer);
+}
+
+void Exchange::DescribeAttempts(LogLine& line) const {
   if (!m_tried.empty()) {
     line.Text("upstream", m_tried.back().value())
         .Text("placed_by", entry::ToString(m_last_placement.why))
@@ -170,6 +182,9 @@
   if (!m_last_failure.empty()) {
     line.Text("why", m_last_failure);
   }
+}
+
+void Exchange::DescribeResponse(LogLine& line) const {
   if (m_head) {
     line.Text("framing", FramingOf(*m_head))
         .Number("unfinished_event", static_cast<int64_t>(m_unfinished_event));
@@ -178,8 +193,6 @@
       .Millis("first_ms", m_first_byte)
       .Millis("whole_ms", net::BootNow() - m_request.arrived)
       .Number("store_up", m_context.contact.up() ? 1 : 0);
-  m_context.log.Write(
-      cause == "served" ? LogCategory::kRoutine : LogCategory::kFailure, line);
 }
 
 std::optional<core::TimePoint> Exchange::UpstreamTimeoutAt() const {
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -10,8 +10,6 @@
 
 using entry::AttemptOutcome;
 
-constexpr int kServerError = 500;
-
 std::string_view NameOf(AttemptOutcome outcome) {
   switch (outcome) {
     case AttemptOutcome::kAnswered:
--- a/src/gateway/exchange_quarantine.cc
+++ b/src/gateway/exchange_quarantine.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr int kRedirection = 300;
-constexpr int kServerError = 500;
 
 }  // namespace
 
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -53,8 +53,12 @@
     m_reach.OnReachedByPeer(upstream.service, upstream.address, now);
     return;
   }
-  if (m_reach.OnOpened(upstream.service)) {
-    Log(LogLine("upstreams_reached_again"), upstream.service);
+  OnReached(upstream.service);
+}
+
+void ReachMonitor::OnReached(const core::ServiceId& service) {
+  if (m_reach.OnOpened(service)) {
+    Log(LogLine("upstreams_reached_again"), service);
   }
 }
 
@@ -70,6 +74,11 @@
   }
 }
 
+bool ReachMonitor::IsUsable(const entry::Upstream& upstream,
+                            core::TimePoint now) const {
+  return m_context.gate.StateOf(upstream, now) == entry::GateState::kOpen;
+}
+
 // Upstreams that get no request can't show a partition.
 size_t ReachMonitor::CountUsable(const core::ServiceId& service,
                                  core::TimePoint now) const {
@@ -78,9 +87,8 @@
     return 0;
   }
   const auto usable = std::count_if(
-      upstreams.begin(), upstreams.end(), [&](const entry::UpstreamRef& one) {
-        return m_context.gate.StateOf(*one, now) == entry::GateState::kOpen;
-      });
+      upstreams.begin(), upstreams.end(),
+      [&](const entry::UpstreamRef& one) { return IsUsable(*one, now); });
   return std::max(static_cast<size_t>(usable), size_t{1});
 }
 
@@ -91,25 +99,22 @@
   if (m_probed.contains(service)) {
     return;
   }
-  entry::UpstreamRef chosen;
-  uint64_t candidates = 0;
+  std::vector<entry::UpstreamRef> candidates;
   for (const entry::UpstreamRef& one : m_context.directory.Of(service)) {
-    if (m_reach.HasFailed(service, one->entry.id) ||
-        m_context.gate.StateOf(*one, now) != entry::GateState::kOpen) {
-      continue;
-    }
-    ++candidates;
-    if (routing::UniformBelow(m_context.random, candidates) == 0) {
-      chosen = one;
+    if (!m_reach.HasFailed(service, one->entry.id) && IsUsable(*one, now)) {
+      candidates.push_back(one);
     }
   }
-  if (!chosen) {
+  if (candidates.empty()) {
     return;
   }
+  const entry::UpstreamEntry& chosen =
+      candidates[routing::UniformBelow(m_context.random, candidates.size())]
+          ->entry;
   m_probed.insert(service);
   m_context.dialer.Dial(
-      chosen->entry.address, kUpstreamConnectTimeout,
-      [this, upstream = chosen->entry](
+      chosen.address, kUpstreamConnectTimeout,
+      [this, upstream = chosen](
           ConnectResult result, boost::asio::ip::tcp::socket /*socket*/) {
         OnProbed(upstream, result == ConnectResult::kOpen);
       });
@@ -149,7 +154,14 @@
   // Keeps the connection until it ends.
   handlers.on_end = [connection, on_checked = std::move(on_checked)](
                         AttemptEnd end, std::string_view /*why*/) {
-    on_checked(end, connection->relay_result());
+    const auto result = connection->relay_result();
+    if (end == AttemptEnd::kWithheld) {
+      on_checked(EndCheck::kAccepts, result);
+    } else if (result == RelayResult::kRefused) {
+      on_checked(EndCheck::kRefuses, result);
+    } else {
+      on_checked(EndCheck::kUnknown, result);
+    }
   };
   connection->Send({}, false, std::move(handlers));
 }
@@ -177,11 +189,11 @@
       *relay, upstream.id,
       [this, upstream, relay = *relay, on_refused = std::move(on_refused),
        opinions = std::move(opinions)](
-          AttemptEnd end, std::optional<RelayResult> result) mutable {
-        if (end == AttemptEnd::kWithheld) {
-          return;  // it opened
+          EndCheck check, std::optional<RelayResult> result) mutable {
+        if (check == EndCheck::kAccepts) {
+          return;
         }
-        if (result == RelayResult::kRefused) {
+        if (check == EndCheck::kRefuses) {
           ++opinions.refusals;
         } else if (result != RelayResult::kUnreachable) {
           m_relays.OnFailed(relay, net::BootNow());
@@ -223,22 +235,15 @@
   OpenToCheck(
       relay, upstream,
       [this, upstream, asked = std::move(asked), on_done = std::move(on_done)](
-          AttemptEnd end, std::optional<RelayResult> result) mutable {
-        if (result == RelayResult::kRefused) {
-          on_done(EndCheck::kRefuses);
-          return;
-        }
-        if (end == AttemptEnd::kWithheld) {
-          on_done(EndCheck::kAccepts);
-          return;
+          EndCheck check, std::optional<RelayResult> /*result*/) mutable {
+        std::optional<std::string> next;
+        if (check == EndCheck::kUnknown && asked.size() < kMaxAsked) {
+          next = ChooseRelay(asked, net::BootNow());
         }
-        const std::optional<std::string> next =
-            asked.size() < kMaxAsked ? ChooseRelay(asked, net::BootNow())
-                                     : std::nullopt;
         if (next) {
           CheckThrough(*next, upstream, std::move(asked), std::move(on_done));
         } else {
-          on_done(EndCheck::kUnknown);
+          on_done(check);
         }
       });
 }
@@ -263,8 +268,8 @@
         check.address, kUpstreamConnectTimeout,
         [this, service = check.service](
             ConnectResult result, boost::asio::ip::tcp::socket /*socket*/) {
-          if (result == ConnectResult::kOpen && m_reach.OnOpened(service)) {
-            Log(LogLine("upstreams_reached_again"), service);
+          if (result == ConnectResult::kOpen) {
+            OnReached(service);
           }
         });
   }
