--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -264,10 +264,10 @@
   size_t m_unfinished_event = 0;
   core::TimePoint m_last_activity;  ///< start of the upstream's timeout
   core::Duration m_first_byte{};
-  uint32_t m_sent_attempts = 0;  ///< attempts of which bytes were sent
-  uint32_t m_placements = 0;     ///< placements, sent or not
+  uint32_t m_sent_attempts = 0;        ///< attempts of which bytes were sent
+  uint32_t m_placements = 0;           ///< placements, sent or not
   core::Duration m_time_connecting{};  ///< connections that failed
-  bool m_may_have_run = false;   ///< at any upstream
+  bool m_may_have_run = false;         ///< at any upstream
   bool m_response_begun = false;
   bool m_done = false;
   std::string m_last_failure;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -136,9 +136,8 @@
   }
   line.Text("rule", m_admitted.route->name.value())
       .Text("service", m_admitted.service.value())
-      .Number("config",
-              static_cast<int64_t>(
-                  m_admitted.configuration_index->version().value()));
+      .Number("config", static_cast<int64_t>(
+                            m_admitted.configuration_index->version().value()));
   if (m_admitted.account == nullptr) {
     return;
   }
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -114,8 +114,8 @@
   m_probed.insert(service);
   m_context.dialer.Dial(
       chosen.address, kUpstreamConnectTimeout,
-      [this, upstream = chosen](
-          ConnectResult result, boost::asio::ip::tcp::socket /*socket*/) {
+      [this, upstream = chosen](ConnectResult result,
+                                boost::asio::ip::tcp::socket /*socket*/) {
         OnProbed(upstream, result == ConnectResult::kOpen);
       });
 }
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -3,9 +3,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>                      // array
 #include <boost/asio/ip/address.hpp>  // make_address
 #include <boost/asio/ip/udp.hpp>
-#include <array>    // array
 #include <chrono>   // milliseconds, seconds
 #include <cstdio>   // snprintf
 #include <cstdlib>  // abort
