--- a/tests/entry/crash_fleet.cc
+++ b/tests/entry/crash_fleet.cc
@@ -104,6 +104,12 @@
       }));
 }
 
+size_t CrashFleet::ReportBytes(size_t router) const {
+  v1::RouterBeat beat;
+  m_records[router].AddReportsTo(beat, At(m_now));
+  return beat.ByteSizeLong();
+}
+
 void CrashFleet::TerminateRandom(size_t count) {
   for (size_t i = 0; i < count; ++i) {
     Terminate(m_random() % m_upstreams.size());
--- a/tests/entry/crash_fleet.h
+++ b/tests/entry/crash_fleet.h
@@ -36,6 +36,9 @@
   size_t ended_by_requests() const { return m_ended_by_requests; }
   /// Number of routers that refuse a part of prompts.
   size_t RoutersThatRefuse(const std::string& part) const;
+  const CrashRecord& record(size_t router) const { return m_records[router]; }
+  /// Bytes that crash reports add to the router's heartbeat.
+  size_t ReportBytes(size_t router) const;
 
  private:
   struct Run {
