--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -194,7 +194,7 @@
   return text.find(part) != std::string::npos;
 }
 
-std::string FreeAddress(boost::asio::io_context& /*io*/) {
+std::string FreeAddress() {
   constexpr size_t kReserved = 256;  // more than a test uses
   static std::array<int, kReserved> reserved{};
   static size_t next = 0;
@@ -226,7 +226,7 @@
 }
 
 ScriptedUpstream::ScriptedUpstream(boost::asio::io_context& io)
-    : m_address(FreeAddress(io)), m_acceptor(io, EndpointOf(m_address)) {
+    : m_address(FreeAddress()), m_acceptor(io, EndpointOf(m_address)) {
   Accept();
 }
 
@@ -325,7 +325,7 @@
 Router::Router() : store(io) {
   settings.router = core::RouterId("router-1");
   settings.failure_domain = core::FailureDomainId("fd-a");
-  settings.caller_address = FreeAddress(io);
+  settings.caller_address = FreeAddress();
   settings.layout = {"config",    "config",  "evacuate/",
                      "upstreams", "routers", "streams"};
 }
@@ -355,9 +355,9 @@
 std::unique_ptr<Gateway> Router::StartPeer(const std::string& name) {
   GatewaySettings other = settings;
   other.router = core::RouterId(name);
-  other.caller_address = FreeAddress(io);
+  other.caller_address = FreeAddress();
   peer_address = other.caller_address;
-  other.load_address = FreeAddress(io);
+  other.load_address = FreeAddress();
   auto peer = std::make_unique<Gateway>(io, other, TestAdapter(), store.Calls(),
                                         ClaimAtOnce());
   peer->Start();
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -19,7 +19,7 @@
 
 /// @brief "127.0.0.1:PORT" with a port that other programs don't get: a socket
 /// that does not listen is bound to it, and to those of the last 255 calls.
-std::string FreeAddress(boost::asio::io_context& io);
+std::string FreeAddress();
 
 /// @brief Sends one datagram to "ip:port".
 void SendDatagram(boost::asio::io_context& io,
--- a/tests/gateway/partition_fixture.h
+++ b/tests/gateway/partition_fixture.h
@@ -41,7 +41,7 @@
   }
 
   void Start() {
-    router.settings.load_address = FreeAddress(router.io);
+    router.settings.load_address = FreeAddress();
     router.settings.upstream_address = [this](const std::string& address) {
       ++dialed;
       return partitioned_to.empty() || !is_partitioned(address)
@@ -56,7 +56,7 @@
     peer = router.StartPeer("router-2");
   }
 
-  void Partition() { partitioned_to = FreeAddress(router.io); }
+  void Partition() { partitioned_to = FreeAddress(); }
 
   // Breaks off each request when it reaches an upstream, as a partition does
   // that begins then.
--- a/tests/gateway/unit-exchange.cc
+++ b/tests/gateway/unit-exchange.cc
@@ -246,7 +246,7 @@
 TEST(Exchange, a_caller_is_directed_to_routers_that_reach_the_store) {
   // Failure: only one router can't reach the store, and its Retry-After covers
   // the whole outage although other routers have free tokens.
-  router.settings.load_address = FreeAddress(router.io);
+  router.settings.load_address = FreeAddress();
   router.Start(10'000);
   router.store.unreachable = true;
   router.store.Put("other", "wake", "x");
@@ -276,7 +276,7 @@
   });
   constexpr int64_t kTotal = 100'000;
   constexpr int64_t kEach = 500;
-  router.settings.load_address = FreeAddress(router.io);
+  router.settings.load_address = FreeAddress();
   router.Start(kTotal);
   const std::unique_ptr<Gateway> peer = router.StartPeer("router-2");
   v1::RouterBeat own;
--- a/tests/gateway/unit-fleet-view.cc
+++ b/tests/gateway/unit-fleet-view.cc
@@ -24,7 +24,7 @@
 class ActivePeer {
  public:
   explicit ActivePeer(boost::asio::io_context& io)
-      : m_address(FreeAddress(io)), m_socket(io, udp::v4()) {
+      : m_address(FreeAddress()), m_socket(io, udp::v4()) {
     const auto endpoint = net::ReadEndpoint(m_address);
     m_socket.bind(
         {boost::asio::ip::make_address(endpoint->ip), endpoint->port});
@@ -77,8 +77,8 @@
   // Three large routers are active, three are next, and the store cannot send
   // the heartbeats of all to all.
   void StartStandby() {
-    router.settings.load_address = FreeAddress(router.io);
-    router.settings.directory_address = FreeAddress(router.io);
+    router.settings.load_address = FreeAddress();
+    router.settings.directory_address = FreeAddress();
     router.settings.store_read_bytes_per_second = 1;
     router.settings.processor_cores = 0.01;
     for (int i = 2; i <= 7; ++i) {
--- a/tests/gateway/unit-lifecycle.cc
+++ b/tests/gateway/unit-lifecycle.cc
@@ -227,7 +227,7 @@
 TEST(Lifecycle, a_restarted_process_recovers_the_reserve_of_its_predecessor) {
   // A process crashes and restarts a moment later on the same VM. If all that
   // it had claimed counted as spent, its callers would find no tokens left.
-  router.settings.load_address = FreeAddress(router.io);
+  router.settings.load_address = FreeAddress();
   router.store.Put("routers", "router-1",
                    CrashedASecondAgo().SerializeAsString());
   router.Start(10'000);
@@ -240,7 +240,7 @@
 TEST(Lifecycle, a_process_that_may_not_be_alone_recovers_no_reserve) {
   // The port is in use, so the earlier process may still be running and spend
   // its reserve.
-  router.settings.load_address = FreeAddress(router.io);
+  router.settings.load_address = FreeAddress();
   boost::asio::ip::udp::socket taken(router.io);
   const auto endpoint = net::ReadEndpoint(router.settings.load_address);
   taken.open(boost::asio::ip::udp::v4());
--- a/tests/gateway/unit-limit.cc
+++ b/tests/gateway/unit-limit.cc
@@ -81,7 +81,7 @@
 
 TEST(Limit, a_limit_reported_by_another_router_applies) {
   limit_of_one.reset();
-  router.settings.load_address = FreeAddress(router.io);
+  router.settings.load_address = FreeAddress();
   router.Start();
   CHECK(SendRequests(30) > 5);
   ReportLimit(0.5, 1);
--- a/tests/gateway/unit-partial-partition.cc
+++ b/tests/gateway/unit-partial-partition.cc
@@ -149,7 +149,7 @@
   const std::unique_ptr<TestCaller> caller = router.Caller();
   caller->Send(Router::RequestText("/talk/stream", {}, "r-stream"));
   CHECK(router.Until([&] { return open && Has(caller->received, "data"); }));
-  peer_partitioned_to = FreeAddress(router.io);
+  peer_partitioned_to = FreeAddress();
   TestCaller of_peer(router.io, router.peer_address);
   of_peer.Send(Router::RequestText("/talk/y", {}, "r-peer"));
   CHECK(router.Until([&] { return Has(of_peer.received, "HTTP/1.1"); }));
--- a/tests/gateway/unit-partition.cc
+++ b/tests/gateway/unit-partition.cc
@@ -24,7 +24,7 @@
 class BlackHole {
  public:
   explicit BlackHole(boost::asio::io_context& io)
-      : m_address(FreeAddress(io)), m_acceptor(io) {
+      : m_address(FreeAddress()), m_acceptor(io) {
     const auto endpoint = net::ReadEndpoint(m_address);
     const tcp::endpoint local(boost::asio::ip::make_address(endpoint->ip),
                               endpoint->port);
@@ -119,7 +119,7 @@
   // The router checks twice a second.
   router.io.run_for(std::chrono::milliseconds(1'000));
   const int before = dialed;
-  peer_partitioned_to = FreeAddress(router.io);
+  peer_partitioned_to = FreeAddress();
   CHECK_EQUAL(10, Served("/hold/z", 10));
   CHECK(dialed > before);
 }
--- a/tests/gateway/unit-response-end.cc
+++ b/tests/gateway/unit-response-end.cc
@@ -111,8 +111,8 @@
 
   // Lets the router reach the upstreams only through another one.
   std::unique_ptr<Gateway> StartPartitioned() {
-    router.settings.load_address = FreeAddress(router.io);
-    std::string nowhere = FreeAddress(router.io);
+    router.settings.load_address = FreeAddress();
+    std::string nowhere = FreeAddress();
     router.settings.upstream_address = [nowhere](const std::string&) {
       return nowhere;
     };
--- a/tests/gateway/unit-stream-version.cc
+++ b/tests/gateway/unit-stream-version.cc
@@ -93,7 +93,7 @@
 // Guards against a caller whose stream goes on at another version after its
 // router was lost.
 TEST(StreamVersion, another_router_resumes_a_stream_at_its_version) {
-  router.settings.load_address = FreeAddress(router.io);
+  router.settings.load_address = FreeAddress();
   AddUpstreams(old_ones, "v1", 2);
   AddUpstreams(new_ones, "v2", 2);
   router.Start();
