A failed read of the store tells how far its answer got

The logs of the incident say when a topic was lost, but not whether the store was out of reach, behind, or being read over a slow link: the three hypotheses predict different ones of these. store_read_failed has the topic, why and how long the call took; a timeout says whether the call was connected and how many bytes had arrived. No decision is changed.

--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -222,6 +222,10 @@
   m_contact.OnFailure(began);
   ContactOf(topic).OnFailure(began);
   m_metrics.OnStoreCall(topic, false);
+  LogLifecycle(LogLine("store_read_failed")
+                   .Text("topic", topic)
+                   .Text("why", error.detail)
+                   .Millis("after_ms", net::BootNow() - began));
   if (was_up && !m_contact.up()) {
     LogLifecycle(
         LogLine("store_lost").Text("topic", topic).Text("why", error.detail));
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -19,6 +19,16 @@
   return {core::ErrorId::kLogUnavailable, "store", std::move(detail)};
 }
 
+// Distinguishes an unreachable server, one that is late and an answer that was
+// being transferred.
+std::string DescribeTimeout(const entry::CallProgress& progress,
+                            size_t received) {
+  if (!progress.connected) {
+    return "not connected in time";
+  }
+  return "no answer in time, " + std::to_string(received) + " bytes received";
+}
+
 std::string TextOf(const HttpCall& call, const std::string& address) {
   std::string text = call.method + " " + call.target +
                      " HTTP/1.1\r\nHost: " + address + "\r\n";
@@ -78,7 +88,8 @@
       self->ArmTimeout();
       return;
     }
-    self->Finish(NoResponse("no answer in time"), false);
+    self->Finish(
+        NoResponse(DescribeTimeout(self->m_progress, self->m_received)), false);
   });
 }
 
