--- /dev/null
+++ b/tests/entry/reader_fleet.h
@@ -0,0 +1,116 @@
+#ifndef COPPERVALVE_TESTS_ENTRY_READER_FLEET_H_
+#define COPPERVALVE_TESTS_ENTRY_READER_FLEET_H_
+
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <optional>    // optional
+#include <queue>       // priority_queue
+#include <vector>      // vector
+
+#include "coppervalve/entry/call_timeouts.h"
+#include "coppervalve/entry/read_plan.h"
+
+namespace coppervalve::entry::testing {
+
+/// @brief How a router reads: its requests and timeouts.
+struct Reading {
+  ReadPlanOptions plan;
+  /// Timeouts of a read that does not wait for new records.
+  CallTimeouts timeouts;
+  /// Until the first byte of a page of newest records.
+  core::Duration page_first_byte{1'200'000};
+  core::Duration wait{1'000'000};  ///< of a long poll
+  size_t keys = 1;
+};
+
+/// @return how the product reads the configuration
+Reading ProductReading();
+
+/// @brief Size of the fleet, and what its store and links carry.
+struct ReaderFleetOptions {
+  size_t routers = 0;
+  double version_bytes = 0;
+  double store_bytes_per_second = 80e6;  ///< shared by all readers
+  double link_bytes_per_second = 2.5e6;  ///< of one small VM
+};
+
+/// @brief Simulates in virtual time routers that follow the configuration. They
+/// share the rate of the store, which also sends answers to calls that have
+/// timed out, and each router has its own link.
+class ReaderFleet {
+ public:
+  ReaderFleet(ReaderFleetOptions options, const Reading& reading);
+
+  /// @brief A version is written at each of these times.
+  void WriteVersions(const std::vector<double>& times);
+  /// @brief The first routers cannot connect to the store, from `from` to `to`.
+  void Partition(size_t routers, double from, double to);
+  /// @brief The store rejects calls of the first routers, from `from` to `to`.
+  void Refuse(size_t routers, double from, double to);
+  void Run(double until);
+
+  /// @return the longest time from the write of a version until it, or a newer
+  /// one, was in force at a router that can reach the store. Where it was
+  /// written while the router could not, the time counts from the end of that.
+  double LongestDelay() const;
+  /// @return when all routers have the newest version in force
+  double AllInForceAt() const;
+  /// @return bytes sent by the store, divided by those of one version for each
+  /// router
+  double VersionsSentPerRouter() const;
+
+ private:
+  struct Outage {
+    double from = 0;
+    double to = 0;
+    bool refuses = false;
+    bool Contains(double at) const { return from <= at && at < to; }
+  };
+  struct Reader {
+    explicit Reader(const Reading& reading) : plan(reading.plan) {}
+    ReadPlan plan;
+    std::optional<Outage> outage;
+    std::vector<double> in_force_at;  ///< by version; infinite = never
+  };
+  struct Event {
+    double at;
+    uint64_t order;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  struct Request {
+    size_t router = 0;
+    double began = 0;
+    bool newest = false;
+    size_t max_bytes = 0;
+    core::Duration wait{};
+  };
+
+  void Schedule(double at, std::function<void()> run);
+  double NextFraction();
+  void ScheduleStep(size_t router, const ReadStep& step);
+  void Call(const Request& request);
+  void Answer(const Request& request);
+  void OnAnswer(const Request& request, uint64_t next, uint64_t end);
+  void FailAt(const Request& request, double at);
+  uint64_t Written() const;
+
+  ReaderFleetOptions m_options;
+  Reading m_reading;
+  std::vector<Reader> m_readers;
+  std::vector<double> m_written_at;
+  std::priority_queue<Event> m_events;
+  std::vector<Request> m_waiting;
+  uint64_t m_order = 0;
+  double m_now = 0;
+  double m_fraction = 0;
+  double m_store_free = 0;
+  double m_bytes_sent = 0;
+};
+
+}  // namespace coppervalve::entry::testing
+
+#endif  // COPPERVALVE_TESTS_ENTRY_READER_FLEET_H_
