Routers of a large fleet read a configuration at spread times

Cause: the readers of one topic asked for more than the store can send, and gave up what was on its way. A long poll woke 985 routers at the same moment. One version for all of them takes the store 1.2 s, a read that began just before the version waited 0.8 s beyond its poll, and what gave up asked again for a page that is a third larger, while the store still sent what nobody waited for. With versions each 0.4 s nobody read one between 4.2 and 7.4 s.

Ruled out: processors (0.0016 of a core) and links: reads failed with 0 bytes received, on large VMs as well.

Change: where the store can't send a record to all readers within 0.2 s of half its bandwidth, a router polls the end of the log once a second and reads what is new at a random time within that interval, no more often than once in it, and only the newest version. Active routers, of which there are few, read at once. A read that was late gets twice the time, a poll doesn't. A router that knows of a newer version no longer calls its own current.

Why it works: each router uses at most its part of half of the bandwidth, whatever is written, and a failed read costs a poll before it is repeated. The age of a version is bounded by the interval and a poll: 985 routers 2.5 and 1 s.

The measure of the simulation excuses the time in which a router could not reach the store; the cases without an outage are as they were.

--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -135,7 +135,8 @@
   void LogHoldFactor();
   void SetReserveTimes(v1::RouterBeat& beat, core::TimePoint now) const;
   entry::StoreContact& ContactOf(const std::string& topic);
-  void OnStoreAnswer(const std::string& topic);
+  /// @param caught_up all records of the topic have been read
+  void OnStoreAnswer(const std::string& topic, bool caught_up);
   void OnStoreFailure(const std::string& topic,
                       const core::Error& error,
                       core::TimePoint began);
@@ -159,6 +160,7 @@
 
   void MakeFollowers();
   core::Duration StartingPause() const;
+  entry::ReadLoad ConfigurationLoad() const;
   void MakeHeartbeatWriter();
   void BindLoadPort();
   void MakePeerMessenger();
--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -40,6 +40,8 @@
 struct ReadBounds {
   core::Duration wait{};  ///< maximum time to wait for the first record
   size_t most_bytes = 0;
+  /// Maximum time to wait for the answer to begin, beyond `wait`.
+  core::Duration patience{800'000};
 };
 
 /// @brief Identifies a write, so that the store applies a retry only once and
@@ -67,8 +69,10 @@
   using Handler = std::function<void(const core::Result<T>&)>;
 
   /// @param after last key of the previous page; empty = first page
+  /// @param patience maximum time to wait for the answer to begin
   std::function<void(const std::string& topic,
                      const std::string& after,
+                     core::Duration patience,
                      Handler<NewestPage>)>
       newest;
   std::function<void(const std::string& topic,
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -36,11 +36,15 @@
     std::function<void(size_t listed)> on_page;
     std::function<void(const KeyedRecord&)> on_record;
     /// A batch was delivered; all records before `next` have been read.
-    std::function<void(uint64_t next)> on_read;
+    /// `end` is the end of the log.
+    std::function<void(uint64_t next, uint64_t end)> on_read;
     /// @param began start time of the failed call
     std::function<void(const core::Error&, core::TimePoint began)> on_failure;
     /// The pause to make instead of the usual one; optional.
     std::function<core::Duration(core::Duration usual)> pause;
+    /// The time over which reads of records of this size are to be spread;
+    /// unset = they are not.
+    std::function<core::Duration(size_t bytes)> spread;
     /// Whether the topic is needed at present, checked after each call; unset =
     /// always.
     std::function<bool()> needed;
@@ -54,7 +58,7 @@
                 const KeyedStore& store,
                 routing::RandomSource random,
                 Hooks hooks);
-  void Start() { ScheduleStep(m_plan.OnOffsetExpired()); }
+  void Start();
   /// @brief Starts over with the newest records, if reading has stopped and the
   /// topic is needed again.
   void Resume();
@@ -67,9 +71,13 @@
   void ReadPage();
   void OnPage(const core::Result<NewestPage>& result);
   void ReadBatch();
+  void Peek();
+  void OnPeek(const core::Result<NewestPage>& result);
   void OnBatch(const core::Result<RecordBatch>& result);
   void Deliver(const std::vector<KeyedRecord>& records);
   void HandleFailure(const core::Error& error);
+  void NoteRecords(const std::vector<KeyedRecord>& records);
+  void UpdateSpread();
   bool StopIfNotNeeded();
   void ScheduleStep(const entry::ReadStep& step);
   void RunAfter(core::Duration delay, void (TopicFollower::*step)());
@@ -84,6 +92,9 @@
   uint64_t m_end = 0;  ///< end of the log when the first page was read
   std::string m_after;
   core::TimePoint m_call_started;
+  core::Duration m_patience{};  ///< of the current call
+  size_t m_largest = 0;         ///< size of the largest record read
+  std::string m_last_key;       ///< last in order of the keys read
   bool m_pausing_between_reads = false;
   bool m_stopped = false;
 };
--- a/include/coppervalve/routing/random_source.h
+++ b/include/coppervalve/routing/random_source.h
@@ -14,6 +14,9 @@
 /// @brief Uniform in [0, bound); 0 when the bound is 0.
 uint64_t UniformBelow(const RandomSource& random, uint64_t bound);
 
+/// @brief Uniform in [0, 1).
+double UniformFraction(const RandomSource& random);
+
 /// @brief Uniform in [0, span); zero when the span is not positive.
 core::Duration UniformDuration(const RandomSource& random, core::Duration span);
 
--- a/src/entry/read_plan.cc
+++ b/src/entry/read_plan.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/entry/read_plan.h"
 
-#include <algorithm>  // min
+#include <algorithm>  // max, min
 
 namespace coppervalve::entry {
 
@@ -23,9 +23,44 @@
 // link of a small VM.
 constexpr size_t kMaxHeartbeatBytes = 256 * 1024;
 constexpr core::Duration kHeartbeatPause{250'000};
+constexpr core::Duration kPagePatience{1'200'000};
+constexpr core::Duration kReadPatience{800'000};
+constexpr uint32_t kMaxPatienceDoublings = 2;
+// As often as a long poll ends without a record.
+constexpr core::Duration kPeekInterval{1'000'000};
+// Leaves the other half to pages, which are larger than the records in them,
+// and to the other topics.
+constexpr double kMaxStoreShare = 0.5;
+// In less time than this, the store sends a record to all readers.
+constexpr core::Duration kMinInterval{200'000};
+
+bool IsPage(ReadStep::Call call) {
+  return call == ReadStep::Call::kFirstNewestPage ||
+         call == ReadStep::Call::kRepeatPage;
+}
+
+core::Duration Part(core::Duration whole, double part) {
+  return core::Duration(
+      static_cast<int64_t>(static_cast<double>(whole.count()) * part));
+}
+
+bool IsLarge(ReadStep::Call call) {
+  return IsPage(call) || call == ReadStep::Call::kRecords;
+}
 
 }  // namespace
 
+core::Duration ReadInterval(const ReadLoad& load, size_t bytes) {
+  if (load.store_bytes_per_second <= 0) {
+    return {};
+  }
+  const double seconds = static_cast<double>(load.readers) *
+                         static_cast<double>(bytes) /
+                         (load.store_bytes_per_second * kMaxStoreShare);
+  const core::Duration interval(static_cast<int64_t>(seconds * 1e6));
+  return interval < kMinInterval ? core::Duration::zero() : interval;
+}
+
 ReadPlanOptions ConfigurationPlan() {
   ReadPlanOptions plan;
   plan.pause = kConfigurationPause;
@@ -47,13 +82,44 @@
   return plan;
 }
 
-ReadStep ReadPlan::RestartFromNewest() {
-  m_has_newest = false;
-  return {ReadStep::Call::kFirstNewestPage, {}, false};
+void ReadPlan::SetSpread(core::Duration interval, double position) {
+  m_interval = interval;
+  m_position = position;
+}
+
+// If every reader repeated a read that the store has not come to yet, the store
+// would send mostly what nobody waits for any more. Peeks are answered at once,
+// so they need no more time, and show soon that the store is out of reach.
+ReadStep ReadPlan::Make(ReadStep::Call call,
+                        core::Duration delay,
+                        bool interruptible) {
+  m_call = call;
+  const core::Duration base = IsPage(call) ? kPagePatience : kReadPatience;
+  const bool waits_longer =
+      IsPage(call) || (call == ReadStep::Call::kRecords && spreads());
+  const auto factor =
+      waits_longer ? 1U << std::min(m_late, kMaxPatienceDoublings) : 1U;
+  return {call, delay, interruptible, base * factor};
+}
+
+ReadStep ReadPlan::ReadNext(core::Duration pause, bool interruptible) {
+  if (!spreads()) {
+    return Make(ReadStep::Call::kRecords, pause, interruptible);
+  }
+  const core::Duration delay =
+      kPeekInterval / 2 + Part(kPeekInterval, m_position);
+  return Make(ReadStep::Call::kPeek, delay, false);
+}
+
+ReadStep ReadPlan::RestartFromNewest(core::Duration delay) {
+  // A spread reader finds out by a peek whether a failed page is still needed.
+  m_has_newest = m_has_newest && spreads();
+  return Make(ReadStep::Call::kFirstNewestPage, delay, false);
 }
 
 void ReadPlan::OnPage(core::TimePoint now) {
   m_failures = 0;
+  m_late = 0;
   m_last_answer = now;
 }
 
@@ -62,7 +128,8 @@
   m_has_newest = true;
   m_keys = keys;
   m_next = next;
-  return {ReadStep::Call::kRecords, {}, false};
+  m_due.reset();
+  return ReadNext({}, false);
 }
 
 // Reading record by record what hundreds of routers missed in a common outage
@@ -74,24 +141,69 @@
                            core::Duration pause,
                            core::TimePoint now) {
   m_failures = 0;
+  m_late = 0;
   m_last_answer = now;
   m_next = next;
   const uint64_t behind = end > next ? end - next : 0;
-  const bool newest_is_cheaper = static_cast<double>(behind) >
-                                 static_cast<double>(m_keys) * kPageCostFactor;
   // A record larger than one read would be requested forever.
   const bool stuck = empty && behind > 0;
-  if (newest_is_cheaper || stuck) {
-    return RestartFromNewest();
+  if (spreads() && !stuck) {
+    return OnPeek(end, now);
+  }
+  if (stuck || NewestIsCheaper(behind)) {
+    return RestartFromNewest({});
   }
   if (empty || behind > 0) {
-    return {ReadStep::Call::kRecords, {}, false};
+    return ReadNext({}, false);
   }
-  return {ReadStep::Call::kRecords, pause, true};
+  return ReadNext(pause, true);
 }
 
-ReadStep ReadPlan::OnOffsetExpired() {
-  return RestartFromNewest();
+bool ReadPlan::NewestIsCheaper(uint64_t behind) const {
+  return static_cast<double>(behind) >
+         static_cast<double>(m_keys) * kPageCostFactor;
+}
+
+// A long poll would wake all readers at the same moment. If each of a thousand
+// then read a configuration, the last ones would time out, and heartbeats and
+// claims would wait in the store behind all of them.
+ReadStep ReadPlan::OnPeek(uint64_t end, core::TimePoint now) {
+  m_failures = 0;
+  m_last_answer = now;
+  const uint64_t behind = end > m_next ? end - m_next : 0;
+  if (behind == 0 || !spreads()) {
+    m_due.reset();
+    return ReadNext({}, false);
+  }
+  if (!m_due) {
+    m_due = NextLargeRead(now);
+  }
+  if (now < *m_due) {
+    return Make(ReadStep::Call::kPeek, *m_due - now, false);
+  }
+  m_due.reset();
+  m_last_large = now;
+  return NewestIsCheaper(behind) ? RestartFromNewest({})
+                                 : Make(ReadStep::Call::kRecords, {}, false);
+}
+
+core::TimePoint ReadPlan::NextLargeRead(core::TimePoint now) const {
+  // Peeks of the readers are spread over their interval already.
+  const core::Duration rest =
+      std::max(m_interval - kPeekInterval, core::Duration::zero());
+  const core::Duration spread = Part(rest, m_position);
+  return m_last_large ? std::max(now + spread, *m_last_large + m_interval)
+                      : now + spread;
+}
+
+// The store may drop the history of a topic for all readers at once.
+ReadStep ReadPlan::OnOffsetExpired(core::TimePoint now) {
+  if (!spreads()) {
+    return RestartFromNewest({});
+  }
+  const core::TimePoint due = NextLargeRead(now);
+  m_last_large = due;
+  return RestartFromNewest(due - now);
 }
 
 // Without jitter all routers would retry at the same moments when the store
@@ -105,20 +217,22 @@
   const auto factor = 1U << std::min(m_failures, kMaxDoublings);
   ++m_failures;
   const bool unanswered = now - started_at >= kMaxRefusalTime;
+  m_late += unanswered && IsLarge(m_call) ? 1 : 0;
   const core::Duration backoff =
       unanswered ? m_options.first_backoff
                  : std::min(m_options.first_backoff * factor,
                             m_options.longest_backoff);
-  const auto random =
-      static_cast<int64_t>(static_cast<double>(backoff.count()) * jitter);
-  const core::Duration delay = backoff / 2 + core::Duration(random);
+  const core::Duration delay = backoff / 2 + Part(backoff, jitter);
+  m_due.reset();
+  if (!m_has_newest) {
+    return Make(ReadStep::Call::kRepeatPage, delay, false);
+  }
   const bool silent = m_last_answer && now - *m_last_answer > kMaxSilence;
-  if (m_has_newest && silent && m_options.newest_only) {
-    m_has_newest = false;
-    return {ReadStep::Call::kFirstNewestPage, delay, false};
+  if (silent && m_options.newest_only && !spreads()) {
+    return RestartFromNewest(delay);
   }
-  return {m_has_newest ? ReadStep::Call::kRecords : ReadStep::Call::kRepeatPage,
-          delay, false};
+  return Make(spreads() ? ReadStep::Call::kPeek : ReadStep::Call::kRecords,
+              delay, false);
 }
 
 }  // namespace coppervalve::entry
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -35,12 +35,6 @@
   }
 }
 
-// Uniform in [0, 1).
-double RandomFraction(const routing::RandomSource& random) {
-  constexpr uint64_t kSteps = 1'000'000;
-  return static_cast<double>(routing::UniformBelow(random, kSteps)) / kSteps;
-}
-
 }  // namespace
 
 Exchange::Exchange(const ExchangeContext& context,
@@ -171,8 +165,9 @@
   backlog.objective = m_admitted.configuration_index->ObjectiveOf(
       m_admitted.service, m_admitted.route->priority);
   backlog.rank = m_admitted.route->priority;
-  const std::optional<core::Duration> retry_delay = entry::Shed(
-      m_context.policy.shedding, backlog, RandomFraction(m_context.random));
+  const std::optional<core::Duration> retry_delay =
+      entry::Shed(m_context.policy.shedding, backlog,
+                  routing::UniformFraction(m_context.random));
   if (!retry_delay) {
     return false;
   }
@@ -415,7 +410,7 @@
       m_context.directory.Of(m_admitted.service), now);
   const core::Duration wait =
       std::clamp(next - now, kRetryElsewhere, kMaxRateLimitWait);
-  const double spread = RandomFraction(m_context.random);
+  const double spread = routing::UniformFraction(m_context.random);
   return wait + std::chrono::duration_cast<core::Duration>(
                     kRetryAfterStoreUpdate * spread);
 }
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -32,10 +32,21 @@
                   core::Duration(static_cast<int64_t>(seconds * 1e6)));
 }
 
+// Active routers serve most callers, so they read a configuration before the
+// standbys.
+entry::ReadLoad Gateway::ConfigurationLoad() const {
+  const uint32_t readers = m_members.SelfActiveOrNext()
+                               ? 2 * m_members.ActiveCount()
+                               : m_members.KnownCount();
+  return {readers, m_settings.store_read_bytes_per_second};
+}
+
 void Gateway::MakeFollowers() {
   const auto hooks = [this](const std::string& topic) {
     TopicFollower::Hooks made;
-    made.on_read = [this, topic](uint64_t /*next*/) { OnStoreAnswer(topic); };
+    made.on_read = [this, topic](uint64_t /*next*/, uint64_t /*end*/) {
+      OnStoreAnswer(topic, true);
+    };
     made.pause = [this](core::Duration usual) {
       return m_members.SelfActive() ? usual : std::max(usual, kStandbyPause);
     };
@@ -51,6 +62,14 @@
   // Standbys read the configuration as often as active routers, so that it
   // takes effect everywhere within seconds.
   of_configuration.pause = {};
+  of_configuration.spread = [this](size_t bytes) {
+    return entry::ReadInterval(ConfigurationLoad(), bytes);
+  };
+  // A router that knows of a newer version does not have the current one.
+  of_configuration.on_read = [this, topic = layout.configuration_topic](
+                                 uint64_t next, uint64_t end) {
+    OnStoreAnswer(topic, next >= end);
+  };
   of_configuration.on_record = [this](const KeyedRecord& record) {
     OnOperatorRecord(record);
   };
@@ -92,9 +111,9 @@
   };
   of_heartbeats.needed = [this] { return m_follows_heartbeats; };
   of_heartbeats.on_stopped = [this] { OnHeartbeatReadingStopped(); };
-  of_heartbeats.on_read = [this,
-                           topic = layout.heartbeat_topic](uint64_t next) {
-    OnStoreAnswer(topic);
+  of_heartbeats.on_read = [this, topic = layout.heartbeat_topic](
+                              uint64_t next, uint64_t /*end*/) {
+    OnStoreAnswer(topic, true);
     m_heartbeats_read_to = next;
     m_members.Refresh(net::BootNow());
     StartHeartbeatsIfCaughtUp();
@@ -203,11 +222,13 @@
                                                    : m_beat_contact;
 }
 
-void Gateway::OnStoreAnswer(const std::string& topic) {
+void Gateway::OnStoreAnswer(const std::string& topic, bool caught_up) {
   const core::TimePoint now = net::BootNow();
   const bool was_up = m_contact.up();
   m_contact.OnAnswer(now);
-  ContactOf(topic).OnAnswer(now);
+  if (caught_up) {
+    ContactOf(topic).OnAnswer(now);
+  }
   m_metrics.OnStoreCall(topic, true);
   if (!was_up) {
     LogLifecycle(LogLine("store_regained").Text("topic", topic));
--- a/src/gateway/heartbeat_writer.cc
+++ b/src/gateway/heartbeat_writer.cc
@@ -59,11 +59,8 @@
                             void (HeartbeatWriter::*step)()) {
   m_hooks.on_failure(error);
   m_pacing.OnFailure(net::BootNow() - m_call_started);
-  constexpr uint64_t kSteps = 1'000'000;
-  const double jitter =
-      static_cast<double>(routing::UniformBelow(m_random, kSteps)) / kSteps;
   m_retry = step;
-  Schedule(m_pacing.RetryDelay(jitter), step);
+  Schedule(m_pacing.RetryDelay(routing::UniformFraction(m_random)), step);
 }
 
 void HeartbeatWriter::StartHeartbeats() {
--- a/src/gateway/stream_record_reader.cc
+++ b/src/gateway/stream_record_reader.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr size_t kMaxBatchBytes = 262'144;
+constexpr core::Duration kPagePatience{1'200'000};
 
 }  // namespace
 
@@ -72,7 +73,7 @@
 // as one at the end of the log does.
 void StreamRecordReader::FindFirst() {
   m_store.newest(
-      m_topic, {},
+      m_topic, {}, kPagePatience,
       [weak = weak_from_this()](const core::Result<NewestPage>& result) {
         if (const auto self = weak.lock()) {
           self->OnEndKnown(result);
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -1,5 +1,6 @@
 #include "coppervalve/gateway/topic_follower.h"
 
+#include <algorithm>      // max
 #include <unordered_map>  // unordered_map
 #include <utility>        // move
 
@@ -19,6 +20,10 @@
       m_timer(io),
       m_plan(m_options.plan) {}
 
+void TopicFollower::Start() {
+  ScheduleStep(m_plan.OnOffsetExpired(net::BootNow()));
+}
+
 void TopicFollower::ReadNewest() {
   m_newest.clear();
   m_after.clear();
@@ -28,7 +33,7 @@
 void TopicFollower::ReadPage() {
   m_call_started = net::BootNow();
   m_store.newest(
-      m_options.topic, m_after,
+      m_options.topic, m_after, m_patience,
       [self = shared_from_this()](const core::Result<NewestPage>& result) {
         self->OnPage(result);
       });
@@ -61,11 +66,13 @@
     ReadPage();
     return;
   }
+  NoteRecords(m_newest);
+  UpdateSpread();
   const entry::ReadStep step =
       m_plan.OnNewest(m_newest.size(), m_end, net::BootNow());
   m_hooks.on_newest(m_newest);
   m_newest = {};
-  m_hooks.on_read(m_end);
+  m_hooks.on_read(m_end, m_end);
   ScheduleStep(step);
 }
 
@@ -74,24 +81,49 @@
   m_call_started = net::BootNow();
   m_store.read(
       m_options.topic, m_plan.next(),
-      {m_options.wait, m_options.plan.max_bytes},
+      {m_options.wait, m_options.plan.max_bytes, m_patience},
       [self = shared_from_this()](const core::Result<RecordBatch>& result) {
         self->OnBatch(result);
       });
 }
 
+// A page after the last key has the end of the log and no records. A read of
+// records always returns at least one.
+void TopicFollower::Peek() {
+  m_call_started = net::BootNow();
+  m_store.newest(
+      m_options.topic, m_last_key, m_patience,
+      [self = shared_from_this()](const core::Result<NewestPage>& result) {
+        self->OnPeek(result);
+      });
+}
+
+void TopicFollower::OnPeek(const core::Result<NewestPage>& result) {
+  if (!core::IsOk(result)) {
+    HandleFailure(core::Failure(result));
+    return;
+  }
+  const uint64_t end = core::Value(result).end;
+  m_hooks.on_read(m_plan.next(), end);
+  UpdateSpread();
+  ScheduleStep(m_plan.OnPeek(end, net::BootNow()));
+}
+
 void TopicFollower::OnBatch(const core::Result<RecordBatch>& result) {
   if (!core::IsOk(result)) {
     if (core::Failure(result).id == core::ErrorId::kLogGap) {
-      ScheduleStep(m_plan.OnOffsetExpired());
+      UpdateSpread();
+      ScheduleStep(m_plan.OnOffsetExpired(net::BootNow()));
       return;
     }
     HandleFailure(core::Failure(result));
     return;
   }
   const RecordBatch& batch = core::Value(result);
+  NoteRecords(batch.records);
+  UpdateSpread();
   Deliver(batch.records);
-  m_hooks.on_read(batch.next);
+  m_hooks.on_read(batch.next, batch.end);
   const core::Duration usual = m_options.plan.pause;
   const bool varies = usual > core::Duration::zero() && m_hooks.pause;
   ScheduleStep(m_plan.OnBatch(batch.records.empty(), batch.next, batch.end,
@@ -128,10 +160,22 @@
 
 void TopicFollower::HandleFailure(const core::Error& error) {
   m_hooks.on_failure(error, m_call_started);
-  constexpr uint64_t kSteps = 1'000'000;
-  const double draw =
-      static_cast<double>(routing::UniformBelow(m_random, kSteps)) / kSteps;
-  ScheduleStep(m_plan.OnFailure(draw, m_call_started, net::BootNow()));
+  ScheduleStep(m_plan.OnFailure(routing::UniformFraction(m_random),
+                                m_call_started, net::BootNow()));
+}
+
+void TopicFollower::NoteRecords(const std::vector<KeyedRecord>& records) {
+  for (const KeyedRecord& record : records) {
+    m_largest = std::max(m_largest, record.value.size());
+    m_last_key = std::max(m_last_key, record.key);
+  }
+}
+
+void TopicFollower::UpdateSpread() {
+  if (m_hooks.spread) {
+    m_plan.SetSpread(m_hooks.spread(m_largest),
+                     routing::UniformFraction(m_random));
+  }
 }
 
 void TopicFollower::Resume() {
@@ -156,6 +200,7 @@
     return;
   }
   m_pausing_between_reads = step.interruptible;
+  m_patience = step.patience;
   switch (step.call) {
     case entry::ReadStep::Call::kFirstNewestPage:
       RunAfter(step.delay, &TopicFollower::ReadNewest);
@@ -166,6 +211,9 @@
     case entry::ReadStep::Call::kRecords:
       RunAfter(step.delay, &TopicFollower::ReadBatch);
       return;
+    case entry::ReadStep::Call::kPeek:
+      RunAfter(step.delay, &TopicFollower::Peek);
+      return;
   }
 }
 
--- a/src/routing/random_source.cc
+++ b/src/routing/random_source.cc
@@ -10,6 +10,11 @@
   return random() % bound;
 }
 
+double UniformFraction(const RandomSource& random) {
+  constexpr uint64_t kSteps = 1'000'000;
+  return static_cast<double>(UniformBelow(random, kSteps)) / kSteps;
+}
+
 core::Duration UniformDuration(const RandomSource& random,
                                core::Duration span) {
   if (span.count() <= 0) {
--- a/tests/entry/reader_fleet.cc
+++ b/tests/entry/reader_fleet.cc
@@ -31,7 +31,6 @@
 Reading ProductReading() {
   Reading reading;
   reading.plan = ConfigurationPlan();
-  reading.timeouts.first_byte = core::Duration(800'000);
   reading.timeouts.total = core::Duration(5'000'000);
   return reading;
 }
@@ -45,6 +44,7 @@
     m_readers[i].in_force_at = {0};
     // Long polls of routers that have run for a while are spread evenly.
     Schedule(NextFraction() * Seconds(reading.wait), [this, i] {
+      SetSpread(m_readers[i]);
       ScheduleStep(i, m_readers[i].plan.OnNewest(m_reading.keys, kFirstVersion,
                                                  At(m_now)));
     });
@@ -83,16 +83,19 @@
   }
 }
 
+double ReaderFleet::Outage::LongestOutside(double begin, double end) const {
+  return std::max(std::min(end, from) - begin, end - std::max(begin, to));
+}
+
 double ReaderFleet::LongestDelay() const {
   double longest = 0;
   for (const Reader& reader : m_readers) {
     for (size_t i = 1; i < m_written_at.size(); ++i) {
-      const bool missed =
-          reader.outage && reader.outage->Contains(m_written_at[i]);
-      const double since = missed ? reader.outage->to : m_written_at[i];
       const double at =
           i < reader.in_force_at.size() ? reader.in_force_at[i] : kNever;
-      longest = std::max(longest, at - since);
+      longest = std::max(longest, reader.outage ? reader.outage->LongestOutside(
+                                                      m_written_at[i], at)
+                                                : at - m_written_at[i]);
     }
   }
   return longest;
@@ -129,8 +132,7 @@
 
 void ReaderFleet::ScheduleStep(size_t router, const ReadStep& step) {
   const double at = m_now + Seconds(step.delay);
-  Request request{router, at, step.call != ReadStep::Call::kRecords,
-                  m_reading.plan.max_bytes, m_reading.wait};
+  const Request request{router, at, step.call, step.patience};
   Schedule(at, [this, request] { Call(request); });
 }
 
@@ -150,14 +152,13 @@
                                      : Seconds(m_reading.timeouts.connect)));
     return;
   }
-  const bool waits = !request.newest && reader.plan.next() == Written() &&
-                     request.wait > core::Duration::zero();
+  const bool waits = request.polls() && reader.plan.next() == Written();
   if (!waits) {
     Answer(request);
     return;
   }
   m_waiting.push_back(request);
-  Schedule(m_now + Seconds(request.wait), [this, request] {
+  Schedule(m_now + Seconds(m_reading.wait), [this, request] {
     const auto found = std::find_if(m_waiting.begin(), m_waiting.end(),
                                     [&](const Request& waiting) {
                                       return waiting.router == request.router;
@@ -169,22 +170,33 @@
   });
 }
 
-void ReaderFleet::Answer(const Request& request) {
-  const uint64_t next = m_readers[request.router].plan.next();
+uint64_t ReaderFleet::RecordsIn(const Request& request) const {
+  if (!request.polls()) {
+    return request.page() ? 1 : 0;
+  }
   const auto fit = static_cast<uint64_t>(
-      static_cast<double>(request.max_bytes) / m_options.version_bytes);
-  const uint64_t records = request.newest ? 1 : std::min(Written() - next, fit);
-  const double bytes = kOffsetBytes + static_cast<double>(records) *
-                                          m_options.version_bytes *
-                                          (request.newest ? kTextPerByte : 1);
+      static_cast<double>(m_reading.plan.max_bytes) / m_options.version_bytes);
+  return std::min(Written() - m_readers[request.router].plan.next(),
+                  std::max<uint64_t>(fit, 1));
+}
+
+double ReaderFleet::BytesOf(const Request& request) const {
+  const double records = static_cast<double>(RecordsIn(request));
+  return kOffsetBytes + records * m_options.version_bytes *
+                            (request.page() ? kTextPerByte : 1);
+}
+
+void ReaderFleet::Answer(const Request& request) {
+  const double bytes = BytesOf(request);
   m_bytes_sent += bytes;
   m_store_free = std::max(m_store_free, m_now + kCallSeconds) +
                  bytes / m_options.store_bytes_per_second;
   const double begins = m_store_free;
   const double ends = begins + bytes / m_options.link_bytes_per_second;
   CallTimeouts timeouts = m_reading.timeouts;
-  timeouts.first_byte = request.newest ? m_reading.page_first_byte
-                                       : timeouts.first_byte + request.wait;
+  timeouts.first_byte =
+      request.patience +
+      (request.polls() ? m_reading.wait : core::Duration::zero());
   const core::TimePoint first_byte_timeout =
       timeouts.TimesOutAt({At(request.began), true, std::nullopt});
   const core::TimePoint total_timeout =
@@ -198,24 +210,45 @@
     return;
   }
   const uint64_t end = Written();
-  Schedule(ends, [this, request, next = request.newest ? end : next + records,
-                  end] { OnAnswer(request, next, end); });
+  const uint64_t next = request.page() ? end
+                                       : m_readers[request.router].plan.next() +
+                                             RecordsIn(request);
+  Schedule(ends, [this, request, next, end] { OnAnswer(request, next, end); });
+}
+
+void ReaderFleet::SetSpread(Reader& reader) {
+  if (!m_reading.spreads) {
+    return;
+  }
+  const ReadLoad load{m_options.routers, m_options.store_bytes_per_second};
+  reader.plan.SetSpread(
+      ReadInterval(load, static_cast<size_t>(m_options.version_bytes)),
+      NextFraction());
 }
 
 void ReaderFleet::OnAnswer(const Request& request,
                            uint64_t next,
                            uint64_t end) {
   Reader& reader = m_readers[request.router];
-  const bool empty = next == reader.plan.next();
+  SetSpread(reader);
   while (reader.in_force_at.size() < next) {
     reader.in_force_at.push_back(m_now);
   }
-  ScheduleStep(
-      request.router,
-      request.newest
-          ? reader.plan.OnNewest(m_reading.keys, next, At(m_now))
-          : reader.plan.OnBatch(empty, next, end, reader.plan.options().pause,
-                                At(m_now)));
+  ScheduleStep(request.router, NextStep(request, next, end));
+}
+
+ReadStep ReaderFleet::NextStep(const Request& request,
+                               uint64_t next,
+                               uint64_t end) {
+  ReadPlan& plan = m_readers[request.router].plan;
+  if (request.page()) {
+    return plan.OnNewest(m_reading.keys, next, At(m_now));
+  }
+  if (request.call == ReadStep::Call::kPeek) {
+    return plan.OnPeek(end, At(m_now));
+  }
+  return plan.OnBatch(next == plan.next(), next, end, plan.options().pause,
+                      At(m_now));
 }
 
 }  // namespace coppervalve::entry::testing
--- a/tests/entry/reader_fleet.h
+++ b/tests/entry/reader_fleet.h
@@ -16,12 +16,10 @@
 /// @brief How a router reads: its requests and timeouts.
 struct Reading {
   ReadPlanOptions plan;
-  /// Timeouts of a read that does not wait for new records.
-  CallTimeouts timeouts;
-  /// Until the first byte of a page of newest records.
-  core::Duration page_first_byte{1'200'000};
+  CallTimeouts timeouts;           ///< the plan sets that of the first byte
   core::Duration wait{1'000'000};  ///< of a long poll
   size_t keys = 1;
+  bool spreads = true;  ///< as the size of the fleet demands
 };
 
 /// @return how the product reads the configuration
@@ -50,9 +48,8 @@
   void Refuse(size_t routers, double from, double to);
   void Run(double until);
 
-  /// @return the longest time from the write of a version until it, or a newer
-  /// one, was in force at a router that can reach the store. Where it was
-  /// written while the router could not, the time counts from the end of that.
+  /// @return the longest time that a router could reach the store, without
+  /// interruption, and had neither a version that was written nor a newer one
   double LongestDelay() const;
   /// @return when all routers have the newest version in force
   double AllInForceAt() const;
@@ -66,6 +63,8 @@
     double to = 0;
     bool refuses = false;
     bool Contains(double at) const { return from <= at && at < to; }
+    /// @return the longest part of a span that is outside
+    double LongestOutside(double begin, double end) const;
   };
   struct Reader {
     explicit Reader(const Reading& reading) : plan(reading.plan) {}
@@ -84,9 +83,13 @@
   struct Request {
     size_t router = 0;
     double began = 0;
-    bool newest = false;
-    size_t max_bytes = 0;
-    core::Duration wait{};
+    ReadStep::Call call = ReadStep::Call::kRecords;
+    core::Duration patience{};
+    bool page() const {
+      return call == ReadStep::Call::kFirstNewestPage ||
+             call == ReadStep::Call::kRepeatPage;
+    }
+    bool polls() const { return call == ReadStep::Call::kRecords; }
   };
 
   void Schedule(double at, std::function<void()> run);
@@ -94,7 +97,11 @@
   void ScheduleStep(size_t router, const ReadStep& step);
   void Call(const Request& request);
   void Answer(const Request& request);
+  void SetSpread(Reader& reader);
   void OnAnswer(const Request& request, uint64_t next, uint64_t end);
+  ReadStep NextStep(const Request& request, uint64_t next, uint64_t end);
+  uint64_t RecordsIn(const Request& request) const;
+  double BytesOf(const Request& request) const;
   void FailAt(const Request& request, double at);
   uint64_t Written() const;
 
--- a/tests/entry/unit-read-after-partition.cc
+++ b/tests/entry/unit-read-after-partition.cc
@@ -22,7 +22,8 @@
   Reading reading = ProductReading();
   reading.plan.max_bytes = 1024 * 1024;
   reading.plan.newest_only = false;
-  reading.timeouts.total = reading.wait + reading.timeouts.first_byte;
+  reading.timeouts.total = core::Duration(1'800'000);
+  reading.spreads = false;
   reading.keys = 1'000;
   return reading;
 }
--- a/tests/entry/unit-read-plan.cc
+++ b/tests/entry/unit-read-plan.cc
@@ -108,3 +108,88 @@
   CHECK(At(3.3) == timeouts.TimesOutAt({At(0), true, At(2.5)}));
   CHECK(At(6) == timeouts.TimesOutAt({At(0), true, At(5.9)}));
 }
+
+TEST(ReadPlan, reads_are_spread_if_the_store_cannot_send_to_all_at_once) {
+  constexpr size_t kBytes = 100'000;
+  const ReadLoad large{985, 80e6};
+  // All readers together use half of the store's bandwidth.
+  CHECK(core::Duration(2'462'500) == ReadInterval(large, kBytes));
+  const ReadLoad small{7, 80e6};
+  CHECK(core::Duration::zero() == ReadInterval(small, kBytes));
+  const ReadLoad unknown{985, 0};
+  CHECK(core::Duration::zero() == ReadInterval(unknown, kBytes));
+}
+
+namespace {
+
+constexpr core::Duration kInterval{3'000'000};
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(SpreadReadPlan) {
+  ReadPlan plan{ConfigurationPlan()};
+  void setup() override {
+    plan.SetSpread(kInterval, 0.5);
+    plan.OnNewest(1, 10, At(0));
+  }
+};
+// clang-format on
+
+TEST(SpreadReadPlan, polls_the_end_of_the_log_while_nothing_is_new) {
+  const ReadStep step = plan.OnPeek(10, At(1));
+  CHECK(IsCall(step, ReadStep::Call::kPeek));
+  CHECK(core::Duration(1'000'000) == step.delay);
+}
+
+TEST(SpreadReadPlan, reads_one_new_record_at_its_time) {
+  const ReadStep waits = plan.OnPeek(11, At(1));
+  CHECK(IsCall(waits, ReadStep::Call::kPeek));
+  // Half of what remains of the interval after the poll's.
+  CHECK(core::Duration(1'000'000) == waits.delay);
+  CHECK(IsCall(plan.OnPeek(11, At(2)), ReadStep::Call::kRecords));
+}
+
+TEST(SpreadReadPlan, reads_only_the_newest_of_what_was_written_meanwhile) {
+  plan.OnPeek(11, At(1));
+  CHECK(IsCall(plan.OnPeek(14, At(2)), ReadStep::Call::kFirstNewestPage));
+}
+
+TEST(SpreadReadPlan, reads_no_more_often_than_once_in_an_interval) {
+  plan.OnPeek(11, At(1));
+  plan.OnPeek(11, At(2));
+  const ReadStep step = plan.OnBatch(false, 11, 12, kPause, At(2.1));
+  CHECK(IsCall(step, ReadStep::Call::kPeek));
+  CHECK(core::Duration(2'900'000) == step.delay);
+}
+
+TEST(SpreadReadPlan, polls_before_it_repeats_a_failed_read) {
+  plan.OnPeek(11, At(1));
+  plan.OnPeek(11, At(2));
+  CHECK(IsCall(plan.OnFailure(0, At(2), At(3)), ReadStep::Call::kPeek));
+  CHECK(IsCall(plan.OnPeek(12, At(3.1)), ReadStep::Call::kPeek));
+}
+
+TEST(SpreadReadPlan, a_read_that_was_late_gets_more_time_and_a_poll_does_not) {
+  plan.OnPeek(11, At(1));
+  const ReadStep first = plan.OnPeek(11, At(2));
+  const ReadStep poll = plan.OnFailure(0, At(2), At(3));
+  plan.OnPeek(11, At(3.1));
+  const ReadStep second = plan.OnPeek(11, At(5));
+  CHECK(IsCall(second, ReadStep::Call::kRecords));
+  CHECK(first.patience * 2 == second.patience);
+  CHECK(poll.patience == first.patience);
+}
+
+TEST(SpreadReadPlan, a_topic_that_lost_its_history_is_listed_at_spread_times) {
+  const ReadStep step = plan.OnOffsetExpired(At(1));
+  CHECK(IsCall(step, ReadStep::Call::kFirstNewestPage));
+  CHECK(core::Duration(1'000'000) == step.delay);
+}
+
+TEST(SpreadReadPlan, a_record_larger_than_a_read_is_not_requested_forever) {
+  plan.OnPeek(11, At(1));
+  plan.OnPeek(11, At(2));
+  CHECK(IsCall(plan.OnBatch(true, 10, 11, kPause, At(2.1)),
+               ReadStep::Call::kFirstNewestPage));
+}
--- a/tests/gateway/fake_store.cc
+++ b/tests/gateway/fake_store.cc
@@ -88,7 +88,7 @@
 KeyedStore FakeStore::Calls() {
   KeyedStore calls;
   calls.newest = [this](const std::string& topic, const std::string& after,
-                        auto handler) {
+                        core::Duration /*patience*/, auto handler) {
     ++newest_calls;
     const bool unanswered = unreachable || topic == unreadable;
     if (unanswered || rejected_pages > 0) {
--- a/tests/gateway/unit-topic-follower.cc
+++ b/tests/gateway/unit-topic-follower.cc
@@ -33,7 +33,9 @@
     hooks.on_record = [this](const KeyedRecord& record) {
       read.push_back(record.value);
     };
-    hooks.on_read = [this](uint64_t offset) { next = offset; };
+    hooks.on_read = [this](uint64_t offset, uint64_t /*end*/) {
+      next = offset;
+    };
     hooks.on_failure = [](const core::Error&, core::TimePoint) {};
     return hooks;
   }
@@ -118,3 +120,31 @@
   Until([this] { return store.waiting_readers() == 1; });
   CHECK((std::vector<std::string>{"1", "2", "3"}) == read);
 }
+
+TEST(TopicFollower, a_reader_of_many_polls_before_it_reads) {
+  // Failure: each new configuration wakes a thousand routers at once, and the
+  // store sends it to most of them too late.
+  TopicFollower::Hooks hooks = ReadingHooks();
+  bool behind = false;
+  size_t spread_bytes = 0;
+  hooks.spread = [&](size_t bytes) {
+    spread_bytes = bytes;
+    return core::Duration(300'000);
+  };
+  hooks.on_read = [&](uint64_t offset, uint64_t end) {
+    next = offset;
+    behind = behind || offset < end;
+  };
+  store.Put("config", "config", "1");
+  follower = std::make_shared<TopicFollower>(
+      io, FollowerOptions{"config", entry::ConfigurationPlan()}, calls,
+      [] { return uint64_t{7}; }, std::move(hooks));
+  follower->Start();
+  Until([this] { return next == 1; });
+  CHECK_EQUAL(1, spread_bytes);
+  PutVersions(2, 9);
+  Until([this] { return next == 9; });
+  CHECK(behind);
+  CHECK((std::vector<std::string>{"1", "9"}) == read);
+  CHECK_EQUAL(0, store.waiting_readers());
+}
