Standbys fall back to reading heartbeats at spread times

Callers of a large fleet were refused for good after a few seconds in which the store was slow: no active router answered the standbys' question for its view, so 909 of 985 routers began to read the heartbeats and claims of all others within two seconds, and again at 15 to 17 s, which kept the store overloaded and the active routers silent (a metastable state).

Cause: a fallback that is right for one router costs the square of the fleet when all take it, and they lose the view together. Change: FallbackReading starts it at a random time in the interval in which the store can send the list to all, and not while the store does not answer. Most have a view before their turn.

The store of unit-fleet-view sends 50 KB/s instead of 1 B/s, and its standby sees seven routers, as there are: with 1 B/s the list would take hours. Its checks are unchanged.

--- a/include/coppervalve/entry/topic_subscription.h
+++ b/include/coppervalve/entry/topic_subscription.h
@@ -27,6 +27,10 @@
 /// @param accounts number of accounts that active routers claim
 double HeartbeatBytes(const HeartbeatLimits& limits, size_t accounts);
 
+/// @return size of the newest heartbeats of all routers
+/// @param accounts number of accounts that active routers claim
+size_t HeartbeatListBytes(const HeartbeatLimits& limits, size_t accounts);
+
 /// @brief Constants of the decision to follow a topic.
 struct TopicSubscriptionOptions {
   /// All routers follow if they need at most this part of the store's
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -13,6 +13,7 @@
 
 #include "coppervalve/entry/allocation_ledger.h"
 #include "coppervalve/entry/configuration_index.h"
+#include "coppervalve/entry/fallback_reading.h"
 #include "coppervalve/entry/heartbeat_rate.h"
 #include "coppervalve/entry/member_list.h"
 #include "coppervalve/entry/placement.h"
@@ -172,7 +173,9 @@
   void OnTokenAsk(const v1::TokenAsk& ask);
   void MakeFleetViewClient();
   void OnFleetViewAsk(const v1::FleetViewAsk& ask);
+  size_t AccountCount() const;
   entry::TopicCost HeartbeatCost() const;
+  core::Duration FallbackDelay() const;
   void UpdateHeartbeatReading();
   void OnHeartbeatReadingStopped();
   bool PostponeStart();
@@ -232,6 +235,7 @@
   /// upstreams they are written by the fleet itself, so their bytes grow with
   /// its square.
   entry::TopicSubscription m_heartbeat_readers{{.max_store_share = 0.1}};
+  entry::FallbackReading m_fallback_reading{[this] { return FallbackDelay(); }};
   bool m_follows_heartbeats = true;
   /// Time of the second list of heartbeats, if this start was postponed.
   std::optional<core::TimePoint> m_postponed_until;
--- a/src/entry/topic_subscription.cc
+++ b/src/entry/topic_subscription.cc
@@ -37,6 +37,12 @@
          standbys * kHeartbeatBytes / Seconds(HeartbeatPeriod(standby));
 }
 
+size_t HeartbeatListBytes(const HeartbeatLimits& limits, size_t accounts) {
+  return static_cast<size_t>(limits.live * kHeartbeatBytes +
+                             limits.active * kClaimBytes *
+                                 static_cast<double>(accounts));
+}
+
 bool StoreCanServeAll(const TopicCost& cost,
                       const TopicSubscriptionOptions& options) {
   if (cost.store_bytes_per_second <= 0) {
--- a/src/gateway/gateway_fleet_view.cc
+++ b/src/gateway/gateway_fleet_view.cc
@@ -1,5 +1,7 @@
 // Decides whether this router reads the heartbeats of the others, and asks
 // active routers for their view of the fleet while it does not.
+#include <algorithm>  // min
+
 #include "coppervalve/gateway/gateway.h"
 #include "coppervalve/net/clock.h"
 
@@ -12,6 +14,8 @@
 constexpr core::Duration kMaxViewAge{3'500'000};
 // Within a shorter time little is written, and listing again costs more.
 constexpr core::Duration kMinPostponement{500'000};
+// Meanwhile callers may be directed to routers that have failed.
+constexpr core::Duration kMaxFallbackDelay{10'000'000};
 
 }  // namespace
 
@@ -48,16 +52,26 @@
   m_peer_messenger->Send(ask.reply_address(), datagram);
 }
 
+size_t Gateway::AccountCount() const {
+  return m_in_force ? m_in_force->configuration().accounts.size() : 0;
+}
+
 entry::TopicCost Gateway::HeartbeatCost() const {
-  const size_t accounts =
-      m_in_force ? m_in_force->configuration().accounts.size() : 0;
   entry::TopicCost cost;
-  cost.bytes_per_second = entry::HeartbeatBytes(Limits(), accounts);
+  cost.bytes_per_second = entry::HeartbeatBytes(Limits(), AccountCount());
   cost.routers = m_members.KnownCount();
   cost.store_bytes_per_second = m_settings.store_read_bytes_per_second;
   return cost;
 }
 
+core::Duration Gateway::FallbackDelay() const {
+  const core::Duration interval = entry::ReadInterval(
+      {m_members.KnownCount(), m_settings.store_read_bytes_per_second},
+      entry::HeartbeatListBytes(Limits(), AccountCount()));
+  return routing::UniformDuration(m_random,
+                                  std::min(interval, kMaxFallbackDelay));
+}
+
 // The own heartbeat must be read back before this router is ready, and a claim
 // before it is granted.
 void Gateway::UpdateHeartbeatReading() {
@@ -67,9 +81,11 @@
       m_heartbeat_readers.Advance(HeartbeatCost(), needed, now);
   m_fleet_view_client->SetActive(!subscribed);
   const bool postponed = m_postponed_until && now < *m_postponed_until;
+  const bool view_lost = m_fleet_view_client->Age(now) > kMaxViewAge;
+  const bool falls_back =
+      m_fallback_reading.Advance(view_lost, m_contact.up(), now);
   const bool follows =
-      !postponed && (subscribed || !m_first_heartbeat_read ||
-                     m_fleet_view_client->Age(now) > kMaxViewAge);
+      !postponed && (subscribed || !m_first_heartbeat_read || falls_back);
   if (follows != m_follows_heartbeats) {
     LogLifecycle(LogLine("follows_heartbeats")
                      .Flag("follows", follows)
--- a/tests/gateway/unit-fleet-view.cc
+++ b/tests/gateway/unit-fleet-view.cc
@@ -79,7 +79,7 @@
   void StartStandby() {
     router.settings.load_address = FreeAddress();
     router.settings.directory_address = FreeAddress();
-    router.settings.store_read_bytes_per_second = 1;
+    router.settings.store_read_bytes_per_second = 50'000;
     router.settings.processor_cores = 0.01;
     for (int i = 2; i <= 7; ++i) {
       const std::string number = std::to_string(i);
@@ -144,6 +144,7 @@
   // Failure: the active routers lose power, and standbys direct callers to them
   // for good.
   peer.view = View();
+  peer.view->live = 7;
   StartStandby();
   CHECK(DirectoryLists("10.0.0.9:80"));
   peer.view.reset();
