Every part of an upstream's response is bounded

Callers beside a failing upstream could lose their router: bytes that go on until the router closes were kept without bound, and callers of the upstream waited for their deadline.

Cause: Beast bounds a head, but leaves the header of a chunk and trailer fields to the caller until they are complete, and we kept them; interim responses were skipped forever; an event or comments without their blank line were kept; of a response that says 'not run', or that fails a resumption, the body was read to its end, with the caller waiting although the head had told everything.

Change: ResponseReader accepts 64 KB of interim responses, and of any unfinished part; an unfinished event is at most 256 KB; what is not forwarded is read for 64 KB and 250 ms, then the connection is closed and the caller told. Comments and parts of an event no longer reset the timeout of a stream. The caller gets 502 at once, or 503 where the head says so; a stream is resumed elsewhere where it may be.

Ruled out by tests that passed before: status line, fields, bytes after the end, bytes on idle connections, a body that a caller does not read (bounded before). Plain bodies are passed on with backpressure until the deadline; large sound ones, chunks of 1 MB and events of 200 KB are not cut.

The sum over all requests of a router is not bounded (memory-of-connections).

--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -126,6 +126,9 @@
     bool end_confirmed = false;  ///< it accepted a connection afterwards
     bool ends_with_connection = false;  ///< the response
     bool resumed = false;
+    /// The body is read until then, and not forwarded.
+    std::optional<core::TimePoint> discard_until;
+    size_t discarded = 0;  ///< bytes of it
   };
 
   void Admit();
@@ -168,6 +171,8 @@
   void LogUnknownHeaders(const core::UpstreamId& upstream);
   void OnHead(const http1::ResponseHead& head);
   void OnBody(const std::string& body);
+  void OnEventBytes(const std::string& body);
+  void EndDiscarded();
   void ForwardEvents(const std::string& events);
   void OnEnd(AttemptEnd end, std::string_view why);
   void OnNotSent(AttemptEnd end, std::string_view why);
--- a/include/coppervalve/http1/response_reader.h
+++ b/include/coppervalve/http1/response_reader.h
@@ -24,7 +24,7 @@
 };
 
 /// @brief Incremental parser of one response. Interim responses (1xx) are
-/// skipped.
+/// skipped. Every part other than the body is limited to 64 KB.
 class ResponseReader {
  public:
   /// @param without_body true for the response to a HEAD request
@@ -51,6 +51,8 @@
   void ResetParser();
 
   bool m_without_body;
+  size_t m_parsed = 0;  ///< bytes of the current response
+  size_t m_interim_bytes = 0;
   std::unique_ptr<Parser> m_parser;
 };
 
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -16,6 +16,12 @@
 // complete, so that a broken one can be replaced by a retry or an error.
 constexpr size_t kMaxBufferedResponse = 262'144;
 constexpr size_t kMaxUnsent = 262'144;
+// An unfinished event is kept until it is complete.
+constexpr size_t kMaxEvent = 262'144;
+// What is read of the body of a response that is not forwarded, so that its
+// connection can be used again.
+constexpr size_t kMaxDiscarded = 65'536;
+constexpr core::Duration kMaxDiscardTime{250'000};
 // Base cost of every request, so that response times of small requests are
 // comparable.
 constexpr double kBaseRequestCost = 1;
@@ -165,32 +171,38 @@
                            : "response without a valid signature");
     return;
   }
-  if (attempt.resumed && !IsSuccess(head.status)) {
-    return;  // handled in OnComplete()
-  }
+  const bool failed_resumption = attempt.resumed && !IsSuccess(head.status);
   if (!attempt.resumed) {
     m_head = head;
   }
-  attempt.ends_with_connection = head.ends_with_connection;
-  attempt.events = IsStream() && IsSuccess(head.status) && IsEventStream(head);
-  attempt.forwarding = attempt.events;
+  if (!failed_resumption) {
+    attempt.ends_with_connection = head.ends_with_connection;
+    attempt.events =
+        IsStream() && IsSuccess(head.status) && IsEventStream(head);
+    attempt.forwarding = attempt.events;
+  }
+  if (!attempt.forwarding && (attempt.answer.not_run || attempt.resumed)) {
+    attempt.discard_until = m_last_activity + kMaxDiscardTime;
+    ArmTimer();
+  }
 }
 
 void Exchange::OnBody(const std::string& body) {
   Attempt& attempt = *m_attempt;
-  m_last_activity = net::BootNow();
-  if (attempt.forwarding && !attempt.events) {
-    ForwardToCaller(body);
+  if (attempt.forwarding && attempt.events) {
+    OnEventBytes(body);
     return;
   }
+  m_last_activity = net::BootNow();
   if (attempt.forwarding) {
-    const std::string whole = m_sse_splitter.Feed(body);
-    if (!whole.empty()) {
-      ForwardEvents(whole);
-    }
+    ForwardToCaller(body);
     return;
   }
-  if (attempt.answer.not_run || attempt.resumed) {
+  if (attempt.discard_until) {
+    attempt.discarded += body.size();
+    if (attempt.discarded > kMaxDiscarded) {
+      EndDiscarded();
+    }
     return;
   }
   m_body += body;
@@ -200,6 +212,31 @@
   }
 }
 
+// Comments and parts of an event do not reset the timeout: a failing upstream
+// may send them without end.
+void Exchange::OnEventBytes(const std::string& body) {
+  const uint64_t before = m_sse_splitter.events();
+  const std::string whole = m_sse_splitter.Feed(body);
+  if (m_sse_splitter.events() > before) {
+    m_last_activity = net::BootNow();
+  }
+  if (!whole.empty()) {
+    ForwardEvents(whole);
+  }
+  if (!m_done && m_attempt && m_sse_splitter.buffered_bytes() > kMaxEvent) {
+    AbortAttempt(AttemptOutcome::kBroken);
+    OnBroken("an event exceeds the size limit");
+  }
+}
+
+// The head has told what matters, and the caller waits.
+void Exchange::EndDiscarded() {
+  m_attempt->discard_until.reset();
+  m_attempt->end_checked = true;
+  m_attempt->connection->Cancel();
+  OnEnd(AttemptEnd::kComplete, {});
+}
+
 void Exchange::ForwardEvents(const std::string& events) {
   const core::UpstreamVersion version = m_attempt->version;
   if (!m_attempt->first_event_at) {
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -219,6 +219,9 @@
   if (const auto timeout_at = UpstreamTimeoutAt()) {
     next = std::min(next, *timeout_at);
   }
+  if (m_attempt && m_attempt->discard_until) {
+    next = std::min(next, *m_attempt->discard_until);
+  }
   const core::Duration wait = next - net::BootNow();
   m_timer.expires_after(std::max(wait, core::Duration(1'000)));
   m_timer.async_wait(
@@ -248,6 +251,11 @@
     }
     return;
   }
+  if (m_attempt && m_attempt->discard_until &&
+      now >= *m_attempt->discard_until) {
+    EndDiscarded();
+    return;
+  }
   if (m_wait_until && now >= *m_wait_until && !m_transfer_pending) {
     WaitForGrant();
     return;
--- a/src/http1/response_reader.cc
+++ b/src/http1/response_reader.cc
@@ -1,7 +1,7 @@
 #include "coppervalve/http1/response_reader.h"
 
 #include <boost/beast/http/basic_parser.hpp>
-#include <utility>  // exchange
+#include <utility>  // exchange, move
 
 namespace coppervalve::http1 {
 
@@ -13,6 +13,10 @@
 constexpr uint32_t kHeaderLimit = 65'536;
 constexpr int kFirstFinalStatus = 200;
 
+core::Error ProtocolError(std::string detail) {
+  return {core::ErrorId::kUpstreamProtocol, "response", std::move(detail)};
+}
+
 }  // namespace
 
 class ResponseReader::Parser : public http::basic_parser<false> {
@@ -89,23 +93,34 @@
   m_parser->skip(m_without_body);
 }
 
+// The parser bounds a head, but neither the number of interim responses nor the
+// header of a chunk nor trailer fields, which it leaves unused until they are
+// complete.
 core::Result<size_t> ResponseReader::Feed(std::string_view bytes) {
   size_t used = 0;
   while (used < bytes.size() && !m_parser->is_done()) {
     beast::error_code code;
-    used += m_parser->put(
+    const size_t parsed = m_parser->put(
         boost::asio::buffer(bytes.data() + used, bytes.size() - used), code);
+    used += parsed;
+    m_parsed += parsed;
     if (code == http::error::need_more) {
       break;
     }
     if (code) {
-      return core::Error{core::ErrorId::kUpstreamProtocol, "response",
-                         code.message()};
+      return ProtocolError(code.message());
     }
     if (m_parser->is_done() && m_parser->m_head.status < kFirstFinalStatus) {
+      m_interim_bytes += std::exchange(m_parsed, 0);
       ResetParser();
     }
   }
+  if (m_interim_bytes > kHeaderLimit) {
+    return ProtocolError("interim responses exceed the size limit");
+  }
+  if (!m_parser->is_done() && bytes.size() - used > kHeaderLimit) {
+    return ProtocolError("an unfinished part exceeds the size limit");
+  }
   return used;
 }
 
