--- a/src/net/http_channel.cc
+++ b/src/net/http_channel.cc
@@ -23,6 +23,10 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+// Bounds the header of a chunk and trailer fields, which the parser needs
+// whole.
+constexpr size_t kMaxUnparsedBytes = size_t{128} * 1024;
+
 }  // namespace
 
 struct HttpChannel::Impl : std::enable_shared_from_this<HttpChannel::Impl> {
@@ -131,7 +135,7 @@
   const size_t max_reply_bytes;
   tcp::socket socket;
   Deadline deadline;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::optional<http::response_parser<http::string_body>> parser;
   std::string wire;
   bool sent = false;
--- a/src/net/upstream_attempt.cc
+++ b/src/net/upstream_attempt.cc
@@ -29,6 +29,10 @@
 using core::ErrorId;
 
 constexpr uint32_t kMaxHeadBytes = 64U * 1024;
+// Bounds the header of a chunk and trailer fields, which the parser needs
+// whole.
+constexpr size_t kMaxUnparsedBytes = 2 * size_t{kMaxHeadBytes};
+constexpr int kMaxInterimResponses = 100;
 constexpr size_t kReadBytes = size_t{16} * 1024;
 // Bytes unread by the caller at which reading from the upstream pauses.
 constexpr size_t kHighWater = size_t{256} * 1024;
@@ -107,10 +111,15 @@
       return;
     }
     const unsigned status = head_parser->get().result_int();
-    if (status < kOk) {
+    if (status < kOk && ++interim_responses <= kMaxInterimResponses) {
       ReadHead();
       return;
     }
+    if (status < kOk) {
+      EndFailed({ErrorId::kUpstreamProtocol, plan.address,
+                 "too many interim responses"});
+      return;
+    }
     head = HeadOf(head_parser->get());
     load = LoadOf(head.headers);
     const bool busy = status == kTooManyRequests || status == kUnavailable;
@@ -340,7 +349,8 @@
   bool ended = false;
   bool paused = false;
   bool first_token_reported = false;
-  beast::flat_buffer buffer;
+  int interim_responses = 0;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::optional<HeadParser> head_parser;
   std::optional<BodyParser> body_parser;
   std::optional<StreamParser> stream_parser;
--- a/tests/net/unit-upstream.cc
+++ b/tests/net/unit-upstream.cc
@@ -1,10 +1,11 @@
 #include <CppUTest/TestHarness.h>
 
-#include <atomic>  // atomic
-#include <mutex>   // mutex
-#include <string>  // string
-#include <thread>  // thread
-#include <vector>  // vector
+#include <atomic>   // atomic
+#include <mutex>    // mutex
+#include <string>   // string
+#include <thread>   // thread
+#include <utility>  // pair
+#include <vector>   // vector
 
 #include "fake_server.h"
 #include "test_shell.h"
@@ -157,6 +158,34 @@
   }
 }
 
+TEST(Upstream, a_part_of_an_answer_without_end_is_not_kept) {
+  // Failure: an engine sends bytes that are no answer until its connection is
+  // closed. The router keeps them, and the caller waits for its timeout.
+  constexpr size_t kEndless = 8'388'608;
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> endless = {
+      {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+      {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {chunked + "5;name=", "x"},
+      {chunked + "0\r\n", "Name: value\r\n"}};
+  for (const auto& [begin, rest] : endless) {
+    FakeServer engine([&](RawSocket& socket, size_t) {
+      socket.ReadMessage();
+      socket.Send(begin);
+      std::string more;
+      while (more.size() < kEndless) {
+        more += rest;
+      }
+      socket.Send(more);
+      socket.WaitForClose();
+    });
+    TestShell shell(SendTo(engine.address()));
+    const std::string answer = SendRequest(shell, ModelPost("x"));
+    CHECK_TEXT(Has(answer, "CV-505"), answer.c_str());
+  }
+}
+
 TEST(Upstream, a_reused_connection_that_died_idle_is_replaced) {
   // The engine closes after its first answer without announcing it. The second
   // request must not fail: no byte of it was written yet, so a new connection
