After all upstreams of a service crashed, any of them ends the verdict of a partition

Each router took the crash for a partition, and checked only an upstream that another router had reached; where requests were refused before they were placed, none had. The routers then declined to relay when a real partition came.

Change: while no router has reached an upstream of the service, a router opens a connection to any of them, twice a second while it has requests. A crash of all is over at the first that opens; in a partition the connection fails and nothing changes. unit-upstream-reach has the test; it does not compile before.

--- a/include/coppervalve/entry/upstream_reach.h
+++ b/include/coppervalve/entry/upstream_reach.h
@@ -69,6 +69,10 @@
   /// whether the partition is over. Only upstreams that others reach are
   /// checked.
   std::vector<Check> TakeDueChecks(core::TimePoint now);
+  /// @return services of which no router has reached an upstream. A connection
+  /// to any of their upstreams should be opened now: all of them may have
+  /// crashed and be back.
+  std::vector<core::ServiceId> TakeDueProbes(core::TimePoint now);
 
  private:
   struct State {
@@ -79,6 +83,8 @@
     core::TimePoint next_check{};
   };
 
+  bool IsDue(const State& state, core::TimePoint now) const;
+
   ReachOptions m_options;
   std::unordered_map<core::ServiceId, State> m_services;
 };
--- a/include/coppervalve/gateway/reach_monitor.h
+++ b/include/coppervalve/gateway/reach_monitor.h
@@ -93,6 +93,7 @@
   size_t CountUsable(const core::ServiceId& service, core::TimePoint now) const;
   void ProbeAnother(const core::ServiceId& service, core::TimePoint now);
   void OnProbed(const entry::UpstreamEntry& upstream, bool opened);
+  void CheckReach(const core::ServiceId& service, const std::string& address);
   std::optional<std::string> ChooseRelay(
       const std::vector<std::string>& excluded,
       core::TimePoint now) const;
--- a/src/entry/upstream_reach.cc
+++ b/src/entry/upstream_reach.cc
@@ -76,13 +76,16 @@
       [](const auto& service) { return service.second.partitioned; }));
 }
 
+bool UpstreamReach::IsDue(const State& state, core::TimePoint now) const {
+  const bool idle = now - state.last_request > m_options.idle_time;
+  return state.partitioned && !idle && now >= state.next_check;
+}
+
 std::vector<UpstreamReach::Check> UpstreamReach::TakeDueChecks(
     core::TimePoint now) {
   std::vector<Check> due;
   for (auto& [service, state] : m_services) {
-    const bool idle = now - state.last_request > m_options.idle_time;
-    if (!state.partitioned || state.reached_by_peer.empty() || idle ||
-        now < state.next_check) {
+    if (!IsDue(state, now) || state.reached_by_peer.empty()) {
       continue;
     }
     state.next_check = now + m_options.check_interval;
@@ -91,4 +94,16 @@
   return due;
 }
 
+std::vector<core::ServiceId> UpstreamReach::TakeDueProbes(core::TimePoint now) {
+  std::vector<core::ServiceId> due;
+  for (auto& [service, state] : m_services) {
+    if (!IsDue(state, now) || !state.reached_by_peer.empty()) {
+      continue;
+    }
+    state.next_check = now + m_options.check_interval;
+    due.push_back(service);
+  }
+  return due;
+}
+
 }  // namespace coppervalve::entry
--- a/src/gateway/reach_monitor.cc
+++ b/src/gateway/reach_monitor.cc
@@ -264,15 +264,28 @@
 
 void ReachMonitor::Advance(core::TimePoint now) {
   for (const entry::UpstreamReach::Check& check : m_reach.TakeDueChecks(now)) {
-    m_context.dialer.Dial(
-        check.address, kUpstreamConnectTimeout,
-        [this, service = check.service](
-            ConnectResult result, boost::asio::ip::tcp::socket /*socket*/) {
-          if (result == ConnectResult::kOpen) {
-            OnReached(service);
-          }
-        });
+    CheckReach(check.service, check.address);
   }
+  for (const core::ServiceId& service : m_reach.TakeDueProbes(now)) {
+    const auto& upstreams = m_context.directory.Of(service);
+    if (!upstreams.empty()) {
+      const uint64_t chosen =
+          routing::UniformBelow(m_context.random, upstreams.size());
+      CheckReach(service, upstreams[chosen]->entry.address);
+    }
+  }
+}
+
+void ReachMonitor::CheckReach(const core::ServiceId& service,
+                              const std::string& address) {
+  m_context.dialer.Dial(
+      address, kUpstreamConnectTimeout,
+      [this, service](ConnectResult result,
+                      boost::asio::ip::tcp::socket /*socket*/) {
+        if (result == ConnectResult::kOpen) {
+          OnReached(service);
+        }
+      });
 }
 
 void ReachMonitor::Log(LogLine line, const core::ServiceId& service) {
--- a/tests/entry/unit-upstream-reach.cc
+++ b/tests/entry/unit-upstream-reach.cc
@@ -99,6 +99,20 @@
   CHECK(reach.TakeDueChecks(now).empty());
 }
 
+// Guards against routers that take a crash of all upstreams for a partition and
+// keep to it after they are back, as no request of theirs is placed.
+TEST(UpstreamReach, any_upstream_is_probed_while_nobody_has_reached_one) {
+  Partition();
+  CHECK(reach.TakeDueProbes(now).empty());
+  now += milliseconds(600);
+  CHECK_EQUAL(1, reach.TakeDueProbes(now).size());
+  CHECK(reach.TakeDueProbes(now).empty());
+  now += milliseconds(500);
+  reach.OnReachedByPeer(service, "10.0.0.3:80", now);
+  CHECK(reach.TakeDueProbes(now).empty());
+  CHECK_EQUAL(1, reach.TakeDueChecks(now).size());
+}
+
 TEST(UpstreamReach, an_opened_connection_ends_the_partition) {
   Partition();
   CHECK(reach.OnOpened(service));
