--- a/tests/entry/reader_fleet.cc
+++ b/tests/entry/reader_fleet.cc
@@ -87,15 +87,21 @@
   return std::max(std::min(end, from) - begin, end - std::max(begin, to));
 }
 
+double ReaderFleet::DelayOf(const Reader& reader, size_t version) const {
+  const double written_at = m_written_at[version];
+  double in_force_at = kNever;
+  if (version < reader.in_force_at.size()) {
+    in_force_at = reader.in_force_at[version];
+  }
+  return reader.outage ? reader.outage->LongestOutside(written_at, in_force_at)
+                       : in_force_at - written_at;
+}
+
 double ReaderFleet::LongestDelay() const {
   double longest = 0;
   for (const Reader& reader : m_readers) {
-    for (size_t i = 1; i < m_written_at.size(); ++i) {
-      const double at =
-          i < reader.in_force_at.size() ? reader.in_force_at[i] : kNever;
-      longest = std::max(longest, reader.outage ? reader.outage->LongestOutside(
-                                                      m_written_at[i], at)
-                                                : at - m_written_at[i]);
+    for (size_t version = 1; version < m_written_at.size(); ++version) {
+      longest = std::max(longest, DelayOf(reader, version));
     }
   }
   return longest;
--- a/tests/entry/reader_fleet.h
+++ b/tests/entry/reader_fleet.h
@@ -104,6 +104,7 @@
   double BytesOf(const Request& request) const;
   void FailAt(const Request& request, double at);
   uint64_t Written() const;
+  double DelayOf(const Reader& reader, size_t version) const;
 
   ReaderFleetOptions m_options;
   Reading m_reading;
--- a/tests/net/unit-upstream.cc
+++ b/tests/net/unit-upstream.cc
@@ -169,13 +169,13 @@
       {"", "HTTP/1.1 102 Processing\r\n\r\n"},
       {chunked + "5;name=", "x"},
       {chunked + "0\r\n", "Name: value\r\n"}};
-  for (const auto& [begin, rest] : endless) {
-    FakeServer engine([&](RawSocket& socket, size_t) {
+  for (const auto& answer_parts : endless) {
+    FakeServer engine([&answer_parts](RawSocket& socket, size_t) {
       socket.ReadMessage();
-      socket.Send(begin);
+      socket.Send(answer_parts.first);
       std::string more;
       while (more.size() < kEndless) {
-        more += rest;
+        more += answer_parts.second;
       }
       socket.Send(more);
       socket.WaitForClose();
