A standby prefers placements from a table that is read

Both were sent by standbys in touch with the store, which an active router had told where to send them.

Cause: the store turned a third of the routers away from 2.5 s on, active ones among them. These answered questions for placements from the table that they had read before, which lacked the upstreams that began to leave at 2.0 s.

Change: a router that has not read the table for 2.5 s says so in its answer; the one that asked keeps that answer and asks another router, one that it has not asked yet. It uses the outdated answer if there is no better one, so that an outage of the store changes nothing. The view of the fleet had such a check.

The two new tests of PlacementClient don't compile before. Found by reading the log lines of the two requests (placed_by told); the router that answered is not logged, so which one it was is inferred.

--- a/include/coppervalve/gateway/placement_client.h
+++ b/include/coppervalve/gateway/placement_client.h
@@ -20,7 +20,8 @@
 ///
 /// A standby router of a large fleet does not follow the table, and what it
 /// read earlier may name upstreams that have left. A reply is as current as the
-/// table of the router that sends it.
+/// table of the router that sends it; one from an outdated table is used only
+/// if no other router has a better one.
 class PlacementClient {
  public:
   struct Hooks {
@@ -48,6 +49,7 @@
     v1::PlaceAsk ask;
     std::vector<std::string> peers;
     size_t tries = 0;
+    entry::Placement outdated;  ///< used if there is no other
     PlacementCallback on_placement;
     std::shared_ptr<boost::asio::steady_timer> timer;
   };
@@ -67,8 +69,10 @@
 v1::PlaceAsk ToPlaceAsk(const entry::PlacementQuery& query);
 entry::PlacementQuery ToPlacementQuery(const v1::PlaceAsk& ask);
 /// @brief Builds the reply to a request.
+/// @param outdated whether the table of upstreams was not read for a while
 v1::PlaceAnswer ToPlaceAnswer(const v1::PlaceAsk& ask,
-                              const entry::Placement& placement);
+                              const entry::Placement& placement,
+                              bool outdated = false);
 
 }  // namespace coppervalve::gateway
 
--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -8,6 +8,13 @@
 
 namespace coppervalve::gateway {
 
+namespace {
+
+// A table that was not read for longer may name upstreams that are leaving.
+constexpr core::Duration kMaxTableAge{2'500'000};
+
+}  // namespace
+
 bool Gateway::KnowsUpstreams() const {
   return m_upstreams_known || !m_table_readers.follows();
 }
@@ -84,7 +91,8 @@
     m_gate.OnSend(*placement.upstream, now);
   }
   v1::PeerDatagram datagram;
-  *datagram.mutable_place_answer() = ToPlaceAnswer(ask, placement);
+  const bool outdated = m_upstream_contact.SilentFor(now) > kMaxTableAge;
+  *datagram.mutable_place_answer() = ToPlaceAnswer(ask, placement, outdated);
   m_peer_messenger->Send(ask.reply_address(), datagram);
 }
 
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -51,7 +51,8 @@
 }
 
 v1::PlaceAnswer ToPlaceAnswer(const v1::PlaceAsk& ask,
-                              const entry::Placement& placement) {
+                              const entry::Placement& placement,
+                              bool outdated) {
   v1::PlaceAnswer answer;
   answer.set_ask_epoch(ask.epoch());
   answer.set_ask_id(ask.id());
@@ -63,6 +64,7 @@
     answer.set_failure_domain(entry.failure_domain.value());
     answer.set_slots(entry.slots);
     answer.set_version(entry.version.value());
+    answer.set_outdated(outdated);
   }
   return answer;
 }
@@ -98,12 +100,15 @@
   }
   Pending& pending = found->second;
   if (pending.peers.empty() || pending.tries == kMaxTries) {
-    Finish(id, {});
+    Finish(id, entry::Placement(pending.outdated));
     return;
   }
   ++pending.tries;
   const uint64_t peer = routing::UniformBelow(m_random, pending.peers.size());
   m_hooks.send(pending.peers[peer], pending.ask);
+  if (pending.peers.size() > 1) {
+    pending.peers.erase(pending.peers.begin() + static_cast<int64_t>(peer));
+  }
   pending.timer->expires_after(kReplyTimeout);
   pending.timer->async_wait(
       [this, id, timer = pending.timer](const boost::system::error_code& code) {
@@ -131,6 +136,11 @@
   entry.failure_domain = core::FailureDomainId(answer.failure_domain());
   entry.slots = answer.slots();
   entry.version = core::UpstreamVersion(answer.version());
+  if (answer.outdated()) {
+    m_pending.at(answer.ask_id()).outdated = placement;
+    SendToNextPeer(answer.ask_id());
+    return;
+  }
   Finish(answer.ask_id(), placement);
 }
 
--- a/tests/gateway/unit-placement-client.cc
+++ b/tests/gateway/unit-placement-client.cc
@@ -15,11 +15,13 @@
   boost::asio::io_context io;
   std::vector<std::string> peers{"10.0.0.2:1"};
   std::vector<v1::PlaceAsk> sent;
+  std::vector<std::string> asked;
   std::optional<entry::Placement> result;
   entry::PlacementQuery query;
   PlacementClient client{io, "10.0.0.1:1",
                    {[this] { return peers; },
-                    [this](const std::string&, const v1::PlaceAsk& ask) {
+                    [this](const std::string& peer, const v1::PlaceAsk& ask) {
+                      asked.push_back(peer);
                       sent.push_back(ask);
                     }},
                    [] { return uint64_t{7}; }};
@@ -84,6 +86,30 @@
   CHECK_FALSE(result.has_value());
 }
 
+TEST(PlacementClient,
+     an_outdated_table_counts_only_if_no_peer_has_a_better_one) {
+  // Failure: an active router that the store turns away names an upstream that
+  // said seconds ago that it leaves.
+  peers = {"10.0.0.2:1", "10.0.0.3:1"};
+  RequestPlacement();
+  client.OnAnswer(ToPlaceAnswer(sent[0], Chosen(), true));
+  CHECK_EQUAL(2, sent.size());
+  CHECK(asked[0] != asked[1]);
+  CHECK_FALSE(result.has_value());
+  entry::Placement better = Chosen();
+  better.upstream->entry.id = core::UpstreamId("two");
+  client.OnAnswer(ToPlaceAnswer(sent[1], better));
+  CHECK(core::UpstreamId("two") == result->upstream->entry.id);
+}
+
+TEST(PlacementClient, an_outdated_table_is_used_in_an_outage_of_the_store) {
+  RequestPlacement();
+  for (size_t i = 0; i < 3; ++i) {
+    client.OnAnswer(ToPlaceAnswer(sent[i], Chosen(), true));
+  }
+  CHECK(core::UpstreamId("one") == result->upstream->entry.id);
+}
+
 TEST(PlacementClient, without_any_reply_the_placement_is_empty) {
   RequestPlacement();
   Pass(200);
