A start asks for the size of its fleet until the store answers

All routers that lost power together with the store began to read at the moment when it returned: a start whose question for the fleet's size got no answer went on as in a small fleet. It can't go on without the store anyway, so it asks again, at random times. The new test of FleetView fails before (the router lists at once).

--- a/include/coppervalve/gateway/start_probe.h
+++ b/include/coppervalve/gateway/start_probe.h
@@ -10,6 +10,7 @@
 
 #include "coppervalve/beat.pb.h"
 #include "coppervalve/gateway/keyed_store.h"
+#include "coppervalve/routing/random_source.h"
 
 namespace coppervalve::gateway {
 
@@ -30,20 +31,24 @@
   StartProbe(boost::asio::io_context& io,
              const KeyedStore& store,
              std::string topic,
+             routing::RandomSource random,
              Hooks hooks);
   void Start();
 
  private:
   void ReadEnd(void (StartProbe::*on_end)(uint64_t end));
+  void RunAfter(core::Duration delay, std::function<void()> step);
   void OnFirstEnd(uint64_t end);
   void OnTail(const core::Result<RecordBatch>& result);
   void OnSecondEnd(uint64_t end);
 
   const KeyedStore& m_store;
   std::string m_topic;
+  routing::RandomSource m_random;
   Hooks m_hooks;
   boost::asio::steady_timer m_timer;
   uint64_t m_first_end = 0;
+  core::TimePoint m_counting_since;
   Result m_result;
 };
 
--- a/src/gateway/gateway_start.cc
+++ b/src/gateway/gateway_start.cc
@@ -15,7 +15,7 @@
     StartReading(fleet);
   };
   std::make_shared<StartProbe>(m_io, m_store, m_settings.layout.heartbeat_topic,
-                               std::move(hooks))
+                               m_random, std::move(hooks))
       ->Start();
 }
 
--- a/src/gateway/start_probe.cc
+++ b/src/gateway/start_probe.cc
@@ -4,6 +4,7 @@
 #include <utility>  // move
 
 #include "coppervalve/entry/heartbeat_parser.h"
+#include "coppervalve/net/clock.h"
 
 namespace coppervalve::gateway {
 
@@ -16,15 +17,18 @@
 constexpr uint64_t kTailRecords = 64;
 constexpr size_t kTailBytes = 32'768;
 constexpr std::chrono::milliseconds kCountingTime{500};
+constexpr core::Duration kRetryDelay{200'000};
 
 }  // namespace
 
 StartProbe::StartProbe(boost::asio::io_context& io,
                        const KeyedStore& store,
                        std::string topic,
+                       routing::RandomSource random,
                        Hooks hooks)
     : m_store(store),
       m_topic(std::move(topic)),
+      m_random(std::move(random)),
       m_hooks(std::move(hooks)),
       m_timer(io) {}
 
@@ -32,19 +36,33 @@
   ReadEnd(&StartProbe::OnFirstEnd);
 }
 
-// Without an answer the router starts as in a small fleet.
+// Without an answer a start can't go on anyway. If it did not ask again, all
+// routers would begin to read at the moment when the store returns.
 void StartProbe::ReadEnd(void (StartProbe::*on_end)(uint64_t end)) {
   m_store.newest(m_topic, kAfterAllKeys, kPatience,
                  [self = shared_from_this(),
                   on_end](const core::Result<NewestPage>& result) {
-                   if (!core::IsOk(result)) {
-                     self->m_hooks.on_done(self->m_result);
+                   if (core::IsOk(result)) {
+                     (self.get()->*on_end)(core::Value(result).end);
                      return;
                    }
-                   (self.get()->*on_end)(core::Value(result).end);
+                   self->RunAfter(
+                       kRetryDelay / 2 + routing::UniformDuration(
+                                             self->m_random, kRetryDelay),
+                       [self, on_end] { self->ReadEnd(on_end); });
                  });
 }
 
+void StartProbe::RunAfter(core::Duration delay, std::function<void()> step) {
+  m_timer.expires_after(delay);
+  m_timer.async_wait(
+      [step = std::move(step)](const boost::system::error_code& code) {
+        if (!code) {
+          step();
+        }
+      });
+}
+
 void StartProbe::OnFirstEnd(uint64_t end) {
   m_first_end = end;
   if (end == 0) {
@@ -72,17 +90,15 @@
     m_hooks.on_done(m_result);
     return;
   }
-  m_timer.expires_after(kCountingTime);
-  m_timer.async_wait(
-      [self = shared_from_this()](const boost::system::error_code& code) {
-        if (!code) {
-          self->ReadEnd(&StartProbe::OnSecondEnd);
-        }
-      });
+  m_counting_since = net::BootNow();
+  RunAfter(kCountingTime, [self = shared_from_this()] {
+    self->ReadEnd(&StartProbe::OnSecondEnd);
+  });
 }
 
 void StartProbe::OnSecondEnd(uint64_t end) {
-  const double seconds = std::chrono::duration<double>(kCountingTime).count();
+  const double seconds =
+      std::chrono::duration<double>(net::BootNow() - m_counting_since).count();
   m_result.heartbeats_per_second =
       static_cast<double>(end - m_first_end) / seconds;
   m_hooks.on_done(m_result);
--- a/tests/gateway/unit-fleet-view.cc
+++ b/tests/gateway/unit-fleet-view.cc
@@ -221,6 +221,19 @@
   CHECK_EQUAL(0, router.store.appends);
 }
 
+TEST(FleetView, a_small_router_waits_also_if_the_store_returns_after_it) {
+  PutFleetFacts(1'000);
+  router.settings.processor_cores = 0.01;
+  router.store.unreachable = true;
+  StartAlone();
+  router.store.unreachable = false;
+  router.store.newest_calls = 0;
+  router.io.restart();
+  router.io.run_for(std::chrono::milliseconds(1'500));
+  CHECK_EQUAL(2, router.store.newest_calls);
+  CHECK_EQUAL(0, router.store.appends);
+}
+
 TEST(FleetView, after_a_loss_of_power_a_large_router_starts_at_once) {
   PutFleetFacts(1'000);
   router.settings.processor_cores = 4;
