A request's log line tells which router placed it, and from how old a table

Standbys of a large fleet send requests where an active router tells them, and some reached upstreams that had left (DRAIN). The log could not tell which router had told them, nor how old its table was, so the hypotheses of the incident could not be told apart.

Change: an answer names its router and the age of its table; a request's line has told_by, routers_asked, table_age_ms, table_outdated. entry::TopicAge is the age: all records written before that have been read. It counts from the start of the call that returned the end of the log, and of a list from its first page. Metrics upstream_table_age_seconds and coppervalve_entry_peer_placements_total. What is called outdated is not changed.

--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -54,8 +54,17 @@
   uint32_t routers = 1;
 };
 
+/// @brief The copy of the upstream table that a placement was chosen from.
+struct TableSource {
+  core::RouterId router;  ///< whose copy; empty: this router's own
+  core::Duration age{};   ///< when the upstream was chosen
+  bool outdated = false;  ///< may name upstreams that have left
+  uint32_t routers_asked = 0;
+};
+
 /// @brief The chosen upstream and the facts behind the choice.
 struct Placement {
+  TableSource table;
   UpstreamRef upstream;  ///< null: see `why`
   PlacementReason why = PlacementReason::kNoneKnown;
   uint32_t candidates = 0;
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -23,6 +23,7 @@
 #include "coppervalve/entry/request_fingerprint.h"
 #include "coppervalve/entry/retry_budget_share.h"
 #include "coppervalve/entry/stream_versions.h"
+#include "coppervalve/entry/topic_age.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/entry/upstream_gate.h"
 #include "coppervalve/gateway/caller_connection.h"
@@ -59,6 +60,7 @@
   const entry::MemberList& members;
   const entry::PeerContact& peers;
   const entry::StoreContact& contact;
+  const entry::TopicAge& table_age;  ///< of the table of upstreams
   UpstreamPool& pool;
   UnknownHeaders& unknown_headers;
   CrashMonitor& crash_monitor;
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "coppervalve/entry/start_spread.h"
 #include "coppervalve/entry/store_contact.h"
 #include "coppervalve/entry/stream_versions.h"
+#include "coppervalve/entry/topic_age.h"
 #include "coppervalve/entry/topic_subscription.h"
 #include "coppervalve/entry/transfer_reply_cache.h"
 #include "coppervalve/entry/upstream_directory.h"
@@ -239,6 +240,7 @@
   std::optional<ExchangeContext> m_context;
 
   entry::TopicSubscription m_table_readers;
+  entry::TopicAge m_table_age;  ///< of the table of upstreams
   /// Heartbeats are read by a small part of a large fleet: unlike the table of
   /// upstreams they are written by the fleet itself, so their bytes grow with
   /// its square.
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -28,6 +28,7 @@
   uint64_t quarantined_requests = 0;  ///< identified by their content
   uint64_t quarantined_parts = 0;     ///< of prompts
   bool follows_upstreams = true;      ///< whether this router reads their table
+  core::Duration upstream_table_age{};  ///< 0 while it is not read
   uint64_t evacuated_domains = 0;
   uint64_t limited_upstreams = 0;  ///< with a declared rate limit
   /// Longest possible delay between the start of an evacuation and its receipt
@@ -53,6 +54,9 @@
   void OnAttempt(std::string_view outcome);
   /// @param way "taken", "given" or "none_to_spare"
   void OnTransfer(std::string_view way);
+  /// @brief Another router chose the upstream of a request.
+  /// @param outdated that router's table may name upstreams that have left
+  void OnPeerPlacement(bool outdated);
   /// @brief Another router asked for a connection to an upstream.
   void OnRelay(bool accepted);
   void OnGrantWait(core::Duration waited);
--- a/include/coppervalve/gateway/placement_client.h
+++ b/include/coppervalve/gateway/placement_client.h
@@ -48,7 +48,7 @@
   struct Pending {
     v1::PlaceAsk ask;
     std::vector<std::string> peers;
-    size_t tries = 0;
+    uint32_t tries = 0;
     entry::Placement outdated;  ///< used if there is no other
     PlacementCallback on_placement;
     std::shared_ptr<boost::asio::steady_timer> timer;
@@ -69,10 +69,8 @@
 v1::PlaceAsk ToPlaceAsk(const entry::PlacementQuery& query);
 entry::PlacementQuery ToPlacementQuery(const v1::PlaceAsk& ask);
 /// @brief Builds the reply to a request.
-/// @param outdated whether the table of upstreams was not read for a while
 v1::PlaceAnswer ToPlaceAnswer(const v1::PlaceAsk& ask,
-                              const entry::Placement& placement,
-                              bool outdated = false);
+                              const entry::Placement& placement);
 
 }  // namespace coppervalve::gateway
 
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -10,6 +10,7 @@
 #include <vector>      // vector
 
 #include "coppervalve/entry/read_plan.h"
+#include "coppervalve/entry/topic_age.h"
 #include "coppervalve/gateway/keyed_store.h"
 #include "coppervalve/routing/random_source.h"
 
@@ -35,9 +36,8 @@
     /// pages so far. Optional.
     std::function<void(size_t listed)> on_page;
     std::function<void(const KeyedRecord&)> on_record;
-    /// A batch was delivered; all records before `next` have been read.
-    /// `end` is the end of the log.
-    std::function<void(uint64_t next, uint64_t end)> on_read;
+    /// A batch or the end of the log was read.
+    std::function<void(const entry::ReadProgress&)> on_read;
     /// @param began start time of the failed call
     std::function<void(const core::Error&, core::TimePoint began)> on_failure;
     /// The pause to make instead of the usual one; optional.
@@ -91,7 +91,8 @@
   boost::asio::steady_timer m_timer;
   entry::ReadPlan m_plan;
   std::vector<KeyedRecord> m_newest;  ///< records of the pages read so far
-  uint64_t m_end = 0;  ///< end of the log when the first page was read
+  /// End of the log when the first page was read.
+  entry::ReadProgress m_listed_to;
   std::string m_after;
   core::TimePoint m_call_started;
   core::Duration m_patience{};  ///< of the current call
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -447,8 +447,11 @@
 }
 
 entry::Placement Exchange::ChoosePlacement() const {
-  return m_context.placer.Choose(m_context.directory, BuildQuery(),
-                                 net::BootNow());
+  const core::TimePoint now = net::BootNow();
+  entry::Placement placement =
+      m_context.placer.Choose(m_context.directory, BuildQuery(), now);
+  placement.table.age = m_context.table_age.At(now);
+  return placement;
 }
 
 // Used when this router does not follow the table: what it read of it earlier
@@ -480,6 +483,7 @@
 void Exchange::OnPlacementReply(const entry::Placement& placement) {
   m_last_placement = placement;
   if (placement.upstream && MayRun(placement.upstream->entry.version)) {
+    m_context.metrics.OnPeerPlacement(placement.table.outdated);
     Send(placement);
     return;
   }
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -162,6 +162,10 @@
         .Number("cost", static_cast<int64_t>(m_last_placement.cost))
         .Number("candidates", m_last_placement.candidates)
         .Number("reporting", m_last_placement.reporting)
+        .Text("told_by", m_last_placement.table.router.value())
+        .Number("routers_asked", m_last_placement.table.routers_asked)
+        .Millis("table_age_ms", m_last_placement.table.age)
+        .Flag("table_outdated", m_last_placement.table.outdated)
         .Number("sends", m_sent_attempts)
         .Text("relay", m_last_relay);
   }
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -214,6 +214,9 @@
   stats.quarantined_requests = m_crashes.record().quarantined();
   stats.quarantined_parts = m_crashes.record().quarantined_parts();
   stats.follows_upstreams = m_upstreams_known;
+  if (m_upstreams_known) {
+    stats.upstream_table_age = m_table_age.At(now);
+  }
   stats.limited_upstreams = m_directory.Limited();
   stats.evacuated_domains = m_gate.evacuations().size();
   stats.evacuation_known_within = m_evacuation_known_within;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -56,6 +56,10 @@
       RegisterCounter(registry,
                       "coppervalve_entry_attempts_total",
                       "Attempts at upstreams, by outcome");
+  Family<Counter>& placements =
+      RegisterCounter(registry,
+                      "coppervalve_entry_peer_placements_total",
+                      "Requests placed by other routers, by their table");
   Family<Counter>& gifts =
       RegisterCounter(registry,
                       "coppervalve_entry_gifts_total",
@@ -116,6 +120,11 @@
   m_impl->attempts.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void GatewayMetrics::OnPeerPlacement(bool outdated) {
+  m_impl->placements.Add({{"table", outdated ? "outdated" : "current"}})
+      .Increment();
+}
+
 void GatewayMetrics::OnTransfer(std::string_view way) {
   m_impl->gifts.Add({{"way", std::string(way)}}).Increment();
 }
@@ -170,6 +179,7 @@
   set("follows_upstreams", stats.follows_upstreams ? 1 : 0);
   set("limited_upstreams", static_cast<double>(stats.limited_upstreams));
   set("evacuated_domains", static_cast<double>(stats.evacuated_domains));
+  set("upstream_table_age_seconds", Seconds(stats.upstream_table_age));
   set("evacuation_known_within_seconds",
       Seconds(stats.evacuation_known_within));
   set("held_ahead", stats.held_ahead);
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -44,7 +44,7 @@
 void Gateway::MakeFollowers() {
   const auto hooks = [this](const std::string& topic) {
     TopicFollower::Hooks made;
-    made.on_read = [this, topic](uint64_t /*next*/, uint64_t /*end*/) {
+    made.on_read = [this, topic](const entry::ReadProgress& /*progress*/) {
       OnStoreAnswer(topic, true);
     };
     made.pause = [this](core::Duration usual) {
@@ -67,8 +67,8 @@
   };
   // A router that knows of a newer version does not have the current one.
   of_configuration.on_read = [this, topic = layout.configuration_topic](
-                                 uint64_t next, uint64_t end) {
-    OnStoreAnswer(topic, next >= end);
+                                 const entry::ReadProgress& progress) {
+    OnStoreAnswer(topic, progress.next >= progress.end);
   };
   of_configuration.on_record = [this](const KeyedRecord& record) {
     OnOperatorRecord(record);
@@ -85,6 +85,11 @@
   of_upstreams.on_record = [this](const KeyedRecord& record) {
     OnUpstreamRecord(record);
   };
+  of_upstreams.on_read = [this, topic = layout.upstream_topic](
+                             const entry::ReadProgress& progress) {
+    OnStoreAnswer(topic, true);
+    m_table_age.OnRead(progress);
+  };
   of_upstreams.on_page = [this](size_t listed) {
     m_upstreams_listed = std::max(m_upstreams_listed, listed);
     UpdateTableReading();
@@ -115,9 +120,9 @@
   of_heartbeats.needed = [this] { return m_follows_heartbeats; };
   of_heartbeats.on_stopped = [this] { OnHeartbeatReadingStopped(); };
   of_heartbeats.on_read = [this, topic = layout.heartbeat_topic](
-                              uint64_t next, uint64_t /*end*/) {
+                              const entry::ReadProgress& progress) {
     OnStoreAnswer(topic, true);
-    m_heartbeats_read_to = next;
+    m_heartbeats_read_to = progress.next;
     m_members.Refresh(net::BootNow());
     StartHeartbeatsIfCaughtUp();
   };
--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -53,6 +53,7 @@
 }
 
 void Gateway::OnTableReadingStopped() {
+  m_table_age = {};
   m_upstreams_known = false;
   m_upstream_documents.clear();
   m_stream_versions.OnTableLost();
@@ -90,9 +91,11 @@
   if (placement.upstream) {
     m_gate.OnSend(*placement.upstream, now);
   }
+  placement.table.router = m_settings.router;
+  placement.table.age = m_table_age.At(now);
+  placement.table.outdated = m_upstream_contact.SilentFor(now) > kMaxTableAge;
   v1::PeerDatagram datagram;
-  const bool outdated = m_upstream_contact.SilentFor(now) > kMaxTableAge;
-  *datagram.mutable_place_answer() = ToPlaceAnswer(ask, placement, outdated);
+  *datagram.mutable_place_answer() = ToPlaceAnswer(ask, placement);
   m_peer_messenger->Send(ask.reply_address(), datagram);
 }
 
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -1,7 +1,8 @@
 #include "coppervalve/gateway/placement_client.h"
 
+#include <algorithm>            // min
 #include <boost/asio/post.hpp>  // post
-#include <chrono>               // milliseconds
+#include <chrono>               // duration_cast, milliseconds
 #include <utility>              // move
 
 namespace coppervalve::gateway {
@@ -12,7 +13,16 @@
 // timeouts.
 constexpr std::chrono::milliseconds kReplyTimeout{40};
 // Datagrams may be lost, so requests are repeated.
-constexpr size_t kMaxTries = 3;
+constexpr uint32_t kMaxTries = 3;
+
+// Before its first complete read, a table has no age.
+uint32_t ToMillis(core::Duration age) {
+  constexpr std::chrono::hours kLongest{1};
+  return static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::min<core::Duration>(age, kLongest))
+          .count());
+}
 
 }  // namespace
 
@@ -51,11 +61,11 @@
 }
 
 v1::PlaceAnswer ToPlaceAnswer(const v1::PlaceAsk& ask,
-                              const entry::Placement& placement,
-                              bool outdated) {
+                              const entry::Placement& placement) {
   v1::PlaceAnswer answer;
   answer.set_ask_epoch(ask.epoch());
   answer.set_ask_id(ask.id());
+  answer.set_router(placement.table.router.value());
   if (placement.upstream) {
     const entry::UpstreamEntry& entry = placement.upstream->entry;
     answer.set_upstream(entry.id.value());
@@ -64,7 +74,8 @@
     answer.set_failure_domain(entry.failure_domain.value());
     answer.set_slots(entry.slots);
     answer.set_version(entry.version.value());
-    answer.set_outdated(outdated);
+    answer.set_outdated(placement.table.outdated);
+    answer.set_table_age_ms(ToMillis(placement.table.age));
   }
   return answer;
 }
@@ -136,6 +147,9 @@
   entry.failure_domain = core::FailureDomainId(answer.failure_domain());
   entry.slots = answer.slots();
   entry.version = core::UpstreamVersion(answer.version());
+  placement.table = {core::RouterId(answer.router()),
+                     std::chrono::milliseconds(answer.table_age_ms()),
+                     answer.outdated(), m_pending.at(answer.ask_id()).tries};
   if (answer.outdated()) {
     m_pending.at(answer.ask_id()).outdated = placement;
     SendToNextPeer(answer.ask_id());
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -51,7 +51,7 @@
   if (m_after.empty()) {
     // Only records from before the first page are certain to be covered by the
     // pages.
-    m_end = page.end;
+    m_listed_to = {page.end, page.end, m_call_started};
   }
   m_newest.insert(m_newest.end(), page.records.begin(), page.records.end());
   m_after = page.after;
@@ -69,10 +69,10 @@
   NoteRecords(m_newest);
   UpdateSpread();
   const entry::ReadStep step =
-      m_plan.OnNewest(m_newest.size(), m_end, net::BootNow());
+      m_plan.OnNewest(m_newest.size(), m_listed_to.next, net::BootNow());
   m_hooks.on_newest(m_newest);
   m_newest = {};
-  m_hooks.on_read(m_end, m_end);
+  m_hooks.on_read(m_listed_to);
   ScheduleStep(step);
 }
 
@@ -104,7 +104,7 @@
     return;
   }
   const uint64_t end = core::Value(result).end;
-  m_hooks.on_read(m_plan.next(), end);
+  m_hooks.on_read({m_plan.next(), end, m_call_started});
   UpdateSpread();
   ScheduleStep(m_plan.OnPeek(end, net::BootNow()));
 }
@@ -123,7 +123,7 @@
   NoteRecords(batch.records);
   UpdateSpread();
   Deliver(batch.records);
-  m_hooks.on_read(batch.next, batch.end);
+  m_hooks.on_read({batch.next, batch.end, m_call_started});
   const core::Duration usual = m_options.plan.pause;
   const bool varies = usual > core::Duration::zero() && m_hooks.pause;
   ScheduleStep(m_plan.OnBatch(batch.records.empty(), batch.next, batch.end,
--- a/tests/gateway/unit-placement-client.cc
+++ b/tests/gateway/unit-placement-client.cc
@@ -51,6 +51,13 @@
     placement.upstream->entry.id = core::UpstreamId("one");
     placement.upstream->entry.address = "10.0.1.1:80";
     placement.upstream->entry.version = core::UpstreamVersion("v1");
+    placement.table.router = core::RouterId("router-2");
+    placement.table.age = core::Duration(700'000);
+    return placement;
+  }
+  static entry::Placement Outdated() {
+    entry::Placement placement = Chosen();
+    placement.table.outdated = true;
     return placement;
   }
 };
@@ -69,6 +76,9 @@
   STRCMP_EQUAL("one", result->upstream->entry.id.value().c_str());
   STRCMP_EQUAL("10.0.1.1:80", result->upstream->entry.address.c_str());
   STRCMP_EQUAL("v1", result->upstream->entry.version.value().c_str());
+  STRCMP_EQUAL("router-2", result->table.router.value().c_str());
+  CHECK(core::Duration(700'000) == result->table.age);
+  CHECK_EQUAL(1, result->table.routers_asked);
 }
 
 TEST(PlacementClient, a_request_without_a_reply_is_sent_again) {
@@ -92,7 +102,7 @@
   // said seconds ago that it leaves.
   peers = {"10.0.0.2:1", "10.0.0.3:1"};
   RequestPlacement();
-  client.OnAnswer(ToPlaceAnswer(sent[0], Chosen(), true));
+  client.OnAnswer(ToPlaceAnswer(sent[0], Outdated()));
   CHECK_EQUAL(2, sent.size());
   CHECK(asked[0] != asked[1]);
   CHECK_FALSE(result.has_value());
@@ -105,7 +115,7 @@
 TEST(PlacementClient, an_outdated_table_is_used_in_an_outage_of_the_store) {
   RequestPlacement();
   for (size_t i = 0; i < 3; ++i) {
-    client.OnAnswer(ToPlaceAnswer(sent[i], Chosen(), true));
+    client.OnAnswer(ToPlaceAnswer(sent[i], Outdated()));
   }
   CHECK(core::UpstreamId("one") == result->upstream->entry.id);
 }
--- a/tests/gateway/unit-topic-follower.cc
+++ b/tests/gateway/unit-topic-follower.cc
@@ -33,8 +33,8 @@
     hooks.on_record = [this](const KeyedRecord& record) {
       read.push_back(record.value);
     };
-    hooks.on_read = [this](uint64_t offset, uint64_t /*end*/) {
-      next = offset;
+    hooks.on_read = [this](const entry::ReadProgress& progress) {
+      next = progress.next;
     };
     hooks.on_failure = [](const core::Error&, core::TimePoint) {};
     return hooks;
@@ -131,9 +131,9 @@
     spread_bytes = bytes;
     return core::Duration(300'000);
   };
-  hooks.on_read = [&](uint64_t offset, uint64_t end) {
-    next = offset;
-    behind = behind || offset < end;
+  hooks.on_read = [&](const entry::ReadProgress& progress) {
+    next = progress.next;
+    behind = behind || progress.next < progress.end;
   };
   store.Put("config", "config", "1");
   follower = std::make_shared<TopicFollower>(
