A standby sends only where a router with a current table tells it

Cause: a standby asked three of the active routers, drawn at random, and used the last answer from an outdated table if none was current. The store turned three of the five active routers away, so one question in ten met these three; a fourth one that read the table was not asked. A lost datagram used up a try as well.

Change: entry::PlacementSearch decides whom to ask and what to use. Without a current table it refuses while the store answers this router, and uses the most recent one while the store does not, after one answer if all were outdated before.

A test of the client asked for the outdated table after three answers of one peer; it asks for it after the first now, and only while the store is away, and two tests ask that it is not used otherwise.

--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -19,17 +19,18 @@
 
 /// @brief Why an upstream was chosen, or why none was.
 enum class PlacementReason : uint8_t {
-  kLeastCost,     ///< lowest expected wait
-  kPrefixOwner,   ///< as above, and owns the shared prefix by hashing
-  kPrefixSent,    ///< as above, and was recently sent the prefix
-  kChosenByPeer,  ///< chosen by a router that follows the upstream table
-  kLastResort,    ///< no trusted upstream is left
-  kNoneLeft,      ///< none: all were tried or are at their connection limit
-  kWarmingUp,     ///< none: those left are cold and at their rate limit
-  kLimited,       ///< none: those left are at the rate limits they sent
-  kEvacuated,     ///< none: all are in evacuated failure domains
-  kOtherVersion,  ///< none: no upstream has the required version
-  kNoneKnown,     ///< none: the service has no upstream
+  kLeastCost,      ///< lowest expected wait
+  kPrefixOwner,    ///< as above, and owns the shared prefix by hashing
+  kPrefixSent,     ///< as above, and was recently sent the prefix
+  kChosenByPeer,   ///< chosen by a router that follows the upstream table
+  kLastResort,     ///< no trusted upstream is left
+  kNoneLeft,       ///< none: all were tried or are at their connection limit
+  kWarmingUp,      ///< none: those left are cold and at their rate limit
+  kLimited,        ///< none: those left are at the rate limits they sent
+  kEvacuated,      ///< none: all are in evacuated failure domains
+  kOtherVersion,   ///< none: no upstream has the required version
+  kTableOutdated,  ///< none: no router asked has a current upstream table
+  kNoneKnown,      ///< none: the service has no upstream
 };
 
 /// @brief Stable lower_snake_case name for log lines.
--- a/include/coppervalve/gateway/placement_client.h
+++ b/include/coppervalve/gateway/placement_client.h
@@ -9,9 +9,9 @@
 #include <memory>         // shared_ptr
 #include <string>         // string
 #include <unordered_map>  // unordered_map
-#include <vector>         // vector
 
 #include "coppervalve/entry/placement.h"
+#include "coppervalve/entry/placement_search.h"
 #include "coppervalve/load.pb.h"
 
 namespace coppervalve::gateway {
@@ -20,16 +20,18 @@
 ///
 /// A standby router of a large fleet does not follow the table, and what it
 /// read earlier may name upstreams that have left. A reply is as current as the
-/// table of the router that sends it; one from an outdated table is used only
-/// if no other router has a better one.
+/// table of the router that sends it, and states whether that is outdated.
 class PlacementClient {
  public:
   struct Hooks {
-    /// Addresses of the routers that callers are directed to, without this one.
-    std::function<std::vector<std::string>()> peers;
+    /// Routers that follow the table, without this one.
+    std::function<entry::PlacementPeers()> peers;
+    /// Whether the durable store answers this router.
+    std::function<bool()> reaches_store;
     std::function<void(const std::string& address, const v1::PlaceAsk&)> send;
   };
-  /// @param placement has no upstream if no router chose one
+  /// @param placement has no upstream if no router chose one; from an outdated
+  /// table only if no router asked has a current one
   using PlacementCallback =
       std::function<void(const entry::Placement& placement)>;
 
@@ -47,14 +49,14 @@
  private:
   struct Pending {
     v1::PlaceAsk ask;
-    std::vector<std::string> peers;
-    uint32_t tries = 0;
-    entry::Placement outdated;  ///< used if there is no other
+    entry::PlacementSearch search;
     PlacementCallback on_placement;
     std::shared_ptr<boost::asio::steady_timer> timer;
   };
   void SendToNextPeer(uint64_t id);
-  void Finish(uint64_t id, const entry::Placement& placement);
+  /// @param message its number among those of the request
+  void OnReply(uint64_t id, size_t message, const entry::Placement& placement);
+  void Finish(uint64_t id);
 
   boost::asio::io_context& m_io;
   std::string m_reply_address;
@@ -62,6 +64,7 @@
   routing::RandomSource m_random;
   uint64_t m_epoch = 0;
   uint64_t m_last_id = 0;
+  entry::OutdatedPeers m_outdated_peers;
   std::unordered_map<uint64_t, Pending> m_pending;
 };
 
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -87,6 +87,8 @@
       return "evacuated";
     case PlacementReason::kOtherVersion:
       return "other_version";
+    case PlacementReason::kTableOutdated:
+      return "table_outdated";
     case PlacementReason::kNoneKnown:
       break;
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -487,8 +487,9 @@
     Send(placement);
     return;
   }
-  const core::Error error{core::ErrorId::kNotReady, "router",
-                          "no router that knows the upstreams answered"};
+  const core::Error error{
+      core::ErrorId::kNotReady, "router",
+      "no router with a current table of upstreams answered"};
   if (m_may_have_run) {
     Fail({core::ErrorId::kUpstreamFailed, m_admitted.service.value(),
           m_last_failure});
--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -61,7 +61,11 @@
 
 void Gateway::MakePlacementClient() {
   PlacementClient::Hooks hooks;
-  hooks.peers = [this] { return m_members.LoadAddresses(); };
+  hooks.peers = [this] {
+    return entry::PlacementPeers{m_members.LoadAddresses(),
+                                 m_members.NextLoadAddresses()};
+  };
+  hooks.reaches_store = [this] { return m_contact.up(); };
   hooks.send = [this](const std::string& address, const v1::PlaceAsk& ask) {
     if (m_peer_messenger) {
       v1::PeerDatagram datagram;
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -5,6 +5,8 @@
 #include <chrono>               // duration_cast, milliseconds
 #include <utility>              // move
 
+#include "coppervalve/net/clock.h"
+
 namespace coppervalve::gateway {
 
 namespace {
@@ -12,8 +14,6 @@
 // Longer than a round trip within a region, but short compared to callers'
 // timeouts.
 constexpr std::chrono::milliseconds kReplyTimeout{40};
-// Datagrams may be lost, so requests are repeated.
-constexpr uint32_t kMaxTries = 3;
 
 // Before its first complete read, a table has no age.
 uint32_t ToMillis(core::Duration age) {
@@ -24,6 +24,27 @@
           .count());
 }
 
+entry::Placement ToPlacement(const v1::PlaceAnswer& answer,
+                             uint32_t routers_asked) {
+  entry::Placement placement;
+  if (answer.upstream().empty()) {
+    return placement;
+  }
+  placement.why = entry::PlacementReason::kChosenByPeer;
+  placement.upstream = std::make_shared<entry::Upstream>();
+  entry::UpstreamEntry& entry = placement.upstream->entry;
+  entry.id = core::UpstreamId(answer.upstream());
+  entry.service = core::ServiceId(answer.service());
+  entry.address = answer.address();
+  entry.failure_domain = core::FailureDomainId(answer.failure_domain());
+  entry.slots = answer.slots();
+  entry.version = core::UpstreamVersion(answer.version());
+  placement.table = {core::RouterId(answer.router()),
+                     std::chrono::milliseconds(answer.table_age_ms()),
+                     answer.outdated(), routers_asked};
+  return placement;
+}
+
 }  // namespace
 
 v1::PlaceAsk ToPlaceAsk(const entry::PlacementQuery& query) {
@@ -92,78 +113,83 @@
 void PlacementClient::RequestPlacement(const entry::PlacementQuery& query,
                                        PlacementCallback on_placement) {
   const uint64_t id = ++m_last_id;
-  Pending pending;
-  pending.ask = ToPlaceAsk(query);
+  Pending pending{
+      ToPlaceAsk(query),
+      entry::PlacementSearch(m_hooks.peers(), m_outdated_peers,
+                             m_hooks.reaches_store(), net::BootNow()),
+      std::move(on_placement),
+      std::make_shared<boost::asio::steady_timer>(m_io)};
   pending.ask.set_epoch(m_epoch);
-  pending.ask.set_id(id);
   pending.ask.set_reply_address(m_reply_address);
-  pending.peers = m_hooks.peers();
-  pending.on_placement = std::move(on_placement);
-  pending.timer = std::make_shared<boost::asio::steady_timer>(m_io);
   m_pending.emplace(id, std::move(pending));
   boost::asio::post(m_io, [this, id] { SendToNextPeer(id); });
 }
 
+// Each message has an id of its own, so that a reply shows which router it came
+// from.
 void PlacementClient::SendToNextPeer(uint64_t id) {
   const auto found = m_pending.find(id);
   if (found == m_pending.end()) {
     return;
   }
   Pending& pending = found->second;
-  if (pending.peers.empty() || pending.tries == kMaxTries) {
-    Finish(id, entry::Placement(pending.outdated));
+  const std::optional<std::string> peer = pending.search.Next(m_random);
+  if (!peer) {
+    Finish(id);
     return;
   }
-  ++pending.tries;
-  const uint64_t peer = routing::UniformBelow(m_random, pending.peers.size());
-  m_hooks.send(pending.peers[peer], pending.ask);
-  if (pending.peers.size() > 1) {
-    pending.peers.erase(pending.peers.begin() + static_cast<int64_t>(peer));
-  }
+  const size_t message = pending.search.asked().size() - 1;
+  pending.ask.set_id(id * entry::PlacementSearch::kMaxAsked + message);
   pending.timer->expires_after(kReplyTimeout);
-  pending.timer->async_wait(
-      [this, id, timer = pending.timer](const boost::system::error_code& code) {
-        if (!code) {
-          SendToNextPeer(id);
-        }
-      });
+  pending.timer->async_wait([this, id, message, timer = pending.timer](
+                                const boost::system::error_code& code) {
+    if (!code) {
+      OnReply(id, message, entry::Placement());
+    }
+  });
+  m_hooks.send(*peer, pending.ask);
 }
 
-void PlacementClient::OnAnswer(const v1::PlaceAnswer& answer) {
-  if (answer.ask_epoch() != m_epoch || !m_pending.contains(answer.ask_id())) {
+void PlacementClient::OnReply(uint64_t id,
+                              size_t message,
+                              const entry::Placement& placement) {
+  const auto found = m_pending.find(id);
+  if (found == m_pending.end()) {
     return;
   }
-  if (answer.upstream().empty()) {
-    SendToNextPeer(answer.ask_id());
+  entry::PlacementSearch& search = found->second.search;
+  const bool current = placement.upstream && !placement.table.outdated;
+  m_outdated_peers.OnReply(search.asked()[message], current, net::BootNow());
+  // What arrives late and is of little use must not end the wait for the next
+  // reply.
+  const bool late = message + 1 < search.asked().size();
+  if (current || !late) {
+    search.OnReply(placement);
+    SendToNextPeer(id);
+  }
+}
+
+void PlacementClient::OnAnswer(const v1::PlaceAnswer& answer) {
+  const uint64_t id = answer.ask_id() / entry::PlacementSearch::kMaxAsked;
+  const auto found = m_pending.find(id);
+  if (answer.ask_epoch() != m_epoch || found == m_pending.end()) {
     return;
   }
-  entry::Placement placement;
-  placement.why = entry::PlacementReason::kChosenByPeer;
-  placement.upstream = std::make_shared<entry::Upstream>();
-  entry::UpstreamEntry& entry = placement.upstream->entry;
-  entry.id = core::UpstreamId(answer.upstream());
-  entry.service = core::ServiceId(answer.service());
-  entry.address = answer.address();
-  entry.failure_domain = core::FailureDomainId(answer.failure_domain());
-  entry.slots = answer.slots();
-  entry.version = core::UpstreamVersion(answer.version());
-  placement.table = {core::RouterId(answer.router()),
-                     std::chrono::milliseconds(answer.table_age_ms()),
-                     answer.outdated(), m_pending.at(answer.ask_id()).tries};
-  if (answer.outdated()) {
-    m_pending.at(answer.ask_id()).outdated = placement;
-    SendToNextPeer(answer.ask_id());
+  const entry::PlacementSearch& search = found->second.search;
+  const size_t message = answer.ask_id() % entry::PlacementSearch::kMaxAsked;
+  if (message >= search.asked().size()) {
     return;
   }
-  Finish(answer.ask_id(), placement);
+  OnReply(id, message,
+          ToPlacement(answer, static_cast<uint32_t>(search.asked().size())));
 }
 
-void PlacementClient::Finish(uint64_t id, const entry::Placement& placement) {
+void PlacementClient::Finish(uint64_t id) {
   const auto found = m_pending.find(id);
   const Pending pending = std::move(found->second);
   m_pending.erase(found);
   pending.timer->cancel();
-  pending.on_placement(placement);
+  pending.on_placement(pending.search.Result());
 }
 
 }  // namespace coppervalve::gateway
--- a/tests/gateway/unit-placement-client.cc
+++ b/tests/gateway/unit-placement-client.cc
@@ -18,8 +18,10 @@
   std::vector<std::string> asked;
   std::optional<entry::Placement> result;
   entry::PlacementQuery query;
+  bool reaches_store = true;
   PlacementClient client{io, "10.0.0.1:1",
-                   {[this] { return peers; },
+                   {[this] { return entry::PlacementPeers{peers, {}}; },
+                    [this] { return reaches_store; },
                     [this](const std::string& peer, const v1::PlaceAsk& ask) {
                       asked.push_back(peer);
                       sent.push_back(ask);
@@ -113,11 +115,41 @@
 }
 
 TEST(PlacementClient, an_outdated_table_is_used_in_an_outage_of_the_store) {
+  reaches_store = false;
+  RequestPlacement();
+  client.OnAnswer(ToPlaceAnswer(sent[0], Outdated()));
+  CHECK(core::UpstreamId("one") == result->upstream->entry.id);
+  CHECK(result->table.outdated);
+}
+
+TEST(PlacementClient, an_outdated_table_is_not_used_while_the_store_answers) {
+  RequestPlacement();
+  client.OnAnswer(ToPlaceAnswer(sent[0], Outdated()));
+  CHECK(result && !result->upstream);
+}
+
+TEST(PlacementClient, all_peers_are_asked_for_a_current_table) {
+  // Failure: three routers in turn are turned away by the store, and a fourth
+  // one that reads the table is not asked.
+  peers = {"10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"};
   RequestPlacement();
   for (size_t i = 0; i < 3; ++i) {
     client.OnAnswer(ToPlaceAnswer(sent[i], Outdated()));
+    CHECK_FALSE(result.has_value());
   }
-  CHECK(core::UpstreamId("one") == result->upstream->entry.id);
+  client.OnAnswer(ToPlaceAnswer(sent[3], Chosen()));
+  CHECK(result && result->upstream && !result->table.outdated);
+}
+
+TEST(PlacementClient, a_late_reply_of_little_use_does_not_end_a_wait) {
+  peers = {"10.0.0.2:1", "10.0.0.3:1"};
+  RequestPlacement();
+  Pass(60);
+  CHECK_EQUAL(2, sent.size());
+  client.OnAnswer(ToPlaceAnswer(sent[0], Outdated()));
+  CHECK_FALSE(result.has_value());
+  client.OnAnswer(ToPlaceAnswer(sent[1], Chosen()));
+  CHECK(result && !result->table.outdated);
 }
 
 TEST(PlacementClient, without_any_reply_the_placement_is_empty) {
