A long poll without records makes a topic's age that of its end

The age of a topic counted from the start of a long poll, so that of an idle table was up to two seconds. A poll that ends without a record shows that there was none until the end of its wait.

The store of the gateway's tests never ended a long poll, so it could not show that, and answered waiting readers while it was unreachable. It ends polls now, and a reader whose topic fails gets no record. Routers that a test had ended were called back by it: a router closes its followers when it ends.

--- a/include/coppervalve/entry/topic_age.h
+++ b/include/coppervalve/entry/topic_age.h
@@ -12,7 +12,7 @@
 struct ReadProgress {
   uint64_t next = 0;  ///< all records before it have been read
   uint64_t end = 0;   ///< of the log, as stated by the store
-  /// Start of the call that returned `end`.
+  /// A time before the store stated `end`, such as the start of the call.
   core::TimePoint called_at{};
 };
 
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -64,6 +64,8 @@
   /// @brief Starts over with the newest records, if reading has stopped and the
   /// topic is needed again.
   void Resume();
+  /// @brief Ends reading for good: no hook is called any more.
+  void Close();
   /// @brief Ends the current pause early, because something relevant was just
   /// written.
   void Expedite();
@@ -76,6 +78,8 @@
   void Peek();
   void OnPeek(const core::Result<NewestPage>& result);
   void OnBatch(const core::Result<RecordBatch>& result);
+  /// @return a time before the store's answer
+  core::TimePoint AnsweredAfter(const RecordBatch& batch) const;
   void Deliver(const std::vector<KeyedRecord>& records);
   void HandleFailure(const core::Error& error);
   void NoteRecords(const std::vector<KeyedRecord>& records);
@@ -100,6 +104,7 @@
   std::string m_last_key;       ///< last in order of the keys read
   bool m_pausing_between_reads = false;
   bool m_stopped = false;
+  bool m_closed = false;
 };
 
 }  // namespace coppervalve::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -132,7 +132,14 @@
   MakeFleetViewClient();
 }
 
-Gateway::~Gateway() = default;
+// A call to the store may still be in progress.
+Gateway::~Gateway() {
+  for (const auto& follower : {m_configuration, m_upstreams, m_heartbeats}) {
+    if (follower) {
+      follower->Close();
+    }
+  }
+}
 
 core::Status Gateway::Start() {
   LogLifecycle(LogLine("started")
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -35,7 +35,9 @@
   m_store.newest(
       m_options.topic, m_after, m_patience,
       [self = shared_from_this()](const core::Result<NewestPage>& result) {
-        self->OnPage(result);
+        if (!self->m_closed) {
+          self->OnPage(result);
+        }
       });
 }
 
@@ -83,7 +85,9 @@
       m_options.topic, m_plan.next(),
       {m_options.wait, m_options.plan.max_bytes, m_patience},
       [self = shared_from_this()](const core::Result<RecordBatch>& result) {
-        self->OnBatch(result);
+        if (!self->m_closed) {
+          self->OnBatch(result);
+        }
       });
 }
 
@@ -94,7 +98,9 @@
   m_store.newest(
       m_options.topic, m_last_key, m_patience,
       [self = shared_from_this()](const core::Result<NewestPage>& result) {
-        self->OnPeek(result);
+        if (!self->m_closed) {
+          self->OnPeek(result);
+        }
       });
 }
 
@@ -123,7 +129,7 @@
   NoteRecords(batch.records);
   UpdateSpread();
   Deliver(batch.records);
-  m_hooks.on_read({batch.next, batch.end, m_call_started});
+  m_hooks.on_read({batch.next, batch.end, AnsweredAfter(batch)});
   const core::Duration usual = m_options.plan.pause;
   const bool varies = usual > core::Duration::zero() && m_hooks.pause;
   ScheduleStep(m_plan.OnBatch(batch.records.empty(), batch.next, batch.end,
@@ -131,6 +137,13 @@
                               net::BootNow()));
 }
 
+// Without a record, the store answers a long poll only at the end of its wait.
+core::TimePoint TopicFollower::AnsweredAfter(const RecordBatch& batch) const {
+  const core::TimePoint wait_over = m_call_started + m_options.wait;
+  const bool waited = batch.records.empty() && net::BootNow() >= wait_over;
+  return waited ? wait_over : m_call_started;
+}
+
 // Parsing a configuration takes tens of milliseconds on a small VM. When
 // several arrive together, only the newest one is delivered, since it replaces
 // the earlier ones.
@@ -179,6 +192,11 @@
   }
 }
 
+void TopicFollower::Close() {
+  m_closed = true;
+  m_timer.cancel();
+}
+
 void TopicFollower::Resume() {
   if (m_stopped) {
     m_stopped = false;
@@ -230,7 +248,7 @@
   m_timer.expires_after(delay);
   m_timer.async_wait(
       [self = shared_from_this(), step](const boost::system::error_code& code) {
-        if (!code) {
+        if (!code && !self->m_closed) {
           (self.get()->*step)();
         }
       });
--- a/tests/gateway/fake_store.cc
+++ b/tests/gateway/fake_store.cc
@@ -1,6 +1,7 @@
 #include "fake_store.h"
 
-#include <utility>  // move
+#include <algorithm>  // find_if
+#include <utility>    // exchange, move
 
 namespace coppervalve::gateway::testing {
 
@@ -56,10 +57,6 @@
                       core::Error{core::ErrorId::kLogGap, topic, "compacted"});
     return;
   }
-  if (from >= EndOf(kept)) {
-    m_waiting.push_back({topic, from, most_bytes, std::move(handler)});
-    return;
-  }
   RecordBatch batch;
   batch.end = EndOf(kept);
   batch.first = kept.first;
@@ -77,20 +74,47 @@
   Post<RecordBatch>(std::move(handler), batch);
 }
 
+void FakeStore::WaitForRecord(Waiting reader, core::Duration wait) {
+  reader.timer = std::make_shared<boost::asio::steady_timer>(m_io, wait);
+  m_waiting.push_back(reader);
+  reader.timer->async_wait(
+      [this, timer = reader.timer](const boost::system::error_code& code) {
+        const auto found = std::find_if(
+            m_waiting.begin(), m_waiting.end(),
+            [&](const Waiting& one) { return one.timer == timer; });
+        if (code || found == m_waiting.end()) {
+          return;
+        }
+        const Waiting ended = std::move(*found);
+        m_waiting.erase(found);
+        if (Fails(ended.topic, ended.router)) {
+          Post<RecordBatch>(ended.handler, Unavailable());
+          return;
+        }
+        Read(ended.topic, ended.from, ended.most_bytes, ended.handler);
+      });
+}
+
 void FakeStore::WakeReaders() {
   std::list<Waiting> waiting = std::exchange(m_waiting, {});
   for (Waiting& reader : waiting) {
+    const Topic& kept = m_topics[reader.topic];
+    if (reader.from == EndOf(kept) || Fails(reader.topic, reader.router)) {
+      m_waiting.push_back(std::move(reader));
+      continue;
+    }
     Read(reader.topic, reader.from, reader.most_bytes,
          std::move(reader.handler));
   }
 }
 
-KeyedStore FakeStore::Calls() {
+KeyedStore FakeStore::Calls(const std::string& router) {
   KeyedStore calls;
-  calls.newest = [this](const std::string& topic, const std::string& after,
-                        core::Duration /*patience*/, auto handler) {
+  calls.newest = [this, router](const std::string& topic,
+                                const std::string& after,
+                                core::Duration /*patience*/, auto handler) {
     ++newest_calls;
-    const bool unanswered = unreachable || topic == unreadable;
+    const bool unanswered = Fails(topic, router);
     if (unanswered || rejected_pages > 0) {
       rejected_pages -= unanswered ? 0 : 1;
       Post<NewestPage>(handler, Unavailable());
@@ -109,16 +133,16 @@
     }
     Post<NewestPage>(handler, page);
   };
-  calls.read = [this](const std::string& topic, uint64_t from,
-                      const ReadBounds& bounds, auto handler) {
-    if (unreachable || topic == unreadable) {
+  calls.read = [this, router](const std::string& topic, uint64_t from,
+                              const ReadBounds& bounds, auto handler) {
+    if (Fails(topic, router)) {
       Post<RecordBatch>(handler, Unavailable());
       return;
     }
     const Topic& kept = m_topics[topic];
-    if (bounds.wait == core::Duration::zero() && from >= EndOf(kept)) {
-      Post<RecordBatch>(handler,
-                        RecordBatch{{}, from, EndOf(kept), kept.first});
+    if (bounds.wait != core::Duration::zero() && from == EndOf(kept)) {
+      WaitForRecord({router, topic, from, bounds.most_bytes, handler, nullptr},
+                    bounds.wait);
       return;
     }
     Read(topic, from, bounds.most_bytes, handler);
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -3,9 +3,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>  // function
 #include <list>        // list
 #include <map>         // map
+#include <memory>      // shared_ptr
 #include <string>      // string
 #include <vector>      // vector
 
@@ -19,7 +21,8 @@
  public:
   explicit FakeStore(boost::asio::io_context& io) : m_io(io) {}
 
-  KeyedStore Calls();
+  /// @param router whose calls they are
+  KeyedStore Calls(const std::string& router = {});
   void Put(const std::string& topic,
            const std::string& key,
            const std::string& value);
@@ -27,10 +30,11 @@
   /// offsets then report a gap.
   void Compact(const std::string& topic);
 
-  bool unreachable = false;  ///< all calls fail as if timed out
-  std::string unreadable;    ///< topic whose reads fail as if timed out
-  int lose_replies = 0;      ///< number of next appends to apply without reply
-  int rejected_pages = 0;    ///< number of the next pages to reject
+  bool unreachable = false;   ///< all calls fail as if timed out
+  std::string unreadable;     ///< topic whose reads fail as if timed out
+  std::string unreadable_to;  ///< the only router whose reads fail; empty: all
+  int lose_replies = 0;       ///< number of next appends to apply without reply
+  int rejected_pages = 0;     ///< number of the next pages to reject
   size_t page_size = 500;
   int appends = 0;       ///< number of calls
   int newest_calls = 0;  ///< number of calls
@@ -47,10 +51,12 @@
     std::map<std::string, WriterPosition> writers;
   };
   struct Waiting {
+    std::string router;
     std::string topic;
     uint64_t from;
     size_t most_bytes;
     KeyedStore::Handler<RecordBatch> handler;
+    std::shared_ptr<boost::asio::steady_timer> timer;
   };
   uint64_t EndOf(const Topic& topic) const {
     return topic.first + topic.records.size();
@@ -59,7 +65,12 @@
             uint64_t from,
             size_t most_bytes,
             KeyedStore::Handler<RecordBatch> handler);
+  void WaitForRecord(Waiting reader, core::Duration wait);
   void WakeReaders();
+  bool Fails(const std::string& topic, const std::string& router) const {
+    const bool affected = unreadable_to.empty() || unreadable_to == router;
+    return unreachable || (topic == unreadable && affected);
+  }
   template <typename T>
   void Post(KeyedStore::Handler<T> handler, core::Result<T> result) {
     boost::asio::post(m_io, [handler, result] { handler(result); });
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -345,7 +345,8 @@
 void Router::Start(int64_t prepaid) {
   store.Put("config", "config", "1 " + std::to_string(prepaid));
   gateway = std::make_unique<Gateway>(io, settings, TestAdapter(),
-                                      store.Calls(), ClaimAtOnce());
+                                      store.Calls(settings.router.value()),
+                                      ClaimAtOnce());
   gateway->Start();
   // Waits until the first claim is in the store and was read back.
   Until([this] { return store.RecordsOf("routers") != 0; });
@@ -358,8 +359,8 @@
   other.caller_address = FreeAddress();
   peer_address = other.caller_address;
   other.load_address = FreeAddress();
-  auto peer = std::make_unique<Gateway>(io, other, TestAdapter(), store.Calls(),
-                                        ClaimAtOnce());
+  auto peer = std::make_unique<Gateway>(io, other, TestAdapter(),
+                                        store.Calls(name), ClaimAtOnce());
   peer->Start();
   Until([&] { return !store.Newest("routers", name).empty(); });
   // Gives both routers time to read each other's claims.
