A router that is behind does not call its upstream table current

Callers' requests reached upstreams 5.2 s after these had left (DRAIN, 5 s allowed): two seconds after the store had stopped turning routers away, through a standby that a router which had just come back told where to send them.

Cause: any answer to a read of the table counted as the table being current, also a batch of records from seconds ago, and the end of a list whose first page was as old as the list had taken.

Ruled out: load reports or views, which the placements do not use.

Change: an answer is outdated by entry::TopicAge, which knows until when all records were read; the limit follows from the bound that the settings name, less 0.5 s for the way (entry::MaxTableAge), in place of a constant of 2.5 s.

--- a/include/coppervalve/entry/placement.h
+++ b/include/coppervalve/entry/placement.h
@@ -81,6 +81,13 @@
   double own_prefill = 0;
 };
 
+/// @return the age up to which a copy of the upstream table may be used, so
+/// that requests arrive before its upstreams have left for longer than the
+/// bound
+/// @param drain_bound time after which an upstream that has left gets no more
+/// requests
+core::Duration MaxTableAge(core::Duration drain_bound);
+
 /// @brief Constants of the placement policy. Costs at engines are in prompt
 /// tokens that must be processed first, at plain services in requests.
 struct PlacementOptions {
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -73,6 +73,8 @@
   /// Time between the termination signal and the forced end of the process.
   core::Duration grace{8'000'000};
   core::Duration address_lifetime{2'000'000};
+  /// Time after which an upstream that has left gets no more requests.
+  core::Duration drain_bound{2'000'000};
   entry::RetryBounds retries;
   entry::WarmUpBounds warm_up;
   /// API keys are rejected once the configuration is older than this; 0 =
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr double kMaxSlowness = 5;
+// Until a request arrives at the chosen upstream: the reply of another router,
+// and a new connection.
+constexpr core::Duration kDeliveryTime{500'000};
 
 bool Excluded(const PlacementQuery& query, const core::UpstreamId& id) {
   return std::find(query.exclude.begin(), query.exclude.end(), id) !=
@@ -111,6 +114,10 @@
   return tokens * (1 + tokens / m_options.double_cost_at);
 }
 
+core::Duration MaxTableAge(core::Duration drain_bound) {
+  return std::max(drain_bound - kDeliveryTime, drain_bound / 2);
+}
+
 Placement Placer::Choose(const UpstreamDirectory& directory,
                          const PlacementQuery& query,
                          core::TimePoint now) {
--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -8,13 +8,6 @@
 
 namespace coppervalve::gateway {
 
-namespace {
-
-// A table that was not read for longer may name upstreams that are leaving.
-constexpr core::Duration kMaxTableAge{2'500'000};
-
-}  // namespace
-
 bool Gateway::KnowsUpstreams() const {
   return m_upstreams_known || !m_table_readers.follows();
 }
@@ -97,7 +90,8 @@
   }
   placement.table.router = m_settings.router;
   placement.table.age = m_table_age.At(now);
-  placement.table.outdated = m_upstream_contact.SilentFor(now) > kMaxTableAge;
+  placement.table.outdated =
+      placement.table.age > entry::MaxTableAge(m_settings.drain_bound);
   v1::PeerDatagram datagram;
   *datagram.mutable_place_answer() = ToPlaceAnswer(ask, placement);
   m_peer_messenger->Send(ask.reply_address(), datagram);
--- /dev/null
+++ b/tests/gateway/unit-placement-reply.cc
@@ -0,0 +1,110 @@
+// What a router that reads the upstream table says of it to others.
+#include <CppUTest/TestHarness.h>
+
+#include <array>                      // array
+#include <boost/asio/buffer.hpp>      // buffer
+#include <boost/asio/ip/address.hpp>  // make_address
+#include <boost/asio/ip/udp.hpp>      // udp
+#include <chrono>                     // milliseconds
+#include <optional>                   // optional
+#include <string>                     // string
+
+#include "coppervalve/net/endpoint.h"
+#include "gateway_fixture.h"
+
+using namespace coppervalve;
+using namespace coppervalve::gateway;
+using namespace coppervalve::gateway::testing;
+
+namespace {
+
+using boost::asio::ip::udp;
+
+/// The datagram port of a standby that asks for placements.
+class Asker {
+ public:
+  explicit Asker(boost::asio::io_context& io)
+      : m_address(FreeAddress()), m_socket(io, udp::v4()) {
+    const auto endpoint = net::ReadEndpoint(m_address);
+    m_socket.bind(
+        {boost::asio::ip::make_address(endpoint->ip), endpoint->port});
+    Receive();
+  }
+
+  v1::PeerDatagram Ask(const std::string& service) {
+    answer.reset();
+    v1::PeerDatagram datagram;
+    v1::PlaceAsk& ask = *datagram.mutable_place_ask();
+    ask.set_epoch(1);
+    ask.set_id(++m_last_id);
+    ask.set_service(service);
+    ask.set_reply_address(m_address);
+    return datagram;
+  }
+
+  std::optional<v1::PlaceAnswer> answer;
+
+ private:
+  void Receive() {
+    m_socket.async_receive_from(
+        boost::asio::buffer(m_buffer), m_sender,
+        [this](const boost::system::error_code& code, size_t size) {
+          if (code) {
+            return;
+          }
+          v1::PeerDatagram received;
+          received.ParseFromArray(m_buffer.data(), static_cast<int>(size));
+          if (received.has_place_answer()) {
+            answer = received.place_answer();
+          }
+          Receive();
+        });
+  }
+
+  std::string m_address;
+  udp::socket m_socket;
+  udp::endpoint m_sender;
+  std::array<char, 65'536> m_buffer{};
+  uint64_t m_last_id = 0;
+};
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(PlacementReply) {
+  Router router;
+  Asker asker{router.io};
+
+  void Start() {
+    router.settings.load_address = FreeAddress();
+    router.settings.drain_bound = core::Duration(3'000'000);
+    router.AddUpstream("one", "lookup");
+    router.Start();
+  }
+  v1::PlaceAnswer Ask() {
+    const std::string bytes = asker.Ask("lookup").SerializeAsString();
+    SendDatagram(router.io, router.settings.load_address, bytes);
+    CHECK(router.Until([this] { return asker.answer.has_value(); }));
+    return asker.answer.value_or(v1::PlaceAnswer());
+  }
+  void Pass(int millis) {
+    router.io.restart();
+    router.io.run_for(std::chrono::milliseconds(millis));
+  }
+};
+// clang-format on
+
+TEST(PlacementReply, of_a_router_that_reads_the_table_is_current) {
+  Start();
+  const v1::PlaceAnswer answer = Ask();
+  STRCMP_EQUAL("one", answer.upstream().c_str());
+  STRCMP_EQUAL("router-1", answer.router().c_str());
+  CHECK_FALSE(answer.outdated());
+}
+
+TEST(PlacementReply, of_a_router_that_can_not_read_the_table_is_outdated) {
+  Start();
+  router.store.unreadable = "upstreams";
+  Pass(2'700);
+  CHECK(Ask().outdated());
+}
--- a/tests/platform/unit-settings.cc
+++ b/tests/platform/unit-settings.cc
@@ -19,6 +19,7 @@
 directory = "10.0.0.1:82"
 [bounds]
 graceS = 8
+drainMs = 3000
 retryBudgetRatio = 0.25
 retrySlack = 40
 ttl_max_s = 1
@@ -45,6 +46,7 @@
   STRCMP_EQUAL("10.0.0.1:7341", settings.gateway.load_address.c_str());
   STRCMP_EQUAL("10.9.0.1:90", settings.store_address.c_str());
   CHECK(settings.gateway.grace == std::chrono::seconds(8));
+  CHECK(settings.gateway.drain_bound == std::chrono::seconds(3));
   CHECK(settings.gateway.address_lifetime == std::chrono::seconds(1));
   DOUBLES_EQUAL(0.25, settings.gateway.retries.ratio, 0.001);
   CHECK(settings.gateway.key_expiry == core::Duration::zero());
