A placement at an upstream whose entry expired counts as outdated

What callers would see: a request at an upstream that left while the store turned a router away (DRAIN); found by reading, not seen in a play.

Cause: entries that a router misses after an outage are kept for two seconds, as all upstreams' entries may have expired in it. If the store turned away only some routers, they expired because the upstreams left, and other routers know that. Such an upstream is used if no other is left, also for a router that asks.

Change: the answer says outdated, so the router that asks goes on to another one.

The test fails without it: that_names_an_expired_upstream_is_outdated.

--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -91,7 +91,8 @@
   placement.table.router = m_settings.router;
   placement.table.age = m_table_age.At(now);
   placement.table.outdated =
-      placement.table.age > entry::MaxTableAge(m_settings.drain_bound);
+      placement.table.age > entry::MaxTableAge(m_settings.drain_bound) ||
+      (placement.upstream && placement.upstream->expired_at);
   v1::PeerDatagram datagram;
   *datagram.mutable_place_answer() = ToPlaceAnswer(ask, placement);
   m_peer_messenger->Send(ask.reply_address(), datagram);
--- a/tests/gateway/unit-placement-reply.cc
+++ b/tests/gateway/unit-placement-reply.cc
@@ -108,3 +108,17 @@
   Pass(2'700);
   CHECK(Ask().outdated());
 }
+
+TEST(PlacementReply, that_names_an_expired_upstream_is_outdated) {
+  // Failure: a router that the store turned away keeps upstreams that left
+  // meanwhile for some seconds, and a standby sends to one of them.
+  Start();
+  router.store.unreadable = "upstreams";
+  Pass(2'000);
+  router.store.Put("upstreams", "one", "");
+  router.store.Compact("upstreams");
+  router.store.unreadable.clear();
+  Pass(300);
+  const v1::PlaceAnswer answer = Ask();
+  CHECK(answer.upstream().empty() || answer.outdated());
+}
