A router with an outdated table asks one that has a current one

What callers saw: requests at upstreams that had left long ago, sent by active routers themselves.

Cause: a router that had read the table once placed from it whatever its age. Configuration and heartbeats may get through while reads of the table time out.

Change: beyond entry::MaxTableAge a router asks like a standby, as long as load reports show that another one reaches the store. Without a current table anywhere it uses its own, so that an outage of the store changes nothing. An upstream that it lists itself keeps its state, so that the load reported to others stays right.

The test fails without it: of_a_router_is_not_used_while_another_one_reads_it.

--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -61,6 +61,7 @@
   const entry::PeerContact& peers;
   const entry::StoreContact& contact;
   const entry::TopicAge& table_age;  ///< of the table of upstreams
+  core::Duration max_table_age{};    ///< beyond which it is outdated
   UpstreamPool& pool;
   UnknownHeaders& unknown_headers;
   CrashMonitor& crash_monitor;
@@ -150,13 +151,17 @@
   void RefuseForLackOfTokens(core::TimePoint now);
   void OnGrant();
   void Place();
+  /// @brief Whether this router's table of upstreams is the one to use.
+  bool PlacesItself() const;
+  void PlaceFromOwnTable();
   /// @return whether the request may be placed once more
   bool TakePlacement();
   entry::PlacementQuery BuildQuery() const;
   entry::Placement ChoosePlacement() const;
   void RequestPlacement();
   bool MayRun(const core::UpstreamVersion& version) const;
-  void OnPlacementReply(const entry::Placement& placement);
+  void UseListedUpstream(entry::Placement& placement) const;
+  void OnPlacementReply(entry::Placement placement);
   void EndWithoutUpstream(const std::string& why);
   void RefuseForLackOfUpstreams(const std::string& why);
   core::Duration RateLimitRetryDelay(core::TimePoint now) const;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -154,8 +154,7 @@
 bool Exchange::RefuseIfOverloaded() {
   const entry::Service* service =
       m_admitted.configuration_index->FindService(m_admitted.service);
-  if (service == nullptr || !service->engine ||
-      !m_context.has_upstream_table()) {
+  if (service == nullptr || !service->engine || !PlacesItself()) {
     return false;
   }
   m_prepared_placement = ChoosePlacement();
@@ -343,10 +342,25 @@
   if (RefuseIfCrashesUpstreams()) {
     return;
   }
-  if (!m_prepared_placement && !m_context.has_upstream_table()) {
+  if (m_prepared_placement || PlacesItself()) {
+    PlaceFromOwnTable();
+  } else {
     RequestPlacement();
-    return;
   }
+}
+
+// Configurations and heartbeats may arrive in time while reads of the much
+// larger table time out. Another router may have a current one.
+bool Exchange::PlacesItself() const {
+  if (!m_context.has_upstream_table()) {
+    return false;
+  }
+  const core::TimePoint now = net::BootNow();
+  return m_context.table_age.At(now) <= m_context.max_table_age ||
+         m_context.peers.CountReachingStore(now) == 0;
+}
+
+void Exchange::PlaceFromOwnTable() {
   const entry::Placement placement =
       m_prepared_placement ? *std::exchange(m_prepared_placement, std::nullopt)
                            : ChoosePlacement();
@@ -454,7 +468,7 @@
   return placement;
 }
 
-// Used when this router does not follow the table: what it read of it earlier
+// Used when this router does not follow the table, or its copy is outdated: it
 // may name upstreams that have left since.
 void Exchange::RequestPlacement() {
   if (!TakePlacement()) {
@@ -480,13 +494,32 @@
   return !m_sole_version_only || !version.empty();
 }
 
-void Exchange::OnPlacementReply(const entry::Placement& placement) {
+// An upstream that is listed here keeps its state: connections, health, and the
+// load that is reported to other routers.
+void Exchange::UseListedUpstream(entry::Placement& placement) const {
+  const entry::UpstreamEntry& told = placement.upstream->entry;
+  const entry::UpstreamRef listed = m_context.directory.Find(told.id);
+  if (listed && listed->entry.address == told.address &&
+      listed->entry.version == told.version) {
+    placement.upstream = listed;
+  }
+}
+
+void Exchange::OnPlacementReply(entry::Placement placement) {
+  if (placement.upstream && m_context.has_upstream_table()) {
+    UseListedUpstream(placement);
+  }
   m_last_placement = placement;
-  if (placement.upstream && MayRun(placement.upstream->entry.version)) {
+  if (placement.upstream && !placement.upstream->entry.leaving &&
+      MayRun(placement.upstream->entry.version)) {
     m_context.metrics.OnPeerPlacement(placement.table.outdated);
     Send(placement);
     return;
   }
+  if (m_context.has_upstream_table()) {
+    PlaceFromOwnTable();
+    return;
+  }
   const core::Error error{
       core::ErrorId::kNotReady, "router",
       "no router with a current table of upstreams answered"};
