--- a/tests/entry/unit-placement-fleet.cc
+++ b/tests/entry/unit-placement-fleet.cc
@@ -55,7 +55,9 @@
 class PlacementFleetRun {
  public:
   explicit PlacementFleetRun(const Scenario& scenario)
-      : m_scenario(scenario), m_generator(scenario.seed) {
+      : m_scenario(scenario),
+        m_drain_bound(At(scenario.drain_bound) - At(0)),
+        m_generator(scenario.seed) {
     for (size_t i = 0; i < scenario.active; ++i) {
       AddFollower(m_peers.active, "active-" + std::to_string(i),
                   i < scenario.active_turned_away);
@@ -102,7 +104,7 @@
     placement.upstream = std::make_shared<Upstream>();
     placement.upstream->entry.id = core::UpstreamId(std::to_string(upstream));
     placement.table.age = At(now) - At(known_until);
-    placement.table.outdated = now - known_until > m_scenario.drain_bound / 2;
+    placement.table.outdated = placement.table.age > MaxTableAge(m_drain_bound);
     return placement;
   }
   void Place(OutdatedPeers& outdated, double now) {
@@ -129,6 +131,7 @@
   }
 
   Scenario m_scenario;
+  core::Duration m_drain_bound;
   std::mt19937_64 m_generator;
   PlacementPeers m_peers;
   std::map<std::string, bool> m_turned_away;
@@ -171,6 +174,17 @@
   }
 }
 
+TEST(PlacementFleet, holds_for_the_bounds_of_all_sites) {
+  for (const double bound : {2, 3, 5}) {
+    Scenario scenario;
+    scenario.drain_bound = bound;
+    scenario.active_turned_away = 3;
+    const Outcome outcome = Simulate(scenario);
+    CHECK(outcome.latest <= scenario.drain_bound);
+    CHECK(Share(outcome) > 0.99);
+  }
+}
+
 TEST(PlacementFleet, holds_at_the_size_to_design_for_and_at_twice_that) {
   for (const size_t size : {1, 2}) {
     Scenario scenario;
