Tests: routers of the tool's test get their ports before they start

Cause: the three routers are started in the background, and each background job read its ports from the one pipe itself. Ruled out: a lost port or a slow join, as the other two routers joined in 22 ms.

Change: the ports are read before the router is started. No check is changed.

--- a/tests/cli/operators_tool_fleet.sh
+++ b/tests/cli/operators_tool_fleet.sh
@@ -66,9 +66,13 @@
 "$build/standin-log" --listen "$COPPERVALVE_LOG" >"$work/log.out" 2>&1 &
 pids+=($!)
 for i in 1 2 3; do
+  # Background jobs that read the pipe at the same time would mix its lines.
+  caller_port=$(free_port)
+  peer_port=$(free_port)
+  operator_port=$(free_port)
   "$build/coppervalved" --router-id "router-$i" --failure-domain "fd-$i" \
-    --caller-listen "127.0.0.1:$(free_port)" --peer-listen "127.0.0.1:$(free_port)" \
-    --operator-listen "127.0.0.1:$(free_port)" --log "$COPPERVALVE_LOG" \
+    --caller-listen "127.0.0.1:$caller_port" --peer-listen "127.0.0.1:$peer_port" \
+    --operator-listen "127.0.0.1:$operator_port" --log "$COPPERVALVE_LOG" \
     --operator-token "$COPPERVALVE_OPERATOR_TOKEN" \
     --peer-secret secret-for-tests-of-the-tool >"$work/router-$i.out" 2>&1 &
   pids+=($!)
