--- a/tests/gateway/unit-fleet-view.cc
+++ b/tests/gateway/unit-fleet-view.cc
@@ -1,14 +1,11 @@
 // A standby of a large fleet, between a store and an active router.
 #include <CppUTest/TestHarness.h>
 
-#include <array>                      // array
-#include <boost/asio/ip/address.hpp>  // make_address
-#include <boost/asio/ip/udp.hpp>      // udp
-#include <optional>                   // optional
-#include <string>                     // string
+#include <optional>  // optional
+#include <string>    // string
 
 #include "coppervalve/gateway/fleet_view_client.h"
-#include "coppervalve/net/endpoint.h"
+#include "datagram_peer.h"
 #include "gateway_fixture.h"
 
 using namespace coppervalve;
@@ -17,54 +14,31 @@
 
 namespace {
 
-using boost::asio::ip::udp;
-
-/// The datagram port of an active router. It answers questions for its view
-/// while it has one.
+/// An active router. It answers questions for its view while it has one.
 class ActivePeer {
  public:
   explicit ActivePeer(boost::asio::io_context& io)
-      : m_address(FreeAddress()), m_socket(io, udp::v4()) {
-    const auto endpoint = net::ReadEndpoint(m_address);
-    m_socket.bind(
-        {boost::asio::ip::make_address(endpoint->ip), endpoint->port});
-    Receive();
-  }
-  const std::string& address() const { return m_address; }
+      : m_peer(io, [this](const v1::PeerDatagram& received) {
+          if (received.has_view_ask()) {
+            ++questions;
+            Answer(received.view_ask());
+          }
+        }) {}
+  const std::string& address() const { return m_peer.address(); }
 
   std::optional<entry::FleetView> view;
   int questions = 0;
 
  private:
-  void Receive() {
-    m_socket.async_receive_from(
-        boost::asio::buffer(m_buffer), m_sender,
-        [this](const boost::system::error_code& code, size_t size) {
-          if (code) {
-            return;
-          }
-          v1::PeerDatagram received;
-          received.ParseFromArray(m_buffer.data(), static_cast<int>(size));
-          if (received.has_view_ask()) {
-            ++questions;
-            Answer(received.view_ask());
-          }
-          Receive();
-        });
-  }
   void Answer(const v1::FleetViewAsk& ask) {
     if (view) {
       v1::PeerDatagram datagram;
       *datagram.mutable_view_answer() = ToFleetViewAnswer(ask, *view);
-      m_socket.send_to(boost::asio::buffer(datagram.SerializeAsString()),
-                       m_sender);
+      m_peer.Reply(datagram);
     }
   }
 
-  std::string m_address;
-  udp::socket m_socket;
-  udp::endpoint m_sender;
-  std::array<char, 65'536> m_buffer{};
+  DatagramPeer m_peer;
 };
 
 }  // namespace
--- a/tests/gateway/unit-placement-reply.cc
+++ b/tests/gateway/unit-placement-reply.cc
@@ -1,15 +1,11 @@
 // What a router that reads the upstream table says of it to others.
 #include <CppUTest/TestHarness.h>
 
-#include <array>                      // array
-#include <boost/asio/buffer.hpp>      // buffer
-#include <boost/asio/ip/address.hpp>  // make_address
-#include <boost/asio/ip/udp.hpp>      // udp
-#include <chrono>                     // milliseconds
-#include <optional>                   // optional
-#include <string>                     // string
+#include <chrono>    // milliseconds
+#include <optional>  // optional
+#include <string>    // string
 
-#include "coppervalve/net/endpoint.h"
+#include "datagram_peer.h"
 #include "gateway_fixture.h"
 
 using namespace coppervalve;
@@ -18,53 +14,31 @@
 
 namespace {
 
-using boost::asio::ip::udp;
-
-/// The datagram port of a standby that asks for placements.
+/// A standby that asks for placements.
 class Asker {
  public:
   explicit Asker(boost::asio::io_context& io)
-      : m_address(FreeAddress()), m_socket(io, udp::v4()) {
-    const auto endpoint = net::ReadEndpoint(m_address);
-    m_socket.bind(
-        {boost::asio::ip::make_address(endpoint->ip), endpoint->port});
-    Receive();
-  }
+      : m_peer(io, [this](const v1::PeerDatagram& received) {
+          if (received.has_place_answer()) {
+            answer = received.place_answer();
+          }
+        }) {}
 
-  v1::PeerDatagram Ask(const std::string& service) {
+  std::string Question(const std::string& service) {
     answer.reset();
     v1::PeerDatagram datagram;
     v1::PlaceAsk& ask = *datagram.mutable_place_ask();
     ask.set_epoch(1);
     ask.set_id(++m_last_id);
     ask.set_service(service);
-    ask.set_reply_address(m_address);
-    return datagram;
+    ask.set_reply_address(m_peer.address());
+    return datagram.SerializeAsString();
   }
 
   std::optional<v1::PlaceAnswer> answer;
 
  private:
-  void Receive() {
-    m_socket.async_receive_from(
-        boost::asio::buffer(m_buffer), m_sender,
-        [this](const boost::system::error_code& code, size_t size) {
-          if (code) {
-            return;
-          }
-          v1::PeerDatagram received;
-          received.ParseFromArray(m_buffer.data(), static_cast<int>(size));
-          if (received.has_place_answer()) {
-            answer = received.place_answer();
-          }
-          Receive();
-        });
-  }
-
-  std::string m_address;
-  udp::socket m_socket;
-  udp::endpoint m_sender;
-  std::array<char, 65'536> m_buffer{};
+  DatagramPeer m_peer;
   uint64_t m_last_id = 0;
 };
 
@@ -82,8 +56,8 @@
     router.Start();
   }
   v1::PlaceAnswer Ask() {
-    const std::string bytes = asker.Ask("lookup").SerializeAsString();
-    SendDatagram(router.io, router.settings.load_address, bytes);
+    SendDatagram(router.io, router.settings.load_address,
+                 asker.Question("lookup"));
     CHECK(router.Until([this] { return asker.answer.has_value(); }));
     return asker.answer.value_or(v1::PlaceAnswer());
   }
