--- a/tests/entry/unit-placement-fleet.cc
+++ b/tests/entry/unit-placement-fleet.cc
@@ -165,7 +165,7 @@
      no_standby_sends_to_an_upstream_that_left_while_active_ones_are_rejected) {
   // Failure: all routers that a standby asks are turned away by the store, and
   // it sends to an upstream that left long ago.
-  for (const size_t rejected : {2, 3, 4, 5}) {
+  for (const size_t rejected : {2U, 3U, 4U, 5U}) {
     Scenario scenario;
     scenario.active_turned_away = rejected;
     const Outcome outcome = Simulate(scenario);
@@ -186,7 +186,7 @@
 }
 
 TEST(PlacementFleet, holds_at_the_size_to_design_for_and_at_twice_that) {
-  for (const size_t size : {1, 2}) {
+  for (const size_t size : {1U, 2U}) {
     Scenario scenario;
     scenario.routers = 840 * size;
     scenario.active = 64 * size;
