--- a/tests/entry/unit-placement-fleet.cc
+++ b/tests/entry/unit-placement-fleet.cc
@@ -37,8 +37,8 @@
   double latest = 0;
 };
 
-constexpr double kFrom = 2.5;
-constexpr double kTo = 11.5;
+constexpr double kTurnedAwayFrom = 2.5;
+constexpr double kTurnedAwayTo = 11.5;
 constexpr double kListSeconds = 1;
 constexpr double kReadSeconds = 0.5;  // until a record is read
 constexpr size_t kUpstreams = 400;
@@ -71,7 +71,7 @@
   Outcome Run() {
     std::vector<OutdatedPeers> standbys(m_scenario.routers - m_scenario.active -
                                         m_scenario.next);
-    for (double now = 0; now < kTo + 2 * kListSeconds;
+    for (double now = 0; now < kTurnedAwayTo + 2 * kListSeconds;
          now += 1 / kRequestsPerSecond) {
       Place(standbys[m_generator() % standbys.size()], now);
     }
@@ -89,9 +89,9 @@
     return std::uniform_real_distribution<double>()(m_generator);
   }
   double KnownUntil(const std::string& address, double now) const {
-    const bool blind =
-        m_turned_away.at(address) && now >= kFrom && now < kTo + kListSeconds;
-    return (blind ? kFrom : now) - kReadSeconds;
+    const bool blind = m_turned_away.at(address) && now >= kTurnedAwayFrom &&
+                       now < kTurnedAwayTo + kListSeconds;
+    return (blind ? kTurnedAwayFrom : now) - kReadSeconds;
   }
   // Any upstream that is not known to leave.
   Placement Reply(const std::string& address, double now) {
