Log lines, metrics: age of the configuration, calls that readers wait for

The logs told when a read failed, not which call it was, whether the store answered others meanwhile, nor how old the configuration was that a request was served by.

Change: config_age_ms on each request that was admitted (entry::TopicAge, exact: from the start of the call by which all versions were known); call, others_answered in store_read_failed; after_ms, others_answered in beat_not_written; read_ms in configuration_in_force; silent_ms in store_regained; how long each read in progress has taken, as metrics. No decision changes; configuration_age_seconds counts from the start of a call now.

--- a/include/coppervalve/entry/admission.h
+++ b/include/coppervalve/entry/admission.h
@@ -41,6 +41,7 @@
   core::ServiceId service;
   core::Duration limit{};  ///< from arrival to the end of the response
   uint8_t priority = 0;
+  core::Duration configuration_age{};  ///< ConfigurationView::age
 };
 
 /// @brief The router's configuration and how current it is.
@@ -52,6 +53,8 @@
   /// True if the configuration is too old to accept keys that may have been
   /// revoked since.
   bool keys_expired = false;
+  /// Each version written before that is known.
+  core::Duration age{};
 };
 
 /// @brief Admits or rejects a request by the configuration alone.
--- a/include/coppervalve/entry/store_contact.h
+++ b/include/coppervalve/entry/store_contact.h
@@ -17,6 +17,10 @@
 
   /// @return whether the last completed call succeeded
   bool up() const { return m_up; }
+  /// @return whether the store answered any call since then
+  bool AnsweredSince(core::TimePoint time) const {
+    return m_last_answer && *m_last_answer > time;
+  }
   /// @return time since the last answer; the maximum duration before the first
   /// one
   core::Duration SilentFor(core::TimePoint now) const;
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -145,7 +145,7 @@
   void OnStoreAnswer(const std::string& topic, bool caught_up);
   void OnStoreFailure(const std::string& topic,
                       const core::Error& error,
-                      core::TimePoint began);
+                      const StoreCall& failed);
   entry::HeartbeatLimits Limits() const;
   core::Duration LongestHeartbeatPeriod() const;
   core::Duration FirstWriteDelay(bool size_unknown) const;
@@ -243,6 +243,7 @@
 
   entry::TopicSubscription m_table_readers;
   entry::TopicAge m_table_age;  ///< of the table of upstreams
+  entry::TopicAge m_configuration_age;
   /// Heartbeats are read by a small part of a large fleet: unlike the table of
   /// upstreams they are written by the fleet itself, so their bytes grow with
   /// its square.
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -17,6 +17,10 @@
 struct ProcessStats {
   core::ConfigVersion version;
   core::Duration configuration_age{};
+  /// How long the read in progress has taken; 0 without one.
+  core::Duration configuration_call{};
+  core::Duration upstream_table_call{};
+  core::Duration heartbeat_call{};
   uint32_t routers = 0;
   uint32_t active_routers = 0;
   bool active = false;
--- a/include/coppervalve/gateway/heartbeat_writer.h
+++ b/include/coppervalve/gateway/heartbeat_writer.h
@@ -46,7 +46,8 @@
     /// The epoch is announced: earlier starts cannot write at or after `end`.
     std::function<void(uint64_t epoch, uint64_t end)> on_epoch_announced;
     std::function<void(const v1::RouterBeat& beat)> on_written;
-    std::function<void(const core::Error&)> on_failure;
+    /// @param began start time of the failed call
+    std::function<void(const core::Error&, core::TimePoint began)> on_failure;
     /// A newer start of the same router exists; this one stops writing.
     std::function<void()> on_superseded;
   };
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -3,11 +3,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cstdint>     // uint64_t
-#include <functional>  // function
-#include <memory>      // enable_shared_from_this
-#include <string>      // string
-#include <vector>      // vector
+#include <cstdint>      // uint64_t
+#include <functional>   // function
+#include <memory>       // enable_shared_from_this
+#include <string>       // string
+#include <string_view>  // string_view
+#include <vector>       // vector
 
 #include "coppervalve/entry/read_plan.h"
 #include "coppervalve/entry/topic_age.h"
@@ -23,6 +24,12 @@
   core::Duration wait{1'000'000};
 };
 
+/// @brief A call to the store.
+struct StoreCall {
+  std::string_view kind;  ///< "page", "records" or "end"
+  core::TimePoint began;
+};
+
 /// @brief Reads a topic continuously: first the newest record of each key, then
 /// new records as they are appended.
 ///
@@ -38,8 +45,7 @@
     std::function<void(const KeyedRecord&)> on_record;
     /// A batch or the end of the log was read.
     std::function<void(const entry::ReadProgress&)> on_read;
-    /// @param began start time of the failed call
-    std::function<void(const core::Error&, core::TimePoint began)> on_failure;
+    std::function<void(const core::Error&, const StoreCall& failed)> on_failure;
     /// The pause to make instead of the usual one; optional.
     std::function<core::Duration(core::Duration usual)> pause;
     /// The time over which reads of records of this size are to be spread;
@@ -69,8 +75,13 @@
   /// @brief Ends the current pause early, because something relevant was just
   /// written.
   void Expedite();
+  /// @brief The call in progress, or the last one.
+  const StoreCall& call() const { return m_call; }
+  /// @return how long the call in progress has taken; 0 without one
+  core::Duration CallTime(core::TimePoint now) const;
 
  private:
+  void BeginCall(std::string_view kind);
   void ReadNewest();
   void ReadPage();
   void OnPage(const core::Result<NewestPage>& result);
@@ -98,7 +109,8 @@
   /// End of the log when the first page was read.
   entry::ReadProgress m_listed_to;
   std::string m_after;
-  core::TimePoint m_call_started;
+  StoreCall m_call;
+  bool m_calling = false;
   core::Duration m_patience{};  ///< of the current call
   size_t m_largest = 0;         ///< size of the largest record read
   std::string m_last_key;       ///< last in order of the keys read
--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -27,6 +27,7 @@
   }
   Admitted admitted;
   admitted.configuration_index = view.configuration_index;
+  admitted.configuration_age = view.age;
   admitted.route =
       view.configuration_index->FindRoute(facts.host, facts.target);
   if (admitted.route == nullptr) {
--- a/src/entry/store_contact.cc
+++ b/src/entry/store_contact.cc
@@ -14,7 +14,7 @@
 // answered. Treating this as a new loss would restart the time in which lapsed
 // entries may return, so upstreams that left would receive requests for longer.
 void StoreContact::OnFailure(core::TimePoint started_at) {
-  if (m_last_answer && *m_last_answer > started_at) {
+  if (AnsweredSince(started_at)) {
     return;
   }
   m_up = false;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -137,7 +137,8 @@
   line.Text("rule", m_admitted.route->name.value())
       .Text("service", m_admitted.service.value())
       .Number("config", static_cast<int64_t>(
-                            m_admitted.configuration_index->version().value()));
+                            m_admitted.configuration_index->version().value()))
+      .Millis("config_age_ms", m_admitted.configuration_age);
   if (m_admitted.account == nullptr) {
     return;
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -172,7 +172,8 @@
   const core::Duration age = m_config_contact.SilentFor(net::BootNow());
   const bool expires = m_settings.key_expiry > core::Duration::zero();
   return {m_in_force, age < kConfigurationFreshness,
-          expires && age > m_settings.key_expiry};
+          expires && age > m_settings.key_expiry,
+          m_configuration_age.At(net::BootNow())};
 }
 
 bool Gateway::Ready() const {
--- a/src/gateway/gateway_configuration.cc
+++ b/src/gateway/gateway_configuration.cc
@@ -69,7 +69,8 @@
       LogLine("configuration_in_force")
           .Number("version", static_cast<int64_t>(version.value()))
           .Number("routes", static_cast<int64_t>(
-                                m_in_force->configuration().routes.size())));
+                                m_in_force->configuration().routes.size()))
+          .Millis("read_ms", net::BootNow() - m_configuration->call().began));
   // Account totals may have grown; after the first configuration, the heartbeat
   // makes the first claims. Standbys claim when a request needs it: one more
   // write of each of them would keep the store busy for seconds.
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -53,9 +53,12 @@
     m_last_claim_written = beat.closing();
     NotifyGrantWaiters();
   };
-  hooks.on_failure = [this](const core::Error& error) {
+  hooks.on_failure = [this](const core::Error& error, core::TimePoint began) {
     m_metrics.OnStoreCall("beat_write", false);
-    LogLifecycle(LogLine("beat_not_written").Text("why", error.detail));
+    LogLifecycle(LogLine("beat_not_written")
+                     .Text("why", error.detail)
+                     .Millis("after_ms", net::BootNow() - began)
+                     .Flag("others_answered", m_contact.AnsweredSince(began)));
   };
   hooks.on_superseded = [this] {
     LogLifecycle(
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -198,11 +198,14 @@
   ProcessStats stats;
   if (m_in_force) {
     stats.version = m_in_force->version();
-    stats.configuration_age = m_config_contact.SilentFor(now);
+    stats.configuration_age = m_configuration_age.At(now);
     for (const entry::Account& account : m_in_force->configuration().accounts) {
       m_metrics.OnAccount(account.name, m_book.FiguresOf(account.name));
     }
   }
+  stats.configuration_call = m_configuration->CallTime(now);
+  stats.upstream_table_call = m_upstreams->CallTime(now);
+  stats.heartbeat_call = m_heartbeats->CallTime(now);
   stats.routers = m_members.LiveCount();
   stats.active_routers = m_members.ActiveCount();
   stats.active = m_members.SelfActive();
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -165,6 +165,9 @@
   };
   set("configuration_version", static_cast<double>(stats.version.value()));
   set("configuration_age_seconds", Seconds(stats.configuration_age));
+  set("configuration_call_seconds", Seconds(stats.configuration_call));
+  set("upstream_table_call_seconds", Seconds(stats.upstream_table_call));
+  set("heartbeat_call_seconds", Seconds(stats.heartbeat_call));
   set("routers", stats.routers);
   set("active_routers", stats.active_routers);
   set("active", stats.active ? 1 : 0);
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -51,8 +51,8 @@
       return m_members.SelfActive() ? usual : std::max(usual, kStandbyPause);
     };
     made.on_failure = [this, topic](const core::Error& error,
-                                    core::TimePoint began) {
-      OnStoreFailure(topic, error, began);
+                                    const StoreCall& failed) {
+      OnStoreFailure(topic, error, failed);
     };
     return made;
   };
@@ -69,6 +69,7 @@
   of_configuration.on_read = [this, topic = layout.configuration_topic](
                                  const entry::ReadProgress& progress) {
     OnStoreAnswer(topic, progress.next >= progress.end);
+    m_configuration_age.OnRead(progress);
   };
   of_configuration.on_record = [this](const KeyedRecord& record) {
     OnOperatorRecord(record);
@@ -233,28 +234,37 @@
 void Gateway::OnStoreAnswer(const std::string& topic, bool caught_up) {
   const core::TimePoint now = net::BootNow();
   const bool was_up = m_contact.up();
+  const core::Duration silent = m_contact.SilentFor(now);
   m_contact.OnAnswer(now);
   if (caught_up) {
     ContactOf(topic).OnAnswer(now);
   }
   m_metrics.OnStoreCall(topic, true);
   if (!was_up) {
-    LogLifecycle(LogLine("store_regained").Text("topic", topic));
+    LogLine line("store_regained");
+    line.Text("topic", topic);
+    if (silent != core::Duration::max()) {
+      line.Millis("silent_ms", silent);
+    }
+    LogLifecycle(std::move(line));
     m_heartbeat_writer->ExpediteSpread();
   }
 }
 
 void Gateway::OnStoreFailure(const std::string& topic,
                              const core::Error& error,
-                             core::TimePoint began) {
+                             const StoreCall& failed) {
   const bool was_up = m_contact.up();
-  m_contact.OnFailure(began);
-  ContactOf(topic).OnFailure(began);
+  m_contact.OnFailure(failed.began);
+  ContactOf(topic).OnFailure(failed.began);
   m_metrics.OnStoreCall(topic, false);
-  LogLifecycle(LogLine("store_read_failed")
-                   .Text("topic", topic)
-                   .Text("why", error.detail)
-                   .Millis("after_ms", net::BootNow() - began));
+  LogLifecycle(
+      LogLine("store_read_failed")
+          .Text("topic", topic)
+          .Text("call", failed.kind)
+          .Text("why", error.detail)
+          .Millis("after_ms", net::BootNow() - failed.began)
+          .Flag("others_answered", m_contact.AnsweredSince(failed.began)));
   if (was_up && !m_contact.up()) {
     LogLifecycle(
         LogLine("store_lost").Text("topic", topic).Text("why", error.detail));
--- a/src/gateway/heartbeat_writer.cc
+++ b/src/gateway/heartbeat_writer.cc
@@ -57,7 +57,7 @@
 
 void HeartbeatWriter::Retry(const core::Error& error,
                             void (HeartbeatWriter::*step)()) {
-  m_hooks.on_failure(error);
+  m_hooks.on_failure(error, m_call_started);
   m_pacing.OnFailure(net::BootNow() - m_call_started);
   m_retry = step;
   Schedule(m_pacing.RetryDelay(routing::UniformFraction(m_random)), step);
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -30,8 +30,17 @@
   ReadPage();
 }
 
+void TopicFollower::BeginCall(std::string_view kind) {
+  m_call = {kind, net::BootNow()};
+  m_calling = true;
+}
+
+core::Duration TopicFollower::CallTime(core::TimePoint now) const {
+  return m_calling ? now - m_call.began : core::Duration::zero();
+}
+
 void TopicFollower::ReadPage() {
-  m_call_started = net::BootNow();
+  BeginCall("page");
   m_store.newest(
       m_options.topic, m_after, m_patience,
       [self = shared_from_this()](const core::Result<NewestPage>& result) {
@@ -45,6 +54,7 @@
 // hundreds of routers that start together began a new listing after each
 // rejection, they would keep the store at its rate limit for good.
 void TopicFollower::OnPage(const core::Result<NewestPage>& result) {
+  m_calling = false;
   if (!core::IsOk(result)) {
     HandleFailure(core::Failure(result));
     return;
@@ -53,7 +63,7 @@
   if (m_after.empty()) {
     // Only records from before the first page are certain to be covered by the
     // pages.
-    m_listed_to = {page.end, page.end, m_call_started};
+    m_listed_to = {page.end, page.end, m_call.began};
   }
   m_newest.insert(m_newest.end(), page.records.begin(), page.records.end());
   m_after = page.after;
@@ -80,7 +90,7 @@
 
 void TopicFollower::ReadBatch() {
   m_pausing_between_reads = false;
-  m_call_started = net::BootNow();
+  BeginCall("records");
   m_store.read(
       m_options.topic, m_plan.next(),
       {m_options.wait, m_options.plan.max_bytes, m_patience},
@@ -94,7 +104,7 @@
 // A page after the last key has the end of the log and no records. A read of
 // records always returns at least one.
 void TopicFollower::Peek() {
-  m_call_started = net::BootNow();
+  BeginCall("end");
   m_store.newest(
       m_options.topic, m_last_key, m_patience,
       [self = shared_from_this()](const core::Result<NewestPage>& result) {
@@ -105,17 +115,19 @@
 }
 
 void TopicFollower::OnPeek(const core::Result<NewestPage>& result) {
+  m_calling = false;
   if (!core::IsOk(result)) {
     HandleFailure(core::Failure(result));
     return;
   }
   const uint64_t end = core::Value(result).end;
-  m_hooks.on_read({m_plan.next(), end, m_call_started});
+  m_hooks.on_read({m_plan.next(), end, m_call.began});
   UpdateSpread();
   ScheduleStep(m_plan.OnPeek(end, net::BootNow()));
 }
 
 void TopicFollower::OnBatch(const core::Result<RecordBatch>& result) {
+  m_calling = false;
   if (!core::IsOk(result)) {
     if (core::Failure(result).id == core::ErrorId::kLogGap) {
       UpdateSpread();
@@ -139,9 +151,9 @@
 
 // Without a record, the store answers a long poll only at the end of its wait.
 core::TimePoint TopicFollower::AnsweredAfter(const RecordBatch& batch) const {
-  const core::TimePoint wait_over = m_call_started + m_options.wait;
+  const core::TimePoint wait_over = m_call.began + m_options.wait;
   const bool waited = batch.records.empty() && net::BootNow() >= wait_over;
-  return waited ? wait_over : m_call_started;
+  return waited ? wait_over : m_call.began;
 }
 
 // Parsing a configuration takes tens of milliseconds on a small VM. When
@@ -173,9 +185,9 @@
 
 void TopicFollower::HandleFailure(const core::Error& error) {
   m_plan.SetCrowded(m_hooks.crowded && m_hooks.crowded());
-  m_hooks.on_failure(error, m_call_started);
+  m_hooks.on_failure(error, m_call);
   ScheduleStep(m_plan.OnFailure(routing::UniformFraction(m_random),
-                                m_call_started, net::BootNow()));
+                                m_call.began, net::BootNow()));
 }
 
 void TopicFollower::NoteRecords(const std::vector<KeyedRecord>& records) {
--- a/tests/gateway/unit-topic-follower.cc
+++ b/tests/gateway/unit-topic-follower.cc
@@ -36,7 +36,7 @@
     hooks.on_read = [this](const entry::ReadProgress& progress) {
       next = progress.next;
     };
-    hooks.on_failure = [](const core::Error&, core::TimePoint) {};
+    hooks.on_failure = [](const core::Error&, const StoreCall&) {};
     return hooks;
   }
   void Follow(const entry::ReadPlanOptions& plan) {
