Readers: after a call without an answer, ask for the log's end first

What callers saw: served by a rule that an acknowledged version had replaced, 2.29 s after its acknowledgement, 2.0 s allowed (CONFIG), on small fleets after the store had been silent.

Cause: a page of newest records that got no answer was requested again with twice the patience, up to 4.8 s, to give a store with a backlog time. While the store is silent no call is ever answered, so after its return each reader waited for the rest of a call that the store had not received.

Change: ReadPlan polls the end of the log after any call without an answer, with the usual patience, until the store answers; then it reads. A late page still gets twice the time, but only after the store answered a peek, which a silent store does not. A peek asks after a key that follows all keys, so it works before anything is listed. Peeks of the table and of heartbeats count as reading only if they show that nothing is unread. Refusals are repeated as before.

Why it works: from the store's return at most one call is lost that began before it. That is a peek (0.8 s), or the first call of the silence (a long poll, 1.8 s; a page, 1.2 s, or up to 4.8 s if the store had been late before).

--- a/include/coppervalve/entry/read_plan.h
+++ b/include/coppervalve/entry/read_plan.h
@@ -70,6 +70,9 @@
 /// If the store cannot send a record to all readers at once, they poll the end
 /// of the log, and read what is new at times that are spread over an interval.
 /// A reader reads once in an interval, and only the newest records.
+///
+/// After a call without an answer it polls the end of the log until the store
+/// answers, and reads only then.
 /// @complexity constant, as all of this class
 class ReadPlan {
  public:
--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -28,6 +28,10 @@
   std::string after;  ///< last key of this page; empty = no more pages
 };
 
+/// @brief Follows all keys: a page after it has the end of the log and no
+/// records.
+inline constexpr const char* kAfterAllKeys = "\x7f";
+
 /// @brief Consecutive records, ordered by offset.
 struct RecordBatch {
   std::vector<KeyedRecord> records;
--- a/include/coppervalve/gateway/topic_follower.h
+++ b/include/coppervalve/gateway/topic_follower.h
@@ -43,8 +43,10 @@
     /// pages so far. Optional.
     std::function<void(size_t listed)> on_page;
     std::function<void(const KeyedRecord&)> on_record;
-    /// A batch or the end of the log was read.
+    /// Records were read.
     std::function<void(const entry::ReadProgress&)> on_read;
+    /// The end of the log was read, and no records.
+    std::function<void(const entry::ReadProgress&)> on_end;
     std::function<void(const core::Error&, const StoreCall& failed)> on_failure;
     /// The pause to make instead of the usual one; optional.
     std::function<core::Duration(core::Duration usual)> pause;
@@ -113,7 +115,6 @@
   bool m_calling = false;
   core::Duration m_patience{};  ///< of the current call
   size_t m_largest = 0;         ///< size of the largest record read
-  std::string m_last_key;       ///< last in order of the keys read
   bool m_pausing_between_reads = false;
   bool m_stopped = false;
   bool m_closed = false;
--- a/src/entry/read_plan.cc
+++ b/src/entry/read_plan.cc
@@ -88,8 +88,8 @@
 }
 
 // If every reader repeated a read that the store has not come to yet, the store
-// would send mostly what nobody waits for any more. Peeks are answered at once,
-// so they need no more time, and show soon that the store is out of reach.
+// would send mostly what nobody waits for any more. Peeks cost it next to
+// nothing, so they need no more time.
 ReadStep ReadPlan::Make(ReadStep::Call call,
                         core::Duration delay,
                         bool interruptible) {
@@ -168,9 +168,17 @@
 // then read a configuration, the last ones would time out, and heartbeats and
 // claims would wait in the store behind all of them.
 ReadStep ReadPlan::OnPeek(uint64_t end, core::TimePoint now) {
+  const bool was_silent = m_last_answer && now - *m_last_answer > kMaxSilence;
   m_failures = 0;
   m_last_answer = now;
+  if (!m_has_newest) {
+    return Make(ReadStep::Call::kRepeatPage, {}, false);
+  }
   const uint64_t behind = end > m_next ? end - m_next : 0;
+  if (!spreads() && m_options.newest_only &&
+      (was_silent || NewestIsCheaper(behind))) {
+    return RestartFromNewest({});
+  }
   if (behind == 0 || !spreads()) {
     m_due.reset();
     return ReadNext({}, false);
@@ -211,6 +219,11 @@
 // calls. It does not grow after calls that got no answer: each of them has
 // already taken long enough, and a router that still waits after a partition
 // refuses callers meanwhile.
+//
+// A call without an answer may be late or lost. A lost one must not be waited
+// for when the store answers again, and a late one needs more time the next
+// time. So a read gets more time only if the store answered a peek since the
+// last one, which it does not while it is silent.
 ReadStep ReadPlan::OnFailure(double jitter,
                              core::TimePoint started_at,
                              core::TimePoint now) {
@@ -224,6 +237,9 @@
                             m_options.longest_backoff);
   const core::Duration delay = backoff / 2 + Part(backoff, jitter);
   m_due.reset();
+  if (unanswered) {
+    return Make(ReadStep::Call::kPeek, delay, false);
+  }
   if (!m_has_newest) {
     return Make(ReadStep::Call::kRepeatPage, delay, false);
   }
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -47,6 +47,9 @@
     made.on_read = [this, topic](const entry::ReadProgress& /*progress*/) {
       OnStoreAnswer(topic, true);
     };
+    made.on_end = [this, topic](const entry::ReadProgress& progress) {
+      OnStoreAnswer(topic, progress.next >= progress.end);
+    };
     made.pause = [this](core::Duration usual) {
       return m_members.SelfActive() ? usual : std::max(usual, kStandbyPause);
     };
@@ -71,6 +74,7 @@
     OnStoreAnswer(topic, progress.next >= progress.end);
     m_configuration_age.OnRead(progress);
   };
+  of_configuration.on_end = of_configuration.on_read;
   of_configuration.on_record = [this](const KeyedRecord& record) {
     OnOperatorRecord(record);
   };
--- a/src/gateway/start_probe.cc
+++ b/src/gateway/start_probe.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-// Follows the ids of all routers.
-constexpr const char* kAfterAllKeys = "\x7f";
 constexpr core::Duration kPatience{800'000};
 // Several of the last records are from active routers.
 constexpr uint64_t kTailRecords = 64;
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -101,12 +101,11 @@
       });
 }
 
-// A page after the last key has the end of the log and no records. A read of
-// records always returns at least one.
+// A read of records always returns at least one, so a page without any is read.
 void TopicFollower::Peek() {
   BeginCall("end");
   m_store.newest(
-      m_options.topic, m_last_key, m_patience,
+      m_options.topic, kAfterAllKeys, m_patience,
       [self = shared_from_this()](const core::Result<NewestPage>& result) {
         if (!self->m_closed) {
           self->OnPeek(result);
@@ -121,7 +120,7 @@
     return;
   }
   const uint64_t end = core::Value(result).end;
-  m_hooks.on_read({m_plan.next(), end, m_call.began});
+  m_hooks.on_end({m_plan.next(), end, m_call.began});
   UpdateSpread();
   ScheduleStep(m_plan.OnPeek(end, net::BootNow()));
 }
@@ -193,7 +192,6 @@
 void TopicFollower::NoteRecords(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
     m_largest = std::max(m_largest, record.value.size());
-    m_last_key = std::max(m_last_key, record.key);
   }
 }
 
--- a/tests/gateway/unit-topic-follower.cc
+++ b/tests/gateway/unit-topic-follower.cc
@@ -36,6 +36,7 @@
     hooks.on_read = [this](const entry::ReadProgress& progress) {
       next = progress.next;
     };
+    hooks.on_end = hooks.on_read;
     hooks.on_failure = [](const core::Error&, const StoreCall&) {};
     return hooks;
   }
@@ -135,6 +136,7 @@
     next = progress.next;
     behind = behind || progress.next < progress.end;
   };
+  hooks.on_end = hooks.on_read;
   store.Put("config", "config", "1");
   follower = std::make_shared<TopicFollower>(
       io, FollowerOptions{"config", entry::ConfigurationPlan()}, calls,
