Heartbeats: a silent store does not lengthen the wait for the next write

The timeout of a write doubles with each one that gets no reply, to 3 s, for a store with a long queue; while the store is silent no write is ever answered. So after its return a router waited for the rest of a lost write, and then for a backoff of up to 3.6 s that had grown in the silence; the return was noticed, but only moves a write that waits, not one in flight.

Change: WritePacing does not count a timeout during which the store answered no call at all; a write that was in flight when the store returned is repeated at the spread time that the others use, without backoff. Writes carry their sequence, so a repeat is applied once.

Why it works: a lost write is noticed 0.9 s after the return at the latest. A store that answers reads and is late with writes still gets longer timeouts (unit-write-pacing, fleets of 30 to 2,000 that start together, unchanged).

--- a/include/coppervalve/entry/write_pacing.h
+++ b/include/coppervalve/entry/write_pacing.h
@@ -37,7 +37,8 @@
   /// @param took time from the call to the reply
   void OnWritten(core::Duration took);
   /// @param took time from the call to its failure
-  void OnFailure(core::Duration took);
+  /// @param store_silent whether the store answered no call at all meanwhile
+  void OnFailure(core::Duration took, bool store_silent);
 
   /// @return time to wait for the reply of the next write
   core::Duration Timeout() const;
--- a/include/coppervalve/gateway/heartbeat_writer.h
+++ b/include/coppervalve/gateway/heartbeat_writer.h
@@ -9,6 +9,7 @@
 #include <string>      // string
 
 #include "coppervalve/beat.pb.h"
+#include "coppervalve/entry/store_contact.h"
 #include "coppervalve/entry/write_pacing.h"
 #include "coppervalve/gateway/keyed_store.h"
 #include "coppervalve/routing/random_source.h"
@@ -46,6 +47,8 @@
     /// The epoch is announced: earlier starts cannot write at or after `end`.
     std::function<void(uint64_t epoch, uint64_t end)> on_epoch_announced;
     std::function<void(const v1::RouterBeat& beat)> on_written;
+    /// Contact with the store.
+    std::function<const entry::StoreContact&()> contact;
     /// @param began start time of the failed call
     std::function<void(const core::Error&, core::TimePoint began)> on_failure;
     /// A newer start of the same router exists; this one stops writing.
--- a/src/entry/write_pacing.cc
+++ b/src/entry/write_pacing.cc
@@ -28,9 +28,11 @@
   m_unanswered = 0;
 }
 
-void WritePacing::OnFailure(core::Duration took) {
+// A store that answers nobody has no queue to wait for. With a longer timeout,
+// a writer would wait for a lost reply while the store answers again.
+void WritePacing::OnFailure(core::Duration took, bool store_silent) {
   ++m_failures;
-  m_unanswered += took >= Timeout() ? 1 : 0;
+  m_unanswered += took >= Timeout() && !store_silent ? 1 : 0;
 }
 
 // A store with a long queue answers later than the shortest timeout, and an
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -33,6 +33,7 @@
   hooks.period = [this] { return entry::HeartbeatPeriod(Limits()); };
   hooks.expedited_delay = [this] { return entry::ExpeditedDelay(Limits()); };
   hooks.max_spread_delay = [this] { return entry::MaxSpreadDelay(Limits()); };
+  hooks.contact = [this]() -> const entry::StoreContact& { return m_contact; };
   hooks.urgent = [this] { return m_members.SelfActive(); };
   hooks.on_epoch_announced = [this](uint64_t epoch, uint64_t end) {
     m_epoch_log_end = end;
--- a/src/gateway/heartbeat_writer.cc
+++ b/src/gateway/heartbeat_writer.cc
@@ -58,9 +58,15 @@
 void HeartbeatWriter::Retry(const core::Error& error,
                             void (HeartbeatWriter::*step)()) {
   m_hooks.on_failure(error, m_call_started);
-  m_pacing.OnFailure(net::BootNow() - m_call_started);
+  const entry::StoreContact& contact = m_hooks.contact();
+  m_pacing.OnFailure(net::BootNow() - m_call_started,
+                     !contact.AnsweredSince(m_call_started));
   m_retry = step;
-  Schedule(m_pacing.RetryDelay(routing::UniformFraction(m_random)), step);
+  // The reply was lost in an outage that is over.
+  const bool regained = contact.reachable_since() > m_call_started;
+  Schedule(regained ? SpreadDelay()
+                    : m_pacing.RetryDelay(routing::UniformFraction(m_random)),
+           step);
 }
 
 void HeartbeatWriter::StartHeartbeats() {
--- a/tests/entry/unit-write-pacing.cc
+++ b/tests/entry/unit-write-pacing.cc
@@ -89,7 +89,7 @@
     const auto done = m_partition.Append(event.at);
     if (!done || *done - event.at > timeout) {
       const core::Duration took = done ? timeout : core::Duration::zero();
-      router.pacing.OnFailure(took);
+      router.pacing.OnFailure(took, false);
       const double jitter = static_cast<double>(m_random() % 1'000) / 1'000;
       Schedule(event.at + took + router.pacing.RetryDelay(jitter), event);
       return;
@@ -157,12 +157,12 @@
 TEST(WritePacing, the_timeout_grows_only_while_replies_are_missing) {
   WritePacing pacing;
   const core::Duration shortest = pacing.Timeout();
-  pacing.OnFailure(milliseconds(2));  // rejected at once
+  pacing.OnFailure(milliseconds(2), false);  // rejected at once
   CHECK(pacing.Timeout() == shortest);
-  pacing.OnFailure(shortest);
+  pacing.OnFailure(shortest, false);
   CHECK(pacing.Timeout() == 2 * shortest);
   for (int i = 0; i < 100; ++i) {
-    pacing.OnFailure(pacing.Timeout());
+    pacing.OnFailure(pacing.Timeout(), false);
   }
   CHECK(pacing.Timeout() > kMaxQueue);
   CHECK(pacing.Timeout() < 2 * kMaxQueue);
@@ -170,15 +170,24 @@
   CHECK(pacing.Timeout() == shortest);
 }
 
+TEST(WritePacing, the_timeout_does_not_grow_while_the_store_is_silent) {
+  WritePacing pacing;
+  const core::Duration shortest = pacing.Timeout();
+  for (int i = 0; i < 100; ++i) {
+    pacing.OnFailure(pacing.Timeout(), true);
+  }
+  CHECK(pacing.Timeout() == shortest);
+}
+
 TEST(WritePacing, retries_back_off_up_to_a_limit) {
   WritePacing pacing;
-  pacing.OnFailure(milliseconds(2));
+  pacing.OnFailure(milliseconds(2), false);
   const core::Duration first = pacing.RetryDelay(0);
   CHECK(first <= pacing.RetryDelay(0.5));
-  pacing.OnFailure(milliseconds(2));
+  pacing.OnFailure(milliseconds(2), false);
   CHECK(pacing.RetryDelay(0) == 2 * first);
   for (int i = 0; i < 1'000; ++i) {
-    pacing.OnFailure(milliseconds(2));
+    pacing.OnFailure(milliseconds(2), false);
   }
   CHECK(pacing.RetryDelay(1) < seconds(4));
 }
--- a/tests/gateway/fake_store.cc
+++ b/tests/gateway/fake_store.cc
@@ -112,8 +112,12 @@
   KeyedStore calls;
   calls.newest = [this, router](const std::string& topic,
                                 const std::string& after,
-                                core::Duration /*patience*/, auto handler) {
+                                core::Duration patience, auto handler) {
     ++newest_calls;
+    if (silent) {
+      Swallow<NewestPage>(handler, patience);
+      return;
+    }
     const bool unanswered = Fails(topic, router);
     if (unanswered || rejected_pages > 0) {
       rejected_pages -= unanswered ? 0 : 1;
@@ -135,6 +139,10 @@
   };
   calls.read = [this, router](const std::string& topic, uint64_t from,
                               const ReadBounds& bounds, auto handler) {
+    if (silent) {
+      Swallow<RecordBatch>(handler, bounds.wait + bounds.patience);
+      return;
+    }
     if (Fails(topic, router)) {
       Post<RecordBatch>(handler, Unavailable());
       return;
@@ -148,9 +156,13 @@
     Read(topic, from, bounds.most_bytes, handler);
   };
   calls.append = [this](const std::string& topic, const KeyedRecord& record,
-                        const WriterPosition& position,
-                        core::Duration /*timeout*/, auto handler) {
+                        const WriterPosition& position, core::Duration timeout,
+                        auto handler) {
     ++appends;
+    if (silent) {
+      Swallow<WriteReceipt>(handler, timeout);
+      return;
+    }
     if (unreachable) {
       Post<WriteReceipt>(handler, Unavailable());
       return;
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -31,6 +31,7 @@
   void Compact(const std::string& topic);
 
   bool unreachable = false;   ///< all calls fail as if timed out
+  bool silent = false;        ///< calls get no answer, also not later
   std::string unreadable;     ///< topic whose reads fail as if timed out
   std::string unreadable_to;  ///< the only router whose reads fail; empty: all
   int lose_replies = 0;       ///< number of next appends to apply without reply
@@ -69,7 +70,16 @@
   void WakeReaders();
   bool Fails(const std::string& topic, const std::string& router) const {
     const bool affected = unreadable_to.empty() || unreadable_to == router;
-    return unreachable || (topic == unreadable && affected);
+    return unreachable || silent || (topic == unreadable && affected);
+  }
+  /// @brief The call ends after its patience.
+  template <typename T>
+  void Swallow(KeyedStore::Handler<T> handler, core::Duration patience) {
+    const auto timer =
+        std::make_shared<boost::asio::steady_timer>(m_io, patience);
+    timer->async_wait([timer, handler](const boost::system::error_code&) {
+      handler(core::Error{core::ErrorId::kLogUnavailable, "store", "silent"});
+    });
   }
   template <typename T>
   void Post(KeyedStore::Handler<T> handler, core::Result<T> result) {
