Tests: a store that takes calls and never answers them

Why the fault was missed: the stand-in stores refuse calls or close connections, and a proxy that falls silent delivers later what it held. Real outages swallow calls.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -235,6 +235,10 @@
             for router in ended:
                 await server.connect(router)
 
+    @property
+    def version(self) -> int:
+        return self._version
+
     def publish(self, versions: int = 1, more_tokens: int = 0) -> None:
         self._version += versions
         self.prepaid += more_tokens
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -80,7 +80,7 @@
 
     async def _make_faults(self, until: float) -> None:
         kinds = [self._kill, self._kill_all, self._pause, self._terminate, self._turn_away,
-                 self._store_down, self._lose_answers, self._forget, self._top_up,
+                 self._store_down, self._silence_store, self._lose_answers, self._forget, self._top_up,
                  self._cut_answers, self._decline, self._lapse, self._crash_under_a_request,
                  self._leave_unheard, self._ask_for_a_pause, self._evacuate,
                  self._return_cold, self._name_limits, self._terminate_during_changes,
@@ -176,6 +176,9 @@
         await asyncio.sleep(2)
         self._store.refused_ports = set()
 
+    async def _silence_store(self) -> None:
+        await self._store.fall_silent(self._random.uniform(0.5, 6))
+
     async def _lose_answers(self) -> None:
         self._store.lost_reply_ratio = 0.5
         await asyncio.sleep(2)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import random
 import struct
@@ -39,6 +40,8 @@
     def __init__(self, seed: int) -> None:
         self.topics: dict[str, Topic] = {}
         self.refused_ports: set[int] = set()  # ports whose requests are refused
+        self.silent = False
+        self._silences = 0
         self.lost_reply_ratio = 0.0  # share of appends that take effect but get no reply
         self.calls = 0
         self._random = random.Random(seed)
@@ -70,6 +73,13 @@
         for topic in self.topics.values():
             topic.appended.set()
 
+    async def fall_silent(self, seconds: float) -> None:
+        """Answers no call that is in progress or arrives in that time, also not later."""
+        self._silences += 1
+        self.silent = True
+        await asyncio.sleep(seconds)
+        self.silent = False
+
     def compact(self) -> None:
         """Drops all records except the newest of each key."""
         for topic in self.topics.values():
@@ -89,12 +99,18 @@
             if request is None or not whole:
                 break
             self.calls += 1
+            silences = self._silences
             if port in self.refused_ports:
                 if self._random.random() < 0.5:
                     break
                 writer.write(answer(503))
                 continue
             reply = await self._answer(request, port)
+            if self.silent or self._silences != silences:
+                # The answer is lost, and so are all others on this connection.
+                with contextlib.suppress(ConnectionError):
+                    await reader.read(-1)
+                break
             if reply is None or port in self.refused_ports:
                 break
             writer.write(reply)
