Log line of a regained store: found by the check of documented events

The check reads the names of events from calls of LogLine(...); a declaration of the variable hid this one, so metrics-documented failed. No change of behaviour.

--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -245,8 +245,7 @@
   }
   m_metrics.OnStoreCall(topic, true);
   if (!was_up) {
-    LogLine line("store_regained");
-    line.Text("topic", topic);
+    LogLine line = LogLine("store_regained").Text("topic", topic);
     if (silent != core::Duration::max()) {
       line.Millis("silent_ms", silent);
     }
