Read plan, view of the configuration: one predicate, one reading of the clock

The test for a store that has answered nothing for long stood twice in ReadPlan; each request read the clock twice for the age of the configuration. The comment on the timeout of writes told the old rule. No change of behaviour: ReadPlan, SpreadReadPlan, SilentStore, WritePacing, ConfigurationStorm and ReadAfterPartition pass.

--- a/include/coppervalve/entry/read_plan.h
+++ b/include/coppervalve/entry/read_plan.h
@@ -118,6 +118,8 @@
   ReadStep ReadNext(core::Duration pause, bool interruptible);
   ReadStep RestartFromNewest(core::Duration delay);
   core::TimePoint NextLargeRead(core::TimePoint now) const;
+  /// @return whether the store has answered nothing for long
+  bool IsDisconnected(core::TimePoint now) const;
   bool NewestIsCheaper(uint64_t behind) const;
   bool spreads() const { return m_interval > core::Duration::zero(); }
 
--- a/src/entry/read_plan.cc
+++ b/src/entry/read_plan.cc
@@ -159,6 +159,10 @@
   return ReadNext(pause, true);
 }
 
+bool ReadPlan::IsDisconnected(core::TimePoint now) const {
+  return m_last_answer && now - *m_last_answer > kMaxSilence;
+}
+
 bool ReadPlan::NewestIsCheaper(uint64_t behind) const {
   return static_cast<double>(behind) >
          static_cast<double>(m_keys) * kPageCostFactor;
@@ -168,7 +172,7 @@
 // then read a configuration, the last ones would time out, and heartbeats and
 // claims would wait in the store behind all of them.
 ReadStep ReadPlan::OnPeek(uint64_t end, core::TimePoint now) {
-  const bool was_silent = m_last_answer && now - *m_last_answer > kMaxSilence;
+  const bool was_disconnected = IsDisconnected(now);
   m_failures = 0;
   m_last_answer = now;
   if (!m_has_newest) {
@@ -176,7 +180,7 @@
   }
   const uint64_t behind = end > m_next ? end - m_next : 0;
   if (!spreads() && m_options.newest_only &&
-      (was_silent || NewestIsCheaper(behind))) {
+      (was_disconnected || NewestIsCheaper(behind))) {
     return RestartFromNewest({});
   }
   if (behind == 0 || !spreads()) {
@@ -243,8 +247,7 @@
   if (!m_has_newest) {
     return Make(ReadStep::Call::kRepeatPage, delay, false);
   }
-  const bool silent = m_last_answer && now - *m_last_answer > kMaxSilence;
-  if (silent && m_options.newest_only && !spreads()) {
+  if (IsDisconnected(now) && m_options.newest_only && !spreads()) {
     return RestartFromNewest(delay);
   }
   return Make(spreads() ? ReadStep::Call::kPeek : ReadStep::Call::kRecords,
--- a/src/entry/write_pacing.cc
+++ b/src/entry/write_pacing.cc
@@ -35,8 +35,8 @@
   m_unanswered += took >= Timeout() && !store_silent ? 1 : 0;
 }
 
-// A store with a long queue answers later than the shortest timeout, and an
-// unreachable one never, so the timeout starts short and doubles.
+// The timeout starts short, so that a lost reply is noticed soon, and doubles
+// for a store that answers others but has a long queue.
 core::Duration WritePacing::Timeout() const {
   const core::Duration base =
       std::max(m_options.shortest_timeout, m_expected * kTimeoutFactor);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -169,11 +169,12 @@
 }
 
 entry::ConfigurationView Gateway::View() const {
-  const core::Duration age = m_config_contact.SilentFor(net::BootNow());
+  const core::TimePoint now = net::BootNow();
+  const core::Duration age = m_config_contact.SilentFor(now);
   const bool expires = m_settings.key_expiry > core::Duration::zero();
   return {m_in_force, age < kConfigurationFreshness,
           expires && age > m_settings.key_expiry,
-          m_configuration_age.At(net::BootNow())};
+          m_configuration_age.At(now)};
 }
 
 bool Gateway::Ready() const {
