--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -173,8 +173,7 @@
   const core::Duration age = m_config_contact.SilentFor(now);
   const bool expires = m_settings.key_expiry > core::Duration::zero();
   return {m_in_force, age < kConfigurationFreshness,
-          expires && age > m_settings.key_expiry,
-          m_configuration_age.At(now)};
+          expires && age > m_settings.key_expiry, m_configuration_age.At(now)};
 }
 
 bool Gateway::Ready() const {
