--- a/tests/entry/reader_fleet.cc
+++ b/tests/entry/reader_fleet.cc
@@ -89,6 +89,10 @@
   }
 }
 
+void ReaderFleet::Slow(double from, double to, double delay_seconds) {
+  m_slowness = {from, to, delay_seconds};
+}
+
 bool ReaderFleet::Outage::Loses(double began, double sent) const {
   switch (kind) {
     case Kind::kRefuses:
@@ -217,6 +221,12 @@
                             (request.page() ? kTextPerByte : 1);
 }
 
+double ReaderFleet::DelayOfAnswer(const Request& request) const {
+  const bool slow =
+      m_slowness.from <= request.began && request.began < m_slowness.to;
+  return kCallSeconds + (slow ? m_slowness.delay_seconds : 0);
+}
+
 double ReaderFleet::FirstByteTimeout(const Request& request) const {
   CallTimeouts timeouts = m_reading.timeouts;
   timeouts.first_byte =
@@ -230,16 +240,19 @@
   m_bytes_sent += bytes;
   m_store_free = std::max(m_store_free, m_now + kCallSeconds) +
                  bytes / m_options.store_bytes_per_second;
-  const double begins = m_store_free;
+  const double begins = std::max(m_store_free, m_now + DelayOfAnswer(request));
   const double ends = begins + bytes / m_options.link_bytes_per_second;
   const double first_byte_timeout = FirstByteTimeout(request);
   const double total_timeout = Seconds(
       m_reading.timeouts.TimesOutAt({At(request.began), true, At(ends)}));
   const auto& outage = m_readers[request.router].outage;
   const bool lost = outage && outage->Loses(request.began, m_now);
-  if (lost || begins > first_byte_timeout || ends > total_timeout) {
-    FailAt(request, lost ? first_byte_timeout
-                         : std::max(first_byte_timeout, total_timeout));
+  if (lost || begins > first_byte_timeout) {
+    FailAt(request, first_byte_timeout);
+    return;
+  }
+  if (ends > total_timeout) {
+    FailAt(request, total_timeout);
     return;
   }
   const uint64_t end = Written();
--- a/tests/entry/reader_fleet.h
+++ b/tests/entry/reader_fleet.h
@@ -49,6 +49,8 @@
   /// @brief The store answers nobody from `from` to `to`, and never the calls
   /// that were in progress or arrived then.
   void Silence(double from, double to);
+  /// @brief Calls that arrive from `from` to `to` are answered that much later.
+  void Slow(double from, double to, double delay_seconds);
   void Run(double until);
 
   /// @return the longest time that a router could reach the store, without
@@ -72,6 +74,11 @@
     /// @return the longest part of a span that is outside
     double LongestOutside(double begin, double end) const;
   };
+  struct Slowness {
+    double from = 0;
+    double to = 0;
+    double delay_seconds = 0;
+  };
   struct Reader {
     explicit Reader(const Reading& reading) : plan(reading.plan) {}
     ReadPlan plan;
@@ -109,6 +116,7 @@
   uint64_t RecordsIn(const Request& request) const;
   double BytesOf(const Request& request) const;
   void FailAt(const Request& request, double at);
+  double DelayOfAnswer(const Request& request) const;
   double FirstByteTimeout(const Request& request) const;
   uint64_t Written() const;
   double DelayOf(const Reader& reader, size_t version) const;
@@ -119,6 +127,7 @@
   std::vector<double> m_written_at;
   std::priority_queue<Event> m_events;
   std::vector<Request> m_waiting;
+  Slowness m_slowness;
   uint64_t m_order = 0;
   double m_now = 0;
   double m_fraction = 0;
--- a/tests/entry/unit-read-plan.cc
+++ b/tests/entry/unit-read-plan.cc
@@ -81,6 +81,17 @@
   CHECK(IsCall(plan.OnFailure(0.5, At(4), At(4)), ReadStep::Call::kRepeatPage));
 }
 
+TEST(ReadPlan, a_start_in_a_silence_lists_once_the_store_answers) {
+  ReadPlan starting{UpstreamPlan()};
+  const core::Duration usual = starting.OnOffsetExpired(At(0)).patience;
+  for (int i = 0; i < 10; ++i) {
+    const ReadStep step = starting.OnFailure(0.5, At(2 * i), At(2 * i + 1));
+    CHECK(IsCall(step, ReadStep::Call::kPeek));
+    CHECK(step.patience <= usual);
+  }
+  CHECK(IsCall(starting.OnPeek(1'000, At(21)), ReadStep::Call::kRepeatPage));
+}
+
 TEST(ReadPlan, reads_on_after_a_short_silence) {
   plan.OnBatch(false, 1'020, 1'020, kPause, At(1));
   CHECK(IsCall(plan.OnFailure(0.5, At(1), At(1.8)), ReadStep::Call::kPeek));
