--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")"
 python3 - <<'PY'
 import glob
-for path in sorted(glob.glob("lib/*.py") + glob.glob("*/case.py")):
+for path in sorted(glob.glob("lib/*.py") + glob.glob("*/case.py") + glob.glob("*/server.py")):
     compile(open(path, encoding="utf-8").read(), path, "exec")
 PY
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -283,7 +283,7 @@
                     break
                 if not await self._run(request, reader, writer):
                     break
-        except ConnectionError:
+        except (ConnectionError, asyncio.CancelledError):
             pass
         writer.close()
 
