--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,9 +12,11 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PREPAID = 600_000
-RATE = 20  # requests a second to the router that starts
-PROMPT, MOST = 1000, 70
+PREPAID = 4_900_000
+RATE = 40  # requests a second to the router that starts
+LATE_WRITES = 2  # of each start: its first heartbeat and its repeat
+KILL_AFTER = 12  # requests that the killed start has had begun
+PROMPT, MOST = 6_000, 350
 
 
 def configuration() -> dict:
@@ -67,7 +69,7 @@
             await engine.start()
         store.put("keyed.op", "config", configuration())
         self.routers = [s.Router(f"edge-a-{number}", self.folder, store, self.record)
-                        for number in range(3)]
+                        for number in range(2)]
         try:
             for router in self.routers:
                 await router.start()
@@ -89,30 +91,31 @@
 
     async def disturb(self, store: s.Store) -> None:
         """One router is stopped and started as planned. The store loses answers meanwhile:
-        the first record of each start of that router is written late. It is killed once
+        the first heartbeat of each start of that router is written late, its repeat too. It is killed once
         after its start."""
         rest, last = self.routers[:-1], self.routers[-1]
         await self.spend(rest, 3, 5)
         await last.end(signal.SIGTERM)
         if TROUBLE:
-            held = set()
+            held: list[int] = []  # by process
 
             def is_late(topic: str, query: dict, body: bytes) -> bool:
-                first = query.get("producer") == last.name and body and not held & {last.process.pid}
-                if first and topic == "keyed.routers":
-                    held.add(last.process.pid)
-                    return True
-                return False
+                pid = last.process.pid
+                if (topic != "keyed.routers" or query.get("producer") != last.name or not body
+                        or held.count(pid) >= LATE_WRITES):
+                    return False
+                held.append(pid)
+                return True
 
             store.is_late = is_late
         store.writes = 0
         seen: list[str] = []
         for engine in self.engines:
-            engine.on_run = seen.append
+            engine.on_first_token = seen.append
         await last.start()
         clients = asyncio.create_task(self.spend([last], 5, RATE))
         if TROUBLE:
-            while len(seen) < 6 and not clients.done():
+            while len(seen) < KILL_AFTER and not clients.done():
                 await asyncio.sleep(0.002)
             await last.end(signal.SIGKILL)
             await asyncio.sleep(0.5)
@@ -124,7 +127,7 @@
     async def use_up(self) -> None:
         """Clients go on until no router accepts even a small request."""
         await asyncio.gather(*self.sends, return_exceptions=True)
-        for prompt, most in ((PROMPT, MOST), (100, 14), (10, 7)):
+        for prompt, most in ((PROMPT, MOST), (600, 70), (60, 14), (10, 7)):
             refused = 0
             while refused < 3:
                 statuses = await asyncio.gather(
@@ -133,18 +136,7 @@
                 await asyncio.sleep(0.05 if refused == 0 else 1)
 
 
-def main() -> int:
-    with tempfile.TemporaryDirectory() as folder:
-        code = asyncio.run(Case(folder).run())
-        if os.environ.get("KEEP"):
-            import shutil
-            shutil.copytree(folder, os.environ["KEEP"], dirs_exist_ok=True)
-        return code
-
-
 if __name__ == "__main__":
-    try:
-        sys.exit(main())
-    except OSError as error:
-        print(f"the case could not run: {error}")
-        sys.exit(2)
+    with tempfile.TemporaryDirectory() as folder:
+        status = s.play(lambda: Case(folder).run())
+    sys.exit(status)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -252,7 +252,7 @@
         self.name, self.service, self._store, self._record = name, service, store, record
         self.first_event_s = 0.02
         self.event_s = 0.004
-        self.on_run = None  # called with the request's id when it begins to run
+        self.on_first_token = None  # called with the request's id when its answer begins
         self.input: dict[str, int] = {}  # tokens read, by request
         self.output: dict[str, int] = {}  # tokens of the events that were sent
         self.runs: list[str] = []
@@ -297,10 +297,8 @@
             writer.write(answer(421, Instance_Id=self.name, Request_Id=request_id))
             return True
         self.runs.append(request_id)
-        self._record.write(f"server {self.name}: runs {request_id}, tenant "
+        self._record.write(f"server {self.name}: gets {request_id}, tenant "
                            f"{headers.get('tenant')}, usage {headers.get('token-usage')}")
-        if self.on_run:
-            self.on_run(request_id)
         signature = f"{self.name}.{request_id}"
         if "token-usage" not in headers:
             await asyncio.sleep(self.first_event_s)
@@ -309,7 +307,14 @@
             return True
         prompt, most = (int(text) for text in headers["token-usage"].split(","))
         closed = asyncio.create_task(reader.read(1))
+        closed.add_done_callback(lambda done: done.cancelled() or done.exception())
         await asyncio.sleep(self.first_event_s)
+        if closed.done() or writer.transport.is_closing():
+            self._record.write(f"server {self.name}: {request_id} is dropped before its first "
+                               "token")
+            return False
+        if self.on_first_token:
+            self.on_first_token(request_id)
         self.input[request_id] = prompt
         self.output.setdefault(request_id, 0)
         writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -457,3 +462,23 @@
     finally:
         if writer is not None:
             writer.close()
+
+
+def play(case) -> int:
+    """Runs a case. A SIGTERM ends it in order, with all processes that it started. Returns
+    the exit status; 2 if the case could not run."""
+
+    async def main() -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        try:
+            return await case()
+        except asyncio.CancelledError:
+            print("the case was ended")
+            return 2
+
+    try:
+        return asyncio.run(main())
+    except OSError as error:
+        print(f"the case could not run: {error}")
+        return 2
