--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -56,7 +56,7 @@
   void OnFirstByte(entry::RouteKind kind, core::Duration since_arrival);
   void OnServed(entry::RouteKind kind, core::Duration since_arrival);
   void OnAttempt(std::string_view outcome);
-  /// @param way "taken", "given" or "none_to_spare"
+  /// @param way "taken", "given", "none_to_spare" or "repeated"
   void OnTransfer(std::string_view way);
   /// @brief Another router chose the upstream of a request.
   /// @param outdated that router's table may name upstreams that have left
--- a/src/gateway/gateway_transfers.cc
+++ b/src/gateway/gateway_transfers.cc
@@ -49,17 +49,24 @@
   const core::TimePoint now = net::BootNow();
   const core::AccountId account(ask.account());
   std::optional<core::Tokens> given = m_transfer_replies.Find(ask);
-  if (!given) {
+  const bool repeated = given.has_value();
+  if (repeated) {
+    m_metrics.OnTransfer("repeated");
+  } else {
     given = m_book.TransferOut(account, core::Tokens(ask.least()),
                                core::Tokens(ask.wanted()), now);
     m_transfer_replies.Insert(ask, *given, now);
     m_metrics.OnTransfer(*given > core::Tokens(0) ? "given" : "none_to_spare");
-    m_log.Write(LogCategory::kRoutine, LogLine("tokens_given")
-                                           .Text("account", account.value())
-                                           .Text("to", ask.router())
-                                           .Number("asked", ask.least())
-                                           .Number("tokens", given->value()));
   }
+  m_log.Write(LogCategory::kRoutine,
+              LogLine("tokens_given")
+                  .Text("account", account.value())
+                  .Text("to", ask.router())
+                  .Number("epoch", static_cast<int64_t>(ask.epoch()))
+                  .Number("ask", static_cast<int64_t>(ask.id()))
+                  .Flag("repeated", repeated)
+                  .Number("asked", ask.least())
+                  .Number("tokens", given->value()));
   v1::PeerDatagram datagram;
   v1::TokenGift& gift = *datagram.mutable_gift();
   gift.set_router(m_settings.router.value());
