Each start of a router gets an epoch of its own from the store

Cause: the epoch was that of the newest heartbeat plus one, so the next start used it again, and the store accepts the same epoch twice. A donor took its request for tokens for a repeat and sent its earlier reply; the store would take its writes for repeats, and a late heartbeat of the first start counted as the second one's. Before an epoch was announced, all starts used 0.

Evidence: tokens_given with epoch 2, ask 1, repeated 1 and 108,596 tokens, 0.4 s after the second start announced epoch 2.

Change: a start appends to keyed.starts and derives its epoch from the offset, which the log gives only once and in growing order; lost replies only leave gaps, and late writes of earlier starts are refused. Tokens are not requested before the epoch is known.

--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -59,6 +59,7 @@
   std::string upstream_topic;
   std::string heartbeat_topic;
   std::string stream_topic;
+  std::string start_topic;
 };
 
 /// @brief Startup settings of a router.
--- a/include/coppervalve/gateway/heartbeat_writer.h
+++ b/include/coppervalve/gateway/heartbeat_writer.h
@@ -16,10 +16,15 @@
 
 namespace coppervalve::gateway {
 
+/// @brief Epochs that the store assigns are greater. Smaller ones are from
+/// releases that counted the starts of each router.
+inline constexpr uint64_t kEpochBase = uint64_t{1} << 32;
+
 /// @brief Options of the writer.
 struct HeartbeatOptions {
   std::string topic;
-  std::string router;  ///< key of the record and id of the writer
+  std::string router;       ///< key of the record and id of the writer
+  std::string start_topic;  ///< log whose offsets number the starts
   entry::WritePacingOptions pacing;
 };
 
@@ -28,9 +33,9 @@
 ///
 /// A write without a reply may still take effect. It is retried unchanged until
 /// it is answered; otherwise a newer heartbeat could be overwritten by the late
-/// one. The store recognizes a retry by its sequence number. The epoch is
-/// announced before the first heartbeat, which fences off writes of earlier
-/// starts.
+/// one. The store recognizes a retry by its sequence number. Each start obtains
+/// an epoch of its own from the store and announces it before the first
+/// heartbeat, which fences off writes of earlier starts.
 class HeartbeatWriter : public std::enable_shared_from_this<HeartbeatWriter> {
  public:
   struct Hooks {
@@ -71,9 +76,12 @@
   /// @brief Writes the next heartbeat early, but not at the same moment as all
   /// other routers. A failed write is repeated without further backoff.
   void ExpediteSpread();
+  bool started() const { return m_started; }
+  /// Identifies this start; 0 until the store has assigned it.
   uint64_t epoch() const { return m_epoch; }
 
  private:
+  void ObtainEpoch();
   void AnnounceEpoch();
   void WriteNext();
   void Append();
@@ -90,8 +98,10 @@
   v1::RouterBeat m_beat;
   entry::WritePacing m_pacing;
   core::TimePoint m_call_started{};
+  uint64_t m_last_epoch = 0;
   uint64_t m_epoch = 0;
   uint64_t m_sequence = 0;
+  bool m_started = false;
   bool m_heartbeats_started = false;
   bool m_in_flight = false;
   /// The failed step while it waits to be repeated; otherwise null.
--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -49,7 +49,8 @@
 };
 
 /// @brief Identifies a write, so that the store applies a retry only once and
-/// rejects writes of superseded writers.
+/// rejects writes of superseded writers. Without a writer, each call appends a
+/// record.
 struct WriterPosition {
   std::string writer;
   uint64_t epoch = 0;
--- a/include/coppervalve/gateway/token_requester.h
+++ b/include/coppervalve/gateway/token_requester.h
@@ -41,6 +41,7 @@
                  std::string router,
                  std::string reply_address,
                  Hooks hooks);
+  /// @param epoch of this start; nothing is requested before it is set
   void SetEpoch(uint64_t epoch) { m_epoch = epoch; }
 
   /// @param on_done called when tokens have arrived or none will; never called
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -67,8 +67,10 @@
   };
   m_heartbeat_writer = std::make_shared<HeartbeatWriter>(
       m_io,
-      HeartbeatOptions{
-          m_settings.layout.heartbeat_topic, m_settings.router.value(), {}},
+      HeartbeatOptions{m_settings.layout.heartbeat_topic,
+                       m_settings.router.value(),
+                       m_settings.layout.start_topic,
+                       {}},
       m_store, m_random, std::move(hooks));
 }
 
@@ -132,7 +134,7 @@
     m_own_record = beat;
   }
   m_members.Refresh(net::BootNow());
-  if (m_heartbeat_writer->epoch() == 0 && !PostponeStart()) {
+  if (!m_heartbeat_writer->started() && !PostponeStart()) {
     m_heartbeat_writer->Start(last_epoch, FirstWriteDelay(records.empty()));
     UpdateTableReading();
   }
--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -16,7 +16,7 @@
 // routers followed the table until they had seen how large the fleet is, they
 // would read most of it.
 bool Gateway::FleetSizeKnown() const {
-  return m_heartbeat_writer->epoch() != 0 &&
+  return m_heartbeat_writer->started() &&
          m_members.SinceLastJoined(net::BootNow()) >= m_policy.settle;
 }
 
--- a/src/gateway/heartbeat_writer.cc
+++ b/src/gateway/heartbeat_writer.cc
@@ -21,9 +21,41 @@
 
 void HeartbeatWriter::Start(uint64_t last_epoch,
                             core::Duration expected_delay) {
-  m_epoch = last_epoch + 1;
+  m_started = true;
+  m_last_epoch = last_epoch;
   m_pacing.Expect(expected_delay);
-  AnnounceEpoch();
+  ObtainEpoch();
+}
+
+// Derived from the newest heartbeat, the epoch of a start that was killed
+// before its first heartbeat would be used again. The store would then take the
+// heartbeats of one start for repeats of the other's, and a donor would answer
+// a request for tokens with its reply to an earlier one, so that tokens are
+// spent twice. The log gives each append an offset of its own, and an append
+// whose reply is lost only leaves a gap. The record has no value, so the store
+// retains nothing.
+void HeartbeatWriter::ObtainEpoch() {
+  m_retry = nullptr;
+  m_call_started = net::BootNow();
+  m_store.append(
+      m_options.start_topic, {m_options.router, {}, 0}, WriterPosition{},
+      m_pacing.Timeout(),
+      [self = shared_from_this()](const core::Result<WriteReceipt>& result) {
+        if (self->m_stopped) {
+          return;
+        }
+        if (!core::IsOk(result)) {
+          self->Retry(core::Failure(result), &HeartbeatWriter::ObtainEpoch);
+          return;
+        }
+        self->m_pacing.OnWritten(net::BootNow() - self->m_call_started);
+        self->m_epoch = kEpochBase + core::Value(result).end;
+        if (self->m_epoch <= self->m_last_epoch) {
+          self->ObtainEpoch();
+          return;
+        }
+        self->AnnounceEpoch();
+      });
 }
 
 core::Duration HeartbeatWriter::SpreadDelay() {
@@ -47,11 +79,9 @@
           return;
         }
         const core::Error& error = core::Failure(result);
-        if (error.id == core::ErrorId::kRetiredInLog) {
-          // An earlier start announced a newer epoch but wrote no heartbeat.
-          ++self->m_epoch;
-        }
-        self->Retry(error, &HeartbeatWriter::AnnounceEpoch);
+        const bool superseded = error.id == core::ErrorId::kRetiredInLog;
+        self->Retry(error, superseded ? &HeartbeatWriter::ObtainEpoch
+                                      : &HeartbeatWriter::AnnounceEpoch);
       });
 }
 
--- a/src/gateway/token_requester.cc
+++ b/src/gateway/token_requester.cc
@@ -42,7 +42,10 @@
     found->second.callbacks.push_back(std::move(on_done));
     return true;
   }
-  if (m_reply_address.empty() || RecentlyUnanswered(net::BootNow())) {
+  // Without an epoch of its own, the messages of this start could not be told
+  // from those of an earlier one, and a donor would repeat its earlier replies.
+  if (m_epoch == 0 || m_reply_address.empty() ||
+      RecentlyUnanswered(net::BootNow())) {
     return false;
   }
   PendingRequest pending;
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -30,12 +30,17 @@
   /// offsets then report a gap.
   void Compact(const std::string& topic);
 
+  /// @brief Applies the late appends, in their order, if they are still valid.
+  void ApplyLate();
+
   bool unreachable = false;   ///< all calls fail as if timed out
   bool silent = false;        ///< calls get no answer, also not later
   std::string unreadable;     ///< topic whose reads fail as if timed out
   std::string unreadable_to;  ///< the only router whose reads fail; empty: all
   int lose_replies = 0;       ///< number of next appends to apply without reply
-  int rejected_pages = 0;     ///< number of the next pages to reject
+  /// Whether the next append gets no reply and is applied by ApplyLate().
+  std::function<bool(const std::string& topic)> is_late;
+  int rejected_pages = 0;  ///< number of the next pages to reject
   size_t page_size = 500;
   int appends = 0;       ///< number of calls
   int newest_calls = 0;  ///< number of calls
@@ -66,6 +71,9 @@
             uint64_t from,
             size_t most_bytes,
             KeyedStore::Handler<RecordBatch> handler);
+  core::Result<WriteReceipt> Append(const std::string& topic,
+                                    const KeyedRecord& record,
+                                    const WriterPosition& position);
   void WaitForRecord(Waiting reader, core::Duration wait);
   void WakeReaders();
   bool Fails(const std::string& topic, const std::string& router) const {
@@ -89,6 +97,7 @@
   boost::asio::io_context& m_io;
   std::map<std::string, Topic> m_topics;
   std::list<Waiting> m_waiting;
+  std::vector<std::function<void()>> m_late;
 };
 
 }  // namespace coppervalve::gateway::testing
--- a/tests/gateway/unit-token-requester.cc
+++ b/tests/gateway/unit-token-requester.cc
@@ -117,3 +117,12 @@
   CHECK_FALSE(RequestTokens());
   CHECK_EQUAL(0, done);
 }
+
+// Guards against spending tokens twice: a donor takes the request for a repeat
+// of one that an earlier start made before it had an epoch either.
+TEST(TokenRequester, requests_nothing_before_its_epoch_is_known) {
+  TokenRequester early(io, "router-1", "127.0.0.1:9", Hooks());
+  CHECK_FALSE(
+      early.RequestTokens(kGate, core::Tokens(100), [this] { ++done; }));
+  CHECK_EQUAL(0, asks.size());
+}
