Ids of questions to other routers begin at a random number

A router may ask for placements and for the fleet's view before its epoch is known, with epoch 0 and ids from 1. An answer to an earlier start of it would be taken for the answer to its own question: a placement for another service, or a view that is older than it seems.

The ids of both clients begin at a random number now, so that answers to an earlier start match none. The test of FleetViewClient fails when they begin at 0, as both starts then ask with epoch 0 and id 1.

--- a/include/coppervalve/gateway/fleet_view_client.h
+++ b/include/coppervalve/gateway/fleet_view_client.h
@@ -59,7 +59,7 @@
   routing::RandomSource m_random;
   boost::asio::steady_timer m_timer;
   uint64_t m_epoch = 0;
-  uint64_t m_last_id = 0;
+  uint64_t m_last_id;
   bool m_active = false;
   bool m_answered = true;  ///< the last question was answered
   std::optional<entry::FleetView> m_view;
--- a/include/coppervalve/gateway/placement_client.h
+++ b/include/coppervalve/gateway/placement_client.h
@@ -63,7 +63,7 @@
   Hooks m_hooks;
   routing::RandomSource m_random;
   uint64_t m_epoch = 0;
-  uint64_t m_last_id = 0;
+  uint64_t m_last_id;
   entry::OutdatedPeers m_outdated_peers;
   std::unordered_map<uint64_t, Pending> m_pending;
 };
--- a/include/coppervalve/routing/random_source.h
+++ b/include/coppervalve/routing/random_source.h
@@ -20,6 +20,11 @@
 /// @brief Uniform in [0, span); zero when the span is not positive.
 core::Duration UniformDuration(const RandomSource& random, core::Duration span);
 
+/// @brief The id before the first message of a process. Replies to messages of
+/// an earlier start of the process then match none of this one.
+/// @return a number below 2^56
+uint64_t RandomFirstId(const RandomSource& random);
+
 }  // namespace coppervalve::routing
 
 #endif  // COPPERVALVE_ROUTING_RANDOM_SOURCE_H_
--- a/src/gateway/fleet_view_client.cc
+++ b/src/gateway/fleet_view_client.cc
@@ -75,7 +75,8 @@
     : m_reply_address(std::move(reply_address)),
       m_hooks(std::move(hooks)),
       m_random(std::move(random)),
-      m_timer(io) {}
+      m_timer(io),
+      m_last_id(routing::RandomFirstId(m_random)) {}
 
 void FleetViewClient::SetActive(bool active) {
   if (active == m_active) {
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -108,7 +108,8 @@
     : m_io(io),
       m_reply_address(std::move(reply_address)),
       m_hooks(std::move(hooks)),
-      m_random(std::move(random)) {}
+      m_random(std::move(random)),
+      m_last_id(routing::RandomFirstId(m_random)) {}
 
 void PlacementClient::RequestPlacement(const entry::PlacementQuery& query,
                                        PlacementCallback on_placement) {
--- a/src/routing/random_source.cc
+++ b/src/routing/random_source.cc
@@ -25,4 +25,9 @@
   return core::Duration(static_cast<int64_t>(below));
 }
 
+uint64_t RandomFirstId(const RandomSource& random) {
+  constexpr unsigned kRoomForCounting = 8;
+  return random() >> kRoomForCounting;
+}
+
 }  // namespace coppervalve::routing
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -326,8 +326,8 @@
   settings.router = core::RouterId("router-1");
   settings.failure_domain = core::FailureDomainId("fd-a");
   settings.caller_address = FreeAddress();
-  settings.layout = {"config",    "config",  "evacuate/",
-                     "upstreams", "routers", "streams", "starts"};
+  settings.layout = {"config",  "config",  "evacuate/", "upstreams",
+                     "routers", "streams", "starts"};
 }
 
 Router::~Router() = default;
--- a/tests/gateway/unit-fleet-view-client.cc
+++ b/tests/gateway/unit-fleet-view-client.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <chrono>  // milliseconds
+#include <memory>  // make_unique
 #include <string>  // string
 #include <vector>  // vector
 
@@ -118,3 +119,30 @@
   client.OnAnswer(ToFleetViewAnswer(sent[0], ViewOf(3)));
   CHECK(received.empty());
 }
+
+// Guards against a view that answers an earlier start of this router: before
+// their epochs are known, two starts differ by the ids of their messages only.
+TEST(FleetViewClient,
+     an_answer_to_an_earlier_start_without_an_epoch_is_ignored) {
+  std::vector<v1::FleetViewAsk> asks;
+  int views = 0;
+  const auto start = [&](uint64_t random) {
+    auto made = std::make_unique<FleetViewClient>(
+        io, "127.0.0.1:9",
+        FleetViewClient::Hooks{
+            [] { return std::vector<std::string>{"peer"}; },
+            [&](const std::string&, const v1::FleetViewAsk& ask) {
+              asks.push_back(ask);
+            },
+            [&](const entry::FleetView&) { ++views; }},
+        [random] { return random; });
+    made->SetActive(true);
+    return made;
+  };
+  const auto earlier = start(uint64_t{1} << 40);
+  const auto later = start(uint64_t{1} << 50);
+  later->OnAnswer(ToFleetViewAnswer(asks.at(0), ViewOf(1)));
+  CHECK_EQUAL(0, views);
+  later->OnAnswer(ToFleetViewAnswer(asks.at(1), ViewOf(1)));
+  CHECK_EQUAL(1, views);
+}
