--- a/tests/http1/unit-response-reader.cc
+++ b/tests/http1/unit-response-reader.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <string>  // string
+#include <vector>  // vector
 
 using namespace coppervalve;
 using namespace coppervalve::http1;
@@ -62,3 +63,33 @@
   const core::Result<size_t> used = reader.Feed(one + one);
   CHECK_EQUAL(one.size(), core::Value(used));
 }
+
+// Guards against an answer that ends within its head and reaches the caller as
+// a complete one without a body.
+TEST(ResponseReader, an_end_within_the_head_is_never_complete) {
+  const std::vector<std::string> heads = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nX-A: b\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n",
+      "HTTP/1.1 304 Not Modified\r\nX-A: b\r\n\r\n"};
+  for (const std::string& head : heads) {
+    for (size_t end = 0; end < head.size(); ++end) {
+      for (size_t split = 0; split <= end; ++split) {
+        ResponseReader stopped(/*without_body=*/false);
+        std::string unread;
+        for (const std::string& packet :
+             {head.substr(0, split), head.substr(split, end - split)}) {
+          unread += packet;
+          const core::Result<size_t> used = stopped.Feed(unread);
+          CHECK(core::IsOk(used));
+          unread.erase(0, core::Value(used));
+        }
+        CHECK_FALSE(stopped.done());
+        CHECK_FALSE(stopped.FinishAtEof());
+        CHECK_FALSE(stopped.done());
+      }
+    }
+  }
+}
