Tests: an answer without a length that ends within its head is no success

The check of ResponseEnd allowed a 200 with any prefix of the body, an empty one too, wherever an at-most-once answer without a length ended in order, even within its head: just the report of an answer that stops within its head. It asks for the whole head now. It passes on unchanged code, direct and through a relay, so the report is not shown here.

--- a/tests/gateway/unit-response-end.cc
+++ b/tests/gateway/unit-response-end.cc
@@ -190,6 +190,7 @@
             // Nothing but the orderly end of the connection ends such a body.
             const bool may_end_here = framing == Framing::kConnection &&
                                       ending == Ending::kOrderly &&
+                                      cut >= HeadSize() &&
                                       (!events || received.body == Event(1));
             CHECK(may_end_here);
             CHECK(body.starts_with(received.body));
