A start resumes no stream at a version that replaced the stream's own

Cause: while a service has one version no stream is recorded. A new start took "no record" for "one version" and resumed at the only version it listed.

Change: heartbeats state the versions that their router lists. They outlive all routers, and a start reads them before it resumes anything; if one of the last minute names another version, a stream without a record is refused until a stream's lifetime has passed.

With the check taken out, ResumeAfterLossOfAll and StreamVersion, a_version_that_was_replaced_before_a_start_gets_no_rest fail.

--- a/include/coppervalve/entry/stream_versions.h
+++ b/include/coppervalve/entry/stream_versions.h
@@ -94,6 +94,10 @@
   /// @brief The first event of a stream is sent to its caller, or the first one
   /// after it was resumed.
   void OnStart(const StreamStart& start, core::TimePoint now);
+  /// @brief A router listed a version when it wrote a heartbeat.
+  void OnStated(const core::ServiceId& service,
+                const core::UpstreamVersion& version,
+                core::TimePoint now);
   /// @brief A record was read. Records are applied in the order of the log.
   void OnRecord(const StreamGroup& group, core::TimePoint now);
 
@@ -136,9 +140,13 @@
   std::optional<core::UpstreamVersion> OnlyRecentVersion(
       const core::ServiceId& service,
       core::TimePoint now) const;
+  bool IsOtherStated(const core::ServiceId& service,
+                     const core::UpstreamVersion& version,
+                     core::TimePoint now) const;
 
   StreamVersionsOptions m_options;
   VersionHistory m_history;
+  VersionHistory m_stated;
   std::unordered_map<StreamKey, Known> m_known;
   std::deque<std::pair<core::TimePoint, StreamKey>> m_by_age;
   std::deque<std::pair<core::TimePoint, StreamStart>> m_unwritten;
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -194,6 +194,9 @@
   void MakeStreamRecords();
   void UpdateStreamVersions(core::TimePoint now);
   void OnStreamStart(const entry::StreamStart& start);
+  /// @brief Adds the versions that each service has to a heartbeat.
+  void StateVersions(v1::RouterBeat& beat) const;
+  void OnStatedVersions(const v1::RouterBeat& beat);
   void ResolveStream(entry::StreamKey stream,
                      const core::ServiceId& service,
                      std::function<void(const StreamResumption&)> on_resolved);
--- a/src/entry/stream_versions.cc
+++ b/src/entry/stream_versions.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/entry/stream_versions.h"
 
-#include <algorithm>  // find_if, max, min
+#include <algorithm>  // any_of, find_if, max, min
 
 #include "coppervalve/core/hash.h"
 
@@ -55,7 +55,9 @@
 }
 
 StreamVersions::StreamVersions(StreamVersionsOptions options)
-    : m_options(options), m_history(2 * options.lifetime) {}
+    : m_options(options),
+      m_history(2 * options.lifetime),
+      m_stated(options.lifetime) {}
 
 void StreamVersions::OnVersions(
     const core::ServiceId& service,
@@ -93,6 +95,12 @@
   }
 }
 
+void StreamVersions::OnStated(const core::ServiceId& service,
+                              const core::UpstreamVersion& version,
+                              core::TimePoint now) {
+  m_stated.OnListed(service, version, now);
+}
+
 void StreamVersions::OnRecord(const StreamGroup& group, core::TimePoint now) {
   OnListed(group.service, {group.version}, now);
   if (group.seen != VersionsSeen::kUnknown) {
@@ -167,6 +175,16 @@
   return versions.size() == 1 ? std::optional(versions.front()) : std::nullopt;
 }
 
+bool StreamVersions::IsOtherStated(const core::ServiceId& service,
+                                   const core::UpstreamVersion& version,
+                                   core::TimePoint now) const {
+  const auto stated = m_stated.Within(service, m_options.lifetime, now);
+  return std::any_of(stated.begin(), stated.end(),
+                     [&version](const core::UpstreamVersion& other) {
+                       return other != version;
+                     });
+}
+
 std::optional<core::UpstreamVersion> StreamVersions::SoleVersion(
     const core::ServiceId& service,
     core::TimePoint now) const {
@@ -202,7 +220,10 @@
   const bool others_saw_several =
       seen != m_seen_by_others.end() && seen->second == VersionsSeen::kSeveral;
   const auto only = OnlyRecentVersion(service, now);
-  if (!only || !m_follows_table || others_saw_several) {
+  // While a service has one version no stream is recorded. If that version is
+  // replaced while all routers are down, only their last heartbeats tell.
+  if (!only || !m_follows_table || others_saw_several ||
+      IsOtherStated(service, *only, now)) {
     return {std::nullopt, "it has no record"};
   }
   return {only, {}};
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -123,6 +123,7 @@
     const v1::RouterBeat& beat = *read;
     const core::RouterId router(record.key);
     m_members.OnHeartbeat(router, beat);
+    OnStatedVersions(beat);
     if (router != m_settings.router) {
       m_book.OnPeerHeartbeat(router, beat, net::BootNow());
       m_crashes.OnHeartbeat(beat);
@@ -149,6 +150,7 @@
   const core::RouterId router(record.key);
   m_heartbeat_arrivals.Add(core::Tokens(1), net::BootNow());
   m_members.OnHeartbeat(router, beat);
+  OnStatedVersions(beat);
   if (router != m_settings.router) {
     m_book.OnPeerHeartbeat(router, beat, net::BootNow());
     m_crashes.OnHeartbeat(beat);
@@ -231,6 +233,7 @@
   SetReserveTimes(beat, now);
   SetFleetFacts(beat);
   m_crashes.record().AddReportsTo(beat, now);
+  StateVersions(beat);
   m_book.WriteClaims(beat, context, now);
   LogHoldFactor();
 }
--- a/src/gateway/gateway_stream_versions.cc
+++ b/src/gateway/gateway_stream_versions.cc
@@ -1,6 +1,7 @@
 // Records at which software version streams started, and finds out at which one
 // a stream may be resumed.
 #include <algorithm>  // max
+#include <chrono>     // seconds, system_clock
 #include <memory>     // make_shared
 #include <utility>    // move
 
@@ -18,6 +19,13 @@
 // A stream that broke off at a running router may be resumed before its record
 // is written.
 constexpr core::Duration kRecordDelay{150'000};
+// Longer than a stream lasts, by more than clocks of VMs may differ.
+constexpr std::chrono::seconds kStatementLifetime{60};
+
+int64_t UnixSeconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
 
 }  // namespace
 
@@ -63,6 +71,34 @@
   m_stream_writer->Schedule();
 }
 
+void Gateway::StateVersions(v1::RouterBeat& beat) const {
+  if (!m_upstreams_known) {
+    return;
+  }
+  beat.set_written_at_s(UnixSeconds());
+  for (const auto& [service, counts] : m_directory.versions()) {
+    v1::ServiceVersions& stated = *beat.add_service_versions();
+    stated.set_service(service.value());
+    for (const auto& [version, count] : counts) {
+      stated.add_versions(version.value());
+    }
+  }
+}
+
+// The newest heartbeat of a router that was removed stays in the store.
+void Gateway::OnStatedVersions(const v1::RouterBeat& beat) {
+  if (UnixSeconds() - beat.written_at_s() > kStatementLifetime.count()) {
+    return;
+  }
+  const core::TimePoint now = net::BootNow();
+  for (const v1::ServiceVersions& stated : beat.service_versions()) {
+    for (const std::string& version : stated.versions()) {
+      m_stream_versions.OnStated(core::ServiceId(stated.service()),
+                                 core::UpstreamVersion(version), now);
+    }
+  }
+}
+
 // While no router reads the store, none has learned of a version since this one
 // read the table for the last time.
 entry::RecordsRead Gateway::UnreadRecords(core::TimePoint now) const {
@@ -102,7 +138,10 @@
     const core::ServiceId& service,
     std::function<void(const StreamResumption&)> on_resolved) {
   UpdateStreamVersions(net::BootNow());
-  if (m_stream_versions.Knows(stream) || !m_contact.up()) {
+  // The last heartbeats of routers tell which versions there were before this
+  // one started.
+  const bool listed = m_heartbeat_writer->started();
+  if (m_stream_versions.Knows(stream) || !m_contact.up() || !listed) {
     on_resolved(Resumption(stream, service, /*records_read=*/false));
     return;
   }
--- a/tests/entry/unit-resume-after-loss-of-all.cc
+++ b/tests/entry/unit-resume-after-loss-of-all.cc
@@ -14,6 +14,7 @@
   core::ServiceId service{"engines"};
   StreamKey stream = StreamKeyOf(core::AccountId("gate"), "r-1");
   std::vector<StreamGroup> log;
+  std::vector<const char*> stated;  // by the last heartbeat of that router
 
   // A router that serves a stream at version "1", the only one, and is killed.
   void ServeUntilKilled() {
@@ -23,10 +24,14 @@
     }
     router.OnStart({stream, service, core::UpstreamVersion("1")}, At(30));
     log = router.TakeUnwritten(At(30.1));
+    stated = {"1"};
   }
   // A start that lists one version only.
   ResumeVersion ResolveAfterStart(const char* listed) {
     StreamVersions router;
+    for (const char* version : stated) {
+      router.OnStated(service, core::UpstreamVersion(version), At(32.9));
+    }
     router.OnVersions(service, {core::UpstreamVersion(listed)}, At(33));
     for (const StreamGroup& group : log) {
       router.OnRecord(group, At(33.1));
--- a/tests/gateway/unit-stream-version.cc
+++ b/tests/gateway/unit-stream-version.cc
@@ -191,3 +191,54 @@
   const std::string answer = Resume("/chat/y", "r-3", "r-2");
   CHECK(Has(answer, "it has no record"));
 }
+
+// Guards against text that is joined from two versions: the only version is
+// replaced while all routers are down.
+TEST(StreamVersion, a_version_that_was_replaced_before_a_start_gets_no_rest) {
+  const auto last_heartbeat = [](std::chrono::seconds age) {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    v1::RouterBeat beat;
+    beat.set_epoch(1);
+    beat.set_sequence(1);
+    beat.set_written_at_s(
+        std::chrono::duration_cast<std::chrono::seconds>(now - age).count());
+    v1::ServiceVersions& stated = *beat.add_service_versions();
+    stated.set_service("chat");
+    stated.add_versions("v1");
+    return beat.SerializeAsString();
+  };
+  AddUpstreams(new_ones, "v2", 2);
+  router.store.Put("routers", "router-2",
+                   last_heartbeat(std::chrono::seconds(3)));
+  router.Start();
+  const std::string refused = Resume("/chat/x", "r-2", "r-1");
+  CHECK(Has(refused, "HTTP/1.1 503"));
+  CHECK(Has(refused, "version"));
+}
+
+// Guards against refusals because of a router that was removed long ago.
+TEST(StreamVersion, a_heartbeat_of_long_ago_does_not_count_at_a_start) {
+  v1::RouterBeat removed;
+  removed.set_epoch(1);
+  removed.set_sequence(1);
+  removed.set_written_at_s(1'000'000);
+  removed.add_service_versions()->set_service("chat");
+  removed.mutable_service_versions(0)->add_versions("v1");
+  AddUpstreams(new_ones, "v2", 2);
+  router.store.Put("routers", "router-2", removed.SerializeAsString());
+  router.Start();
+  CHECK(Has(Resume("/chat/x", "r-2", "r-1"), "HTTP/1.1 200"));
+}
+
+TEST(StreamVersion, a_heartbeat_states_the_versions_of_each_service) {
+  AddUpstreams(old_ones, "v1", 1);
+  AddUpstreams(new_ones, "v2", 1);
+  router.Start();
+  Settle();
+  CHECK(router.Until([&] {
+    v1::RouterBeat beat;
+    beat.ParseFromString(router.store.Newest("routers", "router-1"));
+    return beat.service_versions_size() == 1 &&
+           beat.service_versions(0).versions_size() == 2;
+  }));
+}
--- a/tests/process/test_stream_versions.py
+++ b/tests/process/test_stream_versions.py
@@ -3,8 +3,10 @@
 import asyncio
 import signal
 import unittest
+from collections.abc import Awaitable, Callable
 
 from tests.soak.platform import Platform, run_scenario
+from tests.soak.servers import WARM_UP_S
 from tests.soak.streams import ResumableStream
 
 ROUTERS = 3
@@ -64,6 +66,59 @@
 
         run_scenario(scenario, routers=ROUTERS, engines=4, versions=("v1", "v2"))
 
+    def test_no_rest_of_another_version_after_all_routers_were_killed(self) -> None:
+        """Guards against joined text: the only version is replaced while no router runs."""
+
+        async def scenario(platform: Platform) -> None:
+            streams = [ResumableStream(f"e{i:02x}", EVENTS) for i in range(2 * STREAMS)]
+
+            async def replace_engines() -> None:
+                for engine in list(platform.engines):
+                    platform.retire(engine)
+                    await platform.start_server("engines", "v2")
+                await asyncio.sleep(WARM_UP_S + 0.5)
+
+            await self.break_off_all(platform, streams, replace_engines)
+            self.assertEqual([s.versions for s in streams if s.mixed], [])
+            self.assertEqual({s.statuses[-1] for s in streams}, {503})
+
+        run_scenario(scenario, routers=ROUTERS, engines=4)
+
+    def test_streams_go_on_after_all_routers_were_killed(self) -> None:
+        """Guards against refusals after a loss of all routers: no version changed."""
+
+        async def scenario(platform: Platform) -> None:
+            streams = [ResumableStream(f"f{i:02x}", EVENTS) for i in range(2 * STREAMS)]
+
+            async def nothing() -> None:
+                pass
+
+            went_on = await self.break_off_all(platform, streams, nothing)
+            self.assertGreaterEqual(went_on, len(streams) // 2)
+
+        run_scenario(scenario, routers=ROUTERS, engines=4)
+
+    async def break_off_all(self, platform: Platform, streams: list[ResumableStream],
+                            while_down: Callable[[], Awaitable[None]]) -> int:
+        """Kills all routers after the first events of the streams, and takes the streams
+        up when they are back. Returns how many go on."""
+        fronts = [router.front for router in platform.routers]
+        tries = [asyncio.create_task(s.attempt(fronts[i % ROUTERS]))
+                 for i, s in enumerate(streams)]
+        while not all(s.numbers for s in streams):
+            await asyncio.sleep(0.01)
+        for router in platform.routers:
+            router.send(signal.SIGKILL)
+        await asyncio.gather(*tries)
+        await while_down()
+        await asyncio.sleep(1)
+        await asyncio.gather(*(r.restart(signal.SIGKILL) for r in platform.routers))
+        self.assertTrue(await platform.wait_for_figure("ready", 1))
+        before = [len(s.numbers) for s in streams]
+        await asyncio.gather(*(s.attempt(fronts[i % ROUTERS])
+                               for i, s in enumerate(streams)))
+        return sum(s.went_on(n) for s, n in zip(streams, before))
+
     async def break_off(self, platform: Platform, streams: list[ResumableStream],
                         victim: int) -> int:
         """Kills the router of all streams after their first events, and takes the streams
