Heartbeats: a clearer name for the time of the stated versions; placement test

The placement client has the test of the fleet view client for answers to an earlier start; it fails when ids begin at 0.

--- a/src/gateway/gateway_stream_versions.cc
+++ b/src/gateway/gateway_stream_versions.cc
@@ -75,7 +75,7 @@
   if (!m_upstreams_known) {
     return;
   }
-  beat.set_written_at_s(UnixSeconds());
+  beat.set_versions_listed_at_s(UnixSeconds());
   for (const auto& [service, counts] : m_directory.versions()) {
     v1::ServiceVersions& stated = *beat.add_service_versions();
     stated.set_service(service.value());
@@ -87,7 +87,8 @@
 
 // The newest heartbeat of a router that was removed stays in the store.
 void Gateway::OnStatedVersions(const v1::RouterBeat& beat) {
-  if (UnixSeconds() - beat.written_at_s() > kStatementLifetime.count()) {
+  if (UnixSeconds() - beat.versions_listed_at_s() >
+      kStatementLifetime.count()) {
     return;
   }
   const core::TimePoint now = net::BootNow();
--- a/tests/gateway/unit-placement-client.cc
+++ b/tests/gateway/unit-placement-client.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <chrono>    // milliseconds
+#include <memory>    // make_shared, make_unique
 #include <optional>  // optional
 #include <string>    // string
 #include <vector>    // vector
@@ -177,3 +178,32 @@
   client.OnAnswer(answer);
   CHECK_FALSE(result.has_value());
 }
+
+// Guards against a placement for another request: before their epochs are
+// known, two starts of a router differ by the ids of their messages only.
+TEST(PlacementClient,
+     an_answer_to_an_earlier_start_without_an_epoch_is_ignored) {
+  const auto ask = [this](uint64_t random) {
+    auto start = std::make_unique<PlacementClient>(
+        io, "10.0.0.1:1",
+        PlacementClient::Hooks{
+            [this] {
+              return entry::PlacementPeers{peers, {}};
+            },
+            [] { return true; },
+            [this](const std::string&, const v1::PlaceAsk& message) {
+              sent.push_back(message);
+            }},
+        [random] { return random; });
+    start->RequestPlacement(
+        query, [this](const entry::Placement& one) { result = one; });
+    Pass(5);
+    return start;
+  };
+  const auto earlier = ask(uint64_t{1} << 40);
+  const auto later = ask(uint64_t{1} << 50);
+  later->OnAnswer(ToPlaceAnswer(sent.at(0), Chosen()));
+  CHECK_FALSE(result.has_value());
+  later->OnAnswer(ToPlaceAnswer(sent.at(1), Chosen()));
+  CHECK(result.has_value());
+}
--- a/tests/gateway/unit-stream-version.cc
+++ b/tests/gateway/unit-stream-version.cc
@@ -1,6 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
-#include <chrono>  // milliseconds
+#include <chrono>  // hours, milliseconds, seconds, system_clock
 #include <memory>  // unique_ptr
 #include <string>  // string
 #include <vector>  // vector
@@ -192,24 +192,30 @@
   CHECK(Has(answer, "it has no record"));
 }
 
+namespace {
+
+// The last heartbeat of a router that listed version v1 of a service.
+std::string LastHeartbeat(std::chrono::seconds age) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  v1::RouterBeat beat;
+  beat.set_epoch(1);
+  beat.set_sequence(1);
+  beat.set_versions_listed_at_s(
+      std::chrono::duration_cast<std::chrono::seconds>(now - age).count());
+  v1::ServiceVersions& stated = *beat.add_service_versions();
+  stated.set_service("chat");
+  stated.add_versions("v1");
+  return beat.SerializeAsString();
+}
+
+}  // namespace
+
 // Guards against text that is joined from two versions: the only version is
 // replaced while all routers are down.
 TEST(StreamVersion, a_version_that_was_replaced_before_a_start_gets_no_rest) {
-  const auto last_heartbeat = [](std::chrono::seconds age) {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    v1::RouterBeat beat;
-    beat.set_epoch(1);
-    beat.set_sequence(1);
-    beat.set_written_at_s(
-        std::chrono::duration_cast<std::chrono::seconds>(now - age).count());
-    v1::ServiceVersions& stated = *beat.add_service_versions();
-    stated.set_service("chat");
-    stated.add_versions("v1");
-    return beat.SerializeAsString();
-  };
   AddUpstreams(new_ones, "v2", 2);
   router.store.Put("routers", "router-2",
-                   last_heartbeat(std::chrono::seconds(3)));
+                   LastHeartbeat(std::chrono::seconds(3)));
   router.Start();
   const std::string refused = Resume("/chat/x", "r-2", "r-1");
   CHECK(Has(refused, "HTTP/1.1 503"));
@@ -218,14 +224,8 @@
 
 // Guards against refusals because of a router that was removed long ago.
 TEST(StreamVersion, a_heartbeat_of_long_ago_does_not_count_at_a_start) {
-  v1::RouterBeat removed;
-  removed.set_epoch(1);
-  removed.set_sequence(1);
-  removed.set_written_at_s(1'000'000);
-  removed.add_service_versions()->set_service("chat");
-  removed.mutable_service_versions(0)->add_versions("v1");
   AddUpstreams(new_ones, "v2", 2);
-  router.store.Put("routers", "router-2", removed.SerializeAsString());
+  router.store.Put("routers", "router-2", LastHeartbeat(std::chrono::hours(1)));
   router.Start();
   CHECK(Has(Resume("/chat/x", "r-2", "r-1"), "HTTP/1.1 200"));
 }
