--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -44,6 +44,7 @@
 [platform]
 address = "127.0.0.1:{store}"
 readMbS = {read_mbs}
+[limits]
 """
 
 
@@ -55,6 +56,7 @@
         self.metrics, self.loads = free_ports(2)
         self.store_port = 0
         self.read_mbs = 80.0  # read bandwidth that the store announces
+        self.limits: dict[str, int] = {}  # of the VM, by their names in the settings
         self._path = os.path.join(folder, name + ".toml")
         self._log_path = os.path.join(folder, name + ".log")
         self._log = open(self._log_path, "ab")
@@ -67,6 +69,7 @@
                                        directory=self.directory, metrics=self.metrics,
                                        loads=self.loads, store=self.store_port,
                                        read_mbs=self.read_mbs))
+            file.writelines(f"{name} = {value}\n" for name, value in self.limits.items())
         environment = dict(os.environ, COPPERVALVE_NODE_FILE=self._path)
         self.process = await asyncio.create_subprocess_exec(
             self._program, "platform", env=environment, stdout=self._log, stderr=self._log)
@@ -145,6 +148,8 @@
         self._retired: set[str] = set()  # names of upstreams that do not start again
         self.event_interval_s = 0.01  # of the engines' streams
         self.prepaid = PREPAID
+        self.vm_limits: dict[str, int] = {}  # of all routers
+        self.caller_limits: dict[str, int] = {}  # in place of those of the configuration
         self.crash_parts: set[str] = set()  # prompt parts that crash engines
         self.store = Store(seed)
         self.ledger = Ledger()
@@ -169,6 +174,7 @@
             router = Router(f"edge-{i}", self._folder, self._program)
             router.store_port = await self.store.listen()
             router.read_mbs = read_mbs
+            router.limits = self.vm_limits
             self.routers.append(router)
             await router.start()
         await asyncio.sleep(2)
@@ -222,6 +228,11 @@
         ports = [int(address.split(":")[1]) for address in server.addresses]
         await self.start_server(server.service, server.version, ports)
 
+    def stall(self, kinds: set[str]) -> None:
+        """Lets requests of these kinds wait at their upstreams."""
+        for server in self.servers:
+            server.stalled_kinds = kinds
+
     def partition(self, routers: set[int], reset: bool) -> None:
         """Partitions routers from all upstreams; open connections are reset or live on."""
         self._partitioned = routers
@@ -242,7 +253,9 @@
     def publish(self, versions: int = 1, more_tokens: int = 0) -> None:
         self._version += versions
         self.prepaid += more_tokens
-        self.store.put("keyed.op", "config", configuration(self._version, self.prepaid))
+        document = configuration(self._version, self.prepaid)
+        document["limits"].update(self.caller_limits)
+        self.store.put("keyed.op", "config", document)
 
     def evacuate(self, zone: str) -> None:
         self.store.put("keyed.op", f"evacuate/{zone}", {})
@@ -337,13 +350,17 @@
 
 
 def run_scenario(scenario: Callable[[Platform], Awaitable[None]], routers: int, engines: int,
-         read_mbs: float = 80.0, versions: tuple[str, ...] = ("v1",)) -> Platform:
+         read_mbs: float = 80.0, versions: tuple[str, ...] = ("v1",),
+         vm_limits: dict[str, int] | None = None,
+         caller_limits: dict[str, int] | None = None) -> Platform:
     """Runs a test scenario on a new platform and stops the platform."""
 
     async def run() -> Platform:
         program = os.path.join(build_folder(), "coppervalved")
         with tempfile.TemporaryDirectory() as folder:
             platform = Platform(folder, program, seed=1)
+            platform.vm_limits = vm_limits or {}
+            platform.caller_limits = caller_limits or {}
             await platform.start(routers, engines, read_mbs=read_mbs, versions=versions)
             try:
                 await scenario(platform)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -51,6 +51,7 @@
         self.decline_ratio = 0.0  # share of requests that are not run
         self.crash_marker = b""  # a request whose body contains this ends the process
         self.crash_parts: set[str] = set()  # prompt parts; answers to them end the process
+        self.stalled_kinds: set[str] = set()  # of requests that wait until this is changed
         self.leaving = False  # reported in all answers
         self.retry_after_s = 0.0  # if set, all requests are declined with it as Retry-After
         self.limit_per_s: float | None = None  # reported in all answers
@@ -165,6 +166,8 @@
                   **state}
         breaks = self._random.random() < self.cut_ratio
         if "token-usage" not in headers:
+            while self._ledger.kind[request_id] in self.stalled_kinds:
+                await asyncio.sleep(0.02)
             await asyncio.sleep(0.01)
             if breaks:
                 return False
