Requests: bound the header of a chunk and trailer fields

Callers saw: a router that ran out of memory; one connection sending trailer fields, or the extension of a chunk, without end is enough, on the port for callers and on the one for other routers. Cause: the parser uses nothing of such a part until it is complete and bounds only the head, so the reader's owner kept all that arrived until the time limit of the request. Why it works: what one read left unused is compared with the limit of the head, as for responses; the answer is 431.

--- a/include/coppervalve/http1/request_reader.h
+++ b/include/coppervalve/http1/request_reader.h
@@ -14,7 +14,7 @@
 
 /// @brief Size limits of a request.
 struct RequestBounds {
-  core::Bytes header{16'384};
+  core::Bytes header{16'384};  ///< also of a chunk's header and of trailers
   core::Bytes body{4'194'304};
 };
 
@@ -52,6 +52,7 @@
  private:
   class Parser;
   std::unique_ptr<Parser> m_parser;
+  size_t m_max_unfinished;  ///< bytes of a chunk's header or of trailers
 };
 
 }  // namespace coppervalve::http1
--- a/src/http1/request_reader.cc
+++ b/src/http1/request_reader.cc
@@ -139,7 +139,8 @@
 }
 
 RequestReader::RequestReader(const RequestBounds& bounds)
-    : m_parser(std::make_unique<Parser>()) {
+    : m_parser(std::make_unique<Parser>()),
+      m_max_unfinished(static_cast<size_t>(bounds.header.value())) {
   m_parser->header_limit(static_cast<uint32_t>(bounds.header.value()));
   m_parser->body_limit(static_cast<uint64_t>(bounds.body.value()));
   m_parser->eager(true);
@@ -149,8 +150,16 @@
 RequestReader::RequestReader(RequestReader&&) noexcept = default;
 RequestReader& RequestReader::operator=(RequestReader&&) noexcept = default;
 
+// The parser bounds a head, but neither the header of a chunk nor trailer
+// fields, which it leaves unused until they are complete.
 core::Result<size_t> RequestReader::Feed(std::string_view bytes) {
-  return m_parser->Feed(bytes);
+  core::Result<size_t> used = m_parser->Feed(bytes);
+  if (core::IsOk(used) && !done() &&
+      bytes.size() - core::Value(used) > m_max_unfinished) {
+    return core::Error{core::ErrorId::kHeaderTooLarge, "request",
+                       "an unfinished part exceeds the size limit"};
+  }
+  return used;
 }
 
 bool RequestReader::begun() const {
