Log's core: bound the header of a chunk and trailer fields

Callers and operators saw: as in the entry router, one connection filled the memory with trailer fields or with the extension of a chunk, on the callers' and the operators' port. Cause: the buffer of a connection had no size of its own, and the parser bounds only the head. Evidence: 417,767,424 (trailers), 417,521,664 (extension), 417,607,680 (operators' port) bytes resident after 402 MB sent, 256,000,000 allowed. Why it works: the buffer holds a head and one read; a full buffer that the parser can't use is answered 431.

--- a/src/net/caller_reader.cc
+++ b/src/net/caller_reader.cc
@@ -56,7 +56,10 @@
   Impl(asio::io_context& context,
        asio::ip::tcp::socket& a_socket,
        const CallerLimits& a_limits)
-      : socket(a_socket), limits(a_limits), deadline(context) {}
+      : socket(a_socket),
+        limits(a_limits),
+        deadline(context),
+        buffer(a_limits.max_header_bytes + kReadBytes) {}
 
   void Begin() {
     begun = buffer.size() > 0;
@@ -177,6 +180,8 @@
   asio::ip::tcp::socket& socket;
   const CallerLimits limits;
   Deadline deadline;
+  // The parser leaves the header of a chunk and trailer fields in the buffer
+  // until they are complete, and bounds neither.
   beast::flat_buffer buffer;
   std::optional<Parser> parser;
   Done done;
