Callers: take pipelined requests in a loop

Callers saw: the router they used ended. A caller that sends some thousand tiny requests behind one that waits for its upstream ends the process (SIGSEGV) as soon as that one is answered. Cause: a request that is refused at once ended its response, which parsed the next request within that call: the stack grew by several calls for each request. Evidence: pipelined_requests failed on each run (exit status -11); with half as many, directly on the directory port, the stack sufficed. Why it works: the call inside the loop returns at once, and the loop takes the next request; after 16 of them other connections get their turn.

--- a/include/coppervalve/gateway/caller_connection.h
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -92,12 +92,14 @@
   void OnBytes(std::string_view bytes);
   void OnEnd();
   void Parse();
+  bool ParseRequest();
   void Reject(const core::Error& error);
   void NextRequest();
   void ArmTimer(core::Duration time);
   void OnTimer();
   void Close();
 
+  boost::asio::io_context& m_io;
   boost::asio::steady_timer m_timer;
   StreamRef m_stream;
   std::shared_ptr<const Hooks> m_hooks;
@@ -107,6 +109,7 @@
   std::function<void()> m_on_disconnect;
   std::function<void()> m_on_drained;
   bool m_busy = false;
+  bool m_parsing = false;  ///< within Parse()
   bool m_chunked = false;
   bool m_keep_alive = true;
   bool m_head_request = false;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "coppervalve/gateway/caller_connection.h"
 
+#include <boost/asio/post.hpp>
 #include <utility>  // move, exchange
 
 #include "chunk.h"
@@ -12,6 +13,9 @@
 // Limit of pipelined bytes buffered while a request is in progress. Beyond it,
 // reading is paused, so a disconnect of the caller is not noticed either.
 constexpr size_t kMaxUnread = 65'536;
+// Pipelined requests that are answered at once, before other connections get
+// their turn.
+constexpr size_t kMaxRequestsPerTurn = 16;
 
 bool HasNoBody(int status) {
   constexpr int kNoContent = 204;
@@ -39,7 +43,8 @@
 CallerConnection::CallerConnection(boost::asio::io_context& io,
                                    boost::asio::ip::tcp::socket socket,
                                    std::shared_ptr<const Hooks> hooks)
-    : m_timer(io),
+    : m_io(io),
+      m_timer(io),
       m_stream(std::make_shared<Stream>(std::move(socket))),
       m_hooks(std::move(hooks)) {}
 
@@ -81,6 +86,29 @@
   }
 }
 
+// A request that is answered at once comes back here through NextRequest();
+// the loop takes the next one, so that the stack does not grow with them.
+void CallerConnection::Parse() {
+  if (m_parsing) {
+    return;
+  }
+  const auto self = shared_from_this();
+  m_parsing = true;
+  size_t requests = 0;
+  while (ParseRequest() && ++requests < kMaxRequestsPerTurn) {
+  }
+  m_parsing = false;
+  if (requests < kMaxRequestsPerTurn) {
+    return;
+  }
+  boost::asio::post(m_io, [self] {
+    if (!self->m_closed && !self->m_busy) {
+      self->Parse();
+    }
+  });
+}
+
+
 void CallerConnection::OnBytes(std::string_view bytes) {
   m_unread.append(bytes);
   if (!m_busy) {
@@ -92,12 +120,13 @@
   }
 }
 
-void CallerConnection::Parse() {
+// @return whether a request was answered and another one may follow
+bool CallerConnection::ParseRequest() {
   const bool had_begun = m_reader->begun();
   const core::Result<size_t> used = m_reader->Feed(m_unread);
   if (!core::IsOk(used)) {
     Reject(core::Failure(used));
-    return;
+    return false;
   }
   m_unread.erase(0, core::Value(used));
   if (m_reader->done()) {
@@ -108,7 +137,7 @@
     m_hooks->on_request(
         shared_from_this(),
         {m_reader->head(), m_reader->TakeBody(), net::BootNow()});
-    return;
+    return !m_busy && !m_closed && !m_unread.empty();
   }
   if (!had_begun && m_reader->begun()) {
     ArmTimer(m_hooks->bounds().header_time);
@@ -118,6 +147,7 @@
     m_continue_sent = true;
     m_stream->Send("HTTP/1.1 100 Continue\r\n\r\n");
   }
+  return false;
 }
 
 void CallerConnection::Reject(const core::Error& error) {
