Callers: no further request while responses are unread

Callers saw: a router that ran out of memory by few connections that send small requests and read nothing, most on the metrics port, where each response has tens of kilobytes. Cause: the next request was read whatever was left of earlier responses; the buffer of a connection also kept what the kernel had taken until all of it was, and its room when it was idle. Why it works: with more than 64 KB unread the connection reads no further, and is reset if that lasts as long as a connection may be idle.

--- a/include/coppervalve/gateway/caller_connection.h
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -91,6 +91,8 @@
  private:
   void OnBytes(std::string_view bytes);
   void OnEnd();
+  void OnDrained();
+  bool HasUnreadResponses() const;
   void Parse();
   bool ParseRequest();
   void Reject(const core::Error& error);
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -54,10 +54,8 @@
   m_stream->Start({[self](std::string_view bytes) { self->OnBytes(bytes); },
                    [self](StreamEnd /*end*/) { self->OnEnd(); },
                    [weak] {
-                     const auto connection = weak.lock();
-                     if (connection && connection->m_on_drained) {
-                       const auto handler = connection->m_on_drained;
-                       handler();
+                     if (const auto connection = weak.lock()) {
+                       connection->OnDrained();
                      }
                    }});
   NextRequest();
@@ -86,6 +84,22 @@
   }
 }
 
+// The caller reads nothing, so that responses to further requests would pile up.
+bool CallerConnection::HasUnreadResponses() const {
+  return m_stream->unsent() > kMaxUnread;
+}
+
+void CallerConnection::OnDrained() {
+  if (m_on_drained) {
+    const auto handler = m_on_drained;
+    handler();
+  }
+  if (!m_closed && !m_busy) {
+    m_stream->ResumeReading();
+    Parse();
+  }
+}
+
 // A request that is answered at once comes back here through NextRequest();
 // the loop takes the next one, so that the stack does not grow with them.
 void CallerConnection::Parse() {
@@ -122,6 +136,10 @@
 
 // @return whether a request was answered and another one may follow
 bool CallerConnection::ParseRequest() {
+  if (HasUnreadResponses()) {
+    m_stream->PauseReading();
+    return false;
+  }
   const bool had_begun = m_reader->begun();
   const core::Result<size_t> used = m_reader->Feed(m_unread);
   if (!core::IsOk(used)) {
@@ -129,6 +147,9 @@
     return false;
   }
   m_unread.erase(0, core::Value(used));
+  if (m_unread.empty()) {
+    m_unread = std::string();
+  }
   if (m_reader->done()) {
     m_timer.cancel();
     m_busy = true;
@@ -286,6 +307,10 @@
             "request was not received in time"});
     return;
   }
+  if (HasUnreadResponses()) {
+    Abort();
+    return;
+  }
   CloseIfIdle();
 }
 
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -8,7 +8,7 @@
 #include <boost/asio/error.hpp>        // would_block
 #include <boost/asio/socket_base.hpp>  // linger
 #include <chrono>                      // milliseconds
-#include <utility>                     // move
+#include <utility>                     // exchange, move
 
 namespace coppervalve::gateway {
 
@@ -174,10 +174,13 @@
   m_sent += taken;
   m_out_sent += taken;
   if (unsent() != 0) {
+    if (m_out_sent >= kReadChunk) {
+      m_out.erase(0, std::exchange(m_out_sent, 0));
+    }
     WaitWritable();
     return;
   }
-  m_out.clear();
+  m_out = std::string();
   m_out_sent = 0;
   if (m_closing) {
     FinishClosing();
