Callers: bound what all connections hold together

Callers saw: a router that ran out of memory or descriptors, whatever each single caller was allowed: unfinished bodies in large or tiny chunks, bodies that were sent beyond the limit in step, complete ones that waited for upstreams, heads of short fields, refused senders that stayed, connections without a request. Cause: every limit was one of a connection. Nothing knew what all hold, memoryMb and fileDescriptors of the settings were not read, and a connection that was refused kept its descriptor for a second. Why it works: core::ConnectionLedger has the bytes and the stage of each connection of all ports. Beyond the bytes the largest request that is not complete is refused, as not run; beyond the connections the one without progress for the longest is closed. A request in progress is never ended; one that has just arrived is refused if there is no room. Large holders may use three quarters, so that a small request finds room; a request that holds all by itself is accepted.

--- a/include/coppervalve/core/error.h
+++ b/include/coppervalve/core/error.h
@@ -57,6 +57,7 @@
   kEndsUpstreams = 416,
   kStreamVersionUnknown = 417,
   kPromptPartEndsUpstreams = 418,
+  kMemoryLimit = 419,
   // 5xx: failed after dispatch to an upstream.
   kOutcomeUnknown = 501,
   kAnswerCut = 502,
--- a/include/coppervalve/gateway/caller_connection.h
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -10,9 +10,11 @@
 #include <optional>    // optional
 #include <string>      // string
 
+#include "coppervalve/core/connection_ledger.h"
 #include "coppervalve/core/error.h"
 #include "coppervalve/core/units.h"
 #include "coppervalve/entry/configuration.h"
+#include "coppervalve/gateway/caller_registry.h"
 #include "coppervalve/gateway/stream.h"
 #include "coppervalve/http1/header_list.h"
 #include "coppervalve/http1/request_reader.h"
@@ -51,6 +53,8 @@
     /// current response.
     std::function<bool()> leaving;
     std::function<void()> on_closed;
+    /// Of the connections of all listeners.
+    std::shared_ptr<CallerRegistry> registry;
   };
 
   CallerConnection(boost::asio::io_context& io,
@@ -83,6 +87,8 @@
   void Abort();
 
   size_t unsent() const { return m_stream->unsent(); }
+  /// @return number of unsent bytes beyond which nothing more should be sent
+  size_t max_unsent() const;
   /// @return whether a request is in progress or waits to be parsed
   bool busy() const { return !m_closed && (m_busy || !m_unread.empty()); }
   /// @brief Closes the connection unless a request is in progress.
@@ -92,6 +98,10 @@
   void OnBytes(std::string_view bytes);
   void OnEnd();
   void OnDrained();
+  void UpdateEntry();
+  core::ConnectionStage Stage() const;
+  size_t HeldBytes() const;
+  void EndForLimit(core::ConnectionLimit limit);
   bool HasUnreadResponses() const;
   void Parse();
   bool ParseRequest();
@@ -105,11 +115,13 @@
   boost::asio::steady_timer m_timer;
   StreamRef m_stream;
   std::shared_ptr<const Hooks> m_hooks;
+  std::shared_ptr<CallerRegistry::Entry> m_entry;
   std::unique_ptr<http1::RequestReader> m_reader;
   std::string m_unread;
   std::string m_head_text;  ///< response head that was not sent yet
   std::function<void()> m_on_disconnect;
   std::function<void()> m_on_drained;
+  size_t m_request_bytes = 0;  ///< what the request in progress holds
   bool m_busy = false;
   bool m_parsing = false;  ///< within Parse()
   bool m_chunked = false;
--- /dev/null
+++ b/include/coppervalve/gateway/caller_registry.h
@@ -0,0 +1,65 @@
+#ifndef COPPERVALVE_GATEWAY_CALLER_REGISTRY_H_
+#define COPPERVALVE_GATEWAY_CALLER_REGISTRY_H_
+
+#include <cstddef>        // size_t
+#include <functional>     // function
+#include <memory>         // shared_ptr, enable_shared_from_this
+#include <unordered_map>  // unordered_map
+
+#include "coppervalve/core/connection_ledger.h"
+
+namespace coppervalve::gateway {
+
+/// @brief The connections of all listeners, and what they hold. Ends some of
+/// them when all together exceed a limit.
+class CallerRegistry : public std::enable_shared_from_this<CallerRegistry> {
+ public:
+  using Id = core::ConnectionLedger::Id;
+  using Excess = core::ConnectionLedger::Excess;
+  using EndConnection = std::function<void(core::ConnectionLimit limit)>;
+
+  /// @param on_ended called for each connection that is ended
+  CallerRegistry(const core::ConnectionLimits& limits,
+                 std::function<void(const Excess&)> on_ended);
+
+  /// @brief A registered connection; leaves the registry when it is destroyed.
+  class Entry {
+   public:
+    Entry(std::shared_ptr<CallerRegistry> registry, Id id);
+    ~Entry();
+    Entry(const Entry&) = delete;
+    Entry& operator=(const Entry&) = delete;
+
+    /// @brief Records what the connection is doing and holds. May end other
+    /// connections, or this one.
+    void Update(core::ConnectionStage stage, size_t bytes);
+    /// @brief Whether there is room for the request that has just been
+    /// received.
+    bool Admits() const;
+
+   private:
+    const std::shared_ptr<CallerRegistry> m_registry;
+    const Id m_id;
+  };
+
+  /// @param end closes the connection, or refuses its request
+  std::shared_ptr<Entry> Add(EndConnection end);
+
+  /// @brief Whether connections should hold less than usual.
+  bool IsTight() const { return m_ledger.IsTight(); }
+  size_t connections() const { return m_ledger.connections(); }
+  size_t bytes() const { return m_ledger.bytes(); }
+
+ private:
+  void Remove(Id id);
+  void EndExcess();
+
+  core::ConnectionLedger m_ledger;
+  std::unordered_map<Id, EndConnection> m_ends;
+  const std::function<void(const Excess&)> m_on_ended;
+  bool m_ending = false;
+};
+
+}  // namespace coppervalve::gateway
+
+#endif  // COPPERVALVE_GATEWAY_CALLER_REGISTRY_H_
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -92,6 +92,8 @@
   /// Size of this VM; 0 = unknown.
   double processor_cores = 0;
   double link_megabits_per_second = 0;
+  size_t memory_bytes = 0;  ///< of this VM; 0 = unknown
+  size_t max_sockets = 0;   ///< that this process may open; 0 = unknown
   StoreLayout layout;
   /// Where connections to an upstream's address are opened; null: there.
   Dialer::AddressMap upstream_address;
@@ -209,6 +211,7 @@
   core::Status MakeListeners();
   CallerConnection::Hooks CallerHooks(
       std::function<void(const CallerRef&, CallerRequest)> on_request);
+  void OnConnectionEnded(const CallerRegistry::Excess& excess);
   void ServeMetrics(const CallerRef& caller);
   void LogLifecycle(LogLine line);
 
@@ -277,6 +280,7 @@
   std::unique_ptr<PlacementClient> m_placement_client;
   std::unique_ptr<FleetViewClient> m_fleet_view_client;
   entry::TransferReplyCache m_transfer_replies;
+  std::shared_ptr<CallerRegistry> m_caller_registry;
   std::vector<std::shared_ptr<Listener>> m_listeners;
   std::shared_ptr<Listener> m_callers;
   std::vector<std::function<void()>> m_grant_waiters;
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -42,6 +42,8 @@
   uint64_t relayed_connections = 0;  ///< opened through other routers
   uint64_t services_out_of_reach = 0;
   uint64_t relayed_for_others = 0;  ///< connections at present
+  uint64_t caller_connections = 0;  ///< at present
+  uint64_t caller_bytes = 0;        ///< held for them at present
 };
 
 /// @brief Metrics of a router, documented in docs/OPERATIONS.md.
@@ -63,6 +65,7 @@
   void OnPeerPlacement(bool outdated);
   /// @brief Another router asked for a connection to an upstream.
   void OnRelay(bool accepted);
+  void OnConnectionEnded(std::string_view limit);
   void OnGrantWait(core::Duration waited);
   void OnStoreCall(std::string_view topic, bool answered);
   void OnAccount(const core::AccountId& account,
--- a/include/coppervalve/gateway/stream.h
+++ b/include/coppervalve/gateway/stream.h
@@ -51,6 +51,8 @@
   /// @brief Resets the connection, so that the peer can't take the data for
   /// complete.
   void Abort();
+  /// @brief Closes at once; bytes that were not sent are lost.
+  void Close();
   bool open() const { return m_socket.is_open(); }
   /// @return whether the peer has closed and all its data was read; on_end may
   /// not have been called yet
@@ -63,7 +65,6 @@
   void WaitWritable();
   void End(StreamEnd end);
   void FinishClosing();
-  void Close();
 
   boost::asio::ip::tcp::socket m_socket;
   boost::asio::steady_timer m_linger;
--- a/include/coppervalve/http1/header_list.h
+++ b/include/coppervalve/http1/header_list.h
@@ -27,12 +27,16 @@
   const std::string* Find(std::string_view name) const;
   size_t Count(std::string_view name) const;
 
+  /// @return bytes of memory that the headers take
+  size_t held_bytes() const;
+
   auto begin() const { return m_headers.begin(); }
   auto end() const { return m_headers.end(); }
   bool empty() const { return m_headers.empty(); }
 
  private:
   std::vector<Header> m_headers;
+  size_t m_text_bytes = 0;
 };
 
 /// @brief Whether a header applies to a single connection and must not be
--- a/include/coppervalve/http1/request_reader.h
+++ b/include/coppervalve/http1/request_reader.h
@@ -46,6 +46,10 @@
   bool head_done() const;
   bool done() const;
   const RequestHead& head() const;
+  /// @return bytes of memory that the head and the body take
+  size_t held_bytes() const;
+  /// @brief Moves the head out of the reader. @pre done()
+  RequestHead TakeHead();
   /// @brief Moves the body out of the reader. @pre done()
   std::string TakeBody();
 
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -56,6 +56,7 @@
     {ErrorId::kStreamVersionUnknown, "stream_version_unknown", 503, kNotRun},
     {ErrorId::kPromptPartEndsUpstreams, "prompt_part_ends_upstreams", 503,
      kNotRun},
+    {ErrorId::kMemoryLimit, "memory_limit", 503, kNotRun},
     {ErrorId::kOutcomeUnknown, "outcome_unknown", 502, kUnknown},
     {ErrorId::kAnswerCut, "answer_cut", 502, kUnknown},
     {ErrorId::kUpstreamFailed, "upstream_failed", 502, kUnknown},
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -16,6 +16,11 @@
 // Pipelined requests that are answered at once, before other connections get
 // their turn.
 constexpr size_t kMaxRequestsPerTurn = 16;
+constexpr size_t kMaxUnsent = 262'144;
+constexpr size_t kMaxUnsentWhenTight = 16'384;
+// A request is held by its exchange, and once more while it is sent.
+constexpr size_t kCopiesOfBody = 2;
+constexpr const char* kRetryAfterMemory = "1";
 
 bool HasNoBody(int status) {
   constexpr int kNoContent = 204;
@@ -33,6 +38,8 @@
       return "Content Too Large";
     case 431:
       return "Request Header Fields Too Large";
+    case 503:
+      return "Service Unavailable";
     default:
       return "Refused";
   }
@@ -51,6 +58,15 @@
 void CallerConnection::Start() {
   std::weak_ptr<CallerConnection> weak = weak_from_this();
   const auto self = shared_from_this();
+  m_entry = m_hooks->registry->Add([weak](core::ConnectionLimit limit) {
+    if (const auto connection = weak.lock()) {
+      connection->EndForLimit(limit);
+    }
+  });
+  if (m_closed) {
+    m_entry.reset();
+    return;
+  }
   m_stream->Start({[self](std::string_view bytes) { self->OnBytes(bytes); },
                    [self](StreamEnd /*end*/) { self->OnEnd(); },
                    [weak] {
@@ -79,17 +95,20 @@
       http1::RequestBounds{bounds.header, bounds.body});
   m_continue_sent = false;
   ArmTimer(bounds.idle_time);
+  UpdateEntry();
   if (!m_unread.empty()) {
     Parse();
   }
 }
 
-// The caller reads nothing, so that responses to further requests would pile up.
+// The caller reads nothing, so that responses to further requests would pile
+// up.
 bool CallerConnection::HasUnreadResponses() const {
   return m_stream->unsent() > kMaxUnread;
 }
 
 void CallerConnection::OnDrained() {
+  UpdateEntry();
   if (m_on_drained) {
     const auto handler = m_on_drained;
     handler();
@@ -103,7 +122,7 @@
 // A request that is answered at once comes back here through NextRequest();
 // the loop takes the next one, so that the stack does not grow with them.
 void CallerConnection::Parse() {
-  if (m_parsing) {
+  if (m_parsing || m_closed) {
     return;
   }
   const auto self = shared_from_this();
@@ -122,7 +141,6 @@
   });
 }
 
-
 void CallerConnection::OnBytes(std::string_view bytes) {
   m_unread.append(bytes);
   if (!m_busy) {
@@ -132,6 +150,60 @@
   if (m_unread.size() > kMaxUnread) {
     m_stream->PauseReading();
   }
+  UpdateEntry();
+}
+
+// What a connection holds counts even where its own limits allow it: all
+// connections together have to fit into the memory of the process.
+void CallerConnection::UpdateEntry() {
+  if (m_entry) {
+    m_entry->Update(Stage(), HeldBytes());
+  }
+}
+
+core::ConnectionStage CallerConnection::Stage() const {
+  if (m_closed) {
+    return core::ConnectionStage::kClosing;
+  }
+  if (m_busy) {
+    return core::ConnectionStage::kBusy;
+  }
+  return m_reader && m_reader->begun() ? core::ConnectionStage::kReceiving
+                                       : core::ConnectionStage::kIdle;
+}
+
+size_t CallerConnection::HeldBytes() const {
+  const size_t held = m_unread.size() + m_stream->unsent();
+  if (m_busy) {
+    return held + m_request_bytes;
+  }
+  return m_reader ? held + m_reader->held_bytes() : held;
+}
+
+size_t CallerConnection::max_unsent() const {
+  return m_hooks->registry->IsTight() ? kMaxUnsentWhenTight : kMaxUnsent;
+}
+
+// A request that was not received completely has not run, so it is refused. A
+// caller that waits for its turn to send, or reads nothing, gets no answer.
+void CallerConnection::EndForLimit(core::ConnectionLimit limit) {
+  const bool receiving = Stage() == core::ConnectionStage::kReceiving;
+  if (receiving) {
+    Reject({core::ErrorId::kMemoryLimit, "router",
+            "its callers' requests exceed a limit"});
+  }
+  if (receiving && limit == core::ConnectionLimit::kBytes) {
+    return;
+  }
+  if (m_stream->unsent() != 0) {
+    m_stream->Abort();
+  } else {
+    m_stream->Close();
+  }
+  if (!m_closed) {
+    Close();
+  }
+  m_entry.reset();
 }
 
 // @return whether a request was answered and another one may follow
@@ -153,11 +225,19 @@
   if (m_reader->done()) {
     m_timer.cancel();
     m_busy = true;
-    m_keep_alive = m_reader->head().keep_alive;
-    m_head_request = m_reader->head().method == "HEAD";
-    m_hooks->on_request(
-        shared_from_this(),
-        {m_reader->head(), m_reader->TakeBody(), net::BootNow()});
+    CallerRequest request{m_reader->TakeHead(), m_reader->TakeBody(),
+                          net::BootNow()};
+    m_keep_alive = request.head.keep_alive;
+    m_head_request = request.head.method == "HEAD";
+    m_request_bytes =
+        request.head.headers.held_bytes() + kCopiesOfBody * request.body.size();
+    UpdateEntry();
+    if (m_entry && !m_entry->Admits()) {
+      Reject({core::ErrorId::kMemoryLimit, "router",
+              "requests in progress hold what callers may hold"});
+      return false;
+    }
+    m_hooks->on_request(shared_from_this(), std::move(request));
     return !m_busy && !m_closed && !m_unread.empty();
   }
   if (!had_begun && m_reader->begun()) {
@@ -168,6 +248,7 @@
     m_continue_sent = true;
     m_stream->Send("HTTP/1.1 100 Continue\r\n\r\n");
   }
+  UpdateEntry();
   return false;
 }
 
@@ -177,9 +258,11 @@
   m_keep_alive = false;
   m_head_request = false;
   const int status = core::Describe(error.id).http_status;
-  Respond({status,
-           std::string(ReasonOf(status)),
-           {},
+  http1::HeaderList headers;
+  if (error.id == core::ErrorId::kMemoryLimit) {
+    headers.Add("Retry-After", kRetryAfterMemory);
+  }
+  Respond({status, std::string(ReasonOf(status)), headers,
            core::ErrorCode(error.id) + "\n"});
 }
 
@@ -234,6 +317,9 @@
   if (!text.empty()) {
     m_stream->Send(text);
   }
+  if (m_stream->unsent() != 0) {
+    UpdateEntry();
+  }
 }
 
 void CallerConnection::EndResponse() {
@@ -316,6 +402,13 @@
 
 void CallerConnection::Close() {
   m_closed = true;
+  m_unread = std::string();
+  m_reader.reset();
+  if (m_stream->open()) {
+    UpdateEntry();
+  } else {
+    m_entry.reset();
+  }
   m_timer.cancel();
   m_on_disconnect = nullptr;
   m_on_drained = nullptr;
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -15,7 +15,6 @@
 // Responses of plain services are buffered up to this size until they are
 // complete, so that a broken one can be replaced by a retry or an error.
 constexpr size_t kMaxBufferedResponse = 262'144;
-constexpr size_t kMaxUnsent = 262'144;
 // An unfinished event is kept until it is complete.
 constexpr size_t kMaxEvent = 262'144;
 // What is read of the body of a response that is not forwarded, so that its
@@ -267,7 +266,7 @@
     BeginResponse(IsStream() ? std::nullopt : m_head->length);
   }
   m_caller->SendBody(bytes);
-  if (m_done || !m_attempt || m_caller->unsent() <= kMaxUnsent) {
+  if (m_done || !m_attempt || m_caller->unsent() <= m_caller->max_unsent()) {
     return;
   }
   m_attempt->connection->PauseReading();
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -148,10 +148,29 @@
   };
   hooks.leaving = [this] { return m_leaving_since.has_value(); };
   hooks.on_closed = [] {};
+  hooks.registry = m_caller_registry;
   return hooks;
 }
 
+void Gateway::OnConnectionEnded(const CallerRegistry::Excess& excess) {
+  m_metrics.OnConnectionEnded(core::ToString(excess.limit));
+  m_log.Write(LogCategory::kFailure,
+              LogLine("connection_ended")
+                  .Text("limit", core::ToString(excess.limit))
+                  .Text("stage", core::ToString(excess.stage))
+                  .Number("bytes", static_cast<int64_t>(excess.bytes))
+                  .Number("connections", static_cast<int64_t>(
+                                             m_caller_registry->connections()))
+                  .Number("bytes_of_all",
+                          static_cast<int64_t>(m_caller_registry->bytes())));
+}
+
 core::Status Gateway::MakeListeners() {
+  m_caller_registry = std::make_shared<CallerRegistry>(
+      core::LimitsForProcess(m_settings.memory_bytes, m_settings.max_sockets),
+      [this](const CallerRegistry::Excess& excess) {
+        OnConnectionEnded(excess);
+      });
   struct Planned {
     const std::string& address;
     std::function<void(const CallerRef&, CallerRequest)> on_request;
@@ -227,6 +246,8 @@
   stats.relayed_connections = m_pool.relayed();
   stats.services_out_of_reach = m_reach.partitioned();
   stats.relayed_for_others = m_relay_server ? m_relay_server->Busy() : 0;
+  stats.caller_connections = m_caller_registry->connections();
+  stats.caller_bytes = m_caller_registry->bytes();
   m_metrics.OnProcess(stats);
   LocalResponse answer;
   answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -68,6 +68,10 @@
       RegisterCounter(registry,
                       "coppervalve_entry_relays_total",
                       "Connections that other routers asked for, by result");
+  Family<Counter>& connections_ended =
+      RegisterCounter(registry,
+                      "coppervalve_entry_connections_ended_total",
+                      "Connections of callers ended, by the limit exceeded");
   Family<Counter>& store_calls =
       RegisterCounter(registry,
                       "coppervalve_entry_store_calls_total",
@@ -134,6 +138,10 @@
       .Increment();
 }
 
+void GatewayMetrics::OnConnectionEnded(std::string_view limit) {
+  m_impl->connections_ended.Add({{"limit", std::string(limit)}}).Increment();
+}
+
 void GatewayMetrics::OnGrantWait(core::Duration waited) {
   m_impl->grant_wait.Add({}, kSecondsBuckets).Observe(Seconds(waited));
 }
@@ -191,6 +199,8 @@
   set("services_out_of_reach",
       static_cast<double>(stats.services_out_of_reach));
   set("relayed_for_others", static_cast<double>(stats.relayed_for_others));
+  set("caller_connections", static_cast<double>(stats.caller_connections));
+  set("caller_bytes", static_cast<double>(stats.caller_bytes));
 }
 
 std::string GatewayMetrics::Text() const {
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -233,6 +233,8 @@
 }
 
 void Stream::Close() {
+  m_out = std::string();
+  m_out_sent = 0;
   ErrorCode ignored;
   m_linger.cancel();
   m_socket.close(ignored);
--- a/src/http1/header_list.cc
+++ b/src/http1/header_list.cc
@@ -49,6 +49,11 @@
 
 void HeaderList::Add(std::string_view name, std::string_view value) {
   m_headers.push_back({std::string(name), std::string(value)});
+  m_text_bytes += name.size() + value.size();
+}
+
+size_t HeaderList::held_bytes() const {
+  return m_headers.capacity() * sizeof(Header) + m_text_bytes;
 }
 
 const std::string* HeaderList::Find(std::string_view name) const {
--- a/src/http1/request_reader.cc
+++ b/src/http1/request_reader.cc
@@ -1,7 +1,7 @@
 #include "coppervalve/http1/request_reader.h"
 
 #include <boost/beast/http/basic_parser.hpp>
-#include <utility>  // exchange
+#include <utility>  // exchange, move
 
 namespace coppervalve::http1 {
 
@@ -178,6 +178,14 @@
   return m_parser->m_head;
 }
 
+size_t RequestReader::held_bytes() const {
+  return m_parser->m_head.headers.held_bytes() + m_parser->m_body.capacity();
+}
+
+RequestHead RequestReader::TakeHead() {
+  return std::move(m_parser->m_head);
+}
+
 std::string RequestReader::TakeBody() {
   return std::exchange(m_parser->m_body, {});
 }
