Log's core: bound what all connections hold together

Callers saw: a router that ran out of memory by unfinished bodies or heads, and ordinary callers whose connections were reset while others were left open without a request. Cause: as in the entry router, each limit was one of a connection. Why it works: net::ConnectionRegistry, the one of the entry router, on each traffic thread with its part of the limits, so that the connection that it chooses is ended at once. With one registry for all threads a connection of another thread ended only after that thread's backlog (178,855,936 to 236,699,648 bytes by heads). What a request takes is recorded after each part, its head included. Operators have a part for themselves.

--- a/apps/coppervalved/daemon.cc
+++ b/apps/coppervalved/daemon.cc
@@ -117,6 +117,10 @@
   hooks.on_rejected = [&metrics](const core::Error& error) {
     metrics.OnRejected(error);
   };
+  hooks.on_connection_ended =
+      [&metrics](const core::ConnectionLedger::Excess& excess) {
+        metrics.OnConnectionEnded(excess.limit);
+      };
   hooks.log = telemetry::WriteLine;
   hooks.metrics_text = [&metrics] { return metrics.Text(); };
   hooks.incarnation = [&decision_core] { return decision_core.incarnation(); };
--- a/apps/coppervalved/setting_table.cc
+++ b/apps/coppervalved/setting_table.cc
@@ -199,6 +199,13 @@
        Size(
            [](Settings & s) -> auto& { return s.shell.caller.max_connections; },
            1, 1'000'000)});
+  table.push_back(
+      {"max-held-bytes", "67108864",
+       "Maximum memory for what callers have sent, all together",
+       "1048576 to 17179869184", false, false,
+       Size(
+           [](Settings & s) -> auto& { return s.shell.caller.max_held_bytes; },
+           1'048'576, 17'179'869'184)});
   table.push_back({"max-header-bytes", "16384",
                    "Maximum header size of a request", "1024 to 1048576", false,
                    false,
--- a/include/coppervalve/gateway/caller_connection.h
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -14,10 +14,10 @@
 #include "coppervalve/core/error.h"
 #include "coppervalve/core/units.h"
 #include "coppervalve/entry/configuration.h"
-#include "coppervalve/gateway/caller_registry.h"
 #include "coppervalve/gateway/stream.h"
 #include "coppervalve/http1/header_list.h"
 #include "coppervalve/http1/request_reader.h"
+#include "coppervalve/net/connection_registry.h"
 
 namespace coppervalve::gateway {
 
@@ -54,7 +54,7 @@
     std::function<bool()> leaving;
     std::function<void()> on_closed;
     /// Of the connections of all listeners.
-    std::shared_ptr<CallerRegistry> registry;
+    std::shared_ptr<net::ConnectionRegistry> registry;
   };
 
   CallerConnection(boost::asio::io_context& io,
@@ -115,7 +115,7 @@
   boost::asio::steady_timer m_timer;
   StreamRef m_stream;
   std::shared_ptr<const Hooks> m_hooks;
-  std::shared_ptr<CallerRegistry::Entry> m_entry;
+  std::shared_ptr<net::ConnectionRegistry::Entry> m_entry;
   std::unique_ptr<http1::RequestReader> m_reader;
   std::string m_unread;
   std::string m_head_text;  ///< response head that was not sent yet
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -211,7 +211,7 @@
   core::Status MakeListeners();
   CallerConnection::Hooks CallerHooks(
       std::function<void(const CallerRef&, CallerRequest)> on_request);
-  void OnConnectionEnded(const CallerRegistry::Excess& excess);
+  void OnConnectionEnded(const net::ConnectionRegistry::Excess& excess);
   void ServeMetrics(const CallerRef& caller);
   void LogLifecycle(LogLine line);
 
@@ -280,7 +280,7 @@
   std::unique_ptr<PlacementClient> m_placement_client;
   std::unique_ptr<FleetViewClient> m_fleet_view_client;
   entry::TransferReplyCache m_transfer_replies;
-  std::shared_ptr<CallerRegistry> m_caller_registry;
+  std::shared_ptr<net::ConnectionRegistry> m_connections;
   std::vector<std::shared_ptr<Listener>> m_listeners;
   std::shared_ptr<Listener> m_callers;
   std::vector<std::function<void()>> m_grant_waiters;
--- a/include/coppervalve/net/caller_server.h
+++ b/include/coppervalve/net/caller_server.h
@@ -8,6 +8,7 @@
 #include <memory>      // shared_ptr
 #include <string>      // string
 
+#include "coppervalve/core/connection_ledger.h"
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/result.h"
 #include "coppervalve/net/answer.h"
@@ -20,6 +21,8 @@
 struct CallerLimits {
   size_t max_header_bytes = size_t{16} * 1024;
   size_t max_body_bytes = size_t{1024} * 1024;
+  /// For all connections of a port together.
+  size_t max_held_bytes = size_t{64} * 1024 * 1024;
   size_t max_connections = 8192;
   std::chrono::milliseconds header_timeout{10'000};  ///< for the whole header
   std::chrono::milliseconds body_timeout{30'000};    ///< for the whole body
@@ -46,6 +49,9 @@
   /// While true, answers carry "Connection: close", so that callers connect
   /// to another router for their next request.
   std::function<bool()> draining;
+  /// A connection was ended because all of the port exceed a limit. Called on
+  /// any thread.
+  std::function<void(const core::ConnectionLedger::Excess&)> ended;
 };
 
 /// @brief An HTTP/1.1 server on one port; its connections are distributed over
--- a/include/coppervalve/gateway/caller_registry.h
+++ b/include/coppervalve/net/connection_registry.h
@@ -1,5 +1,5 @@
-#ifndef COPPERVALVE_GATEWAY_CALLER_REGISTRY_H_
-#define COPPERVALVE_GATEWAY_CALLER_REGISTRY_H_
+#ifndef COPPERVALVE_NET_CONNECTION_REGISTRY_H_
+#define COPPERVALVE_NET_CONNECTION_REGISTRY_H_
 
 #include <cstddef>        // size_t
 #include <functional>     // function
@@ -8,24 +8,25 @@
 
 #include "coppervalve/core/connection_ledger.h"
 
-namespace coppervalve::gateway {
+namespace coppervalve::net {
 
-/// @brief The connections of all listeners, and what they hold. Ends some of
-/// them when all together exceed a limit.
-class CallerRegistry : public std::enable_shared_from_this<CallerRegistry> {
+/// @brief The clients' connections that share limits, and what they hold. Ends
+/// some of them when all together exceed a limit. Used on one thread.
+class ConnectionRegistry
+    : public std::enable_shared_from_this<ConnectionRegistry> {
  public:
   using Id = core::ConnectionLedger::Id;
   using Excess = core::ConnectionLedger::Excess;
   using EndConnection = std::function<void(core::ConnectionLimit limit)>;
 
   /// @param on_ended called for each connection that is ended
-  CallerRegistry(const core::ConnectionLimits& limits,
-                 std::function<void(const Excess&)> on_ended);
+  ConnectionRegistry(const core::ConnectionLimits& limits,
+                     std::function<void(const Excess&)> on_ended);
 
   /// @brief A registered connection; leaves the registry when it is destroyed.
   class Entry {
    public:
-    Entry(std::shared_ptr<CallerRegistry> registry, Id id);
+    Entry(std::shared_ptr<ConnectionRegistry> registry, Id id);
     ~Entry();
     Entry(const Entry&) = delete;
     Entry& operator=(const Entry&) = delete;
@@ -38,7 +39,7 @@
     bool Admits() const;
 
    private:
-    const std::shared_ptr<CallerRegistry> m_registry;
+    const std::shared_ptr<ConnectionRegistry> m_registry;
     const Id m_id;
   };
 
@@ -60,6 +61,6 @@
   bool m_ending = false;
 };
 
-}  // namespace coppervalve::gateway
+}  // namespace coppervalve::net
 
-#endif  // COPPERVALVE_GATEWAY_CALLER_REGISTRY_H_
+#endif  // COPPERVALVE_NET_CONNECTION_REGISTRY_H_
--- a/include/coppervalve/net/shell.h
+++ b/include/coppervalve/net/shell.h
@@ -23,6 +23,8 @@
   /// Called on any thread.
   std::function<void(const router::LogLine&)> log;
   std::function<void(const core::Error&)> on_rejected;
+  std::function<void(const core::ConnectionLedger::Excess&)>
+      on_connection_ended;
   std::function<std::string()> metrics_text;
   /// The incarnation that forwards must be addressed to; any when not set.
   std::function<core::Incarnation()> incarnation;
--- a/include/coppervalve/telemetry/router_metrics.h
+++ b/include/coppervalve/telemetry/router_metrics.h
@@ -4,6 +4,7 @@
 #include <memory>  // unique_ptr
 #include <string>  // string
 
+#include "coppervalve/core/connection_ledger.h"
 #include "coppervalve/core/error.h"
 #include "coppervalve/core/units.h"
 #include "coppervalve/router/events.h"
@@ -25,6 +26,8 @@
   void OnAction(core::TimePoint now, const router::Action& action);
   /// @brief Counts a request that the shell rejected. Thread-safe.
   void OnRejected(const core::Error& error);
+  /// @brief Counts a connection that was ended by a limit. Thread-safe.
+  void OnConnectionEnded(core::ConnectionLimit limit);
   /// @brief Returns the body of the /metrics response. Thread-safe.
   std::string Text() const;
 
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -156,8 +156,9 @@
 // What a connection holds counts even where its own limits allow it: all
 // connections together have to fit into the memory of the process.
 void CallerConnection::UpdateEntry() {
-  if (m_entry) {
-    m_entry->Update(Stage(), HeldBytes());
+  // The update may end this connection, which drops the entry.
+  if (const auto entry = m_entry) {
+    entry->Update(Stage(), HeldBytes());
   }
 }
 
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -6,6 +6,7 @@
 
 #include "coppervalve/entry/limit_reports.h"
 #include "coppervalve/net/clock.h"
+#include "coppervalve/net/process_limits.h"
 
 namespace coppervalve::gateway {
 
@@ -148,27 +149,30 @@
   };
   hooks.leaving = [this] { return m_leaving_since.has_value(); };
   hooks.on_closed = [] {};
-  hooks.registry = m_caller_registry;
+  hooks.registry = m_connections;
   return hooks;
 }
 
-void Gateway::OnConnectionEnded(const CallerRegistry::Excess& excess) {
+void Gateway::OnConnectionEnded(const net::ConnectionRegistry::Excess& excess) {
   m_metrics.OnConnectionEnded(core::ToString(excess.limit));
   m_log.Write(LogCategory::kFailure,
               LogLine("connection_ended")
                   .Text("limit", core::ToString(excess.limit))
                   .Text("stage", core::ToString(excess.stage))
                   .Number("bytes", static_cast<int64_t>(excess.bytes))
-                  .Number("connections", static_cast<int64_t>(
-                                             m_caller_registry->connections()))
+                  .Number("connections",
+                          static_cast<int64_t>(m_connections->connections()))
                   .Number("bytes_of_all",
-                          static_cast<int64_t>(m_caller_registry->bytes())));
+                          static_cast<int64_t>(m_connections->bytes())));
 }
 
 core::Status Gateway::MakeListeners() {
-  m_caller_registry = std::make_shared<CallerRegistry>(
-      core::LimitsForProcess(m_settings.memory_bytes, m_settings.max_sockets),
-      [this](const CallerRegistry::Excess& excess) {
+  m_connections = std::make_shared<net::ConnectionRegistry>(
+      core::LimitsForProcess(m_settings.memory_bytes,
+                             m_settings.max_sockets != 0
+                                 ? m_settings.max_sockets
+                                 : net::MaxSockets()),
+      [this](const net::ConnectionRegistry::Excess& excess) {
         OnConnectionEnded(excess);
       });
   struct Planned {
@@ -246,8 +250,8 @@
   stats.relayed_connections = m_pool.relayed();
   stats.services_out_of_reach = m_reach.partitioned();
   stats.relayed_for_others = m_relay_server ? m_relay_server->Busy() : 0;
-  stats.caller_connections = m_caller_registry->connections();
-  stats.caller_bytes = m_caller_registry->bytes();
+  stats.caller_connections = m_connections->connections();
+  stats.caller_bytes = m_connections->bytes();
   m_metrics.OnProcess(stats);
   LocalResponse answer;
   answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
--- a/src/net/caller_reader.cc
+++ b/src/net/caller_reader.cc
@@ -24,6 +24,8 @@
 constexpr size_t kReadBytes = size_t{8} * 1024;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned kHttp10 = 10;
+// Memory that a header field takes beside its text.
+constexpr size_t kFieldOverhead = 128;
 
 std::optional<core::Error> ErrorToAnswer(error_code e, bool expired) {
   if (expired) {
@@ -86,25 +88,53 @@
 
   void ReadHead() {
     parser.emplace();
+    head_bytes = 0;
     parser->header_limit(static_cast<uint32_t>(limits.max_header_bytes));
     parser->body_limit(limits.max_body_bytes);
     // One timeout for the whole header: otherwise a sender of occasional single
     // bytes could hold the connection forever.
     Arm(limits.header_timeout);
-    http::async_read_header(
-        socket, buffer, *parser,
-        [self = shared_from_this()](error_code e, size_t) { self->OnHead(e); });
+    ReadMoreOfHead();
   }
 
-  void OnHead(error_code e) {
-    if (stopped) {
+  void ReadMoreOfHead() {
+    if (parser->is_header_done()) {
+      OnHead();
       return;
     }
-    if (e) {
-      End(ErrorToAnswer(e, deadline.expired()));
+    ReadSome([this] { ReadMoreOfHead(); });
+  }
+
+  // Reads a part and reports it; `next` is not called when the request ended.
+  void ReadSome(std::function<void()> next) {
+    http::async_read_some(
+        socket, buffer, *parser,
+        [self = shared_from_this(), next = std::move(next)](error_code e,
+                                                            size_t) {
+          if (!self->stopped && e) {
+            self->End(ErrorToAnswer(e, self->deadline.expired()));
+            return;
+          }
+          if (!self->stopped) {
+            self->ReportProgress();
+          }
+          if (self->stopped) {
+            self->Release();
+            return;
+          }
+          next();
+        });
+  }
+
+  void OnHead() {
+    Arm(limits.body_timeout);
+    head_bytes = BytesOfHead();
+    ReportProgress();
+    if (stopped) {
+      Release();
       return;
     }
-    Arm(limits.body_timeout);
+    parser->eager(true);
     if (beast::iequals(parser->get()[http::field::expect], "100-continue")) {
       asio::async_write(socket, asio::buffer(kContinue),
                         [self = shared_from_this()](error_code error, size_t) {
@@ -120,17 +150,33 @@
   }
 
   void ReadBody() {
-    http::async_read(socket, buffer, *parser,
-                     [self = shared_from_this()](error_code e, size_t) {
-                       if (self->stopped) {
-                         return;
-                       }
-                       if (e) {
-                         self->End(ErrorToAnswer(e, self->deadline.expired()));
-                         return;
-                       }
-                       self->EndRequest();
-                     });
+    if (parser->is_done()) {
+      EndRequest();
+      return;
+    }
+    ReadSome([this] { ReadBody(); });
+  }
+
+  size_t BytesOfHead() const {
+    size_t bytes = 0;
+    for (const auto& field : parser->get()) {
+      bytes +=
+          field.name_string().size() + field.value().size() + kFieldOverhead;
+    }
+    return bytes;
+  }
+
+  void ReportProgress() const {
+    if (on_progress) {
+      on_progress(head_bytes + buffer.capacity() +
+                  parser->get().body().capacity());
+    }
+  }
+
+  // What a stopped reader has received is not needed any more.
+  void Release() {
+    parser.reset();
+    buffer = beast::flat_buffer();
   }
 
   void EndRequest() {
@@ -142,6 +188,9 @@
     request.body = std::move(message.body());
     request.http_1_0 = message.version() == kHttp10;
     keep_alive = parser->keep_alive();
+    if (buffer.size() == 0) {
+      buffer.shrink_to_fit();
+    }
     const Done callback = Finish();
     if (callback) {
       callback(std::move(request));
@@ -186,6 +235,8 @@
   std::optional<Parser> parser;
   Done done;
   std::function<void()> on_closed;
+  std::function<void(size_t held)> on_progress;
+  size_t head_bytes = 0;
   bool begun = false;
   bool keep_alive = false;
   bool stopped = false;
@@ -206,6 +257,11 @@
   m_impl->Begin();
 }
 
+void CallerReader::SetProgressHandler(
+    std::function<void(size_t held)> on_progress) {
+  m_impl->on_progress = std::move(on_progress);
+}
+
 bool CallerReader::keep_alive() const {
   return m_impl->keep_alive;
 }
@@ -219,6 +275,7 @@
   m_impl->deadline.Disarm();
   m_impl->done = nullptr;
   m_impl->on_closed = nullptr;
+  m_impl->on_progress = nullptr;
 }
 
 }  // namespace coppervalve::net
--- a/src/net/caller_reader.h
+++ b/src/net/caller_reader.h
@@ -29,11 +29,14 @@
   /// kHeaderTooLarge, kBodyTooLarge, kSlowSender, kBadRequest
   /// @param on_closed called instead when the connection was closed
   void Read(Done done, std::function<void()> on_closed);
+  /// @brief Sets a handler that is called after each part of a request that was
+  /// received, with the bytes of memory that the request takes so far.
+  void SetProgressHandler(std::function<void(size_t held)> on_progress);
   /// @return whether the connection may be used for another request
   bool keep_alive() const;
   /// @return whether the first byte of the current request has been received
   bool begun() const;
-  /// @brief Clears the callbacks; a request in progress is discarded.
+  /// @brief Clears the callbacks; a request that is being read is discarded.
   void Stop();
 
  private:
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -1,6 +1,7 @@
 #include "coppervalve/net/caller_server.h"
 
-#include <atomic>  // atomic
+#include <algorithm>  // max
+#include <atomic>     // atomic
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <unordered_map>  // unordered_map
@@ -8,6 +9,7 @@
 #include <vector>         // vector
 
 #include "caller_session.h"
+#include "coppervalve/net/connection_registry.h"
 #include "socket_util.h"
 
 namespace coppervalve::net {
@@ -32,7 +34,18 @@
         limits(a_limits),
         acceptor(pool.Context(kAcceptThread)),
         retry(pool.Context(kAcceptThread)),
-        sessions(pool.size()) {}
+        sessions(pool.size()) {
+    // Connections are distributed evenly, and each thread keeps its part of the
+    // limits: it can end only its own connections at once.
+    const core::ConnectionLimits part{
+        std::max(limits.max_connections / pool.size(), size_t{1}),
+        limits.max_held_bytes / pool.size()};
+    const auto on_ended = hooks->ended ? hooks->ended : [](const auto&) {};
+    for (size_t thread = 0; thread < pool.size(); ++thread) {
+      registries.push_back(
+          std::make_shared<ConnectionRegistry>(part, on_ended));
+    }
+  }
 
   void Accept() {
     const size_t thread = next_thread++ % pool.size();
@@ -58,16 +71,23 @@
       });
       return;
     }
-    if (open < limits.max_connections) {
-      ++open;
-      auto shared = std::make_shared<tcp::socket>(std::move(socket));
-      pool.Post(thread, [self = shared_from_this(), thread, shared] {
-        self->Begin(thread, std::move(*shared));
-      });
-    }
+    ++open;
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    pool.Post(thread, [self = shared_from_this(), thread, shared] {
+      self->Begin(thread, std::move(*shared));
+    });
     Accept();
   }
 
+  void Register(size_t thread, const std::shared_ptr<CallerSession>& session) {
+    session->SetEntry(registries[thread]->Add(
+        [weak = std::weak_ptr(session)](core::ConnectionLimit limit) {
+          if (const auto ending = weak.lock()) {
+            ending->EndForLimit(limit);
+          }
+        }));
+  }
+
   void Begin(size_t thread, tcp::socket socket) {
     const size_t id = next_session++;
     auto session = std::make_shared<CallerSession>(
@@ -79,6 +99,7 @@
           }
         });
     sessions[thread][id] = session;
+    Register(thread, session);
     session->Run();
     if (closing) {
       session->CloseWhenIdle();
@@ -107,6 +128,7 @@
   IoPool& pool;
   const std::shared_ptr<const CallerHooks> hooks;
   const CallerLimits limits;
+  std::vector<std::shared_ptr<ConnectionRegistry>> registries;  // by thread
   tcp::acceptor acceptor;
   asio::steady_timer retry;
   uint16_t bound_port = 0;
--- a/src/net/caller_session.cc
+++ b/src/net/caller_session.cc
@@ -17,6 +17,23 @@
 // Time that a refused sender may continue sending before the connection is
 // reset.
 constexpr std::chrono::milliseconds kLingerTimeout{2000};
+constexpr std::chrono::seconds kRetryAfterMemory{1};
+// A request is held by its worker, and once more while it is sent.
+constexpr size_t kCopiesOfBody = 2;
+
+size_t HeldBytes(const HttpRequest& request) {
+  size_t bytes = kCopiesOfBody * request.body.size();
+  for (const auto& [name, value] : request.headers) {
+    bytes += sizeof(name) + sizeof(value) + name.size() + value.size();
+  }
+  return bytes;
+}
+
+// Shared by all connections of a thread: nothing reads what is discarded.
+std::array<char, kPieceBytes>& Sink() {
+  thread_local std::array<char, kPieceBytes> sink;
+  return sink;
+}
 
 }  // namespace
 
@@ -39,11 +56,28 @@
 
 CallerSession::~CallerSession() = default;
 
+void CallerSession::SetEntry(std::shared_ptr<ConnectionRegistry::Entry> entry) {
+  m_entry = std::move(entry);
+}
+
+void CallerSession::Record(core::ConnectionStage stage, size_t bytes) {
+  // The update may end this connection, which drops the entry.
+  if (const auto entry = m_entry) {
+    entry->Update(stage, bytes);
+  }
+}
+
 void CallerSession::Run() {
   if (m_closing) {
     Close();
     return;
   }
+  Record(core::ConnectionStage::kIdle, 0);
+  m_reader.SetProgressHandler([weak = weak_from_this()](size_t held) {
+    if (const auto self = weak.lock()) {
+      self->Record(core::ConnectionStage::kReceiving, held);
+    }
+  });
   m_reader.Read(
       [weak = weak_from_this()](core::Result<HttpRequest> request) {
         if (const auto self = weak.lock()) {
@@ -64,6 +98,21 @@
   }
 }
 
+void CallerSession::EndForLimit(core::ConnectionLimit limit) {
+  const bool receiving = !m_busy && !m_closing && m_reader.begun();
+  m_closing = true;
+  if (!receiving || limit == core::ConnectionLimit::kConnections) {
+    Close();
+    return;
+  }
+  m_reader.Stop();
+  ErrorCode ignored;
+  m_socket.cancel(ignored);
+  Record(core::ConnectionStage::kClosing, 0);
+  Reject({core::ErrorId::kMemoryLimit, "router",
+          "its callers' requests exceed a limit"});
+}
+
 void CallerSession::OnRequest(core::Result<HttpRequest> result) {
   if (!core::IsOk(result)) {
     Reject(core::Failure(result));
@@ -71,6 +120,12 @@
   }
   HttpRequest request = core::TakeValue(std::move(result));
   m_busy = true;
+  Record(core::ConnectionStage::kBusy, HeldBytes(request));
+  if (m_entry && !m_entry->Admits()) {
+    Reject({core::ErrorId::kMemoryLimit, "router",
+            "requests in progress hold what callers may hold"});
+    return;
+  }
   m_head_sent = false;
   m_ends_exchange = false;
   m_truncated = false;
@@ -95,10 +150,14 @@
 
 void CallerSession::Reject(const core::Error& error) {
   m_hooks->rejected(error);
-  const Refusal refusal = RefusalOf(error);
+  Refusal refusal = RefusalOf(error);
+  if (error.id == core::ErrorId::kMemoryLimit) {
+    refusal.retry_after = kRetryAfterMemory;
+  }
   m_busy = true;
   m_options = {.close = true, .omit_body = false};
   m_answer = nullptr;
+  Record(core::ConnectionStage::kClosing, 0);
   WriteResponse(RefusalHead(refusal), RefusalJson(refusal));
 }
 
@@ -272,6 +331,7 @@
   // Closing while the caller still sends makes the kernel reset the connection,
   // and the caller may lose the answer with the reason. So its input is
   // discarded until it closes too or kLingerTimeout has passed.
+  Record(core::ConnectionStage::kClosing, 0);
   ErrorCode ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   m_deadline.Arm(kLingerTimeout, [weak = weak_from_this()] {
@@ -283,10 +343,9 @@
 }
 
 void CallerSession::DiscardInput() {
-  auto sink = std::make_shared<std::array<char, kPieceBytes>>();
   m_socket.async_read_some(
-      asio::buffer(*sink),
-      [self = shared_from_this(), sink](const ErrorCode& error, size_t) {
+      asio::buffer(Sink()),
+      [self = shared_from_this()](const ErrorCode& error, size_t) {
         if (error) {
           self->Close();
           return;
@@ -300,6 +359,7 @@
   m_reader.Stop();
   ErrorCode ignored;
   m_socket.close(ignored);
+  m_entry.reset();
   if (const auto closed = std::exchange(m_on_closed, nullptr)) {
     // Posted, because the owner destroys this session, which is still in use.
     asio::post(m_context, closed);
--- a/src/net/caller_session.h
+++ b/src/net/caller_session.h
@@ -11,6 +11,7 @@
 #include "coppervalve/core/ids.h"
 #include "coppervalve/net/answer_reader.h"
 #include "coppervalve/net/caller_server.h"
+#include "coppervalve/net/connection_registry.h"
 #include "deadline.h"
 #include "http_serializer.h"
 
@@ -28,6 +29,8 @@
                 std::shared_ptr<const CallerHooks> hooks,
                 const CallerLimits& limits,
                 std::function<void()> on_closed);
+  /// @brief Sets the entry that records what this connection holds.
+  void SetEntry(std::shared_ptr<ConnectionRegistry::Entry> entry);
   CallerSession(const CallerSession&) = delete;
   CallerSession& operator=(const CallerSession&) = delete;
   ~CallerSession();
@@ -35,10 +38,14 @@
   void Run();
   /// @brief Closes once the request in progress, if any, is answered.
   void CloseWhenIdle();
+  /// @brief Closes the connection, or refuses the request that is being
+  /// received, because all connections exceed a limit.
+  void EndForLimit(core::ConnectionLimit limit);
 
  private:
   using ErrorCode = boost::system::error_code;
 
+  void Record(core::ConnectionStage stage, size_t bytes);
   void OnRequest(core::Result<HttpRequest> request);
   void Reject(const core::Error& error);
 
@@ -64,6 +71,7 @@
   const std::shared_ptr<const CallerHooks> m_hooks;
   const CallerLimits m_limits;
   std::function<void()> m_on_closed;
+  std::shared_ptr<ConnectionRegistry::Entry> m_entry;
   Deadline m_deadline;
   CallerReader m_reader;
 
--- a/src/gateway/caller_registry.cc
+++ b/src/net/connection_registry.cc
@@ -1,15 +1,17 @@
-#include "coppervalve/gateway/caller_registry.h"
+#include "coppervalve/net/connection_registry.h"
 
 #include <optional>  // optional
 #include <utility>   // move
 
-namespace coppervalve::gateway {
+namespace coppervalve::net {
 
-CallerRegistry::CallerRegistry(const core::ConnectionLimits& limits,
-                               std::function<void(const Excess&)> on_ended)
+ConnectionRegistry::ConnectionRegistry(
+    const core::ConnectionLimits& limits,
+    std::function<void(const Excess&)> on_ended)
     : m_ledger(limits), m_on_ended(std::move(on_ended)) {}
 
-std::shared_ptr<CallerRegistry::Entry> CallerRegistry::Add(EndConnection end) {
+std::shared_ptr<ConnectionRegistry::Entry> ConnectionRegistry::Add(
+    EndConnection end) {
   const Id id = m_ledger.Open();
   m_ends.emplace(id, std::move(end));
   auto entry = std::make_shared<Entry>(shared_from_this(), id);
@@ -17,14 +19,14 @@
   return entry;
 }
 
-void CallerRegistry::Remove(Id id) {
+void ConnectionRegistry::Remove(Id id) {
   m_ledger.Close(id);
   m_ends.erase(id);
 }
 
 // Ending a connection updates or removes its entry. One that is ended twice
 // without that would be found again and again.
-void CallerRegistry::EndExcess() {
+void ConnectionRegistry::EndExcess() {
   if (m_ending) {
     return;
   }
@@ -43,20 +45,22 @@
   m_ending = false;
 }
 
-CallerRegistry::Entry::Entry(std::shared_ptr<CallerRegistry> registry, Id id)
+ConnectionRegistry::Entry::Entry(std::shared_ptr<ConnectionRegistry> registry,
+                                 Id id)
     : m_registry(std::move(registry)), m_id(id) {}
 
-CallerRegistry::Entry::~Entry() {
+ConnectionRegistry::Entry::~Entry() {
   m_registry->Remove(m_id);
 }
 
-void CallerRegistry::Entry::Update(core::ConnectionStage stage, size_t bytes) {
+void ConnectionRegistry::Entry::Update(core::ConnectionStage stage,
+                                       size_t bytes) {
   m_registry->m_ledger.Update(m_id, stage, bytes);
   m_registry->EndExcess();
 }
 
-bool CallerRegistry::Entry::Admits() const {
+bool ConnectionRegistry::Entry::Admits() const {
   return m_registry->m_ledger.Admits(m_id);
 }
 
-}  // namespace coppervalve::gateway
+}  // namespace coppervalve::net
--- /dev/null
+++ b/src/net/process_limits.cc
@@ -0,0 +1,25 @@
+#include "coppervalve/net/process_limits.h"
+
+#include <sys/resource.h>  // getrlimit
+
+namespace coppervalve::net {
+
+namespace {
+
+// Descriptors for files, events and timers.
+constexpr size_t kOtherDescriptors = 64;
+
+}  // namespace
+
+size_t MaxSockets() {
+  struct rlimit limit {};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return 0;
+  }
+  const auto descriptors = static_cast<size_t>(limit.rlim_cur);
+  return descriptors > 2 * kOtherDescriptors ? descriptors - kOtherDescriptors
+                                             : descriptors / 2;
+}
+
+}  // namespace coppervalve::net
--- a/src/net/shell.cc
+++ b/src/net/shell.cc
@@ -1,6 +1,8 @@
 #include "coppervalve/net/shell.h"
 
+#include <algorithm>           // min
 #include <atomic>              // atomic
+#include <chrono>              // duration_cast, seconds
 #include <condition_variable>  // condition_variable
 #include <cstdio>              // snprintf
 #include <mutex>               // mutex
@@ -13,6 +15,7 @@
 #include "coppervalve/net/clock.h"
 #include "coppervalve/net/io_pool.h"
 #include "coppervalve/net/peer_link.h"
+#include "coppervalve/net/process_limits.h"
 #include "forward_writer.h"
 #include "log_transport.h"
 #include "operator_routes.h"
@@ -25,6 +28,27 @@
 namespace {
 
 constexpr std::chrono::milliseconds kClosePoll{5};
+// Part of the connections and bytes that operators get, so that callers can't
+// shut them out.
+constexpr size_t kOperatorsPart = 8;
+
+size_t MaxClientConnections() {
+  return core::LimitsForProcess(0, MaxSockets()).connections;
+}
+
+CallerLimits CallerPortLimits(CallerLimits limits) {
+  const size_t all = MaxClientConnections();
+  limits.max_connections =
+      std::min(limits.max_connections, all - all / kOperatorsPart);
+  return limits;
+}
+
+CallerLimits OperatorPortLimits(CallerLimits limits) {
+  limits.max_connections =
+      std::min(limits.max_connections, MaxClientConnections() / kOperatorsPart);
+  limits.max_held_bytes /= kOperatorsPart;
+  return limits;
+}
 
 // Makes request ids unique across processes and restarts.
 std::string RequestPrefix(const ShellSettings& settings) {
@@ -51,8 +75,8 @@
             [this](router::Action action) { Execute(std::move(action)); }),
         platform(pool.Context(kPlatformThread), settings, Sink()),
         log(pool.Context(kPlatformThread), settings, Sink()),
-        callers(pool, CallerPort(), settings.caller),
-        operators(pool, OperatorPort(), settings.caller) {
+        callers(pool, CallerPort(), CallerPortLimits(settings.caller)),
+        operators(pool, OperatorPort(), OperatorPortLimits(settings.caller)) {
     if (!settings.peer_listen.empty()) {
       peers = std::make_unique<PeerClient>(pool.Context(kPlatformThread),
                                            settings.peer_secret);
@@ -117,9 +141,32 @@
       }
     };
     port.draining = [this] { return draining.load(); };
+    port.ended = [this](const core::ConnectionLedger::Excess& excess) {
+      OnConnectionEnded(excess);
+    };
     return port;
   }
 
+  // At most one line a second: under a crowd they would be too many.
+  void OnConnectionEnded(const core::ConnectionLedger::Excess& excess) {
+    if (hooks.on_connection_ended) {
+      hooks.on_connection_ended(excess);
+    }
+    ++connections_ended;
+    const int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
+                               BootNow().time_since_epoch())
+                               .count();
+    if (!hooks.log || ended_logged_at.exchange(second) == second) {
+      return;
+    }
+    hooks.log({router::LogLine::Level::kWarning,
+               "connection_ended",
+               {{"limit", std::string(core::ToString(excess.limit))},
+                {"stage", std::string(core::ToString(excess.stage))},
+                {"bytes", std::to_string(excess.bytes)},
+                {"count", std::to_string(connections_ended.exchange(0))}}});
+  }
+
   CallerHooks CallerPort() {
     CallerHooks port = PortHooks();
     port.accept = [this](size_t thread, HttpRequest request) {
@@ -263,6 +310,8 @@
   const ShellSettings settings;
   const ShellHooks hooks;
   std::atomic<bool> draining{false};
+  std::atomic<uint64_t> connections_ended{0};  // since the last line about them
+  std::atomic<int64_t> ended_logged_at{0};     // second
   std::mutex exit_mutex;
   std::condition_variable exit_signal;
   bool exiting = false;
--- a/src/telemetry/router_metrics.cc
+++ b/src/telemetry/router_metrics.cc
@@ -191,6 +191,10 @@
       CounterOf(*registry,
                 "coppervalve_rejected_total",
                 "Requests that the shell refused before the core saw them");
+  Family<Counter>& connections_ended =
+      CounterOf(*registry,
+                "coppervalve_connections_ended_total",
+                "Connections ended, by the limit that all exceeded");
   Family<Counter>& refusals = CounterOf(*registry,
                                         "coppervalve_refusals_total",
                                         "Refusals and failures told");
@@ -269,6 +273,11 @@
   m_impl->Count(m_impl->rejected, {{"error", core::ErrorCode(error.id)}});
 }
 
+void RouterMetrics::OnConnectionEnded(core::ConnectionLimit limit) {
+  m_impl->Count(m_impl->connections_ended,
+                {{"limit", std::string(core::ToString(limit))}});
+}
+
 std::string RouterMetrics::Text() const {
   return prometheus::TextSerializer().Serialize(m_impl->registry->Collect());
 }
--- /dev/null
+++ b/tests/net/unit-connection-registry.cc
@@ -0,0 +1,62 @@
+#include "coppervalve/net/connection_registry.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>      // map
+#include <utility>  // exchange
+
+using namespace coppervalve;
+using namespace coppervalve::net;
+
+namespace {
+
+constexpr core::ConnectionLimits kLimits{3, 1'000'000};
+
+}  // namespace
+
+// clang-format off
+TEST_GROUP(ConnectionRegistry) {
+  int m_ended = 0;
+  std::shared_ptr<ConnectionRegistry> m_registry =
+      std::make_shared<ConnectionRegistry>(
+          kLimits, [this](const ConnectionRegistry::Excess&) { ++m_ended; });
+  std::map<int, std::shared_ptr<ConnectionRegistry::Entry>> m_entries;
+
+  // Adds a connection that leaves when it is ended.
+  void Add(int name) {
+    m_entries[name] = m_registry->Add(
+        [this, name](core::ConnectionLimit) { m_entries[name].reset(); });
+  }
+};
+// clang-format on
+
+TEST(ConnectionRegistry,
+     a_connection_that_exceeds_the_bytes_may_leave_within_its_update) {
+  Add(1);
+  Add(2);
+  m_entries[1]->Update(core::ConnectionStage::kReceiving, 500'000);
+  const auto entry = m_entries[2];
+  entry->Update(core::ConnectionStage::kReceiving, 600'000);
+  CHECK_EQUAL(1, m_ended);
+  CHECK(m_entries[2] == nullptr);
+  CHECK(m_entries[1] != nullptr);
+}
+
+TEST(ConnectionRegistry, the_oldest_leaves_when_one_is_added_beyond_the_limit) {
+  for (int name = 1; name <= 5; ++name) {
+    Add(name);
+  }
+  CHECK_EQUAL(2, m_ended);
+  CHECK(m_entries[1] == nullptr);
+  CHECK(m_entries[2] == nullptr);
+  CHECK_EQUAL(3U, m_registry->connections());
+}
+
+// Guards against a loop over a connection that does not end.
+TEST(ConnectionRegistry, a_connection_that_stays_is_asked_once) {
+  const auto entry = m_registry->Add([](core::ConnectionLimit) {});
+  for (int name = 1; name <= 3; ++name) {
+    m_entries[name] = m_registry->Add([](core::ConnectionLimit) {});
+  }
+  CHECK_EQUAL(1, m_ended);
+}
