Peers: release what refused requests hold

Routers saw: a peer that ran out of memory by requests over HTTP/2 without the shared secret. With 256 such connections open, routers were shut out. Cause: a refused stream kept the fields of its request until the client ended it, up to 32 KB each and 1,280 a connection; connections beyond the limit were closed, whoever held the others. Why it works: the fields go with the refusal, a connection ends after 64 requests without the secret, and the oldest connection that has not shown the secret gives way to a new one. That strangers give way is not tested with processes.

--- a/src/net/detail/peer_server_connection.cc
+++ b/src/net/detail/peer_server_connection.cc
@@ -16,6 +16,7 @@
 constexpr std::string_view kStatusBadRequest = "400";
 constexpr std::string_view kStatusUnauthorized = "401";
 constexpr std::string_view kStatusTooLarge = "413";
+constexpr size_t kMaxUnauthenticated = 64;
 
 UnixSeconds WallClock() {
   return std::chrono::duration_cast<UnixSeconds>(
@@ -133,8 +134,10 @@
                                SignedText(stream->fields), WallClock());
   if (!core::IsOk(verified)) {
     Refuse(id, *stream, core::Failure(verified));
+    CountUnauthenticated();
     return;
   }
+  m_authenticated = true;
   const std::string_view path = Find(stream->fields, kPathField);
   if (path != kMessagePath && path != kForwardPath) {
     Refuse(id, *stream, BadRequest("unknown path"));
@@ -191,7 +194,7 @@
   }
   HeaderList fields{{std::string(kStatusField), std::string(kStatusDelivered)}};
   m_connection->session().SubmitReply(
-      id, WithReplyProof(stream, std::move(fields)), false);
+      id, WithReplyProof(stream.fields, std::move(fields)), false);
 }
 
 void PeerServerConnection::DeliverForward(StreamId id, Stream& stream) {
@@ -215,6 +218,7 @@
                                   const core::Error& error) {
   stream.state = State::kFinished;
   stream.body = std::string();
+  const HeaderList request_fields = std::exchange(stream.fields, {});
   if (m_shared->callbacks.on_refused) {
     m_shared->callbacks.on_refused(error);
   }
@@ -224,13 +228,21 @@
   // An unauthenticated request gets no reply proof: it would confirm a request
   // that was not made with the secret.
   if (error.id != core::ErrorId::kPeerProtocol) {
-    fields = WithReplyProof(stream, std::move(fields));
+    fields = WithReplyProof(request_fields, std::move(fields));
   }
   // The stream is not reset: nghttp2 would drop the queued answer. The rest of
   // the body is limited by the stream's window, which is not extended.
   m_connection->session().SubmitReply(id, fields, false);
 }
 
+// Refused streams stay open until the client ends them, so their number is
+// bounded. A router is refused only if its secret or its clock is wrong.
+void PeerServerConnection::CountUnauthenticated() {
+  if (++m_unauthenticated > kMaxUnauthenticated) {
+    Abort();
+  }
+}
+
 void PeerServerConnection::OnStreamClosed(StreamId id) {
   auto node = m_streams.extract(id);
   if (!node.empty() && node.mapped().on_cancelled) {
--- a/src/net/detail/peer_server_connection.h
+++ b/src/net/detail/peer_server_connection.h
@@ -1,6 +1,7 @@
 #ifndef COPPERVALVE_NET_DETAIL_PEER_SERVER_CONNECTION_H_
 #define COPPERVALVE_NET_DETAIL_PEER_SERVER_CONNECTION_H_
 
+#include <atomic>  // atomic
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -54,6 +55,8 @@
   void Drain();
   /// @brief Closes immediately. Thread-safe.
   void Abort();
+  /// @brief Whether a request was made with the shared secret. Thread-safe.
+  bool authenticated() const { return m_authenticated; }
 
   // Implementation of ForwardReply; called on the strand.
   void ReplyHeadOf(StreamId id, const ReplyHead& head);
@@ -97,7 +100,9 @@
   void DeliverMessage(StreamId id, Stream& stream);
   void DeliverForward(StreamId id, Stream& stream);
   void Refuse(StreamId id, Stream& stream, const core::Error& error);
-  HeaderList WithReplyProof(const Stream& stream, HeaderList fields) const;
+  HeaderList WithReplyProof(const HeaderList& request_fields,
+                            HeaderList fields) const;
+  void CountUnauthenticated();
   void FailReply(StreamId id, const core::Error& error);
   void OnStart(boost::asio::ip::tcp::socket socket);
   void StartDrain();
@@ -109,6 +114,8 @@
   std::shared_ptr<PeerConnection> m_connection;
   OnClosed m_on_closed;
   std::unordered_map<StreamId, Stream> m_streams;
+  size_t m_unauthenticated = 0;  ///< requests refused for that reason
+  std::atomic<bool> m_authenticated{false};
   bool m_draining = false;
 };
 
--- a/src/net/detail/peer_server_replies.cc
+++ b/src/net/detail/peer_server_replies.cc
@@ -24,10 +24,11 @@
   return stream != nullptr && !stream->reply.ended() ? stream : nullptr;
 }
 
-HeaderList PeerServerConnection::WithReplyProof(const Stream& stream,
-                                                HeaderList fields) const {
+HeaderList PeerServerConnection::WithReplyProof(
+    const HeaderList& request_fields,
+    HeaderList fields) const {
   fields.emplace_back(kReplyProofField, m_shared->signer.ReplyProof(
-                                            Find(stream.fields, kAuthField)));
+                                            Find(request_fields, kAuthField)));
   return fields;
 }
 
@@ -36,7 +37,7 @@
   if (stream == nullptr || stream->head_sent) {
     return;
   }
-  const HeaderList fields = WithReplyProof(*stream, EncodeReply(head));
+  const HeaderList fields = WithReplyProof(stream->fields, EncodeReply(head));
   const core::Status fits =
       CheckFields(fields, m_shared->settings.max_header_bytes);
   if (!core::IsOk(fits)) {
--- a/src/net/peer_server.cc
+++ b/src/net/peer_server.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/net/peer_server.h"
 
-#include <algorithm>  // find
+#include <algorithm>  // find, find_if
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -48,6 +48,8 @@
   void Accept();
   void OnAccepted(error_code error, tcp::socket socket);
   void Serve(tcp::socket socket);
+  /// @pre the mutex is held
+  bool MakeRoom();
   void Forget(const std::shared_ptr<PeerServerConnection>& connection);
   void StopAccepting();
   void ReportClosed();
@@ -124,7 +126,7 @@
       std::make_shared<PeerServerConnection>(shared, socket.get_executor());
   {
     const std::lock_guard lock(mutex);
-    if (closing || connections.size() >= shared->settings.max_connections) {
+    if (closing || !MakeRoom()) {
       return;
     }
     connections.push_back(connection);
@@ -135,6 +137,23 @@
   });
 }
 
+// Connections that have not shown the shared secret give way, the oldest first,
+// so that others than routers can't shut routers out.
+bool PeerServer::Impl::MakeRoom() {
+  if (connections.size() < shared->settings.max_connections) {
+    return true;
+  }
+  const auto stranger = std::find_if(
+      connections.begin(), connections.end(),
+      [](const auto& connection) { return !connection->authenticated(); });
+  if (stranger == connections.end()) {
+    return false;
+  }
+  (*stranger)->Abort();
+  connections.erase(stranger);
+  return true;
+}
+
 void PeerServer::Impl::Forget(
     const std::shared_ptr<PeerServerConnection>& connection) {
   {
