Relays: bound connections that have not asked for one

Routers saw: a router whose descriptors were taken by connections to its port for other routers; each lives two seconds without a request, and only relayed ones were counted against the bound of 256. Why it works: the bound holds for all of them and follows from the sockets of the VM; the oldest without a request gives way.

--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -179,6 +179,7 @@
   void BindLoadPort();
   void MakePeerMessenger();
   void StartLoadReports(uint64_t epoch);
+  size_t MaxSockets() const;
   void ListenForRelays();
   std::optional<std::string> RelayedAddressOf(const core::UpstreamId& id) const;
   void OnRelayConnect(const core::UpstreamId& id, ConnectResult result);
--- a/include/coppervalve/gateway/relay_server.h
+++ b/include/coppervalve/gateway/relay_server.h
@@ -36,7 +36,11 @@
   };
 
   /// @param dialer outlives the server
-  RelayServer(boost::asio::io_context& io, const Dialer& dialer, Hooks hooks);
+  /// @param max_sessions connections of other routers, relayed or not yet
+  RelayServer(boost::asio::io_context& io,
+              const Dialer& dialer,
+              size_t max_sessions,
+              Hooks hooks);
   ~RelayServer();
 
   /// @param address "ip:port"
@@ -47,10 +51,12 @@
   size_t Busy() const;
 
  private:
+  bool MakeRoom();
   void OnConnection(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& m_io;
   const Dialer& m_dialer;
+  const size_t m_max_sessions;
   const Hooks m_hooks;
   std::shared_ptr<TcpAcceptor> m_acceptor;
   std::vector<std::weak_ptr<RelaySession>> m_sessions;
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/gateway/gateway.h"
 
-#include <algorithm>  // max
+#include <algorithm>  // clamp, max
 #include <memory>     // make_shared
 #include <utility>    // move
 
@@ -10,6 +10,18 @@
 
 namespace coppervalve::gateway {
 
+namespace {
+
+// A session takes two descriptors, and up to two buffers of unsent bytes.
+size_t MaxRelaySessions(size_t sockets) {
+  constexpr size_t kPartOfSockets = 16;
+  constexpr size_t kFewest = 8;
+  constexpr size_t kMost = 256;
+  return std::clamp(sockets / kPartOfSockets, kFewest, kMost);
+}
+
+}  // namespace
+
 // The port is bound before anything else: from then on no earlier process of
 // this VM is running, so that its reserve stays untouched.
 void Gateway::BindLoadPort() {
@@ -86,13 +98,18 @@
       m_io, m_settings.router.value(), std::move(hooks));
 }
 
+size_t Gateway::MaxSockets() const {
+  return m_settings.max_sockets != 0 ? m_settings.max_sockets
+                                     : net::MaxSockets();
+}
+
 // Datagrams and relayed connections use the same port.
 void Gateway::ListenForRelays() {
   if (m_settings.load_address.empty()) {
     return;
   }
   m_relay_server = std::make_unique<RelayServer>(
-      m_io, m_dialer,
+      m_io, m_dialer, MaxRelaySessions(MaxSockets()),
       RelayServer::Hooks{
           [this](const core::UpstreamId& id) { return RelayedAddressOf(id); },
           [this](bool accepted) { m_metrics.OnRelay(accepted); },
@@ -168,10 +185,7 @@
 
 core::Status Gateway::MakeListeners() {
   m_connections = std::make_shared<net::ConnectionRegistry>(
-      core::LimitsForProcess(m_settings.memory_bytes,
-                             m_settings.max_sockets != 0
-                                 ? m_settings.max_sockets
-                                 : net::MaxSockets()),
+      core::LimitsForProcess(m_settings.memory_bytes, MaxSockets()),
       [this](const net::ConnectionRegistry::Excess& excess) {
         OnConnectionEnded(excess);
       });
--- a/tests/process/test_misbehaving_clients_entry.py
+++ b/tests/process/test_misbehaving_clients_entry.py
@@ -99,6 +99,10 @@
         start = (b"RELAY / HTTP/1.1\r\nHost: relay\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.check(4, lambda: after(start, trailers()), lambda r: r.loads)
 
+    # Guards against connections that hold all descriptors on that port.
+    def test_connections_left_open_to_a_relay(self) -> None:
+        self.check(CONNECTIONS, lambda: iter([b"RELAY / HT"]), lambda r: r.loads)
+
     # Guards against a call for each request of one read, within each other.
     def test_pipelined_requests(self) -> None:
         start = head("Content-Length: 0\r\n", "/hold/x", "office-key")
