--- a/src/net/caller_session.cc
+++ b/src/net/caller_session.cc
@@ -22,9 +22,10 @@
 constexpr size_t kCopiesOfBody = 2;
 
 size_t HeldBytes(const HttpRequest& request) {
-  size_t bytes = kCopiesOfBody * request.body.size();
+  size_t bytes = kCopiesOfBody * request.body.size() +
+                 request.headers.size() * sizeof(HeaderList::value_type);
   for (const auto& [name, value] : request.headers) {
-    bytes += sizeof(name) + sizeof(value) + name.size() + value.size();
+    bytes += name.size() + value.size();
   }
   return bytes;
 }
