Responses: an upstream that was replaced at its address has crashed

Cause: where only the end of the connection ends a response, the router asks whether the upstream's address accepts connections. That shows that something listens there, not that it is the start that responded. Why it works: if the table has since listed another upstream at that address, or another start under its id, the response is broken, whatever accepts. A replacement that is not in the table yet is still not noticed.

--- a/include/coppervalve/entry/upstream.h
+++ b/include/coppervalve/entry/upstream.h
@@ -53,6 +53,7 @@
   AdvertisedLimit limit;
   Brittleness brittleness;
   mutable SenderRank sender_rank;
+  core::TimePoint listed_at{};  ///< when its first record was read
   /// When the entry expired while the store was disturbed; it may return soon.
   std::optional<core::TimePoint> expired_at;
   core::TimePoint paused_until{};  ///< end of the pause that it requested
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -191,6 +191,9 @@
   /// complete, and the upstream may have crashed.
   bool IsEndInDoubt() const;
   void CheckEnd();
+  /// @brief Whether another upstream was listed at the address since the
+  /// attempt started.
+  bool WasReplaced() const;
   void ReturnConnection();
   void OnComplete();
   void OnBroken(std::string_view why);
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -255,6 +255,7 @@
     known = std::make_shared<Upstream>();
     known->order = core::Hash64(entry.id.value());
     known->load_key = LoadKeyOf(put);
+    known->listed_at = read_at;
     m_by_load_key[known->load_key] = known;
     if (m_list_read || restarted) {
       known->warm_up.cold_since = read_at;
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -173,7 +173,7 @@
 // An upstream that is leaving may end its process after the response.
 bool Exchange::IsEndInDoubt() const {
   return m_attempt->ends_with_connection && !m_attempt->end_checked &&
-         !m_attempt->upstream->entry.leaving;
+         (!m_attempt->upstream->entry.leaving || WasReplaced());
 }
 
 // A crash between two events, or within a plain body, leaves no other trace
@@ -194,13 +194,26 @@
         // If no relay can tell, the response must not look complete.
         const bool doubtful = result == ReachMonitor::EndCheck::kUnknown &&
                               !self->m_attempt->relay.empty();
-        const bool crashed = result == ReachMonitor::EndCheck::kRefuses;
+        const bool crashed =
+            result == ReachMonitor::EndCheck::kRefuses || self->WasReplaced();
         self->OnEnd(
             crashed || doubtful ? AttemptEnd::kBroken : AttemptEnd::kComplete,
             crashed ? "the upstream crashed" : "no relay confirms it");
       });
 }
 
+// What accepts connections at the address may be another start.
+bool Exchange::WasReplaced() const {
+  const entry::UpstreamRef& asked = m_attempt->upstream;
+  const entry::UpstreamRef listed = m_context.directory.Find(asked->entry.id);
+  if (listed && listed != asked) {
+    return true;
+  }
+  const entry::UpstreamRef other =
+      m_context.directory.OtherAtAddress(*m_attempt->upstream);
+  return other && other->listed_at >= m_attempt->started_at;
+}
+
 // The upstream may have restarted or left while it responded. Then the pooled
 // connections under its id belong to another instance.
 void Exchange::ReturnConnection() {
--- a/tests/gateway/unit-response-end.cc
+++ b/tests/gateway/unit-response-end.cc
@@ -1,9 +1,11 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>  // all_of
-#include <memory>     // unique_ptr
-#include <string>     // string
-#include <vector>     // vector
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>  // milliseconds
+#include <memory>  // unique_ptr
+#include <string>  // string
+#include <vector>  // vector
 
 #include "coppervalve/http1/response_reader.h"
 #include "gateway_fixture.h"
@@ -278,6 +280,24 @@
   CHECK_FALSE(IsWholeSuccess(Ask("/talk/x")));
 }
 
+// Guards against the same where another start listens at the address by then.
+TEST(ResponseEnd,
+     a_response_whose_upstream_was_replaced_does_not_look_complete) {
+  body = Event(1) + Event(2);
+  framing = Framing::kConnection;
+  ScriptedUpstream& upstream = router.AddUpstream("one", "hold");
+  upstream.Answer([&](const StreamRef& stream, const std::string& request) {
+    stream->Send(Framed(request, Event(1), framing));
+    router.SetUpstream("two", "hold " + upstream.address());
+    const auto timer = std::make_shared<boost::asio::steady_timer>(router.io);
+    timer->expires_after(std::chrono::milliseconds(300));
+    timer->async_wait(
+        [stream, timer](const auto& /*code*/) { stream->CloseWhenSent(); });
+  });
+  router.Start();
+  CHECK_FALSE(IsWholeSuccess(Ask("/hold/x")));
+}
+
 // Guards against any short response that looks whole, wherever it is cut.
 TEST(ResponseEnd, a_response_cut_at_any_byte_is_whole_or_visibly_broken) {
   AddUpstreams("hold");
