Drain: wait for responses that are still being sent

Cause: a connection counted as idle as soon as its response was handed to the stream, which may hold 256 KB of it, or as closed if the response was the last; the drain ended with them. Why it works: a connection is busy until its kernel has taken the response. A caller that reads nothing holds a drain up to the end of the grace period, as a request in progress does.

--- a/include/coppervalve/gateway/caller_connection.h
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -89,8 +89,9 @@
   size_t unsent() const { return m_stream->unsent(); }
   /// @return number of unsent bytes beyond which nothing more should be sent
   size_t max_unsent() const;
-  /// @return whether a request is in progress or waits to be parsed
-  bool busy() const { return !m_closed && (m_busy || !m_unread.empty()); }
+  /// @return whether a request is in progress or waits to be parsed, or a
+  /// response is still being sent
+  bool busy() const;
   /// @brief Closes the connection unless a request is in progress.
   void CloseIfIdle();
 
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -353,6 +353,13 @@
   Close();
 }
 
+bool CallerConnection::busy() const {
+  if (m_closed) {
+    return m_stream->open() && m_stream->unsent() != 0;
+  }
+  return m_busy || !m_unread.empty() || m_stream->unsent() != 0;
+}
+
 void CallerConnection::CloseIfIdle() {
   if (m_closed || busy() || m_reader->begun()) {
     return;
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -1,5 +1,8 @@
 #include "gateway_fixture.h"
 
+#include <netinet/tcp.h>  // TCP_MAXSEG
+#include <sys/socket.h>   // setsockopt
+
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -258,8 +261,18 @@
 }
 
 TestCaller::TestCaller(boost::asio::io_context& io,
-                       const std::string& address) {
+                       const std::string& address,
+                       int window) {
   tcp::socket socket(io);
+  socket.open(tcp::v4());
+  if (window != 0) {
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(window));
+    // Segments as on Ethernet: with those of the loopback interface the
+    // router's kernel takes megabytes.
+    const int segment = 1'460;
+    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &segment,
+               sizeof(segment));
+  }
   socket.connect(EndpointOf(address));
   m_stream = std::make_shared<Stream>(std::move(socket));
   m_stream->Start({[this](std::string_view bytes) { received.append(bytes); },
@@ -283,6 +296,10 @@
   m_stream->PauseReading();
 }
 
+void TestCaller::ResumeReading() {
+  m_stream->ResumeReading();
+}
+
 void TestCaller::CloseAfterSend() {
   m_stream->CloseWhenSent();
 }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -57,12 +57,17 @@
 /// @brief A caller with one connection.
 class TestCaller {
  public:
-  TestCaller(boost::asio::io_context& io, const std::string& address);
+  /// @param window bytes that the kernel receives ahead; 0 = as many as it
+  /// likes
+  TestCaller(boost::asio::io_context& io,
+             const std::string& address,
+             int window = 0);
   ~TestCaller();
   void Send(const std::string& text);
   void Disconnect();
   /// Leaves what the router sends unread.
   void PauseReading();
+  void ResumeReading();
   /// Closes the connection after the sent bytes, as a caller that timed out
   /// does.
   void CloseAfterSend();
--- a/tests/gateway/unit-lifecycle.cc
+++ b/tests/gateway/unit-lifecycle.cc
@@ -111,6 +111,27 @@
   CHECK_EQUAL(0, NewestBeat(router).claims(0).ceiling());
 }
 
+// Guards against a drain that ends while a response waits for its caller.
+TEST(Lifecycle, a_response_that_its_caller_has_not_read_is_not_cut_by_a_drain) {
+  const std::string body(250'000, 'b');
+  router.AddUpstream("one", "hold")
+      .Answer([&](const StreamRef& stream, const std::string& text) {
+        stream->Send(Signed(text, body));
+      });
+  router.Start();
+  bool drained = false;
+  router.gateway->Drain([&] { drained = true; });
+  router.io.run_for(std::chrono::milliseconds(1'500));
+  TestCaller caller(router.io, router.settings.caller_address, 4'096);
+  caller.PauseReading();
+  caller.Send(Router::RequestText("/hold/x", {}, "r-1"));
+  router.io.run_for(std::chrono::milliseconds(2'300));
+  CHECK_FALSE(drained);
+  caller.ResumeReading();
+  CHECK(router.Until([&] { return drained; }));
+  CHECK(caller.received.ends_with(body));
+}
+
 TEST(Lifecycle, requests_that_cannot_finish_within_a_drain_are_refused) {
   // A caller that caches addresses for long arrives six seconds after the
   // signal. If its request were accepted, it would be interrupted when the
