Log's core: free a request as soon as it is refused or handed on

A refused sender stays for up to two seconds, and what it had sent stayed with it, outside of the sum of all connections; the head of a request stayed while the request was in progress. By reading; no test tells the two apart.

--- a/src/net/caller_reader.cc
+++ b/src/net/caller_reader.cc
@@ -173,7 +173,7 @@
     }
   }
 
-  // What a stopped reader has received is not needed any more.
+  // Frees what was received of a request that is not completed.
   void Release() {
     parser.reset();
     buffer = beast::flat_buffer();
@@ -188,6 +188,7 @@
     request.body = std::move(message.body());
     request.http_1_0 = message.version() == kHttp10;
     keep_alive = parser->keep_alive();
+    parser.reset();
     if (buffer.size() == 0) {
       buffer.shrink_to_fit();
     }
@@ -201,6 +202,7 @@
     keep_alive = false;
     const std::function<void()> closed = on_closed;
     const Done callback = Finish();
+    Release();
     if (error && callback) {
       callback(std::move(*error));
       return;
