--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -62,6 +62,7 @@
         self._log = open(self._log_path, "ab")
         self._program = program
         self.process: asyncio.subprocess.Process | None = None
+        self.exits: list[int] = []  # exit statuses of processes that were restarted
 
     async def start(self) -> None:
         with open(self._path, "w", encoding="ascii") as file:
@@ -80,7 +81,7 @@
 
     async def restart(self, number: int) -> None:
         self.send(number)
-        await self.process.wait()
+        self.exits.append(await self.process.wait())
         await self.start()
 
     async def figure(self, name: str) -> float:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
     arrivals_after_report, send_crashing)
 from tests.soak.limits import (
     PROPAGATION_S, excess_failures, max_allowed_arrivals, max_arrivals_in_window)
+from tests.soak.misbehaving import CALLER_LIMITS, VM_LIMITS, MisbehavingClients
 from tests.soak.platform import OFFICE_ID_PREFIX, PREPAID, ZONES, Platform
 from tests.soak.servers import TOKENS_PER_EVENT
 
@@ -31,11 +32,14 @@
 
 class Soak:
     def __init__(self, seconds: float, seed: int, program: str, partitions: bool,
-                 crashing_parts: bool, keep_logs: bool) -> None:
+                 crashing_parts: bool, misbehaving: bool, routers: int,
+                 keep_logs: bool) -> None:
         self._seconds = seconds
         self._keep_logs = keep_logs
         self._partitions_wanted = partitions
         self._crashing_parts_wanted = crashing_parts
+        self._misbehaving_wanted = misbehaving
+        self._router_count = routers
         self._crashing_parts = 0  # number of such parts so far
         self._sent_with_part = 0  # requests that reached upstreams too late after crashes
         self._sound_refused_beside = 0  # times that too few sound requests were served
@@ -61,7 +65,11 @@
         with tempfile.TemporaryDirectory() as folder:
             self._platform = Platform(folder, self._program, self._seed)
             self._platform.event_interval_s = EVENT_INTERVAL_S
-            await self._platform.start(ROUTERS, engines=6,
+            crowds = MisbehavingClients(self._platform, self._seed)
+            if self._misbehaving_wanted:
+                self._platform.vm_limits = VM_LIMITS
+                self._platform.caller_limits = CALLER_LIMITS
+            await self._platform.start(self._router_count, engines=6,
                                        versions=("v1", "v1", "v2", "v2"))
             self._routers = self._platform.routers
             self._servers = self._platform.servers
@@ -70,10 +78,13 @@
                               self._seed)
             until = asyncio.get_running_loop().time() + self._seconds
             faults = asyncio.create_task(self._make_faults(until - 4))
+            sending = asyncio.create_task(
+                crowds.run(until if self._misbehaving_wanted else 0))
             await callers.run(60, until)
             await faults
+            await sending
             await self._platform.stop()
-            verdict = self._verdict(callers.seen)
+            verdict = self._verdict(callers.seen, crowds)
             if verdict or self._keep_logs:
                 self._platform.keep_logs(f"soak-{self._seed}")
             return verdict
@@ -130,7 +141,7 @@
         clock = asyncio.get_running_loop().time
         begin = clock()
         router.send(signal.SIGTERM)
-        await router.process.wait()
+        router.exits.append(await router.process.wait())
         self._shutdowns.append((f"127.0.0.1:{router.front}", begin, clock()))
         await router.start()
 
@@ -392,7 +403,7 @@
         # the answer to one request, and may have two more in flight at that time.
         self._sent_unwanted += max(0, arrivals - 3 * ROUTERS)
 
-    def _verdict(self, seen) -> int:
+    def _verdict(self, seen, crowds: MisbehavingClients) -> int:
         ledger = self._platform.ledger
         runs, prepaid = ledger.runs, self._platform.prepaid
         # Ids that started at an engine; resumed runs count their prompt once.
@@ -419,6 +430,8 @@
             "cut by an orderly shutdown": self._cut_by_shutdowns(seen),
             "ran without a caller's id": len([i for i in runs if not i.startswith("r")]),
             "arrived without an id": len(ledger.without_id),
+            "bytes beyond the memory": crowds.beyond_memory(),
+            "ended by themselves": crowds.abnormal_exits(),
         }
         print("faults:", " ".join(self.faults))
         print("outcomes:", dict(seen.outcomes), "store calls:", self._store.calls)
@@ -426,6 +439,7 @@
         print(f"tokens: {spent} of {prepaid}; most at a cold engine in a second:"
               f" {ledger.max_rate_while_cold}")
         print(f"partitions: failures of {FIRST_TRIES} there and elsewhere: {self._partitions}")
+        print(f"crowds: {crowds.crowds}, most memory: {crowds.peak_memory}")
         print(f"streams: {seen.chats_begun} of {seen.chats} began,"
               f" {seen.resumed_on} of {seen.resumed} were resumed")
         for wrong in (seen.wrong + seen.mixed + ledger.without_id)[:5]:
@@ -442,13 +456,17 @@
                         help="also partition routers from the upstreams")
     parser.add_argument("--crashing-parts", action="store_true",
                         help="also send prompts with parts that crash engines")
+    parser.add_argument("--misbehaving-clients", action="store_true",
+                        help="also send crowds of clients that keep to no limit")
+    parser.add_argument("--routers", type=int, default=ROUTERS)
     parser.add_argument("--keep-logs", action="store_true",
                         help="keep the routers' logs even if no rule is broken")
     parser.add_argument("--build", default=os.environ.get("COPPERVALVE_BUILD", "build"))
     options = parser.parse_args()
     program = os.path.join(options.build, "coppervalved")
     return asyncio.run(Soak(options.seconds, options.seed, program, options.partitions,
-                            options.crashing_parts, options.keep_logs).run())
+                            options.crashing_parts, options.misbehaving_clients,
+                            options.routers, options.keep_logs).run())
 
 
 if __name__ == "__main__":
