--- a/src/core/connection_ledger.cc
+++ b/src/core/connection_ledger.cc
@@ -22,7 +22,7 @@
   }
   if (sockets != 0) {
     const size_t own =
-        std::max(sockets / 4, std::min(kMinOwnSockets, sockets / 2));
+        std::max(sockets / 8, std::min(kMinOwnSockets, sockets / 2));
     limits.connections = sockets - own;
   }
   return limits;
