Responses: a request that another router placed is not cut at its end

Cause: it also compared the object listed under the upstream's id; an upstream that another router named is an object of its own. Evidence: both requests have told_by edge-1, all 10 events and no change of the upstream in the logs. Why it works: only another upstream at the address, listed since the attempt started, counts.

--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -173,7 +173,7 @@
 // An upstream that is leaving may end its process after the response.
 bool Exchange::IsEndInDoubt() const {
   return m_attempt->ends_with_connection && !m_attempt->end_checked &&
-         (!m_attempt->upstream->entry.leaving || WasReplaced());
+         !m_attempt->upstream->entry.leaving;
 }
 
 // A crash between two events, or within a plain body, leaves no other trace
@@ -204,11 +204,6 @@
 
 // What accepts connections at the address may be another start.
 bool Exchange::WasReplaced() const {
-  const entry::UpstreamRef& asked = m_attempt->upstream;
-  const entry::UpstreamRef listed = m_context.directory.Find(asked->entry.id);
-  if (listed && listed != asked) {
-    return true;
-  }
   const entry::UpstreamRef other =
       m_context.directory.OtherAtAddress(*m_attempt->upstream);
   return other && other->listed_at >= m_attempt->started_at;
