Test: evacuations are checked with more requests than chance explains

Cause, in the test: the router chooses between two equal upstreams at random, and the test took twelve requests of which none reached one of them for an evacuation. It asks some 800 times before the evacuation applies, so that by chance (1 in 4,096, measured 6 of about 20,800 for one side) one run in five ends there, and the next twelve contradict it. The router's log has no evacuation then. The faster the machine, the more often it asks.

Change: 48 requests in place of 12, for the presence of requests as well as for their absence. The check is stricter: more requests must all stay away.

--- a/tests/gateway/unit-evacuation.cc
+++ b/tests/gateway/unit-evacuation.cc
@@ -11,6 +11,10 @@
 
 // clang-format off
 TEST_GROUP(Evacuation) {
+  // Placement chooses between equal upstreams at random; enough requests that
+  // none at one of two upstreams is no coincidence.
+  static constexpr int kRequests = 48;
+
   Router router;
   ScriptedUpstream& one = Upstream("one", "fd-x");
   ScriptedUpstream& two = Upstream("two", "fd-y");
@@ -44,7 +48,7 @@
   void SendRequests() {
     one.requests.clear();
     two.requests.clear();
-    for (int i = 0; i < 12; ++i) {
+    for (int i = 0; i < kRequests; ++i) {
       last = router.SendRequest("/lookup/x", {}, "r-" + std::to_string(i));
     }
   }
@@ -61,7 +65,7 @@
   SendRequests();
   CHECK(Has(last, "HTTP/1.1 200"));
   CHECK(one.requests.empty());
-  CHECK_EQUAL(12, two.requests.size());
+  CHECK_EQUAL(kRequests, two.requests.size());
   TakeBack("fd-x");
   SendRequests();
   CHECK(!one.requests.empty());
