Connections: a request that waits to be read keeps its connection

What callers could see: at the limit of connections the router closed the one without progress for the longest, by what it had read. A caller whose request had arrived but had not been read yet counted as idle, and its connection was reset with the request in it.

Cause: ConnectionRegistry knew only what connections had reported. Sockets with input are now passed over (at most 64 in one search, so that clients that keep sending can't suspend the limit), on both cores; a paused connection or one whose last response was sent has no such claim.

Evidence: unit test one_with_unread_input_outlives_one_without (ends the first connection without the change), the_limit_holds_if_all_have_unread_input.

--- a/include/coppervalve/gateway/stream.h
+++ b/include/coppervalve/gateway/stream.h
@@ -57,6 +57,8 @@
   /// @return whether the peer has closed and all its data was read; on_end may
   /// not have been called yet
   bool PeerHasClosed();
+  /// @return whether bytes wait in the socket and will be read
+  bool HasInput() const;
 
  private:
   void Read();
--- a/include/coppervalve/net/connection_registry.h
+++ b/include/coppervalve/net/connection_registry.h
@@ -18,6 +18,7 @@
   using Id = core::ConnectionLedger::Id;
   using Excess = core::ConnectionLedger::Excess;
   using EndConnection = std::function<void(core::ConnectionLimit limit)>;
+  using HasInput = std::function<bool()>;
 
   /// @param on_ended called for each connection that is ended
   ConnectionRegistry(const core::ConnectionLimits& limits,
@@ -44,7 +45,8 @@
   };
 
   /// @param end closes the connection, or refuses its request
-  std::shared_ptr<Entry> Add(EndConnection end);
+  /// @param has_input whether bytes of the client wait to be read
+  std::shared_ptr<Entry> Add(EndConnection end, HasInput has_input);
 
   /// @brief Whether connections should hold less than usual.
   bool IsTight() const { return m_ledger.IsTight(); }
@@ -52,11 +54,16 @@
   size_t bytes() const { return m_ledger.bytes(); }
 
  private:
+  struct Connection {
+    EndConnection end;
+    HasInput has_input;
+  };
+
   void Remove(Id id);
   void EndExcess();
 
   core::ConnectionLedger m_ledger;
-  std::unordered_map<Id, EndConnection> m_ends;
+  std::unordered_map<Id, Connection> m_connections;
   const std::function<void(const Excess&)> m_on_ended;
   bool m_ending = false;
 };
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -58,11 +58,16 @@
 void CallerConnection::Start() {
   std::weak_ptr<CallerConnection> weak = weak_from_this();
   const auto self = shared_from_this();
-  m_entry = m_hooks->registry->Add([weak](core::ConnectionLimit limit) {
-    if (const auto connection = weak.lock()) {
-      connection->EndForLimit(limit);
-    }
-  });
+  m_entry = m_hooks->registry->Add(
+      [weak](core::ConnectionLimit limit) {
+        if (const auto connection = weak.lock()) {
+          connection->EndForLimit(limit);
+        }
+      },
+      [weak] {
+        const auto connection = weak.lock();
+        return connection && connection->m_stream->HasInput();
+      });
   if (m_closed) {
     m_entry.reset();
     return;
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -107,6 +107,11 @@
               MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+bool Stream::HasInput() const {
+  ErrorCode code;
+  return open() && !m_paused && m_socket.available(code) != 0;
+}
+
 void Stream::End(StreamEnd end) {
   if (m_ended) {
     return;
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -85,6 +85,10 @@
           if (const auto ending = weak.lock()) {
             ending->EndForLimit(limit);
           }
+        },
+        [weak = std::weak_ptr(session)] {
+          const auto receiving = weak.lock();
+          return receiving && receiving->HasInput();
         }));
   }
 
--- a/src/net/caller_session.cc
+++ b/src/net/caller_session.cc
@@ -61,6 +61,11 @@
   m_entry = std::move(entry);
 }
 
+bool CallerSession::HasInput() const {
+  ErrorCode code;
+  return m_socket.available(code) != 0;
+}
+
 void CallerSession::Record(core::ConnectionStage stage, size_t bytes) {
   // The update may end this connection, which drops the entry.
   if (const auto entry = m_entry) {
--- a/src/net/caller_session.h
+++ b/src/net/caller_session.h
@@ -41,6 +41,8 @@
   /// @brief Closes the connection, or refuses the request that is being
   /// received, because all connections exceed a limit.
   void EndForLimit(core::ConnectionLimit limit);
+  /// @return whether bytes wait in the socket
+  bool HasInput() const;
 
  private:
   using ErrorCode = boost::system::error_code;
--- a/src/net/connection_registry.cc
+++ b/src/net/connection_registry.cc
@@ -5,15 +5,32 @@
 
 namespace coppervalve::net {
 
+namespace {
+
+// Connections that are passed over in one search, as their input has not been
+// read yet.
+constexpr size_t kMaxPassedOver = 64;
+
+// A request that waits to be read counts as progress. It is of no use to a
+// connection whose last response was sent.
+bool IsReadSoon(const ConnectionRegistry::Excess& excess,
+                const ConnectionRegistry::HasInput& has_input) {
+  return excess.limit == core::ConnectionLimit::kConnections &&
+         excess.stage != core::ConnectionStage::kClosing && has_input();
+}
+
+}  // namespace
+
 ConnectionRegistry::ConnectionRegistry(
     const core::ConnectionLimits& limits,
     std::function<void(const Excess&)> on_ended)
     : m_ledger(limits), m_on_ended(std::move(on_ended)) {}
 
 std::shared_ptr<ConnectionRegistry::Entry> ConnectionRegistry::Add(
-    EndConnection end) {
+    EndConnection end,
+    HasInput has_input) {
   const Id id = m_ledger.Open();
-  m_ends.emplace(id, std::move(end));
+  m_connections.emplace(id, Connection{std::move(end), std::move(has_input)});
   auto entry = std::make_shared<Entry>(shared_from_this(), id);
   EndExcess();
   return entry;
@@ -21,7 +38,7 @@
 
 void ConnectionRegistry::Remove(Id id) {
   m_ledger.Close(id);
-  m_ends.erase(id);
+  m_connections.erase(id);
 }
 
 // Ending a connection updates or removes its entry. One that is ended twice
@@ -32,14 +49,21 @@
   }
   m_ending = true;
   Id last = 0;
+  size_t passed_over = 0;
   while (const std::optional<Excess> excess = m_ledger.FindExcess()) {
-    const auto found = m_ends.find(excess->id);
-    if (found == m_ends.end() || excess->id == last) {
+    const auto found = m_connections.find(excess->id);
+    if (found == m_connections.end() || excess->id == last) {
       break;
     }
+    if (passed_over < kMaxPassedOver &&
+        IsReadSoon(*excess, found->second.has_input)) {
+      ++passed_over;
+      m_ledger.Update(excess->id, excess->stage, excess->bytes);
+      continue;
+    }
     last = excess->id;
     m_on_ended(*excess);
-    const EndConnection end = found->second;
+    const EndConnection end = found->second.end;
     end(excess->limit);
   }
   m_ending = false;
--- a/tests/net/unit-connection-registry.cc
+++ b/tests/net/unit-connection-registry.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <map>      // map
+#include <set>      // set
 #include <utility>  // exchange
 
 using namespace coppervalve;
@@ -22,10 +23,13 @@
           kLimits, [this](const ConnectionRegistry::Excess&) { ++m_ended; });
   std::map<int, std::shared_ptr<ConnectionRegistry::Entry>> m_entries;
 
+  std::set<int> m_with_input;
+
   // Adds a connection that leaves when it is ended.
   void Add(int name) {
     m_entries[name] = m_registry->Add(
-        [this, name](core::ConnectionLimit) { m_entries[name].reset(); });
+        [this, name](core::ConnectionLimit) { m_entries[name].reset(); },
+        [this, name] { return m_with_input.count(name) != 0; });
   }
 };
 // clang-format on
@@ -54,9 +58,35 @@
 
 // Guards against a loop over a connection that does not end.
 TEST(ConnectionRegistry, a_connection_that_stays_is_asked_once) {
-  const auto entry = m_registry->Add([](core::ConnectionLimit) {});
+  const auto add = [this] {
+    return m_registry->Add([](core::ConnectionLimit) {}, [] { return false; });
+  };
+  const auto entry = add();
+  for (int name = 1; name <= 3; ++name) {
+    m_entries[name] = add();
+  }
+  CHECK_EQUAL(1, m_ended);
+}
+
+// Guards against ending connections whose requests have not been read yet.
+TEST(ConnectionRegistry, one_with_unread_input_outlives_one_without) {
   for (int name = 1; name <= 3; ++name) {
-    m_entries[name] = m_registry->Add([](core::ConnectionLimit) {});
+    Add(name);
   }
+  m_with_input = {1, 2};
+  Add(4);
   CHECK_EQUAL(1, m_ended);
+  CHECK(m_entries[1] != nullptr);
+  CHECK(m_entries[2] != nullptr);
+  CHECK(m_entries[3] == nullptr);
+}
+
+// Guards against clients that keep the limit exceeded by sending steadily.
+TEST(ConnectionRegistry, the_limit_holds_if_all_have_unread_input) {
+  for (int name = 1; name <= 5; ++name) {
+    m_with_input.insert(name);
+    Add(name);
+  }
+  CHECK_EQUAL(2, m_ended);
+  CHECK_EQUAL(3U, m_registry->connections());
 }
