Connections: requests in progress count for those to their upstreams too

What callers saw: behind 400 complete requests that waited for an upstream, or whose streams nobody read, an ordinary request got no answer at all; the router had 325 sockets open where its VM has 220.

Cause: only callers' connections were bounded. Each request in progress uses one more, to its upstream, and idle ones to upstreams stayed open beside them. With all callers' connections busy, the new one was the only one that could be ended, so it was closed before its request was read.

Change: a request in progress counts for two connections, idle connections to upstreams are entries that can be ended as idle callers' are, and requests in progress may use seven eighths of all. The next one is read and refused (memory_limit, 503, Retry-After), so that its caller knows that it did not run. The log's core leaves the same eighth; its requests count once.

Two new unit tests of ConnectionLedger need the new member.

--- a/include/coppervalve/core/connection_ledger.h
+++ b/include/coppervalve/core/connection_ledger.h
@@ -16,6 +16,9 @@
 struct ConnectionLimits {
   size_t connections = 8'192;
   size_t bytes = size_t{64} << 20U;
+  /// What a connection counts for while its request is in progress: more than
+  /// one if the request uses connections of its own.
+  size_t connections_of_busy = 1;
 };
 
 /// @return the limits for a process of this size
@@ -70,7 +73,8 @@
   /// only busy connections exceed them
   std::optional<Excess> FindExcess() const;
   /// @brief Whether there is room for the request of a connection that has just
-  /// become busy.
+  /// become busy. Requests in progress may use seven eighths of the connections
+  /// only, so that others can still be told that there is no room.
   bool Admits(Id id) const;
   /// @brief Whether more than half of the bytes are in use.
   bool IsTight() const { return m_bytes > m_limits.bytes / 2; }
@@ -93,6 +97,9 @@
   bool IsSoleHolder(const Entry& entry) const;
   std::optional<Excess> Describe(Id id, ConnectionLimit limit) const;
 
+  size_t UsedConnections() const;
+  bool HasConnectionsForBusy() const;
+
   const ConnectionLimits m_limits;
   std::unordered_map<Id, Entry> m_entries;
   Order m_closing;   ///< least recently updated first
@@ -100,6 +107,7 @@
   /// Those that are not busy and hold something, by what they hold.
   std::set<std::pair<size_t, Id>> m_holders;
   size_t m_bytes = 0;
+  size_t m_busy = 0;  ///< connections with a request in progress
   Id m_next = 1;
 };
 
--- a/include/coppervalve/gateway/upstream_pool.h
+++ b/include/coppervalve/gateway/upstream_pool.h
@@ -2,13 +2,16 @@
 #define COPPERVALVE_GATEWAY_UPSTREAM_POOL_H_
 
 #include <cstdint>        // uint64_t
+#include <memory>         // shared_ptr
 #include <unordered_map>  // unordered_map
+#include <utility>        // move
 #include <vector>         // vector
 
 #include "coppervalve/core/ids.h"
 #include "coppervalve/core/units.h"
 #include "coppervalve/entry/upstream_directory.h"
 #include "coppervalve/gateway/upstream_connection.h"
+#include "coppervalve/net/connection_registry.h"
 
 namespace coppervalve::gateway {
 
@@ -19,6 +22,12 @@
   /// @param dialer outlives the pool
   explicit UpstreamPool(const Dialer& dialer) : m_dialer(dialer) {}
 
+  /// @brief Lets idle connections count as connections of the process, which
+  /// may end them.
+  void SetRegistry(std::shared_ptr<net::ConnectionRegistry> registry) {
+    m_registry = std::move(registry);
+  }
+
   /// @param needs_fresh the request must not be lost to a closing connection:
   /// reuse only a connection that was used recently
   /// @return an idle connection, or a new one that is not open yet
@@ -49,8 +58,15 @@
     core::TimePoint since;
     core::TimePoint usable_until;
     core::Duration keep_time{};  ///< idle timeout of the upstream
+    std::shared_ptr<net::ConnectionRegistry::Entry> entry;
   };
+  void Register(const core::UpstreamId& upstream,
+                const UpstreamConnectionRef& connection);
+  void Remove(const core::UpstreamId& upstream,
+              const UpstreamConnection& connection);
+
   const Dialer& m_dialer;
+  std::shared_ptr<net::ConnectionRegistry> m_registry;
   std::unordered_map<core::UpstreamId, std::vector<Idle>> m_idle;
   uint64_t m_opened = 0;
   uint64_t m_relayed = 0;
--- a/src/core/connection_ledger.cc
+++ b/src/core/connection_ledger.cc
@@ -53,6 +53,7 @@
 void ConnectionLedger::Detach(Id id, const Entry& entry) {
   m_bytes -= entry.bytes;
   if (entry.stage == ConnectionStage::kBusy) {
+    --m_busy;
     return;
   }
   OrderOf(entry.stage).erase(entry.position);
@@ -62,6 +63,7 @@
 void ConnectionLedger::Attach(Id id, Entry& entry) {
   m_bytes += entry.bytes;
   if (entry.stage == ConnectionStage::kBusy) {
+    ++m_busy;
     return;
   }
   Order& order = OrderOf(entry.stage);
@@ -115,7 +117,7 @@
 }
 
 std::optional<ConnectionLedger::Excess> ConnectionLedger::FindExcess() const {
-  if (m_entries.size() > m_limits.connections) {
+  if (UsedConnections() > m_limits.connections) {
     for (const Order* order : {&m_closing, &m_inactive}) {
       if (!order->empty()) {
         return Describe(order->front(), ConnectionLimit::kConnections);
@@ -134,10 +136,22 @@
   return Describe(id, ConnectionLimit::kBytes);
 }
 
+size_t ConnectionLedger::UsedConnections() const {
+  return m_entries.size() + m_busy * (m_limits.connections_of_busy - 1);
+}
+
+bool ConnectionLedger::HasConnectionsForBusy() const {
+  return m_busy <= 1 || m_busy * m_limits.connections_of_busy <=
+                            m_limits.connections - m_limits.connections / 8;
+}
+
 bool ConnectionLedger::Admits(Id id) const {
   const auto found = m_entries.find(id);
-  return found == m_entries.end() || m_bytes <= LimitFor(found->second.bytes) ||
-         IsSoleHolder(found->second);
+  if (found == m_entries.end()) {
+    return true;
+  }
+  return HasConnectionsForBusy() && (m_bytes <= LimitFor(found->second.bytes) ||
+                                     IsSoleHolder(found->second));
 }
 
 }  // namespace coppervalve::core
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -20,6 +20,9 @@
   return std::clamp(sockets / kPartOfSockets, kFewest, kMost);
 }
 
+// That of the caller and that to the upstream.
+constexpr size_t kConnectionsOfRequest = 2;
+
 }  // namespace
 
 // The port is bound before anything else: from then on no earlier process of
@@ -184,11 +187,14 @@
 }
 
 core::Status Gateway::MakeListeners() {
+  core::ConnectionLimits limits =
+      core::LimitsForProcess(m_settings.memory_bytes, MaxSockets());
+  limits.connections_of_busy = kConnectionsOfRequest;
   m_connections = std::make_shared<net::ConnectionRegistry>(
-      core::LimitsForProcess(m_settings.memory_bytes, MaxSockets()),
-      [this](const net::ConnectionRegistry::Excess& excess) {
+      limits, [this](const net::ConnectionRegistry::Excess& excess) {
         OnConnectionEnded(excess);
       });
+  m_pool.SetRegistry(m_connections);
   struct Planned {
     const std::string& address;
     std::function<void(const CallerRef&, CallerRequest)> on_request;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -59,7 +59,37 @@
   }
   m_idle[upstream].push_back(
       {connection, now, now + std::max(keep - kKeepAliveMargin, kMinIdleTime),
-       keep});
+       keep, nullptr});
+  if (m_registry) {
+    Register(upstream, connection);
+  }
+}
+
+// Adding an entry may end idle connections, this one as well.
+void UpstreamPool::Register(const core::UpstreamId& upstream,
+                            const UpstreamConnectionRef& connection) {
+  auto entry = m_registry->Add(
+      [this, upstream, connection = connection.get()](core::ConnectionLimit) {
+        Remove(upstream, *connection);
+      },
+      [] { return false; });
+  for (Idle& one : m_idle[upstream]) {
+    if (one.connection == connection) {
+      one.entry = std::move(entry);
+      return;
+    }
+  }
+}
+
+void UpstreamPool::Remove(const core::UpstreamId& upstream,
+                          const UpstreamConnection& connection) {
+  std::erase_if(m_idle[upstream], [&connection](const Idle& one) {
+    const bool found = one.connection.get() == &connection;
+    if (found) {
+      one.connection->Close();
+    }
+    return found;
+  });
 }
 
 void UpstreamPool::CloseExpired(core::TimePoint now) {
--- a/tests/core/unit-connection-ledger.cc
+++ b/tests/core/unit-connection-ledger.cc
@@ -99,6 +99,35 @@
   CHECK_FALSE(m_ledger.Admits(small));
 }
 
+// Guards against sockets that run out by the connections to upstreams.
+TEST(ConnectionLedger, a_request_counts_for_the_connections_that_it_uses) {
+  ConnectionLedger ledger({16, 1'000'000, 2});
+  for (int i = 0; i < 7; ++i) {
+    const auto id = ledger.Open();
+    ledger.Update(id, ConnectionStage::kBusy, 0);
+    CHECK(ledger.Admits(id));
+  }
+  const auto first = ledger.Open();
+  ledger.Open();
+  CHECK_FALSE(ledger.FindExcess().has_value());
+  ledger.Open();
+  const auto excess = ledger.FindExcess();
+  CHECK(excess.has_value());
+  CHECK_EQUAL(first, excess->id);
+}
+
+// Guards against callers that get no answer while others' requests wait.
+TEST(ConnectionLedger, requests_in_progress_leave_connections_for_refusals) {
+  ConnectionLedger ledger({16, 1'000'000, 2});
+  for (int i = 0; i < 7; ++i) {
+    ledger.Update(ledger.Open(), ConnectionStage::kBusy, 0);
+  }
+  const auto id = ledger.Open();
+  CHECK_FALSE(ledger.FindExcess().has_value());
+  ledger.Update(id, ConnectionStage::kBusy, 0);
+  CHECK_FALSE(ledger.Admits(id));
+}
+
 TEST(ConnectionLedger, sockets_are_kept_for_the_process_itself) {
   CHECK_EQUAL(3'413U, LimitsForProcess(0, 3'900).connections);
   CHECK_EQUAL(156U, LimitsForProcess(0, 220).connections);
