Connections: a stream that nobody reads gives its place to a new request

What callers saw: 68 streams whose callers read nothing held all places of a small VM until TCP gave them up, and ordinary requests were refused with 503 for two seconds.

Cause: a request in progress is never ended, whether its caller reads or not; and the check for free connections was made on every port.

Change: a request in progress whose caller left more than 16 KB unread is a stage of its own (unread). When the requests in progress use all connections that they may, the one in this stage without progress for the longest ends as if its caller had left, and the new request takes its place. Only the port whose requests wait looks at that limit.

--- a/include/coppervalve/core/connection_ledger.h
+++ b/include/coppervalve/core/connection_ledger.h
@@ -31,10 +31,11 @@
   kIdle,       ///< waits for a request
   kReceiving,  ///< has received a part of a request
   kBusy,       ///< a complete request is in progress
+  kUnread,     ///< as kBusy, and the client does not read its response
   kClosing,    ///< its last response was sent
 };
 
-/// @return "idle", "receiving", "busy" or "closing"
+/// @return "idle", "receiving", "busy", "unread" or "closing"
 std::string_view ToString(ConnectionStage stage);
 
 /// @brief Why a connection has to be ended.
@@ -72,10 +73,16 @@
   /// @return the connection to end next; none while the limits are kept, or if
   /// only busy connections exceed them
   std::optional<Excess> FindExcess() const;
-  /// @brief Whether there is room for the request of a connection that has just
-  /// become busy. Requests in progress may use seven eighths of the connections
-  /// only, so that others can still be told that there is no room.
+  /// @brief Whether the bytes allow for the request of a connection that has
+  /// just become busy.
   bool Admits(Id id) const;
+  /// @brief Whether there are connections for all requests in progress. They
+  /// may use seven eighths only, so that others can still be told that there is
+  /// no room.
+  bool HasConnectionsForBusy() const;
+  /// @return the connection to end to make room for a request: of those whose
+  /// response is not read, the one without progress for the longest
+  std::optional<Excess> FindUnread() const;
   /// @brief Whether more than half of the bytes are in use.
   bool IsTight() const { return m_bytes > m_limits.bytes / 2; }
 
@@ -87,9 +94,10 @@
   struct Entry {
     ConnectionStage stage = ConnectionStage::kIdle;
     size_t bytes = 0;
-    Order::iterator position;  ///< unless busy
+    Order::iterator position;  ///< unless kBusy
   };
 
+  static bool IsInProgress(ConnectionStage stage);
   Order& OrderOf(ConnectionStage stage);
   void Detach(Id id, const Entry& entry);
   void Attach(Id id, Entry& entry);
@@ -98,13 +106,14 @@
   std::optional<Excess> Describe(Id id, ConnectionLimit limit) const;
 
   size_t UsedConnections() const;
-  bool HasConnectionsForBusy() const;
 
   const ConnectionLimits m_limits;
   std::unordered_map<Id, Entry> m_entries;
   Order m_closing;   ///< least recently updated first
+  Order m_unread;    ///< least recently updated first
   Order m_inactive;  ///< idle or receiving, least recently updated first
-  /// Those that are not busy and hold something, by what they hold.
+  /// Those without a request in progress that hold something, by what they
+  /// hold.
   std::set<std::pair<size_t, Id>> m_holders;
   size_t m_bytes = 0;
   size_t m_busy = 0;  ///< connections with a request in progress
--- a/include/coppervalve/gateway/caller_connection.h
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -55,6 +55,8 @@
     std::function<void()> on_closed;
     /// Of the connections of all listeners.
     std::shared_ptr<net::ConnectionRegistry> registry;
+    /// Whether requests may wait and use connections of their own.
+    bool requests_wait = false;
   };
 
   CallerConnection(boost::asio::io_context& io,
@@ -106,6 +108,7 @@
   bool HasUnreadResponses() const;
   void Parse();
   bool ParseRequest();
+  bool FindRoom();
   void Reject(const core::Error& error);
   void NextRequest();
   void ArmTimer(core::Duration time);
--- a/include/coppervalve/net/connection_registry.h
+++ b/include/coppervalve/net/connection_registry.h
@@ -35,9 +35,12 @@
     /// @brief Records what the connection is doing and holds. May end other
     /// connections, or this one.
     void Update(core::ConnectionStage stage, size_t bytes);
-    /// @brief Whether there is room for the request that has just been
+    /// @brief Whether the bytes allow for the request that has just been
     /// received.
     bool Admits() const;
+    /// @brief Whether there are connections for the request that has just been
+    /// received. May end connections whose responses are not read.
+    bool FindConnections();
 
    private:
     const std::shared_ptr<ConnectionRegistry> m_registry;
@@ -61,6 +64,7 @@
 
   void Remove(Id id);
   void EndExcess();
+  bool EndUnread();
 
   core::ConnectionLedger m_ledger;
   std::unordered_map<Id, Connection> m_connections;
--- a/src/core/connection_ledger.cc
+++ b/src/core/connection_ledger.cc
@@ -34,6 +34,8 @@
       return "receiving";
     case ConnectionStage::kBusy:
       return "busy";
+    case ConnectionStage::kUnread:
+      return "unread";
     case ConnectionStage::kClosing:
       return "closing";
     case ConnectionStage::kIdle:
@@ -47,27 +49,38 @@
 }
 
 ConnectionLedger::Order& ConnectionLedger::OrderOf(ConnectionStage stage) {
+  if (stage == ConnectionStage::kUnread) {
+    return m_unread;
+  }
   return stage == ConnectionStage::kClosing ? m_closing : m_inactive;
 }
 
+bool ConnectionLedger::IsInProgress(ConnectionStage stage) {
+  return stage == ConnectionStage::kBusy || stage == ConnectionStage::kUnread;
+}
+
 void ConnectionLedger::Detach(Id id, const Entry& entry) {
   m_bytes -= entry.bytes;
-  if (entry.stage == ConnectionStage::kBusy) {
+  if (entry.stage != ConnectionStage::kBusy) {
+    OrderOf(entry.stage).erase(entry.position);
+  }
+  if (IsInProgress(entry.stage)) {
     --m_busy;
     return;
   }
-  OrderOf(entry.stage).erase(entry.position);
   m_holders.erase({entry.bytes, id});
 }
 
 void ConnectionLedger::Attach(Id id, Entry& entry) {
   m_bytes += entry.bytes;
-  if (entry.stage == ConnectionStage::kBusy) {
+  if (entry.stage != ConnectionStage::kBusy) {
+    Order& order = OrderOf(entry.stage);
+    entry.position = order.insert(order.end(), id);
+  }
+  if (IsInProgress(entry.stage)) {
     ++m_busy;
     return;
   }
-  Order& order = OrderOf(entry.stage);
-  entry.position = order.insert(order.end(), id);
   if (entry.bytes != 0) {
     m_holders.emplace(entry.bytes, id);
   }
@@ -145,13 +158,17 @@
                             m_limits.connections - m_limits.connections / 8;
 }
 
+std::optional<ConnectionLedger::Excess> ConnectionLedger::FindUnread() const {
+  if (m_unread.empty()) {
+    return std::nullopt;
+  }
+  return Describe(m_unread.front(), ConnectionLimit::kConnections);
+}
+
 bool ConnectionLedger::Admits(Id id) const {
   const auto found = m_entries.find(id);
-  if (found == m_entries.end()) {
-    return true;
-  }
-  return HasConnectionsForBusy() && (m_bytes <= LimitFor(found->second.bytes) ||
-                                     IsSoleHolder(found->second));
+  return found == m_entries.end() || m_bytes <= LimitFor(found->second.bytes) ||
+         IsSoleHolder(found->second);
 }
 
 }  // namespace coppervalve::core
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -172,7 +172,9 @@
     return core::ConnectionStage::kClosing;
   }
   if (m_busy) {
-    return core::ConnectionStage::kBusy;
+    return m_stream->unsent() < kMaxUnsentWhenTight
+               ? core::ConnectionStage::kBusy
+               : core::ConnectionStage::kUnread;
   }
   return m_reader && m_reader->begun() ? core::ConnectionStage::kReceiving
                                        : core::ConnectionStage::kIdle;
@@ -191,8 +193,15 @@
 }
 
 // A request that was not received completely has not run, so it is refused. A
-// caller that waits for its turn to send, or reads nothing, gets no answer.
+// caller that waits for its turn to send, or reads nothing, gets no answer. A
+// request in progress ends as if its caller had left, but not within the call
+// of the connection that needs the room.
 void CallerConnection::EndForLimit(core::ConnectionLimit limit) {
+  if (m_busy) {
+    m_entry.reset();
+    boost::asio::post(m_io, [self = shared_from_this()] { self->OnEnd(); });
+    return;
+  }
   const bool receiving = Stage() == core::ConnectionStage::kReceiving;
   if (receiving) {
     Reject({core::ErrorId::kMemoryLimit, "router",
@@ -212,6 +221,13 @@
   m_entry.reset();
 }
 
+// Whether there is room for the request that has just been received.
+bool CallerConnection::FindRoom() {
+  const auto entry = m_entry;
+  return !entry || (entry->Admits() &&
+                    (!m_hooks->requests_wait || entry->FindConnections()));
+}
+
 // @return whether a request was answered and another one may follow
 bool CallerConnection::ParseRequest() {
   if (HasUnreadResponses()) {
@@ -238,7 +254,7 @@
     m_request_bytes =
         request.head.headers.held_bytes() + kCopiesOfBody * request.body.size();
     UpdateEntry();
-    if (m_entry && !m_entry->Admits()) {
+    if (!FindRoom()) {
       Reject({core::ErrorId::kMemoryLimit, "router",
               "requests in progress hold what callers may hold"});
       return false;
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -198,6 +198,7 @@
   struct Planned {
     const std::string& address;
     std::function<void(const CallerRef&, CallerRequest)> on_request;
+    bool requests_wait = false;
   };
   const std::vector<Planned> planned = {
       {m_settings.caller_address,
@@ -206,7 +207,8 @@
          m_arrivals.Add(core::Tokens(1), request.arrived);
          std::make_shared<Exchange>(*m_context, caller, std::move(request))
              ->Start();
-       }},
+       },
+       true},
       {m_settings.readiness_address,
        [this](const CallerRef& caller, const CallerRequest& request) {
          caller->Respond(m_adapter.readiness(request.head, Ready()));
@@ -224,8 +226,9 @@
     if (plan.address.empty()) {
       continue;
     }
-    auto listener =
-        std::make_shared<Listener>(m_io, CallerHooks(plan.on_request));
+    CallerConnection::Hooks hooks = CallerHooks(plan.on_request);
+    hooks.requests_wait = plan.requests_wait;
+    auto listener = std::make_shared<Listener>(m_io, std::move(hooks));
     core::Status status = listener->Listen(plan.address);
     if (!core::IsOk(status)) {
       return status;
--- a/src/net/caller_session.cc
+++ b/src/net/caller_session.cc
@@ -127,7 +127,7 @@
   HttpRequest request = core::TakeValue(std::move(result));
   m_busy = true;
   Record(core::ConnectionStage::kBusy, HeldBytes(request));
-  if (m_entry && !m_entry->Admits()) {
+  if (m_entry && (!m_entry->Admits() || !m_entry->FindConnections())) {
     Reject({core::ErrorId::kMemoryLimit, "router",
             "requests in progress hold what callers may hold"});
     return;
--- a/src/net/connection_registry.cc
+++ b/src/net/connection_registry.cc
@@ -69,6 +69,23 @@
   m_ending = false;
 }
 
+// @return whether a connection was ended
+bool ConnectionRegistry::EndUnread() {
+  const std::optional<Excess> unread = m_ledger.FindUnread();
+  if (!unread) {
+    return false;
+  }
+  const auto found = m_connections.find(unread->id);
+  if (found == m_connections.end()) {
+    return false;
+  }
+  m_on_ended(*unread);
+  const EndConnection end = found->second.end;
+  end(unread->limit);
+  const std::optional<Excess> next = m_ledger.FindUnread();
+  return !next || next->id != unread->id;
+}
+
 ConnectionRegistry::Entry::Entry(std::shared_ptr<ConnectionRegistry> registry,
                                  Id id)
     : m_registry(std::move(registry)), m_id(id) {}
@@ -87,4 +104,12 @@
   return m_registry->m_ledger.Admits(m_id);
 }
 
+bool ConnectionRegistry::Entry::FindConnections() {
+  bool found = m_registry->m_ledger.HasConnectionsForBusy();
+  while (!found && m_registry->EndUnread()) {
+    found = m_registry->m_ledger.HasConnectionsForBusy();
+  }
+  return found;
+}
+
 }  // namespace coppervalve::net
--- a/tests/core/unit-connection-ledger.cc
+++ b/tests/core/unit-connection-ledger.cc
@@ -105,7 +105,7 @@
   for (int i = 0; i < 7; ++i) {
     const auto id = ledger.Open();
     ledger.Update(id, ConnectionStage::kBusy, 0);
-    CHECK(ledger.Admits(id));
+    CHECK(ledger.HasConnectionsForBusy());
   }
   const auto first = ledger.Open();
   ledger.Open();
@@ -125,7 +125,25 @@
   const auto id = ledger.Open();
   CHECK_FALSE(ledger.FindExcess().has_value());
   ledger.Update(id, ConnectionStage::kBusy, 0);
-  CHECK_FALSE(ledger.Admits(id));
+  CHECK_FALSE(ledger.HasConnectionsForBusy());
+}
+
+TEST(ConnectionLedger, requests_in_progress_can_be_ended_if_nobody_reads) {
+  const auto first = OpenWith(ConnectionStage::kUnread, 100);
+  const auto second = OpenWith(ConnectionStage::kUnread, 100);
+  OpenWith(ConnectionStage::kBusy, 100);
+  OpenWith(ConnectionStage::kBusy, 100);
+  CHECK(m_ledger.HasConnectionsForBusy());
+  OpenWith(ConnectionStage::kBusy, 100);
+  CHECK_FALSE(m_ledger.HasConnectionsForBusy());
+  CHECK_FALSE(m_ledger.FindExcess().has_value());
+  CHECK_EQUAL(first, m_ledger.FindUnread()->id);
+  m_ledger.Update(first, ConnectionStage::kUnread, 200);
+  CHECK_EQUAL(second, m_ledger.FindUnread()->id);
+  m_ledger.Close(second);
+  m_ledger.Close(first);
+  CHECK(m_ledger.HasConnectionsForBusy());
+  CHECK_FALSE(m_ledger.FindUnread().has_value());
 }
 
 TEST(ConnectionLedger, sockets_are_kept_for_the_process_itself) {
--- a/tests/net/unit-connection-registry.cc
+++ b/tests/net/unit-connection-registry.cc
@@ -81,6 +81,23 @@
   CHECK(m_entries[3] == nullptr);
 }
 
+// Guards against clients that hold all connections by reading nothing.
+TEST(ConnectionRegistry, a_request_takes_the_place_of_one_that_nobody_reads) {
+  m_registry = std::make_shared<ConnectionRegistry>(
+      core::ConnectionLimits{8, 1'000'000},
+      [this](const ConnectionRegistry::Excess&) { ++m_ended; });
+  for (int name = 1; name <= 8; ++name) {
+    Add(name);
+    m_entries[name]->Update(core::ConnectionStage::kBusy, 0);
+  }
+  CHECK_FALSE(m_entries[8]->FindConnections());
+  m_entries[2]->Update(core::ConnectionStage::kUnread, 100);
+  CHECK(m_entries[8]->FindConnections());
+  CHECK_EQUAL(1, m_ended);
+  CHECK(m_entries[2] == nullptr);
+  CHECK(m_entries[8] != nullptr);
+}
+
 // Guards against clients that keep the limit exceeded by sending steadily.
 TEST(ConnectionRegistry, the_limit_holds_if_all_have_unread_input) {
   for (int name = 1; name <= 5; ++name) {
--- a/tests/process/misbehaving_clients.py
+++ b/tests/process/misbehaving_clients.py
@@ -62,9 +62,14 @@
         self._clients: list[_Client] = []
         self._ports: set[int] = set()
 
-    def add(self, port: int, parts: Iterator[bytes]) -> None:
-        """Adds a client that sends these parts."""
-        connection = socket.create_connection((HOST, port), 30)
+    def add(self, port: int, parts: Iterator[bytes], receive_buffer: int = 0) -> None:
+        """Adds a client that sends these parts. A small buffer for what it receives leaves
+        more of it to the process."""
+        connection = socket.socket()
+        if receive_buffer:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        connection.settimeout(30)
+        connection.connect((HOST, port))
         connection.setblocking(False)
         self._clients.append(_Client(connection, parts))
         self._ports.add(port)
--- a/tests/process/test_misbehaving_clients_entry.py
+++ b/tests/process/test_misbehaving_clients_entry.py
@@ -59,6 +59,14 @@
     return 0 if refused and "retry-after" not in reply.headers else reply.status
 
 
+async def wait_for_upstreams(platform: Platform) -> None:
+    """Waits until upstreams have sent what the router takes."""
+    before = -1
+    while before != (sent := platform.ledger.runs.total() + platform.ledger.streamed.total()):
+        before = sent
+        await asyncio.sleep(0.2)
+
+
 class MisbehavingClients(unittest.TestCase):
     # Guards against a process that runs out of memory by one chunked body.
     def test_trailers_without_end(self) -> None:
@@ -143,7 +151,7 @@
 
     # Guards against the same by streams.
     def test_streams_that_nobody_reads(self) -> None:
-        fields = "Model: m\r\nToken-Usage: 100,70\r\nPrefix-Hash: a:50,b:50\r\n"
+        fields = "Model: m\r\nToken-Usage: 100,700\r\nPrefix-Hash: a:50,b:50\r\n"
         self.check(CONNECTIONS, complete_requests("/chat/x", fields), padding=65_536)
 
     # Guards against a limit that refuses what the pages allow.
@@ -166,14 +174,17 @@
             crowd = Crowd(process)
             self.addCleanup(crowd.close)
             for _ in range(count):
-                crowd.add(port(router), parts())
+                crowd.add(port(router), parts(), 4096 if padding else 0)
             await asyncio.to_thread(crowd.send)
             if pipelined:
                 platform.stall(set())
                 await asyncio.to_thread(crowd.send)
+            if padding:
+                await wait_for_upstreams(platform)
             platform.pad(0)
             self.assertIsNone(router.process.returncode, "the process ended")
             status = await send_ordinary(router)
+            connections = await router.figure("caller_connections")
             process.sample_connections()
             seen = {"memory": process.peak_memory(),
                     "connections": process.most_connections, "status": status}
@@ -183,6 +194,7 @@
             self.assertLessEqual(seen["memory"], MEMORY)
             self.assertLessEqual(seen["connections"], DESCRIPTORS - RESERVED_DESCRIPTORS)
             self.assertIn(status, answers)
+            self.assertGreater(connections, 0, "the metrics port does not answer")
 
         self.run_alone(scenario)
 
