Responses: what is kept until it may be sent counts as held

What callers would see: responses of plain services are kept until they are complete, up to 256 KB each, and unfinished events of streams; neither was part of what the callers' connections hold. With the sockets of a large VM (some 1,700 requests in progress) that is 440 MB beyond the sum, so the process could end by memory while its metrics show room. By reading; the crowds of the small VM can't show it, as only 68 requests are in progress there.

Change: the exchange tells the connection what it keeps. A plain response is passed on as it comes from the same size on as an unread one is paused: 256 KB, and 16 KB while more than half of the bytes are in use. The price is that a response that breaks later can't be repeated then.

--- a/include/coppervalve/gateway/caller_connection.h
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -82,6 +82,8 @@
                      const http1::HeaderList& headers,
                      std::optional<uint64_t> length);
   void SendBody(std::string_view bytes);
+  /// @brief Records what is kept of a response until it may be sent.
+  void SetBuffered(size_t bytes);
   /// @brief Completes the response; the connection reads the next request.
   void EndResponse();
   /// @brief Resets the connection, so that the caller can't take the response
@@ -122,6 +124,7 @@
   std::shared_ptr<net::ConnectionRegistry::Entry> m_entry;
   std::unique_ptr<http1::RequestReader> m_reader;
   std::string m_unread;
+  size_t m_buffered = 0;    ///< bytes of a response that may not be sent yet
   std::string m_head_text;  ///< response head that was not sent yet
   std::function<void()> m_on_disconnect;
   std::function<void()> m_on_drained;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -95,6 +95,7 @@
   m_busy = false;
   m_on_disconnect = nullptr;
   m_on_drained = nullptr;
+  m_buffered = 0;
   const entry::CallerBounds bounds = m_hooks->bounds();
   m_reader = std::make_unique<http1::RequestReader>(
       http1::RequestBounds{bounds.header, bounds.body});
@@ -183,7 +184,7 @@
 size_t CallerConnection::HeldBytes() const {
   const size_t held = m_unread.size() + m_stream->unsent();
   if (m_busy) {
-    return held + m_request_bytes;
+    return held + m_request_bytes + m_buffered;
   }
   return m_reader ? held + m_reader->held_bytes() : held;
 }
@@ -344,6 +345,14 @@
   }
 }
 
+void CallerConnection::SetBuffered(size_t bytes) {
+  if (m_closed || bytes == m_buffered) {
+    return;
+  }
+  m_buffered = bytes;
+  UpdateEntry();
+}
+
 void CallerConnection::EndResponse() {
   if (m_closed) {
     return;
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -12,9 +12,6 @@
 
 using entry::AttemptOutcome;
 
-// Responses of plain services are buffered up to this size until they are
-// complete, so that a broken one can be replaced by a retry or an error.
-constexpr size_t kMaxBufferedResponse = 262'144;
 // An unfinished event is kept until it is complete.
 constexpr size_t kMaxEvent = 262'144;
 // What is read of the body of a response that is not forwarded, so that its
@@ -204,11 +201,14 @@
     }
     return;
   }
+  // Responses of plain services are buffered until they are complete, so that a
+  // broken one can be replaced by a retry or an error.
   m_body += body;
-  if (m_body.size() > kMaxBufferedResponse) {
+  if (m_body.size() > m_caller->max_unsent()) {
     attempt.forwarding = true;
     ForwardToCaller(std::exchange(m_body, {}));
   }
+  m_caller->SetBuffered(m_body.size());
 }
 
 // Comments and parts of an event do not reset the timeout: a failing upstream
@@ -219,6 +219,7 @@
   if (m_sse_splitter.events() > before) {
     m_last_activity = net::BootNow();
   }
+  m_caller->SetBuffered(m_sse_splitter.buffered_bytes());
   if (!whole.empty()) {
     ForwardEvents(whole);
   }
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -292,6 +292,7 @@
 // another response.
 void Exchange::DiscardResponse() {
   m_sse_splitter.TakePartialEvent();
+  m_caller->SetBuffered(0);
   if (!m_response_begun) {
     m_head.reset();
     m_body.clear();
