Test: the crowd that reads nothing waits for the router as well

What failed: streams_that_nobody_reads on a build with the address sanitizer, which is several times slower: 503 three of three. The test waited until upstreams had sent everything; the slow router was still passing on what was in its sockets, so no stream was held up by its caller yet, and the refusal was right. It would have been unsteady on a slow machine.

Change: it waits until the router's processor time stands still, too. Crowd, bounds and the required answer are as before.

After: sanitizer build 200 in 2 of 2; usual build 200 in 5 of 5, and 503 in 3 of 3 with FindConnections() made to end nothing, so it still guards the fix.

--- a/tests/process/misbehaving_clients.py
+++ b/tests/process/misbehaving_clients.py
@@ -37,6 +37,13 @@
                     return int(line.split()[1]) * 1024
         raise ProcessLookupError(f"process {self._pid} has ended")
 
+    def cpu_ticks(self) -> int:
+        """Returns the processor time that the process has used, in clock ticks."""
+        with open(f"/proc/{self._pid}/stat", encoding="ascii") as file:
+            fields = file.read().rpartition(")")[2].split()
+        user, system = 11, 12
+        return int(fields[user]) + int(fields[system])
+
     def sample_connections(self) -> None:
         """Counts the open sockets and pipes."""
         folder = f"/proc/{self._pid}/fd"
--- a/tests/process/test_misbehaving_clients_entry.py
+++ b/tests/process/test_misbehaving_clients_entry.py
@@ -33,6 +33,7 @@
 CONNECTIONS = 400
 UNENDING = 33_554_432  # bytes that a client sends of what never ends
 ANSWERED_WITHIN_S = 60
+IDLE_TICKS = 3  # that an idle process may use between two looks
 
 
 def head(fields: str = "", path: str = "/lookup/x", key: str = "unknown",
@@ -59,11 +60,16 @@
     return 0 if refused and "retry-after" not in reply.headers else reply.status
 
 
-async def wait_for_upstreams(platform: Platform) -> None:
-    """Waits until upstreams have sent what the router takes."""
-    before = -1
-    while before != (sent := platform.ledger.runs.total() + platform.ledger.streamed.total()):
-        before = sent
+async def wait_for_responses(platform: Platform, process: ProcessState) -> None:
+    """Waits until upstreams have sent what the router takes, and it has passed on what
+    callers take."""
+    def progress() -> tuple[int, int]:
+        sent = platform.ledger.runs.total() + platform.ledger.streamed.total()
+        return sent, process.cpu_ticks() // IDLE_TICKS
+
+    before = (-1, 0)
+    while before != (now := progress()):
+        before = now
         await asyncio.sleep(0.2)
 
 
@@ -180,7 +186,7 @@
                 platform.stall(set())
                 await asyncio.to_thread(crowd.send)
             if padding:
-                await wait_for_upstreams(platform)
+                await wait_for_responses(platform, process)
             platform.pad(0)
             self.assertIsNone(router.process.returncode, "the process ended")
             status = await send_ordinary(router)
