--- a/include/coppervalve/net/connection_registry.h
+++ b/include/coppervalve/net/connection_registry.h
@@ -10,8 +10,9 @@
 
 namespace coppervalve::net {
 
-/// @brief The clients' connections that share limits, and what they hold. Ends
-/// some of them when all together exceed a limit. Used on one thread.
+/// @brief The connections that share limits, those of clients and idle ones to
+/// upstreams, and what they hold. Ends some of them when all together exceed a
+/// limit. Used on one thread.
 class ConnectionRegistry
     : public std::enable_shared_from_this<ConnectionRegistry> {
  public:
@@ -48,7 +49,7 @@
   };
 
   /// @param end closes the connection, or refuses its request
-  /// @param has_input whether bytes of the client wait to be read
+  /// @param has_input whether bytes of the peer wait to be read
   std::shared_ptr<Entry> Add(EndConnection end, HasInput has_input);
 
   /// @brief Whether connections should hold less than usual.
