Processes say why they end, and what memory they use

The hypotheses of the incident can't be told apart: an uncaught exception leaves a line of the C++ runtime that names no event, and a lack of memory leaves none. The daemon writes a line "terminated" with the exception, and the entry router has a figure resident_bytes.

Change: a handler for std::terminate in both modes of coppervalved; net::ResidentBytes.

--- a/apps/coppervalved/main.cc
+++ b/apps/coppervalved/main.cc
@@ -1,7 +1,8 @@
 #include <google/protobuf/stubs/logging.h>
 
 #include <cstdio>       // fputs
-#include <cstdlib>      // _Exit
+#include <cstdlib>      // abort, _Exit
+#include <exception>    // current_exception, set_terminate
 #include <string>       // string
 #include <string_view>  // string_view
 
@@ -22,6 +23,25 @@
   return kUsageExit;
 }
 
+// Without a reason on record, an uncaught exception can't be told from an
+// invalid access or from a lack of memory.
+[[noreturn]] void OnTerminate() {
+  const char* why = "no exception";
+  if (const std::exception_ptr thrown = std::current_exception()) {
+    why = "unknown exception";
+    try {
+      std::rethrow_exception(thrown);
+    } catch (const std::exception& error) {
+      why = error.what();
+    } catch (...) {
+    }
+  }
+  std::fputs("{\"event\":\"terminated\",\"why\":\"", stderr);
+  std::fputs(why, stderr);
+  std::fputs("\"}\n", stderr);
+  std::abort();
+}
+
 // Runs the entry router, which reads its settings from the platform and not
 // from flags. The policy flag is for experiments only.
 int RunOnPlatform(int argc, char** argv) {
@@ -48,6 +68,7 @@
 
 int main(int argc, char** argv) {
   using namespace coppervalve;
+  std::set_terminate(OnTerminate);
   if (argc >= 2 && std::string_view(argv[1]) == kPlatformMode) {
     return RunOnPlatform(argc, argv);
   }
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -44,6 +44,7 @@
   uint64_t relayed_for_others = 0;  ///< connections at present
   uint64_t caller_connections = 0;  ///< at present
   uint64_t caller_bytes = 0;        ///< held for them at present
+  uint64_t resident_bytes = 0;      ///< of the process
 };
 
 /// @brief Metrics of a router, documented in docs/OPERATIONS.md.
--- a/include/coppervalve/net/process_limits.h
+++ b/include/coppervalve/net/process_limits.h
@@ -9,6 +9,9 @@
 /// 0 if there is none
 size_t MaxSockets();
 
+/// @return memory of this process that is resident, in bytes; 0 if unknown
+size_t ResidentBytes();
+
 }  // namespace coppervalve::net
 
 #endif  // COPPERVALVE_NET_PROCESS_LIMITS_H_
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -275,6 +275,7 @@
   stats.relayed_for_others = m_relay_server ? m_relay_server->Busy() : 0;
   stats.caller_connections = m_connections->connections();
   stats.caller_bytes = m_connections->bytes();
+  stats.resident_bytes = net::ResidentBytes();
   m_metrics.OnProcess(stats);
   LocalResponse answer;
   answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -201,6 +201,7 @@
   set("relayed_for_others", static_cast<double>(stats.relayed_for_others));
   set("caller_connections", static_cast<double>(stats.caller_connections));
   set("caller_bytes", static_cast<double>(stats.caller_bytes));
+  set("resident_bytes", static_cast<double>(stats.resident_bytes));
 }
 
 std::string GatewayMetrics::Text() const {
--- a/src/net/process_limits.cc
+++ b/src/net/process_limits.cc
@@ -1,6 +1,9 @@
 #include "coppervalve/net/process_limits.h"
 
 #include <sys/resource.h>  // getrlimit
+#include <unistd.h>        // sysconf
+
+#include <fstream>  // ifstream
 
 namespace coppervalve::net {
 
@@ -22,4 +25,12 @@
                                              : descriptors / 2;
 }
 
+size_t ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  size_t all_pages = 0;
+  size_t resident_pages = 0;
+  file >> all_pages >> resident_pages;
+  return file ? resident_pages * static_cast<size_t>(sysconf(_SC_PAGESIZE)) : 0;
+}
+
 }  // namespace coppervalve::net
