Start: wait for ports that are in use instead of ending the process

Callers saw a router that does not start: exit status 2 in a few milliseconds, again and again for as long as any of its ports was in use.

Cause: listening was tried once, and its failure was returned as a wrong setting. A port is in use while the predecessor still ends (killed with much to free, stopped, or draining), and while an outgoing connection has it as its own. The port for other routers was tried once for relays, twice for datagrams, and given up then.

Evidence: on each of the callers', readiness, directory and metrics ports, held by another socket, ends the process with status 2; the tests here fail there. Ours could not see it: the harness takes ports below the range of outgoing connections and reserves them.

Nothing else starts before the callers' port is open, so that no heartbeat supersedes a predecessor that still drains. An address that can't ever be listened on still ends the start. Events port_unavailable and port_opened, figure unavailable_ports.

The error of set_option was lost when bind() followed it.

--- a/include/coppervalve/core/error.h
+++ b/include/coppervalve/core/error.h
@@ -26,6 +26,7 @@
   kSettingMissing = 201,
   kSettingBadValue = 202,
   kSettingUnknown = 203,
+  kAddressUnavailable = 204,
   // 3xx: invalid requests from callers.
   kBadRequest = 301,
   kBodyTooLarge = 302,
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -33,6 +33,7 @@
 #include "coppervalve/gateway/gateway_metrics.h"
 #include "coppervalve/gateway/heartbeat_writer.h"
 #include "coppervalve/gateway/keyed_store.h"
+#include "coppervalve/gateway/listen_retry.h"
 #include "coppervalve/gateway/listener.h"
 #include "coppervalve/gateway/peer_messenger.h"
 #include "coppervalve/gateway/placement_client.h"
@@ -115,7 +116,10 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  /// @return kSettingBadValue when listening on an address fails
+  /// @brief Listens for callers and starts to serve them. A port that is in use
+  /// is tried again until it is free; before that of the callers is, nothing
+  /// else starts.
+  /// @return kSettingBadValue if an address can't ever be listened on
   core::Status Start();
   /// @brief Shuts down gracefully: leaves the address list, lets requests in
   /// progress finish, then returns the claimed ceilings.
@@ -157,6 +161,7 @@
   void NotifyGrantWaiters();
   void Tick();
   void TryFinishDrain();
+  void FinishDrain(int64_t in_progress);
   void LogActiveRouters();
   std::optional<core::Duration> TimeUntilShutdown() const;
   bool Ready() const;
@@ -178,9 +183,9 @@
   void MakeHeartbeatWriter();
   void BindLoadPort();
   void MakePeerMessenger();
-  void StartLoadReports(uint64_t epoch);
+  void StartLoadReports();
   size_t MaxSockets() const;
-  void ListenForRelays();
+  void MakeRelayServer();
   std::optional<std::string> RelayedAddressOf(const core::UpstreamId& id) const;
   void OnRelayConnect(const core::UpstreamId& id, ConnectResult result);
   void MakeTokenRequester();
@@ -209,7 +214,14 @@
                               bool records_read) const;
   void MakePlacementClient();
   void OnPlaceAsk(const v1::PlaceAsk& ask);
-  core::Status MakeListeners();
+  void MakeListeners();
+  void AddListener(std::string name,
+                   const std::string& address,
+                   CallerConnection::Hooks hooks);
+  core::Status CheckAddresses() const;
+  core::Status OpenPorts();
+  void Serve();
+  ListenRetry::Hooks PortHooks();
   CallerConnection::Hooks CallerHooks(
       std::function<void(const CallerRef&, CallerRequest)> on_request);
   void OnConnectionEnded(const net::ConnectionRegistry::Excess& excess);
@@ -276,14 +288,22 @@
   /// hold the load port; none: the port could not be bound.
   std::optional<core::TimePoint> m_load_port_bound_since;
   bool m_load_reports_started = false;
+  std::optional<uint64_t> m_announced_epoch;  ///< of this start
   std::string m_boot;  ///< boot id of the VM; empty when unknown
   std::unique_ptr<TokenRequester> m_token_requester;
   std::unique_ptr<PlacementClient> m_placement_client;
   std::unique_ptr<FleetViewClient> m_fleet_view_client;
   entry::TransferReplyCache m_transfer_replies;
   std::shared_ptr<net::ConnectionRegistry> m_connections;
-  std::vector<std::shared_ptr<Listener>> m_listeners;
+  struct ListeningPort {
+    std::string name;  ///< for the log
+    std::string address;
+    std::shared_ptr<Listener> listener;
+  };
+  std::vector<ListeningPort> m_listeners;
   std::shared_ptr<Listener> m_callers;
+  ListenRetry m_ports;
+  bool m_serving = false;  ///< the callers' port is open
   std::vector<std::function<void()>> m_grant_waiters;
   entry::Demand m_arrivals;            ///< counts requests, not tokens
   entry::Demand m_heartbeat_arrivals;  ///< counts heartbeats of all routers
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -45,6 +45,7 @@
   uint64_t caller_connections = 0;  ///< at present
   uint64_t caller_bytes = 0;        ///< held for them at present
   uint64_t resident_bytes = 0;      ///< of the process
+  uint64_t unavailable_ports = 0;   ///< not opened yet
 };
 
 /// @brief Metrics of a router, documented in docs/OPERATIONS.md.
--- a/include/coppervalve/gateway/listener.h
+++ b/include/coppervalve/gateway/listener.h
@@ -20,7 +20,8 @@
   Listener(boost::asio::io_context& io, CallerConnection::Hooks hooks);
 
   /// @param address "ip:port"
-  /// @return kSettingBadValue if the address is invalid or can't be bound
+  /// @return kSettingBadValue if the address can't ever be bound,
+  /// kAddressUnavailable if not now; Listen() may be called again then
   core::Status Listen(const std::string& address);
   /// @return connections with a request in progress
   size_t Busy() const;
--- a/include/coppervalve/gateway/peer_messenger.h
+++ b/include/coppervalve/gateway/peer_messenger.h
@@ -39,7 +39,8 @@
   /// @brief Binds the port exclusively: no other process of the VM can have it
   /// while this object lives.
   /// @param address "ip:port" to receive on
-  /// @return kSettingBadValue when the port cannot be bound
+  /// @return kSettingBadValue if the port can't ever be bound,
+  /// kAddressUnavailable if not now; Bind() may be called again then
   core::Status Bind(const std::string& address);
   /// @brief Starts receiving and reporting, once Bind() has succeeded.
   void Start(uint64_t epoch);
--- a/include/coppervalve/gateway/relay_server.h
+++ b/include/coppervalve/gateway/relay_server.h
@@ -44,7 +44,8 @@
   ~RelayServer();
 
   /// @param address "ip:port"
-  /// @return kSettingBadValue if the address is invalid or can't be bound
+  /// @return kSettingBadValue if the address can't ever be bound,
+  /// kAddressUnavailable if not now; Listen() may be called again then
   core::Status Listen(const std::string& address);
   /// @return connections of other routers that are relayed
   /// @complexity linear
--- a/include/coppervalve/gateway/tcp_acceptor.h
+++ b/include/coppervalve/gateway/tcp_acceptor.h
@@ -21,7 +21,8 @@
   TcpAcceptor(boost::asio::io_context& io, Handler on_connection);
 
   /// @param address "ip:port"
-  /// @return kSettingBadValue if the address is invalid or can't be bound
+  /// @return kSettingBadValue if the address can't ever be bound,
+  /// kAddressUnavailable if not now; Listen() may be called again then
   core::Status Listen(const std::string& address, int backlog);
 
  private:
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -25,6 +25,7 @@
     {ErrorId::kSettingMissing, "setting_missing", 500, kNotRun},
     {ErrorId::kSettingBadValue, "setting_bad_value", 500, kNotRun},
     {ErrorId::kSettingUnknown, "setting_unknown", 500, kNotRun},
+    {ErrorId::kAddressUnavailable, "address_unavailable", 503, kNotRun},
     {ErrorId::kBadRequest, "bad_request", 400, kNotRun},
     {ErrorId::kBodyTooLarge, "body_too_large", 413, kNotRun},
     {ErrorId::kHeaderTooLarge, "header_too_large", 431, kNotRun},
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -84,6 +84,7 @@
       m_reach({m_dialer, m_directory, m_gate, m_pool, m_log,
                [this] { return m_members.LoadAddresses(); },
                [this] { return m_members.NextLoadAddresses(); }, m_random}),
+      m_ports(io, PortHooks()),
       m_tick(io) {
   m_context.emplace(ExchangeContext{
       m_io,
@@ -147,13 +148,18 @@
                    .Text("router", m_settings.router.value())
                    .Text("failure_domain", m_settings.failure_domain.value())
                    .Text("callers", m_settings.caller_address));
-  core::Status listening = MakeListeners();
-  if (!core::IsOk(listening)) {
-    return listening;
-  }
+  MakeListeners();
+  core::Status usable = CheckAddresses();
+  return core::IsOk(usable) ? OpenPorts() : usable;
+}
+
+// An earlier process of this VM that still runs has the callers' port. A
+// heartbeat of this one would supersede it before its requests have ended.
+void Gateway::Serve() {
+  m_serving = true;
   m_boot = net::BootId();
   BindLoadPort();
-  ListenForRelays();
+  MakeRelayServer();
   MakeHeartbeatWriter();
   MakeFollowers();
   MakeStreamRecords();
@@ -161,7 +167,6 @@
   m_upstreams->Start();
   ProbeFleet();
   Tick();
-  return core::Ok();
 }
 
 void Gateway::LogLifecycle(LogLine line) {
@@ -246,6 +251,10 @@
   m_leaving_since = net::BootNow();
   LogLifecycle(LogLine("leaving").Number(
       "in_progress", static_cast<int64_t>(m_callers->Busy())));
+  if (!m_serving) {
+    FinishDrain(0);
+    return;
+  }
   m_heartbeat_writer->Expedite();
 }
 
@@ -288,14 +297,18 @@
   const bool claimed =
       m_last_claim_written || now - *m_closing_since >= kClosingTimeout;
   if ((claimed && !busy) || since >= last + kClosingTimeout) {
-    LogLifecycle(LogLine("stopped")
-                     .Number("in_progress", busy ? 1 : 0)
-                     .Flag("ceilings_returned", m_last_claim_written));
-    m_log.Flush();
-    m_on_drained();
+    FinishDrain(busy ? 1 : 0);
   }
 }
 
+void Gateway::FinishDrain(int64_t in_progress) {
+  LogLifecycle(LogLine("stopped")
+                   .Number("in_progress", in_progress)
+                   .Flag("ceilings_returned", m_last_claim_written));
+  m_log.Flush();
+  m_on_drained();
+}
+
 void Gateway::OnReload(const GatewaySettings& settings) {
   m_settings.address_lifetime = settings.address_lifetime;
   m_settings.grace = settings.grace;
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -37,7 +37,8 @@
   hooks.urgent = [this] { return m_members.SelfActive(); };
   hooks.on_epoch_announced = [this](uint64_t epoch, uint64_t end) {
     m_epoch_log_end = end;
-    StartLoadReports(epoch);
+    m_announced_epoch = epoch;
+    StartLoadReports();
     m_stream_writer->Start(epoch);
     StartHeartbeatsIfCaughtUp();
     LogLifecycle(LogLine("epoch_announced")
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -6,6 +6,7 @@
 
 #include "coppervalve/entry/limit_reports.h"
 #include "coppervalve/net/clock.h"
+#include "coppervalve/net/endpoint.h"
 #include "coppervalve/net/process_limits.h"
 
 namespace coppervalve::gateway {
@@ -25,30 +26,29 @@
 
 }  // namespace
 
-// The port is bound before anything else: from then on no earlier process of
-// this VM is running, so that its reserve stays untouched.
+// The port is bound before the first heartbeat: from then on no earlier process
+// of this VM is running, so that its reserve stays untouched.
 void Gateway::BindLoadPort() {
-  if (m_settings.load_address.empty() || m_load_port_bound_since) {
-    return;
-  }
-  if (!m_peer_messenger) {
-    MakePeerMessenger();
-  }
-  const core::Status bound = m_peer_messenger->Bind(m_settings.load_address);
-  if (core::IsOk(bound)) {
-    m_load_port_bound_since = net::BootNow();
+  if (m_settings.load_address.empty()) {
     return;
   }
-  LogLifecycle(LogLine("loads_not_shared")
-                   .Text("why", core::ToString(core::Failure(bound))));
+  MakePeerMessenger();
+  m_ports.Open(
+      {"loads",
+       [this] { return m_peer_messenger->Bind(m_settings.load_address); },
+       [this] {
+         m_load_port_bound_since = net::BootNow();
+         StartLoadReports();
+       }});
 }
 
-void Gateway::StartLoadReports(uint64_t epoch) {
-  BindLoadPort();
-  if (!m_load_port_bound_since || m_load_reports_started) {
+void Gateway::StartLoadReports() {
+  if (!m_load_port_bound_since || !m_announced_epoch ||
+      m_load_reports_started) {
     return;
   }
   m_load_reports_started = true;
+  const uint64_t epoch = *m_announced_epoch;
   m_token_requester->SetEpoch(epoch);
   m_placement_client->SetEpoch(epoch);
   m_fleet_view_client->SetEpoch(epoch);
@@ -107,7 +107,7 @@
 }
 
 // Datagrams and relayed connections use the same port.
-void Gateway::ListenForRelays() {
+void Gateway::MakeRelayServer() {
   if (m_settings.load_address.empty()) {
     return;
   }
@@ -119,12 +119,10 @@
           [this](const core::UpstreamId& id, ConnectResult result) {
             OnRelayConnect(id, result);
           }});
-  const core::Status listening =
-      m_relay_server->Listen(m_settings.load_address);
-  if (!core::IsOk(listening)) {
-    LogLifecycle(LogLine("relays_not_accepted")
-                     .Text("why", core::ToString(core::Failure(listening))));
-  }
+  m_ports.Open(
+      {"relays",
+       [this] { return m_relay_server->Listen(m_settings.load_address); },
+       [] {}});
 }
 
 // A router that is partitioned itself would only delay the request.
@@ -186,7 +184,7 @@
                           static_cast<int64_t>(m_connections->bytes())));
 }
 
-core::Status Gateway::MakeListeners() {
+void Gateway::MakeListeners() {
   core::ConnectionLimits limits =
       core::LimitsForProcess(m_settings.memory_bytes, MaxSockets());
   limits.connections_of_busy = kConnectionsOfRequest;
@@ -195,50 +193,82 @@
         OnConnectionEnded(excess);
       });
   m_pool.SetRegistry(m_connections);
-  struct Planned {
-    const std::string& address;
-    std::function<void(const CallerRef&, CallerRequest)> on_request;
-    bool requests_wait = false;
-  };
-  const std::vector<Planned> planned = {
-      {m_settings.caller_address,
-       [this](const CallerRef& caller, CallerRequest request) {
-         m_last_request = request.arrived;
-         m_arrivals.Add(core::Tokens(1), request.arrived);
-         std::make_shared<Exchange>(*m_context, caller, std::move(request))
-             ->Start();
-       },
-       true},
-      {m_settings.readiness_address,
-       [this](const CallerRef& caller, const CallerRequest& request) {
-         caller->Respond(m_adapter.readiness(request.head, Ready()));
-       }},
-      {m_settings.directory_address,
-       [this](const CallerRef& caller, const CallerRequest& request) {
-         caller->Respond(m_adapter.addresses(
-             request.head, m_members.Addresses(), m_settings.address_lifetime));
-       }},
-      {m_settings.metrics_address,
-       [this](const CallerRef& caller, const CallerRequest& /*request*/) {
-         ServeMetrics(caller);
-       }}};
-  for (const Planned& plan : planned) {
-    if (plan.address.empty()) {
-      continue;
-    }
-    CallerConnection::Hooks hooks = CallerHooks(plan.on_request);
-    hooks.requests_wait = plan.requests_wait;
-    auto listener = std::make_shared<Listener>(m_io, std::move(hooks));
-    core::Status status = listener->Listen(plan.address);
-    if (!core::IsOk(status)) {
-      return status;
+  CallerConnection::Hooks callers = CallerHooks([this](const CallerRef& caller,
+                                                       CallerRequest request) {
+    m_last_request = request.arrived;
+    m_arrivals.Add(core::Tokens(1), request.arrived);
+    std::make_shared<Exchange>(*m_context, caller, std::move(request))->Start();
+  });
+  callers.requests_wait = true;
+  AddListener("callers", m_settings.caller_address, std::move(callers));
+  m_callers = m_listeners.front().listener;
+  AddListener("readiness", m_settings.readiness_address,
+              CallerHooks([this](const CallerRef& caller,
+                                 const CallerRequest& request) {
+                caller->Respond(m_adapter.readiness(request.head, Ready()));
+              }));
+  AddListener(
+      "directory", m_settings.directory_address,
+      CallerHooks([this](const CallerRef& caller,
+                         const CallerRequest& request) {
+        caller->Respond(m_adapter.addresses(request.head, m_members.Addresses(),
+                                            m_settings.address_lifetime));
+      }));
+  AddListener("metrics", m_settings.metrics_address,
+              CallerHooks([this](const CallerRef& caller,
+                                 const CallerRequest& /*request*/) {
+                ServeMetrics(caller);
+              }));
+}
+
+void Gateway::AddListener(std::string name,
+                          const std::string& address,
+                          CallerConnection::Hooks hooks) {
+  if (!address.empty()) {
+    m_listeners.push_back({std::move(name), address,
+                           std::make_shared<Listener>(m_io, std::move(hooks))});
+  }
+}
+
+core::Status Gateway::CheckAddresses() const {
+  for (const ListeningPort& port : m_listeners) {
+    if (!net::ReadEndpoint(port.address)) {
+      return core::Error{core::ErrorId::kSettingBadValue, port.address,
+                         "invalid address"};
     }
-    m_listeners.push_back(std::move(listener));
   }
-  m_callers = m_listeners.front();
   return core::Ok();
 }
 
+// What the other ports answer is known only once the router serves.
+core::Status Gateway::OpenPorts() {
+  const auto open = [this](const ListeningPort& port,
+                           std::function<void()> on_open) {
+    return m_ports.Open({port.name,
+                         [port] { return port.listener->Listen(port.address); },
+                         std::move(on_open)});
+  };
+  return open(m_listeners.front(), [this, open] {
+    Serve();
+    for (size_t i = 1; i < m_listeners.size(); ++i) {
+      open(m_listeners[i], [] {});
+    }
+  });
+}
+
+ListenRetry::Hooks Gateway::PortHooks() {
+  return {[this](const ListenRetry::Port& port, const core::Error& error) {
+            LogLifecycle(LogLine("port_unavailable")
+                             .Text("port", port.name)
+                             .Text("why", core::ToString(error)));
+          },
+          [this](const ListenRetry::Port& port, core::Duration waited) {
+            LogLifecycle(LogLine("port_opened")
+                             .Text("port", port.name)
+                             .Millis("waited_ms", waited));
+          }};
+}
+
 void Gateway::ServeMetrics(const CallerRef& caller) {
   const core::TimePoint now = net::BootNow();
   ProcessStats stats;
@@ -276,6 +306,7 @@
   stats.caller_connections = m_connections->connections();
   stats.caller_bytes = m_connections->bytes();
   stats.resident_bytes = net::ResidentBytes();
+  stats.unavailable_ports = m_ports.pending();
   m_metrics.OnProcess(stats);
   LocalResponse answer;
   answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -202,6 +202,7 @@
   set("caller_connections", static_cast<double>(stats.caller_connections));
   set("caller_bytes", static_cast<double>(stats.caller_bytes));
   set("resident_bytes", static_cast<double>(stats.resident_bytes));
+  set("unavailable_ports", static_cast<double>(stats.unavailable_ports));
 }
 
 std::string GatewayMetrics::Text() const {
--- a/src/gateway/peer_messenger.cc
+++ b/src/gateway/peer_messenger.cc
@@ -7,6 +7,7 @@
 #include <utility>                    // move
 
 #include "coppervalve/net/endpoint.h"
+#include "coppervalve/net/listen_error.h"
 
 namespace coppervalve::gateway {
 
@@ -47,8 +48,7 @@
   if (code) {
     ErrorCode ignored;
     m_socket.close(ignored);
-    return core::Error{core::ErrorId::kSettingBadValue, address,
-                       code.message()};
+    return net::ListenError(address, code);
   }
   m_socket.non_blocking(true, code);
   return core::Ok();
--- a/src/gateway/tcp_acceptor.cc
+++ b/src/gateway/tcp_acceptor.cc
@@ -5,6 +5,7 @@
 #include <utility>                    // move
 
 #include "coppervalve/net/endpoint.h"
+#include "coppervalve/net/listen_error.h"
 
 namespace coppervalve::gateway {
 
@@ -17,10 +18,6 @@
 // immediate retry would keep the event loop busy.
 constexpr std::chrono::milliseconds kAcceptPause{50};
 
-core::Error ListenError(const std::string& address, const std::string& why) {
-  return {core::ErrorId::kSettingBadValue, address, why};
-}
-
 }  // namespace
 
 TcpAcceptor::TcpAcceptor(boost::asio::io_context& io, Handler on_connection)
@@ -31,7 +28,8 @@
 core::Status TcpAcceptor::Listen(const std::string& address, int backlog) {
   const auto endpoint = net::ReadEndpoint(address);
   if (!endpoint) {
-    return ListenError(address, "invalid address");
+    return core::Error{core::ErrorId::kSettingBadValue, address,
+                       "invalid address"};
   }
   ErrorCode code;
   const auto ip = boost::asio::ip::make_address(endpoint->ip, code);
@@ -39,7 +37,7 @@
     code = Bind(tcp::endpoint(ip, endpoint->port), backlog);
   }
   if (code) {
-    return ListenError(address, code.message());
+    return net::ListenError(address, code);
   }
   Accept();
   return core::Ok();
@@ -50,6 +48,8 @@
   m_acceptor.open(local.protocol(), code);
   if (!code) {
     m_acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+  }
+  if (!code) {
     m_acceptor.bind(local, code);
   }
   if (!code) {
--- /dev/null
+++ b/tests/process/test_start.py
@@ -0,0 +1,108 @@
+"""What a supervisor, the kernel and the settings file do to an entry router while it starts
+and ends, with real processes."""
+
+import asyncio
+import os
+import signal
+import socket
+import unittest
+
+from tests.soak.platform import Platform, Router, run_scenario
+
+# How long a condition of the start lasts.
+CONDITION_S = 0.6
+# Much longer than any start or drain takes.
+LONGEST_S = 60.0
+
+
+def holder(port: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> socket.socket:
+    """Takes a port as another process would."""
+    held = socket.socket(socket.AF_INET, kind)
+    if kind == socket.SOCK_STREAM:
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", port))
+    if kind == socket.SOCK_STREAM:
+        held.listen()
+    return held
+
+
+async def wait_until_served(platform: Platform) -> bool:
+    """Waits until all routers are ready and one serves a request."""
+    clock = asyncio.get_running_loop().time
+    until = clock() + LONGEST_S
+    while clock() < until:
+        if await platform.wait_for_figure("ready", 1, 1):
+            if await platform.send("draft"):
+                return True
+            await asyncio.sleep(0.1)
+    return False
+
+
+async def open_for_writing(fifo: str) -> int:
+    """Waits until a process has begun to read from a FIFO. Returns its other end."""
+    for _ in range(int(LONGEST_S * 100)):
+        try:
+            return os.open(fifo, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError:
+            await asyncio.sleep(0.01)
+    raise TimeoutError(fifo)
+
+
+class StartOfARouter(unittest.TestCase):
+    def check(self, scenario, routers: int = 1) -> None:
+        run_scenario(scenario, routers=routers, engines=1)
+
+    async def assert_serves(self, platform: Platform, router: Router) -> None:
+        self.assertTrue(await wait_until_served(platform))
+        self.assertIsNone(router.process.returncode)
+
+    # Guards against a start that ends since one of its ports is still in use.
+    def test_a_port_in_use_delays_the_start(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            for port in (router.front, router.ready, router.directory, router.metrics,
+                         router.loads):
+                router.send(signal.SIGKILL)
+                await router.process.wait()
+                held = holder(port)
+                await router.start()
+                await asyncio.sleep(CONDITION_S)
+                self.assertIsNone(router.process.returncode, router.log()[-500:])
+                held.close()
+                await self.assert_serves(platform, router)
+
+        self.check(scenario)
+
+    # Guards against a router without datagrams or relays since their port was in use.
+    def test_the_port_for_other_routers_is_opened_late(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            router.send(signal.SIGKILL)
+            await router.process.wait()
+            held = [holder(router.loads), holder(router.loads, socket.SOCK_DGRAM)]
+            await router.start()
+            await self.assert_serves(platform, router)
+            self.assertEqual(2, await router.figure("unavailable_ports"))
+            for one in held:
+                one.close()
+            self.assertTrue(await platform.wait_for_figure("unavailable_ports", 0, LONGEST_S))
+
+        self.check(scenario)
+
+    # Guards against a successor that ends, or supersedes its predecessor, while that drains.
+    def test_a_successor_waits_for_its_predecessor(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            predecessor = router.process
+            router.send(signal.SIGTERM)
+            await router.start()
+            status = await asyncio.wait_for(predecessor.wait(), LONGEST_S)
+            self.assertEqual(0, status)
+            self.assertNotIn('"event":"retired"', router.log())
+            await self.assert_serves(platform, router)
+
+        self.check(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -57,21 +57,31 @@
         self.store_port = 0
         self.read_mbs = 80.0  # read bandwidth that the store announces
         self.limits: dict[str, int] = {}  # of the VM, by their names in the settings
-        self._path = os.path.join(folder, name + ".toml")
+        self.settings_path = os.path.join(folder, name + ".toml")
         self._log_path = os.path.join(folder, name + ".log")
         self._log = open(self._log_path, "ab")
         self._program = program
         self.process: asyncio.subprocess.Process | None = None
         self.exits: list[int] = []  # exit statuses of processes that were restarted
 
+    def settings(self) -> str:
+        text = SETTINGS.format(name=self.name, front=self.front, ready=self.ready,
+                               directory=self.directory, metrics=self.metrics,
+                               loads=self.loads, store=self.store_port,
+                               read_mbs=self.read_mbs)
+        return text + "".join(f"{name} = {value}\n" for name, value in self.limits.items())
+
+    def write_settings(self) -> None:
+        with open(self.settings_path, "w", encoding="ascii") as file:
+            file.write(self.settings())
+
     async def start(self) -> None:
-        with open(self._path, "w", encoding="ascii") as file:
-            file.write(SETTINGS.format(name=self.name, front=self.front, ready=self.ready,
-                                       directory=self.directory, metrics=self.metrics,
-                                       loads=self.loads, store=self.store_port,
-                                       read_mbs=self.read_mbs))
-            file.writelines(f"{name} = {value}\n" for name, value in self.limits.items())
-        environment = dict(os.environ, COPPERVALVE_NODE_FILE=self._path)
+        self.write_settings()
+        await self.spawn()
+
+    async def spawn(self) -> None:
+        """Starts the process with the settings file as it is."""
+        environment = dict(os.environ, COPPERVALVE_NODE_FILE=self.settings_path)
         self.process = await asyncio.create_subprocess_exec(
             self._program, "platform", env=environment, stdout=self._log, stderr=self._log)
 
