Start: hold signals back until there are handlers

Callers saw a router end by SIGHUP, the request to read its settings again, or by SIGTERM without an orderly end.

Cause: the handlers were installed after the settings had been read and all ports opened, and removed before the process ended. Outside of that span the default action ends the process.

What comes before main() still has the disposition that the supervisor left: see OPERATIONS.

--- a/apps/coppervalved/main.cc
+++ b/apps/coppervalved/main.cc
@@ -7,6 +7,7 @@
 #include <string_view>  // string_view
 
 #include "coppervalve/core/error.h"
+#include "coppervalve/net/process_signals.h"
 #include "daemon.h"
 #include "platform/run.h"
 #include "settings.h"
@@ -68,6 +69,8 @@
 
 int main(int argc, char** argv) {
   using namespace coppervalve;
+  // Until there are handlers, a signal would end the process.
+  net::BlockSupervisorSignals();
   std::set_terminate(OnTerminate);
   if (argc >= 2 && std::string_view(argv[1]) == kPlatformMode) {
     return RunOnPlatform(argc, argv);
--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -103,6 +103,49 @@
 
         self.check(scenario)
 
+    # Guards against a signal that ends the process as it comes before its handler.
+    def test_signals_at_the_start_are_handled(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            for number, status in ((signal.SIGHUP, None), (signal.SIGTERM, 0)):
+                router.send(signal.SIGKILL)
+                await router.process.wait()
+                os.remove(router.settings_path)
+                os.mkfifo(router.settings_path)
+                await router.spawn()
+                settings = await open_for_writing(router.settings_path)
+                router.send(number)
+                router.send(number)
+                await asyncio.sleep(CONDITION_S / 2)
+                self.assertIsNone(router.process.returncode)
+                # A later read finds a plain file.
+                os.remove(router.settings_path)
+                router.write_settings()
+                os.write(settings, router.settings().encode())
+                os.close(settings)
+                if status is None:
+                    await self.assert_serves(platform, router)
+                else:
+                    self.assertEqual(
+                        status, await asyncio.wait_for(router.process.wait(), LONGEST_S))
+
+        self.check(scenario)
+
+    # Guards against a signal that ends the process as it comes after its handler has gone.
+    def test_reloads_until_the_end_of_a_drain_are_handled(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            starts = []
+            for router in platform.routers:
+                router.send(signal.SIGTERM)
+                starts.append(router.process)
+            while any(process.returncode is None for process in starts):
+                for router in platform.routers:
+                    router.send(signal.SIGHUP)
+                await asyncio.sleep(0.0002)
+            self.assertEqual([0] * len(starts), [process.returncode for process in starts])
+
+        self.check(scenario, routers=6)
+
 
 if __name__ == "__main__":
     unittest.main()
