Start: wait for settings that are still being written

Callers saw a router that does not start (exit status 2) as its settings file was empty or had been written in part; and a running router that kept its settings for good although the whole file came a moment later.

Cause: the file was read once. Whoever writes it in place leaves a part of it there for a moment. After a failed reload the time of the file counted as read, so that a second write within the clock's resolution was missed.

A failed reload is repeated by the poll. Event settings_not_read.

What remains: a part that can be used (cut behind the store's address) is taken for the whole. Only some of the later fields are read again.

--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -128,6 +128,8 @@
   /// @brief Applies reloaded settings. Addresses cannot change at run time and
   /// are ignored.
   void OnReload(const GatewaySettings& settings);
+  /// @brief Notes that changed settings could not be read; those in force stay.
+  void OnReloadFailure(const core::Error& error);
 
  private:
   void OnOperatorRecord(const KeyedRecord& record);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -316,4 +316,8 @@
   LogLifecycle(LogLine("settings_reloaded"));
 }
 
+void Gateway::OnReloadFailure(const core::Error& error) {
+  LogLifecycle(LogLine("settings_not_read").Text("why", core::ToString(error)));
+}
+
 }  // namespace coppervalve::gateway
--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -103,6 +103,39 @@
 
         self.check(scenario)
 
+    # Guards against a start that ends since its settings are still being written.
+    def test_settings_that_are_not_complete_yet_delay_the_start(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            path, whole = router.settings_path, router.settings()
+            for part in ("", whole[:40], whole[:whole.index("[platform]")]):
+                router.send(signal.SIGKILL)
+                await router.process.wait()
+                with open(path, "w", encoding="ascii") as file:
+                    file.write(part)
+                await router.spawn()
+                await asyncio.sleep(CONDITION_S)
+                self.assertIsNone(router.process.returncode, router.log()[-500:])
+                with open(path, "w", encoding="ascii") as file:
+                    file.write(whole)
+                await self.assert_serves(platform, router)
+
+        self.check(scenario)
+
+    # Guards against a process without a word that waits forever for usable settings.
+    def test_settings_that_stay_incomplete_end_the_start(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            router.send(signal.SIGKILL)
+            await router.process.wait()
+            with open(router.settings_path, "w", encoding="ascii") as file:
+                file.write('nodeName = "x"\n')
+            await router.spawn()
+            self.assertEqual(2, await asyncio.wait_for(router.process.wait(), LONGEST_S))
+            self.assertIn('"event":"start_failed","why":"CV-201', router.log())
+
+        self.check(scenario)
+
     # Guards against a signal that ends the process as it comes before its handler.
     def test_signals_at_the_start_are_handled(self) -> None:
         async def scenario(platform: Platform) -> None:
@@ -146,6 +179,28 @@
 
         self.check(scenario, routers=6)
 
+    # Guards against settings that never come into force as one read found half of them.
+    def test_settings_found_incomplete_at_a_reload_are_read_again(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            whole = router.settings()
+            with open(router.settings_path, "w", encoding="ascii") as file:
+                file.write(whole[:40])
+            changed = os.stat(router.settings_path)
+            router.send(signal.SIGHUP)
+            await asyncio.sleep(CONDITION_S)
+            self.assertNotIn('"event":"settings_reloaded"', router.log())
+            router.write_settings()
+            # As if both had been written within the resolution of the clock.
+            os.utime(router.settings_path, ns=(changed.st_atime_ns, changed.st_mtime_ns))
+            for _ in range(int(LONGEST_S)):
+                await asyncio.sleep(1)
+                if '"event":"settings_reloaded"' in router.log():
+                    break
+            self.assertIn('"event":"settings_reloaded"', router.log())
+
+        self.check(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
