Log's core: SIGHUP does not end the process

Callers of the log's core saw a router end by itself when its supervisor sent SIGHUP, as it does to routers that reload.

Cause: only SIGTERM and SIGINT were handled; the default action of SIGHUP ends the process.

Change: the signal thread takes SIGHUP too and notes it. Settings are flags and variables, so there is nothing to read again.

--- a/apps/coppervalved/daemon.cc
+++ b/apps/coppervalved/daemon.cc
@@ -2,15 +2,16 @@
 
 #include <signal.h>  // sigwait
 
-#include <atomic>  // atomic
-#include <chrono>  // system_clock
-#include <memory>  // make_unique
+#include <atomic>    // atomic
+#include <chrono>    // system_clock
+#include <memory>    // make_unique
 #include <pcg_random.hpp>
 #include <random>   // random_device
 #include <thread>   // thread
 #include <utility>  // move
 
 #include "coppervalve/net/clock.h"
+#include "coppervalve/net/process_signals.h"
 #include "coppervalve/net/shell.h"
 #include "coppervalve/router/core.h"
 #include "coppervalve/telemetry/log.h"
@@ -79,21 +80,26 @@
   std::atomic<uint64_t> m_incarnation;
 };
 
-sigset_t StopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
+// Flags and variables are read once, so there is nothing to reload.
+void WriteReloadLine() {
+  telemetry::WriteLine({router::LogLine::Level::kWarning,
+                        "reload_ignored",
+                        {{"why", "settings need a restart"}}});
 }
 
 // Waits for signals on a separate thread that runs until the process exits.
-// Each signal requests a drain; requests after the first have no effect.
-void DrainOnSignal(net::Shell& shell, const sigset_t& signals) {
-  std::thread([&shell, signals] {
+// Each one to stop requests a drain; requests after the first have no effect.
+void HandleSignals(net::Shell& shell) {
+  std::thread([&shell] {
+    const sigset_t signals = net::SupervisorSignals();
     while (true) {
       int received = 0;
-      if (sigwait(&signals, &received) == 0) {
+      if (sigwait(&signals, &received) != 0) {
+        continue;
+      }
+      if (received == SIGHUP) {
+        WriteReloadLine();
+      } else {
         shell.Drain();
       }
     }
@@ -141,8 +147,7 @@
   signal(SIGPIPE, SIG_IGN);
   // Blocked before any thread starts, so that all threads inherit the mask and
   // only the signal thread receives the signals.
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  net::BlockSupervisorSignals();
   telemetry::OpenLog(settings.log_level);
   // Static, because the detached signal thread refers to the shell until the
   // process exits.
@@ -154,7 +159,7 @@
     return started;
   }
   telemetry::WriteLine(Line("started", settings));
-  DrainOnSignal(shell, signals);
+  HandleSignals(shell);
   shell.WaitForExit();
   telemetry::WriteLine(Line("stopped", settings));
   return core::Ok();
