Log's core: wait for ports that are in use

Callers of the log's core saw a router that does not start (exit status 2) while one of its ports was in use, for example by its predecessor.

The callers' port is opened last: callers that connected before would wait.

--- a/apps/coppervalved/daemon.cc
+++ b/apps/coppervalved/daemon.cc
@@ -1,10 +1,11 @@
 #include "daemon.h"
 
-#include <signal.h>  // sigwait
+#include <signal.h>  // sigtimedwait, sigwait
 
 #include <atomic>    // atomic
-#include <chrono>    // system_clock
+#include <chrono>    // milliseconds, system_clock
 #include <memory>    // make_unique
+#include <optional>  // optional
 #include <pcg_random.hpp>
 #include <random>   // random_device
 #include <thread>   // thread
@@ -106,6 +107,50 @@
   }).detach();
 }
 
+// @return whether a signal to stop came within the time
+bool IsStopRequested(std::chrono::milliseconds within) {
+  const sigset_t signals = net::SupervisorSignals();
+  constexpr long kNanosPerMilli = 1'000'000;
+  const timespec timeout{0, within.count() * kNanosPerMilli};
+  const int received = sigtimedwait(&signals, nullptr, &timeout);
+  if (received == SIGHUP) {
+    WriteReloadLine();
+  }
+  return received == SIGTERM || received == SIGINT;
+}
+
+void WritePortLine(const core::Error& error) {
+  telemetry::WriteLine({router::LogLine::Level::kWarning,
+                        "port_unavailable",
+                        {{"why", core::ToString(error)}}});
+}
+
+enum class StartResult { kStarted, kStopRequested };
+
+// Ports that another process has, for example an earlier one that still ends,
+// are tried again.
+core::Result<StartResult> StartShell(net::Shell& shell) {
+  constexpr std::chrono::milliseconds kRetryInterval{100};
+  std::optional<core::Error> last;
+  while (true) {
+    const core::Status started = shell.Start();
+    if (core::IsOk(started)) {
+      return StartResult::kStarted;
+    }
+    const core::Error& error = core::Failure(started);
+    if (error.id != core::ErrorId::kAddressUnavailable) {
+      return error;
+    }
+    if (error != last) {
+      WritePortLine(error);
+      last = error;
+    }
+    if (IsStopRequested(kRetryInterval)) {
+      return StartResult::kStopRequested;
+    }
+  }
+}
+
 net::ShellHooks HooksOf(DecisionCore& decision_core,
                         telemetry::RouterMetrics& metrics) {
   net::ShellHooks hooks;
@@ -154,13 +199,15 @@
   static telemetry::RouterMetrics metrics;
   static DecisionCore decision_core(settings);
   static net::Shell shell(settings.shell, HooksOf(decision_core, metrics));
-  core::Status started = shell.Start();
+  const core::Result<StartResult> started = StartShell(shell);
   if (!core::IsOk(started)) {
-    return started;
+    return core::Failure(started);
+  }
+  if (core::Value(started) == StartResult::kStarted) {
+    telemetry::WriteLine(Line("started", settings));
+    HandleSignals(shell);
+    shell.WaitForExit();
   }
-  telemetry::WriteLine(Line("started", settings));
-  HandleSignals(shell);
-  shell.WaitForExit();
   telemetry::WriteLine(Line("stopped", settings));
   return core::Ok();
 }
--- a/include/coppervalve/net/caller_server.h
+++ b/include/coppervalve/net/caller_server.h
@@ -64,7 +64,8 @@
   ~CallerServer();
 
   /// @param address "ip:port"; port 0 picks a free one
-  /// @return kSettingBadValue when listening on the address fails
+  /// @return kSettingBadValue if the address can't ever be listened on,
+  /// kAddressUnavailable if not now; Listen() may be called again then
   core::Status Listen(const std::string& address);
   /// @return the port in use; 0 before Listen()
   uint16_t port() const;
--- a/include/coppervalve/net/peer_server.h
+++ b/include/coppervalve/net/peer_server.h
@@ -84,8 +84,8 @@
   PeerServer& operator=(const PeerServer&) = delete;
 
   /// @brief Binds and starts to accept.
-  /// @return kSettingBadValue when the secret is empty or the address cannot be
-  /// listened on
+  /// @return kSettingBadValue if the secret is empty or the address can't ever
+  /// be listened on, kAddressUnavailable if it can't be now
   core::Status Listen();
 
   /// @return the port in use; 0 before Listen()
--- a/include/coppervalve/net/shell.h
+++ b/include/coppervalve/net/shell.h
@@ -41,7 +41,8 @@
   ~Shell();
 
   /// @brief Opens the ports and starts the threads.
-  /// @return kSettingBadValue for an address that cannot be listened on
+  /// @return kSettingBadValue for an address that can't ever be listened on,
+  /// kAddressUnavailable if it can't be now; Start() may be called again then
   core::Status Start();
   /// @brief Requests a drain from the core. Thread-safe and idempotent.
   void Drain();
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -10,6 +10,7 @@
 
 #include "caller_session.h"
 #include "coppervalve/net/connection_registry.h"
+#include "coppervalve/net/listen_error.h"
 #include "socket_util.h"
 
 namespace coppervalve::net {
@@ -154,6 +155,9 @@
     return core::Error{core::ErrorId::kSettingBadValue, address,
                        "must have the form ip:port"};
   }
+  if (m_impl->bound_port != 0) {
+    return core::Ok();
+  }
   tcp::acceptor& acceptor = m_impl->acceptor;
   error_code e;
   acceptor.open(endpoint->protocol(), e);
@@ -167,7 +171,9 @@
     acceptor.listen(tcp::acceptor::max_listen_connections, e);
   }
   if (e) {
-    return core::Error{core::ErrorId::kSettingBadValue, address, e.message()};
+    error_code ignored;
+    acceptor.close(ignored);
+    return ListenError(address, e);
   }
   m_impl->bound_port = acceptor.local_endpoint(e).port();
   m_impl->Accept();
--- a/src/net/peer_server.cc
+++ b/src/net/peer_server.cc
@@ -11,6 +11,7 @@
 #include <utility>  // exchange, move
 #include <vector>   // vector
 
+#include "coppervalve/net/listen_error.h"
 #include "detail/peer_server_connection.h"
 
 namespace coppervalve::net {
@@ -225,8 +226,9 @@
   }
   const error_code error = m_impl->Bind();
   if (error) {
-    return core::Error{core::ErrorId::kSettingBadValue, m_impl->address,
-                       error.message()};
+    boost::system::error_code ignored;
+    m_impl->acceptor.close(ignored);
+    return ListenError(m_impl->address, error);
   }
   boost::asio::post(m_impl->strand, [impl = m_impl] { impl->Accept(); });
   return core::Ok();
--- a/src/net/shell.cc
+++ b/src/net/shell.cc
@@ -183,14 +183,16 @@
     return port;
   }
 
+  // Callers that connected while another port is not available would wait.
   core::Status Listen() {
-    core::Status status = callers.Listen(settings.caller_listen);
-    if (core::IsOk(status)) {
-      status = operators.Listen(settings.operator_listen);
-    }
-    if (core::IsOk(status) && peers) {
+    core::Status status = operators.Listen(settings.operator_listen);
+    const bool peers_listen = peer_server && peer_server->port() != 0;
+    if (core::IsOk(status) && peers && !peers_listen) {
       status = ListenForPeers();
     }
+    if (core::IsOk(status)) {
+      status = callers.Listen(settings.caller_listen);
+    }
     return status;
   }
 
--- a/tests/process/test_start_log_core.py
+++ b/tests/process/test_start_log_core.py
@@ -24,6 +24,30 @@
         router.wait_ready(WAIT_TIMEOUT_S)
         self.assertTrue(self.draft_until_whole([router], f"{BUDGET}-{time.monotonic()}").whole)
 
+    # Guards against a start that ends since one of its ports is still in use.
+    def test_a_port_in_use_delays_the_start(self) -> None:
+        addresses = self.router.addresses
+        for address in (addresses.caller, addresses.operator, addresses.peer):
+            self.router.process.kill()
+            with socket.socket() as held:
+                held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                held.bind(("127.0.0.1", int(address.rpartition(":")[2])))
+                held.listen()
+                router = self.start_again()
+                time.sleep(CONDITION_S)
+                router.process.require_running()
+            self.assert_serves(router)
+            self.router = router
+
+    # Guards against a router that can't be stopped while it waits for a port.
+    def test_a_router_that_waits_for_a_port_ends_in_order(self) -> None:
+        successor = self.start_again()
+        self.wait(lambda: "port_unavailable" in successor.process.output(), "it waits")
+        successor.process.send_signal(signal.SIGHUP)
+        successor.process.terminate()
+        self.assertEqual(0, successor.process.wait(WAIT_TIMEOUT_S))
+        self.assert_serves(self.router)
+
     # Guards against a request for a reload that ends the process.
     def test_a_reload_does_not_end_the_process(self) -> None:
         for _ in range(5):
--- a/tools/harness/fleet.py
+++ b/tools/harness/fleet.py
@@ -155,6 +155,7 @@
         log_address: str = "",
         arguments: Iterable[str] = (),
         wait: bool = False,
+        wait_alive: bool = True,
     ) -> Router:
         """Starts a router; the id may be that of an earlier router.
 
@@ -184,7 +185,8 @@
         self.processes.append(process)
         router = Router(process, addresses, failure_domain, _OPERATOR_TOKEN)
         self.routers[router_id] = router
-        router.wait_alive()
+        if wait_alive:
+            router.wait_alive()
         if wait:
             router.wait_ready()
         return router
