--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -63,6 +63,8 @@
         self._program = program
         self.process: asyncio.subprocess.Process | None = None
         self.exits: list[int] = []  # exit statuses of processes that were restarted
+        self.unexpected_ends: list[str] = []  # ends that no signal of ours explains
+        self.lock = asyncio.Lock()  # held while the process is restarted
 
     def settings(self) -> str:
         text = SETTINGS.format(name=self.name, front=self.front, ready=self.ready,
@@ -89,10 +91,48 @@
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
 
-    async def restart(self, number: int) -> None:
+    async def note_end(self, process: asyncio.subprocess.Process, number: int,
+                       within: float) -> None:
+        """Waits for the end of a process that got a signal, and notes whether it ended
+        in another way than that signal asks for."""
+        expected = -number if number == signal.SIGKILL else 0
+        try:
+            status = await asyncio.wait_for(process.wait(), within)
+        except TimeoutError:
+            self.unexpected_ends.append(f"{self.name}: still runs after signal {number}")
+            process.kill()
+            status = await process.wait()
+        self.exits.append(status)
+        if status != expected:
+            self.unexpected_ends.append(f"{self.name}: {status} after signal {number}")
+
+    def note_if_ended(self) -> None:
+        """Notes an end that comes before any signal."""
+        if self.process.returncode is not None:
+            self.unexpected_ends.append(f"{self.name}: {self.process.returncode} unasked")
+
+    async def end(self, number: int, within: float) -> None:
+        if number != signal.SIGKILL:
+            await self.wait_until_signals_are_held()
+        self.note_if_ended()
         self.send(number)
-        self.exits.append(await self.process.wait())
-        await self.start()
+        await self.note_end(self.process, number, within)
+
+    async def restart(self, number: int) -> None:
+        async with self.lock:
+            await self.end(number, 60)
+            await self.start()
+
+    async def wait_until_signals_are_held(self) -> None:
+        """Waits until the program has taken over from its loader."""
+        hangup = 1 << (signal.SIGHUP - 1)
+        while self.process.returncode is None:
+            with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
+                masks = [int(line.split()[1], 16) for line in file
+                         if line.startswith(("SigBlk:", "SigCgt:"))]
+            if any(mask & hangup for mask in masks):
+                return
+            await asyncio.sleep(0.001)
 
     async def figure(self, name: str) -> float:
         """Returns a state figure from the router's metrics, or 0 if it is not
@@ -355,6 +395,7 @@
         for task in self._tasks:
             task.cancel()
         for router in self.routers:
+            router.note_if_ended()
             router.send(signal.SIGKILL)
             await router.process.wait()
         self.store.wake_readers()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 from tests.soak.crashing_parts import (
     MAX_ARRIVALS_AFTER, MAX_CRASHES, MIN_SHARE_SERVED, REPORT_TIME_S, SoundRequests,
     arrivals_after_report, send_crashing)
+from tests.soak.lifecycle import Lifecycle
 from tests.soak.limits import (
     PROPAGATION_S, excess_failures, max_allowed_arrivals, max_arrivals_in_window)
 from tests.soak.misbehaving import CALLER_LIMITS, VM_LIMITS, MisbehavingClients
@@ -32,13 +33,14 @@
 
 class Soak:
     def __init__(self, seconds: float, seed: int, program: str, partitions: bool,
-                 crashing_parts: bool, misbehaving: bool, routers: int,
+                 crashing_parts: bool, misbehaving: bool, lifecycle: bool, routers: int,
                  keep_logs: bool) -> None:
         self._seconds = seconds
         self._keep_logs = keep_logs
         self._partitions_wanted = partitions
         self._crashing_parts_wanted = crashing_parts
         self._misbehaving_wanted = misbehaving
+        self._lifecycle_wanted = lifecycle
         self._router_count = routers
         self._crashing_parts = 0  # number of such parts so far
         self._sent_with_part = 0  # requests that reached upstreams too late after crashes
@@ -80,10 +82,17 @@
             faults = asyncio.create_task(self._make_faults(until - 4))
             sending = asyncio.create_task(
                 crowds.run(until if self._misbehaving_wanted else 0))
+            lifecycle = Lifecycle(self._platform, self._seed)
+            disturbing = asyncio.create_task(
+                lifecycle.run(until - 4 if self._lifecycle_wanted else 0))
             await callers.run(60, until)
             await faults
             await sending
+            await disturbing
             await self._platform.stop()
+            self._shutdowns += lifecycle.shutdowns
+            if self._lifecycle_wanted:
+                print("disturbances:", " ".join(lifecycle.disturbances))
             verdict = self._verdict(callers.seen, crowds)
             if verdict or self._keep_logs:
                 self._platform.keep_logs(f"soak-{self._seed}")
@@ -140,10 +149,10 @@
     async def _shut_down(self, router) -> None:
         clock = asyncio.get_running_loop().time
         begin = clock()
-        router.send(signal.SIGTERM)
-        router.exits.append(await router.process.wait())
-        self._shutdowns.append((f"127.0.0.1:{router.front}", begin, clock()))
-        await router.start()
+        async with router.lock:
+            await router.end(signal.SIGTERM, 60)
+            self._shutdowns.append((f"127.0.0.1:{router.front}", begin, clock()))
+            await router.start()
 
     async def _terminate_during_changes(self) -> None:
         """Shuts down two routers, the second one during the drain of the first, while
@@ -407,6 +416,7 @@
         ledger = self._platform.ledger
         runs, prepaid = ledger.runs, self._platform.prepaid
         # Ids that started at an engine; resumed runs count their prompt once.
+        ends = [end for router in self._routers for end in router.unexpected_ends]
         prompts = sum(n for i, n in ledger.prompt.items() if not i.startswith(OFFICE_ID_PREFIX))
         spent = prompts + TOKENS_PER_EVENT * sum(seen.delivered.values())
         broken = {
@@ -431,7 +441,7 @@
             "ran without a caller's id": len([i for i in runs if not i.startswith("r")]),
             "arrived without an id": len(ledger.without_id),
             "bytes beyond the memory": crowds.beyond_memory(),
-            "ended by themselves": crowds.abnormal_exits(),
+            "ended by themselves": max(crowds.abnormal_exits(), len(ends)),
         }
         print("faults:", " ".join(self.faults))
         print("outcomes:", dict(seen.outcomes), "store calls:", self._store.calls)
@@ -442,7 +452,7 @@
         print(f"crowds: {crowds.crowds}, most memory: {crowds.peak_memory}")
         print(f"streams: {seen.chats_begun} of {seen.chats} began,"
               f" {seen.resumed_on} of {seen.resumed} were resumed")
-        for wrong in (seen.wrong + seen.mixed + ledger.without_id)[:5]:
+        for wrong in (ends + seen.wrong + seen.mixed + ledger.without_id)[:5]:
             print("wrong:", wrong)
         print("soak:", ", ".join(f"{name} {count}" for name, count in broken.items()))
         return int(any(broken.values()))
@@ -458,6 +468,8 @@
                         help="also send prompts with parts that crash engines")
     parser.add_argument("--misbehaving-clients", action="store_true",
                         help="also send crowds of clients that keep to no limit")
+    parser.add_argument("--lifecycle", action="store_true",
+                        help="also send series of signals, hold ports and write settings in parts")
     parser.add_argument("--routers", type=int, default=ROUTERS)
     parser.add_argument("--keep-logs", action="store_true",
                         help="keep the routers' logs even if no rule is broken")
@@ -466,7 +478,7 @@
     program = os.path.join(options.build, "coppervalved")
     return asyncio.run(Soak(options.seconds, options.seed, program, options.partitions,
                             options.crashing_parts, options.misbehaving_clients,
-                            options.routers, options.keep_logs).run())
+                            options.lifecycle, options.routers, options.keep_logs).run())
 
 
 if __name__ == "__main__":
