Store: a value of padding alone is empty

Callers would see a router end by itself (SIGSEGV) when a page of the store holds a value such as "====".

Cause: one byte is taken off the decoded value for each padding character, even if there is none left.

--- a/tests/platform/unit-store.cc
+++ b/tests/platform/unit-store.cc
@@ -101,3 +101,10 @@
         core::IsOk(Append(R"({"endOffset":)" + std::string(offset) + "}")));
   }
 }
+
+// Guards against removing more bytes from a value than it has.
+TEST(Store, values_of_padding_alone_are_empty) {
+  const auto page = ReadPage(Page("7", "3", "===="));
+  CHECK(core::IsOk(page));
+  CHECK(core::Value(page).records.front().value.empty());
+}
