Streams: a peer that reads slowly has not gone

Callers that read steadily at 10 KB/s lost a response of 80 KB (LOST): the connection was reset after 3.7 to 5.2 s.

Cause: TCP_USER_TIMEOUT. The kernel also applies it to a peer that acknowledges each probe, as long as its window is smaller than a segment.

Change: with more than 16 KB on their way, each second the kernel is asked whether probes or retransmissions stay unanswered (3 s: gone) and whether bytes are taken (10 s without any: given up). The fast path has one more look at the kernel's queue for each 16 KB.

--- a/include/coppervalve/gateway/stream.h
+++ b/include/coppervalve/gateway/stream.h
@@ -10,6 +10,8 @@
 #include <string>       // string
 #include <string_view>  // string_view
 
+#include "coppervalve/gateway/peer_liveness.h"
+
 namespace coppervalve::gateway {
 
 /// @brief How the peer stopped sending.
@@ -67,14 +69,22 @@
   void WaitWritable();
   void End(StreamEnd end);
   void FinishClosing();
+  void ObserveLargeOutput(size_t bytes);
+  void StartPeerChecks();
+  void SchedulePeerCheck();
+  void CheckPeer();
 
   boost::asio::ip::tcp::socket m_socket;
   boost::asio::steady_timer m_linger;
+  boost::asio::steady_timer m_peer_check;
+  PeerLiveness m_liveness;
   /// Shared, because a running handler may close the stream.
   std::shared_ptr<const Handlers> m_handlers;
   std::string m_out;
   size_t m_out_sent = 0;
   uint64_t m_sent = 0;
+  size_t m_since_look = 0;  ///< bytes since the kernel's queue was looked at
+  bool m_checks_peer = false;
   bool m_reading = false;
   bool m_paused = false;
   bool m_writing = false;
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -10,6 +10,8 @@
 #include <chrono>                      // milliseconds
 #include <utility>                     // exchange, move
 
+#include "coppervalve/net/clock.h"
+
 namespace coppervalve::gateway {
 
 namespace {
@@ -22,6 +24,9 @@
 // this long. Such a connection may never recover although new ones work.
 constexpr int kUserTimeoutMs = 3'000;
 constexpr std::chrono::milliseconds kLingerTimeout{1'000};
+// Bytes that fit into the window of any peer that reads.
+constexpr size_t kLargeOutput = 16'384;
+constexpr std::chrono::milliseconds kPeerCheckInterval{1'000};
 
 // Shared by all connections: they are read on one thread, and no handler keeps
 // a view of the buffer after it returns.
@@ -35,19 +40,24 @@
          code == boost::asio::error::try_again;
 }
 
+void SetUserTimeout(tcp::socket& socket, int millis) {
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis,
+             sizeof(millis));
+}
+
 void SetOptions(tcp::socket& socket) {
   ErrorCode ignored;
   socket.non_blocking(true, ignored);
   socket.set_option(tcp::no_delay(true), ignored);
-  const int timeout = kUserTimeoutMs;
-  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-             sizeof(timeout));
+  SetUserTimeout(socket, kUserTimeoutMs);
 }
 
 }  // namespace
 
 Stream::Stream(tcp::socket socket)
-    : m_socket(std::move(socket)), m_linger(m_socket.get_executor()) {}
+    : m_socket(std::move(socket)),
+      m_linger(m_socket.get_executor()),
+      m_peer_check(m_socket.get_executor()) {}
 
 void Stream::Start(Handlers handlers) {
   m_handlers = std::make_shared<const Handlers>(std::move(handlers));
@@ -131,6 +141,7 @@
   if (!open() || m_closing) {
     return;
   }
+  ObserveLargeOutput(bytes.size());
   if (m_out.empty()) {
     ErrorCode code;
     const size_t taken = m_socket.write_some(
@@ -197,6 +208,59 @@
   }
 }
 
+void Stream::ObserveLargeOutput(size_t bytes) {
+  m_since_look += bytes;
+  if (m_since_look <= kLargeOutput || m_checks_peer) {
+    return;
+  }
+  m_since_look = bytes;
+  StartPeerChecks();
+}
+
+// The kernel applies TCP_USER_TIMEOUT also to a peer that acknowledges each
+// probe, as long as its window is smaller than a segment: a response that does
+// not fit into the window of a slow reader would be cut.
+void Stream::StartPeerChecks() {
+  const int socket = m_socket.native_handle();
+  const std::optional<TransportState> state = ReadTransportState(socket);
+  if (!state) {
+    return;
+  }
+  m_checks_peer = true;
+  SetUserTimeout(m_socket, 0);
+  m_liveness.Start(m_sent - state->unacknowledged, net::BootNow());
+  SchedulePeerCheck();
+}
+
+void Stream::SchedulePeerCheck() {
+  m_peer_check.expires_after(kPeerCheckInterval);
+  m_peer_check.async_wait([weak = weak_from_this()](const ErrorCode& code) {
+    const auto self = weak.lock();
+    if (!code && self && self->open()) {
+      self->CheckPeer();
+    }
+  });
+}
+
+void Stream::CheckPeer() {
+  const auto state = ReadTransportState(m_socket.native_handle());
+  if (!state || (state->unacknowledged == 0 && unsent() == 0)) {
+    m_checks_peer = false;
+    SetUserTimeout(m_socket, kUserTimeoutMs);
+    return;
+  }
+  if (!m_liveness.IsGone(*state, m_sent - state->unacknowledged,
+                         net::BootNow())) {
+    SchedulePeerCheck();
+    return;
+  }
+  if (m_closing) {
+    Abort();
+    return;
+  }
+  End(StreamEnd::kReset);
+}
+
 // Closing a socket with unread input sends a reset, which can make the peer
 // discard a complete response that it has not read yet. So only the write side
 // is shut down first, and the socket is closed when the peer closes or after a
@@ -242,6 +306,7 @@
   m_out_sent = 0;
   ErrorCode ignored;
   m_linger.cancel();
+  m_peer_check.cancel();
   m_socket.close(ignored);
   m_handlers.reset();
 }
