--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -79,10 +79,11 @@
             callers = Callers([f"127.0.0.1:{router.directory}" for router in self._routers],
                               self._seed)
             until = asyncio.get_running_loop().time() + self._seconds
+            lifecycle = Lifecycle(self._platform, self._seed)
+            self._undisturbed = lifecycle.undisturbed
             faults = asyncio.create_task(self._make_faults(until - 4))
             sending = asyncio.create_task(
                 crowds.run(until if self._misbehaving_wanted else 0))
-            lifecycle = Lifecycle(self._platform, self._seed)
             disturbing = asyncio.create_task(
                 lifecycle.run(until - 4 if self._lifecycle_wanted else 0))
             await callers.run(60, until)
@@ -343,6 +344,10 @@
         await self._platform.send_many(3)
 
     async def _name_limits(self) -> None:
+        async with self._undisturbed:
+            await self._name_limits_undisturbed()
+
+    async def _name_limits_undisturbed(self) -> None:
         """One or all engines announce limits and later withdraw them; meanwhile the
         store fails or all routers restart."""
         limit = self._random.choice([0.3, 1.0, 2.0, 5.0])
