Tests: a log file at its size limit ends both cores

Callers see a router end by itself (SIGXFSZ, status -25) when its standard output is a file that has reached RLIMIT_FSIZE, as a supervisor may set it: each write of the log then raises a signal whose default action ends the process.

--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import os
+import resource
 import signal
 import socket
 import unittest
@@ -179,6 +180,23 @@
 
         self.check(scenario, routers=6)
 
+    # Guards against a process that ends by SIGXFSZ as its log has reached the limit of files.
+    def test_a_log_file_at_its_limit_does_not_end_the_process(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            await self.assert_serves(platform, router)
+            limit = len(router.log())
+            resource.prlimit(router.process.pid, resource.RLIMIT_FSIZE, (limit, limit))
+            router.send(signal.SIGHUP)
+            await asyncio.sleep(CONDITION_S)
+            self.assertIsNone(router.process.returncode)
+            await self.assert_serves(platform, router)
+            # Its last lines, too, find no room.
+            router.send(signal.SIGTERM)
+            self.assertEqual(0, await asyncio.wait_for(router.process.wait(), LONGEST_S))
+
+        self.check(scenario)
+
     # Guards against settings that never come into force as one read found half of them.
     def test_settings_found_incomplete_at_a_reload_are_read_again(self) -> None:
         async def scenario(platform: Platform) -> None:
--- a/tests/process/test_start_log_core.py
+++ b/tests/process/test_start_log_core.py
@@ -1,5 +1,6 @@
 """What a supervisor and the kernel do to a router of the log's core while it starts and runs."""
 
+import resource
 import signal
 import socket
 import time
@@ -56,6 +57,15 @@
         self.assert_serves(self.router)
         self.router.process.require_running()
 
+    # Guards against a process that ends by SIGXFSZ as its log has reached the limit of files.
+    def test_a_log_file_at_its_limit_does_not_end_the_process(self) -> None:
+        limit = len(self.router.process.output())
+        resource.prlimit(self.router.process.pid, resource.RLIMIT_FSIZE, (limit, limit))
+        self.router.process.send_signal(signal.SIGHUP)
+        time.sleep(CONDITION_S)
+        self.assertIsNone(self.router.process.exit_code)
+        self.assert_serves(self.router)
+
 
 if __name__ == "__main__":
     unittest.main()
