--- a/apps/coppervalved/daemon.cc
+++ b/apps/coppervalved/daemon.cc
@@ -187,9 +187,6 @@
 }  // namespace
 
 core::Status RunDaemon(const Settings& settings) {
-  // A caller that disconnects while its answer is written must not terminate
-  // the process.
-  signal(SIGPIPE, SIG_IGN);
   // Blocked before any thread starts, so that all threads inherit the mask and
   // only the signal thread receives the signals.
   net::BlockSupervisorSignals();
--- a/apps/coppervalved/main.cc
+++ b/apps/coppervalved/main.cc
@@ -71,6 +71,7 @@
   using namespace coppervalve;
   // Until there are handlers, a signal would end the process.
   net::BlockSupervisorSignals();
+  net::IgnoreWriteSignals();
   std::set_terminate(OnTerminate);
   if (argc >= 2 && std::string_view(argv[1]) == kPlatformMode) {
     return RunOnPlatform(argc, argv);
--- a/include/coppervalve/net/process_signals.h
+++ b/include/coppervalve/net/process_signals.h
@@ -15,6 +15,11 @@
 
 void UnblockSupervisorSignals();
 
+/// @brief Lets writes that are not possible fail instead of ending the process:
+/// to a connection or pipe that was closed (SIGPIPE), and to a file at the
+/// limit of its size (SIGXFSZ), for example a log.
+void IgnoreWriteSignals();
+
 }  // namespace coppervalve::net
 
 #endif  // COPPERVALVE_NET_PROCESS_SIGNALS_H_
--- a/src/net/process_signals.cc
+++ b/src/net/process_signals.cc
@@ -21,4 +21,9 @@
   pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
+void IgnoreWriteSignals() {
+  signal(SIGPIPE, SIG_IGN);
+  signal(SIGXFSZ, SIG_IGN);
+}
+
 }  // namespace coppervalve::net
