Tests: a port that can never be opened ends the start

A router whose readiness or directory port can't ever be opened (EACCES) now runs on: one line port_unavailable, unavailable_ports 0, never tried again, active in the fleet's records though the platform's check gets no answer. docs/OPERATIONS.md says that it ends with status 2.

--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -2,6 +2,7 @@
 and ends, with real processes."""
 
 import asyncio
+import ctypes
 import os
 import resource
 import signal
@@ -15,6 +16,18 @@
 # Much longer than any start or drain takes.
 LONGEST_S = 60.0
 
+# Below net.ipv4.ip_unprivileged_port_start; not used by any test.
+PRIVILEGED_PORT = 81
+
+_libc = ctypes.CDLL(None)
+
+
+def without_privileged_ports() -> None:
+    """Takes CAP_NET_BIND_SERVICE from the program started next; without effect on a
+    process that lacks it."""
+    drop_from_bounding_set, bind_service = 24, 10
+    _libc.prctl(drop_from_bounding_set, bind_service, 0, 0, 0)
+
 
 def holder(port: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> socket.socket:
     """Takes a port as another process would."""
@@ -137,6 +150,24 @@
 
         self.check(scenario)
 
+    # Guards against a router that callers are led to but that never answers whether it is ready.
+    def test_a_port_that_can_never_be_opened_ends_the_start(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            for name, port in (("frontend", router.front), ("readiness", router.ready),
+                               ("directory", router.directory)):
+                router.send(signal.SIGKILL)
+                await router.process.wait()
+                settings = router.settings().replace(
+                    f'{name} = "127.0.0.1:{port}"', f'{name} = "127.0.0.1:{PRIVILEGED_PORT}"')
+                with open(router.settings_path, "w", encoding="ascii") as file:
+                    file.write(settings)
+                await router.spawn(without_privileged_ports)
+                await asyncio.sleep(CONDITION_S)
+                self.assertEqual(2, router.process.returncode, name)
+
+        self.check(scenario)
+
     # Guards against a signal that ends the process as it comes before its handler.
     def test_signals_at_the_start_are_handled(self) -> None:
         async def scenario(platform: Platform) -> None:
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -81,11 +81,13 @@
         self.write_settings()
         await self.spawn()
 
-    async def spawn(self) -> None:
-        """Starts the process with the settings file as it is."""
+    async def spawn(self, prepare: Callable[[], None] | None = None) -> None:
+        """Starts the process with the settings file as it is; prepare is called in it
+        before the program."""
         environment = dict(os.environ, COPPERVALVE_NODE_FILE=self.settings_path)
         self.process = await asyncio.create_subprocess_exec(
-            self._program, "platform", env=environment, stdout=self._log, stderr=self._log)
+            self._program, "platform", env=environment, stdout=self._log, stderr=self._log,
+            preexec_fn=prepare)
 
     def send(self, number: int) -> None:
         if self.process and self.process.returncode is None:
