--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -2,7 +2,9 @@
 and ends, with real processes."""
 
 import asyncio
+import ctypes
 import os
+import resource
 import signal
 import socket
 import unittest
@@ -14,6 +16,18 @@
 # Much longer than any start or drain takes.
 LONGEST_S = 60.0
 
+# Below net.ipv4.ip_unprivileged_port_start; not used by any test.
+PRIVILEGED_PORT = 81
+
+_libc = ctypes.CDLL(None)
+
+
+def without_privileged_ports() -> None:
+    """Takes CAP_NET_BIND_SERVICE from the program started next; without effect on a
+    process that lacks it."""
+    drop_from_bounding_set, bind_service = 24, 10
+    _libc.prctl(drop_from_bounding_set, bind_service, 0, 0, 0)
+
 
 def holder(port: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> socket.socket:
     """Takes a port as another process would."""
@@ -136,6 +150,24 @@
 
         self.check(scenario)
 
+    # Guards against a router that callers are led to but that never answers whether it is ready.
+    def test_a_port_that_can_never_be_opened_ends_the_start(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            for name, port in (("frontend", router.front), ("readiness", router.ready),
+                               ("directory", router.directory)):
+                router.send(signal.SIGKILL)
+                await router.process.wait()
+                settings = router.settings().replace(
+                    f'{name} = "127.0.0.1:{port}"', f'{name} = "127.0.0.1:{PRIVILEGED_PORT}"')
+                with open(router.settings_path, "w", encoding="ascii") as file:
+                    file.write(settings)
+                await router.spawn(without_privileged_ports)
+                await asyncio.sleep(CONDITION_S)
+                self.assertEqual(2, router.process.returncode, name)
+
+        self.check(scenario)
+
     # Guards against a signal that ends the process as it comes before its handler.
     def test_signals_at_the_start_are_handled(self) -> None:
         async def scenario(platform: Platform) -> None:
@@ -179,6 +211,23 @@
 
         self.check(scenario, routers=6)
 
+    # Guards against a process that ends by SIGXFSZ as its log has reached the limit of files.
+    def test_a_log_file_at_its_limit_does_not_end_the_process(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            router = platform.routers[0]
+            await self.assert_serves(platform, router)
+            limit = len(router.log())
+            resource.prlimit(router.process.pid, resource.RLIMIT_FSIZE, (limit, limit))
+            router.send(signal.SIGHUP)
+            await asyncio.sleep(CONDITION_S)
+            self.assertIsNone(router.process.returncode)
+            await self.assert_serves(platform, router)
+            # Its last lines, too, find no room.
+            router.send(signal.SIGTERM)
+            self.assertEqual(0, await asyncio.wait_for(router.process.wait(), LONGEST_S))
+
+        self.check(scenario)
+
     # Guards against settings that never come into force as one read found half of them.
     def test_settings_found_incomplete_at_a_reload_are_read_again(self) -> None:
         async def scenario(platform: Platform) -> None:
