Stream: a reset that a write finds is not an orderly end

Callers could get a part of an answer as a complete one: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while another router relayed the upload to it.

Cause: the kernel states the error of a connection once. Where a write, or a look whether the peer has closed, was first, the read after it found an end of file, and the stream ended as orderly. The relay then sent the last chunk.

Evidence: failed before were unit-gateway RelaySession a_reset_that_a_write_finds_is_not_relayed_as_an_end (the last chunk was relayed) and three tests of Stream (end reported as orderly, or reset not seen by PeerHasClosed()).

Ruled out: a direct connection to an upstream. It writes the request at once and the rest from Flush(), which reports its error itself.

Change: the stream remembers that it failed. The end of file after it is reported as a reset, what was received before it is still delivered, and nothing is sent any more.

--- a/include/coppervalve/gateway/stream.h
+++ b/include/coppervalve/gateway/stream.h
@@ -54,8 +54,8 @@
   /// @brief Closes at once; bytes that were not sent are lost.
   void Close();
   bool open() const { return m_socket.is_open(); }
-  /// @return whether the peer has closed and all its data was read; on_end may
-  /// not have been called yet
+  /// @return whether the peer has closed and all its data was read, or has
+  /// reset the connection; on_end may not have been called yet
   bool PeerHasClosed();
   /// @return whether bytes wait in the socket and will be read
   bool HasInput() const;
@@ -80,6 +80,7 @@
   bool m_writing = false;
   bool m_closing = false;
   bool m_ended = false;
+  bool m_failed = false;  ///< the kernel has stated a connection error
 };
 
 using StreamRef = std::shared_ptr<Stream>;
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>       // buffer
 #include <boost/asio/error.hpp>        // would_block
 #include <boost/asio/socket_base.hpp>  // linger
+#include <cerrno>                      // errno
 #include <chrono>                      // milliseconds
 #include <utility>                     // exchange, move
 
@@ -86,7 +87,7 @@
     return;
   }
   if (code == boost::asio::error::eof) {
-    End(StreamEnd::kOrderly);
+    End(m_failed ? StreamEnd::kReset : StreamEnd::kOrderly);
     return;
   }
   if (code) {
@@ -101,10 +102,15 @@
 }
 
 bool Stream::PeerHasClosed() {
+  if (!open() || m_ended) {
+    return true;
+  }
   char next = 0;
-  return !open() || m_ended ||
-         recv(m_socket.native_handle(), &next, sizeof(next),
-              MSG_PEEK | MSG_DONTWAIT) == 0;
+  const ssize_t count = recv(m_socket.native_handle(), &next, sizeof(next),
+                             MSG_PEEK | MSG_DONTWAIT);
+  const bool none_yet = errno == EAGAIN || errno == EWOULDBLOCK;
+  m_failed = m_failed || (count < 0 && !none_yet);
+  return m_failed || count == 0;
 }
 
 bool Stream::HasInput() const {
@@ -128,7 +134,7 @@
 }
 
 void Stream::Send(std::string_view bytes) {
-  if (!open() || m_closing) {
+  if (!open() || m_closing || m_failed) {
     return;
   }
   if (m_out.empty()) {
@@ -136,8 +142,10 @@
     const size_t taken = m_socket.write_some(
         boost::asio::buffer(bytes.data(), bytes.size()), code);
     if (code && !WouldBlock(code)) {
-      // The read path sees the same error and reports it, so that handlers are
-      // not called from within Send().
+      // The read path reports it, so that handlers are not called from within
+      // Send(). The kernel states an error only once: a read finds an end of
+      // file after it.
+      m_failed = true;
       Read();
       return;
     }
