Entry router: a status that is none is a protocol error

Callers could get an answer with the status 0 whose body was that of another response, or wait for their timeout, when an upstream answered with 000 to 099. 600 to 999 were passed on as they came.

Cause: the parser accepts any three digits, and every status below 200 was skipped as an interim response. If head and body came in separate packets, the head had been handed out by then, and the body of the next response followed. A 101 was skipped too, although no request asks for another protocol.

Change: the reader of responses fails on a status outside 100 to 599 and on 101, at the status line. It serves upstreams, relays and the store alike.

--- a/include/coppervalve/http1/response_reader.h
+++ b/include/coppervalve/http1/response_reader.h
@@ -24,7 +24,8 @@
 };
 
 /// @brief Incremental parser of one response. Interim responses (1xx) are
-/// skipped. Every part other than the body is limited to 64 KB.
+/// skipped; a switch of protocols and a status outside 100 to 599 are errors.
+/// Every part other than the body is limited to 64 KB.
 class ResponseReader {
  public:
   /// @param without_body true for the response to a HEAD request
--- a/src/http1/response_reader.cc
+++ b/src/http1/response_reader.cc
@@ -11,7 +11,16 @@
 namespace http = boost::beast::http;
 
 constexpr uint32_t kHeaderLimit = 65'536;
+constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
+
+// The parser accepts any three digits. No request asks for another protocol.
+bool IsExpected(int status) {
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols;
+}
 
 core::Error ProtocolError(std::string detail) {
   return {core::ErrorId::kUpstreamProtocol, "response", std::move(detail)};
@@ -33,7 +42,11 @@
   void on_response_impl(int code,
                         beast::string_view reason,
                         int /*version*/,
-                        beast::error_code& /*ec*/) override {
+                        beast::error_code& ec) override {
+    if (!IsExpected(code)) {
+      ec = http::error::bad_status;
+      return;
+    }
     m_head.status = code;
     m_head.reason = std::string(reason.data(), reason.size());
   }
--- a/tests/gateway/unit-http-client.cc
+++ b/tests/gateway/unit-http-client.cc
@@ -109,3 +109,17 @@
   CHECK_FALSE(core::IsOk(*result));
   STRCMP_EQUAL("the answer is too long", core::Failure(*result).detail.c_str());
 }
+
+// Guards against an answer whose status is none and that is taken for the
+// store's.
+TEST(HttpClient, a_status_that_is_none_is_no_answer) {
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    store.Answer([status](const StreamRef& stream, const std::string& /*t*/) {
+      stream->Send(std::string("HTTP/1.1 ") + status +
+                   " X\r\nContent-Length: 2\r\n\r\nok");
+    });
+    result.reset();
+    Make(Get());
+    CHECK_FALSE_TEXT(core::IsOk(*result), status);
+  }
+}
