Log's core: a status that is none is a protocol error

Callers could get a part of a body as an answer: after a head with the status 000 the body was read as the next head, and a body can hold "HTTP/1.1 200 OK".

Cause: every status below 200 was taken for an interim response, which has no body.

Evidence: unit-net Upstream a_status_that_is_none_is_no_answer failed before: the caller got 200 with the inner answer.

--- a/src/net/upstream_attempt.cc
+++ b/src/net/upstream_attempt.cc
@@ -36,6 +36,9 @@
 constexpr size_t kReadBytes = size_t{16} * 1024;
 // Bytes unread by the caller at which reading from the upstream pauses.
 constexpr size_t kHighWater = size_t{256} * 1024;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kLastStatus = 599;
 constexpr unsigned kOk = 200;
 constexpr unsigned kSuccessEnd = 300;
 constexpr unsigned kTooManyRequests = 429;
@@ -111,6 +114,14 @@
       return;
     }
     const unsigned status = head_parser->get().result_int();
+    // The parser accepts any three digits. What follows such a head may be a
+    // body, and no request asks for another protocol.
+    if (status < kFirstStatus || status > kLastStatus ||
+        status == kSwitchingProtocols) {
+      EndFailed({ErrorId::kUpstreamProtocol, plan.address,
+                 "HTTP status " + std::to_string(status)});
+      return;
+    }
     if (status < kOk && ++interim_responses <= kMaxInterimResponses) {
       ReadHead();
       return;
--- a/tests/net/unit-upstream.cc
+++ b/tests/net/unit-upstream.cc
@@ -374,3 +374,22 @@
     CHECK(Has(SendRequest(shell, ModelPost("x")), "second"));
   }
 }
+
+TEST(Upstream, a_status_that_is_none_is_no_answer) {
+  // Failure: an engine in trouble answers with the status 000, and the router
+  // reads the body as the head of the next answer, or relays the status.
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    for (const bool model_work : {true, false}) {
+      const std::string answers = std::string("HTTP/1.1 ") + status +
+                                  " X\r\nContent-Length: 0\r\n\r\n" +
+                                  EngineReply("inner");
+      FakeServer upstream(AlwaysReply(answers));
+      TestShell shell(SendTo(upstream.address(), model_work));
+      const std::string answer = SendRequest(
+          shell, model_work ? ModelPost("x") : Post("/v1/services/x/y", "{}"));
+      CHECK_TEXT(answer.starts_with("HTTP/1.1 502"), answer.c_str());
+      CHECK_TEXT(Has(answer, "CV-505"), answer.c_str());
+      CHECK_TEXT(Has(answer, "\"run_state\":\"unknown\""), answer.c_str());
+    }
+  }
+}
