Entry router: a success needs an upstream that took in the request

Callers could get a part of an answer as a complete one: an upstream answered an upload of 2 MB with a 200 without a length before it had read the upload, half-closed after a part of the body, and reset the connection later.

Cause: an orderly end of the connection completes such an answer, whatever of the request was still to be sent or waited in the kernel.

Change: the attempt is broken if the answer is a success and the upstream's kernel has not acknowledged all of the request, or the connection was reset meanwhile. The end acknowledges what arrived before it, so that the answer of an upstream that has read its request is complete as before. An idempotent request is sent once more within its budget; any other gets 502, as it may have run. A relay leaves out the last chunk in that case, but sends what it has: an answer with a length stays complete.

A failure, such as 413, is passed on as before: it is often sent before the request was read, and tells its caller more than a 502. Through a relay it becomes 502, since the relay does not know the status.

Not covered: a request that the upstream's kernel took in whole and that its process did not read, if the reset comes after the end was handled.

--- a/include/coppervalve/gateway/stream.h
+++ b/include/coppervalve/gateway/stream.h
@@ -59,6 +59,9 @@
   bool PeerHasClosed();
   /// @return whether bytes wait in the socket and will be read
   bool HasInput() const;
+  /// @return whether the peer's kernel has acknowledged all bytes sent, and the
+  /// connection has not been reset since; the peer may have read less
+  bool PeerHasAll();
 
  private:
   void Read();
--- a/include/coppervalve/gateway/upstream_connection.h
+++ b/include/coppervalve/gateway/upstream_connection.h
@@ -84,6 +84,7 @@
   bool IsRelayed() const { return m_relayed_to.has_value(); }
   void OnBytes(std::string_view bytes);
   void OnEnd(StreamEnd end);
+  bool EndsTooEarly();
   void Deliver();
   void Finish(AttemptEnd end, std::string_view why);
 
--- a/src/gateway/relay_session.cc
+++ b/src/gateway/relay_session.cc
@@ -125,14 +125,19 @@
   }
 }
 
-// Without the last chunk, the other router knows that the answer was cut.
+// Without the last chunk, the other router knows that the answer was cut. An
+// answer that needs no end to be complete still reaches it if the upstream has
+// not taken in the request.
 void RelaySession::OnUpstreamEnd(StreamEnd end) {
   if (end == StreamEnd::kReset) {
     Close();
     return;
   }
+  const bool has_request = m_upstream->PeerHasAll() && !m_router->HasInput();
   m_upstream->Abort();
-  m_router->Send(kLastChunk);
+  if (has_request) {
+    m_router->Send(kLastChunk);
+  }
   m_busy = false;
   m_router->CloseWhenSent();
 }
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -1,7 +1,9 @@
 #include "coppervalve/gateway/stream.h"
 
-#include <netinet/tcp.h>  // TCP_USER_TIMEOUT
-#include <sys/socket.h>   // recv
+#include <linux/sockios.h>  // SIOCOUTQ
+#include <netinet/tcp.h>    // TCP_USER_TIMEOUT
+#include <sys/ioctl.h>      // ioctl
+#include <sys/socket.h>     // getsockopt, recv
 
 #include <array>                       // array
 #include <boost/asio/buffer.hpp>       // buffer
@@ -118,6 +120,22 @@
   return open() && !m_paused && m_socket.available(code) != 0;
 }
 
+bool Stream::PeerHasAll() {
+  if (!open() || unsent() != 0) {
+    return false;
+  }
+  int error = 0;
+  socklen_t size = sizeof(error);
+  const int stated =
+      getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+  m_failed = m_failed || (stated == 0 && error != 0);
+  // A request is not refused because the kernel can't tell.
+  int unacknowledged = 0;
+  const bool known =
+      ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+  return !m_failed && !(known && unacknowledged > 0);
+}
+
 void Stream::End(StreamEnd end) {
   if (m_ended) {
     return;
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -12,6 +12,10 @@
 
 using boost::asio::ip::tcp;
 
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
 core::Duration KeepAliveOf(const http1::ResponseHead& head) {
   constexpr std::string_view kTimeout = "timeout=";
   const std::string* value = head.headers.Find("keep-alive");
@@ -203,15 +207,28 @@
     Close();
     return;
   }
+  const bool premature = end == StreamEnd::kOrderly && EndsTooEarly();
   // A response without a length is complete when the upstream closes the
   // connection. After a reset its end may be missing.
-  if (end == StreamEnd::kOrderly && m_reader->FinishAtEof()) {
+  if (end == StreamEnd::kOrderly && !premature && m_reader->FinishAtEof()) {
     Deliver();
     return;
   }
-  const bool sent = sent_any();
-  Finish(sent ? AttemptEnd::kBroken : AttemptEnd::kNotSent,
-         end == StreamEnd::kOrderly ? "connection closed" : "connection reset");
+  std::string_view why = "connection reset";
+  if (end == StreamEnd::kOrderly) {
+    why = premature ? "connection closed before the request was taken"
+                    : "connection closed";
+  }
+  Finish(sent_any() ? AttemptEnd::kBroken : AttemptEnd::kNotSent, why);
+}
+
+// An upstream that stops reading a request resets its connection sooner or
+// later, so an end before that does not show that a success is complete. A
+// failure tells its caller enough without its end, such as that the request is
+// too large.
+bool UpstreamConnection::EndsTooEarly() {
+  return m_reader->head_done() && IsSuccess(m_reader->head().status) &&
+         !m_stream->PeerHasAll();
 }
 
 void UpstreamConnection::Finish(AttemptEnd end, std::string_view why) {
