Log's core: test of an early answer without a length

The fault of the entry router does not happen here: an answer that only its connection ends is a protocol error, and the answer is read once the request is written.

--- a/tests/net/unit-upstream.cc
+++ b/tests/net/unit-upstream.cc
@@ -393,3 +393,24 @@
     }
   }
 }
+
+TEST(Upstream, a_part_of_an_early_answer_is_not_relayed_as_complete) {
+  // Failure: an upstream answers a long upload before it has read it, without a
+  // length, and resets its connection. The caller gets a part as a whole.
+  for (const bool model_work : {true, false}) {
+    FakeServer upstream([](RawSocket& socket, size_t) {
+      socket.ReadUntil("\r\n\r\n");
+      socket.Send("HTTP/1.1 200 OK\r\n\r\n{\"choices\":[]}");
+      socket.Reset();
+    });
+    net::ShellSettings settings = TestShell::Settings();
+    settings.caller.max_body_bytes = 4'000'000;
+    TestShell shell(SendTo(upstream.address(), model_work), settings);
+    const std::string long_text(2'000'000, 'u');
+    const std::string answer =
+        SendRequest(shell, model_work ? ModelPost(long_text)
+                                      : Post("/v1/services/x/y", long_text));
+    CHECK_TEXT(answer.starts_with("HTTP/1.1 502"), answer.c_str());
+    CHECK_TEXT(Has(answer, "\"run_state\":\"unknown\""), answer.c_str());
+  }
+}
