--- a/include/coppervalve/gateway/stream.h
+++ b/include/coppervalve/gateway/stream.h
@@ -56,11 +56,14 @@
   /// @brief Closes at once; bytes that were not sent are lost.
   void Close();
   bool open() const { return m_socket.is_open(); }
-  /// @return whether the peer has closed and all its data was read; on_end may
-  /// not have been called yet
+  /// @return whether the peer has closed and all its data was read, or has
+  /// reset the connection; on_end may not have been called yet
   bool PeerHasClosed();
   /// @return whether bytes wait in the socket and will be read
   bool HasInput() const;
+  /// @return whether the peer's kernel has acknowledged all bytes sent, and the
+  /// connection has not been reset since; the peer may have read less
+  bool PeerHasAll();
 
  private:
   void Read();
@@ -90,6 +93,7 @@
   bool m_writing = false;
   bool m_closing = false;
   bool m_ended = false;
+  bool m_failed = false;  ///< the kernel has stated a connection error
 };
 
 using StreamRef = std::shared_ptr<Stream>;
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -1,12 +1,15 @@
 #include "coppervalve/gateway/stream.h"
 
-#include <netinet/tcp.h>  // TCP_USER_TIMEOUT
-#include <sys/socket.h>   // recv
+#include <linux/sockios.h>  // SIOCOUTQ
+#include <netinet/tcp.h>    // TCP_USER_TIMEOUT
+#include <sys/ioctl.h>      // ioctl
+#include <sys/socket.h>     // getsockopt, recv
 
 #include <array>                       // array
 #include <boost/asio/buffer.hpp>       // buffer
 #include <boost/asio/error.hpp>        // would_block
 #include <boost/asio/socket_base.hpp>  // linger
+#include <cerrno>                      // errno
 #include <chrono>                      // milliseconds
 #include <utility>                     // exchange, move
 
@@ -96,7 +99,7 @@
     return;
   }
   if (code == boost::asio::error::eof) {
-    End(StreamEnd::kOrderly);
+    End(m_failed ? StreamEnd::kReset : StreamEnd::kOrderly);
     return;
   }
   if (code) {
@@ -111,10 +114,15 @@
 }
 
 bool Stream::PeerHasClosed() {
+  if (!open() || m_ended) {
+    return true;
+  }
   char next = 0;
-  return !open() || m_ended ||
-         recv(m_socket.native_handle(), &next, sizeof(next),
-              MSG_PEEK | MSG_DONTWAIT) == 0;
+  const ssize_t count = recv(m_socket.native_handle(), &next, sizeof(next),
+                             MSG_PEEK | MSG_DONTWAIT);
+  const bool none_yet = errno == EAGAIN || errno == EWOULDBLOCK;
+  m_failed = m_failed || (count < 0 && !none_yet);
+  return m_failed || count == 0;
 }
 
 bool Stream::HasInput() const {
@@ -122,6 +130,22 @@
   return open() && !m_paused && m_socket.available(code) != 0;
 }
 
+bool Stream::PeerHasAll() {
+  if (!open() || unsent() != 0) {
+    return false;
+  }
+  int error = 0;
+  socklen_t size = sizeof(error);
+  const int stated =
+      getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+  m_failed = m_failed || (stated == 0 && error != 0);
+  // A request is not refused because the kernel can't tell.
+  int unacknowledged = 0;
+  const bool known =
+      ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+  return !m_failed && !(known && unacknowledged > 0);
+}
+
 void Stream::End(StreamEnd end) {
   if (m_ended) {
     return;
@@ -138,7 +162,7 @@
 }
 
 void Stream::Send(std::string_view bytes) {
-  if (!open() || m_closing) {
+  if (!open() || m_closing || m_failed) {
     return;
   }
   ObserveLargeOutput(bytes.size());
@@ -147,8 +171,10 @@
     const size_t taken = m_socket.write_some(
         boost::asio::buffer(bytes.data(), bytes.size()), code);
     if (code && !WouldBlock(code)) {
-      // The read path sees the same error and reports it, so that handlers are
-      // not called from within Send().
+      // The read path reports it, so that handlers are not called from within
+      // Send(). The kernel states an error only once: a read finds an end of
+      // file after it.
+      m_failed = true;
       Read();
       return;
     }
