Drain: requests in progress at the end get a final answer

Callers of a router that was stopped as planned saw connections end without an answer: requests that were accepted in the first 2.5 s of the grace period, sent to an upstream, and still in progress when it ended, among them ones that may not be repeated.

Cause: in the first 2.5 s a request is accepted whatever its limit, and at the end of the grace period the process ended with whatever was in progress. Between the last claim and the end, a request that an upstream declined was even given to another one, with at most 0.4 s left.

Evidence: of real routers (grace 6 s, upstreams that do not answer) the requests sent 0.2 s after SIGTERM ended at 5.6 s with no byte (test drain_end, also with a process that was frozen); the test stops at the first. Unit tests Drain: no 504 when the process ends; the second upstream had a request. All three fail before. The two tests of streams passed before and guard the change.

Ruled out: refusing, in the first 2.5 s, requests whose limit is longer than what is left. Limits are several times the usual time, callers with a cached list would come back to the same router, and an existing test demands that such a request is served.

Change: 0.2 s before the process ends, a request without a response gets 504 if a byte of it was sent, else 503 with Retry-After; both close the connection. The upstream is not blamed. From the closing of the drain on no request is given to an upstream. A response that has begun goes on until the process ends, and is then left without its end; it has a line in the log now.

--- a/include/coppervalve/gateway/caller_connection.h
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -39,6 +39,12 @@
   std::string body;
 };
 
+/// @brief Steps at the end of the time that a drain may take.
+enum class DrainEnd {
+  kAnswer,  ///< requests without a response get a final one
+  kCut,     ///< responses that have begun end incomplete
+};
+
 /// @brief Server side of one HTTP/1.1 connection of a caller. Handles one
 /// request at a time. Each request that was read ends either with a complete
 /// response or with a reset of the connection.
@@ -72,6 +78,8 @@
   /// @brief Sets a handler that is called when the kernel has taken all bytes
   /// sent so far.
   void SetDrainedHandler(std::function<void()> on_drained);
+  /// @brief Sets a handler that ends the request because the process ends.
+  void SetDrainEndHandler(std::function<void(DrainEnd)> on_drain_end);
 
   void Respond(const LocalResponse& response);
   /// @brief Starts a response.
@@ -89,6 +97,9 @@
   /// @brief Resets the connection, so that the caller can't take the response
   /// for complete.
   void Abort();
+  /// @brief Closes the connection after what was sent of an incomplete
+  /// response.
+  void Cut();
 
   size_t unsent() const { return m_stream->unsent(); }
   /// @return number of unsent bytes beyond which nothing more should be sent
@@ -98,6 +109,8 @@
   bool busy() const;
   /// @brief Closes the connection unless a request is in progress.
   void CloseIfIdle();
+  /// @brief Ends the request in progress because the process ends.
+  void EndRequest(DrainEnd step);
 
  private:
   void OnBytes(std::string_view bytes);
@@ -128,6 +141,7 @@
   std::string m_head_text;  ///< response head that was not sent yet
   std::function<void()> m_on_disconnect;
   std::function<void()> m_on_drained;
+  std::function<void(DrainEnd)> m_on_drain_end;
   size_t m_request_bytes = 0;  ///< what the request in progress holds
   bool m_busy = false;
   bool m_parsing = false;  ///< within Parse()
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -205,6 +205,9 @@
   void EndPrefill();
   void DiscardResponse();
   void AbortAttempt(entry::AttemptOutcome outcome);
+  /// @brief Ends the attempt, if there is one, without an outcome: its upstream
+  /// is not to blame.
+  void DropAttempt();
   void RecordOutcome(entry::AttemptOutcome outcome);
 
   entry::RequestContent Content() const;
@@ -235,6 +238,10 @@
               std::optional<core::Duration> retry_after);
   void Fail(const core::Error& error);
   void OnCallerDisconnected();
+  /// @brief Whether the process is about to end.
+  bool IsShuttingDown() const;
+  void OnDrainEnd(DrainEnd step);
+  void EndForDrain();
   void Finish(std::string_view cause, int status);
   void DescribeAdmission(LogLine& line) const;
   void DescribeAttempts(LogLine& line) const;
--- a/include/coppervalve/gateway/listener.h
+++ b/include/coppervalve/gateway/listener.h
@@ -27,6 +27,8 @@
   size_t Busy() const;
   /// @brief Closes connections without a request in progress.
   void CloseIdle();
+  /// @brief Ends requests in progress because the process ends.
+  void EndRequests(DrainEnd step);
 
  private:
   void OnConnection(boost::asio::ip::tcp::socket socket);
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -91,10 +91,16 @@
   m_on_drained = std::move(on_drained);
 }
 
+void CallerConnection::SetDrainEndHandler(
+    std::function<void(DrainEnd)> on_drain_end) {
+  m_on_drain_end = std::move(on_drain_end);
+}
+
 void CallerConnection::NextRequest() {
   m_busy = false;
   m_on_disconnect = nullptr;
   m_on_drained = nullptr;
+  m_on_drain_end = nullptr;
   m_buffered = 0;
   const entry::CallerBounds bounds = m_hooks->bounds();
   m_reader = std::make_unique<http1::RequestReader>(
@@ -383,6 +389,17 @@
   Close();
 }
 
+// The missing length or last chunk shows that the response is incomplete, and
+// unlike after a reset, the caller gets what it has not read yet.
+void CallerConnection::Cut() {
+  if (m_closed) {
+    return;
+  }
+  m_stream->CloseWhenSent();
+  m_busy = false;
+  Close();
+}
+
 bool CallerConnection::busy() const {
   if (m_closed) {
     return m_stream->open() && m_stream->unsent() != 0;
@@ -398,6 +415,12 @@
   Close();
 }
 
+void CallerConnection::EndRequest(DrainEnd step) {
+  if (const auto handler = m_on_drain_end) {
+    handler(step);
+  }
+}
+
 void CallerConnection::OnEnd() {
   if (m_closed) {
     return;
@@ -450,6 +473,7 @@
   m_timer.cancel();
   m_on_disconnect = nullptr;
   m_on_drained = nullptr;
+  m_on_drain_end = nullptr;
   m_hooks->on_closed();
 }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -48,6 +48,11 @@
 void Exchange::Start() {
   m_caller->SetDisconnectHandler(
       [self = shared_from_this()] { self->OnCallerDisconnected(); });
+  m_caller->SetDrainEndHandler([weak = weak_from_this()](DrainEnd step) {
+    if (const auto self = weak.lock()) {
+      self->OnDrainEnd(step);
+    }
+  });
   Admit();
 }
 
@@ -339,6 +344,11 @@
     m_waiting_since.reset();
     m_wait_until.reset();
   }
+  // There is no time left for an answer.
+  if (IsShuttingDown() && !m_response_begun) {
+    EndForDrain();
+    return;
+  }
   if (RefuseIfCrashesUpstreams()) {
     return;
   }
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -131,13 +131,13 @@
 }
 
 // While the connection was being opened, the upstream may have left, its
-// failure domain may have been evacuated, or the request may have been
-// quarantined.
+// failure domain may have been evacuated, the request may have been
+// quarantined, or the time of a drain may have ended.
 bool Exchange::MaySendNow(entry::Upstream& upstream) {
   const core::TimePoint now = net::BootNow();
   m_attempt->opening = false;
   m_context.reach.OnOpened(upstream.entry, m_attempt->relay, now);
-  if (upstream.entry.leaving ||
+  if (upstream.entry.leaving || (IsShuttingDown() && !m_response_begun) ||
       m_context.gate.StateOf(upstream, now) != entry::GateState::kOpen ||
       CurrentSuspicion().state == entry::QuarantineState::kQuarantined) {
     return false;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -72,17 +72,39 @@
   if (m_done) {
     return;
   }
-  if (m_attempt) {
-    const bool sent = m_attempt->connection->sent_any();
-    m_may_have_run = m_may_have_run || sent;
-    m_attempt->connection->Cancel();
-    --m_attempt->upstream->in_flight;
-    EndPrefill();
-    m_attempt.reset();
-  }
+  DropAttempt();
   Finish("caller_left", 0);
 }
 
+bool Exchange::IsShuttingDown() const {
+  const auto left = m_context.time_until_shutdown();
+  return left && *left <= core::Duration::zero();
+}
+
+// A response that has begun goes on until the process ends.
+void Exchange::OnDrainEnd(DrainEnd step) {
+  if (m_done || (step == DrainEnd::kAnswer && m_response_begun)) {
+    return;
+  }
+  DropAttempt();
+  if (m_response_begun) {
+    m_last_failure = "the router ends";
+    m_caller->Cut();
+    Finish("answer_cut", 0);
+    return;
+  }
+  EndForDrain();
+}
+
+void Exchange::EndForDrain() {
+  if (m_may_have_run) {
+    Fail({core::ErrorId::kUpstreamSilent, m_admitted.service.value(),
+          "no answer before the router ends"});
+  } else {
+    Refuse({core::ErrorId::kDraining, "router", "shutting down"}, kRetrySoon);
+  }
+}
+
 void Exchange::Settle() {
   if (m_reserved == core::Tokens(0)) {
     return;
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -66,6 +66,20 @@
   m_attempt.reset();
 }
 
+void Exchange::DropAttempt() {
+  if (!m_attempt) {
+    return;
+  }
+  if (m_attempt->connection->sent_any()) {
+    ++m_sent_attempts;
+    m_may_have_run = true;
+  }
+  m_attempt->connection->Cancel();
+  --m_attempt->upstream->in_flight;
+  EndPrefill();
+  m_attempt.reset();
+}
+
 void Exchange::OnEnd(AttemptEnd end, std::string_view why) {
   if (m_done || !m_attempt) {
     return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -28,6 +28,8 @@
 constexpr core::Duration kGraceMargin{900'000};
 constexpr core::Duration kDrainAcceptAllTime{2'500'000};
 constexpr core::Duration kClosingTimeout{400'000};
+// Time in which callers are sent final answers before the process ends.
+constexpr core::Duration kFinalAnswerTime{200'000};
 constexpr core::Duration kDrainQuietTime{1'500'000};
 
 routing::RandomSource SeededRandom() {
@@ -293,6 +295,9 @@
     return;
   }
   m_callers->CloseIdle();
+  if (since >= last + kClosingTimeout - kFinalAnswerTime) {
+    m_callers->EndRequests(DrainEnd::kAnswer);
+  }
   // If the store is unavailable, the ceilings stay claimed.
   const bool claimed =
       m_last_claim_written || now - *m_closing_since >= kClosingTimeout;
@@ -302,6 +307,7 @@
 }
 
 void Gateway::FinishDrain(int64_t in_progress) {
+  m_callers->EndRequests(DrainEnd::kCut);
   LogLifecycle(LogLine("stopped")
                    .Number("in_progress", in_progress)
                    .Flag("ceilings_returned", m_last_claim_written));
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -53,4 +53,12 @@
   }
 }
 
+void Listener::EndRequests(DrainEnd step) {
+  for (const auto& weak : m_connections) {
+    if (const CallerRef connection = weak.lock()) {
+      connection->EndRequest(step);
+    }
+  }
+}
+
 }  // namespace coppervalve::gateway
