Drain: a reload does not extend the grace period

Callers of a draining router whose settings changed after SIGTERM could lose requests in progress without an answer: the router went by the new, longer grace period, while a supervisor that counts from its signal ends it by force at the old one.

Cause: a reload replaced the grace period of a running drain.

Evidence: Drain, a_reload_does_not_extend_it: not drained within the old time before. The test of a reload that shortens the period passed before and guards the answers (of a time that is already over, too).

Change: during a drain the shorter of both applies. It is right for a supervisor that counts either way; requests that it ends sooner get an answer.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -2,8 +2,9 @@
 
 #include <unistd.h>  // STDOUT_FILENO
 
-#include <chrono>  // milliseconds
-#include <memory>  // make_shared
+#include <algorithm>  // min
+#include <chrono>     // milliseconds
+#include <memory>     // make_shared
 #include <pcg_random.hpp>
 #include <random>   // random_device
 #include <utility>  // move
@@ -317,7 +318,10 @@
 
 void Gateway::OnReload(const GatewaySettings& settings) {
   m_settings.address_lifetime = settings.address_lifetime;
-  m_settings.grace = settings.grace;
+  // A supervisor may still count the time that was set when it sent the signal.
+  m_settings.grace = m_leaving_since
+                         ? std::min(m_settings.grace, settings.grace)
+                         : settings.grace;
   m_settings.key_expiry = settings.key_expiry;
   LogLifecycle(LogLine("settings_reloaded"));
 }
--- a/tests/gateway/unit-drain.cc
+++ b/tests/gateway/unit-drain.cc
@@ -107,3 +107,38 @@
   CHECK_FALSE(Has(caller->received, "\r\n0\r\n"));
   CHECK_FALSE(Has(caller->received, "HTTP/1.1 504"));
 }
+
+// Guards against a drain that the supervisor ends by force, as it counts the
+// grace period from the signal.
+TEST(Drain, a_reload_does_not_extend_it) {
+  HoldingUpstream one(router.AddUpstream("one", "hold"));
+  router.Start();
+  Drain();
+  const auto caller = router.Caller();
+  caller->Send(Router::RequestText("/hold/x", {}, "r-1"));
+  router.io.run_for(std::chrono::milliseconds(500));
+  GatewaySettings changed = router.settings;
+  changed.grace = std::chrono::seconds(6);
+  router.gateway->OnReload(changed);
+  router.io.run_for(std::chrono::milliseconds(2'900));
+  CHECK(drained);
+  CHECK(Has(caller->received, "HTTP/1.1 504"));
+}
+
+// Guards against a request that is cut without an answer by a reload that
+// leaves no time.
+TEST(Drain, a_reload_that_shortens_it_takes_no_answer) {
+  HoldingUpstream one(router.AddUpstream("one", "hold"));
+  router.Start();
+  Drain();
+  const auto caller = router.Caller();
+  caller->Send(Router::RequestText("/hold/x", {}, "r-1"));
+  router.io.run_for(std::chrono::milliseconds(2'000));
+  CHECK_FALSE(drained);
+  GatewaySettings changed = router.settings;
+  changed.grace = std::chrono::milliseconds(1'500);
+  router.gateway->OnReload(changed);
+  CHECK(router.Until([&] { return drained; }));
+  router.io.run_for(std::chrono::milliseconds(50));
+  CHECK(Has(caller->received, "HTTP/1.1 504"));
+}
