Drain: test of relayed requests at the end of a draining relay

No change of the router. A router that can't reach the upstreams sends its requests through another one, which drains while they are in progress: at its end, safe requests run again through a third router and get 200, those that may not be repeated get 502, none is cut without an answer.

--- a/tests/process/test_drain_end.py
+++ b/tests/process/test_drain_end.py
@@ -63,6 +63,13 @@
     return list(outcomes)
 
 
+def set_grace(router: Router, grace_s: int) -> None:
+    text = router.settings().replace(f"graceS = {GRACE_S}", f"graceS = {grace_s}")
+    with open(router.settings_path, "w", encoding="ascii") as file:
+        file.write(text)
+    router.send(signal.SIGHUP)
+
+
 async def end_stall(platform: Platform) -> None:
     platform.stall(set())
     await asyncio.sleep(0.1)
@@ -111,6 +118,30 @@
 
         run_scenario(scenario, routers=1, engines=2)
 
+    # Guards against requests of other routers that end with their relay.
+    def test_requests_relayed_by_a_draining_router_are_answered(self) -> None:
+        async def scenario(platform: Platform) -> None:
+            reached, relay = platform.routers[:2]
+            set_grace(relay, 3)
+            platform.partition({0}, reset=True)
+            platform.stall({"hold", "lookup"})
+            calls = [request(reached, kind, number)
+                     for number in range(8) for kind in ("hold", "lookup")]
+            replies = asyncio.gather(*calls)
+            await asyncio.sleep(0.5)
+            self.assertLess(0, await relay.figure("relayed_for_others"))
+            relay.send(signal.SIGTERM)
+            self.assertEqual(0, await asyncio.wait_for(relay.process.wait(), 3))
+            await end_stall(platform)
+            statuses = [(reply and reply.status, whole) for reply, whole in await replies]
+            self.assertEqual({(200, True)}, set(statuses[1::2]), statuses)
+            self.assertLessEqual(set(statuses[::2]), {(200, True), (502, True)}, statuses)
+            reply, _ = await request(reached, "hold", 8)
+            self.assertEqual(200, reply.status)
+            await relay.start()
+
+        run_scenario(scenario, routers=3, engines=1)
+
 
 if __name__ == "__main__":
     unittest.main()
