--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -2,8 +2,9 @@
 
 #include <unistd.h>  // STDOUT_FILENO
 
-#include <chrono>  // milliseconds
-#include <memory>  // make_shared
+#include <algorithm>  // min
+#include <chrono>     // milliseconds
+#include <memory>     // make_shared
 #include <pcg_random.hpp>
 #include <random>   // random_device
 #include <utility>  // move
@@ -28,6 +29,8 @@
 constexpr core::Duration kGraceMargin{900'000};
 constexpr core::Duration kDrainAcceptAllTime{2'500'000};
 constexpr core::Duration kClosingTimeout{400'000};
+// Time in which callers are sent final answers before the process ends.
+constexpr core::Duration kFinalAnswerTime{200'000};
 constexpr core::Duration kDrainQuietTime{1'500'000};
 
 routing::RandomSource SeededRandom() {
@@ -293,6 +296,9 @@
     return;
   }
   m_callers->CloseIdle();
+  if (since >= last + kClosingTimeout - kFinalAnswerTime) {
+    m_callers->EndRequests(DrainEnd::kAnswer);
+  }
   // If the store is unavailable, the ceilings stay claimed.
   const bool claimed =
       m_last_claim_written || now - *m_closing_since >= kClosingTimeout;
@@ -302,6 +308,7 @@
 }
 
 void Gateway::FinishDrain(int64_t in_progress) {
+  m_callers->EndRequests(DrainEnd::kCut);
   LogLifecycle(LogLine("stopped")
                    .Number("in_progress", in_progress)
                    .Flag("ceilings_returned", m_last_claim_written));
@@ -311,7 +318,10 @@
 
 void Gateway::OnReload(const GatewaySettings& settings) {
   m_settings.address_lifetime = settings.address_lifetime;
-  m_settings.grace = settings.grace;
+  // A supervisor may still count the time that was set when it sent the signal.
+  m_settings.grace = m_leaving_since
+                         ? std::min(m_settings.grace, settings.grace)
+                         : settings.grace;
   m_settings.key_expiry = settings.key_expiry;
   LogLifecycle(LogLine("settings_reloaded"));
 }
