Resume a stream without a record only by a current table

Callers could get text that is joined from two software versions: a stream began at an upstream of a version that had just joined, its router was killed before it had recorded the stream, and another router whose table of upstreams was behind took the only version in it for the stream's.

Cause: a router inferred "one version" from its table whatever the age of the table; the tick counts what is listed as seen now. The table is behind by up to 0.3 s in ordinary operation (the pause between reads), and by seconds if reads get no answer or the process stood still. Records of streams show a second version only once one has been written.

--- a/include/coppervalve/entry/stream_versions.h
+++ b/include/coppervalve/entry/stream_versions.h
@@ -65,6 +65,7 @@
 /// @brief What is known of the records of other routers.
 enum class RecordsRead : uint8_t {
   kToTheEnd,         ///< all that were written before the caller's request
+  kTableBehind,      ///< the same, but the table of upstreams may have changed
   kUnavailable,      ///< no router reads the store now
   kUnavailableHere,  ///< other routers may have read more than this one
 };
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -39,6 +39,7 @@
 #include "coppervalve/gateway/placement_client.h"
 #include "coppervalve/gateway/platform_adapter.h"
 #include "coppervalve/gateway/reach_monitor.h"
+#include "coppervalve/gateway/read_barrier.h"
 #include "coppervalve/gateway/relay_server.h"
 #include "coppervalve/gateway/start_probe.h"
 #include "coppervalve/gateway/stream_record_reader.h"
@@ -210,10 +211,16 @@
   void ResolveStream(entry::StreamKey stream,
                      const core::ServiceId& service,
                      std::function<void(const StreamResumption&)> on_resolved);
+  /// @brief Reads what was written of a stream and of the versions of its
+  /// service.
+  void ReadStreamVersion(
+      entry::StreamKey stream,
+      const core::ServiceId& service,
+      std::function<void(entry::RecordsRead, const StreamResumption&)> on_read);
   entry::RecordsRead UnreadRecords(core::TimePoint now) const;
   StreamResumption Resumption(entry::StreamKey stream,
                               const core::ServiceId& service,
-                              bool records_read) const;
+                              entry::RecordsRead read) const;
   void MakePlacementClient();
   void OnPlaceAsk(const v1::PlaceAsk& ask);
   void MakeListeners();
@@ -284,6 +291,7 @@
   entry::StreamVersions m_stream_versions;
   std::shared_ptr<StreamRecordWriter> m_stream_writer;
   std::shared_ptr<StreamRecordReader> m_stream_reader;
+  std::shared_ptr<ReadBarrier> m_table_barrier;
   std::unique_ptr<PeerMessenger> m_peer_messenger;
   std::unique_ptr<RelayServer> m_relay_server;
   /// Since then no earlier process of this VM can be running, because it would
--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -85,6 +85,12 @@
                      const ReadBounds& bounds,
                      Handler<RecordBatch>)>
       read;
+  /// Reads the offset after all records that were written before the call. Not
+  /// delayed by a read of the topic that waits for records.
+  std::function<void(const std::string& topic,
+                     core::Duration patience,
+                     Handler<uint64_t>)>
+      end;
   /// Appends one record; a record with an empty key only announces the epoch.
   /// @param timeout time to wait for the reply
   std::function<void(const std::string& topic,
--- a/src/entry/stream_versions.cc
+++ b/src/entry/stream_versions.cc
@@ -209,6 +209,11 @@
   if (read == RecordsRead::kUnavailableHere) {
     return {std::nullopt, "only other routers can read its record"};
   }
+  if (read == RecordsRead::kTableBehind) {
+    return {std::nullopt,
+            "it has no record, and this router's table of "
+            "upstreams is not current"};
+  }
   if (const auto sole = SoleVersion(service, now)) {
     return {sole, {}};
   }
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -94,6 +94,7 @@
                              const entry::ReadProgress& progress) {
     OnStoreAnswer(topic, true);
     m_table_age.OnRead(progress);
+    m_table_barrier->OnRead(progress.next);
   };
   of_upstreams.on_page = [this](size_t listed) {
     m_upstreams_listed = std::max(m_upstreams_listed, listed);
--- a/src/gateway/gateway_stream_versions.cc
+++ b/src/gateway/gateway_stream_versions.cc
@@ -47,6 +47,12 @@
           [this](bool answered) {
             m_metrics.OnStoreCall("stream_read", answered);
           }});
+  m_table_barrier = std::make_shared<ReadBarrier>(
+      m_io, m_store, m_settings.layout.upstream_topic,
+      ReadBarrier::Hooks{[this] { m_upstreams->Expedite(); },
+                         [this](bool answered) {
+                           m_metrics.OnStoreCall("upstream_end", answered);
+                         }});
 }
 
 void Gateway::UpdateStreamVersions(core::TimePoint now) {
@@ -113,12 +119,10 @@
 
 StreamResumption Gateway::Resumption(entry::StreamKey stream,
                                      const core::ServiceId& service,
-                                     bool records_read) const {
-  const core::TimePoint now = net::BootNow();
-  const auto read =
-      records_read ? entry::RecordsRead::kToTheEnd : UnreadRecords(now);
+                                     entry::RecordsRead read) const {
   StreamResumption resumption;
-  resumption.version = m_stream_versions.Resolve(stream, service, read, now);
+  resumption.version =
+      m_stream_versions.Resolve(stream, service, read, net::BootNow());
   resumption.ask_peers = !m_upstreams_known && !m_stream_versions.Knows(stream);
   switch (read) {
     case entry::RecordsRead::kToTheEnd:
@@ -127,6 +131,7 @@
     case entry::RecordsRead::kUnavailable:
       resumption.retry_after = kRetryAfterOutage;
       break;
+    case entry::RecordsRead::kTableBehind:
     case entry::RecordsRead::kUnavailableHere:
       resumption.retry_after = kRetryElsewhere;
       break;
@@ -134,39 +139,71 @@
   return resumption;
 }
 
+// A stream without a record may have started, at another router, at a version
+// that joined a moment ago. What follows from the table holds only if the table
+// was read after the caller's request arrived.
+void Gateway::ReadStreamVersion(
+    entry::StreamKey stream,
+    const core::ServiceId& service,
+    std::function<void(entry::RecordsRead, const StreamResumption&)> on_read) {
+  m_stream_reader->Read(
+      [this, stream, service, on_read = std::move(on_read)](bool complete) {
+        const auto read = complete ? entry::RecordsRead::kToTheEnd
+                                   : UnreadRecords(net::BootNow());
+        const StreamResumption resumption = Resumption(stream, service, read);
+        const bool inferred =
+            resumption.version.version && !m_stream_versions.Knows(stream);
+        if (!complete || !inferred) {
+          on_read(read, resumption);
+          return;
+        }
+        m_table_barrier->Wait([this, stream, service, on_read](bool passed) {
+          UpdateStreamVersions(net::BootNow());
+          const auto now_read = passed ? entry::RecordsRead::kToTheEnd
+                                       : entry::RecordsRead::kTableBehind;
+          on_read(now_read, Resumption(stream, service, now_read));
+        });
+      });
+}
+
 void Gateway::ResolveStream(
     entry::StreamKey stream,
     const core::ServiceId& service,
     std::function<void(const StreamResumption&)> on_resolved) {
-  UpdateStreamVersions(net::BootNow());
+  const core::TimePoint now = net::BootNow();
+  UpdateStreamVersions(now);
   // The last heartbeats of routers tell which versions there were before this
   // one started.
   const bool listed = m_heartbeat_writer->started();
   if (m_stream_versions.Knows(stream) || !m_contact.up() || !listed) {
-    on_resolved(Resumption(stream, service, /*records_read=*/false));
+    on_resolved(Resumption(stream, service, UnreadRecords(now)));
     return;
   }
-  m_stream_reader->Read([this, stream, service,
-                         on_resolved = std::move(on_resolved)](bool complete) {
-    const StreamResumption first = Resumption(stream, service, complete);
-    if (!complete || first.version.version || first.ask_peers) {
-      on_resolved(first);
-      return;
-    }
-    const auto timer = std::make_shared<boost::asio::steady_timer>(m_io);
-    timer->expires_after(
-        std::max(kRecordDelay, entry::StreamRecordInterval(Limits())));
-    timer->async_wait([this, alive = std::weak_ptr(m_stream_reader), timer,
-                       stream, service,
-                       on_resolved](const boost::system::error_code& code) {
-      if (code || alive.expired()) {
-        return;
-      }
-      m_stream_reader->Read([this, stream, service, on_resolved](bool again) {
-        on_resolved(Resumption(stream, service, again));
+  ReadStreamVersion(
+      stream, service,
+      [this, stream, service, on_resolved = std::move(on_resolved)](
+          entry::RecordsRead read, const StreamResumption& first) {
+        if (read != entry::RecordsRead::kToTheEnd || first.version.version ||
+            first.ask_peers) {
+          on_resolved(first);
+          return;
+        }
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_io);
+        timer->expires_after(
+            std::max(kRecordDelay, entry::StreamRecordInterval(Limits())));
+        timer->async_wait([this, alive = std::weak_ptr(m_stream_reader), timer,
+                           stream, service,
+                           on_resolved](const boost::system::error_code& code) {
+          if (code || alive.expired()) {
+            return;
+          }
+          ReadStreamVersion(stream, service,
+                            [on_resolved](entry::RecordsRead /*read*/,
+                                          const StreamResumption& second) {
+                              on_resolved(second);
+                            });
+        });
       });
-    });
-  });
 }
 
 }  // namespace coppervalve::gateway
--- a/tests/gateway/fake_store.cc
+++ b/tests/gateway/fake_store.cc
@@ -87,7 +87,8 @@
         }
         const Waiting ended = std::move(*found);
         m_waiting.erase(found);
-        if (Fails(ended.topic, ended.router)) {
+        if (Fails(ended.topic, ended.router) ||
+            Swallows(ended.topic, ended.router)) {
           Post<RecordBatch>(ended.handler, Unavailable());
           return;
         }
@@ -99,7 +100,8 @@
   std::list<Waiting> waiting = std::exchange(m_waiting, {});
   for (Waiting& reader : waiting) {
     const Topic& kept = m_topics[reader.topic];
-    if (reader.from == EndOf(kept) || Fails(reader.topic, reader.router)) {
+    if (reader.from == EndOf(kept) || Fails(reader.topic, reader.router) ||
+        Swallows(reader.topic, reader.router)) {
       m_waiting.push_back(std::move(reader));
       continue;
     }
@@ -140,7 +142,7 @@
                                 const std::string& after,
                                 core::Duration patience, auto handler) {
     ++newest_calls;
-    if (silent) {
+    if (Swallows(topic, router)) {
       Swallow<NewestPage>(handler, patience);
       return;
     }
@@ -165,7 +167,7 @@
   };
   calls.read = [this, router](const std::string& topic, uint64_t from,
                               const ReadBounds& bounds, auto handler) {
-    if (silent) {
+    if (Swallows(topic, router)) {
       Swallow<RecordBatch>(handler, bounds.wait + bounds.patience);
       return;
     }
@@ -181,6 +183,18 @@
     }
     Read(topic, from, bounds.most_bytes, handler);
   };
+  calls.end = [this, router](const std::string& topic, core::Duration patience,
+                             auto handler) {
+    if (Swallows(topic, router)) {
+      Swallow<uint64_t>(handler, patience);
+      return;
+    }
+    if (Fails(topic, router)) {
+      Post<uint64_t>(handler, Unavailable());
+      return;
+    }
+    Post<uint64_t>(handler, EndOf(m_topics[topic]));
+  };
   calls.append = [this](const std::string& topic, const KeyedRecord& record,
                         const WriterPosition& position, core::Duration timeout,
                         auto handler) {
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -37,7 +37,10 @@
   bool silent = false;        ///< calls get no answer, also not later
   std::string unreadable;     ///< topic whose reads fail as if timed out
   std::string unreadable_to;  ///< the only router whose reads fail; empty: all
-  int lose_replies = 0;       ///< number of next appends to apply without reply
+  /// Whether a router's reads of a topic get no answer.
+  std::function<bool(const std::string& topic, const std::string& router)>
+      swallows;
+  int lose_replies = 0;  ///< number of next appends to apply without reply
   /// Whether the next append gets no reply and is applied by ApplyLate().
   std::function<bool(const std::string& topic)> is_late;
   int rejected_pages = 0;  ///< number of the next pages to reject
@@ -80,6 +83,9 @@
     const bool affected = unreadable_to.empty() || unreadable_to == router;
     return unreachable || silent || (topic == unreadable && affected);
   }
+  bool Swallows(const std::string& topic, const std::string& router) const {
+    return silent || (swallows && swallows(topic, router));
+  }
   /// @brief The call ends after its patience.
   template <typename T>
   void Swallow(KeyedStore::Handler<T> handler, core::Duration patience) {
--- a/tests/gateway/unit-stream-version.cc
+++ b/tests/gateway/unit-stream-version.cc
@@ -17,6 +17,8 @@
   std::vector<ScriptedUpstream*> old_ones;
   std::vector<ScriptedUpstream*> new_ones;
   int parts_before_break = 0;  // events that an upstream sends; 0: all
+  std::unique_ptr<Gateway> other;
+  std::string own_address;
 
   void AddUpstreams(std::vector<ScriptedUpstream*>& list,
                     const std::string& version, int count) {
@@ -60,6 +62,39 @@
     return Has(answers, "data: v1") && Has(answers, "data: v2");
   }
   void Settle() { router.io.run_for(std::chrono::milliseconds(400)); }
+
+  void StartBoth() {
+    router.settings.load_address = FreeAddress();
+    own_address = router.settings.caller_address;
+    router.Start();
+    other = router.StartPeer("router-2");
+  }
+  void SwallowReadsOfTable() {
+    router.store.swallows = [](const std::string& topic, const std::string& to) {
+      return topic == "upstreams" && to == "router-1";
+    };
+  }
+  // As if the other router had been killed before it wrote.
+  void LoseWrites() {
+    router.store.is_late = [](const std::string& topic) {
+      return topic == "streams" || topic == "routers";
+    };
+  }
+  // Begins streams at the other router until one is at a version. Returns its
+  // id.
+  std::string BeginAtPeer(const std::string& version) {
+    router.settings.caller_address = router.peer_address;
+    constexpr int kMostStreams = 500;
+    std::string id;
+    std::string answer;
+    for (int i = 0; i < kMostStreams && !Has(answer, "data: " + version); ++i) {
+      id = "r-" + std::to_string(i);
+      answer = Begin("/chat/" + id, id);
+    }
+    router.settings.caller_address = own_address;
+    CHECK(Has(answer, "data: " + version));
+    return id;
+  }
 };
 // clang-format on
 
@@ -242,3 +277,40 @@
            beat.service_versions(0).versions_size() == 2;
   }));
 }
+
+// Guards against a stream of two versions: the second is not in the table yet.
+TEST(StreamVersion, a_router_whose_table_is_behind_gives_no_rest) {
+  AddUpstreams(old_ones, "v1", 2);
+  StartBoth();
+  SwallowReadsOfTable();
+  LoseWrites();
+  AddUpstreams(new_ones, "v2", 6);
+  const std::string rest = Resume("/chat/x", "r-x", BeginAtPeer("v2"));
+  CHECK(!Has(rest, "data: v1"));
+  CHECK(Has(rest, "HTTP/1.1 503"));
+  CHECK(Has(rest, "table of upstreams is not current"));
+  CHECK(Has(rest, "Retry-After"));
+}
+
+// Guards against refusals that outlast the lack of a current table.
+TEST(StreamVersion, streams_are_resumed_once_the_table_is_current) {
+  AddUpstreams(old_ones, "v1", 2);
+  StartBoth();
+  const std::string stream = BeginAtPeer("v1");
+  SwallowReadsOfTable();
+  CHECK(Has(Resume("/chat/x", "r-x", stream), "HTTP/1.1 503"));
+  router.store.swallows = {};
+  router.io.run_for(std::chrono::milliseconds(2'500));
+  CHECK(Has(Resume("/chat/x", "r-y", stream), "HTTP/1.1 200"));
+}
+
+// Guards against a pause between reads in which a second version is not known.
+TEST(StreamVersion, the_table_is_read_before_one_version_is_assumed) {
+  AddUpstreams(old_ones, "v1", 2);
+  router.Start();
+  Settle();
+  router.SetUpstream("v1-0", "chat " + old_ones[0]->address() + " 0 fd-b v1");
+  router.io.run_for(std::chrono::milliseconds(20));
+  AddUpstreams(new_ones, "v2", 1);
+  CHECK(Has(Resume("/chat/x", "r-2", "r-1"), "it has no record"));
+}
