A router that fell silent may still reach the store

Callers could get text that is joined from two software versions: routers that lost the store and the routers that reach it, together with another one or for the first second alone, took that for an outage of the store for all, and resumed streams without a record at the only version in their table. A version that joined meanwhile, and the streams that began at it elsewhere, are unknown to them.

Cause: PeerContact::NoneReachesStoreSince() asked that one router reports at all and that no report of reaching the store came later than 3 s after the own last read. In a partition those reports end at the same moment as the reads, so the condition holds: while one router on the same side reports, or, between the ages of a report that still counts (0.65 s) and of a router that is lost (1.2 s), with none.

Evidence: two tests in virtual time fail on the code before: the_others_may_reach_the_store_when_their_reports_stop (at 0.3 s already) and a_silent_router_may_reach_the_store_while_another_does_not. With whole routers it was not played.

Change: a router whose last report states that it reaches the store counts as reaching it, unless it was silent long before the own last read. One that reported the loss of the store before it fell silent does not, so streams are still resumed after a crash in an outage of the store.

--- a/include/coppervalve/entry/peer_contact.h
+++ b/include/coppervalve/entry/peer_contact.h
@@ -33,8 +33,9 @@
   /// @return number of routers whose latest report is recent and states that
   /// they reach the store
   uint32_t CountReachingStore(core::TimePoint now) const;
-  /// @return whether another router's report was received recently, and since
-  /// `since` no report stated that its router reaches the store
+  /// @return whether another router's report was received recently, since
+  /// `since` no report stated that its router reaches the store, and neither
+  /// did the last one of any router that was still tracked at that time
   bool NoneReachesStoreSince(core::TimePoint since, core::TimePoint now) const;
   /// @return whether a caller that is sent to another of `active` routers most
   /// likely finds one that reaches the store
--- a/src/entry/peer_contact.cc
+++ b/src/entry/peer_contact.cc
@@ -59,10 +59,14 @@
   return count;
 }
 
+// A router whose reports stopped after one that states that it reaches the
+// store may still do so: only the way to this router may be broken.
 bool PeerContact::NoneReachesStoreSince(core::TimePoint since,
                                         core::TimePoint now) const {
   for (const auto& [router, peer] : m_peers) {
-    if (peer.last_up && *peer.last_up > since) {
+    const bool tracked = since - peer.last_received < m_retention;
+    const bool may_be_up = tracked && peer.store_up;
+    if (may_be_up || (peer.last_up && *peer.last_up > since)) {
       return false;
     }
   }
--- a/tests/entry/unit-peer-contact.cc
+++ b/tests/entry/unit-peer-contact.cc
@@ -68,3 +68,46 @@
   peers.OnReport(kThree, true, At(0));
   CHECK(peers.OthersReachStore(3, At(0.1)));
 }
+
+TEST(PeerContact, none_reaches_the_store_if_all_report_so) {
+  peers.OnReport(kTwo, true, At(0));
+  peers.OnReport(kThree, true, At(0.5));
+  peers.OnReport(kTwo, false, At(1));
+  peers.OnReport(kThree, false, At(1.5));
+  CHECK(peers.NoneReachesStoreSince(At(3), At(2)));
+}
+
+// Guards against an outage of the store that only a router without contact
+// sees.
+TEST(PeerContact, the_others_may_reach_the_store_when_their_reports_stop) {
+  peers.OnReport(kTwo, true, At(0));
+  peers.OnReport(kThree, true, At(0));
+  for (const double now : {0.3, 0.7, 1.0, 1.3, 4.0, 30.0}) {
+    CHECK_FALSE(peers.NoneReachesStoreSince(At(3), At(now)));
+  }
+}
+
+// Guards against an outage of the store that only a part of the routers sees.
+TEST(PeerContact, a_silent_router_may_reach_the_store_while_another_does_not) {
+  peers.OnReport(kTwo, true, At(0));
+  for (const double now : {1.0, 2.0, 10.0, 30.0}) {
+    peers.OnReport(kThree, false, At(now));
+    CHECK_FALSE(peers.NoneReachesStoreSince(At(3), At(now)));
+  }
+}
+
+// Guards against refusals in an outage because of a router that ended before.
+TEST(PeerContact, a_router_that_was_silent_before_an_outage_does_not_count) {
+  peers.OnReport(kTwo, true, At(0));
+  peers.OnReport(kThree, true, At(9));
+  peers.OnReport(kThree, false, At(10));
+  CHECK(peers.NoneReachesStoreSince(At(12), At(10)));
+}
+
+// Guards against refusals in an outage because a router crashed during it.
+TEST(PeerContact, a_router_that_fell_silent_without_the_store_does_not_count) {
+  peers.OnReport(kTwo, true, At(0));
+  peers.OnReport(kTwo, false, At(1));
+  peers.OnReport(kThree, false, At(4));
+  CHECK(peers.NoneReachesStoreSince(At(3), At(4)));
+}
