Responses: what upstreams leave unfinished is part of the sum

A faulty upstream sends bytes that are no answer, without end. Callers of other upstreams see their connections closed, and the router exceeds the memory of its VM, which ends it with all requests.

Cause: each unfinished part of a response is bounded, all together were not. Connections to upstreams kept unfinished heads, parsed heads (some 2 MB for one of 64 KB with short fields), the request that was sent and the largest read; none of that was counted. Unfinished events were counted, but nothing gave way: a request in progress is never ended for its bytes, so idle connections of other callers were, for the 15 bytes of an empty string. Reads of 64 KB went beyond the limits by as much for each response.

Change: heads, unread bytes, events and bodies of a response are counted as what its caller's connection holds. Beyond the sum the response that grows is broken, unless it keeps 16 KB or less; bodies are forwarded, and paused until their caller has taken all. Connections keep nothing of a request that has ended, and are read 16 KB at a time.

--- a/include/coppervalve/gateway/caller_connection.h
+++ b/include/coppervalve/gateway/caller_connection.h
@@ -82,7 +82,7 @@
                      const http1::HeaderList& headers,
                      std::optional<uint64_t> length);
   void SendBody(std::string_view bytes);
-  /// @brief Records what is kept of a response until it may be sent.
+  /// @brief Records what the response in progress holds until it may be sent.
   void SetBuffered(size_t bytes);
   /// @brief Completes the response; the connection reads the next request.
   void EndResponse();
@@ -93,6 +93,9 @@
   size_t unsent() const { return m_stream->unsent(); }
   /// @return number of unsent bytes beyond which nothing more should be sent
   size_t max_unsent() const;
+  /// @brief Whether all connections together leave room for what this one
+  /// holds.
+  bool HasRoom() const;
   /// @return whether a request is in progress or waits to be parsed, or a
   /// response is still being sent
   bool busy() const;
--- a/include/coppervalve/gateway/exchange.h
+++ b/include/coppervalve/gateway/exchange.h
@@ -204,6 +204,8 @@
   void ForwardToCaller(std::string_view bytes);
   void EndPrefill();
   void DiscardResponse();
+  void UpdateBuffered();
+  bool MayHold(size_t unfinished);
   void AbortAttempt(entry::AttemptOutcome outcome);
   void RecordOutcome(entry::AttemptOutcome outcome);
 
@@ -269,6 +271,7 @@
   entry::RelayRefusals m_relay_refusals;
   std::optional<http1::ResponseHead> m_head;
   std::string m_body;
+  size_t m_held_by_connection = 0;  ///< bytes of an unfinished response
   http1::SseSplitter m_sse_splitter;
   /// Software versions of the upstreams whose events were sent to the caller.
   std::vector<core::UpstreamVersion> m_event_versions;
--- a/include/coppervalve/gateway/stream.h
+++ b/include/coppervalve/gateway/stream.h
@@ -43,6 +43,8 @@
   /// none was not sent
   uint64_t sent() const { return m_sent; }
 
+  /// @brief Bounds what one call of on_bytes gets.
+  void LimitReads(size_t size);
   void PauseReading() { m_paused = true; }
   void ResumeReading();
   /// @brief Sends the buffered bytes, shuts down the write side, and closes
@@ -75,6 +77,7 @@
   std::string m_out;
   size_t m_out_sent = 0;
   uint64_t m_sent = 0;
+  size_t m_read_size;
   bool m_reading = false;
   bool m_paused = false;
   bool m_writing = false;
--- a/include/coppervalve/gateway/upstream_connection.h
+++ b/include/coppervalve/gateway/upstream_connection.h
@@ -2,6 +2,7 @@
 #define COPPERVALVE_GATEWAY_UPSTREAM_CONNECTION_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>      // size_t
 #include <cstdint>      // uint8_t, uint64_t
 #include <functional>   // function
 #include <memory>       // shared_ptr, enable_shared_from_this
@@ -39,6 +40,9 @@
     /// Called when a new connection is open, before the first byte is sent;
     /// null: always send.
     std::function<bool()> may_send = {};
+    /// Whether a response that is not complete may hold this many bytes here,
+    /// in addition to the body; null: always.
+    std::function<bool(size_t bytes)> may_hold = {};
   };
 
   /// @brief A connection to an address.
@@ -83,6 +87,8 @@
   void OnOpen();
   bool IsRelayed() const { return m_relayed_to.has_value(); }
   void OnBytes(std::string_view bytes);
+  core::Status Parse(std::string_view bytes);
+  bool MayHoldUnfinished() const;
   void OnEnd(StreamEnd end);
   void Deliver();
   void Finish(AttemptEnd end, std::string_view why);
--- a/include/coppervalve/http1/sse_splitter.h
+++ b/include/coppervalve/http1/sse_splitter.h
@@ -24,6 +24,8 @@
   const std::string& last_id() const { return m_last_id; }
   /// @return number of bytes after the last complete event
   size_t buffered_bytes() const { return m_partial.size(); }
+  /// @return bytes of memory that these take
+  size_t held_bytes() const { return m_partial.capacity(); }
   /// @brief Whether an event has begun and not ended. Comments are no events.
   bool InsideEvent() const;
   /// @return the bytes after the last complete event, which are then discarded
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -186,13 +186,20 @@
   if (m_busy) {
     return held + m_request_bytes + m_buffered;
   }
-  return m_reader ? held + m_reader->held_bytes() : held;
+  return m_reader && m_reader->begun() ? held + m_reader->held_bytes() : held;
 }
 
 size_t CallerConnection::max_unsent() const {
+  if (!HasRoom()) {
+    return 0;
+  }
   return m_hooks->registry->IsTight() ? kMaxUnsentWhenTight : kMaxUnsent;
 }
 
+bool CallerConnection::HasRoom() const {
+  return !m_entry || m_entry->Admits();
+}
+
 // A request that was not received completely has not run, so it is refused. A
 // caller that waits for its turn to send, or reads nothing, gets no answer. A
 // request in progress ends as if its caller had left, but not within the call
--- a/src/gateway/exchange_attempt.cc
+++ b/src/gateway/exchange_attempt.cc
@@ -14,6 +14,8 @@
 
 // An unfinished event is kept until it is complete.
 constexpr size_t kMaxEvent = 262'144;
+// What each response may keep, whatever all together hold.
+constexpr size_t kMinUnfinished = 16'384;
 // What is read of the body of a response that is not forwarded, so that its
 // connection can be used again.
 constexpr size_t kMaxDiscarded = 65'536;
@@ -113,7 +115,11 @@
        [self = shared_from_this()](AttemptEnd end, std::string_view why) {
          self->OnEnd(end, why);
        },
-       [this, upstream] { return MaySendNow(*upstream); }});
+       [this, upstream] { return MaySendNow(*upstream); },
+       [this](size_t bytes) {
+         m_held_by_connection = bytes;
+         return MayHold(bytes);
+       }});
   ArmTimer();
 }
 
@@ -208,7 +214,21 @@
     attempt.forwarding = true;
     ForwardToCaller(std::exchange(m_body, {}));
   }
-  m_caller->SetBuffered(m_body.size());
+  UpdateBuffered();
+}
+
+// What upstreams leave unfinished has no end of its own, and their callers
+// can't be ended without a reason: so the response that grows gives way, as
+// broken.
+bool Exchange::MayHold(size_t unfinished) {
+  UpdateBuffered();
+  return unfinished <= kMinUnfinished || m_caller->HasRoom();
+}
+
+void Exchange::UpdateBuffered() {
+  m_caller->SetBuffered(m_held_by_connection + m_body.capacity() +
+                        m_sse_splitter.held_bytes() +
+                        (m_head ? m_head->headers.held_bytes() : 0));
 }
 
 // Comments and parts of an event do not reset the timeout: a failing upstream
@@ -219,13 +239,15 @@
   if (m_sse_splitter.events() > before) {
     m_last_activity = net::BootNow();
   }
-  m_caller->SetBuffered(m_sse_splitter.buffered_bytes());
+  const size_t unfinished = m_sse_splitter.buffered_bytes();
+  const bool may_hold = MayHold(unfinished);
   if (!whole.empty()) {
     ForwardEvents(whole);
   }
-  if (!m_done && m_attempt && m_sse_splitter.buffered_bytes() > kMaxEvent) {
+  if (!m_done && m_attempt && (unfinished > kMaxEvent || !may_hold)) {
     AbortAttempt(AttemptOutcome::kBroken);
-    OnBroken("an event exceeds the size limit");
+    OnBroken(may_hold ? "an event exceeds the size limit"
+                      : "an unfinished event holds too much");
   }
 }
 
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -292,11 +292,12 @@
 // another response.
 void Exchange::DiscardResponse() {
   m_sse_splitter.TakePartialEvent();
-  m_caller->SetBuffered(0);
+  m_held_by_connection = 0;
   if (!m_response_begun) {
     m_head.reset();
-    m_body.clear();
+    m_body = std::string();
   }
+  UpdateBuffered();
 }
 
 bool Exchange::TakeRetry() {
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>  // TCP_USER_TIMEOUT
 #include <sys/socket.h>   // recv
 
+#include <algorithm>                   // min
 #include <array>                       // array
 #include <boost/asio/buffer.hpp>       // buffer
 #include <boost/asio/error.hpp>        // would_block
@@ -47,7 +48,9 @@
 }  // namespace
 
 Stream::Stream(tcp::socket socket)
-    : m_socket(std::move(socket)), m_linger(m_socket.get_executor()) {}
+    : m_socket(std::move(socket)),
+      m_linger(m_socket.get_executor()),
+      m_read_size(kReadChunk) {}
 
 void Stream::Start(Handlers handlers) {
   m_handlers = std::make_shared<const Handlers>(std::move(handlers));
@@ -55,6 +58,10 @@
   Read();
 }
 
+void Stream::LimitReads(size_t size) {
+  m_read_size = std::min(size, kReadChunk);
+}
+
 void Stream::ResumeReading() {
   m_paused = false;
   Read();
@@ -79,8 +86,8 @@
     return;
   }
   ErrorCode code;
-  const size_t count =
-      m_socket.read_some(boost::asio::buffer(ReadBuffer()), code);
+  const size_t count = m_socket.read_some(
+      boost::asio::buffer(ReadBuffer().data(), m_read_size), code);
   if (WouldBlock(code)) {
     Read();
     return;
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -12,6 +12,10 @@
 
 using boost::asio::ip::tcp;
 
+// Reading pauses after a read only, so each response may hold this much beyond
+// any limit.
+constexpr size_t kReadSize = 16'384;
+
 core::Duration KeepAliveOf(const http1::ResponseHead& head) {
   constexpr std::string_view kTimeout = "timeout=";
   const std::string* value = head.headers.Find("keep-alive");
@@ -82,6 +86,7 @@
 
 void UpstreamConnection::OnConnected(tcp::socket socket) {
   m_stream = std::make_shared<Stream>(std::move(socket));
+  m_stream->LimitReads(kReadSize);
   if (IsRelayed()) {
     OpenTunnel();
     return;
@@ -163,16 +168,40 @@
     Close();
     return;
   }
-  m_unread.append(bytes);
-  const core::Result<size_t> used = m_reader->Feed(m_unread);
-  if (!core::IsOk(used)) {
+  if (!core::IsOk(Parse(bytes))) {
     Finish(AttemptEnd::kBroken, "invalid HTTP response");
     return;
   }
-  m_unread.erase(0, core::Value(used));
+  if (!MayHoldUnfinished()) {
+    Finish(AttemptEnd::kBroken, "an unfinished response holds too much");
+    return;
+  }
   Deliver();
 }
 
+// Only what the parser leaves is copied, and nothing is reserved for more.
+core::Status UpstreamConnection::Parse(std::string_view bytes) {
+  if (!m_unread.empty()) {
+    m_unread.append(bytes);
+    bytes = m_unread;
+  }
+  const core::Result<size_t> used = m_reader->Feed(bytes);
+  if (!core::IsOk(used)) {
+    return core::Failure(used);
+  }
+  if (m_unread.empty() || core::Value(used) != 0) {
+    m_unread = std::string(bytes.substr(core::Value(used)));
+  }
+  return core::Ok();
+}
+
+bool UpstreamConnection::MayHoldUnfinished() const {
+  const auto handlers = m_handlers;
+  return m_reader->done() || !handlers->may_hold ||
+         handlers->may_hold(m_unread.capacity() +
+                            m_reader->head().headers.held_bytes());
+}
+
 void UpstreamConnection::Deliver() {
   const auto keep = shared_from_this();
   const auto handlers = m_handlers;
@@ -222,6 +251,9 @@
   if (!m_reusable && m_stream) {
     m_stream->Abort();
   }
+  m_request = std::string();
+  m_unread = std::string();
+  m_reader.reset();
   const auto handlers = std::exchange(m_handlers, nullptr);
   handlers->on_end(end, why);
 }
--- a/src/http1/sse_splitter.cc
+++ b/src/http1/sse_splitter.cc
@@ -51,7 +51,7 @@
     return {};
   }
   std::string whole = m_partial.substr(0, end);
-  m_partial.erase(0, end);
+  m_partial = m_partial.substr(end);
   m_scanned -= end;
   m_line_start -= end;
   return whole;
--- a/tests/http1/unit-sse-splitter.cc
+++ b/tests/http1/unit-sse-splitter.cc
@@ -102,3 +102,9 @@
   STRCMP_EQUAL("1", splitter.last_id().c_str());
   CHECK_EQUAL(2, splitter.events());
 }
+
+TEST(SseSplitter, complete_events_are_not_kept) {
+  // Failure: each stream keeps memory for its largest event.
+  splitter.Feed("data: " + std::string(100'000, 'x') + "\n\n");
+  CHECK(splitter.held_bytes() < 100);
+}
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -13,6 +13,7 @@
 from tests.soak.http import read_message
 from tests.soak.servers import TOKENS_PER_EVENT, WARM_UP_S, Ledger, Server
 from tests.soak.store import Store
+from tests.soak.unending import Unending
 from tools.harness.ports import free_port, free_ports
 
 PREPAID = 150_000
@@ -284,6 +285,11 @@
         for server in self.servers:
             server.stalled_kinds = kinds
 
+    def answer_without_end(self, unending: dict[str, Unending]) -> None:
+        """Lets upstreams answer these kinds of requests so."""
+        for server in self.servers:
+            server.unending = unending
+
     def pad(self, size: int) -> None:
         """Lets upstreams add this many bytes to each plain answer and each event."""
         for server in self.servers:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -6,6 +6,7 @@
 from collections import Counter, defaultdict, deque
 
 from tests.soak.http import Message, answer, chunk, read_message
+from tests.soak.unending import Unending
 
 TOKENS_PER_EVENT = 7
 # Seconds for which an engine is cold after a start under traffic, and the number of
@@ -52,6 +53,7 @@
         self.crash_marker = b""  # a request whose body contains this ends the process
         self.crash_parts: set[str] = set()  # prompt parts; answers to them end the process
         self.stalled_kinds: set[str] = set()  # of requests that wait until this is changed
+        self.unending: dict[str, Unending] = {}  # by the kind of request
         self.padding = 0  # bytes that are added to each plain answer and each event
         self.leaving = False  # reported in all answers
         self.retry_after_s = 0.0  # if set, all requests are declined with it as Retry-After
@@ -165,6 +167,9 @@
             return False
         signed = {"Server_Signature": f"{self.name}.{request_id}", "Request_Id": request_id,
                   **state}
+        if unending := self.unending.get(self._ledger.kind[request_id]):
+            await unending.send(writer, signed)
+            return False
         breaks = self._random.random() < self.cut_ratio
         if "token-usage" not in headers:
             while self._ledger.kind[request_id] in self.stalled_kinds:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -12,6 +12,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from tests.soak.http import Message, answer, read_message
+from tests.soak.unending import Unending
 
 
 class Topic:
@@ -41,6 +42,7 @@
         self.topics: dict[str, Topic] = {}
         self.refused_ports: set[int] = set()  # ports whose requests are refused
         self.silent = False
+        self.unending: Unending | None = None  # what all calls are answered with
         self._silences = 0
         self.lost_reply_ratio = 0.0  # share of appends that take effect but get no reply
         self.calls = 0
@@ -105,6 +107,9 @@
                     break
                 writer.write(answer(503))
                 continue
+            if self.unending:
+                await self.unending.send(writer, {})
+                break
             reply = await self._answer(request, port)
             if self.silent or self._silences != silences:
                 # The answer is lost, and so are all others on this connection.
