--- a/src/net/shell.cc
+++ b/src/net/shell.cc
@@ -81,8 +81,12 @@
       peers = std::make_unique<PeerClient>(pool.Context(kPlatformThread),
                                            settings.peer_secret);
     }
-    shared = {&settings, &answers, peers.get(), Sink(),
-              RequestPrefix(settings)};
+    shared = {&settings,
+              &answers,
+              peers.get(),
+              Sink(),
+              RequestPrefix(settings),
+              std::make_shared<HeldBytes>(settings.caller.max_held_bytes)};
     for (size_t thread = 0; thread < pool.size(); ++thread) {
       workers.push_back(std::make_unique<TrafficWorker>(
           pool.Context(thread), thread, pool.size(), shared));
--- a/src/net/traffic_worker.cc
+++ b/src/net/traffic_worker.cc
@@ -130,6 +130,7 @@
     RefuseDispatch(action, "the body cannot be rewritten");
     return;
   }
+  plan->held = m_shared.held_of_attempts;
   entry->attempt = std::make_unique<UpstreamAttempt>(
       m_context, m_pool, std::move(*plan), entry->answer,
       [this, request = action.request,
--- a/src/net/traffic_worker.h
+++ b/src/net/traffic_worker.h
@@ -4,7 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>     // function
-#include <memory>         // unique_ptr
+#include <memory>         // shared_ptr, unique_ptr
 #include <optional>       // optional
 #include <string>         // string
 #include <string_view>    // string_view
@@ -17,6 +17,7 @@
 #include "coppervalve/net/peer_client.h"
 #include "coppervalve/net/shell_settings.h"
 #include "coppervalve/router/events.h"
+#include "held_bytes.h"
 #include "upstream_attempt.h"
 #include "upstream_pool.h"
 
@@ -30,6 +31,7 @@
   EventSink report;
   /// Prefix that makes request numbers unique outside of this process.
   std::string request_prefix;
+  std::shared_ptr<HeldBytes> held_of_attempts;
 };
 
 /// @brief Handles the requests of one traffic thread: accepts them and executes
--- a/src/net/upstream_attempt.cc
+++ b/src/net/upstream_attempt.cc
@@ -36,12 +36,22 @@
 constexpr size_t kReadBytes = size_t{16} * 1024;
 // Bytes unread by the caller at which reading from the upstream pauses.
 constexpr size_t kHighWater = size_t{256} * 1024;
+// A head is kept by its parser and once more for the caller.
+constexpr size_t kCopiesOfHead = 2;
 constexpr unsigned kOk = 200;
 constexpr unsigned kSuccessEnd = 300;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kServerErrors = 500;
 constexpr unsigned kUnavailable = 503;
 
+size_t SizeOf(const HeaderList& headers) {
+  size_t size = headers.capacity() * sizeof(HeaderList::value_type);
+  for (const auto& [name, value] : headers) {
+    size += name.size() + value.size();
+  }
+  return size;
+}
+
 }  // namespace
 
 struct UpstreamAttempt::Impl
@@ -57,6 +67,7 @@
        Report a_report)
       : context(a_context),
         plan(std::move(a_plan)),
+        held(plan.held),
         answer(std::move(a_answer)),
         report(std::move(a_report)),
         link(std::make_shared<UpstreamConnection>(a_context,
@@ -121,6 +132,10 @@
       return;
     }
     head = HeadOf(head_parser->get());
+    if (!HasRoomFor(0)) {
+      EndFailed(NoRoom());
+      return;
+    }
     load = LoadOf(head.headers);
     const bool busy = status == kTooManyRequests || status == kUnavailable;
     if (busy && HeaderValue(head.headers, "x-not-run") == "true") {
@@ -175,6 +190,10 @@
       EndFailed(ConnectionError("answer", e));
       return;
     }
+    if (!HasRoomFor(body_parser->get().body().capacity())) {
+      EndFailed(NoRoom());
+      return;
+    }
     ReportFirstToken();
     if (!plan.model_work) {
       link->SetTimeout(plan.inter_token_timeout);
@@ -326,6 +345,17 @@
     link->Close();
   }
 
+  // An answer that is not complete may be within its limits while all together
+  // exhaust the memory, so the one that grows fails.
+  bool HasRoomFor(size_t body_bytes) {
+    return held.Set(kCopiesOfHead * SizeOf(head.headers) + body_bytes);
+  }
+
+  core::Error NoRoom() const {
+    return {ErrorId::kUpstreamProtocol, plan.address,
+            "unfinished answers hold too much"};
+  }
+
   // ---- Helpers ------------------------------------------------------------
 
   void ReportFirstToken() {
@@ -343,6 +373,7 @@
 
   asio::io_context& context;
   const AttemptPlan plan;
+  HeldBytes::Share held;
   const std::shared_ptr<Answer> answer;
   Report report;
   const std::shared_ptr<UpstreamConnection> link;
--- a/src/net/upstream_attempt.h
+++ b/src/net/upstream_attempt.h
@@ -10,6 +10,7 @@
 #include "coppervalve/core/ids.h"
 #include "coppervalve/net/answer.h"
 #include "coppervalve/router/events.h"
+#include "held_bytes.h"
 
 namespace boost::asio {
 class io_context;
@@ -35,6 +36,8 @@
   /// Timeout of an answer that is not streamed.
   std::chrono::microseconds complete_answer_timeout{};
   size_t max_answer_bytes = 0;
+  /// Of all attempts: what they keep of answers that are not complete.
+  std::shared_ptr<HeldBytes> held;
 };
 
 /// @brief One attempt of a request at one upstream. Used only on the thread of
