--- a/include/coppervalve/gateway/stream.h
+++ b/include/coppervalve/gateway/stream.h
@@ -45,6 +45,8 @@
   /// none was not sent
   uint64_t sent() const { return m_sent; }
 
+  /// @brief Bounds what one call of on_bytes gets.
+  void LimitReads(size_t size);
   void PauseReading() { m_paused = true; }
   void ResumeReading();
   /// @brief Sends the buffered bytes, shuts down the write side, and closes
@@ -88,6 +90,7 @@
   uint64_t m_sent = 0;
   size_t m_since_look = 0;  ///< bytes since the kernel's queue was looked at
   bool m_checks_peer = false;
+  size_t m_read_size;
   bool m_reading = false;
   bool m_paused = false;
   bool m_writing = false;
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -5,6 +5,7 @@
 #include <sys/ioctl.h>      // ioctl
 #include <sys/socket.h>     // getsockopt, recv
 
+#include <algorithm>                   // min
 #include <array>                       // array
 #include <boost/asio/buffer.hpp>       // buffer
 #include <boost/asio/error.hpp>        // would_block
@@ -60,7 +61,8 @@
 Stream::Stream(tcp::socket socket)
     : m_socket(std::move(socket)),
       m_linger(m_socket.get_executor()),
-      m_peer_check(m_socket.get_executor()) {}
+      m_peer_check(m_socket.get_executor()),
+      m_read_size(kReadChunk) {}
 
 void Stream::Start(Handlers handlers) {
   m_handlers = std::make_shared<const Handlers>(std::move(handlers));
@@ -68,6 +70,10 @@
   Read();
 }
 
+void Stream::LimitReads(size_t size) {
+  m_read_size = std::min(size, kReadChunk);
+}
+
 void Stream::ResumeReading() {
   m_paused = false;
   Read();
@@ -92,8 +98,8 @@
     return;
   }
   ErrorCode code;
-  const size_t count =
-      m_socket.read_some(boost::asio::buffer(ReadBuffer()), code);
+  const size_t count = m_socket.read_some(
+      boost::asio::buffer(ReadBuffer().data(), m_read_size), code);
   if (WouldBlock(code)) {
     Read();
     return;
