Start: a port that can never be opened ends it again

Cause: the result of opening the ports after the callers' was dropped. The test a_port_that_can_never_be_opened_ends_the_start fails before.

Change: the result is returned by Gateway::Start(), or handed to the process if the callers' port was opened later. A port that stays unavailable is logged again every ten seconds: before the callers' port is open no metrics tell of it.

--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -120,8 +120,9 @@
   /// @brief Listens for callers and starts to serve them. A port that is in use
   /// is tried again until it is free; before that of the callers is, nothing
   /// else starts.
+  /// @param on_failure called later if the rest of the start fails for good
   /// @return kSettingBadValue if an address can't ever be listened on
-  core::Status Start();
+  core::Status Start(std::function<void(const core::Error&)> on_failure = {});
   /// @brief Shuts down gracefully: leaves the address list, lets requests in
   /// progress finish, then returns the claimed ceilings.
   /// @param on_done called when the shutdown is complete
@@ -133,6 +134,12 @@
   void OnReloadFailure(const core::Error& error);
 
  private:
+  struct ListeningPort {
+    std::string name;  ///< for the log
+    std::string address;
+    std::shared_ptr<Listener> listener;
+  };
+
   void OnOperatorRecord(const KeyedRecord& record);
   void OnNewestOperatorRecords(const std::vector<KeyedRecord>& records);
   void ApplyConfiguration(const std::string& document);
@@ -229,6 +236,9 @@
                    CallerConnection::Hooks hooks);
   core::Status CheckAddresses() const;
   core::Status OpenPorts();
+  core::Status OpenPort(const ListeningPort& port,
+                        std::function<void()> on_open);
+  core::Status OpenOtherPorts();
   void Serve();
   ListenRetry::Hooks PortHooks();
   CallerConnection::Hooks CallerHooks(
@@ -305,15 +315,11 @@
   std::unique_ptr<FleetViewClient> m_fleet_view_client;
   entry::TransferReplyCache m_transfer_replies;
   std::shared_ptr<net::ConnectionRegistry> m_connections;
-  struct ListeningPort {
-    std::string name;  ///< for the log
-    std::string address;
-    std::shared_ptr<Listener> listener;
-  };
   std::vector<ListeningPort> m_listeners;
   std::shared_ptr<Listener> m_callers;
   ListenRetry m_ports;
   bool m_serving = false;  ///< the callers' port is open
+  std::function<void(const core::Error&)> m_on_start_failure;
   std::vector<std::function<void()>> m_grant_waiters;
   entry::Demand m_arrivals;            ///< counts requests, not tokens
   entry::Demand m_heartbeat_arrivals;  ///< counts heartbeats of all routers
--- a/include/coppervalve/gateway/listen_retry.h
+++ b/include/coppervalve/gateway/listen_retry.h
@@ -24,8 +24,8 @@
     std::function<void()> on_open;
   };
   struct Hooks {
-    /// Called when a port could not be opened, unless for the same reason as
-    /// before.
+    /// Called when a port could not be opened; for the same reason as before
+    /// only every ten seconds.
     std::function<void(const Port&, const core::Error&)> on_failure;
     /// Called when a port was opened that could not be opened before.
     std::function<void(const Port&, core::Duration waited)> on_late_open;
@@ -43,6 +43,7 @@
     Port port;
     core::Error error;
     core::TimePoint since;
+    core::TimePoint reported_at;
   };
 
   void Schedule();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -146,7 +146,9 @@
   }
 }
 
-core::Status Gateway::Start() {
+core::Status Gateway::Start(
+    std::function<void(const core::Error&)> on_failure) {
+  m_on_start_failure = std::move(on_failure);
   LogLifecycle(LogLine("started")
                    .Text("router", m_settings.router.value())
                    .Text("failure_domain", m_settings.failure_domain.value())
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -240,20 +240,36 @@
   return core::Ok();
 }
 
+core::Status Gateway::OpenPort(const ListeningPort& port,
+                               std::function<void()> on_open) {
+  return m_ports.Open({port.name,
+                       [port] { return port.listener->Listen(port.address); },
+                       std::move(on_open)});
+}
+
 // What the other ports answer is known only once the router serves.
 core::Status Gateway::OpenPorts() {
-  const auto open = [this](const ListeningPort& port,
-                           std::function<void()> on_open) {
-    return m_ports.Open({port.name,
-                         [port] { return port.listener->Listen(port.address); },
-                         std::move(on_open)});
-  };
-  return open(m_listeners.front(), [this, open] {
+  const auto others = std::make_shared<core::Status>(core::Ok());
+  const auto late = std::make_shared<bool>(false);
+  core::Status callers = OpenPort(m_listeners.front(), [this, others, late] {
     Serve();
-    for (size_t i = 1; i < m_listeners.size(); ++i) {
-      open(m_listeners[i], [] {});
+    *others = OpenOtherPorts();
+    if (*late && !core::IsOk(*others) && m_on_start_failure) {
+      m_on_start_failure(core::Failure(*others));
     }
   });
+  *late = true;
+  return core::IsOk(callers) ? *others : callers;
+}
+
+core::Status Gateway::OpenOtherPorts() {
+  for (size_t i = 1; i < m_listeners.size(); ++i) {
+    core::Status opened = OpenPort(m_listeners[i], [] {});
+    if (!core::IsOk(opened)) {
+      return opened;
+    }
+  }
+  return core::Ok();
 }
 
 ListenRetry::Hooks Gateway::PortHooks() {
--- a/src/gateway/listen_retry.cc
+++ b/src/gateway/listen_retry.cc
@@ -1,6 +1,6 @@
 #include "coppervalve/gateway/listen_retry.h"
 
-#include <chrono>   // milliseconds
+#include <chrono>   // milliseconds, seconds
 #include <utility>  // exchange, move
 
 #include "coppervalve/net/clock.h"
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetryInterval{100};
+constexpr std::chrono::seconds kReportInterval{10};
 
 }  // namespace
 
@@ -27,7 +28,8 @@
   if (error.id != core::ErrorId::kAddressUnavailable) {
     return opened;
   }
-  m_pending.push_back({std::move(port), error, net::BootNow()});
+  const core::TimePoint now = net::BootNow();
+  m_pending.push_back({std::move(port), error, now, now});
   if (m_pending.size() == 1) {
     Schedule();
   }
@@ -61,8 +63,11 @@
     pending.port.on_open();
     return true;
   }
-  if (core::Failure(opened) != pending.error) {
+  const core::TimePoint now = net::BootNow();
+  if (core::Failure(opened) != pending.error ||
+      now - pending.reported_at >= kReportInterval) {
     pending.error = core::Failure(opened);
+    pending.reported_at = now;
     m_hooks.on_failure(pending.port, pending.error);
   }
   return false;
