Relay: what came before a reset reaches the other router

Callers could get 502, or an answer that is cut, though the upstream had sent a whole answer with a length: it answered early and reset its connection, as a server does that closes without having read a request.

Cause: the relay reset its connection to the other router at once, and what that one's kernel had not yet taken was dropped.

Evidence: unit-gateway RelaySession what_came_before_a_reset_is_relayed failed before: 98,297 of 800,000 bytes arrived.

Change: the relay sends what it has and closes without the last chunk, as for an upstream that ends before it took in the request. The other router knows from the missing chunk that nothing but a length completes the answer.

--- a/src/gateway/relay_session.cc
+++ b/src/gateway/relay_session.cc
@@ -125,17 +125,14 @@
   }
 }
 
-// Without the last chunk, the other router knows that the answer was cut. An
-// answer that needs no end to be complete still reaches it if the upstream has
-// not taken in the request.
+// Without the last chunk, the other router knows that the answer was cut. It
+// gets what came before all the same: an answer with a length is complete by
+// itself.
 void RelaySession::OnUpstreamEnd(StreamEnd end) {
-  if (end == StreamEnd::kReset) {
-    Close();
-    return;
-  }
-  const bool has_request = m_upstream->PeerHasAll() && !m_router->HasInput();
+  const bool complete = end == StreamEnd::kOrderly &&
+                        m_upstream->PeerHasAll() && !m_router->HasInput();
   m_upstream->Abort();
-  if (has_request) {
+  if (complete) {
     m_router->Send(kLastChunk);
   }
   m_busy = false;
--- a/tests/gateway/unit-relay-session.cc
+++ b/tests/gateway/unit-relay-session.cc
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>  // count
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
@@ -96,3 +97,23 @@
   upstream.close();
   CHECK_FALSE(Has(ReadToEnd(), kLastChunk));
 }
+
+// Guards against an answer that was received whole, and that a reset after it
+// takes from another router.
+TEST(RelaySession, what_came_before_a_reset_is_relayed) {
+  const std::string answer(800'000, 'x');
+  bool written = false;
+  boost::asio::async_write(
+      upstream, boost::asio::buffer(answer),
+      [&written](const auto& /*code*/, size_t) { written = true; });
+  RunUntil([&written] { return written; });
+  // Until the relay has read it.
+  io.run_for(std::chrono::milliseconds(100));
+  upstream.set_option(boost::asio::socket_base::linger(true, 0));
+  upstream.close();
+  io.run_for(std::chrono::milliseconds(20));
+  const std::string relayed = ReadToEnd();
+  const auto count = std::count(relayed.begin(), relayed.end(), 'x');
+  CHECK_EQUAL(answer.size(), static_cast<size_t>(count));
+  CHECK_FALSE(Has(relayed, kLastChunk));
+}
