Answer for one version only by a current table

Routers that do not follow the table of upstreams ask others to place the rest of a stream without a record. One whose table was behind named an upstream of the only version that it knew, although the stream may have begun at a version that joined meanwhile; the caller would get text of two versions.

Cause: as for streams that a router resumes itself, "one version" was inferred from the table whatever its age.

Evidence: of_one_version_only_comes_from_a_table_that_is_current fails on the code before: the router names "one" while its reads of the table get no answer and a second version is in the store.

Change: such a question is answered after the table was read as far as it was written when the question arrived (ReadBarrier); in an outage of the store, if no other router may reach it.

--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -218,11 +218,15 @@
       const core::ServiceId& service,
       std::function<void(entry::RecordsRead, const StreamResumption&)> on_read);
   entry::RecordsRead UnreadRecords(core::TimePoint now) const;
+  /// @return whether no other router can know of a version that this one has
+  /// not read of
+  bool KnowsAllVersions(bool table_behind, core::TimePoint now) const;
   StreamResumption Resumption(entry::StreamKey stream,
                               const core::ServiceId& service,
                               entry::RecordsRead read) const;
   void MakePlacementClient();
   void OnPlaceAsk(const v1::PlaceAsk& ask);
+  void AnswerPlaceAsk(const v1::PlaceAsk& ask, bool table_behind);
   void MakeListeners();
   void AddListener(std::string name,
                    const std::string& address,
--- a/src/gateway/gateway_stream_versions.cc
+++ b/src/gateway/gateway_stream_versions.cc
@@ -117,6 +117,11 @@
                      : entry::RecordsRead::kUnavailableHere;
 }
 
+bool Gateway::KnowsAllVersions(bool table_behind, core::TimePoint now) const {
+  return !table_behind ||
+         UnreadRecords(now) == entry::RecordsRead::kUnavailable;
+}
+
 StreamResumption Gateway::Resumption(entry::StreamKey stream,
                                      const core::ServiceId& service,
                                      entry::RecordsRead read) const {
--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -70,15 +70,27 @@
       m_io, m_settings.load_address, std::move(hooks), m_random);
 }
 
+void Gateway::OnPlaceAsk(const v1::PlaceAsk& ask) {
+  if (!ask.sole_version_only() || !m_upstreams_known || !m_contact.up()) {
+    AnswerPlaceAsk(ask, /*table_behind=*/!m_contact.up());
+    return;
+  }
+  // The stream may have started at a version that joined a moment ago.
+  m_table_barrier->Wait([this, ask](bool passed) {
+    UpdateStreamVersions(net::BootNow());
+    AnswerPlaceAsk(ask, /*table_behind=*/!passed);
+  });
+}
+
 // While the upstream is warming up, the request that the other router then
 // sends to it counts as sent by this router.
-void Gateway::OnPlaceAsk(const v1::PlaceAsk& ask) {
+void Gateway::AnswerPlaceAsk(const v1::PlaceAsk& ask, bool table_behind) {
   const core::TimePoint now = net::BootNow();
   entry::Placement placement;
   if (m_upstreams_known) {
     entry::PlacementQuery query = ToPlacementQuery(ask);
     query.routers = m_members.ActiveCount();
-    if (query.sole_version_only) {
+    if (query.sole_version_only && KnowsAllVersions(table_behind, now)) {
       query.version = m_stream_versions.SoleVersion(query.service, now);
     }
     if (!query.sole_version_only || query.version) {
--- a/tests/gateway/unit-placement-reply.cc
+++ b/tests/gateway/unit-placement-reply.cc
@@ -24,13 +24,14 @@
           }
         }) {}
 
-  std::string Question(const std::string& service) {
+  std::string Question(const std::string& service, bool sole_version_only) {
     answer.reset();
     v1::PeerDatagram datagram;
     v1::PlaceAsk& ask = *datagram.mutable_place_ask();
     ask.set_epoch(1);
     ask.set_id(++m_last_id);
     ask.set_service(service);
+    ask.set_sole_version_only(sole_version_only);
     ask.set_reply_address(m_peer.address());
     return datagram.SerializeAsString();
   }
@@ -55,9 +56,9 @@
     router.AddUpstream("one", "lookup");
     router.Start();
   }
-  v1::PlaceAnswer Ask() {
+  v1::PlaceAnswer Ask(bool sole_version_only = false) {
     SendDatagram(router.io, router.settings.load_address,
-                 asker.Question("lookup"));
+                 asker.Question("lookup", sole_version_only));
     CHECK(router.Until([this] { return asker.answer.has_value(); }));
     return asker.answer.value_or(v1::PlaceAnswer());
   }
@@ -98,3 +99,16 @@
   const v1::PlaceAnswer answer = Ask();
   CHECK(answer.upstream().empty() || answer.outdated());
 }
+
+// Guards against the rest of a stream from another version, by an old table.
+TEST(PlacementReply, of_one_version_only_comes_from_a_table_that_is_current) {
+  Start();
+  constexpr int kStreamLifetimeMillis = 20'500;
+  Pass(kStreamLifetimeMillis);
+  STRCMP_EQUAL("one", Ask(/*sole_version_only=*/true).upstream().c_str());
+  router.store.swallows = [](const std::string& topic, const std::string&) {
+    return topic == "upstreams";
+  };
+  router.SetUpstream("two", "lookup 127.0.0.1:2 0 fd-a v2");
+  STRCMP_EQUAL("", Ask(/*sole_version_only=*/true).upstream().c_str());
+}
