Test: a router that has not read of a new version, with real processes

Two routers: one whose reads of the table of upstreams get no answer while engines of a second version join, and one that serves them and is killed before it could record its streams. The first one takes the streams up.

The store of the soak can leave reads of one topic by one router unanswered.

--- a/tests/process/test_stream_versions.py
+++ b/tests/process/test_stream_versions.py
@@ -13,6 +13,7 @@
 STREAMS = 16
 EVENTS = 80
 ROUNDS = 3
+LIFETIME_S = 20  # after which a stream is not taken up any more
 
 
 class StreamVersions(unittest.TestCase):
@@ -84,6 +85,34 @@
 
         run_scenario(scenario, routers=ROUTERS, engines=4)
 
+    def test_a_router_whose_table_is_behind_joins_no_versions(self) -> None:
+        """Guards against joined text from a router that has not read of a new version."""
+
+        async def scenario(platform: Platform) -> None:
+            first, behind = platform.routers
+            await asyncio.sleep(LIFETIME_S + 1)
+            platform.store.unread = {(behind.store_port, "keyed.servers")}
+            for _ in range(8):
+                await platform.start_server("engines", "v2")
+            await asyncio.sleep(WARM_UP_S + 1)
+            # What it begins from now on is in no record.
+            platform.store.refused_ports = {first.store_port}
+            streams = [ResumableStream(f"g{i:02x}", EVENTS) for i in range(STREAMS)]
+            tries = [asyncio.create_task(s.attempt(first.front)) for s in streams]
+            while not all(s.numbers for s in streams):
+                await asyncio.sleep(0.01)
+            first.send(signal.SIGKILL)
+            await asyncio.gather(*tries)
+            self.assertTrue(any("v2" in s.versions for s in streams))
+            await asyncio.gather(*(s.attempt(behind.front) for s in streams))
+            self.assertEqual([s.versions for s in streams if s.mixed], [])
+            self.assertEqual({s.statuses[-1] for s in streams}, {503})
+            platform.store.refused_ports = set()
+            platform.store.unread = set()
+            await first.restart(signal.SIGKILL)
+
+        run_scenario(scenario, routers=2, engines=2)
+
     def test_streams_go_on_after_all_routers_were_killed(self) -> None:
         """Guards against refusals after a loss of all routers: no version changed."""
 
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -40,6 +40,7 @@
     def __init__(self, seed: int) -> None:
         self.topics: dict[str, Topic] = {}
         self.refused_ports: set[int] = set()  # ports whose requests are refused
+        self.unread: set[tuple[int, str]] = set()  # ports and topics whose reads get no answer
         self.silent = False
         self._silences = 0
         self.lost_reply_ratio = 0.0  # share of appends that take effect but get no reply
@@ -106,7 +107,7 @@
                 writer.write(answer(503))
                 continue
             reply = await self._answer(request, port)
-            if self.silent or self._silences != silences:
+            if self.silent or self._silences != silences or self._is_unread(request, port):
                 # The answer is lost, and so are all others on this connection.
                 with contextlib.suppress(ConnectionError):
                     await reader.read(-1)
@@ -116,6 +117,10 @@
             writer.write(reply)
         writer.close()
 
+    def _is_unread(self, request: Message, port: int) -> bool:
+        target = request.start_line.split()[1]
+        return any(port == p and f"topic={topic}&" in target for p, topic in self.unread)
+
     async def _answer(self, request: Message, port: int) -> bytes | None:
         method, target, _ = request.start_line.split()
         url = urlsplit(target)
