Soak: no other end follows a shutdown until callers have noticed it

With two series of faults that can be another end; now it can't. The check and its margin are the same.

--- a/tests/soak/lifecycle.py
+++ b/tests/soak/lifecycle.py
@@ -9,6 +9,8 @@
 from tests.soak.platform import Platform, Router
 
 LONGEST_END_S = 30.0
+# Until a caller notices the end of a process.
+CUT_NOTICED_S = 0.2
 _START_S = 0.3
 _PAUSE_S = 0.4
 
@@ -115,6 +117,8 @@
         await router.note_end(process, signal.SIGTERM, LONGEST_END_S)
         end = asyncio.get_running_loop().time()
         self.shutdowns.append((f"127.0.0.1:{router.front}", begin, end))
+        # Until callers have noticed it, no other end may follow.
+        await asyncio.sleep(CUT_NOTICED_S)
 
     def _write_part(self, router: Router) -> None:
         # Without the last table, which routers can't do without.
