Strings that are emptied free their memory

Connections kept the memory of what they had sent or read: assigning an empty or short string keeps the buffer (libstdc++ copies a short string into it), so memory that was counted as free was held.

Change: core::Release, and a swap for what is left of a buffer, wherever a string is emptied to free it, in both cores.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -4,6 +4,7 @@
 #include <utility>  // move, exchange
 
 #include "chunk.h"
+#include "coppervalve/core/memory.h"
 #include "coppervalve/net/clock.h"
 
 namespace coppervalve::gateway {
@@ -256,7 +257,7 @@
   }
   m_unread.erase(0, core::Value(used));
   if (m_unread.empty()) {
-    m_unread = std::string();
+    core::Release(m_unread);
   }
   if (m_reader->done()) {
     m_timer.cancel();
@@ -470,7 +471,7 @@
 
 void CallerConnection::Close() {
   m_closed = true;
-  m_unread = std::string();
+  core::Release(m_unread);
   m_reader.reset();
   if (m_stream->open()) {
     UpdateEntry();
--- a/src/gateway/exchange_outcome.cc
+++ b/src/gateway/exchange_outcome.cc
@@ -2,6 +2,7 @@
 
 #include <utility>  // exchange
 
+#include "coppervalve/core/memory.h"
 #include "coppervalve/net/clock.h"
 
 namespace coppervalve::gateway {
@@ -309,7 +310,7 @@
   m_held_by_connection = 0;
   if (!m_response_begun) {
     m_head.reset();
-    m_body = std::string();
+    core::Release(m_body);
   }
   UpdateBuffered();
 }
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -14,6 +14,7 @@
 #include <chrono>                      // milliseconds
 #include <utility>                     // exchange, move
 
+#include "coppervalve/core/memory.h"
 #include "coppervalve/net/clock.h"
 
 namespace coppervalve::gateway {
@@ -228,7 +229,7 @@
     WaitWritable();
     return;
   }
-  m_out = std::string();
+  core::Release(m_out);
   m_out_sent = 0;
   if (m_closing) {
     FinishClosing();
@@ -334,7 +335,7 @@
 }
 
 void Stream::Close() {
-  m_out = std::string();
+  core::Release(m_out);
   m_out_sent = 0;
   ErrorCode ignored;
   m_linger.cancel();
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -4,6 +4,7 @@
 #include <chrono>    // seconds
 #include <utility>   // move, exchange
 
+#include "coppervalve/core/memory.h"
 #include "relay_protocol.h"
 
 namespace coppervalve::gateway {
@@ -194,7 +195,8 @@
     return core::Failure(used);
   }
   if (m_unread.empty() || core::Value(used) != 0) {
-    m_unread = std::string(bytes.substr(core::Value(used)));
+    std::string rest(bytes.substr(core::Value(used)));
+    m_unread.swap(rest);
   }
   return core::Ok();
 }
@@ -268,8 +270,8 @@
   if (!m_reusable && m_stream) {
     m_stream->Abort();
   }
-  m_request = std::string();
-  m_unread = std::string();
+  core::Release(m_request);
+  core::Release(m_unread);
   m_reader.reset();
   const auto handlers = std::exchange(m_handlers, nullptr);
   handlers->on_end(end, why);
--- a/src/http1/sse_splitter.cc
+++ b/src/http1/sse_splitter.cc
@@ -51,7 +51,9 @@
     return {};
   }
   std::string whole = m_partial.substr(0, end);
-  m_partial = m_partial.substr(end);
+  // Assigning a short rest would keep the memory.
+  std::string rest = m_partial.substr(end);
+  m_partial.swap(rest);
   m_scanned -= end;
   m_line_start -= end;
   return whole;
--- a/src/net/detail/peer_client_connection.cc
+++ b/src/net/detail/peer_client_connection.cc
@@ -7,6 +7,7 @@
 #include <vector>   // vector
 
 #include "coppervalve/core/hash.h"
+#include "coppervalve/core/memory.h"
 #include "coppervalve/core/result.h"
 #include "peer_fields.h"
 
@@ -27,7 +28,7 @@
   ended = true;
   // A handle that outlives the call must not keep the body, or what the
   // callbacks captured, alive.
-  body = std::string();
+  core::Release(body);
   const ForwardCallbacks finished = std::exchange(callbacks, {});
   if (finished.on_end) {
     finished.on_end(std::move(outcome));
@@ -290,7 +291,7 @@
     return {bytes, BodyPart::State::kMore};
   }
   // The answer may take minutes; the request's body is not needed meanwhile.
-  body = std::string();
+  core::Release(body);
   stream->body_read = 0;
   return {bytes, BodyPart::State::kEnd};
 }
--- a/src/net/detail/peer_server_connection.cc
+++ b/src/net/detail/peer_server_connection.cc
@@ -5,6 +5,7 @@
 #include <utility>  // exchange, move
 
 #include "coppervalve/core/hash.h"
+#include "coppervalve/core/memory.h"
 #include "coppervalve/core/result.h"
 #include "peer_fields.h"
 #include "peer_forward_reply.h"
@@ -188,7 +189,7 @@
     return;
   }
   stream.state = State::kFinished;
-  stream.body = std::string();
+  core::Release(stream.body);
   if (m_shared->callbacks.on_message) {
     m_shared->callbacks.on_message(std::move(message));
   }
@@ -217,7 +218,7 @@
                                   Stream& stream,
                                   const core::Error& error) {
   stream.state = State::kFinished;
-  stream.body = std::string();
+  core::Release(stream.body);
   const HeaderList request_fields = std::exchange(stream.fields, {});
   if (m_shared->callbacks.on_refused) {
     m_shared->callbacks.on_refused(error);
