Soak: a run that was broken off does not excuse a later one

The ledger left out each request that an upstream broke off once, also when it ran again elsewhere and a shutdown cut it there: the check of cuts by shutdowns was narrower than the rule asks. A new run of an id clears it.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -174,6 +174,8 @@
             await unending.send(writer, signed)
             return False
         breaks = self._random.random() < self.cut_ratio
+        # An earlier run that was broken off says nothing of this one.
+        self._ledger.broken_off.discard(request_id)
         if breaks:
             self._ledger.broken_off.add(request_id)
         self._running.add(request_id)
