--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -15,6 +15,15 @@
 from tests.soak.unending import Unending
 
 
+# Limits of the store: bytes of a record and of a request, and what a page holds at most.
+RECORD_BYTES = 262_144
+REQUEST_BYTES = 2_097_152
+PAGE_RECORDS = 500
+PAGE_BYTES = 1_000_000
+LENGTH_BYTES = 4
+OFFSETS_BYTES = 16
+
+
 class Topic:
     def __init__(self) -> None:
         self.first = 0
@@ -54,7 +63,7 @@
     def _value_for(self, topic: str, value: bytes, port: int) -> bytes:
         """Returns a record as the router at this port reads it: with the address at which
         it reaches an upstream."""
-        if topic != "keyed.servers" or not value:
+        if topic != "keyed.servers" or b'"addresses"' not in value:
             return value
         entry = json.loads(value)
         entry["address"] = entry.pop("addresses")[self._ports.index(port)]
@@ -66,6 +75,11 @@
     def put(self, topic: str, key: str, value: dict | None) -> None:
         self.topic(topic).append(key, b"" if value is None else json.dumps(value).encode())
 
+    def put_raw(self, topic: str, key: str, value: bytes) -> None:
+        """Appends a record whose value may be anything, as another writer would."""
+        assert 1 + len(key) + len(value) <= RECORD_BYTES
+        self.topic(topic).append(key, value)
+
     def value(self, topic: str, key: str) -> dict:
         """Returns the newest value of a key; empty if there is none."""
         _, value = self.topic(topic).newest.get(key, (0, b"{}"))
@@ -133,19 +147,33 @@
         name = query["topic"]
         topic = self.topic(name)
         if url.path == "/api/log-newest":
-            entries = [
-                {"key": key, "offset": offset,
-                 "value": base64.b64encode(self._value_for(name, value, port)).decode()}
-                for key, (offset, value) in sorted(topic.newest.items())
-            ]
-            body = {"entries": entries, "hasMore": False, "endOffset": topic.end}
-            return answer(200, json.dumps(body).encode())
+            return self._newest(name, query.get("after", ""), port)
         if url.path == "/api/log-read":
-            return await self._read(name, int(query["from"]), int(query["waitMs"]), port)
+            return await self._read(name, query, port)
+        if len(request.body) > REQUEST_BYTES:
+            return answer(413)
+        if len(request.body) > LENGTH_BYTES + RECORD_BYTES:
+            return answer(400)
         return self._append(topic, query, request.body)
 
-    async def _read(self, name: str, start: int, wait_ms: int, port: int) -> bytes:
+    def _newest(self, name: str, after: str, port: int) -> bytes:
         topic = self.topic(name)
+        listed = [(key, *topic.newest[key]) for key in sorted(topic.newest) if key > after]
+        entries, size = [], 0
+        for key, offset, value in listed[:PAGE_RECORDS]:
+            text = base64.b64encode(self._value_for(name, value, port)).decode()
+            size += len(text)
+            if entries and size > PAGE_BYTES:
+                break
+            entries.append({"key": key, "offset": offset, "value": text})
+        body = {"entries": entries, "hasMore": len(entries) < len(listed),
+                "endOffset": topic.end}
+        return answer(200, json.dumps(body).encode())
+
+    async def _read(self, name: str, query: dict[str, str], port: int) -> bytes:
+        topic = self.topic(name)
+        start, wait_ms = int(query["from"]), int(query["waitMs"])
+        most = int(query.get("maxReadKb", 1024)) * 1024
         if start >= topic.end:
             try:
                 await asyncio.wait_for(topic.appended.wait(), wait_ms / 1000)
@@ -156,6 +184,8 @@
         body = struct.pack(">QQ", topic.end, topic.first)
         for key, value in topic.records[start - topic.first :]:
             record = bytes([len(key)]) + key.encode() + self._value_for(name, value, port)
+            if len(body) > OFFSETS_BYTES and len(body) + len(record) > most:
+                break
             body += struct.pack(">I", len(record)) + record
         return answer(200, body)
 
