Readiness: the log says what a router that is not ready lacks

Change: the line 'readiness' has 'missing', and is written whenever that changes: configuration, upstreams, heartbeat, claims, leaving.

--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -174,7 +174,9 @@
   void FinishDrain(int64_t in_progress);
   void LogActiveRouters();
   std::optional<core::Duration> TimeUntilShutdown() const;
-  bool Ready() const;
+  /// @return what this router still needs to serve callers; empty if nothing
+  std::string_view MissingForReadiness() const;
+  bool Ready() const { return MissingForReadiness().empty(); }
   bool KnowsUpstreams() const;
   bool FleetSizeKnown() const;
   bool ClaimsAsActive(core::TimePoint now) const;
@@ -342,6 +344,7 @@
   bool m_first_heartbeat_read = false;
   size_t m_heartbeat_bytes = 0;  ///< size of the last one written
   bool m_was_ready = false;
+  std::string_view m_missing_logged;
   bool m_was_active = false;
   bool m_claimed_as_active = false;
   uint64_t m_first_claim_sequence = 0;  ///< heartbeat with it; 0 = none yet
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -186,14 +186,25 @@
           expires && age > m_settings.key_expiry, m_configuration_age.At(now)};
 }
 
-bool Gateway::Ready() const {
+std::string_view Gateway::MissingForReadiness() const {
+  if (m_leaving_since) {
+    return "leaving";
+  }
+  if (!m_in_force) {
+    return "configuration";
+  }
+  if (!KnowsUpstreams()) {
+    return "upstreams";
+  }
+  if (!m_first_heartbeat_read) {
+    return "heartbeat";
+  }
   // A router that is active, or will be as there is no other, would refuse its
   // first callers until its claims are granted.
   const bool others_serve =
       !m_members.SelfActive() && !m_members.Addresses().empty();
   const bool can_spend = m_was_ready || m_claims_read || others_serve;
-  return m_in_force && KnowsUpstreams() && m_first_heartbeat_read &&
-         can_spend && !m_leaving_since;
+  return can_spend ? "" : "claims";
 }
 
 void Gateway::Tick() {
@@ -216,10 +227,14 @@
   m_crashes.record().Advance(now);
   m_reach.Advance(now);
   m_pool.CloseExpired(now);
-  if (Ready() != m_was_ready) {
-    m_was_ready = Ready();
-    LogLifecycle(LogLine("readiness").Flag("ready", m_was_ready));
+  const std::string_view missing = MissingForReadiness();
+  if (missing != m_missing_logged) {
+    m_missing_logged = missing;
+    LogLifecycle(LogLine("readiness")
+                     .Flag("ready", missing.empty())
+                     .Text("missing", missing));
   }
+  m_was_ready = missing.empty();
   if (m_leaving_since) {
     TryFinishDrain();
   }
