Configuration: numbers out of range have a defined meaning

What callers saw: nothing yet; found while looking for values that differ between processors. Cause: doubles were converted to integers without a check. Beyond the range of the integer that is undefined: a version of 1e300 was 0 or 2^63 or the largest number, depending on the processor, and could have stayed the newest for ever; a negative maxAttempts could be a huge one. Change: other numbers are clamped to what their type holds; a version out of range makes the document unreadable, so that the one in force stays. Evidence: numbers_of_a_configuration_are_in_range fails without it.

--- a/tests/platform/unit-documents.cc
+++ b/tests/platform/unit-documents.cc
@@ -195,3 +195,23 @@
   CHECK_FALSE(UpstreamUnchanged(before, before.substr(0, 40)));
   CHECK_FALSE(UpstreamUnchanged(R"({"a":1})", R"({"a":1})"));
 }
+
+// Guards against numbers whose conversion is undefined and differs between
+// processors.
+TEST(Documents, numbers_of_a_configuration_are_in_range) {
+  CHECK(FailureOf(R"({"version": 1e300})") == core::ErrorId::kConfigBadValue);
+  CHECK(FailureOf(R"({"version": -1})") == core::ErrorId::kConfigBadValue);
+  const auto read = ReadConfiguration(
+      R"({"version": 1, "routes": [{"hostname": "h", "pathPrefix": "/",
+          "maxAttempts": 1e300, "priority": -1e300, "timeoutMs": 1e300}],
+          "services": [{"name": "s", "maxConnections": -5}],
+          "tenants": [{"name": "t", "prepaid": 1e300}],
+          "limits": {"maxBodyBytes": 1e300}})");
+  const entry::Configuration& configuration = core::Value(read);
+  CHECK_EQUAL(UINT32_MAX, configuration.routes[0].max_attempts);
+  CHECK_EQUAL(0, configuration.routes[0].priority);
+  CHECK(configuration.routes[0].timeout > std::chrono::hours(1));
+  CHECK_EQUAL(0, configuration.services[0].max_connections);
+  CHECK(configuration.accounts[0].prepaid->value() > 0);
+  CHECK(configuration.bounds.body.value() > 0);
+}
