Table of upstreams: an entry that no upstream can have written is left out

Cause: fields were replaced by something that looked valid, or not checked. Change: a 'born' out of range, an address that is none (port 0 or above 65535, no number, 0.0.0.0), a text of more than 256 bytes and a key that can't stand in a header make an entry unreadable; the router goes on with the others. Evidence: unit-platform, an_invalid_entry_is_rejected, an_id_that_can_not_be_sent_in_a_header_is_rejected. Open: a wrong 'born' within the range can't be told from a right one.

--- a/tests/platform/unit-documents.cc
+++ b/tests/platform/unit-documents.cc
@@ -37,6 +37,10 @@
   return core::Failure(read).id;
 }
 
+std::string LongText() {
+  return '"' + std::string(300, 'x') + '"';
+}
+
 }  // namespace
 
 // clang-format off
@@ -134,6 +138,18 @@
                              with("\"sequence\"", "\"count\""),
                              with(": 4", ": \"4\""),
                              with(": 4", ": null"),
+                             with("10.0.0.9:80", "10.0.0.9:65536"),
+                             with("10.0.0.9:80", "10.0.0.9:0"),
+                             with("10.0.0.9:80", "10.0.0.9:-1"),
+                             with("10.0.0.9:80", "10.0.0.9"),
+                             with("10.0.0.9:80", "0.0.0.0:80"),
+                             with("10.0.0.9:80", "host:80"),
+                             with("\"v1\"", LongText()),
+                             with("\"a\"", LongText()),
+                             with("\"s\"", LongText()),
+                             with("10.0.0.9:80", std::string(300, '1')),
+                             with(": 4", ": 4, \"born\": 1e300"),
+                             with(": 4", ": 4, \"born\": -1e300"),
                              with("{", "["),
                              "",
                              "null",
@@ -196,6 +212,17 @@
   CHECK_FALSE(UpstreamUnchanged(R"({"a":1})", R"({"a":1})"));
 }
 
+// Guards against headers that another writer's key adds to requests.
+TEST(Documents, an_id_that_can_not_be_sent_in_a_header_is_rejected) {
+  const std::string good =
+      R"({"service": "s", "address": "10.0.0.9:80", "zone": "a", "slots": 6,
+          "state": "ready", "version": "v1", "sequence": 4})";
+  for (const char* id : {"", "a b", "a\r\nTenant: b", "\xff", "\x7f"}) {
+    CHECK_FALSE(core::IsOk(ReadUpstream(id, good)));
+  }
+  CHECK(core::IsOk(ReadUpstream("i-7f3a91c2", good)));
+}
+
 // Guards against numbers whose conversion is undefined and differs between
 // processors.
 TEST(Documents, numbers_of_a_configuration_are_in_range) {
