Table of upstreams: names that are gone take no memory

Cause: the directory kept a service without upstreams, the history of versions each service that was ever listed, and the reader the whole record of an entry that it could not read. Another writer chooses these names and records. Change: all three forget them; the history after its retention time. Tests: another_version_under_the_same_id_is_another_start asked for an empty list of a service without upstreams; it now asks that the service is not there. By reading; no process was seen to grow by it.

--- a/include/coppervalve/entry/version_history.h
+++ b/include/coppervalve/entry/version_history.h
@@ -16,7 +16,8 @@
   /// @param retention how long a version is remembered after it was last listed
   explicit VersionHistory(core::Duration retention) : m_retention(retention) {}
 
-  /// @brief A service has a version now.
+  /// @brief A service has a version now. Services that have had none for the
+  /// retention time are forgotten.
   void OnListed(const core::ServiceId& service,
                 const core::UpstreamVersion& version,
                 core::TimePoint now);
@@ -38,7 +39,10 @@
     core::TimePoint known_since{};
   };
 
+  void ForgetServices(core::TimePoint now);
+
   core::Duration m_retention;
+  core::TimePoint m_forgot_at{};
   std::unordered_map<core::ServiceId, Service> m_services;
 };
 
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -408,6 +408,9 @@
   if (found != versions.end() && --found->second == 0) {
     versions.erase(found);
   }
+  if (versions.empty()) {
+    m_versions.erase(entry.service);
+  }
 }
 
 void UpstreamDirectory::NotifyGone(const UpstreamEntry& entry) const {
--- a/src/entry/version_history.cc
+++ b/src/entry/version_history.cc
@@ -1,10 +1,13 @@
 #include "coppervalve/entry/version_history.h"
 
+#include <algorithm>  // all_of
+
 namespace coppervalve::entry {
 
 void VersionHistory::OnListed(const core::ServiceId& service,
                               const core::UpstreamVersion& version,
                               core::TimePoint now) {
+  ForgetServices(now);
   Service& known = m_services[service];
   if (known.last_listed.empty()) {
     known.known_since = now;
@@ -15,6 +18,21 @@
   });
 }
 
+// Other writers choose the names of services.
+void VersionHistory::ForgetServices(core::TimePoint now) {
+  if (now - m_forgot_at < m_retention) {
+    return;
+  }
+  m_forgot_at = now;
+  std::erase_if(m_services, [this, now](const auto& service) {
+    const auto& listed = service.second.last_listed;
+    return std::all_of(listed.begin(), listed.end(),
+                       [this, now](const auto& version) {
+                         return now - version.second > m_retention;
+                       });
+  });
+}
+
 std::vector<core::UpstreamVersion> VersionHistory::Within(
     const core::ServiceId& service,
     core::Duration span,
--- a/src/gateway/gateway_store.cc
+++ b/src/gateway/gateway_store.cc
@@ -170,6 +170,9 @@
   }
   const entry::UpstreamRecord read = ReadUpstreamRecord(record);
   const entry::DirectoryChange change = m_directory.OnRecord(read);
+  if (!m_directory.Find(id)) {
+    m_upstream_documents.erase(record.key);
+  }
   if (change == entry::DirectoryChange::kNothing) {
     return;
   }
--- a/tests/entry/unit-upstream-directory.cc
+++ b/tests/entry/unit-upstream-directory.cc
@@ -141,7 +141,7 @@
   CHECK(before->entry.version.empty() && before->entry.leaving);
   CHECK_EQUAL(1, directory.versions().at(tickets).size());
   directory.Remove(one, contact, At(10));
-  CHECK(directory.versions().at(tickets).empty());
+  CHECK_FALSE(directory.versions().contains(tickets));
 }
 
 TEST(UpstreamDirectory, a_late_record_of_an_earlier_start_changes_nothing) {
