Heartbeat: what others wrote can't keep it from being written

What operators saw (FAULT): after one entry with a very long version among the upstreams and a kill of all, the three active routers were never ready. Cause: each router copies the services and versions of the table into its heartbeat, without a bound. The store takes records of 262,144 bytes and answers 400 to more; the writer repeated the same heartbeat for ever. With it went membership, claims and readiness. The class: what others wrote is copied into a record that this process depends on. Change: the heartbeat states at most 16 KB of versions, those of configured services first and two of a service, and says when its list is incomplete (versions_incomplete); who reads that resumes no stream of a service that is not listed (ORDER). All of it is cut to platform.recordBytes, versions before reports of crashes, claims never. A record that the store refuses for good (log_record_refused) is composed anew under the same sequence, with half of the bytes at most; a record of streams is bounded too, and given up if refused. Events beat_reduced, beat_refused, stream_record_refused; figures heartbeat_bytes, heartbeat_reduced. Why it works: the size of a heartbeat no longer depends on the table, and a refusal can't repeat itself.

--- a/include/coppervalve/core/error.h
+++ b/include/coppervalve/core/error.h
@@ -75,6 +75,7 @@
   kConservationBroken = 605,
   kVmListUnavailable = 606,
   kSnapshotInvalid = 607,
+  kLogRecordRefused = 608,
   // 7xx: communication between routers.
   kPeerUnreachable = 701,
   kPeerProtocol = 702,
--- a/include/coppervalve/entry/stream_versions.h
+++ b/include/coppervalve/entry/stream_versions.h
@@ -55,8 +55,9 @@
   /// the last time. The store retains records for as long.
   core::Duration lifetime{20'000'000};
   size_t max_streams = 100'000;
-  /// Maximum number of streams in one record.
+  /// Maximum number of streams, and of bytes, in one record.
   size_t max_batch = 5'000;
+  size_t max_record_bytes = 131'072;
 };
 
 /// @return minimum time between two records of a router
@@ -99,6 +100,10 @@
   void OnStated(const core::ServiceId& service,
                 const core::UpstreamVersion& version,
                 core::TimePoint now);
+  /// @brief What a router listed lacks services.
+  void OnIncompleteStatement(core::TimePoint now) {
+    m_incomplete_statement_at = now;
+  }
   /// @brief A record was read. Records are applied in the order of the log.
   void OnRecord(const StreamGroup& group, core::TimePoint now);
 
@@ -141,13 +146,14 @@
   std::optional<core::UpstreamVersion> OnlyRecentVersion(
       const core::ServiceId& service,
       core::TimePoint now) const;
-  bool IsOtherStated(const core::ServiceId& service,
-                     const core::UpstreamVersion& version,
-                     core::TimePoint now) const;
+  bool MayHaveHadOther(const core::ServiceId& service,
+                       const core::UpstreamVersion& version,
+                       core::TimePoint now) const;
 
   StreamVersionsOptions m_options;
   VersionHistory m_history;
   VersionHistory m_stated;
+  std::optional<core::TimePoint> m_incomplete_statement_at;
   std::unordered_map<StreamKey, Known> m_known;
   std::deque<std::pair<core::TimePoint, StreamKey>> m_by_age;
   std::deque<std::pair<core::TimePoint, StreamStart>> m_unwritten;
--- a/include/coppervalve/gateway/gateway.h
+++ b/include/coppervalve/gateway/gateway.h
@@ -8,12 +8,14 @@
 #include <memory>         // shared_ptr
 #include <optional>       // optional
 #include <string>         // string
+#include <string_view>    // string_view
 #include <unordered_map>  // unordered_map
 #include <vector>         // vector
 
 #include "coppervalve/entry/allocation_ledger.h"
 #include "coppervalve/entry/configuration_index.h"
 #include "coppervalve/entry/fallback_reading.h"
+#include "coppervalve/entry/heartbeat_content.h"
 #include "coppervalve/entry/heartbeat_rate.h"
 #include "coppervalve/entry/member_list.h"
 #include "coppervalve/entry/placement.h"
@@ -89,6 +91,7 @@
   double store_read_bytes_per_second = 0;
   /// Reads per second that the store accepts from the whole fleet; 0 = unknown.
   double store_reads_per_second = 0;
+  size_t store_record_bytes = 0;  ///< that a record may have; 0 = unknown
   /// Interval between two records of the same upstream; 0 = unknown.
   core::Duration upstream_heartbeat{};
   /// Size of this VM; 0 = unknown.
@@ -167,6 +170,8 @@
   core::Duration LongestHeartbeatPeriod() const;
   core::Duration FirstWriteDelay(bool size_unknown) const;
   void ComposeHeartbeat(v1::RouterBeat& beat);
+  size_t MaxHeartbeatBytes() const;
+  void OnHeartbeatRefused(size_t bytes);
   double Capacity() const;
   void NotifyGrantWaiters();
   void Tick();
@@ -343,6 +348,8 @@
   size_t m_upstreams_listed = 0;  ///< by the pages of the table read so far
   bool m_first_heartbeat_read = false;
   size_t m_heartbeat_bytes = 0;  ///< size of the last one written
+  size_t m_max_heartbeat_bytes = 0;
+  entry::HeartbeatOmissions m_omitted;  ///< from the last heartbeat
   bool m_was_ready = false;
   std::string_view m_missing_logged;
   bool m_was_active = false;
--- a/include/coppervalve/gateway/gateway_metrics.h
+++ b/include/coppervalve/gateway/gateway_metrics.h
@@ -46,6 +46,8 @@
   uint64_t caller_bytes = 0;        ///< held for them at present
   uint64_t resident_bytes = 0;      ///< of the process
   uint64_t unavailable_ports = 0;   ///< not opened yet
+  uint64_t heartbeat_bytes = 0;     ///< of the last one that was written
+  bool heartbeat_reduced = false;   ///< it lacks parts that did not fit
 };
 
 /// @brief Metrics of a router, documented in docs/OPERATIONS.md.
--- a/include/coppervalve/gateway/heartbeat_writer.h
+++ b/include/coppervalve/gateway/heartbeat_writer.h
@@ -32,10 +32,10 @@
 /// order.
 ///
 /// A write without a reply may still take effect. It is retried unchanged until
-/// it is answered; otherwise a newer heartbeat could be overwritten by the late
-/// one. The store recognizes a retry by its sequence number. Each start obtains
-/// an epoch of its own from the store and announces it before the first
-/// heartbeat, which fences off writes of earlier starts.
+/// it is written or refused for good; otherwise a newer heartbeat could be
+/// overwritten by the late one. The store recognizes a retry by its sequence
+/// number. Each start obtains an epoch of its own from the store and announces
+/// it before the first heartbeat, which fences off writes of earlier starts.
 class HeartbeatWriter : public std::enable_shared_from_this<HeartbeatWriter> {
  public:
   struct Hooks {
@@ -56,6 +56,8 @@
     std::function<const entry::StoreContact&()> contact;
     /// @param began start time of the failed call
     std::function<void(const core::Error&, core::TimePoint began)> on_failure;
+    /// The store never takes this heartbeat; another one is composed instead.
+    std::function<void(const v1::RouterBeat& beat)> on_refused;
     /// A newer start of the same router exists; this one stops writing.
     std::function<void()> on_superseded;
   };
--- a/include/coppervalve/gateway/keyed_store.h
+++ b/include/coppervalve/gateway/keyed_store.h
@@ -67,8 +67,9 @@
 ///
 /// Errors: kLogUnavailable (the call may have been executed or may still be),
 /// kLogGap (the requested records are no longer retained), kRetiredInLog (a
-/// newer epoch of the writer exists), kLogRecordInvalid (the record was
-/// rejected).
+/// newer epoch of the writer exists), kLogRecordInvalid (the record does not
+/// follow the writer's last one), kLogRecordRefused (the store never takes this
+/// record, for example because of its size; nothing was written).
 struct KeyedStore {
   template <typename T>
   using Handler = std::function<void(const core::Result<T>&)>;
--- a/include/coppervalve/gateway/stream_record_writer.h
+++ b/include/coppervalve/gateway/stream_record_writer.h
@@ -22,6 +22,8 @@
     /// Minimum time between two records of this router.
     std::function<core::Duration()> interval;
     std::function<void(bool written)> on_call;
+    /// The store never takes a record; its streams stay without one.
+    std::function<void(size_t bytes)> on_refused;
   };
 
   /// @param topic of the records
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -72,6 +72,7 @@
     {ErrorId::kConservationBroken, "conservation_broken", 500, kNotRun},
     {ErrorId::kVmListUnavailable, "vm_list_unavailable", 503, kNotRun},
     {ErrorId::kSnapshotInvalid, "snapshot_invalid", 500, kNotRun},
+    {ErrorId::kLogRecordRefused, "log_record_refused", 500, kNotRun},
     {ErrorId::kPeerUnreachable, "peer_unreachable", 503, kUnknown},
     {ErrorId::kPeerProtocol, "peer_protocol", 502, kUnknown},
     {ErrorId::kWitnessRefused, "witness_refused", 503, kNotRun},
--- a/src/entry/stream_versions.cc
+++ b/src/entry/stream_versions.cc
@@ -18,19 +18,23 @@
 // All records share a partition, which takes not many more.
 constexpr double kMaxRecordsPerSecond = 300;
 
-StreamGroup& GroupOf(const StreamStart& start,
-                     std::vector<StreamGroup>& groups) {
+// Upper bounds of what a record takes beside texts, for a group and a stream.
+constexpr size_t kGroupBytes = 24;
+constexpr size_t kStreamBytes = 10;
+
+// Null if there is none.
+StreamGroup* FindGroup(const StreamStart& start,
+                       std::vector<StreamGroup>& groups) {
   const auto found = std::find_if(
       groups.begin(), groups.end(), [&start](const StreamGroup& group) {
         return group.service == start.service && group.version == start.version;
       });
-  if (found != groups.end()) {
-    return *found;
-  }
-  StreamGroup& group = groups.emplace_back();
-  group.service = start.service;
-  group.version = start.version;
-  return group;
+  return found == groups.end() ? nullptr : &*found;
+}
+
+size_t SizeOfGroup(const StreamStart& start) {
+  return kGroupBytes + start.service.value().size() +
+         start.version.value().size();
 }
 
 }  // namespace
@@ -148,9 +152,20 @@
 std::vector<StreamGroup> StreamVersions::TakeUnwritten(core::TimePoint now) {
   std::vector<StreamGroup> groups;
   size_t taken = 0;
+  size_t bytes = 0;
   for (; !m_unwritten.empty() && taken < m_options.max_batch; ++taken) {
     const StreamStart& start = m_unwritten.front().second;
-    GroupOf(start, groups).streams.push_back(start.stream);
+    StreamGroup* group = FindGroup(start, groups);
+    bytes += kStreamBytes + (group == nullptr ? SizeOfGroup(start) : 0);
+    if (taken != 0 && bytes > m_options.max_record_bytes) {
+      break;
+    }
+    if (group == nullptr) {
+      group = &groups.emplace_back();
+      group->service = start.service;
+      group->version = start.version;
+    }
+    group->streams.push_back(start.stream);
     m_unwritten.pop_front();
   }
   for (StreamGroup& group : groups) {
@@ -175,10 +190,16 @@
   return versions.size() == 1 ? std::optional(versions.front()) : std::nullopt;
 }
 
-bool StreamVersions::IsOtherStated(const core::ServiceId& service,
-                                   const core::UpstreamVersion& version,
-                                   core::TimePoint now) const {
+bool StreamVersions::MayHaveHadOther(const core::ServiceId& service,
+                                     const core::UpstreamVersion& version,
+                                     core::TimePoint now) const {
   const auto stated = m_stated.Within(service, m_options.lifetime, now);
+  const bool incomplete =
+      m_incomplete_statement_at &&
+      now - *m_incomplete_statement_at <= m_options.lifetime;
+  if (stated.empty() && incomplete) {
+    return true;
+  }
   return std::any_of(stated.begin(), stated.end(),
                      [&version](const core::UpstreamVersion& other) {
                        return other != version;
@@ -228,7 +249,7 @@
   // While a service has one version no stream is recorded. If that version is
   // replaced while all routers are down, only their last heartbeats tell.
   if (!only || !m_follows_table || others_saw_several ||
-      IsOtherStated(service, *only, now)) {
+      MayHaveHadOther(service, *only, now)) {
     return {std::nullopt, "it has no record"};
   }
   return {only, {}};
--- a/src/gateway/gateway_heartbeats.cc
+++ b/src/gateway/gateway_heartbeats.cc
@@ -1,6 +1,7 @@
 // Writes the heartbeats of this router and processes those of other routers.
 #include <algorithm>  // max, min
 #include <cmath>      // abs, lround
+#include <limits>     // numeric_limits
 #include <utility>    // move, exchange
 
 #include "coppervalve/entry/heartbeat_parser.h"
@@ -27,7 +28,16 @@
 
 }  // namespace
 
+// A record has its key and the length of the key before its value.
+size_t Gateway::MaxHeartbeatBytes() const {
+  const size_t overhead = 1 + m_settings.router.value().size();
+  return m_settings.store_record_bytes > overhead
+             ? m_settings.store_record_bytes - overhead
+             : std::numeric_limits<size_t>::max();
+}
+
 void Gateway::MakeHeartbeatWriter() {
+  m_max_heartbeat_bytes = MaxHeartbeatBytes();
   HeartbeatWriter::Hooks hooks;
   hooks.compose = [this](v1::RouterBeat& beat) { ComposeHeartbeat(beat); };
   hooks.period = [this] { return entry::HeartbeatPeriod(Limits()); };
@@ -62,6 +72,9 @@
                      .Millis("after_ms", net::BootNow() - began)
                      .Flag("others_answered", m_contact.AnsweredSince(began)));
   };
+  hooks.on_refused = [this](const v1::RouterBeat& beat) {
+    OnHeartbeatRefused(beat.ByteSizeLong());
+  };
   hooks.on_superseded = [this] {
     LogLifecycle(
         LogLine("retired").Text("why", "a newer start of this router exists"));
@@ -237,6 +250,25 @@
   StateVersions(beat);
   m_book.WriteClaims(beat, context, now);
   LogHoldFactor();
+  const entry::HeartbeatOmissions omitted =
+      entry::FitHeartbeat(m_max_heartbeat_bytes, beat);
+  if (omitted != m_omitted) {
+    m_omitted = omitted;
+    LogLifecycle(
+        LogLine("beat_reduced")
+            .Number("bytes", static_cast<int64_t>(beat.ByteSizeLong()))
+            .Flag("versions_left_out", omitted.versions)
+            .Number("crashes_left_out", static_cast<int64_t>(omitted.crashes)));
+  }
+}
+
+// The limit that the settings state may be missing or wrong.
+void Gateway::OnHeartbeatRefused(size_t bytes) {
+  m_max_heartbeat_bytes = std::min(m_max_heartbeat_bytes, bytes) / 2;
+  LogLifecycle(
+      LogLine("beat_refused")
+          .Number("bytes", static_cast<int64_t>(bytes))
+          .Number("max_bytes", static_cast<int64_t>(m_max_heartbeat_bytes)));
 }
 
 // After a power loss of the whole fleet all routers start at once, and the
--- a/src/gateway/gateway_listeners.cc
+++ b/src/gateway/gateway_listeners.cc
@@ -323,6 +323,8 @@
   stats.caller_bytes = m_connections->bytes();
   stats.resident_bytes = net::ResidentBytes();
   stats.unavailable_ports = m_ports.pending();
+  stats.heartbeat_bytes = m_heartbeat_bytes;
+  stats.heartbeat_reduced = m_omitted != entry::HeartbeatOmissions{};
   m_metrics.OnProcess(stats);
   LocalResponse answer;
   answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -203,6 +203,8 @@
   set("caller_bytes", static_cast<double>(stats.caller_bytes));
   set("resident_bytes", static_cast<double>(stats.resident_bytes));
   set("unavailable_ports", static_cast<double>(stats.unavailable_ports));
+  set("heartbeat_bytes", static_cast<double>(stats.heartbeat_bytes));
+  set("heartbeat_reduced", stats.heartbeat_reduced ? 1 : 0);
 }
 
 std::string GatewayMetrics::Text() const {
--- a/src/gateway/gateway_stream_versions.cc
+++ b/src/gateway/gateway_stream_versions.cc
@@ -37,6 +37,10 @@
           [this] { return entry::StreamRecordInterval(Limits()); },
           [this](bool written) {
             m_metrics.OnStoreCall("stream_write", written);
+          },
+          [this](size_t bytes) {
+            LogLifecycle(LogLine("stream_record_refused")
+                             .Number("bytes", static_cast<int64_t>(bytes)));
           }});
   m_stream_reader = std::make_shared<StreamRecordReader>(
       m_store, topic,
@@ -81,14 +85,12 @@
   if (!m_upstreams_known) {
     return;
   }
-  beat.set_versions_listed_at_s(UnixSeconds());
-  for (const auto& [service, counts] : m_directory.versions()) {
-    v1::ServiceVersions& stated = *beat.add_service_versions();
-    stated.set_service(service.value());
-    for (const auto& [version, count] : counts) {
-      stated.add_versions(version.value());
-    }
-  }
+  entry::StateVersions(
+      m_directory.versions(),
+      [this](const core::ServiceId& service) {
+        return m_in_force && m_in_force->FindService(service) != nullptr;
+      },
+      UnixSeconds(), beat);
 }
 
 // The newest heartbeat of a router that was removed stays in the store.
@@ -98,6 +100,9 @@
     return;
   }
   const core::TimePoint now = net::BootNow();
+  if (beat.versions_incomplete()) {
+    m_stream_versions.OnIncompleteStatement(now);
+  }
   for (const v1::ServiceVersions& stated : beat.service_versions()) {
     for (const std::string& version : stated.versions()) {
       m_stream_versions.OnStated(core::ServiceId(stated.service()),
--- a/src/gateway/heartbeat_writer.cc
+++ b/src/gateway/heartbeat_writer.cc
@@ -180,6 +180,12 @@
     m_hooks.on_superseded();
     return;
   }
+  if (error.id == core::ErrorId::kLogRecordRefused) {
+    m_hooks.on_refused(m_beat);
+    --m_sequence;
+    Retry(error, &HeartbeatWriter::WriteNext);
+    return;
+  }
   // The heartbeat is outdated by the time it is written, so the next one
   // follows immediately.
   m_expedited = true;
--- a/src/gateway/stream_record_writer.cc
+++ b/src/gateway/stream_record_writer.cc
@@ -133,6 +133,15 @@
   if (core::Failure(result).id == core::ErrorId::kRetiredInLog) {
     return;
   }
+  // Streams without a record are resumed only where that is certain to be
+  // right.
+  if (core::Failure(result).id == core::ErrorId::kLogRecordRefused) {
+    m_hooks.on_refused(m_record.size());
+    --m_sequence;
+    m_busy = false;
+    Schedule();
+    return;
+  }
   After(kRetryDelay, &StreamRecordWriter::Append);
 }
 
--- a/tests/entry/unit-stream-versions.cc
+++ b/tests/entry/unit-stream-versions.cc
@@ -244,3 +244,40 @@
   CHECK(log.front().seen == VersionsSeen::kUnknown);
   STRCMP_EQUAL("", first.Resolve("b", 30).c_str());
 }
+
+// Guards against a version that nobody listed since the list was cut short.
+TEST(StreamVersions,
+     a_service_that_an_incomplete_list_lacks_has_no_sole_version) {
+  second.List({"v1"}, 30);
+  STRCMP_EQUAL("v1", second.Resolve("a", 30.1).c_str());
+  second.versions.OnIncompleteStatement(At(30.2));
+  STRCMP_EQUAL("", second.Resolve("a", 30.3).c_str());
+  second.versions.OnStated(kService, Version("v1"), At(30.4));
+  STRCMP_EQUAL("v1", second.Resolve("a", 30.5).c_str());
+}
+
+TEST(StreamVersions, an_incomplete_list_counts_as_long_as_a_stream_may_last) {
+  second.versions.OnIncompleteStatement(At(10));
+  second.List({"v1"}, 30.5);
+  STRCMP_EQUAL("v1", second.Resolve("a", 30.6).c_str());
+}
+
+// Guards against a record that the store never takes as others chose its texts.
+TEST(StreamVersions, a_record_of_many_long_versions_is_divided) {
+  constexpr size_t kStreams = 2'000;
+  first.Watch({"v1", "v2"}, 0, 30);
+  for (size_t i = 0; i < kStreams; ++i) {
+    first.Begin(std::to_string(i), std::to_string(i) + std::string(250, 'x'),
+                30);
+  }
+  size_t written = 0;
+  while (first.versions.HasUnwritten()) {
+    size_t bytes = 0;
+    for (const StreamGroup& group : first.versions.TakeUnwritten(At(30))) {
+      written += group.streams.size();
+      bytes += group.version.value().size();
+    }
+    CHECK(bytes < StreamVersionsOptions().max_record_bytes);
+  }
+  CHECK_EQUAL(kStreams, written);
+}
--- a/tests/gateway/fake_store.cc
+++ b/tests/gateway/fake_store.cc
@@ -113,6 +113,9 @@
 core::Result<WriteReceipt> FakeStore::Append(const std::string& topic,
                                              const KeyedRecord& record,
                                              const WriterPosition& position) {
+  if (1 + record.key.size() + record.value.size() > max_record_bytes) {
+    return core::Error{core::ErrorId::kLogRecordRefused, topic, "too large"};
+  }
   Topic& kept = m_topics[topic];
   bool repeat = false;
   if (!position.writer.empty()) {
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -45,8 +45,9 @@
   std::function<bool(const std::string& topic)> is_late;
   int rejected_pages = 0;  ///< number of the next pages to reject
   size_t page_size = 500;
-  int appends = 0;       ///< number of calls
-  int newest_calls = 0;  ///< number of calls
+  size_t max_record_bytes = 262'144;  ///< larger ones are refused
+  int appends = 0;                    ///< number of calls
+  int newest_calls = 0;               ///< number of calls
   /// Value of the newest record of a key; empty if there is none.
   std::string Newest(const std::string& topic, const std::string& key) const;
   size_t waiting_readers() const { return m_waiting.size(); }
--- a/tests/gateway/unit-heartbeat-writer.cc
+++ b/tests/gateway/unit-heartbeat-writer.cc
@@ -34,11 +34,16 @@
   KeyedStore calls = store.Calls();
   entry::StoreContact contact;
   int written = 0;
+  uint64_t refused = 0;         // sequence of the last refused heartbeat
+  uint64_t first_written = 0;   // sequence of the first written one
+  std::string address = "a:1";  // stated until a heartbeat is refused
   std::shared_ptr<HeartbeatWriter> writer;
 
   void setup() override {
     HeartbeatWriter::Hooks hooks;
-    hooks.compose = [](v1::RouterBeat&) {};
+    hooks.compose = [this](v1::RouterBeat& beat) {
+      beat.set_caller_address(address);
+    };
     hooks.period = [] { return core::Duration(100'000); };
     hooks.expedited_delay = [] { return core::Duration(10'000); };
     hooks.max_spread_delay = [] { return core::Duration::zero(); };
@@ -47,8 +52,14 @@
     hooks.on_epoch_announced = [this](uint64_t, uint64_t) {
       writer->StartHeartbeats();
     };
-    hooks.on_written = [this](const v1::RouterBeat&) { ++written; };
+    hooks.on_written = [this](const v1::RouterBeat& beat) {
+      first_written = written++ == 0 ? beat.sequence() : first_written;
+    };
     hooks.on_failure = [](const core::Error&, core::TimePoint) {};
+    hooks.on_refused = [this](const v1::RouterBeat& beat) {
+      refused = beat.sequence();
+      address.clear();
+    };
     hooks.on_superseded = [] {};
     writer = std::make_shared<HeartbeatWriter>(
         io, HeartbeatOptions{"beats", "a", "starts", {}}, calls,
@@ -87,6 +98,18 @@
   }
 }
 
+// Guards against a heartbeat that is repeated for ever though the store never
+// takes it.
+TEST(HeartbeatWriter, a_refused_heartbeat_is_replaced_by_another_one) {
+  contact.OnAnswer(net::BootNow());
+  address.assign(store.max_record_bytes, 'x');
+  writer->Start(0, core::Duration::zero());
+  RunFor(milliseconds(1'000));
+  UNSIGNED_LONGS_EQUAL(1, refused);
+  UNSIGNED_LONGS_EQUAL(1, first_written);
+  CHECK(written > 1);
+}
+
 namespace {
 
 // One start of a router. After Kill() it makes no call and gets no reply.
@@ -127,6 +150,7 @@
     };
     hooks.on_written = [this](const v1::RouterBeat&) { ++written; };
     hooks.on_failure = [](const core::Error&, core::TimePoint) {};
+    hooks.on_refused = [](const v1::RouterBeat&) {};
     hooks.on_superseded = [this] { superseded = true; };
     m_writer = std::make_shared<HeartbeatWriter>(
         io, HeartbeatOptions{"beats", "a", "starts", {}}, m_calls,
--- a/tests/platform/unit-settings.cc
+++ b/tests/platform/unit-settings.cc
@@ -28,6 +28,7 @@
 [platform]
 address = "10.9.0.1:90"
 writesPerS = 600
+recordBytes = 262144
 )";
 
 }  // namespace
@@ -49,6 +50,7 @@
   CHECK(settings.gateway.drain_bound == std::chrono::seconds(3));
   CHECK(settings.gateway.address_lifetime == std::chrono::seconds(1));
   DOUBLES_EQUAL(0.25, settings.gateway.retries.ratio, 0.001);
+  CHECK_EQUAL(262'144, settings.gateway.store_record_bytes);
   CHECK(settings.gateway.key_expiry == core::Duration::zero());
 }
 
--- a/tests/platform/unit-store.cc
+++ b/tests/platform/unit-store.cc
@@ -152,3 +152,13 @@
   CHECK(core::IsOk(page));
   UNSIGNED_LONGS_EQUAL(1, core::Value(page).records.size());
 }
+
+// Guards against a record that is repeated for ever though it is never taken.
+TEST(Store, a_refused_record_has_an_error_of_its_own) {
+  for (const char* status : {"400 Bad Request", "413 Too Large"}) {
+    CHECK(core::Failure(Append("{}", status)).id ==
+          core::ErrorId::kLogRecordRefused);
+  }
+  CHECK(core::Failure(Append("{}", "503 Unavailable")).id ==
+        core::ErrorId::kLogUnavailable);
+}
--- a/tests/process/test_odd_entries.py
+++ b/tests/process/test_odd_entries.py
@@ -6,6 +6,7 @@
 
 from tests.soak.odd_entries import DEEP, ODD_ENTRIES, entry, put_all, with_json
 from tests.soak.platform import Platform, run_scenario
+from tests.soak.servers import WARM_UP_S
 
 ROUTERS = 6
 READY_WITHIN_S = 10
@@ -68,6 +69,8 @@
                 for server in platform.servers:
                     platform.store.put("keyed.servers", server.name, {**server.entry(), "born": 5})
                 self.assertTrue(await platform.wait_for_figure("upstreams", len(platform.servers)))
+                # An upstream that joins counts as cold.
+                await asyncio.sleep(WARM_UP_S)
                 self.assertEqual(0, await platform.count_failures(platform.routers, 30))
 
         run_scenario(scenario, routers=3, engines=2)
