--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,6 +19,7 @@
 from tests.soak.limits import (
     PROPAGATION_S, excess_failures, max_allowed_arrivals, max_arrivals_in_window)
 from tests.soak.misbehaving import CALLER_LIMITS, VM_LIMITS, MisbehavingClients
+from tests.soak.odd_entries import ODD_ENTRIES, put_all
 from tests.soak.platform import OFFICE_ID_PREFIX, PREPAID, ZONES, Platform
 from tests.soak.servers import TOKENS_PER_EVENT
 
@@ -33,14 +34,15 @@
 
 class Soak:
     def __init__(self, seconds: float, seed: int, program: str, partitions: bool,
-                 crashing_parts: bool, misbehaving: bool, lifecycle: bool, routers: int,
-                 keep_logs: bool) -> None:
+                 crashing_parts: bool, misbehaving: bool, lifecycle: bool, odd_entries: bool,
+                 routers: int, keep_logs: bool) -> None:
         self._seconds = seconds
         self._keep_logs = keep_logs
         self._partitions_wanted = partitions
         self._crashing_parts_wanted = crashing_parts
         self._misbehaving_wanted = misbehaving
         self._lifecycle_wanted = lifecycle
+        self._odd_entries_wanted = odd_entries
         self._router_count = routers
         self._crashing_parts = 0  # number of such parts so far
         self._sent_with_part = 0  # requests that reached upstreams too late after crashes
@@ -56,6 +58,8 @@
         self._sent_evacuated = 0  # requests to an evacuated zone
         self._sent_unwanted = 0  # requests beyond what a leaving or pausing upstream allows
         self._beyond_limits = 0  # requests beyond upstreams' rate limits
+        self._odd_names: list[str] = []  # of entries that were not used yet
+        self._not_ready_beside_odd = 0  # times that routers did not become ready
         self._limits_kept_after_end = 0  # limits that routers kept after their withdrawal
         self._failed_while_partitioned = 0  # first tries beyond what the rule allows
         # Failures of FIRST_TRIES each, at partitioned and other routers
@@ -108,6 +112,7 @@
                  self._release, self._kill_under_streams]
         kinds += [self._partition] if self._partitions_wanted else []
         kinds += [self._crash_under_a_part] * 6 if self._crashing_parts_wanted else []
+        kinds += [self._leave_odd_entries] * 22 if self._odd_entries_wanted else []
         remaining: list = []
         while asyncio.get_running_loop().time() < until:
             # Every kind is used once before any is repeated.
@@ -403,6 +408,35 @@
         self._partitions.append((there, elsewhere))
         self._failed_while_partitioned += excess_failures(there, elsewhere, FIRST_TRIES)
 
+    async def _leave_odd_entries(self) -> None:
+        async with self._undisturbed:
+            await self._leave_odd_entries_undisturbed()
+
+    async def _leave_odd_entries_undisturbed(self) -> None:
+        """Leaves odd entries, under keys of their own or those of upstreams; meanwhile
+        routers restart or the store fails."""
+        self._odd_names = self._odd_names or self._random.sample(
+            sorted(ODD_ENTRIES), len(ODD_ENTRIES))
+        name = self._odd_names.pop()
+        self.faults.append("+" + name.replace(" ", "_"))
+        keys = put_all(self._store, ODD_ENTRIES[name])
+        for server in self._random.sample(self._platform.engines, 2):
+            self._store.put_raw("keyed.servers", server.name,
+                                self._random.choice(ODD_ENTRIES[name]))
+            await asyncio.sleep(self._random.uniform(0, 0.3))
+            if not server.stopped.is_set():
+                self._platform.announce(server)
+        overlap = self._random.choice([None, self._kill, self._kill_all, self._kill_all,
+                                       self._terminate, self._store_down, self._lose_answers,
+                                       self._forget, self._top_up])
+        if overlap:
+            self.faults.append("+" + overlap.__name__.strip("_"))
+            await overlap()
+        ready = await self._platform.wait_for_figure("ready", 1)
+        self._not_ready_beside_odd += not ready
+        for key in keys:
+            self._store.put("keyed.servers", key, None)
+
     async def _ask_for_a_pause(self) -> None:
         server = self._random.choice(self._platform.engines)
         # Longer than this fault takes on any machine. The upstream shuts down below;
@@ -443,6 +477,7 @@
             "sent to an evacuated zone": self._sent_evacuated,
             "sent beyond a limit": self._beyond_limits,
             "limits kept after their end": self._limits_kept_after_end,
+            "not ready beside an odd entry": self._not_ready_beside_odd,
             "failed while partitioned": self._failed_while_partitioned,
             "overloaded while cold": len(ledger.overloaded_while_cold),
             "cut by an orderly shutdown": self._cut_by_shutdowns(seen),
@@ -478,6 +513,8 @@
                         help="also send crowds of clients that keep to no limit")
     parser.add_argument("--lifecycle", action="store_true",
                         help="also send series of signals, hold ports and write settings in parts")
+    parser.add_argument("--odd-entries", action="store_true",
+                        help="also leave entries that no upstream wrote")
     parser.add_argument("--routers", type=int, default=ROUTERS)
     parser.add_argument("--keep-logs", action="store_true",
                         help="keep the routers' logs even if no rule is broken")
@@ -486,7 +523,8 @@
     program = os.path.join(options.build, "coppervalved")
     return asyncio.run(Soak(options.seconds, options.seed, program, options.partitions,
                             options.crashing_parts, options.misbehaving_clients,
-                            options.lifecycle, options.routers, options.keep_logs).run())
+                            options.lifecycle, options.odd_entries, options.routers,
+                            options.keep_logs).run())
 
 
 if __name__ == "__main__":
