--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -1,7 +1,5 @@
 #include "platform_client.h"
 
-#include <google/protobuf/util/json_util.h>
-
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -11,6 +9,7 @@
 
 #include "http_channel.h"
 #include "upstream_load.h"
+#include "vm_list.h"
 
 namespace coppervalve::net {
 
@@ -71,16 +70,7 @@
   if (!core::IsOk(result) || core::Value(result).head.status != kOk) {
     return std::nullopt;
   }
-  // Unknown fields are ignored, because the platform may add some at any time.
-  google::protobuf::util::JsonParseOptions options;
-  options.ignore_unknown_fields = true;
-  v1::VmList list;
-  const auto status = google::protobuf::util::JsonStringToMessage(
-      core::Value(result).body, &list, options);
-  if (!status.ok()) {
-    return std::nullopt;
-  }
-  return list;
+  return ReadVmList(core::Value(result).body);
 }
 
 }  // namespace
--- a/tests/net/unit-platform.cc
+++ b/tests/net/unit-platform.cc
@@ -3,6 +3,8 @@
 #include <atomic>  // atomic
 #include <mutex>   // mutex
 #include <string>  // string
+#include <thread>  // sleep_for
+#include <vector>  // vector
 
 #include "fake_server.h"
 #include "test_shell.h"
@@ -156,6 +158,36 @@
   }
 }
 
+// Guards against a router that follows the list no more because of one entry.
+TEST(Platform, an_odd_entry_of_the_vm_list_does_not_hide_the_others) {
+  const std::string deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& odd : std::vector<std::string>{
+           R"({"id":7e400})", R"({"id":"m0","leaving":"no"})",
+           R"({"id":"m0","address":[1]})", R"({"id":"m0","new":)" + deep + "}",
+           R"({"id":"m0","new":Infinity})", R"({"id":"}]","leaving":3})"}) {
+    FakeServer vms(AlwaysReply(
+        Reply(R"({"vms":[{"id":"m1"},)" + odd + R"(,{"id":"m2"}]})")));
+    net::ShellSettings settings = TestShell::Settings();
+    settings.vm_list_address = vms.address();
+    settings.vm_list_interval = std::chrono::milliseconds(30);
+    TestShell shell(OnRequest({}), settings);
+    const auto list = shell.WaitFor<router::VmListRead>();
+    CHECK_TEXT(list.has_value(), odd.substr(0, 40).c_str());
+    STRCMP_EQUAL("m2", list->vms.vms(list->vms.vms_size() - 1).id().c_str());
+  }
+}
+
+TEST(Platform, a_vm_list_that_is_cut_off_is_not_taken) {
+  FakeServer vms(AlwaysReply(Reply(R"({"vms":[{"id":"m1"},{"id":"m2")")));
+  net::ShellSettings settings = TestShell::Settings();
+  settings.vm_list_address = vms.address();
+  settings.vm_list_interval = std::chrono::milliseconds(10);
+  TestShell shell(OnRequest({}), settings);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  LONGS_EQUAL(0, shell.Count<router::VmListRead>());
+}
+
 TEST(Platform, a_probe_reports_health_and_load) {
   FakeServer healthy(AlwaysReply(Reply("{}", "x-engine-queued: 4\r\n")));
   FakeServer ill(AlwaysReply("HTTP/1.1 503 Ill\r\nContent-Length: 0\r\n\r\n"));
