--- a/include/coppervalve/entry/heartbeat_content.h
+++ b/include/coppervalve/entry/heartbeat_content.h
@@ -22,9 +22,9 @@
     int64_t listed_at_s,
     v1::RouterBeat& beat);
 
-/// @brief What a heartbeat lacks so that the store takes it.
+/// @brief What a heartbeat lacks to be small enough.
 struct HeartbeatOmissions {
-  bool versions = false;
+  bool versions = false;  ///< of some or all services
   size_t crashes = 0;
   bool operator==(const HeartbeatOmissions&) const = default;
 };
--- a/src/entry/heartbeat_content.cc
+++ b/src/entry/heartbeat_content.cc
@@ -55,12 +55,12 @@
 // A reader that does not know all versions refuses to resume some streams; one
 // that lacks reports of crashes lets more upstreams crash.
 HeartbeatOmissions FitHeartbeat(size_t max_bytes, v1::RouterBeat& beat) {
-  HeartbeatOmissions omitted;
   if (beat.ByteSizeLong() > max_bytes && beat.service_versions_size() != 0) {
     beat.clear_service_versions();
     beat.set_versions_incomplete(true);
-    omitted.versions = true;
   }
+  HeartbeatOmissions omitted;
+  omitted.versions = beat.versions_incomplete();
   // The most important reports come first.
   while (beat.ByteSizeLong() > max_bytes && beat.crashes_size() != 0) {
     beat.mutable_crashes()->RemoveLast();
--- a/tests/entry/unit-heartbeat-content.cc
+++ b/tests/entry/unit-heartbeat-content.cc
@@ -62,6 +62,7 @@
   CHECK(beat.ByteSizeLong() < kRecordBytes / 4);
   STRCMP_EQUAL("engines", beat.service_versions(0).service().c_str());
   CHECK_EQUAL(kClaims, static_cast<size_t>(beat.claims_size()));
+  CHECK(FitHeartbeat(kRecordBytes, beat).versions);
 }
 
 TEST(HeartbeatContent, a_small_table_is_stated_in_full) {
