Readiness: a router that begins to follow the table stays ready

What callers and the platform saw: a second after a start, routers that are neither active nor next said for the time of a list that they were not ready, and their heartbeats said so; with a table that takes long to send (large entries, small links, a slow store) that lasts as long. Cause: a standby is ready without the table, as others place its requests. As soon as it followed the table, only a table that had been listed counted. Why it works: requests are placed by asking until the list has been read, as before; only a router that has not been ready yet waits for it.

--- a/src/gateway/gateway_upstream_table.cc
+++ b/src/gateway/gateway_upstream_table.cc
@@ -8,8 +8,11 @@
 
 namespace coppervalve::gateway {
 
+// A router that begins to follow the table goes on asking others for placements
+// until it has listed it.
 bool Gateway::KnowsUpstreams() const {
-  return m_upstreams_known || !m_table_readers.follows();
+  const bool others_place = m_was_ready && !m_members.LoadAddresses().empty();
+  return m_upstreams_known || !m_table_readers.follows() || others_place;
 }
 
 // In a new fleet the records of routers and upstreams appear one by one. If all
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -22,6 +22,8 @@
 PAGE_BYTES = 1_000_000
 LENGTH_BYTES = 4
 OFFSETS_BYTES = 16
+# Routers ask for the page after this key to learn only where a topic ends.
+AFTER_ALL_KEYS = "\x7f"
 
 
 class Topic:
@@ -54,6 +56,7 @@
         self.silent = False
         self.unending: Unending | None = None  # what all calls are answered with
         self._silences = 0
+        self.page_delay_s: dict[str, float] = {}  # by topic, until a page is answered
         self.lost_reply_ratio = 0.0  # share of appends that take effect but get no reply
         self.calls = 0
         self._random = random.Random(seed)
@@ -147,6 +150,8 @@
         name = query["topic"]
         topic = self.topic(name)
         if url.path == "/api/log-newest":
+            if query.get("after") != AFTER_ALL_KEYS:
+                await asyncio.sleep(self.page_delay_s.get(name, 0))
             return self._newest(name, query.get("after", ""), port)
         if url.path == "/api/log-read":
             return await self._read(name, query, port)
